Serve a request end to end through separate processes

Change: TypeScript on Node 20 with the house-style libraries. Stand-ins for the platform log, model engine (token clock, prefix cache, priorities, cancel, resume, lagged load), plain service, cloud API, VM list and weight store, each its own process. The gateway serves OpenAI-compatible chat completions and completions (SSE and whole), routes by reported load and prefix affinity, resumes a broken stream on another engine, refuses with a 503 and Retry-After before dispatch, and follows the config stream on the platform log.

--- /dev/null
+++ b/scripts/bundle.mjs
@@ -0,0 +1,15 @@
+// Bundles the command line into one CommonJS file of plain JavaScript, dist/sesametally.cjs.
+import {build} from 'esbuild';
+
+await build({
+	entryPoints: ['src/cli/index.ts'],
+	bundle: true,
+	platform: 'node',
+	target: 'node20',
+	format: 'cjs',
+	outfile: 'dist/sesametally.cjs',
+	sourcemap: 'linked',
+	logLevel: 'warning',
+	// The optional native part of msgpackr cannot ride in a single executable; it runs in pure JavaScript.
+	external: ['msgpackr-extract'],
+});
--- /dev/null
+++ b/scripts/stack.mjs
@@ -0,0 +1,110 @@
+// The local stack: writes the settings of every process of a topology and starts each
+// as its own OS process on loopback. Used by `npm start`, the tests and the capacity runs.
+import {spawn} from 'node:child_process';
+import {mkdirSync, writeFileSync} from 'node:fs';
+import path from 'node:path';
+
+/** Loopback only. */
+export const host = '127.0.0.1';
+
+/**
+ * Writes the settings files of a topology into `dir` and returns the processes to start.
+ * @param {object} topology See examples/*\/stack.json.
+ * @param {string} dir Folder for the settings files.
+ */
+export function writeStackSettings(topology, dir) {
+	mkdirSync(dir, {recursive: true});
+	const base = topology.basePort;
+	const domains = topology.failureDomains;
+	const processes = [];
+	const write = (name, settings, args) => {
+		const file = path.join(dir, `${name}.json`);
+		writeFileSync(file, JSON.stringify(settings, undefined, 2) + '\n');
+		processes.push({name, args: [...args, '--config', file]});
+	};
+
+	write('log', {listen: {host, port: base}, failureDomain: domains[0], retentionMs: topology.retentionMs ?? 3_600_000, appendsPerSecond: topology.appendsPerSecond ?? 500}, ['standin', 'log']);
+	const backendServers = [];
+	let engineIndex = 0;
+	for (const model of topology.models) {
+		for (let replica = 0; replica < model.replicas; replica++) {
+			const id = `${model.name}-${replica}`;
+			const port = base + 100 + engineIndex++;
+			const failureDomain = domains[replica % domains.length];
+			write(id, {id, listen: {host, port}, failureDomain, model: model.name, tpotMs: topology.tpotMs ?? 10, maxBatch: topology.maxBatch ?? 32, checksFencing: replica % 2 === 0}, ['standin', 'engine']);
+			backendServers.push({id, kind: 'engine', name: model.name, url: `http://${host}:${port}`, failureDomain, checksFencing: replica % 2 === 0});
+		}
+	}
+
+	let serviceIndex = 0;
+	for (const service of topology.services) {
+		for (let replica = 0; replica < service.replicas; replica++) {
+			const id = `${service.name}-${replica}`;
+			const port = base + 200 + serviceIndex++;
+			const failureDomain = domains[replica % domains.length];
+			write(id, {id, listen: {host, port}, failureDomain}, ['standin', 'service']);
+			backendServers.push({id, kind: 'service', name: service.name, url: `http://${host}:${port}`, failureDomain, checksFencing: false});
+		}
+	}
+
+	const platform = {failureDomain: domains[0], prices: topology.prices ?? []};
+	write('cloud', {listen: {host, port: base + 300}, ...platform}, ['standin', 'cloud']);
+	write('vms', {listen: {host, port: base + 301}, ...platform}, ['standin', 'vms']);
+	write('weights', {listen: {host, port: base + 302}, ...platform}, ['standin', 'weights']);
+
+	const gateways = [];
+	for (let index = 0; index < topology.gateways; index++) {
+		gateways.push({id: `gateway-${index}`, port: topology.callerPort + index, adminPort: topology.adminPort + index, failureDomain: domains[index % domains.length]});
+	}
+
+	for (const gateway of gateways) {
+		write(gateway.id, {
+			id: gateway.id,
+			failureDomain: gateway.failureDomain,
+			listen: {host, port: gateway.port},
+			admin: {host, port: gateway.adminPort, teams: topology.teams},
+			platformLog: {url: `http://${host}:${base}`},
+			peers: gateways.filter(peer => peer.id !== gateway.id).map(peer => ({id: peer.id, url: `ws://${host}:${peer.adminPort}/peer`})),
+			backendServers,
+			clientAccounts: topology.accounts,
+			heartbeatMs: topology.heartbeatMs ?? 1000,
+			loadPollMs: 200,
+			drainMs: 30_000,
+		}, ['gateway']);
+	}
+
+	return {processes, gateways: gateways.map(gateway => ({...gateway, url: `http://${host}:${gateway.port}`, adminUrl: `http://${host}:${gateway.adminPort}`})), logUrl: `http://${host}:${base}`, cloudUrl: `http://${host}:${base + 300}`};
+}
+
+/**
+ * Starts each process of a stack and returns handles; `stop()` sends SIGTERM to all and waits.
+ * @param {Array<{name: string, args: string[]}>} processes
+ * @param {{binary?: string, quiet?: boolean}} options
+ */
+export function startStack(processes, options = {}) {
+	const binary = options.binary ?? path.resolve('dist/sesametally.cjs');
+	const children = processes.map(({name, args}) => {
+		const child = spawn(process.execPath, [binary, ...args], {
+			stdio: options.quiet ? ['ignore', 'ignore', 'ignore'] : ['ignore', 'inherit', 'inherit'],
+			env: {...process.env, SESAMETALLY_LOG: options.quiet ? 'off' : (process.env.SESAMETALLY_LOG ?? 'on')},
+		});
+		const exited = new Promise(resolve => {
+			child.once('exit', code => {
+				resolve(code);
+			});
+		});
+		return {name, child, exited};
+	});
+	return {
+		children,
+		async stop() {
+			for (const {child} of children) {
+				if (child.exitCode === null) {
+					child.kill('SIGTERM');
+				}
+			}
+
+			await Promise.all(children.map(({exited}) => exited));
+		},
+	};
+}
--- /dev/null
+++ b/src/abort.ts
@@ -0,0 +1,16 @@
+/**
+ * Helpers for the abort signals that own every long task.
+ */
+
+/** Resolves when the signal aborts. */
+export async function waitForAbort(signal: AbortSignal): Promise<void> {
+	if (signal.aborted) {
+		return;
+	}
+
+	await new Promise<void>(resolve => {
+		signal.addEventListener('abort', () => {
+			resolve();
+		}, {once: true});
+	});
+}
--- /dev/null
+++ b/src/cli/commands/gateway.ts
@@ -0,0 +1,97 @@
+/**
+ * `sesametally gateway`: the process on each entry VM. It serves callers, follows
+ * the config stream, tracks engine load, and keeps heartbeats with its peers. On
+ * SIGTERM it stops taking requests, finishes those in flight (up to `drainMs`) and exits.
+ */
+import {type GatewaySettings, loadSettings, settingsValidators} from '../../protocol/settings.js';
+import {ConfigTable} from '../../state/config-table.js';
+import {PlatformLog} from '../../state/platform-log.js';
+import {LoadTracker} from '../../coordination/load-tracker.js';
+import {Completions} from '../../coordination/completions.js';
+import {Limits} from '../../coordination/admission.js';
+import {Membership} from '../../coordination/membership.js';
+import {followConfig} from '../../coordination/config-follower.js';
+import {PeerMessageKind, type Heartbeat} from '../../protocol/peer-messages.js';
+import {createRegistry, createServer, startServer} from '../../transport/http-server.js';
+import {addCallerRoutes} from '../../transport/caller-api.js';
+import {addAdminRoutes} from '../../transport/admin-api.js';
+import {acceptPeers, linkPeer, type PeerTraffic} from '../../transport/peer-link.js';
+import {createLogger} from '../../log.js';
+import {waitForAbort} from '../../abort.js';
+import {createGatewayContainer} from '../container.js';
+
+const log = createLogger('gateway');
+
+/**
+ * Runs a gateway until the signal aborts.
+ *
+ * @throws {SettingsError} Before any port opens, when the settings are bad.
+ */
+export async function runGateway(settingsFile: string, signal: AbortSignal): Promise<void> {
+	const settings = loadSettings<GatewaySettings>(settingsFile, settingsValidators.gateway);
+	const services = createGatewayContainer(settings);
+	const config = services.resolve(ConfigTable);
+	const platformLog = services.resolve(PlatformLog);
+	const loads = services.resolve(LoadTracker);
+	const completions = services.resolve(Completions);
+	const limits = services.resolve(Limits);
+	const membership = services.resolve(Membership);
+	const traffic: PeerTraffic = {bytesSent: 0, bytesReceived: 0, messagesSent: 0, messagesReceived: 0};
+	const tasks = new AbortController();
+	const stopTasks = AbortSignal.any([tasks.signal]);
+
+	const status = () => {
+		const nowMs = Date.now();
+		return {
+			id: settings.id,
+			failureDomain: settings.failureDomain,
+			config: config.toJson(),
+			peers: membership.list(nowMs),
+		};
+	};
+
+	const dump = () => ({
+		...status(),
+		loads: Object.fromEntries(loads.views),
+		limits: limits.toJson(),
+		peerTraffic: traffic,
+		completions: {recomputedTokens: completions.recomputedTokens, resumes: completions.resumes},
+		platformLogAppends: platformLog.appends,
+	});
+
+	const registry = createRegistry();
+	const callers = createServer(settings.listen, registry, dump);
+	addCallerRoutes(callers, {accounts: settings.clientAccounts, backendServers: settings.backendServers, completions, limits, config, signal: stopTasks});
+	const admin = createServer({host: settings.admin.host, port: settings.admin.port}, registry, dump);
+	addAdminRoutes(admin, {teams: settings.admin.teams, config, platformLog, status});
+	acceptPeers(admin.listener, traffic, message => {
+		membership.observe(message, Date.now());
+	});
+
+	await startServer(admin);
+	await startServer(callers);
+	log.info('listening.', {id: settings.id, failureDomain: settings.failureDomain, port: callers.info.port, adminPort: admin.info.port});
+
+	const heartbeat = (): Heartbeat => ({
+		kind: PeerMessageKind.Heartbeat,
+		id: settings.id,
+		failureDomain: settings.failureDomain,
+		appliedOffset: config.appliedOffset,
+		configVersion: config.version,
+		inFlight: 0,
+		sentAtMs: Date.now(),
+	});
+	const running = Promise.all([
+		followConfig(platformLog, config, stopTasks),
+		loads.run(stopTasks),
+		...settings.peers.map(async peer => linkPeer(peer, settings.heartbeatMs, heartbeat, traffic, stopTasks)),
+	]);
+
+	await waitForAbort(signal);
+	log.info('draining.', {drainMs: settings.drainMs});
+	await callers.stop({timeout: settings.drainMs});
+	tasks.abort();
+	await running;
+	await admin.stop({timeout: 1000});
+	log.info('stopped.');
+}
--- /dev/null
+++ b/src/cli/container.ts
@@ -0,0 +1,41 @@
+/**
+ * Wiring of a gateway's parts with `tsyringe`: each part is registered once per
+ * process under its class or a token, and built on first use from the settings.
+ */
+import 'reflect-metadata';
+import {container, type DependencyContainer, instanceCachingFactory} from 'tsyringe';
+import {type GatewaySettings, BackendKind} from '../protocol/settings.js';
+import {ConfigTable} from '../state/config-table.js';
+import {PlatformLog} from '../state/platform-log.js';
+import {LoadTracker} from '../coordination/load-tracker.js';
+import {Completions} from '../coordination/completions.js';
+import {Limits} from '../coordination/admission.js';
+import {Membership} from '../coordination/membership.js';
+
+/** The token of the gateway's settings. */
+export const gatewaySettingsToken = Symbol('GatewaySettings');
+
+/** Builds the container of one gateway. */
+export function createGatewayContainer(settings: GatewaySettings): DependencyContainer {
+	const child = container.createChildContainer();
+	child.registerInstance(gatewaySettingsToken, settings);
+	child.register(ConfigTable, {useFactory: instanceCachingFactory(() => new ConfigTable())});
+	child.register(PlatformLog, {useFactory: instanceCachingFactory(() => new PlatformLog(settings.platformLog.url))});
+	child.register(Limits, {useFactory: instanceCachingFactory(() => new Limits())});
+	child.register(Membership, {useFactory: instanceCachingFactory(() => new Membership(settings.heartbeatMs))});
+	child.register(LoadTracker, {
+		useFactory: instanceCachingFactory(() => new LoadTracker(settings.backendServers.filter(backend => backend.kind === BackendKind.Engine), settings.loadPollMs)),
+	});
+	child.register(Completions, {
+		useFactory: instanceCachingFactory(resolver => {
+			const config = resolver.resolve(ConfigTable);
+			return new Completions(
+				settings.backendServers.filter(backend => backend.kind === BackendKind.Engine),
+				resolver.resolve(LoadTracker),
+				() => config.drained,
+				() => config.activePreset?.routing?.affinitySlack,
+			);
+		}),
+	});
+	return child;
+}
--- /dev/null
+++ b/src/cli/index.ts
@@ -0,0 +1,111 @@
+/**
+ * The command line of the single binary: `gateway`, `standin`, `admin` and `bench`.
+ * Each subcommand only wires its arguments to the module that does the work.
+ */
+import process from 'node:process';
+import {command, number, oneOf, option, optional, positional, run, string, subcommands} from 'cmd-ts';
+import {enableLogs} from '../log.js';
+import {SesametallyError} from '../errors.js';
+import {runGateway} from './commands/gateway.js';
+import {StandinPart, runStandin} from './commands/standin.js';
+import {AdminAction, runAdmin} from './commands/admin.js';
+import {runBench} from './commands/bench.js';
+
+/** Aborts on SIGTERM or SIGINT, so that a process stops gracefully. */
+function stopSignal(): AbortSignal {
+	const controller = new AbortController();
+	for (const name of ['SIGTERM', 'SIGINT'] as const) {
+		process.once(name, () => {
+			controller.abort();
+		});
+	}
+
+	return controller.signal;
+}
+
+/** Runs a long-lived role and turns its errors into an exit code with a message. */
+async function runRole(task: () => Promise<void>): Promise<void> {
+	try {
+		await task();
+		process.exitCode = 0;
+	} catch (error) {
+		const message = error instanceof SesametallyError ? error.message : String(error);
+		process.stderr.write(`sesametally: ${message}\n`);
+		process.exitCode = 2;
+	}
+}
+
+const config = option({long: 'config', short: 'c', type: string, description: 'JSON settings file'});
+
+const gateway = command({
+	name: 'gateway',
+	description: 'Run a gateway: serves callers, follows config, peers with other gateways.',
+	args: {config},
+	handler: async ({config: file}) => runRole(async () => runGateway(file, stopSignal())),
+});
+
+const standins = subcommands({
+	name: 'standin',
+	description: 'Run a stand-in of the platform.',
+	cmds: Object.fromEntries(Object.values(StandinPart).map(part => [part, command({
+		name: part,
+		description: `Run the ${part} stand-in.`,
+		args: {config},
+		handler: async ({config: file}) => runRole(async () => runStandin(part, file, stopSignal())),
+	})])),
+});
+
+const adminArgs = {
+	url: option({long: 'url', type: string, description: 'admin URL of a gateway, such as http://127.0.0.1:9080'}),
+	token: option({long: 'token', type: optional(string), env: 'SESAMETALLY_TOKEN', description: 'team bearer token'}),
+	base: option({long: 'base', type: optional(number), description: 'config version the change is based on (default: the gateway\'s)'}),
+};
+
+const adminTargets: Record<AdminAction, string | undefined> = {
+	[AdminAction.Publish]: 'preset JSON file',
+	[AdminAction.Activate]: 'preset name',
+	[AdminAction.Drain]: 'backend server id',
+	[AdminAction.Status]: undefined,
+	[AdminAction.Dump]: undefined,
+};
+
+const admin = subcommands({
+	name: 'admin',
+	description: 'Operate the fleet through a gateway\'s administration API.',
+	cmds: Object.fromEntries(Object.values(AdminAction).map(action => {
+		const what = adminTargets[action];
+		return [action, command({
+			name: action,
+			description: `${action}${what === undefined ? '' : ` a ${what}`}`,
+			args: {...adminArgs, target: positional({type: what === undefined ? optional(string) : string, displayName: what ?? 'unused'})},
+			async handler(options) {
+				try {
+					process.exitCode = await runAdmin(action, options);
+				} catch (error) {
+					process.stderr.write(`sesametally: ${String(error)}\n`);
+					process.exitCode = 2;
+				}
+			},
+		})];
+	})),
+});
+
+const bench = command({
+	name: 'bench',
+	description: 'Run a load and fault experiment from a JSON file and write its report.',
+	args: {
+		experiment: option({long: 'experiment', short: 'e', type: string, description: 'experiment JSON file'}),
+		out: option({long: 'out', type: optional(string), description: 'report JSON file'}),
+		format: option({long: 'format', type: optional(oneOf(['text', 'json'])), description: 'summary format'}),
+	},
+	handler: async options => runRole(async () => runBench(options.experiment, options.out, stopSignal())),
+});
+
+const cli = subcommands({
+	name: 'sesametally',
+	description: 'Serving system for language-model fleets on reclaimable VMs.',
+	cmds: {gateway, standin: standins, admin, bench},
+});
+
+enableLogs(process.env);
+void run(cli, process.argv.slice(2));
--- /dev/null
+++ b/src/coordination/router.ts
@@ -0,0 +1,74 @@
+/**
+ * Routing of a completion to a model engine. It weighs the load each engine
+ * reported (stale, so corrected by what this gateway sent since) against
+ * prefix-cache affinity: prompts that share a prefix go to the same engine by
+ * rendezvous hashing, unless that engine is loaded beyond the least loaded by more
+ * than the preset's slack.
+ */
+import {createHash} from 'node:crypto';
+import {type BackendServer} from '../protocol/settings.js';
+import {type EngineLoad} from '../protocol/engine-api.js';
+import {promptTokens} from '../protocol/tokens.js';
+import {NoBackendError} from './errors.js';
+
+/** Words of the prompt that make up the prefix for affinity. */
+export const affinityTokens = 32;
+/** Default slack: queued requests an affine engine may have above the least loaded. */
+export const defaultAffinitySlack = 4;
+/** A load report older than this is not trusted. */
+export const staleLoadMs = 2000;
+
+/** What a gateway knows of one backend server's load. */
+export type LoadView = {
+	report?: EngineLoad;
+	receivedAtMs?: number;
+	/** Requests this gateway dispatched since the report arrived. */
+	sentSinceReport: number;
+	healthy: boolean;
+};
+
+/** The inputs of one routing decision. */
+export type RouteQuery = {
+	candidates: BackendServer[];
+	loads: ReadonlyMap<string, LoadView>;
+	excluded: ReadonlySet<string>;
+	prompt: string;
+	affinitySlack: number;
+	nowMs: number;
+};
+
+/** Estimated queue of a backend server at `nowMs`. */
+export function estimateLoad(view: LoadView | undefined, nowMs: number): number {
+	if (!view) {
+		return 0;
+	}
+
+	const fresh = view.report !== undefined && view.receivedAtMs !== undefined && nowMs - view.receivedAtMs <= staleLoadMs;
+	return (fresh ? view.report!.running + view.report!.waiting : 0) + view.sentSinceReport;
+}
+
+/** The rendezvous score of a backend server for a prompt prefix. */
+export function affinityScore(prefix: string, backendId: string): number {
+	return createHash('sha256').update(prefix).update('\0').update(backendId).digest().readUInt32BE(0);
+}
+
+/**
+ * Chooses the backend server for a prompt.
+ *
+ * @throws {NoBackendError} When no candidate is healthy and not excluded.
+ */
+export function chooseBackend(query: RouteQuery): BackendServer {
+	const {candidates, loads, excluded, prompt, affinitySlack, nowMs} = query;
+	const usable = candidates.filter(backend => !excluded.has(backend.id) && (loads.get(backend.id)?.healthy ?? true));
+	if (usable.length === 0) {
+		throw new NoBackendError(`no backend server can take the request (${candidates.length} known, ${excluded.size} excluded)`);
+	}
+
+	const prefix = promptTokens(prompt).slice(0, affinityTokens).join(' ');
+	const ranked = usable
+		.map(backend => ({backend, load: estimateLoad(loads.get(backend.id), nowMs), score: affinityScore(prefix, backend.id)}))
+		.sort((a, b) => b.score - a.score);
+	const least = Math.min(...ranked.map(entry => entry.load));
+	const choice = ranked.find(entry => entry.load <= least + affinitySlack)!;
+	return choice.backend;
+}
--- /dev/null
+++ b/src/protocol/engine-api.ts
@@ -0,0 +1,76 @@
+/**
+ * The HTTP shapes of a model engine, as its stand-in serves them. Completions follow
+ * the OpenAI completions API; the extra fields are those engines offer for serving
+ * systems (request ids, priorities, resume, fencing tokens).
+ *
+ * - `POST /v1/completions` with {@link EngineCompletionRequest}: with `stream: true`,
+ *   server-sent events of {@link EngineChunk} ending in `data: [DONE]`; otherwise one
+ *   {@link EngineCompletion}.
+ * - `GET /load`: {@link EngineLoad}, refreshed with a lag.
+ * - `POST /v1/requests/{id}/cancel`: {@link CancelAnswer}.
+ * - `POST /v1/orders` with {@link EngineOrder}: 200, or 409 when the fencing token is old.
+ */
+
+/** A completion request to an engine. */
+export type EngineCompletionRequest = {
+	model: string;
+	prompt: string;
+	/** The number of tokens to generate, counted from token 0 even when resuming. */
+	max_tokens: number;
+	stream?: boolean;
+	/** The caller's id for the request, used by cancel. */
+	request_id?: string;
+	/** Lower numbers are served first; 0 is the default. */
+	priority?: number;
+	/** Generate from this token index on: the tokens before it were already delivered. */
+	resume_from?: number;
+};
+
+/** One streamed token. */
+export type EngineChunk = {
+	id: string;
+	object: 'text_completion';
+	model: string;
+	choices: Array<{index: 0; text: string; finish_reason: 'length' | 'stop' | null}>;
+	/** Index of this token in the whole answer. */
+	seq: number;
+};
+
+/** A whole completion. */
+export type EngineCompletion = {
+	id: string;
+	object: 'text_completion';
+	model: string;
+	choices: Array<{index: 0; text: string; finish_reason: 'length' | 'stop'}>;
+	usage: {prompt_tokens: number; completion_tokens: number; total_tokens: number; cached_tokens: number};
+};
+
+/** The load an engine reports, measured at `measuredAtMs` (its own clock). */
+export type EngineLoad = {
+	running: number;
+	waiting: number;
+	maxBatch: number;
+	cacheBlocksUsed: number;
+	cacheBlocks: number;
+	measuredAtMs: number;
+};
+
+/** The answer to a cancel: whether the request stopped before it finished. */
+export type CancelAnswer = {
+	cancelled: boolean;
+	tokensSent: number;
+};
+
+/** The kinds of order the controller gives an engine. */
+export enum OrderKind {
+	LoadModel = 'load-model',
+	ChangeRole = 'change-role',
+}
+
+/** An order to an engine, carrying the controller's fencing token. */
+export type EngineOrder = {
+	kind: OrderKind;
+	fencingToken: number;
+	model?: string;
+	role?: string;
+};
--- /dev/null
+++ b/src/standins/service.ts
@@ -0,0 +1,60 @@
+/**
+ * Stand-in for a plain backend service whose calls may not be repeated. It counts
+ * executions per idempotency key so that a test can prove at-most-once; a fault
+ * switch loses the answer after the call has executed.
+ *
+ * - `POST /v1/{call}` with header `idempotency-key`: 200 `{call, key, executions}`.
+ * - `GET /executions`: `{[key]: count}`.
+ */
+import {setTimeout as delay} from 'node:timers/promises';
+import {type ServiceStandinSettings} from '../protocol/settings.js';
+import {createRegistry, createServer, startServer} from '../transport/http-server.js';
+import {createLogger} from '../log.js';
+import {waitForAbort} from '../abort.js';
+import {addFaultRoute} from './faults.js';
+
+const log = createLogger('standin-service');
+
+type ServiceFaults = {
+	/** Answers of executed calls are lost (the connection drops). */
+	loseAnswers?: boolean;
+	/** Calls answer 503 before executing. */
+	refuse?: boolean;
+};
+
+/**
+ * Runs the plain service stand-in until the signal aborts.
+ *
+ * @throws {TransportError} When its port cannot be bound.
+ */
+export async function runServiceStandin(settings: ServiceStandinSettings, signal: AbortSignal): Promise<void> {
+	const executions = new Map<string, number>();
+	const faults: ServiceFaults = {};
+	const server = createServer(settings.listen, createRegistry(), () => ({id: settings.id, executions: Object.fromEntries(executions), faults}));
+	addFaultRoute(server, faults);
+	server.route({
+		method: 'POST',
+		path: '/v1/{call}',
+		async handler(request, h) {
+			if (faults.refuse) {
+				return h.response({error: 'refused', executed: false}).code(503);
+			}
+
+			const key = String(request.headers['idempotency-key'] ?? 'none');
+			await delay(settings.latencyMs);
+			const count = (executions.get(key) ?? 0) + 1;
+			executions.set(key, count);
+			if (faults.loseAnswers) {
+				request.raw.req.socket.destroy();
+				return h.abandon;
+			}
+
+			return {call: request.params.call, key, executions: count, by: settings.id};
+		},
+	});
+	server.route({method: 'GET', path: '/executions', handler: () => Object.fromEntries(executions)});
+	await startServer(server);
+	log.info('listening.', {id: settings.id, port: server.info.port});
+	await waitForAbort(signal);
+	await server.stop({timeout: 1000});
+}
--- /dev/null
+++ b/src/state/config-table.ts
@@ -0,0 +1,121 @@
+/**
+ * The configuration as rebuilt from the `config` stream: presets, the preset in
+ * force, drained backend servers, and the version (the offset of the last accepted
+ * record). Records are applied strictly in offset order; a record whose base is not
+ * the current version lost a race and is rejected, identically by every reader.
+ */
+import {type ConfigRecord, ConfigRecordKind, type Preset} from '../protocol/config-records.js';
+
+/** What became of one record. */
+export type ConfigOutcome = {
+	offset: number;
+	accepted: boolean;
+	reason?: string;
+};
+
+const keptOutcomes = 1000;
+
+/** The configuration of the fleet at one version. */
+export class ConfigTable {
+	/** Offset of the last accepted record; -1 before any. */
+	version = -1;
+	/** Offset of the last record applied, accepted or not; -1 before any. */
+	appliedOffset = -1;
+	active: string | undefined;
+	readonly presets = new Map<string, {team: string; preset: Preset}>();
+	readonly drained = new Set<string>();
+	/** Recent outcomes by record id, for publishers waiting on their record. */
+	readonly outcomes = new Map<string, ConfigOutcome>();
+
+	/** The preset in force, if any. */
+	get activePreset(): Preset | undefined {
+		return this.active === undefined ? undefined : this.presets.get(this.active)?.preset;
+	}
+
+	/**
+	 * Applies the record at `offset`. Offsets must rise; an offset at or below the
+	 * last applied one is ignored, so a record is never applied twice and config
+	 * never reverts.
+	 */
+	apply(offset: number, record: ConfigRecord): ConfigOutcome {
+		if (offset <= this.appliedOffset) {
+			return {offset, accepted: false, reason: 'already applied'};
+		}
+
+		this.appliedOffset = offset;
+		const reason = this.refusal(record);
+		const outcome: ConfigOutcome = reason === undefined ? {offset, accepted: true} : {offset, accepted: false, reason};
+		if (outcome.accepted) {
+			this.accept(record);
+			this.version = offset;
+		}
+
+		this.outcomes.set(record.id, outcome);
+		if (this.outcomes.size > keptOutcomes) {
+			this.outcomes.delete(this.outcomes.keys().next().value!);
+		}
+
+		return outcome;
+	}
+
+	/** A plain copy for state dumps and status. */
+	toJson(): Record<string, unknown> {
+		return {
+			version: this.version,
+			appliedOffset: this.appliedOffset,
+			active: this.active,
+			presets: [...this.presets.keys()],
+			drained: [...this.drained],
+		};
+	}
+
+	private refusal(record: ConfigRecord): string | undefined {
+		if (record.base !== this.version) {
+			return `based on version ${record.base}, but version ${this.version} is in force`;
+		}
+
+		switch (record.kind) {
+			case ConfigRecordKind.Preset: {
+				const owner = this.presets.get(record.preset!.name)?.team;
+				return owner === undefined || owner === record.team ? undefined : `preset ${record.preset!.name} belongs to team ${owner}`;
+			}
+
+			case ConfigRecordKind.Activate: {
+				return this.presets.has(record.name!) ? undefined : `preset ${record.name!} does not exist`;
+			}
+
+			case ConfigRecordKind.Drain:
+			case ConfigRecordKind.Undrain: {
+				return record.backendServer === undefined ? 'no backend server named' : undefined;
+			}
+
+			default: {
+				return `unknown record kind ${String(record.kind)}`;
+			}
+		}
+	}
+
+	private accept(record: ConfigRecord): void {
+		switch (record.kind) {
+			case ConfigRecordKind.Preset: {
+				this.presets.set(record.preset!.name, {team: record.team, preset: record.preset!});
+				break;
+			}
+
+			case ConfigRecordKind.Activate: {
+				this.active = record.name;
+				break;
+			}
+
+			case ConfigRecordKind.Drain: {
+				this.drained.add(record.backendServer!);
+				break;
+			}
+
+			case ConfigRecordKind.Undrain: {
+				this.drained.delete(record.backendServer!);
+				break;
+			}
+		}
+	}
+}
--- /dev/null
+++ b/src/transport/admin-api.ts
@@ -0,0 +1,153 @@
+/**
+ * The administration API of a gateway: publish a preset, activate one, drain a
+ * backend server, status of every gateway. Each team's bearer token comes from
+ * settings; a call without one is refused with 401, a call beyond the team's role
+ * or on another team's preset with 403. Config changes go to the platform log;
+ * the answer waits until this gateway has applied the record and says whether it won.
+ */
+import {randomUUID} from 'node:crypto';
+import {setTimeout as delay} from 'node:timers/promises';
+import type Hapi from '@hapi/hapi';
+import {type ConfigRecord, ConfigRecordKind, checkPreset, configStream} from '../protocol/config-records.js';
+import {ProtocolError} from '../protocol/errors.js';
+import {type Team, TeamRole} from '../protocol/settings.js';
+import {type ConfigTable} from '../state/config-table.js';
+import {type PlatformLog} from '../state/platform-log.js';
+import {UnknownAppendError} from '../state/errors.js';
+import {createLogger} from '../log.js';
+
+const log = createLogger('admin');
+
+/** How long a publish waits to see its record applied, in milliseconds. */
+export const applyWaitMs = 17_000;
+const applyPollMs = 20;
+
+/** What the admin routes need from the rest of the gateway. */
+export type AdminContext = {
+	teams: Team[];
+	config: ConfigTable;
+	platformLog: PlatformLog;
+	status: () => unknown;
+};
+
+/** Adds the admin routes to a server. */
+export function addAdminRoutes(server: Hapi.Server, context: AdminContext): void {
+	const teamByToken = new Map(context.teams.map(team => [team.token, team]));
+
+	const authorize = (request: Hapi.Request, h: Hapi.ResponseToolkit, role: TeamRole): Team | Hapi.ResponseObject => {
+		const token = String(request.headers.authorization ?? '').replace(/^Bearer /, '');
+		const team = teamByToken.get(token);
+		if (!team) {
+			return h.response({error: 'a team bearer token is required'}).code(401);
+		}
+
+		if (role === TeamRole.Operator && team.role !== TeamRole.Operator) {
+			return h.response({error: `team ${team.name} may only read`}).code(403);
+		}
+
+		return team;
+	};
+
+	const publish = async (h: Hapi.ResponseToolkit, record: ConfigRecord) => {
+		try {
+			await context.platformLog.append(configStream, [record]);
+		} catch (error) {
+			if (!(error instanceof UnknownAppendError)) {
+				log.warn('config change refused by the platform log.', {id: record.id, error: String(error)});
+				return h.response({error: 'the platform log refused the change; it was not published', outcome: 'not-run'}).code(503).header('retry-after', '1');
+			}
+
+			log.warn('config append outcome unknown, watching for it.', {id: record.id});
+		}
+
+		const deadline = Date.now() + applyWaitMs;
+		while (Date.now() < deadline) {
+			const outcome = context.config.outcomes.get(record.id);
+			if (outcome) {
+				return outcome.accepted
+					? {accepted: true, version: outcome.offset}
+					: h.response({accepted: false, offset: outcome.offset, reason: outcome.reason, version: context.config.version}).code(409);
+			}
+
+			// eslint-disable-next-line no-await-in-loop
+			await delay(applyPollMs);
+		}
+
+		return h.response({error: 'the change was not seen applied in time; its outcome is unknown', outcome: 'unknown', id: record.id}).code(504);
+	};
+
+	const baseOf = (request: Hapi.Request) => {
+		const base = (request.payload as {base?: number} | undefined)?.base;
+		return typeof base === 'number' ? base : context.config.version;
+	};
+
+	const isResponse = (value: Team | Hapi.ResponseObject): value is Hapi.ResponseObject => !('role' in value && 'token' in value);
+
+	server.route({
+		method: 'POST',
+		path: '/admin/presets',
+		async handler(request, h) {
+			const team = authorize(request, h, TeamRole.Operator);
+			if (isResponse(team)) {
+				return team;
+			}
+
+			const payload = request.payload as {preset?: unknown; base?: number};
+			let preset;
+			try {
+				preset = checkPreset(payload.preset);
+			} catch (error) {
+				if (error instanceof ProtocolError) {
+					return h.response({error: error.message}).code(400);
+				}
+
+				throw error;
+			}
+
+			const owner = context.config.presets.get(preset.name)?.team;
+			if (owner !== undefined && owner !== team.name) {
+				return h.response({error: `preset ${preset.name} belongs to team ${owner}`}).code(403);
+			}
+
+			return publish(h, {kind: ConfigRecordKind.Preset, id: randomUUID(), team: team.name, base: baseOf(request), preset});
+		},
+	});
+
+	server.route({
+		method: 'POST',
+		path: '/admin/activate',
+		async handler(request, h) {
+			const team = authorize(request, h, TeamRole.Operator);
+			if (isResponse(team)) {
+				return team;
+			}
+
+			const {name} = request.payload as {name: string};
+			return publish(h, {kind: ConfigRecordKind.Activate, id: randomUUID(), team: team.name, base: baseOf(request), name});
+		},
+	});
+
+	server.route({
+		method: 'POST',
+		path: '/admin/drain',
+		async handler(request, h) {
+			const team = authorize(request, h, TeamRole.Operator);
+			if (isResponse(team)) {
+				return team;
+			}
+
+			const {backendServer, undo} = request.payload as {backendServer: string; undo?: boolean};
+			return publish(h, {kind: undo ? ConfigRecordKind.Undrain : ConfigRecordKind.Drain, id: randomUUID(), team: team.name, base: baseOf(request), backendServer});
+		},
+	});
+
+	server.route({
+		method: 'GET',
+		path: '/admin/status',
+		handler(request, h) {
+			const team = authorize(request, h, TeamRole.Viewer);
+			return isResponse(team) ? team : context.status();
+		},
+	});
+}
+
--- /dev/null
+++ b/src/transport/http-server.ts
@@ -0,0 +1,63 @@
+/**
+ * The hapi servers every process runs: one factory, plus the two routes each
+ * process has, `/metrics` (prom-client) and `/debug/state` (a JSON dump of its state).
+ */
+import Hapi from '@hapi/hapi';
+import {collectDefaultMetrics, Registry} from 'prom-client';
+import {type Listen} from '../protocol/settings.js';
+import {TransportError} from './errors.js';
+
+/** Produces the JSON-serialisable state of a process for `/debug/state`. */
+export type StateDump = () => unknown;
+
+/** Creates a metrics registry with Node's default process metrics. */
+export function createRegistry(): Registry {
+	const registry = new Registry();
+	collectDefaultMetrics({register: registry});
+	return registry;
+}
+
+/** Reads CPU and memory use of this process, for dumps and the capacity bench. */
+export function readProcessUsage(): {cpuUs: number; rssBytes: number; heapUsedBytes: number} {
+	const cpu = process.cpuUsage();
+	const memory = process.memoryUsage();
+	return {cpuUs: cpu.user + cpu.system, rssBytes: memory.rss, heapUsedBytes: memory.heapUsed};
+}
+
+/**
+ * Creates a hapi server on the given address with `/metrics` and `/debug/state`.
+ * The server is not started.
+ */
+export function createServer(listen: Listen, registry: Registry, dump: StateDump): Hapi.Server {
+	const server = Hapi.server({
+		host: listen.host,
+		port: listen.port,
+		routes: {payload: {maxBytes: 8 * 1024 * 1024}},
+	});
+	server.route({
+		method: 'GET',
+		path: '/metrics',
+		async handler(_request, h) {
+			return h.response(await registry.metrics()).type(registry.contentType);
+		},
+	});
+	server.route({
+		method: 'GET',
+		path: '/debug/state',
+		handler: () => ({process: readProcessUsage(), state: dump()}),
+	});
+	return server;
+}
+
+/**
+ * Starts a server, wrapping a bind failure.
+ *
+ * @throws {TransportError} When the address cannot be bound.
+ */
+export async function startServer(server: Hapi.Server): Promise<void> {
+	try {
+		await server.start();
+	} catch (error) {
+		throw new TransportError(`cannot listen on ${server.settings.host ?? ''}:${server.settings.port ?? ''}`, {cause: error});
+	}
+}
--- /dev/null
+++ b/src/transport/sse.ts
@@ -0,0 +1,30 @@
+/**
+ * Reading and writing server-sent events. Reading uses `eventsource-parser`;
+ * writing is the `data:` framing of the format.
+ */
+import {type Readable} from 'node:stream';
+import {createParser, type EventSourceMessage} from 'eventsource-parser';
+
+/** Yields the `data` of each event of a server-sent event stream, in order. */
+export async function * readEvents(stream: Readable): AsyncGenerator<string> {
+	const pending: EventSourceMessage[] = [];
+	const parser = createParser({
+		onEvent(event) {
+			pending.push(event);
+		},
+	});
+	for await (const chunk of stream) {
+		parser.feed(typeof chunk === 'string' ? chunk : (chunk as Buffer).toString('utf8'));
+		while (pending.length > 0) {
+			yield pending.shift()!.data;
+		}
+	}
+}
+
+/** Frames one event. */
+export function formatEvent(data: string): string {
+	return `data: ${data}\n\n`;
+}
+
+/** The event that ends an OpenAI stream. */
+export const doneEvent = formatEvent('[DONE]');
