Test the whole path with real processes; lint clean of errors

Change: vitest tables of cases.

Ruled out: a node-spawning test runner per file (one stack per file is enough at this size).

--- a/scripts/local-stack.mjs
+++ b/scripts/local-stack.mjs
@@ -1,5 +1,6 @@
 // `npm start`: starts the local stack of an example deployment, each role its own OS process
 // on loopback, and stops them all on SIGINT or SIGTERM.
+import process from 'node:process';
 import {readFileSync} from 'node:fs';
 import path from 'node:path';
 import {setTimeout as delay} from 'node:timers/promises';
--- a/scripts/stack.mjs
+++ b/scripts/stack.mjs
@@ -1,5 +1,6 @@
 // The local stack: writes the settings of every process of a topology and starts each
 // as its own OS process on loopback. Used by `npm start`, the tests and the capacity runs.
+import process from 'node:process';
 import {spawn} from 'node:child_process';
 import {mkdirSync, writeFileSync} from 'node:fs';
 import path from 'node:path';
@@ -23,7 +24,9 @@
 		processes.push({name, args: [...args, '--config', file]});
 	};
 
-	write('log', {listen: {host, port: base}, failureDomain: domains[0], retentionMs: topology.retentionMs ?? 3_600_000, appendsPerSecond: topology.appendsPerSecond ?? 500}, ['standin', 'log']);
+	write('log', {
+		listen: {host, port: base}, failureDomain: domains[0], retentionMs: topology.retentionMs ?? 3_600_000, appendsPerSecond: topology.appendsPerSecond ?? 500,
+	}, ['standin', 'log']);
 	const backendServers = [];
 	let engineIndex = 0;
 	for (const model of topology.models) {
@@ -31,8 +34,12 @@
 			const id = `${model.name}-${replica}`;
 			const port = base + 100 + engineIndex++;
 			const failureDomain = domains[replica % domains.length];
-			write(id, {id, listen: {host, port}, failureDomain, model: model.name, tpotMs: topology.tpotMs ?? 10, maxBatch: topology.maxBatch ?? 32, checksFencing: replica % 2 === 0}, ['standin', 'engine']);
-			backendServers.push({id, kind: 'engine', name: model.name, url: `http://${host}:${port}`, failureDomain, checksFencing: replica % 2 === 0});
+			write(id, {
+				id, listen: {host, port}, failureDomain, model: model.name, tpotMs: topology.tpotMs ?? 10, maxBatch: topology.maxBatch ?? 32, checksFencing: replica % 2 === 0,
+			}, ['standin', 'engine']);
+			backendServers.push({
+				id, kind: 'engine', name: model.name, url: `http://${host}:${port}`, failureDomain, checksFencing: replica % 2 === 0,
+			});
 		}
 	}
 
@@ -43,7 +50,9 @@
 			const port = base + 200 + serviceIndex++;
 			const failureDomain = domains[replica % domains.length];
 			write(id, {id, listen: {host, port}, failureDomain}, ['standin', 'service']);
-			backendServers.push({id, kind: 'service', name: service.name, url: `http://${host}:${port}`, failureDomain, checksFencing: false});
+			backendServers.push({
+				id, kind: 'service', name: service.name, url: `http://${host}:${port}`, failureDomain, checksFencing: false,
+			});
 		}
 	}
 
@@ -54,7 +63,9 @@
 
 	const gateways = [];
 	for (let index = 0; index < topology.gateways; index++) {
-		gateways.push({id: `gateway-${index}`, port: topology.callerPort + index, adminPort: topology.adminPort + index, failureDomain: domains[index % domains.length]});
+		gateways.push({
+			id: `gateway-${index}`, port: topology.callerPort + index, adminPort: topology.adminPort + index, failureDomain: domains[index % domains.length],
+		});
 	}
 
 	for (const gateway of gateways) {
@@ -73,7 +84,9 @@
 		}, ['gateway']);
 	}
 
-	return {processes, gateways: gateways.map(gateway => ({...gateway, url: `http://${host}:${gateway.port}`, adminUrl: `http://${host}:${gateway.adminPort}`})), logUrl: `http://${host}:${base}`, cloudUrl: `http://${host}:${base + 300}`};
+	return {
+		processes, gateways: gateways.map(gateway => ({...gateway, url: `http://${host}:${gateway.port}`, adminUrl: `http://${host}:${gateway.adminPort}`})), logUrl: `http://${host}:${base}`, cloudUrl: `http://${host}:${base + 300}`,
+	};
 }
 
 /**
--- a/src/bench/histogram.ts
+++ b/src/bench/histogram.ts
@@ -19,6 +19,8 @@
 	/** The percentiles recorded so far. */
 	percentiles(): Percentiles {
 		const ms = (percentile: number) => this.histogram.getValueAtPercentile(percentile) / 1000;
-		return {count: this.histogram.totalCount, p50: ms(50), p95: ms(95), p99: ms(99), max: this.histogram.maxValue / 1000};
+		return {
+			count: this.histogram.totalCount, p50: ms(50), p95: ms(95), p99: ms(99), max: this.histogram.maxValue / 1000,
+		};
 	}
 }
--- a/src/bench/run.ts
+++ b/src/bench/run.ts
@@ -4,6 +4,7 @@
  * non-idempotent calls, fault steps at set times, and a report. It drives real
  * processes on loopback only, bounded by `maxRequests` and `durationMs`.
  */
+import process from 'node:process';
 import {setTimeout as delay} from 'node:timers/promises';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
@@ -11,6 +12,7 @@
 import {requestJson, requestStream} from '../transport/http-client.js';
 import {readEvents} from '../transport/sse.js';
 import {completionText} from '../standins/engine-output.js';
+import {type PlatformStandinSettings} from '../protocol/settings.js';
 import {type Experiment, FaultAction, type FaultStep} from './experiment.js';
 import {LatencyHistogram, type Percentiles} from './histogram.js';
 
@@ -43,7 +45,9 @@
 	const rng = xoroshiro128plus(experiment.seed);
 	const ttft = new LatencyHistogram();
 	const itl = new LatencyHistogram();
-	const counts: Counts = {sent: 0, whole: 0, broken: 0, refused: 0, unknownOutcome: 0, failed: 0};
+	const counts: Counts = {
+		sent: 0, whole: 0, broken: 0, refused: 0, unknownOutcome: 0, failed: 0,
+	};
 	const startMs = performance.now();
 	const faultLog: BenchReport['faults'] = [];
 	const faultsDone = Promise.all((experiment.faults ?? []).map(async step => {
@@ -77,7 +81,7 @@
 			await delay(waitMs);
 		}
 
-		const gateway = experiment.gateways[index % experiment.gateways.length]!;
+		const gateway = experiment.gateways[index % experiment.gateways.length];
 		const apiKey = pickAccount();
 		counts.sent++;
 		if (experiment.service !== undefined && uniformFloat64(rng) < (experiment.nonIdempotentShare ?? 0)) {
@@ -89,7 +93,7 @@
 		const shared = Math.min(experiment.sharedPrefixWords ?? 0, promptLength);
 		const promptWords: string[] = [];
 		for (let word = 0; word < promptLength; word++) {
-			promptWords.push(word < shared ? words[word % words.length]! : words[uniformInt(rng, 0, words.length - 1)]!);
+			promptWords.push(word < shared ? words[word % words.length] : words[uniformInt(rng, 0, words.length - 1)]);
 		}
 
 		const maxTokens = uniformInt(rng, experiment.maxTokens.min, experiment.maxTokens.max);
@@ -126,7 +130,9 @@
 		const response = await requestStream({
 			method: 'POST',
 			url: `${gateway}/v1/completions`,
-			payload: {model, prompt, max_tokens: maxTokens, stream: true},
+			payload: {
+				model, prompt, max_tokens: maxTokens, stream: true,
+			},
 			headers: {authorization: `Bearer ${apiKey}`},
 			timeoutMs: 60_000,
 			signal,
@@ -165,7 +171,7 @@
 			}
 
 			lastMs = nowMs;
-			text += event.choices![0]!.text;
+			text += event.choices![0].text;
 		}
 
 		if (unknown) {
@@ -186,7 +192,7 @@
 			method: 'POST',
 			url: `${gateway}/v1/services/${service}/confirm`,
 			payload: {key},
-			headers: {'authorization': `Bearer ${apiKey}`, 'idempotency-key': key, 'x-sesametally-idempotent': 'false'},
+			headers: {authorization: `Bearer ${apiKey}`, 'idempotency-key': key, 'x-sesametally-idempotent': 'false'},
 		});
 		const outcome = answer.headers['x-sesametally-outcome'];
 		if (answer.statusCode === 200) {
@@ -246,11 +252,14 @@
 		return undefined;
 	}
 
-	const prices = (await requestJson<Array<{failureDomain: string; machineClass: string; reclaimable: boolean; perHour: number}>>({method: 'GET', url: `${experiment.cloud}/prices`})).body;
-	return experiment.vms.reduce((sum, vm) => {
-		const price = prices.find(entry => entry.failureDomain === vm.failureDomain && entry.machineClass === vm.machineClass && entry.reclaimable === vm.reclaimable);
-		return sum + ((price?.perHour ?? 0) * vm.count);
-	}, 0);
+	const answer = await requestJson<PlatformStandinSettings['prices']>({method: 'GET', url: `${experiment.cloud}/prices`});
+	let total = 0;
+	for (const vm of experiment.vms) {
+		const price = answer.body.find(entry => entry.failureDomain === vm.failureDomain && entry.machineClass === vm.machineClass && entry.reclaimable === vm.reclaimable);
+		total += (price?.perHour ?? 0) * vm.count;
+	}
+
+	return total;
 }
 
 /** Formats the plain-text summary of a report. */
--- /dev/null
+++ b/src/cli/__tests__/local-stack.test.ts
@@ -0,0 +1,125 @@
+import process from 'node:process';
+import {execFileSync} from 'node:child_process';
+import {
+	afterAll, beforeAll, describe, expect, it,
+} from 'vitest';
+import {requestJson, requestStream} from '../../transport/http-client.js';
+import {readEvents} from '../../transport/sse.js';
+import {completionText} from '../../standins/engine-output.js';
+import {chatPrompt} from '../../protocol/openai.js';
+import {smallTopology, startTestStack, waitUntil} from '../../testing/stack.js';
+
+const apiKey = 'coop-trading-desk-key';
+
+let stack: Awaited<ReturnType<typeof startTestStack>>;
+
+beforeAll(async () => {
+	stack = await startTestStack(smallTopology(21_000));
+});
+
+afterAll(async () => {
+	await stack?.running.stop();
+});
+
+async function streamText(url: string, path: string, payload: Record<string, unknown>): Promise<{status: number; text: string; seqs: number[]; done: boolean}> {
+	const response = await requestStream({
+		method: 'POST', url: `${url}${path}`, payload: {...payload, stream: true}, headers: {authorization: `Bearer ${apiKey}`},
+	});
+	let text = '';
+	const seqs: number[] = [];
+	let done = false;
+	for await (const data of readEvents(response)) {
+		if (data === '[DONE]') {
+			done = true;
+			break;
+		}
+
+		const chunk = JSON.parse(data) as {seq: number; choices: Array<{text?: string; delta?: {content: string}}>};
+		seqs.push(chunk.seq);
+		text += chunk.choices[0].text ?? chunk.choices[0].delta!.content;
+	}
+
+	return {
+		status: response.statusCode ?? 0, text, seqs, done,
+	};
+}
+
+describe('the whole path', () => {
+	it.each([
+		{
+			name: 'completions, short', path: '/v1/completions', prompt: 'price the cathode lot', maxTokens: 8,
+		},
+		{
+			name: 'completions, long', path: '/v1/completions', prompt: 'summarise the offtake contract '.repeat(40), maxTokens: 120,
+		},
+		{
+			name: 'chat', path: '/v1/chat/completions', prompt: undefined, maxTokens: 20,
+		},
+	])('streams a whole answer byte for byte: $name', async ({path, prompt, maxTokens}) => {
+		const messages = [{role: 'user', content: 'When does the gate open?'}];
+		const payload = prompt === undefined ? {model: 'desk', messages, max_tokens: maxTokens} : {model: 'desk', prompt, max_tokens: maxTokens};
+		const answer = await streamText(stack.gateways[0].url, path, payload);
+		expect(answer.status).toBe(200);
+		expect(answer.done).toBe(true);
+		expect(answer.seqs).toEqual([...Array.from({length: maxTokens}).keys()]);
+		expect(answer.text).toBe(completionText(prompt ?? chatPrompt(messages), maxTokens));
+	});
+
+	it.each([
+		{
+			name: 'unknown API key', key: 'not-a-key', model: 'desk', status: 401, code: 'invalid_api_key',
+		},
+		{
+			name: 'unknown model', key: apiKey, model: 'nope', status: 404, code: 'model_not_found',
+		},
+	])('refuses before any work: $name', async ({key, model, status, code}) => {
+		const answer = await requestJson<{error: {code: string}}>({
+			method: 'POST', url: `${stack.gateways[1].url}/v1/completions`, payload: {model, prompt: 'x'}, headers: {authorization: `Bearer ${key}`},
+		});
+		expect(answer.statusCode).toBe(status);
+		expect(answer.body.error.code).toBe(code);
+		expect(answer.headers['x-sesametally-outcome']).toBe('not-run');
+	});
+
+	it('puts a published and activated preset in force on all three gateways', async () => {
+		const preset = {name: 'peak', limits: {default: {requestsPerSecond: 100, burst: 100, maxConcurrent: 50}}};
+		const headers = {authorization: 'Bearer desk-ops-token-0001'};
+		const published = await requestJson<{accepted: boolean}>({
+			method: 'POST', url: `${stack.gateways[0].adminUrl}/admin/presets`, payload: {preset}, headers,
+		});
+		expect(published.body.accepted).toBe(true);
+		const activated = await requestJson<{accepted: boolean; version: number}>({
+			method: 'POST', url: `${stack.gateways[2].adminUrl}/admin/activate`, payload: {name: 'peak'}, headers,
+		});
+		expect(activated.body.accepted).toBe(true);
+		for (const gateway of stack.gateways) {
+			// eslint-disable-next-line no-await-in-loop
+			await waitUntil(async () => {
+				const status = await requestJson<{config: {active: string; version: number}}>({method: 'GET', url: `${gateway.adminUrl}/admin/status`, headers});
+				return status.body.config.active === 'peak' && status.body.config.version === activated.body.version;
+			});
+		}
+	});
+
+	it.each([
+		{name: 'no token', token: undefined, status: 401},
+		{name: 'another team\'s preset', token: 'pricing-ops-token-0001', status: 403},
+	])('refuses an admin change: $name', async ({token, status}) => {
+		const headers: Record<string, string> = token === undefined ? {} : {authorization: `Bearer ${token}`};
+		const preset = {name: 'peak', limits: {default: {requestsPerSecond: 1, burst: 1, maxConcurrent: 1}}};
+		await waitUntil(async () => {
+			const state = await requestJson<{state: {config: {presets: string[]}}}>({method: 'GET', url: `${stack.gateways[1].adminUrl}/debug/state`});
+			return state.body.state.config.presets.includes('peak');
+		});
+		const answer = await requestJson({
+			method: 'POST', url: `${stack.gateways[1].adminUrl}/admin/presets`, payload: {preset}, headers,
+		});
+		expect(answer.statusCode).toBe(status);
+	});
+
+	it('shows each gateway\'s applied offset through admin status', async () => {
+		const stdout = execFileSync(process.execPath, ['dist/sesametally.cjs', 'admin', 'status', '--url', stack.gateways[0].adminUrl, '--token', 'desk-ops-token-0001'], {encoding: 'utf8'});
+		const status = JSON.parse(stdout) as {peers: Array<{id: string; appliedOffset: number}>};
+		expect(status.peers.map(peer => peer.id).toSorted()).toEqual(['gateway-1', 'gateway-2']);
+	});
+});
--- a/src/cli/commands/admin.ts
+++ b/src/cli/commands/admin.ts
@@ -2,6 +2,7 @@
  * `sesametally admin <action>`: an operator's client of a gateway's administration API.
  * Each action prints the JSON answer and exits non-zero unless it was a 2xx.
  */
+import process from 'node:process';
 import {readFileSync} from 'node:fs';
 import {requestJson} from '../../transport/http-client.js';
 
@@ -56,7 +57,9 @@
 			}
 		}
 	})();
-	const answer = await requestJson({method: request.method, url: `${options.url}${request.path}`, payload: 'payload' in request ? request.payload : undefined, headers, timeoutMs: 30_000});
+	const answer = await requestJson({
+		method: request.method, url: `${options.url}${request.path}`, payload: 'payload' in request ? request.payload : undefined, headers, timeoutMs: 30_000,
+	});
 	process.stdout.write(JSON.stringify(answer.body, undefined, 2) + '\n');
 	return answer.statusCode >= 200 && answer.statusCode < 300 ? 0 : 1;
 }
--- a/src/cli/commands/bench.ts
+++ b/src/cli/commands/bench.ts
@@ -2,6 +2,7 @@
  * `sesametally bench`: runs an experiment file and prints a summary; the JSON
  * report goes to `--out` when given.
  */
+import process from 'node:process';
 import {writeFileSync} from 'node:fs';
 import {loadExperiment} from '../../bench/experiment.js';
 import {runExperiment, summarize} from '../../bench/run.js';
--- a/src/cli/commands/gateway.ts
+++ b/src/cli/commands/gateway.ts
@@ -36,7 +36,9 @@
 	const completions = services.resolve(Completions);
 	const limits = services.resolve(Limits);
 	const membership = services.resolve(Membership);
-	const traffic: PeerTraffic = {bytesSent: 0, bytesReceived: 0, messagesSent: 0, messagesReceived: 0};
+	const traffic: PeerTraffic = {
+		bytesSent: 0, bytesReceived: 0, messagesSent: 0, messagesReceived: 0,
+	};
 	const tasks = new AbortController();
 	const stopTasks = AbortSignal.any([tasks.signal]);
 
@@ -61,16 +63,22 @@
 
 	const registry = createRegistry();
 	const callers = createServer(settings.listen, registry, dump);
-	addCallerRoutes(callers, {accounts: settings.clientAccounts, backendServers: settings.backendServers, completions, limits, config, signal: stopTasks});
+	addCallerRoutes(callers, {
+		accounts: settings.clientAccounts, backendServers: settings.backendServers, completions, limits, config, signal: stopTasks,
+	});
 	const admin = createServer({host: settings.admin.host, port: settings.admin.port}, registry, dump);
-	addAdminRoutes(admin, {teams: settings.admin.teams, config, platformLog, status});
+	addAdminRoutes(admin, {
+		teams: settings.admin.teams, config, platformLog, status,
+	});
 	acceptPeers(admin.listener, traffic, message => {
 		membership.observe(message, Date.now());
 	});
 
 	await startServer(admin);
 	await startServer(callers);
-	log.info('listening.', {id: settings.id, failureDomain: settings.failureDomain, port: callers.info.port, adminPort: admin.info.port});
+	log.info('listening.', {
+		id: settings.id, failureDomain: settings.failureDomain, port: callers.info.port, adminPort: admin.info.port,
+	});
 
 	const heartbeat = (): Heartbeat => ({
 		kind: PeerMessageKind.Heartbeat,
--- a/src/cli/commands/standin.ts
+++ b/src/cli/commands/standin.ts
@@ -1,6 +1,7 @@
 /**
  * `sesametally standin <part>`: runs one stand-in of the platform as its own process.
  */
+import process from 'node:process';
 import {
 	type EngineStandinSettings, type LogStandinSettings, type PlatformStandinSettings, type ServiceStandinSettings,
 	loadSettings, settingsValidators,
@@ -8,7 +9,7 @@
 import {runLogStandin} from '../../standins/log.js';
 import {runEngineStandin} from '../../standins/engine.js';
 import {runServiceStandin} from '../../standins/service.js';
-import {PlatformPart, runPlatformStandin} from '../../standins/platform.js';
+import {type PlatformPart, runPlatformStandin} from '../../standins/platform.js';
 
 /** The stand-ins the command can run. */
 export enum StandinPart {
--- a/src/cli/container.ts
+++ b/src/cli/container.ts
@@ -2,7 +2,8 @@
  * Wiring of a gateway's parts with `tsyringe`: each part is registered once per
  * process under its class or a token, and built on first use from the settings.
  */
-import 'reflect-metadata';
+// The decorator metadata polyfill that tsyringe needs loaded once, before any container use.
+import 'reflect-metadata'; // eslint-disable-line import-x/no-unassigned-import
 import {container, type DependencyContainer, instanceCachingFactory} from 'tsyringe';
 import {type GatewaySettings, BackendKind} from '../protocol/settings.js';
 import {ConfigTable} from '../state/config-table.js';
--- a/src/cli/index.ts
+++ b/src/cli/index.ts
@@ -3,7 +3,9 @@
  * Each subcommand only wires its arguments to the module that does the work.
  */
 import process from 'node:process';
-import {command, number, oneOf, option, optional, positional, run, string, subcommands} from 'cmd-ts';
+import {
+	command, number, oneOf, option, optional, positional, run, string, subcommands,
+} from 'cmd-ts';
 import {enableLogs} from '../log.js';
 import {SesametallyError} from '../errors.js';
 import {runGateway} from './commands/gateway.js';
@@ -35,7 +37,9 @@
 	}
 }
 
-const config = option({long: 'config', short: 'c', type: string, description: 'JSON settings file'});
+const config = option({
+	long: 'config', short: 'c', type: string, description: 'JSON settings file',
+});
 
 const gateway = command({
 	name: 'gateway',
@@ -57,7 +61,9 @@
 
 const adminArgs = {
 	url: option({long: 'url', type: string, description: 'admin URL of a gateway, such as http://127.0.0.1:9080'}),
-	token: option({long: 'token', type: optional(string), env: 'SESAMETALLY_TOKEN', description: 'team bearer token'}),
+	token: option({
+		long: 'token', type: optional(string), env: 'SESAMETALLY_TOKEN', description: 'team bearer token',
+	}),
 	base: option({long: 'base', type: optional(number), description: 'config version the change is based on (default: the gateway\'s)'}),
 };
 
@@ -94,7 +100,9 @@
 	name: 'bench',
 	description: 'Run a load and fault experiment from a JSON file and write its report.',
 	args: {
-		experiment: option({long: 'experiment', short: 'e', type: string, description: 'experiment JSON file'}),
+		experiment: option({
+			long: 'experiment', short: 'e', type: string, description: 'experiment JSON file',
+		}),
 		out: option({long: 'out', type: optional(string), description: 'report JSON file'}),
 		format: option({long: 'format', type: optional(oneOf(['text', 'json'])), description: 'summary format'}),
 	},
@@ -104,7 +112,9 @@
 const cli = subcommands({
 	name: 'sesametally',
 	description: 'Serving system for language-model fleets on reclaimable VMs.',
-	cmds: {gateway, standin: standins, admin, bench},
+	cmds: {
+		gateway, standin: standins, admin, bench,
+	},
 });
 
 enableLogs(process.env);
--- a/src/coordination/admission.ts
+++ b/src/coordination/admission.ts
@@ -19,16 +19,15 @@
 
 type Bucket = {tokens: number; lastMs: number; inFlight: number};
 
-
 /** The limits of each client account and their live buckets. */
 export class Limits {
-	private readonly buckets = new Map<string, Bucket>();
-
 	/** Returns the limit of an account under a preset. */
 	static limitOf(preset: Preset | undefined, account: string): AccountLimit {
 		return preset?.limits.accounts?.[account] ?? preset?.limits.default ?? defaultLimit;
 	}
 
+	private readonly buckets = new Map<string, Bucket>();
+
 	/**
 	 * Decides on one request of `account` at `nowMs`.
 	 *
--- a/src/coordination/completions.ts
+++ b/src/coordination/completions.ts
@@ -99,6 +99,7 @@
 			}
 
 			try {
+				// eslint-disable-next-line no-await-in-loop -- attempts are sequential by design: each resumes where the last stopped.
 				for await (const chunk of this.streamFrom(engine, job, delivered, signal)) {
 					if (chunk.seq !== delivered) {
 						continue;
@@ -106,7 +107,9 @@
 
 					delivered++;
 					const last = delivered >= job.maxTokens;
-					yield {seq: chunk.seq, text: chunk.choices[0].text, last, engine: engine.id};
+					yield {
+						seq: chunk.seq, text: chunk.choices[0].text, last, engine: engine.id,
+					};
 					if (last) {
 						return;
 					}
@@ -121,7 +124,9 @@
 				lastError = error;
 				excluded.add(engine.id);
 				this.loads.noteFailure(engine.id);
-				log.warn('engine failed.', {request: job.requestId, engine: engine.id, delivered, error: String(error)});
+				log.warn('engine failed.', {
+					request: job.requestId, engine: engine.id, delivered, error: String(error),
+				});
 			}
 		}
 
@@ -146,7 +151,9 @@
 			priority: job.priority,
 			resume_from: from,
 		};
-		const response = await requestStream({method: 'POST', url: `${engine.url}/v1/completions`, payload, signal, timeoutMs: 30_000});
+		const response = await requestStream({
+			method: 'POST', url: `${engine.url}/v1/completions`, payload, signal, timeoutMs: 30_000,
+		});
 		if (response.statusCode !== 200) {
 			response.resume();
 			throw new CoordinationError(`engine ${engine.id} answered ${response.statusCode ?? 0}`);
--- a/src/coordination/config-follower.ts
+++ b/src/coordination/config-follower.ts
@@ -37,7 +37,9 @@
 
 			for (const {offset, value} of answer.records) {
 				const outcome = table.apply(offset, value);
-				log.info(outcome.accepted ? 'record applied.' : 'record rejected.', {offset, kind: value.kind, team: value.team, reason: outcome.reason});
+				log.info(outcome.accepted ? 'record applied.' : 'record rejected.', {
+					offset, kind: value.kind, team: value.team, reason: outcome.reason,
+				});
 				next = offset + 1;
 			}
 		} catch (error) {
--- a/src/coordination/load-tracker.ts
+++ b/src/coordination/load-tracker.ts
@@ -55,7 +55,9 @@
 		while (!signal.aborted) {
 			try {
 				// eslint-disable-next-line no-await-in-loop
-				view.report = await fetchJson<EngineLoad>({method: 'GET', url: `${engine.url}/load`, timeoutMs: this.pollMs * 5, signal});
+				view.report = await fetchJson<EngineLoad>({
+					method: 'GET', url: `${engine.url}/load`, timeoutMs: this.pollMs * 5, signal,
+				});
 				view.receivedAtMs = Date.now();
 				view.sentSinceReport = 0;
 				if (!view.healthy) {
--- a/src/coordination/router.ts
+++ b/src/coordination/router.ts
@@ -67,7 +67,7 @@
 	const prefix = promptTokens(prompt).slice(0, affinityTokens).join(' ');
 	const ranked = usable
 		.map(backend => ({backend, load: estimateLoad(loads.get(backend.id), nowMs), score: affinityScore(prefix, backend.id)}))
-		.sort((a, b) => b.score - a.score);
+		.toSorted((a, b) => b.score - a.score);
 	const least = Math.min(...ranked.map(entry => entry.load));
 	const choice = ranked.find(entry => entry.load <= least + affinitySlack)!;
 	return choice.backend;
--- a/src/log.ts
+++ b/src/log.ts
@@ -3,10 +3,11 @@
  * (`gateway:`, `lease:`), in short sentences, with values as context rather than
  * interpolated into the message.
  */
+import process from 'node:process';
 import {Roarr, ROARR} from 'roarr';
 
 /** The JSON-serialisable values a log line carries beside its message. */
-export type LogContext = Record<string, string | number | boolean | undefined | null | string[] | number[]>;
+export type LogContext = Record<string, string | number | boolean | undefined | string[] | number[]>;
 
 /** A logger bound to one part of the system. */
 export type Logger = {
--- a/src/protocol/engine-api.ts
+++ b/src/protocol/engine-api.ts
@@ -31,6 +31,7 @@
 	id: string;
 	object: 'text_completion';
 	model: string;
+	// eslint-disable-next-line @typescript-eslint/no-restricted-types -- the OpenAI chunk has `finish_reason: null` until the last.
 	choices: Array<{index: 0; text: string; finish_reason: 'length' | 'stop' | null}>;
 	/** Index of this token in the whole answer. */
 	seq: number;
--- a/src/protocol/openai.ts
+++ b/src/protocol/openai.ts
@@ -33,12 +33,17 @@
 
 /** An OpenAI-style error body. */
 export type ErrorBody = {
+	// eslint-disable-next-line @typescript-eslint/no-restricted-types -- the OpenAI error body has `param: null`.
 	error: {message: string; type: string; code: string; param: null; outcome?: Outcome};
 };
 
 /** Builds an OpenAI-style error body. */
 export function errorBody(message: string, type: string, code: string, outcome?: Outcome): ErrorBody {
-	return {error: {message, type, code, param: null, outcome}};
+	return {
+		error: {
+			message, type, code, param: null, outcome,
+		},
+	};
 }
 
 /** The default number of tokens to generate when a request names none. */
--- a/src/protocol/schema.ts
+++ b/src/protocol/schema.ts
@@ -2,6 +2,7 @@
  * Schema checking of settings and messages with `ajv`. One shared validator instance
  * so that schemas compile once per process.
  */
+import process from 'node:process';
 import {Ajv, type ErrorObject, type ValidateFunction} from 'ajv';
 import {ProtocolError} from './errors.js';
 
@@ -38,7 +39,7 @@
 	const validate = ajv.compile(schema);
 	const check = (value: unknown): T => {
 		if (!validate(value)) {
-			const {setting, detail} = describeSchemaError(validate.errors![0]!);
+			const {setting, detail} = describeSchemaError(validate.errors![0]);
 			throw new ProtocolError(`${what}: ${setting} ${detail}`);
 		}
 
--- a/src/protocol/settings.ts
+++ b/src/protocol/settings.ts
@@ -316,7 +316,7 @@
 	}
 
 	if (!validate(value)) {
-		const {setting, detail} = describeSchemaError(validate.errors![0]!);
+		const {setting, detail} = describeSchemaError(validate.errors![0]);
 		throw new SettingsError(file, setting, detail);
 	}
 
--- a/src/protocol/tokens.ts
+++ b/src/protocol/tokens.ts
@@ -5,5 +5,5 @@
 
 /** Splits a prompt into the words that stand for its tokens. */
 export function promptTokens(prompt: string): string[] {
-	return prompt.split(/\s+/).filter(word => word.length > 0);
+	return prompt.split(/\s+/v).filter(word => word.length > 0);
 }
--- a/src/standins/engine-output.ts
+++ b/src/standins/engine-output.ts
@@ -6,15 +6,42 @@
 import {createHash} from 'node:crypto';
 
 const vocabulary = [
-	'copper', 'cathode', 'assay', 'warrant', 'lot', 'fixing', 'window', 'cargo', 'price', 'member',
-	'parking', 'space', 'gate', 'driver', 'lease', 'booking', 'resident', 'lane', 'ticket', 'summary',
-	'the', 'a', 'of', 'and', 'to', 'in', 'is', 'for', 'on', 'with',
+	'copper',
+	'cathode',
+	'assay',
+	'warrant',
+	'lot',
+	'fixing',
+	'window',
+	'cargo',
+	'price',
+	'member',
+	'parking',
+	'space',
+	'gate',
+	'driver',
+	'lease',
+	'booking',
+	'resident',
+	'lane',
+	'ticket',
+	'summary',
+	'the',
+	'a',
+	'of',
+	'and',
+	'to',
+	'in',
+	'is',
+	'for',
+	'on',
+	'with',
 ];
 
 /** Returns token `index` (0-based) of the answer to `prompt`, with its trailing space. */
 export function tokenAt(prompt: string, index: number): string {
 	const digest = createHash('sha256').update(prompt).update('\0').update(String(index)).digest();
-	return vocabulary[digest.readUInt32BE(0) % vocabulary.length]! + ' ';
+	return vocabulary[digest.readUInt32BE(0) % vocabulary.length] + ' ';
 }
 
 /** Returns the whole answer of `maxTokens` tokens to `prompt`. */
--- a/src/standins/engine.ts
+++ b/src/standins/engine.ts
@@ -16,8 +16,8 @@
 import {createRegistry, createServer, startServer} from '../transport/http-server.js';
 import {createLogger} from '../log.js';
 import {waitForAbort} from '../abort.js';
-import {addFaultRoute} from './faults.js';
 import {promptTokens} from '../protocol/tokens.js';
+import {addFaultRoute} from './faults.js';
 import {tokenAt} from './engine-output.js';
 
 const log = createLogger('standin-engine');
@@ -62,7 +62,7 @@
 	/** Returns how many leading blocks are cached, then caches all of them. */
 	admit(hashes: string[]): number {
 		let hits = 0;
-		while (hits < hashes.length && this.blocks.has(hashes[hits]!)) {
+		while (hits < hashes.length && this.blocks.has(hashes[hits])) {
 			hits++;
 		}
 
@@ -136,7 +136,7 @@
 	server.route({
 		method: 'POST',
 		path: '/v1/completions',
-		handler(request, h) {
+		async handler(request, h) {
 			const body = request.payload as EngineCompletionRequest;
 			if (stopping || faults.refuse) {
 				return h.response({error: {message: 'engine is not taking work', type: 'unavailable', code: 'not_run'}}).code(503);
@@ -176,7 +176,9 @@
 							object: 'text_completion',
 							model: settings.model,
 							choices: [{index: 0, text, finish_reason: 'length'}],
-							usage: {prompt_tokens: promptCount, completion_tokens: completionCount, total_tokens: promptCount + completionCount, cached_tokens: sequence.cachedTokens},
+							usage: {
+								prompt_tokens: promptCount, completion_tokens: completionCount, total_tokens: promptCount + completionCount, cached_tokens: sequence.cachedTokens,
+							},
 						});
 						return;
 					}
@@ -271,7 +273,8 @@
 
 	async function runClock(): Promise<void> {
 		let lastReportMs = 0;
-		while (!(stopping && running.size === 0 && waiting.length === 0)) {
+		const finished = () => stopping && running.size === 0 && waiting.length === 0;
+		while (!finished()) {
 			// eslint-disable-next-line no-await-in-loop
 			await delay(settings.tpotMs);
 			tick();
--- a/src/standins/faults.ts
+++ b/src/standins/faults.ts
@@ -2,8 +2,8 @@
  * Shared pieces of the stand-ins: the `/admin/faults` route that tests and the bench
  * use to cut or slow a stand-in, and the wait that applies a slow mode.
  */
-import type Hapi from '@hapi/hapi';
 import {setTimeout as delay} from 'node:timers/promises';
+import type Hapi from '@hapi/hapi';
 
 /**
  * Adds `POST /admin/faults` (merge the posted switches) and `GET /admin/faults`.
--- a/src/standins/log.ts
+++ b/src/standins/log.ts
@@ -6,7 +6,9 @@
  */
 import {setTimeout as delay} from 'node:timers/promises';
 import {type LogStandinSettings} from '../protocol/settings.js';
-import {type AppendRequest, type LogFaults, type LogRecord, type ReadAnswer} from '../protocol/platform-log.js';
+import {
+	type AppendRequest, type LogFaults, type LogRecord, type ReadAnswer,
+} from '../protocol/platform-log.js';
 import {createRegistry, createServer, startServer} from '../transport/http-server.js';
 import {createLogger} from '../log.js';
 import {waitForAbort} from '../abort.js';
@@ -42,7 +44,7 @@
 
 	expire(nowMs: number, retentionMs: number): void {
 		let drop = 0;
-		while (drop < this.records.length && nowMs - this.records[drop]!.appendedAtMs > retentionMs) {
+		while (drop < this.records.length && nowMs - this.records[drop].appendedAtMs > retentionMs) {
 			drop++;
 		}
 
@@ -72,7 +74,7 @@
 	}
 
 	take(nowMs: number): boolean {
-		this.tokens = Math.min(this.perSecond, this.tokens + ((nowMs - this.lastMs) * this.perSecond) / 1000);
+		this.tokens = Math.min(this.perSecond, this.tokens + (((nowMs - this.lastMs) * this.perSecond) / 1000));
 		this.lastMs = nowMs;
 		if (this.tokens < 1) {
 			return false;
--- a/src/standins/platform.ts
+++ b/src/standins/platform.ts
@@ -38,7 +38,9 @@
 	let started = 0;
 	let downloadWindowMs = 0;
 	let downloadsInWindow = 0;
-	const server = createServer(settings.listen, createRegistry(), () => ({part, notices, started, vms: Object.fromEntries(vms)}));
+	const server = createServer(settings.listen, createRegistry(), () => ({
+		part, notices, started, vms: Object.fromEntries(vms),
+	}));
 	addFaultRoute(server, faults);
 
 	if (part === PlatformPart.Cloud) {
@@ -82,7 +84,9 @@
 				const {failureDomain, state} = request.payload as Pick<VmEntry, 'failureDomain' | 'state'>;
 				const name = request.params.name as string;
 				const history = vms.get(name) ?? [];
-				history.push({name, failureDomain, state, changedAtMs: Date.now()});
+				history.push({
+					name, failureDomain, state, changedAtMs: Date.now(),
+				});
 				vms.set(name, history);
 				return {ok: true};
 			},
@@ -93,7 +97,7 @@
 			handler() {
 				const asOfMs = Date.now() - settings.lagMs;
 				return [...vms.values()]
-					.map(history => history.filter(entry => entry.changedAtMs <= asOfMs).at(-1))
+					.map(history => history.findLast(entry => entry.changedAtMs <= asOfMs))
 					.filter(entry => entry !== undefined);
 			},
 		});
--- a/src/standins/service.ts
+++ b/src/standins/service.ts
@@ -8,7 +8,9 @@
  */
 import {setTimeout as delay} from 'node:timers/promises';
 import {type ServiceStandinSettings} from '../protocol/settings.js';
-import {createRegistry, createServer, startServer} from '../transport/http-server.js';
+import {
+	createRegistry, createServer, headerValue, startServer,
+} from '../transport/http-server.js';
 import {createLogger} from '../log.js';
 import {waitForAbort} from '../abort.js';
 import {addFaultRoute} from './faults.js';
@@ -40,7 +42,7 @@
 				return h.response({error: 'refused', executed: false}).code(503);
 			}
 
-			const key = String(request.headers['idempotency-key'] ?? 'none');
+			const key = headerValue(request, 'idempotency-key') ?? 'none';
 			await delay(settings.latencyMs);
 			const count = (executions.get(key) ?? 0) + 1;
 			executions.set(key, count);
@@ -49,7 +51,9 @@
 				return h.abandon;
 			}
 
-			return {call: request.params.call, key, executions: count, by: settings.id};
+			return {
+				call: request.params.call, key, executions: count, by: settings.id,
+			};
 		},
 	});
 	server.route({method: 'GET', path: '/executions', handler: () => Object.fromEntries(executions)});
--- a/src/state/config-table.ts
+++ b/src/state/config-table.ts
@@ -14,6 +14,7 @@
 };
 
 const keptOutcomes = 1000;
+const knownKinds = new Set<string>(Object.values(ConfigRecordKind));
 
 /** The configuration of the fleet at one version. */
 export class ConfigTable {
@@ -70,6 +71,10 @@
 	}
 
 	private refusal(record: ConfigRecord): string | undefined {
+		if (!knownKinds.has(record.kind)) {
+			return `unknown record kind ${String(record.kind)}`;
+		}
+
 		if (record.base !== this.version) {
 			return `based on version ${record.base}, but version ${this.version} is in force`;
 		}
@@ -88,10 +93,6 @@
 			case ConfigRecordKind.Undrain: {
 				return record.backendServer === undefined ? 'no backend server named' : undefined;
 			}
-
-			default: {
-				return `unknown record kind ${String(record.kind)}`;
-			}
 		}
 	}
 
--- a/src/transport/admin-api.ts
+++ b/src/transport/admin-api.ts
@@ -8,13 +8,16 @@
 import {randomUUID} from 'node:crypto';
 import {setTimeout as delay} from 'node:timers/promises';
 import type Hapi from '@hapi/hapi';
-import {type ConfigRecord, ConfigRecordKind, checkPreset, configStream} from '../protocol/config-records.js';
+import {
+	type ConfigRecord, ConfigRecordKind, checkPreset, configStream,
+} from '../protocol/config-records.js';
 import {ProtocolError} from '../protocol/errors.js';
 import {type Team, TeamRole} from '../protocol/settings.js';
 import {type ConfigTable} from '../state/config-table.js';
 import {type PlatformLog} from '../state/platform-log.js';
 import {UnknownAppendError} from '../state/errors.js';
 import {createLogger} from '../log.js';
+import {bearerToken} from './http-server.js';
 
 const log = createLogger('admin');
 
@@ -35,8 +38,7 @@
 	const teamByToken = new Map(context.teams.map(team => [team.token, team]));
 
 	const authorize = (request: Hapi.Request, h: Hapi.ResponseToolkit, role: TeamRole): Team | Hapi.ResponseObject => {
-		const token = String(request.headers.authorization ?? '').replace(/^Bearer /, '');
-		const team = teamByToken.get(token);
+		const team = teamByToken.get(bearerToken(request));
 		if (!team) {
 			return h.response({error: 'a team bearer token is required'}).code(401);
 		}
@@ -66,7 +68,9 @@
 			if (outcome) {
 				return outcome.accepted
 					? {accepted: true, version: outcome.offset}
-					: h.response({accepted: false, offset: outcome.offset, reason: outcome.reason, version: context.config.version}).code(409);
+					: h.response({
+						accepted: false, offset: outcome.offset, reason: outcome.reason, version: context.config.version,
+					}).code(409);
 			}
 
 			// eslint-disable-next-line no-await-in-loop
@@ -109,7 +113,9 @@
 				return h.response({error: `preset ${preset.name} belongs to team ${owner}`}).code(403);
 			}
 
-			return publish(h, {kind: ConfigRecordKind.Preset, id: randomUUID(), team: team.name, base: baseOf(request), preset});
+			return publish(h, {
+				kind: ConfigRecordKind.Preset, id: randomUUID(), team: team.name, base: baseOf(request), preset,
+			});
 		},
 	});
 
@@ -123,7 +129,9 @@
 			}
 
 			const {name} = request.payload as {name: string};
-			return publish(h, {kind: ConfigRecordKind.Activate, id: randomUUID(), team: team.name, base: baseOf(request), name});
+			return publish(h, {
+				kind: ConfigRecordKind.Activate, id: randomUUID(), team: team.name, base: baseOf(request), name,
+			});
 		},
 	});
 
@@ -137,7 +145,9 @@
 			}
 
 			const {backendServer, undo} = request.payload as {backendServer: string; undo?: boolean};
-			return publish(h, {kind: undo ? ConfigRecordKind.Undrain : ConfigRecordKind.Drain, id: randomUUID(), team: team.name, base: baseOf(request), backendServer});
+			return publish(h, {
+				kind: undo ? ConfigRecordKind.Undrain : ConfigRecordKind.Drain, id: randomUUID(), team: team.name, base: baseOf(request), backendServer,
+			});
 		},
 	});
 
--- a/src/transport/caller-api.ts
+++ b/src/transport/caller-api.ts
@@ -17,6 +17,7 @@
 import {type ConfigTable} from '../state/config-table.js';
 import {createLogger} from '../log.js';
 import {requestJson} from './http-client.js';
+import {bearerToken, headerValue} from './http-server.js';
 import {doneEvent, formatEvent} from './sse.js';
 
 const log = createLogger('gateway');
@@ -39,10 +40,7 @@
 export function addCallerRoutes(server: Hapi.Server, context: CallerContext): void {
 	const accountByKey = new Map(context.accounts.flatMap(account => account.apiKeys.map(key => [key, account.name])));
 
-	const authenticate = (request: Hapi.Request): string | undefined => {
-		const header = String(request.headers.authorization ?? '');
-		return accountByKey.get(header.replace(/^Bearer /, ''));
-	};
+	const authenticate = (request: Hapi.Request): string | undefined => accountByKey.get(bearerToken(request));
 
 	const refuse = (h: Hapi.ResponseToolkit, status: number, message: string, code: string, retryAfterSeconds?: number) => {
 		const response = h.response(errorBody(message, status === 401 ? 'invalid_request_error' : 'server_error', code, Outcome.NotRun)).code(status).header('x-sesametally-outcome', Outcome.NotRun);
@@ -61,7 +59,9 @@
 			const body = chat ? checkChatRequest(request.payload) : checkCompletionRequest(request.payload);
 			const prompt = 'messages' in body ? chatPrompt(body.messages) : body.prompt;
 			stream = body.stream ?? false;
-			job = {requestId: `req-${randomUUID()}`, account, model: body.model, prompt, maxTokens: body.max_tokens ?? defaultMaxTokens, priority: 0};
+			job = {
+				requestId: `req-${randomUUID()}`, account, model: body.model, prompt, maxTokens: body.max_tokens ?? defaultMaxTokens, priority: 0,
+			};
 		} catch (error) {
 			if (error instanceof ProtocolError) {
 				return refuse(h, 400, error.message, 'invalid_request');
@@ -99,8 +99,12 @@
 
 		const created = Math.floor(Date.now() / 1000);
 		const render = (token: Token) => chat
-			? {id: job.requestId, object: 'chat.completion.chunk', created, model: job.model, seq: token.seq, choices: [{index: 0, delta: token.seq === 0 ? {role: 'assistant', content: token.text} : {content: token.text}, finish_reason: token.last ? 'length' : null}]}
-			: {id: job.requestId, object: 'text_completion', created, model: job.model, seq: token.seq, choices: [{index: 0, text: token.text, finish_reason: token.last ? 'length' : null}]};
+			? {
+				id: job.requestId, object: 'chat.completion.chunk', created, model: job.model, seq: token.seq, choices: [{index: 0, delta: token.seq === 0 ? {role: 'assistant', content: token.text} : {content: token.text}, finish_reason: token.last ? 'length' : null}],
+			}
+			: {
+				id: job.requestId, object: 'text_completion', created, model: job.model, seq: token.seq, choices: [{index: 0, text: token.text, finish_reason: token.last ? 'length' : null}],
+			};
 
 		if (!stream) {
 			let text = first.done ? '' : first.value.text;
@@ -117,8 +121,12 @@
 
 			const usage = {prompt_tokens: 0, completion_tokens: job.maxTokens, total_tokens: job.maxTokens};
 			return chat
-				? {id: job.requestId, object: 'chat.completion', created, model: job.model, choices: [{index: 0, message: {role: 'assistant', content: text}, finish_reason: 'length'}], usage}
-				: {id: job.requestId, object: 'text_completion', created, model: job.model, choices: [{index: 0, text, finish_reason: 'length'}], usage};
+				? {
+					id: job.requestId, object: 'chat.completion', created, model: job.model, choices: [{index: 0, message: {role: 'assistant', content: text}, finish_reason: 'length'}], usage,
+				}
+				: {
+					id: job.requestId, object: 'text_completion', created, model: job.model, choices: [{index: 0, text, finish_reason: 'length'}], usage,
+				};
 		}
 
 		const out = new PassThrough();
@@ -141,6 +149,7 @@
 				out.end();
 			}
 		})();
+
 		return h.response(out).type('text/event-stream').header('cache-control', 'no-cache').header('x-request-id', job.requestId);
 	};
 
@@ -168,13 +177,17 @@
 				return refuse(h, 503, `No backend server of service ${name} is available.`, 'overloaded', defaultRetryAfterSeconds);
 			}
 
-			const target = targets[serviceTurn++ % targets.length]!;
-			const key = String(request.headers['idempotency-key'] ?? `${account}-${randomUUID()}`);
+			const target = targets[serviceTurn++ % targets.length];
+			const key = headerValue(request, 'idempotency-key') ?? `${account}-${randomUUID()}`;
 			try {
-				const answer = await requestJson({method: 'POST', url: `${target.url}/v1/${request.params.call as string}`, payload: request.payload ?? {}, headers: {'idempotency-key': key}});
+				const answer = await requestJson({
+					method: 'POST', url: `${target.url}/v1/${request.params.call as string}`, payload: request.payload ?? {}, headers: {'idempotency-key': key},
+				});
 				return h.response(answer.body as Record<string, unknown>).code(answer.statusCode);
 			} catch (error) {
-				log.warn('service call outcome unknown.', {service: name, backend: target.id, key, error: String(error)});
+				log.warn('service call outcome unknown.', {
+					service: name, backend: target.id, key, error: String(error),
+				});
 				return h.response(errorBody('The service call may or may not have run.', 'server_error', 'outcome_unknown', Outcome.Unknown)).code(502).header('x-sesametally-outcome', Outcome.Unknown);
 			}
 		},
--- a/src/transport/http-client.ts
+++ b/src/transport/http-client.ts
@@ -38,12 +38,17 @@
 		payload: payload === undefined ? undefined : JSON.stringify(payload),
 		headers: payload === undefined ? headers : {'content-type': 'application/json', ...headers},
 		timeout: timeoutMs,
-	}) as Promise<IncomingMessage> & {req: ClientRequest};
-	const abort = () => pending.req.destroy(new TransportError(`${method} ${url} aborted`));
+	});
+	const abort = () => {
+		pending.req.destroy(new TransportError(`${method} ${url} aborted`));
+	};
+
 	signal?.addEventListener('abort', abort, {once: true});
 	try {
 		const response = await pending;
-		response.once('close', () => signal?.removeEventListener('abort', abort));
+		response.once('close', () => {
+			signal?.removeEventListener('abort', abort);
+		});
 		return response;
 	} catch (error) {
 		signal?.removeEventListener('abort', abort);
--- a/src/transport/http-server.ts
+++ b/src/transport/http-server.ts
@@ -2,6 +2,7 @@
  * The hapi servers every process runs: one factory, plus the two routes each
  * process has, `/metrics` (prom-client) and `/debug/state` (a JSON dump of its state).
  */
+import process from 'node:process';
 import Hapi from '@hapi/hapi';
 import {collectDefaultMetrics, Registry} from 'prom-client';
 import {type Listen} from '../protocol/settings.js';
@@ -10,6 +11,21 @@
 /** Produces the JSON-serialisable state of a process for `/debug/state`. */
 export type StateDump = () => unknown;
 
+/** Reads one request header as a string; a repeated header gives its first value. */
+export function headerValue(request: Hapi.Request, name: string): string | undefined {
+	const value: unknown = request.headers[name];
+	if (Array.isArray(value)) {
+		return typeof value[0] === 'string' ? value[0] : undefined;
+	}
+
+	return typeof value === 'string' ? value : undefined;
+}
+
+/** Reads a bearer token from the authorization header. */
+export function bearerToken(request: Hapi.Request): string {
+	return (headerValue(request, 'authorization') ?? '').replace(/^Bearer /v, '');
+}
+
 /** Creates a metrics registry with Node's default process metrics. */
 export function createRegistry(): Registry {
 	const registry = new Registry();
--- a/src/transport/peer-link.ts
+++ b/src/transport/peer-link.ts
@@ -28,7 +28,7 @@
 		}
 
 		sockets.handleUpgrade(request, socket, head, ws => {
-			ws.on('message', (data: Buffer) => {
+			ws.on('message', (data: Uint8Array) => {
 				traffic.bytesReceived += data.length;
 				traffic.messagesReceived++;
 				const message = decodePeerMessage(data);
--- a/src/transport/sse.ts
+++ b/src/transport/sse.ts
@@ -13,8 +13,9 @@
 			pending.push(event);
 		},
 	});
+	const decoder = new TextDecoder();
 	for await (const chunk of stream) {
-		parser.feed(typeof chunk === 'string' ? chunk : (chunk as Buffer).toString('utf8'));
+		parser.feed(typeof chunk === 'string' ? chunk : decoder.decode(chunk as Uint8Array, {stream: true}));
 		while (pending.length > 0) {
 			yield pending.shift()!.data;
 		}
