--- a/src/bench/run.ts
+++ b/src/bench/run.ts
@@ -5,6 +5,7 @@
  * processes on loopback only, bounded by `maxRequests` and `durationMs`.
  */
 import process from 'node:process';
+import {setMaxListeners} from 'node:events';
 import {setTimeout as delay} from 'node:timers/promises';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
@@ -42,6 +43,8 @@
 
 /** Runs an experiment to its end and returns the report. */
 export async function runExperiment(experiment: Experiment, signal: AbortSignal): Promise<BenchReport> {
+	// Every request in flight listens on the experiment's signal.
+	setMaxListeners(0, signal);
 	const rng = xoroshiro128plus(experiment.seed);
 	const ttft = new LatencyHistogram();
 	const itl = new LatencyHistogram();
@@ -85,7 +88,9 @@
 		const apiKey = pickAccount();
 		counts.sent++;
 		if (experiment.service !== undefined && uniformFloat64(rng) < (experiment.nonIdempotentShare ?? 0)) {
-			inFlight.push(callService(gateway, apiKey, experiment.service, `bench-${experiment.seed}-${index}`, counts));
+			inFlight.push(callService({
+				gateway, apiKey, service: experiment.service, key: `bench-${experiment.seed}-${index}`,
+			}, counts));
 			continue;
 		}
 
@@ -97,7 +102,9 @@
 		}
 
 		const maxTokens = uniformInt(rng, experiment.maxTokens.min, experiment.maxTokens.max);
-		inFlight.push(streamCompletion(gateway, apiKey, experiment.model, promptWords.join(' '), maxTokens, {ttft, itl, counts}, signal));
+		inFlight.push(streamCompletion({
+			gateway, apiKey, model: experiment.model, prompt: promptWords.join(' '), maxTokens,
+		}, {ttft, itl, counts}, signal));
 	}
 
 	await Promise.all(inFlight);
@@ -116,15 +123,13 @@
 	};
 }
 
-async function streamCompletion(
-	gateway: string,
-	apiKey: string,
-	model: string,
-	prompt: string,
-	maxTokens: number,
-	sinks: {ttft: LatencyHistogram; itl: LatencyHistogram; counts: Counts},
-	signal: AbortSignal,
-): Promise<void> {
+/** One call the bench makes, to a gateway or straight to an engine. */
+type Call = {gateway: string; apiKey: string};
+type CompletionCall = Call & {model: string; prompt: string; maxTokens: number};
+type ServiceCall = Call & {service: string; key: string};
+type Sinks = {ttft: LatencyHistogram; itl: LatencyHistogram; counts: Counts};
+
+async function streamCompletion({gateway, apiKey, model, prompt, maxTokens}: CompletionCall, sinks: Sinks, signal: AbortSignal): Promise<void> {
 	const sentMs = performance.now();
 	try {
 		const response = await requestStream({
@@ -186,7 +191,7 @@
 	}
 }
 
-async function callService(gateway: string, apiKey: string, service: string, key: string, counts: Counts): Promise<void> {
+async function callService({gateway, apiKey, service, key}: ServiceCall, counts: Counts): Promise<void> {
 	try {
 		const answer = await requestJson({
 			method: 'POST',
@@ -266,7 +271,8 @@
 export function summarize(report: BenchReport): string {
 	const line = (name: string, p: Percentiles) => `${name}: n=${p.count} p50=${p.p50.toFixed(1)}ms p95=${p.p95.toFixed(1)}ms p99=${p.p99.toFixed(1)}ms max=${p.max.toFixed(1)}ms`;
 	return [
-		`sent ${report.sent} in ${(report.elapsedMs / 1000).toFixed(1)}s: whole ${report.whole}, broken ${report.broken}, refused ${report.refused}, unknown outcome ${report.unknownOutcome}, failed ${report.failed}`,
+		`sent ${report.sent} in ${(report.elapsedMs / 1000).toFixed(1)}s: whole ${report.whole}, broken ${report.broken}, refused ${report.refused},`
+		+ ` unknown outcome ${report.unknownOutcome}, failed ${report.failed}`,
 		`goodput ${report.goodputPerSecond.toFixed(1)}/s`,
 		line('time to first token', report.ttftMs),
 		line('time between tokens', report.itlMs),
--- a/src/cli/commands/gateway.ts
+++ b/src/cli/commands/gateway.ts
@@ -3,6 +3,7 @@
  * the config stream, tracks engine load, and keeps heartbeats with its peers. On
  * SIGTERM it stops taking requests, finishes those in flight (up to `drainMs`) and exits.
  */
+import {setMaxListeners} from 'node:events';
 import {type GatewaySettings, loadSettings, settingsValidators} from '../../protocol/settings.js';
 import {ConfigTable} from '../../state/config-table.js';
 import {PlatformLog} from '../../state/platform-log.js';
@@ -40,7 +41,9 @@
 		bytesSent: 0, bytesReceived: 0, messagesSent: 0, messagesReceived: 0,
 	};
 	const tasks = new AbortController();
-	const stopTasks = AbortSignal.any([tasks.signal]);
+	const stopTasks = tasks.signal;
+	// One listener per peer link and per engine poller.
+	setMaxListeners(0, stopTasks);
 
 	const status = () => {
 		const nowMs = Date.now();
@@ -92,7 +95,9 @@
 	const running = Promise.all([
 		followConfig(platformLog, config, stopTasks),
 		loads.run(stopTasks),
-		...settings.peers.map(async peer => linkPeer(peer, settings.heartbeatMs, heartbeat, traffic, stopTasks)),
+		...settings.peers.map(async peer => linkPeer({
+			peer, intervalMs: settings.heartbeatMs, next: heartbeat, traffic,
+		}, stopTasks)),
 	]);
 
 	await waitForAbort(signal);
--- a/src/cli/index.ts
+++ b/src/cli/index.ts
@@ -2,6 +2,8 @@
  * The command line of the single binary: `gateway`, `standin`, `admin` and `bench`.
  * Each subcommand only wires its arguments to the module that does the work.
  */
+// Must stay the first import: it sets up roarr's environment before any logger exists.
+import './log-environment.js'; // eslint-disable-line import-x/no-unassigned-import, import-x/order
 import process from 'node:process';
 import {
 	command, number, oneOf, option, optional, positional, run, string, subcommands,
--- a/src/transport/caller-api.ts
+++ b/src/transport/caller-api.ts
@@ -25,6 +25,15 @@
 /** Seconds a caller is told to wait after a refusal with no better estimate. */
 export const defaultRetryAfterSeconds = 1;
 
+/** A refusal before dispatch: the request did not run. */
+type Refusal = {
+	status: number;
+	message: string;
+	code: string;
+	/** Seconds after which the caller may try again. */
+	retryAfterSeconds?: number;
+};
+
 /** What the caller routes need from the rest of the gateway. */
 export type CallerContext = {
 	accounts: ClientAccount[];
@@ -42,15 +51,16 @@
 
 	const authenticate = (request: Hapi.Request): string | undefined => accountByKey.get(bearerToken(request));
 
-	const refuse = (h: Hapi.ResponseToolkit, status: number, message: string, code: string, retryAfterSeconds?: number) => {
-		const response = h.response(errorBody(message, status === 401 ? 'invalid_request_error' : 'server_error', code, Outcome.NotRun)).code(status).header('x-sesametally-outcome', Outcome.NotRun);
+	const refuse = (h: Hapi.ResponseToolkit, {status, message, code, retryAfterSeconds}: Refusal) => {
+		const type = status < 500 ? 'invalid_request_error' : 'server_error';
+		const response = h.response(errorBody(message, type, code, Outcome.NotRun)).code(status).header('x-sesametally-outcome', Outcome.NotRun);
 		return retryAfterSeconds === undefined ? response : response.header('retry-after', String(retryAfterSeconds));
 	};
 
 	const serveCompletion = async (request: Hapi.Request, h: Hapi.ResponseToolkit, chat: boolean) => {
 		const account = authenticate(request);
 		if (account === undefined) {
-			return refuse(h, 401, 'Unknown API key.', 'invalid_api_key');
+			return refuse(h, {status: 401, message: 'Unknown API key.', code: 'invalid_api_key'});
 		}
 
 		let job: CompletionJob;
@@ -64,19 +74,21 @@
 			};
 		} catch (error) {
 			if (error instanceof ProtocolError) {
-				return refuse(h, 400, error.message, 'invalid_request');
+				return refuse(h, {status: 400, message: error.message, code: 'invalid_request'});
 			}
 
 			throw error;
 		}
 
 		if (!context.completions.serves(job.model)) {
-			return refuse(h, 404, `The model ${job.model} does not exist.`, 'model_not_found');
+			return refuse(h, {status: 404, message: `The model ${job.model} does not exist.`, code: 'model_not_found'});
 		}
 
 		const admission = context.limits.admit(account, Limits.limitOf(context.config.activePreset, account), Date.now());
 		if (!admission.admitted) {
-			return refuse(h, 429, `Client account ${account} is over its ${admission.refusal} limit.`, 'rate_limit_exceeded', Math.ceil(admission.retryAfterMs / 1000));
+			return refuse(h, {
+				status: 429, message: `Client account ${account} is over its ${admission.refusal} limit.`, code: 'rate_limit_exceeded', retryAfterSeconds: Math.ceil(admission.retryAfterMs / 1000),
+			});
 		}
 
 		const abort = new AbortController();
@@ -91,7 +103,9 @@
 			admission.release();
 			if (error instanceof NoBackendError) {
 				log.warn('request refused before dispatch.', {request: job.requestId, account, error: error.message});
-				return refuse(h, 503, 'No engine can take the request now.', 'overloaded', defaultRetryAfterSeconds);
+				return refuse(h, {
+					status: 503, message: 'No engine can take the request now.', code: 'overloaded', retryAfterSeconds: defaultRetryAfterSeconds,
+				});
 			}
 
 			throw error;
@@ -100,7 +114,12 @@
 		const created = Math.floor(Date.now() / 1000);
 		const render = (token: Token) => chat
 			? {
-				id: job.requestId, object: 'chat.completion.chunk', created, model: job.model, seq: token.seq, choices: [{index: 0, delta: token.seq === 0 ? {role: 'assistant', content: token.text} : {content: token.text}, finish_reason: token.last ? 'length' : null}],
+				id: job.requestId,
+				object: 'chat.completion.chunk',
+				created,
+				model: job.model,
+				seq: token.seq,
+				choices: [{index: 0, delta: token.seq === 0 ? {role: 'assistant', content: token.text} : {content: token.text}, finish_reason: token.last ? 'length' : null}],
 			}
 			: {
 				id: job.requestId, object: 'text_completion', created, model: job.model, seq: token.seq, choices: [{index: 0, text: token.text, finish_reason: token.last ? 'length' : null}],
@@ -158,7 +177,10 @@
 	server.route({
 		method: 'GET',
 		path: '/v1/models',
-		handler: () => ({object: 'list', data: [...new Set(context.backendServers.filter(backend => backend.kind === BackendKind.Engine).map(backend => backend.name))].map(id => ({id, object: 'model', owned_by: 'sesametally'}))}),
+		handler() {
+			const models = new Set(context.backendServers.filter(backend => backend.kind === BackendKind.Engine).map(backend => backend.name));
+			return {object: 'list', data: [...models].map(id => ({id, object: 'model', owned_by: 'sesametally'}))};
+		},
 	});
 
 	let serviceTurn = 0;
@@ -168,13 +190,15 @@
 		async handler(request, h) {
 			const account = authenticate(request);
 			if (account === undefined) {
-				return refuse(h, 401, 'Unknown API key.', 'invalid_api_key');
+				return refuse(h, {status: 401, message: 'Unknown API key.', code: 'invalid_api_key'});
 			}
 
 			const name = request.params.name as string;
 			const targets = context.backendServers.filter(backend => backend.kind === BackendKind.Service && backend.name === name && !context.config.drained.has(backend.id));
 			if (targets.length === 0) {
-				return refuse(h, 503, `No backend server of service ${name} is available.`, 'overloaded', defaultRetryAfterSeconds);
+				return refuse(h, {
+					status: 503, message: `No backend server of service ${name} is available.`, code: 'overloaded', retryAfterSeconds: defaultRetryAfterSeconds,
+				});
 			}
 
 			const target = targets[serviceTurn++ % targets.length];
@@ -188,7 +212,8 @@
 				log.warn('service call outcome unknown.', {
 					service: name, backend: target.id, key, error: String(error),
 				});
-				return h.response(errorBody('The service call may or may not have run.', 'server_error', 'outcome_unknown', Outcome.Unknown)).code(502).header('x-sesametally-outcome', Outcome.Unknown);
+				const body = errorBody('The service call may or may not have run.', 'server_error', 'outcome_unknown', Outcome.Unknown);
+				return h.response(body).code(502).header('x-sesametally-outcome', Outcome.Unknown);
 			}
 		},
 	});
--- a/src/transport/peer-link.ts
+++ b/src/transport/peer-link.ts
@@ -41,11 +41,21 @@
 	return sockets;
 }
 
+/** What one peer link sends, how often, and where it counts bytes. */
+export type PeerLink = {
+	peer: Peer;
+	intervalMs: number;
+	/** Produces the next message to send, such as a fresh heartbeat. */
+	next: () => PeerMessage;
+	traffic: PeerTraffic;
+};
+
 /**
  * Keeps a link to one peer and sends what `next` produces every `intervalMs`,
  * redialling after drops, until the signal aborts.
  */
-export async function linkPeer(peer: Peer, intervalMs: number, next: () => PeerMessage, traffic: PeerTraffic, signal: AbortSignal): Promise<void> {
+export async function linkPeer(link: PeerLink, signal: AbortSignal): Promise<void> {
+	const {peer} = link;
 	let connected = false;
 	while (!signal.aborted) {
 		const ws = new WebSocket(peer.url);
@@ -65,7 +75,7 @@
 
 			connected = true;
 			// eslint-disable-next-line no-await-in-loop
-			await sendUntilClosed(ws, intervalMs, next, traffic, signal);
+			await sendUntilClosed(ws, link, signal);
 		} else if (connected) {
 			log.warn('link down.', {peer: peer.id});
 			connected = false;
@@ -77,7 +87,8 @@
 	}
 }
 
-async function sendUntilClosed(ws: WebSocket, intervalMs: number, next: () => PeerMessage, traffic: PeerTraffic, signal: AbortSignal): Promise<void> {
+async function sendUntilClosed(ws: WebSocket, link: PeerLink, signal: AbortSignal): Promise<void> {
+	const {intervalMs, next, traffic} = link;
 	const closed = new AbortController();
 	ws.once('close', () => {
 		closed.abort();
