--- a/src/cli/commands/gateway.ts
+++ b/src/cli/commands/gateway.ts
@@ -11,6 +11,8 @@
 import {Completions} from '../../coordination/completions.js';
 import {Limits} from '../../coordination/admission.js';
 import {Membership} from '../../coordination/membership.js';
+import {Journal} from '../../coordination/journal.js';
+import {JournalTable} from '../../state/journal-table.js';
 import {followConfig} from '../../coordination/config-follower.js';
 import {PeerMessageKind, type Heartbeat} from '../../protocol/peer-messages.js';
 import {createRegistry, createServer, startServer} from '../../transport/http-server.js';
@@ -37,6 +39,8 @@
 	const completions = services.resolve(Completions);
 	const limits = services.resolve(Limits);
 	const membership = services.resolve(Membership);
+	const journal = services.resolve(Journal);
+	const journalTable = services.resolve(JournalTable);
 	const traffic: PeerTraffic = {
 		bytesSent: 0, bytesReceived: 0, messagesSent: 0, messagesReceived: 0,
 	};
@@ -62,12 +66,13 @@
 		peerTraffic: traffic,
 		completions: {recomputedTokens: completions.recomputedTokens, resumes: completions.resumes},
 		platformLogAppends: platformLog.appends,
+		journal: {...journalTable.toJson(), batches: journal.batches},
 	});
 
 	const registry = createRegistry();
 	const callers = createServer(settings.listen, registry, dump);
 	addCallerRoutes(callers, {
-		accounts: settings.clientAccounts, backendServers: settings.backendServers, completions, limits, config, signal: stopTasks,
+		accounts: settings.clientAccounts, backendServers: settings.backendServers, completions, limits, config, journal, signal: stopTasks,
 	});
 	const admin = createServer({host: settings.admin.host, port: settings.admin.port}, registry, dump);
 	addAdminRoutes(admin, {
@@ -94,6 +99,7 @@
 	});
 	const running = Promise.all([
 		followConfig(platformLog, config, stopTasks),
+		journal.follow(stopTasks),
 		loads.run(stopTasks),
 		...settings.peers.map(async peer => linkPeer({
 			peer, intervalMs: settings.heartbeatMs, next: heartbeat, traffic,
--- a/src/cli/container.ts
+++ b/src/cli/container.ts
@@ -12,6 +12,8 @@
 import {Completions} from '../coordination/completions.js';
 import {Limits} from '../coordination/admission.js';
 import {Membership} from '../coordination/membership.js';
+import {Journal} from '../coordination/journal.js';
+import {JournalTable} from '../state/journal-table.js';
 
 /** The token of the gateway's settings. */
 export const gatewaySettingsToken = Symbol('GatewaySettings');
@@ -24,6 +26,10 @@
 	child.register(PlatformLog, {useFactory: instanceCachingFactory(() => new PlatformLog(settings.platformLog.url))});
 	child.register(Limits, {useFactory: instanceCachingFactory(() => new Limits())});
 	child.register(Membership, {useFactory: instanceCachingFactory(() => new Membership(settings.heartbeatMs))});
+	child.register(JournalTable, {useFactory: instanceCachingFactory(() => new JournalTable())});
+	child.register(Journal, {
+		useFactory: instanceCachingFactory(resolver => new Journal(resolver.resolve(PlatformLog), resolver.resolve(JournalTable), settings.id, settings.journalFlushMs)),
+	});
 	child.register(LoadTracker, {
 		useFactory: instanceCachingFactory(() => new LoadTracker(settings.backendServers.filter(backend => backend.kind === BackendKind.Engine), settings.loadPollMs)),
 	});
--- /dev/null
+++ b/src/coordination/stream-follower.ts
@@ -0,0 +1,63 @@
+/**
+ * The task that tails one stream of the platform log and hands each record, in
+ * offset order, to `apply`. Outages of the log only delay it; after records
+ * expired it goes on from the first one kept, and says so.
+ */
+import {setTimeout as delay} from 'node:timers/promises';
+import {type PlatformLog} from '../state/platform-log.js';
+import {type Logger} from '../log.js';
+
+/** How long one read waits for new records. */
+export const pollWaitMs = 1000;
+/** Pause after a failed read. */
+export const retryPauseMs = 250;
+
+/** What to follow and what to do with each record. */
+export type StreamFollower<T> = {
+	platformLog: PlatformLog;
+	stream: string;
+	/** The first offset to read. */
+	from: number;
+	apply: (offset: number, value: T) => void;
+	log: Logger;
+};
+
+/** Tails a stream until the signal aborts. */
+export async function followStream<T>(follower: StreamFollower<T>, signal: AbortSignal): Promise<void> {
+	const {platformLog, stream, apply, log} = follower;
+	let next = follower.from;
+	let failing = false;
+	while (!signal.aborted) {
+		try {
+			// eslint-disable-next-line no-await-in-loop
+			const answer = await platformLog.read<T>(stream, next, pollWaitMs, signal);
+			if (failing) {
+				log.info('platform log is back.', {stream, next});
+				failing = false;
+			}
+
+			if (answer.expired) {
+				log.error('records expired before they were read.', {stream, next, start: answer.start});
+				next = answer.start;
+				continue;
+			}
+
+			for (const {offset, value} of answer.records) {
+				apply(offset, value);
+				next = offset + 1;
+			}
+		} catch (error) {
+			if (signal.aborted) {
+				return;
+			}
+
+			if (!failing) {
+				log.warn('platform log unreachable, keeping what was read.', {stream, next, error: String(error)});
+				failing = true;
+			}
+
+			// eslint-disable-next-line no-await-in-loop
+			await delay(retryPauseMs, undefined, {signal}).catch(() => undefined);
+		}
+	}
+}
--- a/src/protocol/settings.ts
+++ b/src/protocol/settings.ts
@@ -70,6 +70,8 @@
 	loadPollMs: number;
 	/** Grace for in-flight streams on SIGTERM before the gateway exits anyway. */
 	drainMs: number;
+	/** Time intents of non-idempotent calls wait to share one journal append. */
+	journalFlushMs: number;
 };
 
 /** Settings of the platform log stand-in. */
@@ -207,6 +209,7 @@
 		heartbeatMs: {type: 'integer', minimum: 10, default: 1000},
 		loadPollMs: {type: 'integer', minimum: 10, default: 200},
 		drainMs: {type: 'integer', minimum: 0, default: 30_000},
+		journalFlushMs: {type: 'integer', minimum: 0, default: 5},
 	},
 	required: ['id', 'failureDomain', 'listen', 'admin', 'platformLog', 'peers', 'backendServers', 'clientAccounts'],
 	additionalProperties: false,
--- a/src/transport/caller-api.ts
+++ b/src/transport/caller-api.ts
@@ -14,6 +14,7 @@
 import {type Completions, type CompletionJob, type Token} from '../coordination/completions.js';
 import {Limits} from '../coordination/admission.js';
 import {NoBackendError} from '../coordination/errors.js';
+import {Claim, type Journal} from '../coordination/journal.js';
 import {type ConfigTable} from '../state/config-table.js';
 import {createLogger} from '../log.js';
 import {requestJson} from './http-client.js';
@@ -41,6 +42,7 @@
 	completions: Completions;
 	limits: Limits;
 	config: ConfigTable;
+	journal: Journal;
 	/** Aborted when the gateway stops; streams in flight are finished first. */
 	signal: AbortSignal;
 };
@@ -202,7 +204,28 @@
 			}
 
 			const target = targets[serviceTurn++ % targets.length];
-			const key = headerValue(request, 'idempotency-key') ?? `${account}-${randomUUID()}`;
+			const idempotent = headerValue(request, 'x-sesametally-idempotent') !== 'false';
+			const givenKey = headerValue(request, 'idempotency-key');
+			if (!idempotent) {
+				if (givenKey === undefined) {
+					return refuse(h, {status: 400, message: 'A non-idempotent call needs an idempotency-key header.', code: 'idempotency_key_missing'});
+				}
+
+				const claim = await context.journal.claim(account, givenKey, name, context.signal);
+				if (claim === Claim.Taken) {
+					const message = `Idempotency key ${givenKey} was already submitted; that call's outcome is not known here.`;
+					const body = errorBody(message, 'invalid_request_error', 'idempotency_key_in_use', Outcome.Unknown);
+					return h.response(body).code(409).header('x-sesametally-outcome', Outcome.Unknown);
+				}
+
+				if (claim !== Claim.Won) {
+					return refuse(h, {
+						status: 503, message: 'The call could not be recorded before dispatch; it did not run.', code: 'journal_unavailable', retryAfterSeconds: defaultRetryAfterSeconds,
+					});
+				}
+			}
+
+			const key = givenKey ?? `${account}-${randomUUID()}`;
 			try {
 				const answer = await requestJson({
 					method: 'POST', url: `${target.url}/v1/${request.params.call as string}`, payload: request.payload ?? {}, headers: {'idempotency-key': key},
