--- a/scripts/stack.mjs
+++ b/scripts/stack.mjs
@@ -28,15 +28,25 @@
 		listen: {host, port: base}, failureDomain: domains[0], retentionMs: topology.retentionMs ?? 3_600_000, appendsPerSecond: topology.appendsPerSecond ?? 500,
 	}, ['standin', 'log']);
 	const backendServers = [];
+	const vms = [];
+	const slots = [];
+	const machineClass = 'small';
+	const weightsUrl = `http://${host}:${base + 302}`;
 	let engineIndex = 0;
+	const engineDefaults = {tpotMs: topology.tpotMs ?? 10, maxBatch: topology.maxBatch ?? 32, weightsUrl};
 	for (const model of topology.models) {
 		for (let replica = 0; replica < model.replicas; replica++) {
 			const id = `${model.name}-${replica}`;
 			const port = base + 100 + engineIndex++;
 			const failureDomain = domains[replica % domains.length];
 			write(id, {
-				id, listen: {host, port}, failureDomain, model: model.name, tpotMs: topology.tpotMs ?? 10, maxBatch: topology.maxBatch ?? 32, checksFencing: replica % 2 === 0,
+				...engineDefaults, id, listen: {host, port}, failureDomain, model: model.name, checksFencing: replica % 2 === 0,
 			}, ['standin', 'engine']);
+			const url = `http://${host}:${port}`;
+			vms.push({
+				name: id, url, failureDomain, machineClass, reclaimable: model.reclaimable ?? true,
+			});
+			slots.push({url, failureDomain});
 			backendServers.push({
 				id, kind: 'engine', name: model.name, url: `http://${host}:${port}`, failureDomain, checksFencing: replica % 2 === 0,
 			});
@@ -56,10 +66,28 @@
 		}
 	}
 
-	const platform = {failureDomain: domains[0], prices: topology.prices ?? []};
-	write('cloud', {listen: {host, port: base + 300}, ...platform}, ['standin', 'cloud']);
-	write('vms', {listen: {host, port: base + 301}, ...platform}, ['standin', 'vms']);
-	write('weights', {listen: {host, port: base + 302}, ...platform}, ['standin', 'weights']);
+	// Places where the cloud stand-in may start further VMs: engine processes without power.
+	for (const [index, failureDomain] of domains.entries()) {
+		for (let spare = 0; spare < (topology.spareSlots ?? 0); spare++) {
+			const port = base + 100 + engineIndex++;
+			write(`slot-${failureDomain}-${spare}`, {
+				...engineDefaults, id: `slot-${failureDomain}-${spare}`, listen: {host, port}, failureDomain, powered: false, checksFencing: index % 2 === 0,
+			}, ['standin', 'engine']);
+			slots.push({url: `http://${host}:${port}`, failureDomain});
+		}
+	}
+
+	const platform = {failureDomain: domains[0]};
+	const cloudUrl = `http://${host}:${base + 300}`;
+	write('cloud', {
+		listen: {host, port: base + 300}, ...platform, prices: topology.prices ?? [], vms, slots, ...topology.cloud,
+	}, ['standin', 'cloud']);
+	write('vms', {
+		listen: {host, port: base + 301}, ...platform, cloudUrl, lagMs: topology.vmListLagMs ?? 2000,
+	}, ['standin', 'vms']);
+	write('weights', {
+		listen: {host, port: base + 302}, ...platform, downloadsPerSecond: topology.downloadsPerSecond ?? 2,
+	}, ['standin', 'weights']);
 
 	const gateways = [];
 	for (let index = 0; index < topology.gateways; index++) {
@@ -75,17 +103,21 @@
 			listen: {host, port: gateway.port},
 			admin: {host, port: gateway.adminPort, teams: topology.teams},
 			platformLog: {url: `http://${host}:${base}`},
+			cloud: {url: cloudUrl},
+			vmList: {url: `http://${host}:${base + 301}`},
+			controller: topology.controller,
 			peers: gateways.filter(peer => peer.id !== gateway.id).map(peer => ({id: peer.id, url: `ws://${host}:${peer.adminPort}/peer`})),
 			backendServers,
 			clientAccounts: topology.accounts,
 			heartbeatMs: topology.heartbeatMs ?? 1000,
 			loadPollMs: 200,
 			drainMs: 30_000,
+			...topology.gatewaySettings,
 		}, ['gateway']);
 	}
 
 	return {
-		processes, gateways: gateways.map(gateway => ({...gateway, url: `http://${host}:${gateway.port}`, adminUrl: `http://${host}:${gateway.adminPort}`})), logUrl: `http://${host}:${base}`, cloudUrl: `http://${host}:${base + 300}`,
+		processes, gateways: gateways.map(gateway => ({...gateway, url: `http://${host}:${gateway.port}`, adminUrl: `http://${host}:${gateway.adminPort}`})), logUrl: `http://${host}:${base}`, cloudUrl,
 	};
 }
 
--- a/src/bench/run.ts
+++ b/src/bench/run.ts
@@ -13,7 +13,7 @@
 import {requestJson, requestStream} from '../transport/http-client.js';
 import {readEvents} from '../transport/sse.js';
 import {completionText} from '../standins/engine-output.js';
-import {type PlatformStandinSettings} from '../protocol/settings.js';
+import {type Price} from '../protocol/cloud-api.js';
 import {type Experiment, FaultAction, type FaultStep} from './experiment.js';
 import {LatencyHistogram, type Percentiles} from './histogram.js';
 
@@ -257,7 +257,7 @@
 		return undefined;
 	}
 
-	const answer = await requestJson<PlatformStandinSettings['prices']>({method: 'GET', url: `${experiment.cloud}/prices`});
+	const answer = await requestJson<Price[]>({method: 'GET', url: `${experiment.cloud}/prices`});
 	let total = 0;
 	for (const vm of experiment.vms) {
 		const price = answer.body.find(entry => entry.failureDomain === vm.failureDomain && entry.machineClass === vm.machineClass && entry.reclaimable === vm.reclaimable);
--- a/src/cli/commands/gateway.ts
+++ b/src/cli/commands/gateway.ts
@@ -4,9 +4,13 @@
  * SIGTERM it stops taking requests, finishes those in flight (up to `drainMs`) and exits.
  */
 import {setMaxListeners} from 'node:events';
+import {setTimeout as delay} from 'node:timers/promises';
 import {type GatewaySettings, loadSettings, settingsValidators} from '../../protocol/settings.js';
 import {ConfigTable} from '../../state/config-table.js';
 import {PlatformLog} from '../../state/platform-log.js';
+import {BackendDirectory} from '../../coordination/backend-directory.js';
+import {ServiceCalls} from '../../coordination/service-calls.js';
+import {followNotices, followVmList} from '../../coordination/vm-watch.js';
 import {LoadTracker} from '../../coordination/load-tracker.js';
 import {Completions} from '../../coordination/completions.js';
 import {Limits} from '../../coordination/admission.js';
@@ -35,6 +39,7 @@
 	const services = createGatewayContainer(settings);
 	const config = services.resolve(ConfigTable);
 	const platformLog = services.resolve(PlatformLog);
+	const directory = services.resolve(BackendDirectory);
 	const loads = services.resolve(LoadTracker);
 	const completions = services.resolve(Completions);
 	const limits = services.resolve(Limits);
@@ -64,15 +69,17 @@
 		loads: Object.fromEntries(loads.views),
 		limits: limits.toJson(),
 		peerTraffic: traffic,
-		completions: {recomputedTokens: completions.recomputedTokens, resumes: completions.resumes},
+		completions: completions.toJson(),
+		backendServers: directory.toJson(),
 		platformLogAppends: platformLog.appends,
 		journal: {...journalTable.toJson(), batches: journal.batches},
 	});
 
+	let isReady = true;
 	const registry = createRegistry();
 	const callers = createServer(settings.listen, registry, dump);
 	addCallerRoutes(callers, {
-		accounts: settings.clientAccounts, backendServers: settings.backendServers, completions, limits, config, journal, signal: stopTasks,
+		accounts: settings.clientAccounts, completions, services: services.resolve(ServiceCalls), limits, config, isReady: () => isReady, signal: stopTasks,
 	});
 	const admin = createServer({host: settings.admin.host, port: settings.admin.port}, registry, dump);
 	addAdminRoutes(admin, {
@@ -94,20 +101,25 @@
 		failureDomain: settings.failureDomain,
 		appliedOffset: config.appliedOffset,
 		configVersion: config.version,
-		inFlight: 0,
+		inFlight: completions.inFlight,
 		sentAtMs: Date.now(),
 	});
+	loads.run(stopTasks);
 	const running = Promise.all([
 		followConfig(platformLog, config, stopTasks),
 		journal.follow(stopTasks),
-		loads.run(stopTasks),
+		...(settings.cloud ? [followNotices({url: settings.cloud.url, pollMs: settings.cloud.noticePollMs}, directory, stopTasks)] : []),
+		...(settings.vmList ? [followVmList(settings.vmList, directory, stopTasks)] : []),
 		...settings.peers.map(async peer => linkPeer({
 			peer, intervalMs: settings.heartbeatMs, next: heartbeat, traffic,
 		}, stopTasks)),
 	]);
 
 	await waitForAbort(signal);
-	log.info('draining.', {drainMs: settings.drainMs});
+	log.info('draining.', {drainMs: settings.drainMs, inFlight: completions.inFlight});
+	isReady = false;
+	// The balancer's next checks must see the change before the port closes.
+	await delay(settings.notReadyMs);
 	await callers.stop({timeout: settings.drainMs});
 	tasks.abort();
 	await running;
--- a/src/cli/commands/standin.ts
+++ b/src/cli/commands/standin.ts
@@ -3,13 +3,15 @@
  */
 import process from 'node:process';
 import {
-	type EngineStandinSettings, type LogStandinSettings, type PlatformStandinSettings, type ServiceStandinSettings,
+	type EngineStandinSettings, type LogStandinSettings, type CloudStandinSettings, type ServiceStandinSettings, type VmListStandinSettings, type WeightsStandinSettings,
 	loadSettings, settingsValidators,
 } from '../../protocol/settings.js';
 import {runLogStandin} from '../../standins/log.js';
 import {runEngineStandin} from '../../standins/engine.js';
 import {runServiceStandin} from '../../standins/service.js';
-import {type PlatformPart, runPlatformStandin} from '../../standins/platform.js';
+import {runCloudStandin} from '../../standins/cloud.js';
+import {runVmListStandin} from '../../standins/vm-list.js';
+import {runWeightsStandin} from '../../standins/weights.js';
 
 /** The stand-ins the command can run. */
 export enum StandinPart {
@@ -43,11 +45,18 @@
 			break;
 		}
 
-		case StandinPart.Cloud:
-		case StandinPart.Vms:
+		case StandinPart.Cloud: {
+			await runCloudStandin(loadSettings<CloudStandinSettings>(settingsFile, settingsValidators.cloud), signal);
+			break;
+		}
+
+		case StandinPart.Vms: {
+			await runVmListStandin(loadSettings<VmListStandinSettings>(settingsFile, settingsValidators.vms), signal);
+			break;
+		}
+
 		case StandinPart.Weights: {
-			const platformPart = part as unknown as PlatformPart;
-			await runPlatformStandin(platformPart, loadSettings<PlatformStandinSettings>(settingsFile, settingsValidators.platform), signal);
+			await runWeightsStandin(loadSettings<WeightsStandinSettings>(settingsFile, settingsValidators.weights), signal);
 			break;
 		}
 	}
--- a/src/cli/container.ts
+++ b/src/cli/container.ts
@@ -5,9 +5,11 @@
 // The decorator metadata polyfill that tsyringe needs loaded once, before any container use.
 import 'reflect-metadata'; // eslint-disable-line import-x/no-unassigned-import
 import {container, type DependencyContainer, instanceCachingFactory} from 'tsyringe';
-import {type GatewaySettings, BackendKind} from '../protocol/settings.js';
+import {type GatewaySettings} from '../protocol/settings.js';
 import {ConfigTable} from '../state/config-table.js';
 import {PlatformLog} from '../state/platform-log.js';
+import {BackendDirectory} from '../coordination/backend-directory.js';
+import {ServiceCalls} from '../coordination/service-calls.js';
 import {LoadTracker} from '../coordination/load-tracker.js';
 import {Completions} from '../coordination/completions.js';
 import {Limits} from '../coordination/admission.js';
@@ -30,18 +32,22 @@
 	child.register(Journal, {
 		useFactory: instanceCachingFactory(resolver => new Journal(resolver.resolve(PlatformLog), resolver.resolve(JournalTable), settings.id, settings.journalFlushMs)),
 	});
-	child.register(LoadTracker, {
-		useFactory: instanceCachingFactory(() => new LoadTracker(settings.backendServers.filter(backend => backend.kind === BackendKind.Engine), settings.loadPollMs)),
+	child.register(BackendDirectory, {
+		useFactory: instanceCachingFactory(resolver => {
+			const config = resolver.resolve(ConfigTable);
+			return new BackendDirectory(settings.backendServers, () => config.drained);
+		}),
 	});
+	child.register(LoadTracker, {useFactory: instanceCachingFactory(resolver => new LoadTracker(resolver.resolve(BackendDirectory), settings.loadPollMs))});
+	child.register(ServiceCalls, {useFactory: instanceCachingFactory(resolver => new ServiceCalls(resolver.resolve(BackendDirectory), resolver.resolve(Journal)))});
 	child.register(Completions, {
 		useFactory: instanceCachingFactory(resolver => {
 			const config = resolver.resolve(ConfigTable);
-			return new Completions(
-				settings.backendServers.filter(backend => backend.kind === BackendKind.Engine),
-				resolver.resolve(LoadTracker),
-				() => config.drained,
-				() => config.activePreset?.routing?.affinitySlack,
-			);
+			return new Completions({
+				directory: resolver.resolve(BackendDirectory),
+				loads: resolver.resolve(LoadTracker),
+				affinitySlack: () => config.activePreset?.routing?.affinitySlack,
+			});
 		}),
 	});
 	return child;
--- a/src/coordination/__tests__/at-most-once.test.ts
+++ b/src/coordination/__tests__/at-most-once.test.ts
@@ -1,8 +1,11 @@
+import process from 'node:process';
 import {
 	afterAll, beforeAll, describe, expect, it,
 } from 'vitest';
 import {requestJson} from '../../transport/http-client.js';
-import {smallTopology, startTestStack} from '../../testing/stack.js';
+import {
+	pidOf, setFaults, smallTopology, startTestStack,
+} from '../../testing/stack.js';
 
 const apiKey = 'coop-trading-desk-key';
 
@@ -33,10 +36,6 @@
 	return answer.body;
 }
 
-async function setFaults(url: string, faults: Record<string, unknown>): Promise<void> {
-	await requestJson({method: 'POST', url: `${url}/admin/faults`, payload: faults});
-}
-
 describe('non-idempotent calls run at most once', () => {
 	it.each([
 		{name: 'two gateways race on each key', keys: ['race-1', 'race-2', 'race-3', 'race-4'], gateways: [0, 1]},
@@ -90,4 +89,14 @@
 		expect(answer.statusCode).toBe(400);
 		expect(answer.headers['x-sesametally-outcome']).toBe('not-run');
 	});
+
+	it('says not-run when no backend server could be reached, and leaves the key free', async () => {
+		process.kill(pidOf(stack, 'settlement-0'), 'SIGKILL');
+		const answers = [await confirm(0, 'unreached-1'), await confirm(1, 'unreached-1')];
+		for (const answer of answers) {
+			expect(answer.statusCode).toBe(503);
+			expect(answer.headers['x-sesametally-outcome']).toBe('not-run');
+			expect(answer.headers['retry-after']).toBeDefined();
+		}
+	});
 });
--- a/src/coordination/__tests__/router.test.ts
+++ b/src/coordination/__tests__/router.test.ts
@@ -3,6 +3,7 @@
 	type LoadView, affinityScore, affinityTokens, chooseBackend,
 } from '../router.js';
 import {NoBackendError} from '../errors.js';
+import {EngineRole} from '../../protocol/engine-api.js';
 import {type BackendServer, BackendKind} from '../../protocol/settings.js';
 
 const nowMs = 100_000;
@@ -14,7 +15,7 @@
 const affine = engines.toSorted((x, y) => affinityScore(prompt, y.id) - affinityScore(prompt, x.id))[0].id;
 const view = (queued: number, ageMs = 0, healthy = true): LoadView => ({
 	report: {
-		running: queued, waiting: 0, maxBatch: 32, cacheBlocksUsed: 0, cacheBlocks: 1, measuredAtMs: nowMs - ageMs,
+		id: 'any', model: 'desk', role: EngineRole.Serving, running: queued, waiting: 0, maxBatch: 32, cacheBlocksUsed: 0, cacheBlocks: 1, measuredAtMs: nowMs - ageMs,
 	}, receivedAtMs: nowMs - ageMs, sentSinceReport: 0, healthy,
 });
 const loadsWith = (entries: Record<string, LoadView>) => new Map(engines.map(candidate => [candidate.id, entries[candidate.id] ?? view(0)]));
--- a/src/coordination/completions.ts
+++ b/src/coordination/completions.ts
@@ -1,31 +1,35 @@
 /**
- * Serving one completion: route it to an engine, stream its tokens in order, and,
- * when the engine fails mid-stream, resume on another engine from the first token
- * not yet delivered, so that the caller sees no gap and no repeat.
+ * Serving completions. A request is routed to an engine and its tokens are passed on
+ * in order. When the engine fails, or its VM is about to be reclaimed, the stream goes
+ * on at another engine from the first token not yet delivered, so that the caller sees
+ * no gap and no repeat. Ahead of an announced reclaim the KV cache moves along, so that
+ * nothing is computed again.
  */
-import {type BackendServer} from '../protocol/settings.js';
-import {type EngineChunk, type EngineCompletionRequest} from '../protocol/engine-api.js';
-import {requestStream} from '../transport/http-client.js';
-import {readEvents} from '../transport/sse.js';
+import {setTimeout as delay} from 'node:timers/promises';
+import {type BackendServer, BackendKind} from '../protocol/settings.js';
+import {type EngineChunk} from '../protocol/engine-api.js';
+import {
+	cancelRequest, exportKv, importKv, streamCompletion,
+} from '../transport/engine-client.js';
+import {ConnectError, EngineRefusalError} from '../transport/errors.js';
 import {createLogger} from '../log.js';
+import {type BackendDirectory, type BackendEntry} from './backend-directory.js';
 import {type LoadTracker} from './load-tracker.js';
-import {chooseBackend, defaultAffinitySlack} from './router.js';
-import {CoordinationError, NoBackendError} from './errors.js';
+import {ChunkSequencer} from './chunk-sequencer.js';
+import {type CompletionJob, Flight} from './flight.js';
+import {RetryBudget} from './retry-budget.js';
+import {chooseBackend, defaultAffinitySlack, servesModel} from './router.js';
+import {
+	CoordinationError, NoBackendError, OutcomeUnknownError, StreamBrokenError,
+} from './errors.js';
 
 const log = createLogger('completions');
 
-/** Engines tried for one request before the gateway gives up. */
-export const maxAttempts = 3;
-
-/** A completion as the gateway serves it. */
-export type CompletionJob = {
-	requestId: string;
-	account: string;
-	model: string;
-	prompt: string;
-	maxTokens: number;
-	priority: number;
-};
+/** Failed runs of one request before the gateway gives up. */
+export const maxFailures = 3;
+/** How long a begun request waits for an engine to become available, in milliseconds. */
+export const patienceMs = 10_000;
+const patiencePollMs = 100;
 
 /** One token delivered to the caller. */
 export type Token = {
@@ -35,136 +39,238 @@
 	engine: string;
 };
 
-/** The gateway gave up on a request after some tokens were delivered. */
-export class StreamBrokenError extends CoordinationError {
-	constructor(
-		readonly delivered: number,
-		options?: ErrorOptions,
-	) {
-		super(`stream broke after ${delivered} tokens`, options);
-	}
-}
+/** What {@link Completions} needs from the rest of the gateway. */
+export type CompletionsContext = {
+	directory: BackendDirectory;
+	loads: LoadTracker;
+	affinitySlack: () => number | undefined;
+};
 
 /** Streams completions from the engines of a gateway. */
 export class Completions {
-	/** Tokens re-prefilled because a stream resumed on another engine. */
+	/** Tokens computed again because a stream went on at another engine. */
 	recomputedTokens = 0;
+	/** Streams that went on at another engine after a failure. */
 	resumes = 0;
+	/** Streams moved ahead of a reclaim, and those of them whose KV cache moved along. */
+	moves = 0;
+	kvMoves = 0;
+	private readonly flights = new Set<Flight>();
+	private readonly retryBudget = new RetryBudget();
 
-	constructor(
-		private readonly engines: BackendServer[],
-		private readonly loads: LoadTracker,
-		private readonly drained: () => ReadonlySet<string>,
-		private readonly affinitySlack: () => number | undefined,
-	) {}
+	constructor(private readonly context: CompletionsContext) {
+		context.directory.onLeaving(entry => {
+			this.leave(entry, Date.now());
+		});
+	}
+
+	/** Requests being served. */
+	get inFlight(): number {
+		return this.flights.size;
+	}
 
 	/** Whether the gateway knows an engine for this model. */
 	serves(model: string): boolean {
-		return this.engines.some(engine => engine.name === model);
+		return this.models().has(model);
+	}
+
+	/** The models of the engines known now. */
+	models(): Set<string> {
+		const {directory, loads} = this.context;
+		const engines = directory.present().filter(backend => backend.kind === BackendKind.Engine);
+		return new Set(engines.map(engine => loads.views.get(engine.id)?.report?.model ?? engine.name).filter(name => name !== ''));
 	}
 
 	/**
 	 * Streams the tokens of a job in order.
 	 *
-	 * @throws {NoBackendError} Before the first token, when no engine could take it: not run.
+	 * @throws {NoBackendError} Before the first token, when no engine began it: not run.
+	 * @throws {OutcomeUnknownError} Before the first token, when an engine may have begun it.
 	 * @throws {StreamBrokenError} When it gave up after some tokens were delivered.
 	 */
 	async * stream(job: CompletionJob, signal: AbortSignal): AsyncGenerator<Token> {
-		let delivered = 0;
-		const excluded = new Set<string>(this.drained());
-		let lastError: unknown;
-		for (let attempt = 0; attempt < maxAttempts; attempt++) {
-			let engine: BackendServer;
-			try {
-				engine = chooseBackend({
-					candidates: this.engines.filter(candidate => candidate.name === job.model),
-					loads: this.loads.views,
-					excluded,
-					prompt: job.prompt,
-					affinitySlack: this.affinitySlack() ?? defaultAffinitySlack,
-					nowMs: Date.now(),
-				});
-			} catch (error) {
-				if (delivered === 0) {
-					throw error;
-				}
-
-				throw new StreamBrokenError(delivered, {cause: error});
+		const flight = new Flight(job, signal);
+		this.flights.add(flight);
+		this.retryBudget.earn();
+		try {
+			while (flight.delivered < job.maxTokens) {
+				// eslint-disable-next-line no-await-in-loop -- each run goes on where the last one stopped.
+				const engine = await this.place(flight);
+				yield * this.run(flight, engine);
 			}
+		} finally {
+			this.flights.delete(flight);
+		}
+	}
 
-			this.loads.noteDispatch(engine.id);
-			if (delivered > 0) {
-				this.resumes++;
-				log.info('resuming stream.', {request: job.requestId, engine: engine.id, from: delivered});
-			}
+	/** Counters for state dumps. */
+	toJson(): Record<string, number> {
+		return {
+			inFlight: this.inFlight, recomputedTokens: this.recomputedTokens, resumes: this.resumes, moves: this.moves, kvMoves: this.kvMoves, retryBudget: this.retryBudget.toJson(),
+		};
+	}
 
-			try {
-				// eslint-disable-next-line no-await-in-loop -- attempts are sequential by design: each resumes where the last stopped.
-				for await (const chunk of this.streamFrom(engine, job, delivered, signal)) {
-					if (chunk.seq !== delivered) {
-						continue;
-					}
-
-					delivered++;
-					const last = delivered >= job.maxTokens;
+	/** Runs a request on one engine until it ends there, fails there, or is moved away. */
+	private async * run(flight: Flight, engine: BackendServer): AsyncGenerator<Token> {
+		const {job} = flight;
+		const sequencer = new ChunkSequencer(flight.delivered);
+		const runSignal = flight.begin(engine);
+		try {
+			const chunks = streamCompletion(engine.url, {
+				model: job.model,
+				prompt: job.prompt,
+				max_tokens: job.maxTokens,
+				stream: true,
+				request_id: flight.engineRequestId,
+				priority: job.priority,
+				resume_from: flight.delivered,
+			}, runSignal);
+			for await (const chunk of chunks) {
+				this.countRecomputed(flight, chunk);
+				for (const due of sequencer.accept(chunk)) {
+					flight.noteToken(performance.now());
 					yield {
-						seq: chunk.seq, text: chunk.choices[0].text, last, engine: engine.id,
+						seq: due.seq, text: due.choices[0].text, last: flight.delivered >= job.maxTokens, engine: engine.id,
 					};
-					if (last) {
-						return;
-					}
 				}
 
-				throw new CoordinationError(`engine ${engine.id} ended the stream at ${delivered} of ${job.maxTokens}`);
-			} catch (error) {
-				if (signal.aborted) {
-					throw error;
+				if (flight.delivered >= job.maxTokens) {
+					return;
 				}
+			}
 
-				lastError = error;
-				excluded.add(engine.id);
-				this.loads.noteFailure(engine.id);
-				log.warn('engine failed.', {
-					request: job.requestId, engine: engine.id, delivered, error: String(error),
-				});
+			if (!await flight.wasExported()) {
+				throw new CoordinationError(`engine ${engine.id} ended the stream at ${flight.delivered} of ${job.maxTokens}`);
 			}
+		} catch (error) {
+			await this.noteFailedRun(flight, engine, error);
+		} finally {
+			flight.end();
 		}
+	}
+
+	/** Chooses the engine of the next run, and brings the KV cache there after an export. */
+	private async place(flight: Flight): Promise<BackendServer> {
+		const engine = await this.choose(flight);
+		this.context.loads.noteDispatch(engine.id);
+		const source = flight.takeExport();
+		if (source === undefined) {
+			if (flight.runs > 0) {
+				this.resumes++;
+				log.info('resuming stream.', {request: flight.job.requestId, engine: engine.id, from: flight.delivered});
+			}
 
-		if (delivered === 0) {
-			throw new NoBackendError(`no engine completed request ${job.requestId}`, {cause: lastError});
+			return engine;
 		}
 
-		throw new StreamBrokenError(delivered, {cause: lastError});
+		this.moves++;
+		try {
+			await importKv(engine.url, {requestId: flight.engineRequestId, source: source.url});
+			this.kvMoves++;
+			log.info('stream moved with its KV cache.', {
+				request: flight.job.requestId, from: source.id, to: engine.id, delivered: flight.delivered,
+			});
+		} catch (error) {
+			log.warn('KV cache not moved, its tokens are computed again.', {
+				request: flight.job.requestId, from: source.id, to: engine.id, error: String(error),
+			});
+		}
+
+		return engine;
 	}
 
-	private async * streamFrom(engine: BackendServer, job: CompletionJob, from: number, signal: AbortSignal): AsyncGenerator<EngineChunk> {
-		if (from > 0) {
-			this.recomputedTokens += from;
+	/** Chooses an engine; a request that has begun waits a while for one to become available. */
+	private async choose(flight: Flight): Promise<BackendServer> {
+		const {directory, loads, affinitySlack} = this.context;
+		const deadlineMs = performance.now() + patienceMs;
+		for (;;) {
+			flight.signal.throwIfAborted();
+			try {
+				return chooseBackend({
+					candidates: directory.takingWork(BackendKind.Engine).filter(engine => servesModel(engine, loads.views.get(engine.id), flight.job.model)),
+					loads: loads.views,
+					excluded: flight.failedEngines,
+					prompt: flight.job.prompt,
+					affinitySlack: affinitySlack() ?? defaultAffinitySlack,
+					nowMs: Date.now(),
+				});
+			} catch (error) {
+				if (!flight.hasBegun || performance.now() > deadlineMs) {
+					throw this.giveUp(flight, error);
+				}
+			}
+
+			// An engine that failed before may have come back.
+			flight.failedEngines.clear();
+			// eslint-disable-next-line no-await-in-loop
+			await delay(patiencePollMs, undefined, {signal: flight.signal});
 		}
+	}
 
-		const payload: EngineCompletionRequest = {
-			model: job.model,
-			prompt: job.prompt,
-			max_tokens: job.maxTokens,
-			stream: true,
-			request_id: job.requestId,
-			priority: job.priority,
-			resume_from: from,
-		};
-		const response = await requestStream({
-			method: 'POST', url: `${engine.url}/v1/completions`, payload, signal, timeoutMs: 30_000,
+	private async noteFailedRun(flight: Flight, engine: BackendServer, error: unknown): Promise<void> {
+		if (flight.signal.aborted) {
+			throw error;
+		}
+
+		flight.failures++;
+		flight.failedEngines.add(engine.id);
+		if (!(error instanceof EngineRefusalError)) {
+			this.context.loads.noteFailure(engine.id);
+		}
+
+		const didNotRun = error instanceof EngineRefusalError || error instanceof ConnectError || await confirmNotStarted(flight, engine);
+		flight.mayHaveRun ||= !didNotRun;
+		log.warn('engine failed.', {
+			request: flight.job.requestId, engine: engine.id, delivered: flight.delivered, error: String(error),
 		});
-		if (response.statusCode !== 200) {
-			response.resume();
-			throw new CoordinationError(`engine ${engine.id} answered ${response.statusCode ?? 0}`);
+		const isRetryAllowed = flight.hasDelivered || this.retryBudget.spend();
+		if (flight.failures >= maxFailures || !isRetryAllowed) {
+			throw this.giveUp(flight, error);
 		}
+	}
+
+	private giveUp(flight: Flight, cause: unknown): CoordinationError {
+		if (flight.hasDelivered) {
+			return new StreamBrokenError(flight.delivered, {cause});
+		}
+
+		const {requestId} = flight.job;
+		return flight.mayHaveRun
+			? new OutcomeUnknownError(`request ${requestId} may have run`, {cause})
+			: new NoBackendError(`no engine took request ${requestId}`, {cause});
+	}
+
+	/** Moves the requests on a leaving engine away, but for those that will finish there in time. */
+	private leave({backend, leavesAtMs}: BackendEntry, nowMs: number): void {
+		for (const flight of this.flights) {
+			if (flight.engine?.id !== backend.id || leavesAtMs === undefined) {
+				continue;
+			}
 
-		for await (const data of readEvents(response)) {
-			if (data === '[DONE]') {
-				return;
+			flight.abortAt(leavesAtMs - nowMs);
+			if (!flight.finishesBy(leavesAtMs, nowMs)) {
+				flight.export(exportKv(backend.url, flight.engineRequestId));
 			}
+		}
+	}
 
-			yield JSON.parse(data) as EngineChunk;
+	private countRecomputed(flight: Flight, chunk: EngineChunk): void {
+		if (chunk.prefilled !== undefined && (flight.runs > 1 || flight.job.resumeFrom > 0)) {
+			this.recomputedTokens += chunk.prefilled;
 		}
 	}
 }
+
+/** Asks an engine to cancel a request; true only when it confirms that it never began it. */
+async function confirmNotStarted(flight: Flight, engine: BackendServer): Promise<boolean> {
+	if (flight.hasDelivered) {
+		return false;
+	}
+
+	try {
+		const answer = await cancelRequest(engine.url, flight.engineRequestId);
+		return answer.cancelled && !answer.started;
+	} catch {
+		return false;
+	}
+}
--- a/src/coordination/config-follower.ts
+++ b/src/coordination/config-follower.ts
@@ -18,7 +18,7 @@
 		stream: configStream,
 		from: table.appliedOffset + 1,
 		log,
-		apply(offset, record) {
+		apply({offset, value: record}) {
 			const outcome = table.apply(offset, record);
 			const context = {
 				offset, kind: record.kind, team: record.team, reason: outcome.reason,
--- /dev/null
+++ b/src/coordination/flight.ts
@@ -0,0 +1,147 @@
+/**
+ * One completion being served: where it runs, how far it is, and whether it is being
+ * moved away from a leaving engine.
+ */
+import {type BackendServer} from '../protocol/settings.js';
+import {type KvSnapshot} from '../protocol/engine-api.js';
+import {createLogger} from '../log.js';
+import {StalledStreamError} from './errors.js';
+
+const log = createLogger('completions');
+
+/** Longest pause between two tokens of a running stream, in milliseconds. */
+export const stallMs = 5000;
+/** Slack kept between a stream's expected end and its VM's, in milliseconds. */
+export const finishMarginMs = 1000;
+
+/** A completion as the gateway serves it. */
+export type CompletionJob = {
+	/** Unique per client account; a caller that reconnects gives the same one. */
+	requestId: string;
+	account: string;
+	model: string;
+	prompt: string;
+	maxTokens: number;
+	priority: number;
+	/** The first token the caller still needs: above 0 when it reconnects. */
+	resumeFrom: number;
+};
+
+/** The state of one completion being served. */
+export class Flight {
+	/** The next token the caller needs. */
+	delivered: number;
+	/** Runs begun on engines so far. */
+	runs = 0;
+	failures = 0;
+	/** Whether an engine may have begun the request. */
+	mayHaveRun = false;
+	readonly failedEngines = new Set<string>();
+	/** The engine of the run in progress. */
+	engine: BackendServer | undefined;
+	private run = new AbortController();
+	private exporting: Promise<KvSnapshot | undefined> | undefined;
+	private exportedFrom: BackendServer | undefined;
+	private leaveTimer: NodeJS.Timeout | undefined;
+	private stallTimer: NodeJS.Timeout | undefined;
+	private firstTokenMs: number | undefined;
+	private lastTokenMs = 0;
+	private tokensThisRun = 0;
+
+	constructor(
+		readonly job: CompletionJob,
+		readonly signal: AbortSignal,
+	) {
+		this.delivered = job.resumeFrom;
+	}
+
+	/** The request's id at the engines, unique over client accounts. */
+	get engineRequestId(): string {
+		return `${this.job.account}.${this.job.requestId}`;
+	}
+
+	get hasDelivered(): boolean {
+		return this.delivered > this.job.resumeFrom;
+	}
+
+	get hasBegun(): boolean {
+		return this.runs > 0;
+	}
+
+	/** Begins a run; its signal aborts with the request, on a stall, or when the VM goes. */
+	begin(engine: BackendServer): AbortSignal {
+		this.engine = engine;
+		this.runs++;
+		this.run = new AbortController();
+		this.firstTokenMs = undefined;
+		this.tokensThisRun = 0;
+		return AbortSignal.any([this.signal, this.run.signal]);
+	}
+
+	/** Ends the run in progress, however it ended, and closes its connection. */
+	end(): void {
+		clearTimeout(this.leaveTimer);
+		clearTimeout(this.stallTimer);
+		this.run.abort();
+		this.engine = undefined;
+	}
+
+	/** Counts a token delivered at `nowMs` (monotonic). */
+	noteToken(nowMs: number): void {
+		this.delivered++;
+		this.tokensThisRun++;
+		this.firstTokenMs ??= nowMs;
+		this.lastTokenMs = nowMs;
+		clearTimeout(this.stallTimer);
+		this.stallTimer = setTimeout(() => {
+			this.run.abort(new StalledStreamError(`no token for ${stallMs} ms`));
+		}, stallMs);
+	}
+
+	/** Aborts the run when its VM goes, should its connection hang. */
+	abortAt(afterMs: number): void {
+		clearTimeout(this.leaveTimer);
+		this.leaveTimer = setTimeout(() => {
+			this.run.abort(new StalledStreamError('the VM is gone'));
+		}, afterMs);
+	}
+
+	/** Whether, at its pace so far, the stream ends well before `leavesAtMs`. */
+	finishesBy(leavesAtMs: number, nowMs: number): boolean {
+		if (this.firstTokenMs === undefined || this.tokensThisRun < 2) {
+			return false;
+		}
+
+		const msPerToken = (this.lastTokenMs - this.firstTokenMs) / (this.tokensThisRun - 1);
+		const remainingMs = (this.job.maxTokens - this.delivered) * msPerToken;
+		return nowMs + remainingMs + finishMarginMs < leavesAtMs;
+	}
+
+	/** Notes that the request's KV cache is being exported from its engine. */
+	export(exporting: Promise<KvSnapshot>): void {
+		this.exporting = (async () => {
+			try {
+				return await exporting;
+			} catch (error) {
+				log.warn('KV cache not exported, the stream stays.', {request: this.job.requestId, engine: this.engine?.id, error: String(error)});
+				return undefined;
+			}
+		})();
+	}
+
+	/** Whether the run ended because its KV cache was exported. */
+	async wasExported(): Promise<boolean> {
+		const source = this.engine;
+		const snapshot = await this.exporting;
+		this.exporting = undefined;
+		this.exportedFrom = snapshot ? source : undefined;
+		return snapshot !== undefined;
+	}
+
+	/** Takes the engine that holds the exported KV cache, once. */
+	takeExport(): BackendServer | undefined {
+		const source = this.exportedFrom;
+		this.exportedFrom = undefined;
+		return source;
+	}
+}
--- a/src/coordination/journal.ts
+++ b/src/coordination/journal.ts
@@ -9,7 +9,9 @@
  */
 import {setTimeout as delay} from 'node:timers/promises';
 import {randomUUID} from 'node:crypto';
-import {type Intent, journalStream} from '../protocol/journal-records.js';
+import {
+	type Intent, type JournalRecord, JournalRecordKind, journalStream,
+} from '../protocol/journal-records.js';
 import {type JournalTable} from '../state/journal-table.js';
 import {type PlatformLog} from '../state/platform-log.js';
 import {UnknownAppendError} from '../state/errors.js';
@@ -36,7 +38,13 @@
 	Abandoned = 'abandoned',
 }
 
-type Pending = {intent: Intent; settle: (result: {firstOffset: number; index: number} | Error) => void};
+/** Whose call is to run, and under which key. */
+export type ClaimRequest = {account: string; key: string; service: string};
+
+/** What became of a claim, and the intent it wrote. */
+export type ClaimAnswer = {claim: Claim; intentId: string};
+
+type Pending = {record: JournalRecord; settle: (result: {firstOffset: number; index: number} | Error) => void};
 
 /** The journal of one gateway: batches intents and decides claims. */
 export class Journal {
@@ -53,9 +61,9 @@
 
 	/** Tails the journal stream into the table until the signal aborts. */
 	async follow(signal: AbortSignal): Promise<void> {
-		await followStream<Intent>({
-			platformLog: this.platformLog, stream: journalStream, from: this.table.appliedOffset + 1, log, apply: (offset, intent) => {
-				this.table.apply(offset, intent);
+		await followStream<JournalRecord>({
+			platformLog: this.platformLog, stream: journalStream, from: this.table.appliedOffset + 1, log, apply: record => {
+				this.table.apply(record);
 			},
 		}, signal);
 	}
@@ -65,22 +73,34 @@
 	 *
 	 * @param signal Aborts the wait for the read-back; the claim then counts as abandoned.
 	 */
-	async claim(account: string, key: string, service: string, signal: AbortSignal): Promise<Claim> {
+	async claim({account, key, service}: ClaimRequest, signal: AbortSignal): Promise<ClaimAnswer> {
 		const intent: Intent = {
-			id: randomUUID(), account, key, service, gateway: this.gateway,
+			kind: JournalRecordKind.Intent, id: randomUUID(), account, key, service, gateway: this.gateway,
 		};
-		const earlier = this.table.firstFor(account, key);
-		if (earlier) {
+		const claim = await this.decide(intent, signal);
+		if (claim === Claim.Abandoned) {
+			// The intent may still land: its release frees the key whichever comes first.
+			void this.release(intent.id);
+		}
+
+		return {claim, intentId: intent.id};
+	}
+
+	/** Withdraws an intent whose call was never sent. If the log refuses, the key stays taken. */
+	async release(intentId: string): Promise<void> {
+		const appended = await this.enqueue({kind: JournalRecordKind.Release, id: intentId});
+		if (appended instanceof Error) {
+			log.warn('intent not released, its key stays taken.', {intent: intentId, error: String(appended)});
+		}
+	}
+
+	private async decide(intent: Intent, signal: AbortSignal): Promise<Claim> {
+		const {account, key} = intent;
+		if (this.table.firstFor(account, key)) {
 			return Claim.Taken;
 		}
 
-		const appended = await new Promise<{firstOffset: number; index: number} | Error>(resolve => {
-			this.queue.push({intent, settle: resolve});
-			if (!this.flushScheduled) {
-				this.flushScheduled = true;
-				void this.flush();
-			}
-		});
+		const appended = await this.enqueue(intent);
 		let offset: number | undefined;
 		if (appended instanceof UnknownAppendError) {
 			log.warn('intent append outcome unknown, reading back.', {key, account});
@@ -105,6 +125,16 @@
 		return Claim.Abandoned;
 	}
 
+	private async enqueue(record: JournalRecord): Promise<{firstOffset: number; index: number} | Error> {
+		return new Promise(resolve => {
+			this.queue.push({record, settle: resolve});
+			if (!this.flushScheduled) {
+				this.flushScheduled = true;
+				void this.flush();
+			}
+		});
+	}
+
 	private async flush(): Promise<void> {
 		await delay(this.flushMs);
 		const batch = this.queue;
@@ -112,7 +142,7 @@
 		this.flushScheduled = false;
 		this.batches++;
 		try {
-			const answer = await this.platformLog.append(journalStream, batch.map(entry => entry.intent));
+			const answer = await this.platformLog.append(journalStream, batch.map(entry => entry.record));
 			for (const [index, entry] of batch.entries()) {
 				entry.settle({firstOffset: answer.firstOffset, index});
 			}
--- a/src/coordination/load-tracker.ts
+++ b/src/coordination/load-tracker.ts
@@ -1,32 +1,31 @@
 /**
- * Tracks the load each model engine reports: one polling task per engine. An
- * engine whose load cannot be read `unhealthyAfter` times in a row is marked
- * unhealthy and gets no new work until it answers again.
+ * Tracks the load each model engine reports: one polling task per engine, from the time
+ * the directory learns of it until it is gone. An engine whose load cannot be read
+ * `unhealthyAfter` times in a row gets no new work until it answers again.
  */
 import {setTimeout as delay} from 'node:timers/promises';
-import {type BackendServer} from '../protocol/settings.js';
-import {type EngineLoad} from '../protocol/engine-api.js';
-import {fetchJson} from '../transport/http-client.js';
+import {type BackendServer, BackendKind} from '../protocol/settings.js';
+import {EngineRole} from '../protocol/engine-api.js';
+import {readLoad} from '../transport/engine-client.js';
 import {createLogger} from '../log.js';
+import {type BackendDirectory, LeavingSource} from './backend-directory.js';
 import {type LoadView} from './router.js';
 
 const log = createLogger('load');
 
 /** Failed polls in a row after which an engine counts as unhealthy. */
 export const unhealthyAfter = 3;
+/** Load polls that may pass without an answer before one counts as failed. */
+const pollTimeoutFactor = 5;
 
 /** The load views of all engines, kept fresh by one task per engine. */
 export class LoadTracker {
 	readonly views = new Map<string, LoadView>();
 
 	constructor(
-		private readonly engines: BackendServer[],
+		private readonly directory: BackendDirectory,
 		private readonly pollMs: number,
-	) {
-		for (const engine of engines) {
-			this.views.set(engine.id, {sentSinceReport: 0, healthy: true});
-		}
-	}
+	) {}
 
 	/** Counts a dispatch to an engine until its next report. */
 	noteDispatch(engineId: string): void {
@@ -44,27 +43,23 @@
 		}
 	}
 
-	/** Polls every engine until the signal aborts. */
-	async run(signal: AbortSignal): Promise<void> {
-		await Promise.all(this.engines.map(async engine => this.poll(engine, signal)));
+	/** Polls every engine the directory knows or learns of until the signal aborts. */
+	run(signal: AbortSignal): void {
+		this.directory.onAdded(({backend}) => {
+			if (backend.kind === BackendKind.Engine) {
+				this.views.set(backend.id, {sentSinceReport: 0, healthy: true});
+				void this.poll(backend, signal);
+			}
+		});
 	}
 
 	private async poll(engine: BackendServer, signal: AbortSignal): Promise<void> {
 		const view = this.views.get(engine.id)!;
 		let failures = 0;
-		while (!signal.aborted) {
+		while (!signal.aborted && this.directory.isPresent(engine.id)) {
 			try {
 				// eslint-disable-next-line no-await-in-loop
-				view.report = await fetchJson<EngineLoad>({
-					method: 'GET', url: `${engine.url}/load`, timeoutMs: this.pollMs * 5, signal,
-				});
-				view.receivedAtMs = Date.now();
-				view.sentSinceReport = 0;
-				if (!view.healthy) {
-					log.info('engine is healthy again.', {engine: engine.id});
-				}
-
-				view.healthy = true;
+				await this.readInto(view, engine, signal);
 				failures = 0;
 			} catch {
 				failures++;
@@ -77,5 +72,30 @@
 			// eslint-disable-next-line no-await-in-loop
 			await delay(this.pollMs, undefined, {signal}).catch(() => undefined);
 		}
+
+		this.views.delete(engine.id);
+	}
+
+	private async readInto(view: LoadView, engine: BackendServer, signal: AbortSignal): Promise<void> {
+		const report = await readLoad(engine.url, this.pollMs * pollTimeoutFactor, signal);
+		const nowMs = Date.now();
+		if (report.id !== engine.id) {
+			// Another VM answers at this address: the one known here is gone.
+			this.directory.noteLeaving(engine.id, LeavingSource.Engine, nowMs, nowMs);
+			return;
+		}
+
+		if (report.role === EngineRole.Draining) {
+			this.directory.noteLeaving(engine.id, LeavingSource.Engine, undefined, nowMs);
+		}
+
+		if (!view.healthy) {
+			log.info('engine is healthy again.', {engine: engine.id});
+		}
+
+		view.report = report;
+		view.receivedAtMs = nowMs;
+		view.sentSinceReport = 0;
+		view.healthy = true;
 	}
 }
--- a/src/coordination/router.ts
+++ b/src/coordination/router.ts
@@ -27,6 +27,11 @@
 	healthy: boolean;
 };
 
+/** Whether an engine serves a model: by its own report, or by settings until it reported. */
+export function servesModel(backend: BackendServer, view: LoadView | undefined, model: string): boolean {
+	return (view?.report ? view.report.model : backend.name) === model;
+}
+
 /** The inputs of one routing decision. */
 export type RouteQuery = {
 	candidates: BackendServer[];
--- a/src/coordination/stream-follower.ts
+++ b/src/coordination/stream-follower.ts
@@ -5,10 +5,11 @@
  */
 import {setTimeout as delay} from 'node:timers/promises';
 import {type PlatformLog} from '../state/platform-log.js';
+import {type LogRecord} from '../protocol/platform-log.js';
 import {type Logger} from '../log.js';
 
 /** How long one read waits for new records. */
-export const pollWaitMs = 1000;
+export const pollWaitMs = 10_000;
 /** Pause after a failed read. */
 export const retryPauseMs = 250;
 
@@ -18,7 +19,9 @@
 	stream: string;
 	/** The first offset to read. */
 	from: number;
-	apply: (offset: number, value: T) => void;
+	apply: (record: LogRecord<T>) => void;
+	/** Told the first offset kept when records expired before they were read. */
+	onExpired?: (start: number) => void;
 	log: Logger;
 };
 
@@ -37,14 +40,15 @@
 			}
 
 			if (answer.expired) {
-				log.error('records expired before they were read.', {stream, next, start: answer.start});
+				log.warn('records expired before they were read.', {stream, next, start: answer.start});
+				follower.onExpired?.(answer.start);
 				next = answer.start;
 				continue;
 			}
 
-			for (const {offset, value} of answer.records) {
-				apply(offset, value);
-				next = offset + 1;
+			for (const record of answer.records) {
+				apply(record);
+				next = record.offset + 1;
 			}
 		} catch (error) {
 			if (signal.aborted) {
--- /dev/null
+++ b/src/coordination/vm-watch.ts
@@ -0,0 +1,67 @@
+/**
+ * The tasks that keep the {@link BackendDirectory} up to date: one polls the cloud API's
+ * reclaim notices, one polls the lagging VM list. While either cannot be read, the
+ * directory keeps what it has.
+ */
+import {setTimeout as delay} from 'node:timers/promises';
+import {type NoticePage, type VmEntry} from '../protocol/cloud-api.js';
+import {fetchJson} from '../transport/http-client.js';
+import {createLogger} from '../log.js';
+import {type BackendDirectory, LeavingSource} from './backend-directory.js';
+
+const log = createLogger('vms');
+
+/** A source to poll, and how often. */
+export type PollTarget = {
+	url: string;
+	pollMs: number;
+};
+
+/** Polls the reclaim notices until the signal aborts. */
+export async function followNotices(target: PollTarget, directory: BackendDirectory, signal: AbortSignal): Promise<void> {
+	let from = 0;
+	await pollUntilAborted('reclaim notices', target.pollMs, async () => {
+		const page = await fetchJson<NoticePage>({
+			method: 'GET', url: `${target.url}/notices?from=${from}`, timeoutMs: 2000, signal,
+		});
+		for (const notice of page.notices) {
+			directory.noteLeaving(notice.vm, LeavingSource.Notice, notice.leavesAtMs, Date.now());
+		}
+
+		from = page.next;
+	}, signal);
+}
+
+/** Polls the VM list until the signal aborts. */
+export async function followVmList(target: PollTarget, directory: BackendDirectory, signal: AbortSignal): Promise<void> {
+	await pollUntilAborted('VM list', target.pollMs, async () => {
+		const vms = await fetchJson<VmEntry[]>({
+			method: 'GET', url: `${target.url}/vms`, timeoutMs: 2000, signal,
+		});
+		directory.applyVmList(vms, Date.now());
+	}, signal);
+}
+
+async function pollUntilAborted(source: string, pollMs: number, read: () => Promise<void>, signal: AbortSignal): Promise<void> {
+	let isFailing = false;
+	while (!signal.aborted) {
+		try {
+			// eslint-disable-next-line no-await-in-loop
+			await read();
+			if (isFailing) {
+				log.info('source is back.', {source});
+			}
+
+			isFailing = false;
+		} catch (error) {
+			if (!isFailing && !signal.aborted) {
+				log.warn('source unreachable, keeping what is known.', {source, error: String(error)});
+			}
+
+			isFailing = true;
+		}
+
+		// eslint-disable-next-line no-await-in-loop
+		await delay(pollMs, undefined, {signal}).catch(() => undefined);
+	}
+}
--- a/src/protocol/engine-api.ts
+++ b/src/protocol/engine-api.ts
@@ -8,7 +8,14 @@
  *   {@link EngineCompletion}.
  * - `GET /load`: {@link EngineLoad}, refreshed with a lag.
  * - `POST /v1/requests/{id}/cancel`: {@link CancelAnswer}.
+ * - `POST /v1/requests/{id}/export`: {@link KvSnapshot}; the request's stream ends and its
+ *   KV cache is held for an import; 404 when the request is not there.
+ * - `POST /v1/kv/import` with {@link KvImport}: the engine pulls a held KV cache from
+ *   another engine (`GET /v1/kv/{id}`); a completion with that request id then continues
+ *   without prefill.
  * - `POST /v1/orders` with {@link EngineOrder}: 200, or 409 when the fencing token is old.
+ *
+ * A 503 whose error code is `not_run` says that the engine did not begin the request.
  */
 
 /** A completion request to an engine. */
@@ -35,6 +42,24 @@
 	choices: Array<{index: 0; text: string; finish_reason: 'length' | 'stop' | null}>;
 	/** Index of this token in the whole answer. */
 	seq: number;
+	/** On the first chunk of a run: tokens the engine had to compute before it. */
+	prefilled?: number;
+};
+
+/** The error code with which an engine says that it did not begin a request. */
+export const notRunCode = 'not_run';
+
+/** A KV cache held by an engine: whose it is and how many tokens it covers. */
+export type KvSnapshot = {
+	requestId: string;
+	promptHash: string;
+	tokens: number;
+};
+
+/** An order to pull a KV cache from the engine at `source`. */
+export type KvImport = {
+	requestId: string;
+	source: string;
 };
 
 /** A whole completion. */
@@ -46,8 +71,21 @@
 	usage: {prompt_tokens: number; completion_tokens: number; total_tokens: number; cached_tokens: number};
 };
 
+/** What an engine is doing for the fleet. */
+export enum EngineRole {
+	/** Takes work for its model. */
+	Serving = 'serving',
+	/** Finishes what it has and takes no new work. */
+	Draining = 'draining',
+}
+
 /** The load an engine reports, measured at `measuredAtMs` (its own clock). */
 export type EngineLoad = {
+	/** The id of the VM it runs on; a VM started later at the same address has another. */
+	id: string;
+	/** The loaded model; absent while none is. */
+	model?: string;
+	role: EngineRole;
 	running: number;
 	waiting: number;
 	maxBatch: number;
@@ -59,6 +97,8 @@
 /** The answer to a cancel: whether the request stopped before it finished. */
 export type CancelAnswer = {
 	cancelled: boolean;
+	/** Whether the engine had begun to work on it; false confirms that it never ran. */
+	started: boolean;
 	tokensSent: number;
 };
 
@@ -73,5 +113,5 @@
 	kind: OrderKind;
 	fencingToken: number;
 	model?: string;
-	role?: string;
+	role?: EngineRole;
 };
--- a/src/protocol/settings.ts
+++ b/src/protocol/settings.ts
@@ -6,6 +6,7 @@
 import {type ValidateFunction} from 'ajv';
 import {compileCheck, describeSchemaError} from './schema.js';
 import {SettingsError} from './errors.js';
+import {type Price, type VmEntry} from './cloud-api.js';
 
 /** Where a server listens. */
 export type Listen = {
@@ -56,6 +57,14 @@
 	url: string;
 };
 
+/** Settings of the controller role. */
+export type ControllerSettings = {
+	/** How long a lease lasts after its last renewal, by the platform log's clock. */
+	leaseMs: number;
+	/** Interval between passes over the fleet. */
+	passMs: number;
+};
+
 /** Settings of `sesametally gateway`. */
 export type GatewaySettings = {
 	id: string;
@@ -63,6 +72,12 @@
 	listen: Listen;
 	admin: Listen & {teams: Team[]};
 	platformLog: {url: string};
+	/** The platform's cloud API: reclaim notices, and VM orders from the controller. */
+	cloud?: {url: string; noticePollMs: number};
+	/** The platform's lagging VM list. */
+	vmList?: {url: string; pollMs: number};
+	/** Whether this gateway may hold the controller role, and at what pace. */
+	controller?: ControllerSettings;
 	peers: Peer[];
 	backendServers: BackendServer[];
 	clientAccounts: ClientAccount[];
@@ -70,6 +85,8 @@
 	loadPollMs: number;
 	/** Grace for in-flight streams on SIGTERM before the gateway exits anyway. */
 	drainMs: number;
+	/** How long `/ready` answers 503 on SIGTERM before the port closes. */
+	notReadyMs: number;
 	/** Time intents of non-idempotent calls wait to share one journal append. */
 	journalFlushMs: number;
 };
@@ -87,7 +104,8 @@
 	id: string;
 	listen: Listen;
 	failureDomain: string;
-	model: string;
+	/** The model loaded at the start; none on a VM that awaits orders. */
+	model?: string;
 	/** Time per output token, the engine's clock tick. */
 	tpotMs: number;
 	/** Prompt tokens prefilled per tick. */
@@ -99,6 +117,12 @@
 	/** How stale the reported load is. */
 	loadLagMs: number;
 	checksFencing: boolean;
+	/** How long the KV cache of an abandoned or exported request is kept. */
+	kvHoldMs: number;
+	/** Where weights come from; without it a model order takes effect at once. */
+	weightsUrl?: string;
+	/** False for a slot on which no VM runs yet. */
+	powered: boolean;
 };
 
 /** Settings of the plain service stand-in. */
@@ -109,18 +133,35 @@
 	latencyMs: number;
 };
 
-/** Settings of the cloud API, VM list and weight store stand-ins. */
-export type PlatformStandinSettings = {
+/** Settings of the cloud API stand-in. */
+export type CloudStandinSettings = {
+	listen: Listen;
+	failureDomain: string;
+	/** Warning before a reclaim takes effect. */
+	reclaimNoticeMs: number;
+	/** Time a VM takes to boot. */
+	bootMs: number;
+	prices: Price[];
+	/** VMs that run from the start. */
+	vms: Array<Pick<VmEntry, 'name' | 'url' | 'failureDomain' | 'machineClass' | 'reclaimable'>>;
+	/** Places for VMs: engine processes, those of `vms` among them. */
+	slots: Array<{url: string; failureDomain: string}>;
+};
+
+/** Settings of the VM list stand-in. */
+export type VmListStandinSettings = {
 	listen: Listen;
 	failureDomain: string;
-	/** For the VM list: how far behind the truth it is served. */
+	cloudUrl: string;
+	/** How far behind the truth it is served. */
 	lagMs: number;
-	/** For the weight store: downloads allowed per second. */
+};
+
+/** Settings of the weight store stand-in. */
+export type WeightsStandinSettings = {
+	listen: Listen;
+	failureDomain: string;
 	downloadsPerSecond: number;
-	/** For the cloud API: warning before a reclaim takes effect. */
-	reclaimNoticeMs: number;
-	/** For the cloud API: hourly price by failure domain and machine class. */
-	prices: Array<{failureDomain: string; machineClass: string; reclaimable: boolean; perHour: number}>;
 };
 
 const listenSchema = {
@@ -169,6 +210,26 @@
 			required: ['url'],
 			additionalProperties: false,
 		},
+		cloud: {
+			type: 'object',
+			properties: {url: urlSchema, noticePollMs: {type: 'integer', minimum: 10, default: 250}},
+			required: ['url'],
+			additionalProperties: false,
+		},
+		vmList: {
+			type: 'object',
+			properties: {url: urlSchema, pollMs: {type: 'integer', minimum: 10, default: 1000}},
+			required: ['url'],
+			additionalProperties: false,
+		},
+		controller: {
+			type: 'object',
+			properties: {
+				leaseMs: {type: 'integer', minimum: 500, default: 6000},
+				passMs: {type: 'integer', minimum: 10, default: 500},
+			},
+			additionalProperties: false,
+		},
 		peers: {
 			type: 'array',
 			items: {
@@ -209,6 +270,7 @@
 		heartbeatMs: {type: 'integer', minimum: 10, default: 1000},
 		loadPollMs: {type: 'integer', minimum: 10, default: 200},
 		drainMs: {type: 'integer', minimum: 0, default: 30_000},
+		notReadyMs: {type: 'integer', minimum: 0, default: 500},
 		journalFlushMs: {type: 'integer', minimum: 0, default: 5},
 	},
 	required: ['id', 'failureDomain', 'listen', 'admin', 'platformLog', 'peers', 'backendServers', 'clientAccounts'],
@@ -241,8 +303,11 @@
 		blockTokens: {type: 'integer', minimum: 1, default: 16},
 		loadLagMs: {type: 'integer', minimum: 0, default: 250},
 		checksFencing: {type: 'boolean', default: true},
+		kvHoldMs: {type: 'integer', minimum: 0, default: 10_000},
+		weightsUrl: urlSchema,
+		powered: {type: 'boolean', default: true},
 	},
-	required: ['id', 'listen', 'failureDomain', 'model'],
+	required: ['id', 'listen', 'failureDomain'],
 	additionalProperties: false,
 };
 
@@ -258,14 +323,26 @@
 	additionalProperties: false,
 };
 
-const platformStandinSchema = {
+const vmSchema = {
+	type: 'object',
+	properties: {
+		name: idSchema,
+		url: urlSchema,
+		failureDomain: idSchema,
+		machineClass: idSchema,
+		reclaimable: {type: 'boolean'},
+	},
+	required: ['name', 'url', 'failureDomain', 'machineClass', 'reclaimable'],
+	additionalProperties: false,
+};
+
+const cloudStandinSchema = {
 	type: 'object',
 	properties: {
 		listen: listenSchema,
 		failureDomain: idSchema,
-		lagMs: {type: 'integer', minimum: 0, default: 2000},
-		downloadsPerSecond: {type: 'integer', minimum: 1, default: 2},
 		reclaimNoticeMs: {type: 'integer', minimum: 0, default: 5000},
+		bootMs: {type: 'integer', minimum: 0, default: 1000},
 		prices: {
 			type: 'array',
 			default: [],
@@ -281,6 +358,40 @@
 				additionalProperties: false,
 			},
 		},
+		vms: {type: 'array', default: [], items: vmSchema},
+		slots: {
+			type: 'array',
+			default: [],
+			items: {
+				type: 'object',
+				properties: {url: urlSchema, failureDomain: idSchema},
+				required: ['url', 'failureDomain'],
+				additionalProperties: false,
+			},
+		},
+	},
+	required: ['listen', 'failureDomain'],
+	additionalProperties: false,
+};
+
+const vmListStandinSchema = {
+	type: 'object',
+	properties: {
+		listen: listenSchema,
+		failureDomain: idSchema,
+		cloudUrl: urlSchema,
+		lagMs: {type: 'integer', minimum: 0, default: 2000},
+	},
+	required: ['listen', 'failureDomain', 'cloudUrl'],
+	additionalProperties: false,
+};
+
+const weightsStandinSchema = {
+	type: 'object',
+	properties: {
+		listen: listenSchema,
+		failureDomain: idSchema,
+		downloadsPerSecond: {type: 'integer', minimum: 1, default: 2},
 	},
 	required: ['listen', 'failureDomain'],
 	additionalProperties: false,
@@ -292,7 +403,9 @@
 	log: compileCheck<LogStandinSettings>(logStandinSchema, 'log settings').validate,
 	engine: compileCheck<EngineStandinSettings>(engineStandinSchema, 'engine settings').validate,
 	service: compileCheck<ServiceStandinSettings>(serviceStandinSchema, 'service settings').validate,
-	platform: compileCheck<PlatformStandinSettings>(platformStandinSchema, 'platform settings').validate,
+	cloud: compileCheck<CloudStandinSettings>(cloudStandinSchema, 'cloud settings').validate,
+	vms: compileCheck<VmListStandinSettings>(vmListStandinSchema, 'vms settings').validate,
+	weights: compileCheck<WeightsStandinSettings>(weightsStandinSchema, 'weights settings').validate,
 } satisfies Record<string, ValidateFunction>;
 
 /**
--- a/src/standins/engine.ts
+++ b/src/standins/engine.ts
@@ -1,298 +1,343 @@
 /**
- * Stand-in for a model engine. It batches continuously on a token clock: every
- * `tpotMs` each running sequence either prefills up to `prefillTokensPerTick` prompt
- * tokens or emits one output token. It keeps a prefix cache of limited size, serves
- * lower `priority` numbers first, cancels, resumes from a token index, reports its
- * load with a lag, and refuses orders with an old fencing token when set to check them.
+ * Stand-in for a model engine: its HTTP side (see `protocol/engine-api.ts`). The work
+ * itself is in `engine-batch.ts`. Load is reported with a lag; orders with an old
+ * fencing token are refused when the engine is set to check them, and obeyed when not.
+ *
+ * Its VM is played here too: `POST /admin/power` `{on, id, model}` cuts the power (every
+ * connection drops, memory is lost) or boots it again as another VM at the same address.
  */
 import {PassThrough} from 'node:stream';
-import {createHash} from 'node:crypto';
 import {setTimeout as delay} from 'node:timers/promises';
-import {Counter} from 'prom-client';
+import {Gauge} from 'prom-client';
+import type Hapi from '@hapi/hapi';
 import {type EngineStandinSettings} from '../protocol/settings.js';
 import {
-	type CancelAnswer, type EngineChunk, type EngineCompletionRequest, type EngineLoad, type EngineOrder,
+	type CancelAnswer, type EngineChunk, type EngineCompletionRequest, type EngineLoad, type EngineOrder, type KvImport, type KvSnapshot,
+	EngineRole, OrderKind, notRunCode,
 } from '../protocol/engine-api.js';
+import {fetchJson} from '../transport/http-client.js';
 import {createRegistry, createServer, startServer} from '../transport/http-server.js';
 import {createLogger} from '../log.js';
 import {waitForAbort} from '../abort.js';
 import {promptTokens} from '../protocol/tokens.js';
 import {addFaultRoute} from './faults.js';
-import {tokenAt} from './engine-output.js';
+import {Batch, type Sequence, SequenceEnd} from './engine-batch.js';
+import {ChunkScrambler, type ScrambleMode} from './chunk-scrambler.js';
 
 const log = createLogger('standin-engine');
 
+/** Pause before a refused weight download is tried again, in milliseconds. */
+const weightRetryMs = 200;
+
 /** Fault switches of the engine stand-in. */
 type EngineFaults = {
-	/** New completions answer 503. */
+	/** New completions answer 503, not run. */
 	refuse?: boolean;
+	/** Completions begin, then their connection drops before the first token. */
+	dropAfterStart?: boolean;
+	/** Completions are queued but never begin, and their connection drops. */
+	dropWhileQueued?: boolean;
+	/** Chunks of a stream are reordered, delayed or duplicated. */
+	scramble?: ScrambleMode;
+	/** KV exports answer 503. */
+	refuseExport?: boolean;
 };
 
-/** A sequence in the batch or waiting for it. */
-class Sequence {
-	next: number;
-	prefillLeft = 0;
-	cachedTokens = 0;
-	done = false;
-
-	constructor(
-		readonly id: string,
-		readonly request: EngineCompletionRequest,
-		readonly arrival: number,
-		readonly emit: (chunk: EngineChunk | undefined) => void,
-	) {
-		this.next = request.resume_from ?? 0;
+/** An order as it arrived, for tests. */
+type ReceivedOrder = EngineOrder & {atMs: number; accepted: boolean};
+
+/** One engine process: the VM it plays, its batch and its server. */
+class EngineStandin {
+	private id: string;
+	private model: string | undefined;
+	private role = EngineRole.Serving;
+	private powered = true;
+	private stopping = false;
+	private highestFencingToken = -1;
+	private batch: Batch;
+	private reported: EngineLoad;
+	private completionsTaken = 0;
+	private lastCompletionMs = 0;
+	private readonly faults: EngineFaults = {};
+	private readonly orders: ReceivedOrder[] = [];
+	private readonly server: Hapi.Server;
+
+	constructor(private readonly settings: EngineStandinSettings) {
+		this.id = settings.id;
+		this.model = settings.model;
+		this.powered = settings.powered;
+		this.batch = new Batch(settings);
+		this.reported = this.measureLoad();
+		const registry = createRegistry();
+		const gauge = (name: string, help: string, read: () => number) => new Gauge({
+			name, help, registers: [registry], collect() {
+				this.set(read());
+			},
+		});
+		gauge('engine_output_tokens', 'Output tokens generated.', () => this.batch.outputTokens);
+		gauge('engine_prefill_tokens', 'Prompt tokens computed, not taken from a cache.', () => this.batch.prefillTokens);
+		this.server = createServer(settings.listen, registry, () => this.dump());
+		addFaultRoute(this.server, this.faults);
+		this.addRoutes();
 	}
 
-	get priority(): number {
-		return this.request.priority ?? 0;
+	/** Serves until the signal aborts, then refuses new work and finishes what runs. */
+	async run(signal: AbortSignal): Promise<void> {
+		await startServer(this.server);
+		log.info('listening.', {id: this.id, model: this.model, port: this.server.info.port});
+		const clock = this.runClock();
+		await waitForAbort(signal);
+		this.stopping = true;
+		log.info('draining.', {running: this.batch.runningCount, waiting: this.batch.waitingCount});
+		await clock;
+		await this.server.stop({timeout: 1000});
+		log.info('stopped.');
 	}
-}
-
-/** A least-recently-used set of prompt-prefix block hashes. */
-class PrefixCache {
-	private readonly blocks = new Map<string, true>();
-
-	constructor(private readonly capacity: number) {}
-
-	get size(): number {
-		return this.blocks.size;
-	}
-
-	/** Returns how many leading blocks are cached, then caches all of them. */
-	admit(hashes: string[]): number {
-		let hits = 0;
-		while (hits < hashes.length && this.blocks.has(hashes[hits])) {
-			hits++;
-		}
 
-		for (const hash of hashes) {
-			this.blocks.delete(hash);
-			this.blocks.set(hash, true);
-		}
+	private async runClock(): Promise<void> {
+		let lastReportMs = 0;
+		const isFinished = () => this.stopping && this.batch.runningCount === 0 && this.batch.waitingCount === 0;
+		while (!isFinished()) {
+			// eslint-disable-next-line no-await-in-loop
+			await delay(this.settings.tpotMs);
+			const nowMs = Date.now();
+			if (!this.faults.dropWhileQueued) {
+				this.batch.tick(nowMs);
+			}
 
-		while (this.blocks.size > this.capacity) {
-			this.blocks.delete(this.blocks.keys().next().value!);
+			if (nowMs - lastReportMs >= this.settings.loadLagMs) {
+				this.reported = this.measureLoad();
+				lastReportMs = nowMs;
+			}
 		}
-
-		return hits;
 	}
-}
-
-function blockHashes(words: string[], blockTokens: number): string[] {
-	const hashes: string[] = [];
-	const hash = createHash('sha256');
-	for (let start = 0; start + blockTokens <= words.length; start += blockTokens) {
-		hash.update(words.slice(start, start + blockTokens).join(' '));
-		hashes.push(hash.copy().digest('hex'));
-	}
-
-	return hashes;
-}
 
-/**
- * Runs the engine stand-in until the signal aborts; then it refuses new work and
- * finishes the running sequences before it exits.
- *
- * @throws {TransportError} When its port cannot be bound.
- */
-export async function runEngineStandin(settings: EngineStandinSettings, signal: AbortSignal): Promise<void> {
-	const waiting: Sequence[] = [];
-	const running = new Map<string, Sequence>();
-	const cache = new PrefixCache(settings.cacheBlocks);
-	const faults: EngineFaults = {};
-	const orders: EngineOrder[] = [];
-	let highestFencingToken = -1;
-	let arrivals = 0;
-	let stopping = false;
-	let reported: EngineLoad = measureLoad();
-
-	const registry = createRegistry();
-	const tokens = new Counter({name: 'engine_output_tokens_total', help: 'Output tokens generated.', registers: [registry]});
-	const prefilled = new Counter({name: 'engine_prefill_tokens_total', help: 'Prompt tokens computed, not taken from the prefix cache.', registers: [registry]});
-
-	function measureLoad(): EngineLoad {
+	private measureLoad(): EngineLoad {
 		return {
-			running: running?.size ?? 0,
-			waiting: waiting?.length ?? 0,
-			maxBatch: settings.maxBatch,
-			cacheBlocksUsed: cache?.size ?? 0,
-			cacheBlocks: settings.cacheBlocks,
+			id: this.id,
+			model: this.model,
+			role: this.stopping ? EngineRole.Draining : this.role,
+			running: this.batch.runningCount,
+			waiting: this.batch.waitingCount,
+			maxBatch: this.settings.maxBatch,
+			cacheBlocksUsed: this.batch.cacheBlocksUsed,
+			cacheBlocks: this.settings.cacheBlocks,
 			measuredAtMs: Date.now(),
 		};
 	}
 
-	const server = createServer(settings.listen, registry, () => ({
-		id: settings.id,
-		model: settings.model,
-		load: measureLoad(),
-		reported,
-		highestFencingToken,
-		orders: orders.slice(-20),
-		faults,
-	}));
-	addFaultRoute(server, faults);
+	private dump(): Record<string, unknown> {
+		return {
+			id: this.id,
+			model: this.model,
+			powered: this.powered,
+			load: this.measureLoad(),
+			reported: this.reported,
+			highestFencingToken: this.highestFencingToken,
+			orders: this.orders,
+			completionsTaken: this.completionsTaken,
+			lastCompletionMs: this.lastCompletionMs,
+			prefillTokens: this.batch.prefillTokens,
+			outputTokens: this.batch.outputTokens,
+			faults: this.faults,
+		};
+	}
 
-	server.route({
-		method: 'POST',
-		path: '/v1/completions',
-		async handler(request, h) {
-			const body = request.payload as EngineCompletionRequest;
-			if (stopping || faults.refuse) {
-				return h.response({error: {message: 'engine is not taking work', type: 'unavailable', code: 'not_run'}}).code(503);
+	private addRoutes(): void {
+		const {server} = this;
+		server.ext('onRequest', (request, h) => {
+			const isPlayedByVm = !request.path.startsWith('/admin/') && !request.path.startsWith('/debug/');
+			if (!this.powered && isPlayedByVm) {
+				request.raw.req.socket.destroy();
+				return h.abandon;
 			}
 
-			if (body.model !== settings.model) {
-				return h.response({error: {message: `model ${body.model} is not loaded`, type: 'invalid_request_error', code: 'model_not_found'}}).code(404);
-			}
+			return h.continue;
+		});
+		server.route({method: 'POST', path: '/v1/completions', handler: async (request, h) => this.complete(request, h)});
+		server.route({method: 'GET', path: '/load', handler: () => this.reported});
+		server.route({
+			method: 'POST', path: '/v1/requests/{id}/cancel', handler: (request): CancelAnswer => {
+				const sequence = this.batch.cancel(request.params.id as string);
+				return {cancelled: sequence !== undefined, started: sequence?.started ?? true, tokensSent: sequence?.next ?? 0};
+			},
+		});
+		server.route({
+			method: 'POST', path: '/v1/requests/{id}/export', handler: (request, h) => {
+				if (this.faults.refuseExport) {
+					return h.response({error: 'export refused'}).code(503);
+				}
+
+				return this.batch.export(request.params.id as string, Date.now()) ?? h.response({error: 'no such request'}).code(404);
+			},
+		});
+		server.route({
+			method: 'GET', path: '/v1/kv/{id}', handler: (request, h) =>
+				this.batch.heldKv(request.params.id as string, Date.now()) ?? h.response({error: 'no KV cache held'}).code(404),
+		});
+		server.route({
+			method: 'POST', path: '/v1/kv/import', handler: async request => {
+				const {requestId, source} = request.payload as KvImport;
+				const snapshot = await fetchJson<KvSnapshot>({method: 'GET', url: `${source}/v1/kv/${encodeURIComponent(requestId)}`, timeoutMs: 2000});
+				this.batch.import(snapshot, Date.now());
+				return snapshot;
+			},
+		});
+		server.route({method: 'POST', path: '/v1/orders', handler: (request, h) => this.obey(request.payload as EngineOrder, h)});
+		server.route({
+			method: 'POST', path: '/admin/power', handler: request => {
+				const {on, id, model} = request.payload as {on: boolean; id?: string; model?: string};
+				this.setPower(on, id ?? this.id, model);
+				return {on};
+			},
+		});
+	}
 
-			const id = body.request_id ?? `cmpl-${settings.id}-${arrivals}`;
-			if (body.stream) {
-				const stream = new PassThrough();
-				const sequence = new Sequence(id, body, arrivals++, chunk => {
-					stream.write(chunk === undefined ? 'data: [DONE]\n\n' : `data: ${JSON.stringify(chunk)}\n\n`);
-					if (chunk === undefined) {
-						stream.end();
-					}
-				});
-				request.raw.req.once('close', () => {
-					sequence.done = true;
-				});
-				request.raw.res.once('close', () => {
-					sequence.done = true;
-				});
-				waiting.push(sequence);
-				return h.response(stream).type('text/event-stream').header('cache-control', 'no-cache');
-			}
+	private complete(request: Hapi.Request, h: Hapi.ResponseToolkit): Hapi.ResponseObject | symbol | Promise<unknown> {
+		const body = request.payload as EngineCompletionRequest;
+		const isRefusing = this.stopping || this.role === EngineRole.Draining || this.faults.refuse === true;
+		if (isRefusing) {
+			return h.response({error: {message: 'engine is not taking work', type: 'unavailable', code: notRunCode}}).code(503);
+		}
 
-			return new Promise(resolve => {
-				let text = '';
-				const sequence = new Sequence(id, body, arrivals++, chunk => {
-					if (chunk === undefined) {
-						const promptCount = promptTokens(body.prompt).length;
-						const completionCount = body.max_tokens - (body.resume_from ?? 0);
-						resolve({
-							id,
-							object: 'text_completion',
-							model: settings.model,
-							choices: [{index: 0, text, finish_reason: 'length'}],
-							usage: {
-								prompt_tokens: promptCount, completion_tokens: completionCount, total_tokens: promptCount + completionCount, cached_tokens: sequence.cachedTokens,
-							},
-						});
-						return;
-					}
+		if (body.model !== this.model) {
+			return h.response({error: {message: `model ${body.model} is not loaded`, type: 'unavailable', code: notRunCode}}).code(503);
+		}
 
-					text += chunk.choices[0].text;
-				});
-				waiting.push(sequence);
-			});
-		},
-	});
+		this.completionsTaken++;
+		this.lastCompletionMs = Date.now();
+		const id = body.request_id ?? `cmpl-${this.id}-${this.completionsTaken}`;
+		return body.stream ? this.completeStreaming(request, h, id, body) : this.completeWhole(id, body);
+	}
 
-	server.route({
-		method: 'POST',
-		path: '/v1/requests/{id}/cancel',
-		handler(request): CancelAnswer {
-			const id = request.params.id as string;
-			const sequence = running.get(id) ?? waiting.find(candidate => candidate.id === id);
-			if (!sequence || sequence.done) {
-				return {cancelled: false, tokensSent: sequence?.next ?? 0};
-			}
+	private completeStreaming(request: Hapi.Request, h: Hapi.ResponseToolkit, id: string, body: EngineCompletionRequest): Hapi.ResponseObject | symbol {
+		const stream = new PassThrough();
+		const write = (chunk: EngineChunk) => {
+			stream.write(`data: ${JSON.stringify(chunk)}\n\n`);
+		};
 
-			sequence.done = true;
-			return {cancelled: true, tokensSent: sequence.next};
-		},
-	});
+		const scrambler = this.faults.scramble === undefined ? undefined : new ChunkScrambler(this.faults.scramble, write);
+		const sequence = this.batch.submit(id, body, {
+			chunk: chunk => {
+				if (this.faults.dropAfterStart) {
+					request.raw.req.socket.destroy();
+				} else if (scrambler) {
+					scrambler.push(chunk);
+				} else {
+					write(chunk);
+				}
+			},
+			end(reason) {
+				scrambler?.flush();
+				stream.end(reason === SequenceEnd.Finished ? 'data: [DONE]\n\n' : undefined);
+			},
+		}, Date.now());
+		if (this.faults.dropWhileQueued) {
+			request.raw.req.socket.destroy();
+			return h.abandon;
+		}
 
-	server.route({method: 'GET', path: '/load', handler: () => reported});
+		const abandon = () => {
+			this.batch.abandon(sequence, Date.now());
+		};
 
-	server.route({
-		method: 'POST',
-		path: '/v1/orders',
-		handler(request, h) {
-			const order = request.payload as EngineOrder;
-			if (settings.checksFencing && order.fencingToken < highestFencingToken) {
-				return h.response({error: 'stale fencing token', highestFencingToken}).code(409);
-			}
+		request.raw.req.once('close', abandon);
+		request.raw.res.once('close', abandon);
+		return h.response(stream).type('text/event-stream').header('cache-control', 'no-cache');
+	}
 
-			highestFencingToken = Math.max(highestFencingToken, order.fencingToken);
-			orders.push(order);
-			return {accepted: true, highestFencingToken};
-		},
-	});
+	private async completeWhole(id: string, body: EngineCompletionRequest): Promise<unknown> {
+		return new Promise(resolve => {
+			let text = '';
+			const sequence: Sequence = this.batch.submit(id, body, {
+				chunk(chunk) {
+					text += chunk.choices[0].text;
+				},
+				end() {
+					const promptCount = promptTokens(body.prompt).length;
+					const completionCount = body.max_tokens - (body.resume_from ?? 0);
+					resolve({
+						id,
+						object: 'text_completion',
+						model: body.model,
+						choices: [{index: 0, text, finish_reason: 'length'}],
+						usage: {
+							prompt_tokens: promptCount, completion_tokens: completionCount, total_tokens: promptCount + completionCount, cached_tokens: sequence.cachedTokens,
+						},
+					});
+				},
+			}, Date.now());
+		});
+	}
 
-	function admit(): void {
-		waiting.sort((a, b) => a.priority - b.priority || a.arrival - b.arrival);
-		while (running.size < settings.maxBatch && waiting.length > 0) {
-			const sequence = waiting.shift()!;
-			if (sequence.done) {
-				continue;
-			}
+	private obey(order: EngineOrder, h: Hapi.ResponseToolkit): Hapi.ResponseObject | {accepted: boolean; highestFencingToken: number} {
+		const isStale = order.fencingToken < this.highestFencingToken;
+		const isRefused = this.settings.checksFencing && isStale;
+		this.orders.push({...order, atMs: Date.now(), accepted: !isRefused});
+		if (isRefused) {
+			return h.response({error: 'stale fencing token', highestFencingToken: this.highestFencingToken}).code(409);
+		}
 
-			const words = promptTokens(sequence.request.prompt);
-			const hits = cache.admit(blockHashes(words, settings.blockTokens));
-			sequence.cachedTokens = hits * settings.blockTokens;
-			// A resumed sequence recomputes the tokens it had already produced as part of its prompt.
-			sequence.prefillLeft = words.length - sequence.cachedTokens + sequence.next;
-			prefilled.inc(sequence.prefillLeft);
-			running.set(sequence.id, sequence);
+		this.highestFencingToken = Math.max(this.highestFencingToken, order.fencingToken);
+		if (order.kind === OrderKind.LoadModel) {
+			void this.loadModel(order.model);
+		} else {
+			this.role = order.role ?? EngineRole.Serving;
 		}
+
+		return {accepted: true, highestFencingToken: this.highestFencingToken};
 	}
 
-	function tick(): void {
-		admit();
-		for (const sequence of running.values()) {
-			if (sequence.done) {
-				running.delete(sequence.id);
-				continue;
+	private async loadModel(model: string | undefined): Promise<void> {
+		const bootOf = this.id;
+		this.model = undefined;
+		const {weightsUrl} = this.settings;
+		const isSameBoot = () => this.powered && this.id === bootOf;
+		while (isSameBoot()) {
+			if (weightsUrl === undefined || model === undefined) {
+				break;
 			}
 
-			if (sequence.prefillLeft > 0) {
-				sequence.prefillLeft = Math.max(0, sequence.prefillLeft - settings.prefillTokensPerTick);
-				continue;
+			try {
+				// eslint-disable-next-line no-await-in-loop
+				await fetchJson({method: 'GET', url: `${weightsUrl}/weights/${model}`});
+				break;
+			} catch {
+				// Rate-limited or unreachable: the engine keeps trying until its VM goes.
+				// eslint-disable-next-line no-await-in-loop
+				await delay(weightRetryMs);
 			}
+		}
 
-			const index = sequence.next++;
-			const last = sequence.next >= sequence.request.max_tokens;
-			sequence.emit({
-				id: sequence.id,
-				object: 'text_completion',
-				model: settings.model,
-				choices: [{index: 0, text: tokenAt(sequence.request.prompt, index), finish_reason: last ? 'length' : null}],
-				seq: index,
-			});
-			tokens.inc();
-			if (last) {
-				sequence.done = true;
-				sequence.emit(undefined);
-				running.delete(sequence.id);
-			}
+		if (isSameBoot()) {
+			this.model = model;
+			log.info('model loaded.', {id: this.id, model});
 		}
 	}
 
-	async function runClock(): Promise<void> {
-		let lastReportMs = 0;
-		const finished = () => stopping && running.size === 0 && waiting.length === 0;
-		while (!finished()) {
-			// eslint-disable-next-line no-await-in-loop
-			await delay(settings.tpotMs);
-			tick();
-			const nowMs = Date.now();
-			if (nowMs - lastReportMs >= settings.loadLagMs) {
-				reported = measureLoad();
-				lastReportMs = nowMs;
-			}
+	private setPower(isOn: boolean, id: string, model: string | undefined): void {
+		this.batch.clear();
+		this.batch = new Batch(this.settings);
+		this.powered = isOn;
+		this.id = id;
+		this.model = model;
+		this.role = EngineRole.Serving;
+		this.highestFencingToken = -1;
+		this.reported = this.measureLoad();
+		if (!isOn) {
+			this.server.listener.closeAllConnections();
 		}
+
+		log.info('power switched.', {id, on: isOn});
 	}
+}
 
-	await startServer(server);
-	log.info('listening.', {id: settings.id, model: settings.model, port: server.info.port});
-	const clock = runClock();
-	await waitForAbort(signal);
-	stopping = true;
-	log.info('draining.', {running: running.size, waiting: waiting.length});
-	await clock;
-	await server.stop({timeout: 1000});
-	log.info('stopped.');
+/**
+ * Runs the engine stand-in until the signal aborts; then it refuses new work and
+ * finishes the running sequences before it exits.
+ *
+ * @throws {TransportError} When its port cannot be bound.
+ */
+export async function runEngineStandin(settings: EngineStandinSettings, signal: AbortSignal): Promise<void> {
+	await new EngineStandin(settings).run(signal);
 }
--- /dev/null
+++ b/src/standins/vm-list.ts
@@ -0,0 +1,56 @@
+/**
+ * Stand-in for the platform's lagging VM list (see `protocol/cloud-api.ts`): it reads
+ * the cloud stand-in and serves what it read `lagMs` ago.
+ */
+import {setTimeout as delay} from 'node:timers/promises';
+import {type VmListStandinSettings} from '../protocol/settings.js';
+import {type VmEntry} from '../protocol/cloud-api.js';
+import {fetchJson} from '../transport/http-client.js';
+import {createRegistry, createServer, startServer} from '../transport/http-server.js';
+import {createLogger} from '../log.js';
+import {addFaultRoute} from './faults.js';
+
+const log = createLogger('standin-vms');
+const readEveryMs = 100;
+
+/**
+ * Runs the VM list stand-in until the signal aborts.
+ *
+ * @throws {TransportError} When its port cannot be bound.
+ */
+export async function runVmListStandin(settings: VmListStandinSettings, signal: AbortSignal): Promise<void> {
+	const faults: {outage?: boolean} = {};
+	let history: Array<{atMs: number; vms: VmEntry[]}> = [];
+	const server = createServer(settings.listen, createRegistry(), () => ({faults, snapshots: history.length}));
+	addFaultRoute(server, faults);
+	server.route({
+		method: 'GET',
+		path: '/vms',
+		handler(_request, h) {
+			const asOfMs = Date.now() - settings.lagMs;
+			const served = history.findLast(snapshot => snapshot.atMs <= asOfMs);
+			const isMissing = faults.outage === true || served === undefined;
+			return isMissing ? h.response({error: 'no list'}).code(503) : served.vms;
+		},
+	});
+	await startServer(server);
+	log.info('listening.', {port: server.info.port});
+	while (!signal.aborted) {
+		try {
+			// eslint-disable-next-line no-await-in-loop
+			const vms = await fetchJson<VmEntry[]>({
+				method: 'GET', url: `${settings.cloudUrl}/vms`, timeoutMs: 1000, signal,
+			});
+			const nowMs = Date.now();
+			history.push({atMs: nowMs, vms});
+			history = history.filter(snapshot => snapshot.atMs > nowMs - settings.lagMs - 1000);
+		} catch {
+			// The cloud is down: the list goes on showing what it read before.
+		}
+
+		// eslint-disable-next-line no-await-in-loop
+		await delay(readEveryMs, undefined, {signal}).catch(() => undefined);
+	}
+
+	await server.stop({timeout: 1000});
+}
--- a/src/state/platform-log.ts
+++ b/src/state/platform-log.ts
@@ -6,6 +6,9 @@
 import {TransportError} from '../transport/errors.js';
 import {StateError, UnknownAppendError} from './errors.js';
 
+/** Time beyond its wait after which a read counts as failed, in milliseconds. */
+const readMarginMs = 3000;
+
 /** The answer of a read: kept records, or `expired` when `from` is older than retention. */
 export type ReadResult<T> = ReadAnswer<T> & {expired: boolean};
 
@@ -54,7 +57,7 @@
 			response = await requestJson<ReadAnswer<T>>({
 				method: 'GET',
 				url: `${this.url}/streams/${stream}/records?from=${from}&waitMs=${waitMs}`,
-				timeoutMs: waitMs + 5000,
+				timeoutMs: waitMs + readMarginMs,
 				signal,
 			});
 		} catch (error) {
--- a/src/testing/stack.ts
+++ b/src/testing/stack.ts
@@ -7,7 +7,8 @@
 import path from 'node:path';
 import {setTimeout as delay} from 'node:timers/promises';
 import {startStack, writeStackSettings} from '../../scripts/stack.mjs';
-import {requestJson} from '../transport/http-client.js';
+import {requestJson, requestStream} from '../transport/http-client.js';
+import {readEvents} from '../transport/sse.js';
 
 /** A small topology: one model on two engines, one service, three gateways. */
 export function smallTopology(basePort: number, overrides: Record<string, unknown> = {}): Record<string, unknown> {
@@ -26,6 +27,7 @@
 		],
 		accounts: [{name: 'trading-desk', apiKeys: ['coop-trading-desk-key']}],
 		heartbeatMs: 200,
+		gatewaySettings: {notReadyMs: 50},
 		...overrides,
 	};
 }
@@ -46,6 +48,71 @@
 	return {...stack, running, dir};
 }
 
+/** A running test stack. */
+export type TestStack = Awaited<ReturnType<typeof startTestStack>>;
+
+/** A stream as a caller received it. */
+export type ReceivedStream = {status: number; outcome: unknown; requestId: string | undefined; text: string; seqs: number[]; done: boolean};
+
+/** What a caller asks of a gateway, and what to do on each token received so far. */
+export type CallerStream = {
+	url: string;
+	prompt: string;
+	maxTokens: number;
+	headers?: Record<string, string>;
+	apiKey?: string;
+	onToken?: (received: ReceivedStream) => Promise<void> | void;
+};
+
+/** Streams one completion as a caller; a connection that breaks ends it undone. */
+export async function receiveStream({url, prompt, maxTokens, headers, apiKey = 'coop-trading-desk-key', onToken}: CallerStream): Promise<ReceivedStream> {
+	const response = await requestStream({
+		method: 'POST',
+		url: `${url}/v1/completions`,
+		payload: {
+			model: 'desk', prompt, max_tokens: maxTokens, stream: true,
+		},
+		headers: {authorization: `Bearer ${apiKey}`, ...headers},
+		timeoutMs: 30_000,
+	});
+	const received: ReceivedStream = {
+		status: response.statusCode ?? 0, outcome: response.headers['x-sesametally-outcome'], requestId: response.headers['x-request-id'] as string | undefined, text: '', seqs: [], done: false,
+	};
+	try {
+		for await (const data of readEvents(response)) {
+			if (data === '[DONE]') {
+				received.done = true;
+				break;
+			}
+
+			const chunk = JSON.parse(data) as {seq: number; choices: Array<{text: string}>};
+			received.seqs.push(chunk.seq);
+			received.text += chunk.choices[0].text;
+			await onToken?.(received);
+		}
+	} catch {
+		// The connection broke: what was received stands.
+	}
+
+	return received;
+}
+
+/** Posts fault switches to a stand-in. */
+export async function setFaults(url: string, faults: Record<string, unknown>): Promise<void> {
+	await requestJson({method: 'POST', url: `${url}/admin/faults`, payload: faults});
+}
+
+/** Reads the `state` part of a process's dump. */
+export async function readState<T>(url: string): Promise<T> {
+	const dump = await requestJson<{state: T}>({method: 'GET', url: `${url}/debug/state`, timeoutMs: 1000});
+	return dump.body.state;
+}
+
+/** The process of a stack by its name. */
+export function pidOf(stack: TestStack, name: string): number {
+	return stack.running.children.find(child => child.name === name)!.child.pid!;
+}
+
 /**
  * Polls a condition until it holds.
  *
--- a/src/transport/http-client.ts
+++ b/src/transport/http-client.ts
@@ -1,9 +1,12 @@
 /**
  * Requests to other processes and to the platform through `@hapi/wreck`.
  */
+import {PassThrough} from 'node:stream';
 import type {ClientRequest, IncomingMessage} from 'node:http';
 import Wreck from '@hapi/wreck';
-import {HttpStatusError, TransportError} from './errors.js';
+import {
+	ConnectError, HttpStatusError, TransportError, WithheldError,
+} from './errors.js';
 
 /** Options of one request. */
 export type JsonRequest = {
@@ -15,6 +18,8 @@
 	timeoutMs?: number;
 	/** Aborting it destroys the connection. */
 	signal?: AbortSignal;
+	/** Asked once the connection is open, right before the request is written; false withholds it. */
+	mayStillSend?: () => boolean;
 };
 
 /** A JSON answer with its status. */
@@ -26,21 +31,62 @@
 
 const defaultTimeoutMs = 10_000;
 
+/** Codes of connection failures before any byte of the request was sent. */
+const neverSentCodes = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH']);
+
+function wrapRequestError(what: string, error: unknown): TransportError {
+	if (error instanceof TransportError) {
+		return error;
+	}
+
+	const code = (error as {code?: string; cause?: {code?: string}}).code ?? (error as {cause?: {code?: string}}).cause?.code;
+	return code !== undefined && neverSentCodes.has(code)
+		? new ConnectError(`${what} could not connect`, {cause: error})
+		: new TransportError(`${what} failed`, {cause: error});
+}
+
+/** Holds a request's bytes back until its connection is open and `mayStillSend` agrees. */
+function writeWhenAllowed(request: ClientRequest, payload: string, url: string, mayStillSend: () => boolean): void {
+	const write = () => {
+		if (mayStillSend()) {
+			request.end(payload);
+		} else {
+			request.destroy(new WithheldError(url));
+		}
+	};
+
+	request.once('socket', socket => {
+		if (socket.connecting) {
+			socket.once('connect', write);
+		} else {
+			write();
+		}
+	});
+}
+
 /**
  * Sends a request and returns the answer as a stream, with its status.
  *
+ * @throws {ConnectError} When no connection could be opened: nothing was sent.
  * @throws {TransportError} When the connection fails, times out or is aborted.
  */
 export async function requestStream(options: JsonRequest): Promise<IncomingMessage> {
-	const {method, url, payload, headers = {}, timeoutMs = defaultTimeoutMs, signal} = options;
+	const {method, url, payload, headers = {}, timeoutMs = defaultTimeoutMs, signal, mayStillSend} = options;
+	const what = `${method} ${url}`;
 	signal?.throwIfAborted();
+	const text = payload === undefined ? undefined : JSON.stringify(payload);
 	const pending = Wreck.request(method, url, {
-		payload: payload === undefined ? undefined : JSON.stringify(payload),
-		headers: payload === undefined ? headers : {'content-type': 'application/json', ...headers},
+		// A stream as payload leaves the writing to us.
+		payload: mayStillSend === undefined ? text : new PassThrough(),
+		headers: text === undefined ? headers : {'content-type': 'application/json', ...headers},
 		timeout: timeoutMs,
 	});
+	if (mayStillSend !== undefined) {
+		writeWhenAllowed(pending.req, text ?? '', url, mayStillSend);
+	}
+
 	const abort = () => {
-		pending.req.destroy(new TransportError(`${method} ${url} aborted`));
+		pending.req.destroy(new TransportError(`${what} aborted`));
 	};
 
 	signal?.addEventListener('abort', abort, {once: true});
@@ -52,23 +98,33 @@
 		return response;
 	} catch (error) {
 		signal?.removeEventListener('abort', abort);
-		throw new TransportError(`${method} ${url} failed`, {cause: error});
+		throw wrapRequestError(what, error);
+	}
+}
+
+/**
+ * Reads the JSON body of an answer.
+ *
+ * @throws {TransportError} When it cannot be read in time.
+ */
+export async function readJson<T>(response: IncomingMessage, timeoutMs: number): Promise<T> {
+	try {
+		return await Wreck.read(response, {json: 'force', timeout: timeoutMs});
+	} catch (error) {
+		throw new TransportError('answer unreadable', {cause: error});
 	}
 }
 
 /**
  * Sends a request and reads a JSON answer of any status.
  *
+ * @throws {ConnectError} When no connection could be opened: nothing was sent.
  * @throws {TransportError} When the connection fails, times out or is aborted.
  */
 export async function requestJson<T>(options: JsonRequest): Promise<JsonResponse<T>> {
 	const response = await requestStream(options);
-	try {
-		const body = await Wreck.read(response, {json: 'force', timeout: options.timeoutMs ?? defaultTimeoutMs});
-		return {statusCode: response.statusCode ?? 0, headers: response.headers, body: body as T};
-	} catch (error) {
-		throw new TransportError(`${options.method} ${options.url} answer unreadable`, {cause: error});
-	}
+	const body = await readJson<T>(response, options.timeoutMs ?? defaultTimeoutMs);
+	return {statusCode: response.statusCode ?? 0, headers: response.headers, body};
 }
 
 /**
--- /dev/null
+++ b/src/transport/service-routes.ts
@@ -0,0 +1,73 @@
+/**
+ * The route to plain services: `POST /v1/services/{name}/{call}`. A call marked
+ * `x-sesametally-idempotent: false` runs at most once and needs an `idempotency-key`.
+ */
+import {randomUUID} from 'node:crypto';
+import type Hapi from '@hapi/hapi';
+import {Outcome} from '../protocol/openai.js';
+import {NoBackendError, OutcomeUnknownError} from '../coordination/errors.js';
+import {KeyTakenError, NotRecordedError, type ServiceCall} from '../coordination/service-calls.js';
+import {
+	answerFailure, refuse, refuseOverloaded, refuseUnknownKey,
+} from './caller-answers.js';
+import {type AuthenticatedContext} from './caller-api.js';
+import {headerValue} from './http-server.js';
+
+/** Adds the service route to a server. */
+export function addServiceRoutes(server: Hapi.Server, context: AuthenticatedContext): void {
+	server.route({
+		method: 'POST',
+		path: '/v1/services/{name}/{call}',
+		async handler(request, h) {
+			const account = context.accountOf(request);
+			if (account === undefined) {
+				return refuseUnknownKey(h);
+			}
+
+			const isIdempotent = headerValue(request, 'x-sesametally-idempotent') !== 'false';
+			const givenKey = headerValue(request, 'idempotency-key');
+			if (!isIdempotent && givenKey === undefined) {
+				return refuse(h, {status: 400, message: 'A non-idempotent call needs an idempotency-key header.', code: 'idempotency_key_missing'});
+			}
+
+			const call: ServiceCall = {
+				account,
+				service: request.params.name as string,
+				call: request.params.call as string,
+				idempotencyKey: givenKey ?? `${account}-${randomUUID()}`,
+				idempotent: isIdempotent,
+				payload: request.payload ?? {},
+			};
+			try {
+				const answer = await context.services.call(call, context.signal);
+				return h.response(answer.body as Record<string, unknown>).code(answer.statusCode);
+			} catch (error) {
+				return answerError(h, call, error);
+			}
+		},
+	});
+}
+
+function answerError(h: Hapi.ResponseToolkit, call: ServiceCall, error: unknown): Hapi.ResponseObject {
+	if (error instanceof KeyTakenError) {
+		return answerFailure(h, {
+			status: 409, message: `Idempotency key ${call.idempotencyKey} was already submitted; that call's outcome is not known here.`, code: 'idempotency_key_in_use', outcome: Outcome.Unknown,
+		});
+	}
+
+	if (error instanceof OutcomeUnknownError) {
+		return answerFailure(h, {
+			status: 502, message: 'The service call may or may not have run.', code: 'outcome_unknown', outcome: Outcome.Unknown,
+		});
+	}
+
+	if (error instanceof NotRecordedError) {
+		return refuseOverloaded(h, 'The call could not be recorded before dispatch; it did not run.', 'journal_unavailable');
+	}
+
+	if (error instanceof NoBackendError) {
+		return refuseOverloaded(h, `No backend server of service ${call.service} is available.`);
+	}
+
+	throw error;
+}
--- a/src/transport/sse.ts
+++ b/src/transport/sse.ts
@@ -22,9 +22,9 @@
 	}
 }
 
-/** Frames one event. */
-export function formatEvent(data: string): string {
-	return `data: ${data}\n\n`;
+/** Frames one event, with the id a reconnecting reader gives back. */
+export function formatEvent(data: string, id?: number): string {
+	return id === undefined ? `data: ${data}\n\n` : `id: ${id}\ndata: ${data}\n\n`;
 }
 
 /** The event that ends an OpenAI stream. */
--- a/xo.config.js
+++ b/xo.config.js
@@ -31,7 +31,7 @@
 	},
 	{
 		// The OpenAI and engine wire formats carry `null` fields (`finish_reason`, `param`).
-		files: ['src/protocol/openai.ts', 'src/protocol/engine-api.ts', 'src/transport/caller-api.ts', 'src/standins/engine.ts'],
+		files: ['src/protocol/openai.ts', 'src/protocol/engine-api.ts', 'src/transport/completion-routes.ts', 'src/standins/engine-batch.ts'],
 		rules: {'unicorn/no-null': 'off'},
 	},
 ];
