Keep the fleet by a controller under a lease on the platform log

Nothing replaced reclaimed VMs, nobody gave engines orders, and a gateway that started after the config records expired served with default limits.

Change: the lease stream carries claims and renewals that name the record they follow; a record counts only if that is the last one that counted, so log order alone decides. The holder acts until leaseMs less a guard after it sent its last renewal, by its monotonic and its wall clock; others claim after they read silence for longer. The offset of the won claim is the fencing token. Orders are written only after the clock is read once more with the connection open.

Ruled out: lease expiry by the log's time stamps (not every log gives them, and a reader that starts late cannot judge old ones); the SIGSTOP test as the proof of the clock check: without the check it still passed, since the woken process reads the log before its next pass, hence the second case.

--- a/scripts/stack.mjs
+++ b/scripts/stack.mjs
@@ -102,7 +102,7 @@
 			failureDomain: gateway.failureDomain,
 			listen: {host, port: gateway.port},
 			admin: {host, port: gateway.adminPort, teams: topology.teams},
-			platformLog: {url: `http://${host}:${base}`},
+			platformLog: {url: `http://${host}:${base}`, retentionMs: topology.retentionMs ?? 3_600_000},
 			cloud: {url: cloudUrl},
 			vmList: {url: `http://${host}:${base + 301}`},
 			controller: topology.controller,
--- a/src/cli/commands/gateway.ts
+++ b/src/cli/commands/gateway.ts
@@ -9,6 +9,9 @@
 import {ConfigTable} from '../../state/config-table.js';
 import {PlatformLog} from '../../state/platform-log.js';
 import {BackendDirectory} from '../../coordination/backend-directory.js';
+import {FleetController} from '../../coordination/fleet-controller.js';
+import {LeaseKeeper} from '../../coordination/lease.js';
+import {readClocks} from '../../clock.js';
 import {ServiceCalls} from '../../coordination/service-calls.js';
 import {followNotices, followVmList} from '../../coordination/vm-watch.js';
 import {LoadTracker} from '../../coordination/load-tracker.js';
@@ -45,6 +48,8 @@
 	const limits = services.resolve(Limits);
 	const membership = services.resolve(Membership);
 	const journal = services.resolve(Journal);
+	const lease = services.resolve(LeaseKeeper);
+	const controller = services.resolve(FleetController);
 	const journalTable = services.resolve(JournalTable);
 	const traffic: PeerTraffic = {
 		bytesSent: 0, bytesReceived: 0, messagesSent: 0, messagesReceived: 0,
@@ -71,15 +76,17 @@
 		peerTraffic: traffic,
 		completions: completions.toJson(),
 		backendServers: directory.toJson(),
+		lease: lease.toJson(readClocks()),
+		controller: controller.toJson(),
 		platformLogAppends: platformLog.appends,
 		journal: {...journalTable.toJson(), batches: journal.batches},
 	});
 
-	let isReady = true;
+	let isStopping = false;
 	const registry = createRegistry();
 	const callers = createServer(settings.listen, registry, dump);
 	addCallerRoutes(callers, {
-		accounts: settings.clientAccounts, completions, services: services.resolve(ServiceCalls), limits, config, isReady: () => isReady, signal: stopTasks,
+		accounts: settings.clientAccounts, completions, services: services.resolve(ServiceCalls), limits, config, isReady: () => !isStopping && config.isKnown, signal: stopTasks,
 	});
 	const admin = createServer({host: settings.admin.host, port: settings.admin.port}, registry, dump);
 	addAdminRoutes(admin, {
@@ -108,6 +115,8 @@
 	const running = Promise.all([
 		followConfig(platformLog, config, stopTasks),
 		journal.follow(stopTasks),
+		lease.run(stopTasks),
+		controller.run(stopTasks),
 		...(settings.cloud ? [followNotices({url: settings.cloud.url, pollMs: settings.cloud.noticePollMs}, directory, stopTasks)] : []),
 		...(settings.vmList ? [followVmList(settings.vmList, directory, stopTasks)] : []),
 		...settings.peers.map(async peer => linkPeer({
@@ -117,7 +126,7 @@
 
 	await waitForAbort(signal);
 	log.info('draining.', {drainMs: settings.drainMs, inFlight: completions.inFlight});
-	isReady = false;
+	isStopping = true;
 	// The balancer's next checks must see the change before the port closes.
 	await delay(settings.notReadyMs);
 	await callers.stop({timeout: settings.drainMs});
--- a/src/cli/container.ts
+++ b/src/cli/container.ts
@@ -9,6 +9,10 @@
 import {ConfigTable} from '../state/config-table.js';
 import {PlatformLog} from '../state/platform-log.js';
 import {BackendDirectory} from '../coordination/backend-directory.js';
+import {FleetController} from '../coordination/fleet-controller.js';
+import {LeaseKeeper} from '../coordination/lease.js';
+import {LeaseTable} from '../state/lease-table.js';
+import {readClocks} from '../clock.js';
 import {ServiceCalls} from '../coordination/service-calls.js';
 import {LoadTracker} from '../coordination/load-tracker.js';
 import {Completions} from '../coordination/completions.js';
@@ -25,13 +29,30 @@
 	const child = container.createChildContainer();
 	child.registerInstance(gatewaySettingsToken, settings);
 	child.register(ConfigTable, {useFactory: instanceCachingFactory(() => new ConfigTable())});
-	child.register(PlatformLog, {useFactory: instanceCachingFactory(() => new PlatformLog(settings.platformLog.url))});
+	child.register(PlatformLog, {useFactory: instanceCachingFactory(() => new PlatformLog(settings.platformLog.url, settings.id))});
 	child.register(Limits, {useFactory: instanceCachingFactory(() => new Limits())});
 	child.register(Membership, {useFactory: instanceCachingFactory(() => new Membership(settings.heartbeatMs))});
 	child.register(JournalTable, {useFactory: instanceCachingFactory(() => new JournalTable())});
 	child.register(Journal, {
 		useFactory: instanceCachingFactory(resolver => new Journal(resolver.resolve(PlatformLog), resolver.resolve(JournalTable), settings.id, settings.journalFlushMs)),
 	});
+	child.register(LeaseTable, {useFactory: instanceCachingFactory(() => new LeaseTable())});
+	child.register(LeaseKeeper, {
+		useFactory: instanceCachingFactory(resolver => new LeaseKeeper({
+			platformLog: resolver.resolve(PlatformLog), table: resolver.resolve(LeaseTable), holder: settings.id, leaseMs: settings.controller.leaseMs,
+		}, readClocks())),
+	});
+	child.register(FleetController, {
+		useFactory: instanceCachingFactory(resolver => new FleetController({
+			lease: resolver.resolve(LeaseKeeper),
+			config: resolver.resolve(ConfigTable),
+			platformLog: resolver.resolve(PlatformLog),
+			loads: resolver.resolve(LoadTracker),
+			cloudUrl: settings.cloud?.url,
+			retentionMs: settings.platformLog.retentionMs,
+			passMs: settings.controller.passMs,
+		})),
+	});
 	child.register(BackendDirectory, {
 		useFactory: instanceCachingFactory(resolver => {
 			const config = resolver.resolve(ConfigTable);
--- /dev/null
+++ b/src/coordination/__tests__/controller.test.ts
@@ -0,0 +1,194 @@
+import process from 'node:process';
+import {
+	afterAll, beforeAll, describe, expect, it,
+} from 'vitest';
+import {requestJson} from '../../transport/http-client.js';
+import {type VmEntry, VmState} from '../../protocol/cloud-api.js';
+import {type ModelFleet} from '../../protocol/config-records.js';
+import {
+	pidOf, publishPreset, readState, receiveStream, setFaults, smallTopology, startTestStack, type TestStack, waitUntil,
+} from '../../testing/stack.js';
+
+const basePort = 27_000;
+const leaseMs = 1500;
+const failureDomains = ['fd-a', 'fd-b', 'fd-c'];
+const engineUrls = Array.from({length: 9}, (_, index) => `http://127.0.0.1:${basePort + 100 + index}`);
+const fleet: ModelFleet = {
+	min: 4, max: 6, inFlightPerReplica: 8, survivingShare: 0.5, machineClass: 'small',
+};
+
+type GatewayState = {id: string; lease: {holding: boolean; lease?: {holder: string; token: number}}};
+type EngineState = {id: string; powered: boolean; model?: string; orders: Array<{fencingToken: number; atMs: number; accepted: boolean}>};
+
+/** A way to keep the lease's holder from renewing it. */
+type HolderFault = {
+	name: string;
+	/** The failure domain whose reclaim makes work for the controller. */
+	failureDomain: string;
+	stop: (holder: GatewayState) => Promise<void> | void;
+	resume: (holder: GatewayState) => Promise<void> | void;
+};
+
+let stack: TestStack;
+
+beforeAll(async () => {
+	stack = await startTestStack(smallTopology(basePort, {
+		failureDomains,
+		models: [{name: 'desk', replicas: 3}],
+		spareSlots: 2,
+		cloud: {reclaimNoticeMs: 2000, bootMs: 200},
+		vmListLagMs: 300,
+		downloadsPerSecond: 10,
+		controller: {leaseMs, passMs: 100},
+		prices: failureDomains.flatMap(failureDomain => [
+			{
+				failureDomain, machineClass: 'small', reclaimable: true, perHour: 1,
+			},
+			{
+				failureDomain, machineClass: 'small', reclaimable: false, perHour: 3,
+			},
+		]),
+	}));
+	await publishPreset(stack, {
+		name: 'ordinary', limits: {default: {requestsPerSecond: 1000, burst: 1000, maxConcurrent: 1000}}, fleet: {desk: fleet},
+	});
+});
+
+afterAll(async () => {
+	await stack?.running.stop();
+});
+
+/** The states of the gateways that answer. */
+async function gatewayStates(): Promise<GatewayState[]> {
+	const states = await Promise.all(stack.gateways.map(async gateway => readState<GatewayState>(gateway.adminUrl).catch(() => undefined)));
+	return states.filter(state => state !== undefined);
+}
+
+async function holder(): Promise<GatewayState | undefined> {
+	const states = await gatewayStates();
+	return states.find(state => state.lease.holding);
+}
+
+async function liveVms(): Promise<VmEntry[]> {
+	const answer = await requestJson<VmEntry[]>({method: 'GET', url: `${stack.cloudUrl}/vms`});
+	return answer.body.filter(vm => vm.state === VmState.Live);
+}
+
+async function readEngines(): Promise<EngineState[]> {
+	return Promise.all(engineUrls.map(async url => readState<EngineState>(url)));
+}
+
+async function servingEngines(): Promise<number> {
+	const states = await readEngines();
+	return states.filter(state => state.powered && state.model === 'desk').length;
+}
+
+async function ordersByEngine(): Promise<Array<EngineState['orders']>> {
+	const states = await readEngines();
+	return states.map(state => state.orders);
+}
+
+describe('the controller', () => {
+	it('starts what the preset asks for and orders it to load its model', async () => {
+		await waitUntil(async () => await servingEngines() === fleet.min);
+		const answer = await receiveStream({url: stack.gateways[0].url, prompt: 'first', maxTokens: 4});
+		expect(answer.done).toBe(true);
+	});
+
+	it('replaces a reclaimed failure domain\'s VMs elsewhere when starts there are refused', async () => {
+		await setFaults(stack.cloudUrl, {refuseStarts: ['fd-a']});
+		await requestJson({method: 'POST', url: `${stack.cloudUrl}/admin/reclaim`, payload: {failureDomain: 'fd-a'}});
+		await waitUntil(async () => {
+			const vms = await liveVms();
+			return vms.length >= fleet.min && vms.every(vm => vm.failureDomain !== 'fd-a');
+		});
+		// Once the reclaimed VMs are gone, what serves is what replaced them.
+		await waitUntil(async () => {
+			const [vms, states] = await Promise.all([liveVms(), readEngines()]);
+			return states.filter(state => state.powered).length === vms.length && await servingEngines() >= fleet.min;
+		});
+		await setFaults(stack.cloudUrl, {refuseStarts: []});
+	});
+
+	it('starts a VM once although the answers of its start are lost', async () => {
+		const before = await liveVms();
+		await setFaults(stack.cloudUrl, {loseAnswers: true});
+		await requestJson({method: 'DELETE', url: `${stack.cloudUrl}/vms/${before[0].name}`});
+		await waitUntil(async () => await servingEngines() >= fleet.min);
+		await setFaults(stack.cloudUrl, {loseAnswers: false});
+		const after = await liveVms();
+		expect(after.length).toBeLessThanOrEqual(fleet.max);
+	});
+
+	it('adds replicas when demand rises', async () => {
+		const streams = Array.from({length: 44}, async (_, index) => receiveStream({url: stack.gateways[index % 3].url, prompt: `peak ${index}`, maxTokens: 200}));
+		await waitUntil(async () => await servingEngines() === fleet.max);
+		const answers = await Promise.all(streams);
+		expect(answers.every(answer => answer.done)).toBe(true);
+	});
+});
+
+describe('two controllers never both give orders', () => {
+	it.each([
+		{
+			name: 'frozen beyond its lease',
+			failureDomain: 'fd-b',
+			stop(first: GatewayState) {
+				process.kill(pidOf(stack, first.id), 'SIGSTOP');
+			},
+			resume(first: GatewayState) {
+				process.kill(pidOf(stack, first.id), 'SIGCONT');
+			},
+		},
+		{
+			name: 'turned away by the platform log',
+			failureDomain: 'fd-c',
+			async stop(first: GatewayState) {
+				await setFaults(stack.logUrl, {refuseClients: [first.id]});
+			},
+			async resume() {
+				await setFaults(stack.logUrl, {refuseClients: []});
+			},
+		},
+	] as HolderFault[])('a holder $name gives no order after its successor\'s first', async ({failureDomain, stop, resume}) => {
+		await waitUntil(async () => await holder() !== undefined);
+		const first = await holder();
+		await stop(first!);
+		const stoppedAtMs = Date.now();
+		await waitUntil(async () => {
+			const states = await gatewayStates();
+			return states.some(state => state.lease.holding && state.id !== first!.id);
+		});
+		// Work for the successor, and for the old holder should it think that it still holds the lease.
+		await requestJson({method: 'POST', url: `${stack.cloudUrl}/admin/reclaim`, payload: {failureDomain}});
+		const states = await gatewayStates();
+		const second = states.find(state => state.lease.holding && state.id !== first!.id);
+		const newToken = second!.lease.lease!.token;
+		await waitUntil(async () => {
+			const received = await ordersByEngine();
+			return received.flat().some(order => order.fencingToken === newToken);
+		});
+		await resume(first!);
+		const {adminUrl} = stack.gateways.find(gateway => gateway.id === first!.id)!;
+		await waitUntil(async () => {
+			const woken = await readState<GatewayState>(adminUrl);
+			return woken.lease.lease?.holder === second!.id && await servingEngines() >= fleet.min;
+		});
+		const oldToken = first!.lease.lease!.token;
+		const received = await ordersByEngine();
+		expect(received.flat().filter(order => order.fencingToken === oldToken && order.atMs > stoppedAtMs + leaseMs)).toEqual([]);
+		for (const orders of received) {
+			const tokens = orders.map(order => order.fencingToken);
+			expect(tokens).toEqual(tokens.toSorted((a, b) => a - b));
+		}
+	});
+
+	it('a holder that stops gracefully gives the lease up at once', async () => {
+		const first = await holder();
+		process.kill(pidOf(stack, first!.id), 'SIGTERM');
+		await waitUntil(async () => {
+			const next = await holder();
+			return next !== undefined && next.id !== first!.id;
+		}, 3000);
+	});
+});
--- /dev/null
+++ b/src/coordination/__tests__/lease.test.ts
@@ -0,0 +1,126 @@
+import {describe, expect, it} from 'vitest';
+import {type Instant} from '../../clock.js';
+import {type LeaseRecord, LeaseRecordKind} from '../../protocol/lease-records.js';
+import {LeaseTable} from '../../state/lease-table.js';
+import {PlatformLog} from '../../state/platform-log.js';
+import {LeaseKeeper} from '../lease.js';
+
+const leaseMs = 1000;
+const at = (ms: number): Instant => ({monotonicMs: ms, wallMs: ms});
+
+/** Two gateways over one in-memory log; each reads and writes when the test says so. */
+class Pair {
+	readonly log: LeaseRecord[] = [];
+	readonly keepers = ['a', 'b'].map(holder => new LeaseKeeper({
+		platformLog: new PlatformLog('http://unused', holder), table: new LeaseTable(), holder, leaseMs,
+	}, at(0)));
+
+	private readonly read = [0, 0];
+
+	/** Reads to the end of the log, then writes what the keeper would. */
+	step(index: number, now: Instant): void {
+		this.catchUp(index, now);
+		this.write(index, now);
+		this.catchUp(index, now);
+	}
+
+	write(index: number, now: Instant): void {
+		const record = this.keepers[index].nextRecord(now);
+		if (record) {
+			this.keepers[index].noteSent(record, now);
+			this.log.push(record);
+		}
+	}
+
+	catchUp(index: number, now: Instant): void {
+		for (; this.read[index] < this.log.length; this.read[index]++) {
+			this.keepers[index].apply(this.read[index], this.log[this.read[index]], now);
+		}
+	}
+
+	holders(now: Instant): string[] {
+		return ['a', 'b'].filter((_, index) => this.keepers[index].tokenAt(now) !== undefined);
+	}
+}
+
+describe('the controller lease', () => {
+	it.each([
+		{
+			name: 'goes to the first claim in log order', run(pair: Pair) {
+				pair.write(0, at(600));
+				pair.write(1, at(600));
+				pair.catchUp(0, at(610));
+				pair.catchUp(1, at(610));
+			}, at: at(620), holders: ['a'],
+		},
+		{
+			name: 'stays with a holder that renews', run(pair: Pair) {
+				for (let ms = 600; ms <= 4000; ms += 100) {
+					pair.step(0, at(ms));
+					pair.step(1, at(ms));
+				}
+			}, at: at(4010), holders: ['a'],
+		},
+		{
+			name: 'is not acted on by a holder that cannot renew, before anyone else may claim', run(pair: Pair) {
+				pair.step(0, at(600));
+				pair.step(1, at(600));
+			}, at: at(600 + (leaseMs * 0.9)), holders: [],
+		},
+		{
+			name: 'goes to another once it lapsed', run(pair: Pair) {
+				pair.step(0, at(600));
+				for (let ms = 600; ms <= 3000; ms += 100) {
+					pair.step(1, at(ms));
+				}
+			}, at: at(3010), holders: ['b'],
+		},
+		{
+			name: 'is not acted on after a suspension that only the time of day shows', run(pair: Pair) {
+				pair.step(0, at(600));
+			}, at: {monotonicMs: 610, wallMs: 600 + leaseMs}, holders: [],
+		},
+		{
+			name: 'is lost by a holder that wakes and renews too late', run(pair: Pair) {
+				pair.step(0, at(600));
+				for (let ms = 600; ms <= 3000; ms += 100) {
+					pair.step(1, at(ms));
+				}
+
+				pair.write(0, at(3000));
+				pair.catchUp(0, at(3010));
+				pair.catchUp(1, at(3010));
+			}, at: at(3020), holders: ['b'],
+		},
+	])('$name', ({run, at: now, holders}) => {
+		const pair = new Pair();
+		run(pair);
+		expect(pair.holders(now)).toEqual(holders);
+	});
+});
+
+const renew = (base: number): LeaseRecord => ({
+	kind: LeaseRecordKind.Renew, id: `renew-${base}`, holder: 'a', base, token: 7,
+});
+const claim = (base: number): LeaseRecord => ({
+	kind: LeaseRecordKind.Claim, id: `claim-${base}`, holder: 'b', base,
+});
+
+describe('a lease reader that starts after old records expired', () => {
+	it.each([
+		{name: 'is uncertain after one record', records: [renew(40)], certain: false},
+		{name: 'is certain once a record follows one it read', records: [renew(40), renew(50)], certain: true},
+		{name: 'is not misled by a claim that lost before', records: [claim(30), renew(40), renew(51)], certain: true},
+		{name: 'is not misled by a claim that lost after', records: [renew(40), claim(40), renew(50)], certain: true},
+		{name: 'is not misled by claims that lost before and after', records: [claim(40), renew(45), claim(40), renew(51)], certain: true},
+	])('$name', ({records, certain}) => {
+		const table = new LeaseTable();
+		table.skipTo(50);
+		for (const [index, value] of records.entries()) {
+			table.apply(50 + index, value);
+		}
+
+		expect(table.isCertain).toBe(certain);
+		expect(table.lease).toEqual({holder: 'a', token: 7});
+	});
+});
--- a/src/coordination/config-follower.ts
+++ b/src/coordination/config-follower.ts
@@ -3,7 +3,7 @@
  * order, to the gateway's {@link ConfigTable}. Outages of the log only delay it:
  * the table keeps what it has and never falls back.
  */
-import {type ConfigRecord, configStream} from '../protocol/config-records.js';
+import {type ConfigRecord, ConfigRecordKind, configStream} from '../protocol/config-records.js';
 import {type ConfigTable} from '../state/config-table.js';
 import {type PlatformLog} from '../state/platform-log.js';
 import {createLogger} from '../log.js';
@@ -18,7 +18,17 @@
 		stream: configStream,
 		from: table.appliedOffset + 1,
 		log,
-		apply({offset, value: record}) {
+		onExpired(start) {
+			table.skipTo(start);
+		},
+		onCaughtUp() {
+			table.hasCaughtUp = true;
+		},
+		apply({offset, appendedAtMs, value: record}) {
+			if (record.kind === ConfigRecordKind.Snapshot) {
+				table.lastSnapshotMs = appendedAtMs;
+			}
+
 			const outcome = table.apply(offset, record);
 			const context = {
 				offset, kind: record.kind, team: record.team, reason: outcome.reason,
--- a/src/coordination/stream-follower.ts
+++ b/src/coordination/stream-follower.ts
@@ -22,6 +22,8 @@
 	apply: (record: LogRecord<T>) => void;
 	/** Told the first offset kept when records expired before they were read. */
 	onExpired?: (start: number) => void;
+	/** Told after each read that reached the end of the stream. */
+	onCaughtUp?: () => void;
 	log: Logger;
 };
 
@@ -30,10 +32,13 @@
 	const {platformLog, stream, apply, log} = follower;
 	let next = follower.from;
 	let failing = false;
+	// The first read does not wait, so that an empty stream is known to be empty.
+	let waitMs = 0;
 	while (!signal.aborted) {
 		try {
 			// eslint-disable-next-line no-await-in-loop
-			const answer = await platformLog.read<T>(stream, next, pollWaitMs, signal);
+			const answer = await platformLog.read<T>(stream, next, waitMs, signal);
+			waitMs = pollWaitMs;
 			if (failing) {
 				log.info('platform log is back.', {stream, next});
 				failing = false;
@@ -50,6 +55,10 @@
 				apply(record);
 				next = record.offset + 1;
 			}
+
+			if (next >= answer.end) {
+				follower.onCaughtUp?.();
+			}
 		} catch (error) {
 			if (signal.aborted) {
 				return;
--- a/src/protocol/config-records.ts
+++ b/src/protocol/config-records.ts
@@ -18,6 +18,19 @@
 	maxConcurrent: number;
 };
 
+/** How the controller keeps one model's fleet. */
+export type ModelFleet = {
+	/** Replicas kept however little there is to do. */
+	min: number;
+	/** Replicas never exceeded. */
+	max: number;
+	/** Requests in flight per replica at which the latency target is still met. */
+	inFlightPerReplica: number;
+	/** Share, from 0 to 1, of the needed replicas that the loss of one failure domain must leave. */
+	survivingShare: number;
+	machineClass: string;
+};
+
 /** A preset: one of the operators' named configurations, such as ordinary days or peaks. */
 export type Preset = {
 	name: string;
@@ -29,6 +42,18 @@
 		/** How much more loaded than the least loaded a prefix-affine backend server may be. */
 		affinitySlack?: number;
 	};
+	/** The fleet of each model the controller keeps; a model not named is left alone. */
+	fleet?: Record<string, ModelFleet>;
+};
+
+/** The configuration as of one record of the stream. */
+export type ConfigSnapshot = {
+	/** Offset of the last record it covers. */
+	upTo: number;
+	version: number;
+	active?: string;
+	presets: Array<{team: string; preset: Preset}>;
+	drained: string[];
 };
 
 /** The kinds of record on the config stream. */
@@ -37,6 +62,8 @@
 	Activate = 'activate',
 	Drain = 'drain',
 	Undrain = 'undrain',
+	/** The configuration so far, for gateways that start after older records expired. */
+	Snapshot = 'snapshot',
 }
 
 /** A record on the config stream. */
@@ -52,6 +79,20 @@
 	name?: string;
 	/** For `drain` and `undrain`: the backend server id. */
 	backendServer?: string;
+	snapshot?: ConfigSnapshot;
+};
+
+const fleetSchema = {
+	type: 'object',
+	properties: {
+		min: {type: 'integer', minimum: 0},
+		max: {type: 'integer', minimum: 0},
+		inFlightPerReplica: {type: 'number', exclusiveMinimum: 0},
+		survivingShare: {type: 'number', minimum: 0, maximum: 1},
+		machineClass: {type: 'string', minLength: 1},
+	},
+	required: ['min', 'max', 'inFlightPerReplica', 'survivingShare', 'machineClass'],
+	additionalProperties: false,
 };
 
 const limitSchema = {
@@ -84,6 +125,7 @@
 			properties: {affinitySlack: {type: 'number', minimum: 0}},
 			additionalProperties: false,
 		},
+		fleet: {type: 'object', additionalProperties: fleetSchema},
 	},
 	required: ['name', 'limits'],
 	additionalProperties: false,
--- a/src/protocol/platform-log.ts
+++ b/src/protocol/platform-log.ts
@@ -38,6 +38,8 @@
 export type LogFaults = {
 	/** Every call answers 503. */
 	outage?: boolean;
+	/** Clients, by the name in their user agent, whose calls answer 503. */
+	refuseClients?: string[];
 	/** Added delay of every answer, in milliseconds. */
 	slowMs?: number;
 	/** Share, from 0 to 1, of appends that take effect but whose answer is lost. */
--- a/src/protocol/settings.ts
+++ b/src/protocol/settings.ts
@@ -71,13 +71,14 @@
 	failureDomain: string;
 	listen: Listen;
 	admin: Listen & {teams: Team[]};
-	platformLog: {url: string};
+	/** The platform log, and how long it keeps records. */
+	platformLog: {url: string; retentionMs: number};
 	/** The platform's cloud API: reclaim notices, and VM orders from the controller. */
 	cloud?: {url: string; noticePollMs: number};
 	/** The platform's lagging VM list. */
 	vmList?: {url: string; pollMs: number};
-	/** Whether this gateway may hold the controller role, and at what pace. */
-	controller?: ControllerSettings;
+	/** The pace of the controller role, should this gateway hold it. */
+	controller: ControllerSettings;
 	peers: Peer[];
 	backendServers: BackendServer[];
 	clientAccounts: ClientAccount[];
@@ -206,7 +207,7 @@
 		},
 		platformLog: {
 			type: 'object',
-			properties: {url: urlSchema},
+			properties: {url: urlSchema, retentionMs: {type: 'integer', minimum: 1, default: 3_600_000}},
 			required: ['url'],
 			additionalProperties: false,
 		},
@@ -224,6 +225,7 @@
 		},
 		controller: {
 			type: 'object',
+			default: {},
 			properties: {
 				leaseMs: {type: 'integer', minimum: 500, default: 6000},
 				passMs: {type: 'integer', minimum: 10, default: 500},
--- a/src/standins/log.ts
+++ b/src/standins/log.ts
@@ -9,7 +9,9 @@
 import {
 	type AppendRequest, type LogFaults, type LogRecord, type ReadAnswer,
 } from '../protocol/platform-log.js';
-import {createRegistry, createServer, startServer} from '../transport/http-server.js';
+import {
+	createRegistry, createServer, headerValue, startServer,
+} from '../transport/http-server.js';
 import {createLogger} from '../log.js';
 import {waitForAbort} from '../abort.js';
 import {addFaultRoute, applySlowMode} from './faults.js';
@@ -116,16 +118,20 @@
 		streams: Object.fromEntries([...streams].map(([name, stream]) => [name, {start: stream.start, end: stream.end}])),
 	}));
 	addFaultRoute(server, faults);
+	server.ext('onPreHandler', async (request, h) => {
+		if (!request.path.startsWith('/streams/')) {
+			return h.continue;
+		}
+
+		await applySlowMode(faults.slowMs);
+		const isRefused = faults.refuseClients?.some(client => headerValue(request, 'user-agent') === `sesametally/${client}`);
+		return faults.outage === true || isRefused === true ? h.response({error: 'outage'}).code(503).takeover() : h.continue;
+	});
 
 	server.route({
 		method: 'POST',
 		path: '/streams/{stream}/records',
-		async handler(request, h) {
-			await applySlowMode(faults.slowMs);
-			if (faults.outage) {
-				return h.response({error: 'outage'}).code(503);
-			}
-
+		handler(request, h) {
 			const nowMs = Date.now();
 			if (!budget.take(nowMs)) {
 				refusedAppends++;
@@ -151,11 +157,6 @@
 		method: 'GET',
 		path: '/streams/{stream}/records',
 		async handler(request, h) {
-			await applySlowMode(faults.slowMs);
-			if (faults.outage) {
-				return h.response({error: 'outage'}).code(503);
-			}
-
 			const stream = streamOf(request.params.stream as string);
 			stream.expire(Date.now(), settings.retentionMs);
 			const from = Number(request.query.from ?? 0);
--- a/src/state/config-table.ts
+++ b/src/state/config-table.ts
@@ -4,7 +4,9 @@
  * record). Records are applied strictly in offset order; a record whose base is not
  * the current version lost a race and is rejected, identically by every reader.
  */
-import {type ConfigRecord, ConfigRecordKind, type Preset} from '../protocol/config-records.js';
+import {
+	type ConfigRecord, type ConfigSnapshot, ConfigRecordKind, type Preset,
+} from '../protocol/config-records.js';
 
 /** What became of one record. */
 export type ConfigOutcome = {
@@ -27,6 +29,19 @@
 	readonly drained = new Set<string>();
 	/** Recent outcomes by record id, for publishers waiting on their record. */
 	readonly outcomes = new Map<string, ConfigOutcome>();
+	/** Whether records expired before they were read and no snapshot has stood in for them yet. */
+	isMissingHistory = false;
+	/** Whether the table has been level with the end of the stream once. */
+	hasCaughtUp = false;
+	/** When the last snapshot read was appended, by the log's clock. */
+	lastSnapshotMs: number | undefined;
+	/** Records read while history is missing, until a snapshot tells what they follow. */
+	private held: Array<{offset: number; record: ConfigRecord}> = [];
+
+	/** Whether the configuration in force is known here. */
+	get isKnown(): boolean {
+		return this.hasCaughtUp && !this.isMissingHistory;
+	}
 
 	/** The preset in force, if any. */
 	get activePreset(): Preset | undefined {
@@ -44,19 +59,31 @@
 		}
 
 		this.appliedOffset = offset;
-		const reason = this.refusal(record);
-		const outcome: ConfigOutcome = reason === undefined ? {offset, accepted: true} : {offset, accepted: false, reason};
-		if (outcome.accepted) {
-			this.accept(record);
-			this.version = offset;
+		if (record.kind === ConfigRecordKind.Snapshot) {
+			return this.applySnapshot(offset, record.snapshot!);
 		}
 
-		this.outcomes.set(record.id, outcome);
-		if (this.outcomes.size > keptOutcomes) {
-			this.outcomes.delete(this.outcomes.keys().next().value!);
+		if (this.isMissingHistory) {
+			this.held.push({offset, record});
+			return {offset, accepted: false, reason: 'waiting for a snapshot'};
 		}
 
-		return outcome;
+		return this.decide(offset, record);
+	}
+
+	/** Notes that the records before `start` expired before they were read. */
+	skipTo(start: number): void {
+		if (start > this.appliedOffset + 1) {
+			this.isMissingHistory = true;
+			this.held = [];
+		}
+	}
+
+	/** The configuration so far, for a snapshot record. */
+	snapshot(): ConfigSnapshot {
+		return {
+			upTo: this.appliedOffset, version: this.version, active: this.active, presets: [...this.presets.values()], drained: [...this.drained],
+		};
 	}
 
 	/** A plain copy for state dumps and status. */
@@ -67,9 +94,58 @@
 			active: this.active,
 			presets: [...this.presets.keys()],
 			drained: [...this.drained],
+			known: this.isKnown,
 		};
 	}
 
+	/** A snapshot changes nothing for a reader that has read all it covers. */
+	private applySnapshot(offset: number, snapshot: ConfigSnapshot): ConfigOutcome {
+		const firstHeld = this.held.at(0)?.offset ?? offset;
+		if (!this.isMissingHistory) {
+			return {offset, accepted: true};
+		}
+
+		if (snapshot.upTo < firstHeld - 1) {
+			return {offset, accepted: false, reason: 'records after the snapshot expired'};
+		}
+
+		this.version = snapshot.version;
+		this.active = snapshot.active;
+		for (const entry of snapshot.presets) {
+			this.presets.set(entry.preset.name, entry);
+		}
+
+		this.drained.clear();
+		for (const backendServer of snapshot.drained) {
+			this.drained.add(backendServer);
+		}
+
+		const later = this.held.filter(entry => entry.offset > snapshot.upTo);
+		this.isMissingHistory = false;
+		this.held = [];
+		for (const entry of later) {
+			this.decide(entry.offset, entry.record);
+		}
+
+		return {offset, accepted: true};
+	}
+
+	private decide(offset: number, record: ConfigRecord): ConfigOutcome {
+		const reason = this.refusal(record);
+		const outcome: ConfigOutcome = reason === undefined ? {offset, accepted: true} : {offset, accepted: false, reason};
+		if (outcome.accepted) {
+			this.accept(record);
+			this.version = offset;
+		}
+
+		this.outcomes.set(record.id, outcome);
+		if (this.outcomes.size > keptOutcomes) {
+			this.outcomes.delete(this.outcomes.keys().next().value!);
+		}
+
+		return outcome;
+	}
+
 	private refusal(record: ConfigRecord): string | undefined {
 		if (!knownKinds.has(record.kind)) {
 			return `unknown record kind ${String(record.kind)}`;
@@ -93,6 +169,10 @@
 			case ConfigRecordKind.Undrain: {
 				return record.backendServer === undefined ? 'no backend server named' : undefined;
 			}
+
+			case ConfigRecordKind.Snapshot: {
+				return 'a snapshot is not a change';
+			}
 		}
 	}
 
@@ -117,6 +197,10 @@
 				this.drained.delete(record.backendServer!);
 				break;
 			}
+
+			case ConfigRecordKind.Snapshot: {
+				break;
+			}
 		}
 	}
 }
--- a/src/state/lease-table.ts
+++ b/src/state/lease-table.ts
@@ -27,12 +27,15 @@
 	 */
 	isCertain = true;
 	private start = 0;
+	/** While uncertain: the base of the record taken for the last one that counted. */
+	private tentativeBase = -1;
 
 	/** Notes that the records before `start` expired before they were read. */
 	skipTo(start: number): void {
 		this.start = start;
 		this.isCertain = false;
 		this.last = -1;
+		this.tentativeBase = -1;
 		this.lease = undefined;
 	}
 
@@ -57,6 +60,7 @@
 		}
 
 		this.isCertain ||= record.base === this.last;
+		this.tentativeBase = record.base;
 		this.last = offset;
 		switch (record.kind) {
 			case LeaseRecordKind.Claim: {
@@ -85,8 +89,12 @@
 		};
 	}
 
-	/** While uncertain, the first record whose base expired is taken until a later one corrects it. */
+	/**
+	 * While uncertain, a record whose base expired is taken for one that counted until a
+	 * later one corrects it: the bases of records that count only rise, so one with a
+	 * base no higher than that of a record already taken did not count.
+	 */
 	private mayFollowExpired(record: LeaseRecord): boolean {
-		return !this.isCertain && record.base < this.start;
+		return !this.isCertain && record.base < this.start && record.base > this.tentativeBase;
 	}
 }
--- a/src/state/platform-log.ts
+++ b/src/state/platform-log.ts
@@ -17,7 +17,15 @@
 	/** Appends made, for the capacity bench. */
 	appends = 0;
 
-	constructor(private readonly url: string) {}
+	private readonly headers: Record<string, string>;
+
+	/** @param client The name under which this process reads and writes. */
+	constructor(
+		private readonly url: string,
+		client: string,
+	) {
+		this.headers = {'user-agent': `sesametally/${client}`};
+	}
 
 	/**
 	 * Appends records as one append.
@@ -33,6 +41,7 @@
 				method: 'POST',
 				url: `${this.url}/streams/${stream}/records`,
 				payload: {records},
+				headers: this.headers,
 				signal,
 			});
 		} catch (error) {
@@ -57,6 +66,7 @@
 			response = await requestJson<ReadAnswer<T>>({
 				method: 'GET',
 				url: `${this.url}/streams/${stream}/records?from=${from}&waitMs=${waitMs}`,
+				headers: this.headers,
 				timeoutMs: waitMs + readMarginMs,
 				signal,
 			});
--- a/src/testing/stack.ts
+++ b/src/testing/stack.ts
@@ -40,7 +40,7 @@
 	for (const gateway of stack.gateways) {
 		// eslint-disable-next-line no-await-in-loop
 		await waitUntil(async () => {
-			const answer = await requestJson({method: 'GET', url: `${gateway.adminUrl}/debug/state`, timeoutMs: 500});
+			const answer = await requestJson({method: 'GET', url: `${gateway.url}/ready`, timeoutMs: 500});
 			return answer.statusCode === 200;
 		});
 	}
@@ -97,6 +97,22 @@
 	return received;
 }
 
+/** Publishes a preset through the first gateway and puts it in force. */
+export async function publishPreset(stack: TestStack, preset: {name: string} & Record<string, unknown>): Promise<void> {
+	const {adminUrl} = stack.gateways[0];
+	const headers = {authorization: 'Bearer desk-ops-token-0001'};
+	const changes = [{path: 'presets', payload: {preset}}, {path: 'activate', payload: {name: preset.name}}];
+	for (const {path: action, payload} of changes) {
+		// eslint-disable-next-line no-await-in-loop -- the second change builds on the first.
+		const answer = await requestJson<{accepted?: boolean}>({
+			method: 'POST', url: `${adminUrl}/admin/${action}`, payload, headers, timeoutMs: 20_000,
+		});
+		if (answer.body.accepted !== true) {
+			throw new Error(`${action} answered ${answer.statusCode}: ${JSON.stringify(answer.body)}`);
+		}
+	}
+}
+
 /** Posts fault switches to a stand-in. */
 export async function setFaults(url: string, faults: Record<string, unknown>): Promise<void> {
 	await requestJson({method: 'POST', url: `${url}/admin/faults`, payload: faults});
--- a/src/transport/caller-api.ts
+++ b/src/transport/caller-api.ts
@@ -11,6 +11,7 @@
 import {type ConfigTable} from '../state/config-table.js';
 import {addCompletionRoutes} from './completion-routes.js';
 import {addServiceRoutes} from './service-routes.js';
+import {refuseOverloaded} from './caller-answers.js';
 import {bearerToken} from './http-server.js';
 
 /** What the caller routes need from the rest of the gateway. */
@@ -34,6 +35,10 @@
 export function addCallerRoutes(server: Hapi.Server, context: CallerContext): void {
 	const accountByKey = new Map(context.accounts.flatMap(account => account.apiKeys.map(key => [key, account.name])));
 	const authenticated = {...context, accountOf: (request: Hapi.Request) => accountByKey.get(bearerToken(request))};
+	server.ext('onPreHandler', (request, h) => {
+		const isWork = request.method === 'post';
+		return isWork && !context.config.isKnown ? refuseOverloaded(h, 'This gateway does not know the configuration in force yet.', 'config_unknown').takeover() : h.continue;
+	});
 	addCompletionRoutes(server, authenticated);
 	addServiceRoutes(server, authenticated);
 	server.route({
