--- /dev/null
+++ b/scripts/experiments/harness.mjs
@@ -0,0 +1,131 @@
+// Shared parts of the experiments: a local stack of its own per experiment, the bench as a
+// process, and reading states. Ports stay below the ephemeral range (32768 and up here),
+// where outgoing connections would take them.
+import process from 'node:process';
+import {execFileSync} from 'node:child_process';
+import {mkdtempSync, readFileSync, writeFileSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import {setTimeout as delay} from 'node:timers/promises';
+import Wreck from '@hapi/wreck';
+import {startStack, writeStackSettings} from '../stack.mjs';
+
+const binary = path.resolve('dist/sesametally.cjs');
+export const gatewayCounts = process.env.CAPACITY_COUNTS?.split(',').map(Number) ?? [3, 9, 27, 81];
+export const operatorToken = 'capacity-ops-token-0001';
+export const apiKey = 'capacity-account-key';
+
+function topology(basePort, overrides) {
+	return {
+		name: 'capacity',
+		failureDomains: ['fd-a', 'fd-b', 'fd-c'],
+		basePort,
+		callerPort: basePort + 1000,
+		adminPort: basePort + 2000,
+		gateways: 1,
+		models: [{name: 'desk', replicas: 1}],
+		services: [],
+		teams: [{name: 'capacity-ops', token: operatorToken, role: 'operator'}],
+		accounts: [{name: 'capacity', apiKeys: [apiKey]}],
+		maxBatch: 512,
+		tpotMs: 10,
+		...overrides,
+	};
+}
+
+export async function getJson(url) {
+	const {payload} = await Wreck.get(url, {json: true, timeout: 5000});
+	return payload;
+}
+
+export async function postJson(url, body, token) {
+	const response = await fetch(url, {
+		method: 'POST',
+		body: JSON.stringify(body),
+		headers: {'content-type': 'application/json', authorization: `Bearer ${token}`},
+		signal: AbortSignal.timeout(30_000),
+	});
+	return {status: response.status, body: await response.json()};
+}
+
+export async function waitFor(condition, timeoutMs = 30_000) {
+	const deadline = Date.now() + timeoutMs;
+	while (Date.now() < deadline) {
+		try {
+			// eslint-disable-next-line no-await-in-loop
+			if (await condition()) {
+				return;
+			}
+		} catch {
+			// Not up yet.
+		}
+
+		// eslint-disable-next-line no-await-in-loop
+		await delay(50);
+	}
+
+	throw new Error('timed out');
+}
+
+export async function withStack(options, body) {
+	const dir = mkdtempSync(path.join(tmpdir(), 'sesametally-capacity-'));
+	const stack = writeStackSettings(topology(options.basePort, options.topology), dir);
+	process.stderr.write(`capacity: starting ${stack.processes.length} processes\n`);
+	const running = startStack(stack.processes, {quiet: process.env.CAPACITY_VERBOSE === undefined});
+	try {
+		for (const gateway of stack.gateways) {
+			try {
+				// eslint-disable-next-line no-await-in-loop
+				await waitFor(async () => {
+					const response = await fetch(`${gateway.adminUrl}/debug/state`, {signal: AbortSignal.timeout(2000)});
+					return response.ok;
+				});
+			} catch (error) {
+				const exited = running.children.filter(({child}) => child.exitCode !== null).map(({name, child}) => `${name} exited ${child.exitCode}`);
+				throw new Error(`${gateway.id} did not answer; ${exited.join(', ') || 'no process exited'}`, {cause: error});
+			}
+		}
+
+		await delay(options.settleMs ?? 1500);
+		return await body({stack, dir, running});
+	} finally {
+		await running.stop();
+	}
+}
+
+export function bench(experiment, dir, name) {
+	const file = path.join(dir, `${name}.json`);
+	const out = path.join(dir, `${name}-report.json`);
+	writeFileSync(file, JSON.stringify(experiment));
+	execFileSync(process.execPath, [binary, 'bench', '--experiment', file, '--out', out], {env: {...process.env, SESAMETALLY_LOG: 'off'}, stdio: ['ignore', 'ignore', 'inherit']});
+	return JSON.parse(readFileSync(out, 'utf8'));
+}
+
+export function loadExperiment(url, overrides) {
+	return {
+		seed: 7,
+		gateways: [url],
+		accounts: [{apiKey, share: 1}],
+		model: 'desk',
+		ratePerSecond: 50,
+		durationMs: 5000,
+		maxRequests: 100_000,
+		promptWords: {min: 50, max: 200},
+		maxTokens: {min: 16, max: 32},
+		...overrides,
+	};
+}
+
+export async function state(adminUrl) {
+	return getJson(`${adminUrl}/debug/state`);
+}
+
+export function mean(values) {
+	let sum = 0;
+	for (const value of values) {
+		sum += value;
+	}
+
+	return sum / values.length;
+}
+
--- /dev/null
+++ b/scripts/experiments/peers.mjs
@@ -0,0 +1,74 @@
+// What many gateways cost each other, and how fast configuration reaches them all.
+import {setTimeout as delay} from 'node:timers/promises';
+import {
+	gatewayCounts, getJson, mean, operatorToken, postJson, state, withStack,
+} from './harness.mjs';
+
+/** Peer traffic, CPU and memory of idle gateways as the gateway count grows. */
+export async function peers(counts = gatewayCounts) {
+	const results = [];
+	for (const count of counts) {
+		// eslint-disable-next-line no-await-in-loop
+		results.push(await withStack({basePort: 16_000, settleMs: 3000, topology: {gateways: count, models: [], heartbeatMs: 1000}}, async ({stack}) => {
+			const windowSeconds = 5;
+			const sample = stack.gateways.slice(0, Math.min(count, 9));
+			const before = await Promise.all(sample.map(async gateway => state(gateway.adminUrl)));
+			await delay(windowSeconds * 1000);
+			const after = await Promise.all(sample.map(async gateway => state(gateway.adminUrl)));
+			const rate = read => mean(after.map((entry, index) => read(entry) - read(before[index]))) / windowSeconds;
+			return {
+				gateways: count,
+				alivePeersSeenByFirst: after[0].state.peers.filter(peer => peer.alive).length,
+				bytesSentPerSecond: rate(entry => entry.state.peerTraffic.bytesSent),
+				bytesReceivedPerSecond: rate(entry => entry.state.peerTraffic.bytesReceived),
+				messagesSentPerSecond: rate(entry => entry.state.peerTraffic.messagesSent),
+				cpuCoreShare: rate(entry => entry.process.cpuUs) / 1e6,
+				rssBytes: mean(after.map(entry => entry.process.rssBytes)),
+			};
+		}));
+	}
+
+	return {results};
+}
+
+/** Time from a publish until every gateway has applied it, as the gateway count grows. */
+export async function config(counts = gatewayCounts) {
+	const results = [];
+	for (const count of counts) {
+		// eslint-disable-next-line no-await-in-loop
+		results.push(await withStack({basePort: 19_000, settleMs: 2000, topology: {gateways: count, models: [], heartbeatMs: 1000}}, async ({stack}) => {
+			const samples = [];
+			const logBefore = await getJson(`${stack.logUrl}/debug/state`);
+			for (let index = 0; index < 5; index++) {
+				const startedMs = performance.now();
+				const preset = {name: `preset-${index}`, limits: {default: {requestsPerSecond: 10, burst: 10, maxConcurrent: 10}}};
+				// eslint-disable-next-line no-await-in-loop
+				const published = await postJson(`${stack.gateways[0].adminUrl}/admin/presets`, {preset}, operatorToken);
+				const acceptedMs = performance.now() - startedMs;
+				const pending = new Set(stack.gateways.map(gateway => gateway.adminUrl));
+				while (pending.size > 0) {
+					// eslint-disable-next-line no-await-in-loop
+					await Promise.all([...pending].map(async url => {
+						const dump = await state(url);
+						if (dump.state.config.version >= published.body.version) {
+							pending.delete(url);
+						}
+					}));
+				}
+
+				samples.push({acceptedMs, everywhereMs: performance.now() - startedMs});
+			}
+
+			const logAfter = await getJson(`${stack.logUrl}/debug/state`);
+			return {
+				gateways: count,
+				samples,
+				maxEverywhereMs: Math.max(...samples.map(sample => sample.everywhereMs)),
+				appends: logAfter.state.appends - logBefore.state.appends,
+			};
+		}));
+	}
+
+	return {results};
+}
+
--- a/src/bench/run.ts
+++ b/src/bench/run.ts
@@ -15,6 +15,7 @@
 import {completionText} from '../standins/engine-output.js';
 import {type Price} from '../protocol/cloud-api.js';
 import {type Experiment, FaultAction, type FaultStep} from './experiment.js';
+import {Balancer} from './balancer.js';
 import {LatencyHistogram, type Percentiles} from './histogram.js';
 
 const words = ['contract', 'offtake', 'assay', 'shipment', 'terms', 'driver', 'gate', 'booking', 'lease', 'summary', 'price', 'copper', 'space', 'ticket', 'resident'];
@@ -57,6 +58,9 @@
 		await delay(step.atMs, undefined, {signal}).catch(() => undefined);
 		faultLog.push({...step, doneAtMs: performance.now() - startMs, ...await applyFault(step)});
 	}));
+	const stopped = new AbortController();
+	const balancer = new Balancer(experiment.gateways);
+	const balancing = balancer.run(AbortSignal.any([signal, stopped.signal]));
 	const totalShare = experiment.accounts.reduce((sum, account) => sum + account.share, 0);
 	const pickAccount = () => {
 		let point = uniformFloat64(rng) * totalShare;
@@ -84,7 +88,7 @@
 			await delay(waitMs);
 		}
 
-		const gateway = experiment.gateways[index % experiment.gateways.length];
+		const gateway = balancer.next();
 		const apiKey = pickAccount();
 		counts.sent++;
 		if (experiment.service !== undefined && uniformFloat64(rng) < (experiment.nonIdempotentShare ?? 0)) {
@@ -110,6 +114,8 @@
 	await Promise.all(inFlight);
 	const elapsedMs = performance.now() - startMs;
 	await faultsDone;
+	stopped.abort();
+	await balancing;
 	return {
 		experiment,
 		elapsedMs,
--- a/src/cli/commands/gateway.ts
+++ b/src/cli/commands/gateway.ts
@@ -11,7 +11,6 @@
 import {BackendDirectory} from '../../coordination/backend-directory.js';
 import {FleetController} from '../../coordination/fleet-controller.js';
 import {LeaseKeeper} from '../../coordination/lease.js';
-import {readClocks} from '../../clock.js';
 import {ServiceCalls} from '../../coordination/service-calls.js';
 import {followNotices, followVmList} from '../../coordination/vm-watch.js';
 import {LoadTracker} from '../../coordination/load-tracker.js';
@@ -19,16 +18,19 @@
 import {Limits} from '../../coordination/admission.js';
 import {Membership} from '../../coordination/membership.js';
 import {Journal} from '../../coordination/journal.js';
-import {JournalTable} from '../../state/journal-table.js';
 import {followConfig} from '../../coordination/config-follower.js';
 import {PeerMessageKind, type Heartbeat} from '../../protocol/peer-messages.js';
-import {createRegistry, createServer, startServer} from '../../transport/http-server.js';
+import {
+	addObservationRoutes, createRegistry, createServer, startServer,
+} from '../../transport/http-server.js';
+import {CallerMetrics} from '../../transport/caller-metrics.js';
 import {addCallerRoutes} from '../../transport/caller-api.js';
 import {addAdminRoutes} from '../../transport/admin-api.js';
 import {acceptPeers, linkPeer, type PeerTraffic} from '../../transport/peer-link.js';
 import {createLogger} from '../../log.js';
 import {waitForAbort} from '../../abort.js';
 import {createGatewayContainer} from '../container.js';
+import {GatewayState} from '../gateway-state.js';
 
 const log = createLogger('gateway');
 
@@ -45,12 +47,10 @@
 	const directory = services.resolve(BackendDirectory);
 	const loads = services.resolve(LoadTracker);
 	const completions = services.resolve(Completions);
-	const limits = services.resolve(Limits);
 	const membership = services.resolve(Membership);
 	const journal = services.resolve(Journal);
 	const lease = services.resolve(LeaseKeeper);
 	const controller = services.resolve(FleetController);
-	const journalTable = services.resolve(JournalTable);
 	const traffic: PeerTraffic = {
 		bytesSent: 0, bytesReceived: 0, messagesSent: 0, messagesReceived: 0,
 	};
@@ -59,38 +59,25 @@
 	// One listener per peer link and per engine poller.
 	setMaxListeners(0, stopTasks);
 
-	const status = () => {
-		const nowMs = Date.now();
-		return {
-			id: settings.id,
-			failureDomain: settings.failureDomain,
-			config: config.toJson(),
-			peers: membership.list(nowMs),
-		};
-	};
-
-	const dump = () => ({
-		...status(),
-		loads: Object.fromEntries(loads.views),
-		limits: limits.toJson(),
-		peerTraffic: traffic,
-		completions: completions.toJson(),
-		backendServers: directory.toJson(),
-		lease: lease.toJson(readClocks()),
-		controller: controller.toJson(),
-		platformLogAppends: platformLog.appends,
-		journal: {...journalTable.toJson(), batches: journal.batches},
-	});
-
-	let isStopping = false;
+	const state = new GatewayState(settings, services, traffic);
 	const registry = createRegistry();
-	const callers = createServer(settings.listen, registry, dump);
+	state.addMetrics(registry);
+	let isStopping = false;
+	const callers = createServer(settings.listen);
 	addCallerRoutes(callers, {
-		accounts: settings.clientAccounts, completions, services: services.resolve(ServiceCalls), limits, config, isReady: () => !isStopping && config.isKnown, signal: stopTasks,
+		accounts: settings.clientAccounts,
+		completions,
+		services: services.resolve(ServiceCalls),
+		limits: services.resolve(Limits),
+		metrics: new CallerMetrics(registry),
+		config,
+		isReady: () => !isStopping && config.isKnown,
+		signal: stopTasks,
 	});
-	const admin = createServer({host: settings.admin.host, port: settings.admin.port}, registry, dump);
+	const admin = createServer({host: settings.admin.host, port: settings.admin.port});
+	addObservationRoutes(admin, registry, () => state.dump(Date.now()));
 	addAdminRoutes(admin, {
-		teams: settings.admin.teams, config, platformLog, status,
+		teams: settings.admin.teams, config, platformLog, status: () => state.status(Date.now()),
 	});
 	acceptPeers(admin.listener, traffic, message => {
 		membership.observe(message, Date.now());
--- a/src/coordination/backend-directory.ts
+++ b/src/coordination/backend-directory.ts
@@ -84,6 +84,11 @@
 			.map(entry => entry.backend);
 	}
 
+	/** Backend servers in a state. */
+	count(state: BackendState): number {
+		return [...this.entries.values()].filter(entry => entry.state === state).length;
+	}
+
 	/** Whether a backend server may still finish what it has. */
 	isPresent(id: string): boolean {
 		const entry = this.entries.get(id);
--- a/src/coordination/fleet-plan.ts
+++ b/src/coordination/fleet-plan.ts
@@ -83,17 +83,20 @@
 	}
 }
 
-/** Spreads a number of VMs one by one: lowest price first, then the failure domain with the fewest. */
+/** Spreads a number of VMs: lowest price first, evenly over the offers that ask the same. */
 function spread(count: number, offers: Offer[]): FleetPlan {
 	const plan: FleetPlan = new Map();
-	const have = (offer: Offer) => plan.get(offer) ?? 0;
-	for (let index = 0; index < count; index++) {
-		const next = offers
-			.filter(offer => have(offer) < (offer.limit ?? count))
-			.toSorted((a, b) => a.perHour - b.perHour || have(a) - have(b))
-			.at(0);
-		if (next) {
-			plan.set(next, have(next) + 1);
+	let left = count;
+	for (const price of new Set(offers.map(offer => offer.perHour))) {
+		// The most limited first, so that what they cannot take falls to the others.
+		const peers = offers.filter(offer => offer.perHour === price).toSorted((a, b) => (a.limit ?? count) - (b.limit ?? count));
+		for (const [index, offer] of peers.entries()) {
+			const share = Math.ceil(left / (peers.length - index));
+			const taken = Math.min(share, offer.limit ?? share);
+			left -= taken;
+			if (taken > 0) {
+				plan.set(offer, taken);
+			}
 		}
 	}
 
--- a/src/standins/cloud.ts
+++ b/src/standins/cloud.ts
@@ -13,7 +13,7 @@
 	type NoticePage, type ReclaimNotice, type VmEntry, type VmOrder, VmState,
 } from '../protocol/cloud-api.js';
 import {requestJson} from '../transport/http-client.js';
-import {createRegistry, createServer, startServer} from '../transport/http-server.js';
+import {createRegistry, createObservedServer, startServer} from '../transport/http-server.js';
 import {createLogger} from '../log.js';
 import {waitForAbort} from '../abort.js';
 import {addFaultRoute, applySlowMode} from './faults.js';
@@ -146,7 +146,7 @@
 export async function runCloudStandin(settings: CloudStandinSettings, signal: AbortSignal): Promise<void> {
 	const cloud = new Cloud(settings, signal);
 	const {faults, notices, vms} = cloud;
-	const server = createServer(settings.listen, createRegistry(), () => ({faults, notices, vms: [...vms.values()]}));
+	const server = createObservedServer(settings.listen, createRegistry(), () => ({faults, notices, vms: [...vms.values()]}));
 	addFaultRoute(server, faults);
 	server.ext('onPreHandler', async (request, h) => {
 		if (request.path.startsWith('/admin/') || request.path.startsWith('/debug/')) {
--- a/src/standins/engine.ts
+++ b/src/standins/engine.ts
@@ -16,7 +16,7 @@
 	EngineRole, OrderKind, notRunCode,
 } from '../protocol/engine-api.js';
 import {fetchJson} from '../transport/http-client.js';
-import {createRegistry, createServer, startServer} from '../transport/http-server.js';
+import {createRegistry, createObservedServer, startServer} from '../transport/http-server.js';
 import {createLogger} from '../log.js';
 import {waitForAbort} from '../abort.js';
 import {promptTokens} from '../protocol/tokens.js';
@@ -76,7 +76,7 @@
 		});
 		gauge('engine_output_tokens', 'Output tokens generated.', () => this.batch.outputTokens);
 		gauge('engine_prefill_tokens', 'Prompt tokens computed, not taken from a cache.', () => this.batch.prefillTokens);
-		this.server = createServer(settings.listen, registry, () => this.dump());
+		this.server = createObservedServer(settings.listen, registry, () => this.dump());
 		addFaultRoute(this.server, this.faults);
 		this.addRoutes();
 	}
--- a/src/standins/log.ts
+++ b/src/standins/log.ts
@@ -10,7 +10,7 @@
 	type AppendRequest, type LogFaults, type LogRecord, type ReadAnswer,
 } from '../protocol/platform-log.js';
 import {
-	createRegistry, createServer, headerValue, startServer,
+	createRegistry, createObservedServer, headerValue, startServer,
 } from '../transport/http-server.js';
 import {createLogger} from '../log.js';
 import {waitForAbort} from '../abort.js';
@@ -110,7 +110,7 @@
 	};
 
 	const registry = createRegistry();
-	const server = createServer(settings.listen, registry, () => ({
+	const server = createObservedServer(settings.listen, registry, () => ({
 		faults,
 		appends,
 		refusedAppends,
--- a/src/standins/service.ts
+++ b/src/standins/service.ts
@@ -9,7 +9,7 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {type ServiceStandinSettings} from '../protocol/settings.js';
 import {
-	createRegistry, createServer, headerValue, startServer,
+	createRegistry, createObservedServer, headerValue, startServer,
 } from '../transport/http-server.js';
 import {createLogger} from '../log.js';
 import {waitForAbort} from '../abort.js';
@@ -32,7 +32,7 @@
 export async function runServiceStandin(settings: ServiceStandinSettings, signal: AbortSignal): Promise<void> {
 	const executions = new Map<string, number>();
 	const faults: ServiceFaults = {};
-	const server = createServer(settings.listen, createRegistry(), () => ({id: settings.id, executions: Object.fromEntries(executions), faults}));
+	const server = createObservedServer(settings.listen, createRegistry(), () => ({id: settings.id, executions: Object.fromEntries(executions), faults}));
 	addFaultRoute(server, faults);
 	server.route({
 		method: 'POST',
--- a/src/standins/vm-list.ts
+++ b/src/standins/vm-list.ts
@@ -6,7 +6,7 @@
 import {type VmListStandinSettings} from '../protocol/settings.js';
 import {type VmEntry} from '../protocol/cloud-api.js';
 import {fetchJson} from '../transport/http-client.js';
-import {createRegistry, createServer, startServer} from '../transport/http-server.js';
+import {createRegistry, createObservedServer, startServer} from '../transport/http-server.js';
 import {createLogger} from '../log.js';
 import {addFaultRoute} from './faults.js';
 
@@ -21,7 +21,7 @@
 export async function runVmListStandin(settings: VmListStandinSettings, signal: AbortSignal): Promise<void> {
 	const faults: {outage?: boolean} = {};
 	let history: Array<{atMs: number; vms: VmEntry[]}> = [];
-	const server = createServer(settings.listen, createRegistry(), () => ({faults, snapshots: history.length}));
+	const server = createObservedServer(settings.listen, createRegistry(), () => ({faults, snapshots: history.length}));
 	addFaultRoute(server, faults);
 	server.route({
 		method: 'GET',
--- a/src/standins/weights.ts
+++ b/src/standins/weights.ts
@@ -3,7 +3,7 @@
  * `downloadsPerSecond`.
  */
 import {type WeightsStandinSettings} from '../protocol/settings.js';
-import {createRegistry, createServer, startServer} from '../transport/http-server.js';
+import {createRegistry, createObservedServer, startServer} from '../transport/http-server.js';
 import {createLogger} from '../log.js';
 import {waitForAbort} from '../abort.js';
 
@@ -19,7 +19,7 @@
 	let downloadsInWindow = 0;
 	let downloads = 0;
 	let refused = 0;
-	const server = createServer(settings.listen, createRegistry(), () => ({downloads, refused}));
+	const server = createObservedServer(settings.listen, createRegistry(), () => ({downloads, refused}));
 	server.route({
 		method: 'GET',
 		path: '/weights/{model}',
--- a/src/transport/caller-api.ts
+++ b/src/transport/caller-api.ts
@@ -9,6 +9,7 @@
 import {type Limits} from '../coordination/admission.js';
 import {type ServiceCalls} from '../coordination/service-calls.js';
 import {type ConfigTable} from '../state/config-table.js';
+import {type CallerMetrics} from './caller-metrics.js';
 import {addCompletionRoutes} from './completion-routes.js';
 import {addServiceRoutes} from './service-routes.js';
 import {refuseOverloaded} from './caller-answers.js';
@@ -21,6 +22,7 @@
 	services: ServiceCalls;
 	limits: Limits;
 	config: ConfigTable;
+	metrics: CallerMetrics;
 	isReady: () => boolean;
 	/** Aborted when the gateway stops; requests in flight are finished first. */
 	signal: AbortSignal;
--- a/src/transport/completion-routes.ts
+++ b/src/transport/completion-routes.ts
@@ -21,6 +21,7 @@
 import {
 	answerFailure, refuse, refuseOverloaded, refuseUnknownKey,
 } from './caller-answers.js';
+import {answeredWhole} from './caller-metrics.js';
 import {type AuthenticatedContext} from './caller-api.js';
 import {headerValue} from './http-server.js';
 import {doneEvent, formatEvent} from './sse.js';
@@ -78,6 +79,8 @@
 		});
 	}
 
+	const {metrics} = context;
+	const admittedMs = performance.now();
 	const abort = new AbortController();
 	request.raw.res.once('close', () => {
 		abort.abort();
@@ -89,11 +92,18 @@
 		first = await tokens.next();
 	} catch (error) {
 		admission.release();
+		metrics.noteEnd(account, error instanceof NoBackendError ? Outcome.NotRun : Outcome.Unknown);
 		return answerNoFirstToken(h, job, error);
 	}
 
+	metrics.noteFirstToken(account, performance.now() - admittedMs);
 	const rest = withFirst(first, tokens);
-	return caller.stream ? answerStream(h, caller, rest, admission.release) : answerWhole(h, caller, rest, admission.release);
+	const onEnd = (isWhole: boolean) => {
+		admission.release();
+		metrics.noteEnd(account, isWhole ? answeredWhole : Outcome.Unknown);
+	};
+
+	return caller.stream ? answerStream(h, caller, rest, onEnd) : answerWhole(h, caller, rest, onEnd);
 }
 
 /** @throws {ProtocolError} When the request is malformed. */
@@ -148,20 +158,23 @@
 	}
 }
 
-async function answerWhole(h: Hapi.ResponseToolkit, caller: CallerRequest, tokens: AsyncGenerator<Token>, release: () => void): Promise<Hapi.ResponseObject> {
+async function answerWhole(h: Hapi.ResponseToolkit, caller: CallerRequest, tokens: AsyncGenerator<Token>, onEnd: (isWhole: boolean) => void): Promise<Hapi.ResponseObject> {
 	const {job, chat, createdSeconds} = caller;
 	let text = '';
+	let isWhole = false;
 	try {
 		for await (const token of tokens) {
 			text += token.text;
 		}
+
+		isWhole = true;
 	} catch (error) {
 		log.warn('request failed after dispatch.', {request: job.requestId, error: String(error)});
 		return answerFailure(h, {
 			status: 502, message: engineFailedMessage, code: 'engine_failed', outcome: Outcome.Unknown,
 		});
 	} finally {
-		release();
+		onEnd(isWhole);
 	}
 
 	const promptCount = promptTokens(job.prompt).length;
@@ -177,21 +190,23 @@
 	});
 }
 
-function answerStream(h: Hapi.ResponseToolkit, caller: CallerRequest, tokens: AsyncGenerator<Token>, release: () => void): Hapi.ResponseObject {
+function answerStream(h: Hapi.ResponseToolkit, caller: CallerRequest, tokens: AsyncGenerator<Token>, onEnd: (isWhole: boolean) => void): Hapi.ResponseObject {
 	const {job} = caller;
 	const out = new PassThrough();
 	void (async () => {
+		let isWhole = false;
 		try {
 			for await (const token of tokens) {
 				out.write(formatEvent(JSON.stringify(renderChunk(caller, token)), token.seq));
 			}
 
 			out.write(doneEvent);
+			isWhole = true;
 		} catch (error) {
 			log.warn('stream failed after dispatch.', {request: job.requestId, error: String(error)});
 			out.write(formatEvent(JSON.stringify(errorBody(engineFailedMessage, 'server_error', 'engine_failed', Outcome.Unknown))));
 		} finally {
-			release();
+			onEnd(isWhole);
 			out.end();
 		}
 	})();
--- a/src/transport/http-server.ts
+++ b/src/transport/http-server.ts
@@ -1,6 +1,7 @@
 /**
- * The hapi servers every process runs: one factory, plus the two routes each
- * process has, `/metrics` (prom-client) and `/debug/state` (a JSON dump of its state).
+ * The hapi servers every process runs: a factory, and the two routes each process has on
+ * a port that callers do not reach, `/metrics` (prom-client) and `/debug/state` (a JSON
+ * dump of its state).
  */
 import process from 'node:process';
 import Hapi from '@hapi/hapi';
@@ -8,6 +9,9 @@
 import {type Listen} from '../protocol/settings.js';
 import {TransportError} from './errors.js';
 
+/** Largest request body taken. */
+const maxPayloadBytes = 8 * 1024 * 1024;
+
 /** Produces the JSON-serialisable state of a process for `/debug/state`. */
 export type StateDump = () => unknown;
 
@@ -40,16 +44,17 @@
 	return {cpuUs: cpu.user + cpu.system, rssBytes: memory.rss, heapUsedBytes: memory.heapUsed};
 }
 
-/**
- * Creates a hapi server on the given address with `/metrics` and `/debug/state`.
- * The server is not started.
- */
-export function createServer(listen: Listen, registry: Registry, dump: StateDump): Hapi.Server {
-	const server = Hapi.server({
+/** Creates a hapi server on the given address; it is not started. */
+export function createServer(listen: Listen): Hapi.Server {
+	return Hapi.server({
 		host: listen.host,
 		port: listen.port,
-		routes: {payload: {maxBytes: 8 * 1024 * 1024}},
+		routes: {payload: {maxBytes: maxPayloadBytes}},
 	});
+}
+
+/** Adds `/metrics` and `/debug/state` to a server that callers do not reach. */
+export function addObservationRoutes(server: Hapi.Server, registry: Registry, dump: StateDump): void {
 	server.route({
 		method: 'GET',
 		path: '/metrics',
@@ -62,6 +67,12 @@
 		path: '/debug/state',
 		handler: () => ({process: readProcessUsage(), state: dump()}),
 	});
+}
+
+/** Creates the server of a stand-in, with `/metrics` and `/debug/state`. */
+export function createObservedServer(listen: Listen, registry: Registry, dump: StateDump): Hapi.Server {
+	const server = createServer(listen);
+	addObservationRoutes(server, registry, dump);
 	return server;
 }
 
