Hold an account's limits over the whole fleet; cover service calls

Cause: each gateway enforced a preset's limits by itself, so an account had them once per gateway, and calls to plain services had none.

Change: each gateway enforces its even share among the gateways it knows to be alive; service calls pass the same admission. Admin bodies are checked (400 names the field); admin undrain. The settings of a gateway and of the stand-ins have modules of their own.

Conclusion: limits hold over the fleet when the balancer spreads evenly.

--- a/scripts/experiments/log.mjs
+++ b/scripts/experiments/log.mjs
@@ -35,7 +35,13 @@
 				const after = await appends();
 				const seconds = report.elapsedMs / 1000;
 				measured.push({
-					gateways, flushMs, callsPerSecond: report.sent / seconds, whole: report.whole, sent: report.sent, idlePerSecond, journalAppendsPerSecond: ((after - before) / seconds) - idlePerSecond,
+					gateways,
+					flushMs,
+					callsPerSecond: report.sent / seconds,
+					whole: report.whole,
+					sent: report.sent,
+					idlePerSecond,
+					journalAppendsPerSecond: ((after - before) / seconds) - idlePerSecond,
 				});
 			}
 
--- a/src/cli/__tests__/local-stack.test.ts
+++ b/src/cli/__tests__/local-stack.test.ts
@@ -117,6 +117,32 @@
 		expect(answer.statusCode).toBe(status);
 	});
 
+	it.each([
+		{name: 'an activation without a name', path: 'activate', payload: {}},
+		{name: 'a drain without a backend server', path: 'drain', payload: {undo: true}},
+		{name: 'a preset without limits', path: 'presets', payload: {preset: {name: 'bare'}}},
+		{name: 'no body', path: 'presets', payload: undefined},
+	])('refuses a malformed admin change: $name', async ({path, payload}) => {
+		const answer = await requestJson<{error: string}>({
+			method: 'POST', url: `${stack.gateways[0].adminUrl}/admin/${path}`, payload, headers: {authorization: 'Bearer desk-ops-token-0001'},
+		});
+		expect(answer.statusCode).toBe(400);
+	});
+
+	it.each([
+		{action: 'drain', drained: ['desk-0']},
+		{action: 'undrain', drained: []},
+	])('$action takes effect through the command line', ({action, drained}) => {
+		const {adminUrl} = stack.gateways[0];
+		const run = (...args: string[]) => {
+			const stdout = execFileSync(process.execPath, ['dist/sesametally.cjs', 'admin', ...args, '--url', adminUrl, '--token', 'desk-ops-token-0001'], {encoding: 'utf8'});
+			return JSON.parse(stdout) as {accepted?: boolean; config: {drained: string[]}};
+		};
+
+		expect(run(action, 'desk-0').accepted).toBe(true);
+		expect(run('status').config.drained).toEqual(drained);
+	});
+
 	it('shows each gateway\'s applied offset through admin status', async () => {
 		const stdout = execFileSync(process.execPath, ['dist/sesametally.cjs', 'admin', 'status', '--url', stack.gateways[0].adminUrl, '--token', 'desk-ops-token-0001'], {encoding: 'utf8'});
 		const status = JSON.parse(stdout) as {peers: Array<{id: string; appliedOffset: number}>};
--- a/src/cli/commands/admin.ts
+++ b/src/cli/commands/admin.ts
@@ -12,6 +12,7 @@
 	Activate = 'activate',
 	Status = 'status',
 	Drain = 'drain',
+	Undrain = 'undrain',
 	Dump = 'dump',
 }
 
@@ -19,7 +20,7 @@
 export type AdminOptions = {
 	url: string;
 	token: string | undefined;
-	/** For publish: the preset file; for activate: the preset name; for drain: the backend server id. */
+	/** For publish: the preset file; for activate: the preset name; for drain and undrain: the backend server id. */
 	target: string | undefined;
 	base: number | undefined;
 };
@@ -48,6 +49,10 @@
 				return {method: 'POST' as const, path: '/admin/drain', payload: {backendServer: options.target, ...base}};
 			}
 
+			case AdminAction.Undrain: {
+				return {method: 'POST' as const, path: '/admin/drain', payload: {backendServer: options.target, undo: true, ...base}};
+			}
+
 			case AdminAction.Status: {
 				return {method: 'GET' as const, path: '/admin/status'};
 			}
--- a/src/cli/commands/gateway.ts
+++ b/src/cli/commands/gateway.ts
@@ -5,7 +5,8 @@
  */
 import {setMaxListeners} from 'node:events';
 import {setTimeout as delay} from 'node:timers/promises';
-import {type GatewaySettings, loadSettings, settingsValidators} from '../../protocol/settings.js';
+import {type GatewaySettings, gatewayValidator} from '../../protocol/gateway-settings.js';
+import {loadSettings} from '../../protocol/settings.js';
 import {ConfigTable} from '../../state/config-table.js';
 import {PlatformLog} from '../../state/platform-log.js';
 import {BackendDirectory} from '../../coordination/backend-directory.js';
@@ -40,7 +41,7 @@
  * @throws {SettingsError} Before any port opens, when the settings are bad.
  */
 export async function runGateway(settingsFile: string, signal: AbortSignal): Promise<void> {
-	const settings = loadSettings<GatewaySettings>(settingsFile, settingsValidators.gateway);
+	const settings = loadSettings<GatewaySettings>(settingsFile, gatewayValidator);
 	const services = createGatewayContainer(settings);
 	const config = services.resolve(ConfigTable);
 	const platformLog = services.resolve(PlatformLog);
@@ -69,6 +70,7 @@
 		completions,
 		services: services.resolve(ServiceCalls),
 		limits: services.resolve(Limits),
+		membership,
 		metrics: new CallerMetrics(registry),
 		config,
 		isReady: () => !isStopping && config.isKnown,
--- a/src/cli/commands/standin.ts
+++ b/src/cli/commands/standin.ts
@@ -3,9 +3,9 @@
  */
 import process from 'node:process';
 import {
-	type EngineStandinSettings, type LogStandinSettings, type CloudStandinSettings, type ServiceStandinSettings, type VmListStandinSettings, type WeightsStandinSettings,
-	loadSettings, settingsValidators,
-} from '../../protocol/settings.js';
+	type EngineStandinSettings, type LogStandinSettings, type CloudStandinSettings, type ServiceStandinSettings, type VmListStandinSettings, type WeightsStandinSettings, standinValidators,
+} from '../../standins/options.js';
+import {loadSettings} from '../../protocol/settings.js';
 import {runLogStandin} from '../../standins/log.js';
 import {runEngineStandin} from '../../standins/engine.js';
 import {runServiceStandin} from '../../standins/service.js';
@@ -31,32 +31,32 @@
 export async function runStandin(part: StandinPart, settingsFile: string, signal: AbortSignal): Promise<void> {
 	switch (part) {
 		case StandinPart.Log: {
-			await runLogStandin(loadSettings<LogStandinSettings>(settingsFile, settingsValidators.log), signal);
+			await runLogStandin(loadSettings<LogStandinSettings>(settingsFile, standinValidators.log), signal);
 			break;
 		}
 
 		case StandinPart.Engine: {
-			await runEngineStandin(loadSettings<EngineStandinSettings>(settingsFile, settingsValidators.engine), signal);
+			await runEngineStandin(loadSettings<EngineStandinSettings>(settingsFile, standinValidators.engine), signal);
 			break;
 		}
 
 		case StandinPart.Service: {
-			await runServiceStandin(loadSettings<ServiceStandinSettings>(settingsFile, settingsValidators.service), signal);
+			await runServiceStandin(loadSettings<ServiceStandinSettings>(settingsFile, standinValidators.service), signal);
 			break;
 		}
 
 		case StandinPart.Cloud: {
-			await runCloudStandin(loadSettings<CloudStandinSettings>(settingsFile, settingsValidators.cloud), signal);
+			await runCloudStandin(loadSettings<CloudStandinSettings>(settingsFile, standinValidators.cloud), signal);
 			break;
 		}
 
 		case StandinPart.Vms: {
-			await runVmListStandin(loadSettings<VmListStandinSettings>(settingsFile, settingsValidators.vms), signal);
+			await runVmListStandin(loadSettings<VmListStandinSettings>(settingsFile, standinValidators.vms), signal);
 			break;
 		}
 
 		case StandinPart.Weights: {
-			await runWeightsStandin(loadSettings<WeightsStandinSettings>(settingsFile, settingsValidators.weights), signal);
+			await runWeightsStandin(loadSettings<WeightsStandinSettings>(settingsFile, standinValidators.weights), signal);
 			break;
 		}
 	}
--- a/src/cli/container.ts
+++ b/src/cli/container.ts
@@ -5,7 +5,7 @@
 // The decorator metadata polyfill that tsyringe needs loaded once, before any container use.
 import 'reflect-metadata'; // eslint-disable-line import-x/no-unassigned-import
 import {container, type DependencyContainer, instanceCachingFactory} from 'tsyringe';
-import {type GatewaySettings} from '../protocol/settings.js';
+import {type GatewaySettings} from '../protocol/gateway-settings.js';
 import {ConfigTable} from '../state/config-table.js';
 import {PlatformLog} from '../state/platform-log.js';
 import {BackendDirectory} from '../coordination/backend-directory.js';
--- a/src/cli/gateway-state.ts
+++ b/src/cli/gateway-state.ts
@@ -4,7 +4,7 @@
  */
 import {type DependencyContainer} from 'tsyringe';
 import {Gauge, type Registry} from 'prom-client';
-import {type GatewaySettings} from '../protocol/settings.js';
+import {type GatewaySettings} from '../protocol/gateway-settings.js';
 import {BackendState, BackendDirectory} from '../coordination/backend-directory.js';
 import {Completions} from '../coordination/completions.js';
 import {FleetController} from '../coordination/fleet-controller.js';
@@ -91,7 +91,7 @@
 			{name: 'config_known', help: '1 once the configuration in force is known.', read: () => Number(config.isKnown)},
 			{name: 'backend_servers_ready', help: 'Backend servers that may get new work.', read: () => directory.count(BackendState.Ready)},
 			{name: 'backend_servers_leaving', help: 'Backend servers that finish what they have.', read: () => directory.count(BackendState.Leaving)},
-			{name: 'peers_alive', help: 'Other gateways whose heartbeats arrive.', read: () => membership.list(Date.now()).filter(peer => peer.alive).length},
+			{name: 'peers_alive', help: 'Other gateways whose heartbeats arrive.', read: () => membership.aliveCount(Date.now()) - 1},
 			{name: 'journal_keys', help: 'Idempotency keys remembered.', read: () => journalTable.toJson().keys},
 			{name: 'platform_log_appends', help: 'Appends made to the platform log.', read: () => platformLog.appends},
 			{name: 'lease_holding', help: '1 while this gateway may act as controller.', read: () => Number(lease.tokenAt(readClocks()) !== undefined)},
--- a/src/cli/index.ts
+++ b/src/cli/index.ts
@@ -73,6 +73,7 @@
 	[AdminAction.Publish]: 'preset JSON file',
 	[AdminAction.Activate]: 'preset name',
 	[AdminAction.Drain]: 'backend server id',
+	[AdminAction.Undrain]: 'backend server id',
 	[AdminAction.Status]: undefined,
 	[AdminAction.Dump]: undefined,
 };
--- a/src/coordination/__tests__/admission.test.ts
+++ b/src/coordination/__tests__/admission.test.ts
@@ -1,5 +1,5 @@
 import {describe, expect, it} from 'vitest';
-import {Limits, Refusal} from '../admission.js';
+import {Limits, Refusal, shareOfLimit} from '../admission.js';
 
 const limit = {requestsPerSecond: 10, burst: 2, maxConcurrent: 3};
 
@@ -42,3 +42,13 @@
 		expect(refused).toEqual({admitted: false, refusal: Refusal.Rate, retryAfterMs: 100});
 	});
 });
+
+describe('a gateway\'s share of a limit', () => {
+	it.each([
+		{name: 'is all of it alone', gateways: 1, expected: {requestsPerSecond: 12, burst: 6, maxConcurrent: 8}},
+		{name: 'is even among those alive', gateways: 3, expected: {requestsPerSecond: 4, burst: 2, maxConcurrent: 2}},
+		{name: 'admits one request at a time at least', gateways: 24, expected: {requestsPerSecond: 0.5, burst: 1, maxConcurrent: 1}},
+	])('$name', ({gateways, expected}) => {
+		expect(shareOfLimit({requestsPerSecond: 12, burst: 6, maxConcurrent: 8}, gateways)).toEqual(expected);
+	});
+});
--- a/src/coordination/__tests__/backend-directory.test.ts
+++ b/src/coordination/__tests__/backend-directory.test.ts
@@ -1,5 +1,5 @@
 import {describe, expect, it} from 'vitest';
-import {type BackendServer, BackendKind} from '../../protocol/settings.js';
+import {type BackendServer, BackendKind} from '../../protocol/gateway-settings.js';
 import {type VmEntry, VmState} from '../../protocol/cloud-api.js';
 import {BackendDirectory, goneKeptMs, LeavingSource} from '../backend-directory.js';
 
--- a/src/coordination/__tests__/router.test.ts
+++ b/src/coordination/__tests__/router.test.ts
@@ -4,7 +4,7 @@
 } from '../router.js';
 import {NoBackendError} from '../errors.js';
 import {EngineRole} from '../../protocol/engine-api.js';
-import {type BackendServer, BackendKind} from '../../protocol/settings.js';
+import {type BackendServer, BackendKind} from '../../protocol/gateway-settings.js';
 
 const nowMs = 100_000;
 const engine = (id: string): BackendServer => ({
--- a/src/coordination/admission.ts
+++ b/src/coordination/admission.ts
@@ -1,7 +1,9 @@
 /**
  * Admission per client account: a token bucket for the sustained rate and burst,
- * and a cap on requests in flight, both from the preset in force. A refusal comes
- * before dispatch, so the request was not run, and says when to come back.
+ * and a cap on requests in flight, both from the preset in force. A preset's limits are
+ * for the whole fleet; the balancer spreads callers evenly, so each gateway enforces its
+ * even share among the gateways it knows to be alive. A refusal comes before dispatch,
+ * so the request was not run, and says when to come back.
  */
 import {type AccountLimit, type Preset} from '../protocol/config-records.js';
 
@@ -19,6 +21,16 @@
 
 type Bucket = {tokens: number; lastMs: number; inFlight: number};
 
+/** One gateway's share of a limit among `gateways` that are alive, itself included. */
+export function shareOfLimit(limit: AccountLimit, gateways: number): AccountLimit {
+	return {
+		requestsPerSecond: limit.requestsPerSecond / gateways,
+		// A share below one would admit nothing at all.
+		burst: Math.max(1, limit.burst / gateways),
+		maxConcurrent: Math.max(1, Math.floor(limit.maxConcurrent / gateways)),
+	};
+}
+
 /** The limits of each client account and their live buckets. */
 export class Limits {
 	/** Returns the limit of an account under a preset. */
--- a/src/coordination/backend-directory.ts
+++ b/src/coordination/backend-directory.ts
@@ -5,7 +5,7 @@
  * whichever comes first. Leaving is final: a VM's name is never used again, so a lagging
  * list that still shows it live does not bring it back.
  */
-import {type BackendServer, BackendKind} from '../protocol/settings.js';
+import {type BackendServer, BackendKind} from '../protocol/gateway-settings.js';
 import {type VmEntry, VmState} from '../protocol/cloud-api.js';
 
 /** Whether a backend server may get work. */
@@ -32,6 +32,7 @@
 	leavesAtMs?: number;
 	learnedFrom?: LeavingSource;
 	learnedAtMs?: number;
+	goneAtMs?: number;
 };
 
 /** How long an entry of a VM that is gone is kept, so that a lagging list does not revive it. */
@@ -123,10 +124,10 @@
 			if (entry.listed && !listed.has(id) && entry.state !== BackendState.Gone) {
 				this.noteLeaving(id, LeavingSource.VmList, nowMs, nowMs);
 				entry.state = BackendState.Gone;
-				entry.learnedAtMs = nowMs;
+				entry.goneAtMs = nowMs;
 			}
 
-			if (entry.state === BackendState.Gone && nowMs - entry.learnedAtMs! > goneKeptMs && !listed.has(id)) {
+			if (entry.state === BackendState.Gone && nowMs - entry.goneAtMs! > goneKeptMs && !listed.has(id)) {
 				this.entries.delete(id);
 			}
 		}
--- a/src/coordination/completions.ts
+++ b/src/coordination/completions.ts
@@ -6,7 +6,7 @@
  * nothing is computed again.
  */
 import {setTimeout as delay} from 'node:timers/promises';
-import {type BackendServer, BackendKind} from '../protocol/settings.js';
+import {type BackendServer, BackendKind} from '../protocol/gateway-settings.js';
 import {type EngineChunk} from '../protocol/engine-api.js';
 import {
 	cancelRequest, exportKv, importKv, streamCompletion,
--- a/src/coordination/fleet-controller.ts
+++ b/src/coordination/fleet-controller.ts
@@ -254,7 +254,7 @@
 	}
 
 	private isDraining(vm: VmEntry): boolean {
-		return this.reportOf(vm)?.role === EngineRole.Draining || this.lastOrders.get(vm.name)?.order.role === EngineRole.Draining;
+		return this.options.config.drained.has(vm.name) || this.reportOf(vm)?.role === EngineRole.Draining || this.lastOrders.get(vm.name)?.order.role === EngineRole.Draining;
 	}
 
 	/** VMs that an earlier holder started and that have no model yet go to the models with the fewest. */
--- a/src/coordination/flight.ts
+++ b/src/coordination/flight.ts
@@ -2,7 +2,7 @@
  * One completion being served: where it runs, how far it is, and whether it is being
  * moved away from a leaving engine.
  */
-import {type BackendServer} from '../protocol/settings.js';
+import {type BackendServer} from '../protocol/gateway-settings.js';
 import {type KvSnapshot} from '../protocol/engine-api.js';
 import {createLogger} from '../log.js';
 import {StalledStreamError} from './errors.js';
--- a/src/coordination/load-tracker.ts
+++ b/src/coordination/load-tracker.ts
@@ -4,7 +4,7 @@
  * `unhealthyAfter` times in a row gets no new work until it answers again.
  */
 import {setTimeout as delay} from 'node:timers/promises';
-import {type BackendServer, BackendKind} from '../protocol/settings.js';
+import {type BackendServer, BackendKind} from '../protocol/gateway-settings.js';
 import {EngineRole} from '../protocol/engine-api.js';
 import {readLoad} from '../transport/engine-client.js';
 import {createLogger} from '../log.js';
--- a/src/coordination/membership.ts
+++ b/src/coordination/membership.ts
@@ -30,6 +30,11 @@
 		return view !== undefined && nowMs - view.receivedAtMs <= this.heartbeatMs * missedHeartbeatsAllowed;
 	}
 
+	/** Gateways alive at `nowMs`, this one included. */
+	aliveCount(nowMs: number): number {
+		return 1 + [...this.peers.keys()].filter(id => this.isAlive(id, nowMs)).length;
+	}
+
 	/** Every peer with its liveness at `nowMs`. */
 	list(nowMs: number): Array<{id: string; alive: boolean; appliedOffset: number; configVersion: number; lastSeenMsAgo: number}> {
 		return [...this.peers.values()].map(({heartbeat, receivedAtMs}) => ({
--- a/src/coordination/router.ts
+++ b/src/coordination/router.ts
@@ -6,7 +6,7 @@
  * than the preset's slack.
  */
 import {createHash} from 'node:crypto';
-import {type BackendServer} from '../protocol/settings.js';
+import {type BackendServer} from '../protocol/gateway-settings.js';
 import {type EngineLoad} from '../protocol/engine-api.js';
 import {promptTokens} from '../protocol/tokens.js';
 import {NoBackendError} from './errors.js';
--- a/src/coordination/service-calls.ts
+++ b/src/coordination/service-calls.ts
@@ -3,7 +3,7 @@
  * claim and never again after its bytes may have left; an idempotent call may be tried
  * at another backend server. A call that provably never left is free to go elsewhere.
  */
-import {type BackendServer, BackendKind} from '../protocol/settings.js';
+import {type BackendServer, BackendKind} from '../protocol/gateway-settings.js';
 import {type JsonResponse, requestJson} from '../transport/http-client.js';
 import {ConnectError} from '../transport/errors.js';
 import {createLogger} from '../log.js';
--- a/src/protocol/__tests__/settings.test.ts
+++ b/src/protocol/__tests__/settings.test.ts
@@ -4,7 +4,8 @@
 import {tmpdir} from 'node:os';
 import path from 'node:path';
 import {describe, expect, it} from 'vitest';
-import {loadSettings, settingsValidators} from '../settings.js';
+import {standinValidators} from '../../standins/options.js';
+import {loadSettings} from '../settings.js';
 import {SettingsError} from '../errors.js';
 
 const dir = mkdtempSync(path.join(tmpdir(), 'sesametally-settings-'));
@@ -38,11 +39,11 @@
 		},
 	])('refuses a bad file, naming the setting: $name', ({name, value, setting, detail}) => {
 		const file = writeSettings(`${name}.json`, value);
-		expect(() => loadSettings(file, settingsValidators.engine)).toThrow(new SettingsError(file, setting, detail));
+		expect(() => loadSettings(file, standinValidators.engine)).toThrow(new SettingsError(file, setting, detail));
 	});
 
 	it('fills defaults', () => {
-		const settings = loadSettings<{tpotMs: number; checksFencing: boolean}>(writeSettings('good.json', goodEngine), settingsValidators.engine);
+		const settings = loadSettings<{tpotMs: number; checksFencing: boolean}>(writeSettings('good.json', goodEngine), standinValidators.engine);
 		expect(settings).toMatchObject({tpotMs: 10, checksFencing: true});
 	});
 
--- a/src/protocol/config-records.ts
+++ b/src/protocol/config-records.ts
@@ -8,13 +8,13 @@
 /** The name of the stream that carries configuration. */
 export const configStream = 'config';
 
-/** The limits of one client account. */
+/** The limits of one client account over the whole fleet. */
 export type AccountLimit = {
 	/** Sustained admissions per second. */
 	requestsPerSecond: number;
 	/** Admissions allowed in a burst above the sustained rate. */
 	burst: number;
-	/** Requests of the account in flight at once through one gateway. */
+	/** Requests of the account in flight at once. */
 	maxConcurrent: number;
 };
 
--- a/src/standins/cloud.ts
+++ b/src/standins/cloud.ts
@@ -8,7 +8,6 @@
  */
 import {setTimeout as delay} from 'node:timers/promises';
 import type Hapi from '@hapi/hapi';
-import {type CloudStandinSettings} from '../protocol/settings.js';
 import {
 	type NoticePage, type ReclaimNotice, type VmEntry, type VmOrder, VmState,
 } from '../protocol/cloud-api.js';
@@ -16,6 +15,7 @@
 import {createRegistry, createObservedServer, startServer} from '../transport/http-server.js';
 import {createLogger} from '../log.js';
 import {waitForAbort} from '../abort.js';
+import {type CloudStandinSettings} from './options.js';
 import {addFaultRoute, applySlowMode} from './faults.js';
 
 const log = createLogger('standin-cloud');
--- a/src/standins/engine.ts
+++ b/src/standins/engine.ts
@@ -10,7 +10,6 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {Gauge} from 'prom-client';
 import type Hapi from '@hapi/hapi';
-import {type EngineStandinSettings} from '../protocol/settings.js';
 import {
 	type CancelAnswer, type EngineChunk, type EngineCompletionRequest, type EngineLoad, type EngineOrder, type KvImport, type KvSnapshot,
 	EngineRole, OrderKind, notRunCode,
@@ -20,6 +19,7 @@
 import {createLogger} from '../log.js';
 import {waitForAbort} from '../abort.js';
 import {promptTokens} from '../protocol/tokens.js';
+import {type EngineStandinSettings} from './options.js';
 import {addFaultRoute} from './faults.js';
 import {Batch, type Sequence, SequenceEnd} from './engine-batch.js';
 import {ChunkScrambler, type ScrambleMode} from './chunk-scrambler.js';
--- a/src/standins/log.ts
+++ b/src/standins/log.ts
@@ -5,7 +5,6 @@
  * Its HTTP shapes are in `protocol/platform-log.ts`.
  */
 import {setTimeout as delay} from 'node:timers/promises';
-import {type LogStandinSettings} from '../protocol/settings.js';
 import {
 	type AppendRequest, type LogFaults, type LogRecord, type ReadAnswer,
 } from '../protocol/platform-log.js';
@@ -14,6 +13,7 @@
 } from '../transport/http-server.js';
 import {createLogger} from '../log.js';
 import {waitForAbort} from '../abort.js';
+import {type LogStandinSettings} from './options.js';
 import {addFaultRoute, applySlowMode} from './faults.js';
 
 const log = createLogger('standin-log');
--- a/src/standins/service.ts
+++ b/src/standins/service.ts
@@ -7,12 +7,12 @@
  * - `GET /executions`: `{[key]: count}`.
  */
 import {setTimeout as delay} from 'node:timers/promises';
-import {type ServiceStandinSettings} from '../protocol/settings.js';
 import {
 	createRegistry, createObservedServer, headerValue, startServer,
 } from '../transport/http-server.js';
 import {createLogger} from '../log.js';
 import {waitForAbort} from '../abort.js';
+import {type ServiceStandinSettings} from './options.js';
 import {addFaultRoute} from './faults.js';
 
 const log = createLogger('standin-service');
--- a/src/standins/vm-list.ts
+++ b/src/standins/vm-list.ts
@@ -3,11 +3,11 @@
  * the cloud stand-in and serves what it read `lagMs` ago.
  */
 import {setTimeout as delay} from 'node:timers/promises';
-import {type VmListStandinSettings} from '../protocol/settings.js';
 import {type VmEntry} from '../protocol/cloud-api.js';
 import {fetchJson} from '../transport/http-client.js';
 import {createRegistry, createObservedServer, startServer} from '../transport/http-server.js';
 import {createLogger} from '../log.js';
+import {type VmListStandinSettings} from './options.js';
 import {addFaultRoute} from './faults.js';
 
 const log = createLogger('standin-vms');
--- a/src/standins/weights.ts
+++ b/src/standins/weights.ts
@@ -2,10 +2,10 @@
  * Stand-in for the rate-limited weight store: `GET /weights/{model}` answers 429 over
  * `downloadsPerSecond`.
  */
-import {type WeightsStandinSettings} from '../protocol/settings.js';
 import {createRegistry, createObservedServer, startServer} from '../transport/http-server.js';
 import {createLogger} from '../log.js';
 import {waitForAbort} from '../abort.js';
+import {type WeightsStandinSettings} from './options.js';
 
 const log = createLogger('standin-weights');
 
--- a/src/transport/admin-api.ts
+++ b/src/transport/admin-api.ts
@@ -12,7 +12,8 @@
 	type ConfigRecord, ConfigRecordKind, checkPreset, configStream,
 } from '../protocol/config-records.js';
 import {ProtocolError} from '../protocol/errors.js';
-import {type Team, TeamRole} from '../protocol/settings.js';
+import {compileCheck} from '../protocol/schema.js';
+import {type Team, TeamRole} from '../protocol/gateway-settings.js';
 import {type ConfigTable} from '../state/config-table.js';
 import {type PlatformLog} from '../state/platform-log.js';
 import {UnknownAppendError} from '../state/errors.js';
@@ -25,6 +26,20 @@
 export const applyWaitMs = 17_000;
 const applyPollMs = 20;
 
+const checkActivation = compileCheck<{name: string}>({
+	type: 'object',
+	properties: {name: {type: 'string', minLength: 1}, base: {type: 'integer'}},
+	required: ['name'],
+	additionalProperties: false,
+}, 'activation');
+
+const checkDrain = compileCheck<{backendServer: string; undo?: boolean}>({
+	type: 'object',
+	properties: {backendServer: {type: 'string', minLength: 1}, undo: {type: 'boolean'}, base: {type: 'integer'}},
+	required: ['backendServer'],
+	additionalProperties: false,
+}, 'drain');
+
 /** What the admin routes need from the rest of the gateway. */
 export type AdminContext = {
 	teams: Team[];
@@ -85,70 +100,52 @@
 		return typeof base === 'number' ? base : context.config.version;
 	};
 
-	const isResponse = (value: Team | Hapi.ResponseObject): value is Hapi.ResponseObject => !('role' in value && 'token' in value);
+	/** Adds a route that only operators may call, and hands it their team. */
+	const addOperatorRoute = (path: string, act: (team: Team, request: Hapi.Request, h: Hapi.ResponseToolkit) => ReturnType<typeof publish> | Hapi.ResponseObject) => {
+		server.route({
+			method: 'POST',
+			path,
+			async handler(request, h) {
+				const team = authorize(request, h, TeamRole.Operator);
+				if (isResponse(team)) {
+					return team;
+				}
 
-	server.route({
-		method: 'POST',
-		path: '/admin/presets',
-		async handler(request, h) {
-			const team = authorize(request, h, TeamRole.Operator);
-			if (isResponse(team)) {
-				return team;
-			}
+				try {
+					return await act(team, request, h);
+				} catch (error) {
+					if (error instanceof ProtocolError) {
+						return h.response({error: error.message}).code(400);
+					}
 
-			const payload = request.payload as {preset?: unknown; base?: number};
-			let preset;
-			try {
-				preset = checkPreset(payload.preset);
-			} catch (error) {
-				if (error instanceof ProtocolError) {
-					return h.response({error: error.message}).code(400);
+					throw error;
 				}
+			},
+		});
+	};
 
-				throw error;
-			}
-
-			const owner = context.config.presets.get(preset.name)?.team;
-			if (owner !== undefined && owner !== team.name) {
-				return h.response({error: `preset ${preset.name} belongs to team ${owner}`}).code(403);
-			}
+	addOperatorRoute('/admin/presets', async (team, request, h) => {
+		const preset = checkPreset((request.payload as {preset?: unknown} | undefined)?.preset);
+		const owner = context.config.presets.get(preset.name)?.team;
+		if (owner !== undefined && owner !== team.name) {
+			return h.response({error: `preset ${preset.name} belongs to team ${owner}`}).code(403);
+		}
 
-			return publish(h, {
-				kind: ConfigRecordKind.Preset, id: randomUUID(), team: team.name, base: baseOf(request), preset,
-			});
-		},
+		return publish(h, {
+			kind: ConfigRecordKind.Preset, id: randomUUID(), team: team.name, base: baseOf(request), preset,
+		});
 	});
-
-	server.route({
-		method: 'POST',
-		path: '/admin/activate',
-		async handler(request, h) {
-			const team = authorize(request, h, TeamRole.Operator);
-			if (isResponse(team)) {
-				return team;
-			}
-
-			const {name} = request.payload as {name: string};
-			return publish(h, {
-				kind: ConfigRecordKind.Activate, id: randomUUID(), team: team.name, base: baseOf(request), name,
-			});
-		},
+	addOperatorRoute('/admin/activate', async (team, request, h) => {
+		const {name} = checkActivation(request.payload);
+		return publish(h, {
+			kind: ConfigRecordKind.Activate, id: randomUUID(), team: team.name, base: baseOf(request), name,
+		});
 	});
-
-	server.route({
-		method: 'POST',
-		path: '/admin/drain',
-		async handler(request, h) {
-			const team = authorize(request, h, TeamRole.Operator);
-			if (isResponse(team)) {
-				return team;
-			}
-
-			const {backendServer, undo} = request.payload as {backendServer: string; undo?: boolean};
-			return publish(h, {
-				kind: undo ? ConfigRecordKind.Undrain : ConfigRecordKind.Drain, id: randomUUID(), team: team.name, base: baseOf(request), backendServer,
-			});
-		},
+	addOperatorRoute('/admin/drain', async (team, request, h) => {
+		const {backendServer, undo} = checkDrain(request.payload);
+		return publish(h, {
+			kind: undo ? ConfigRecordKind.Undrain : ConfigRecordKind.Drain, id: randomUUID(), team: team.name, base: baseOf(request), backendServer,
+		});
 	});
 
 	server.route({
@@ -161,3 +158,6 @@
 	});
 }
 
+function isResponse(value: Team | Hapi.ResponseObject): value is Hapi.ResponseObject {
+	return !('role' in value && 'token' in value);
+}
--- a/src/transport/caller-api.ts
+++ b/src/transport/caller-api.ts
@@ -4,9 +4,10 @@
  * callers here.
  */
 import type Hapi from '@hapi/hapi';
-import {type ClientAccount} from '../protocol/settings.js';
+import {type ClientAccount} from '../protocol/gateway-settings.js';
 import {type Completions} from '../coordination/completions.js';
 import {type Limits} from '../coordination/admission.js';
+import {type Membership} from '../coordination/membership.js';
 import {type ServiceCalls} from '../coordination/service-calls.js';
 import {type ConfigTable} from '../state/config-table.js';
 import {type CallerMetrics} from './caller-metrics.js';
@@ -21,6 +22,7 @@
 	completions: Completions;
 	services: ServiceCalls;
 	limits: Limits;
+	membership: Membership;
 	config: ConfigTable;
 	metrics: CallerMetrics;
 	isReady: () => boolean;
--- a/src/transport/completion-routes.ts
+++ b/src/transport/completion-routes.ts
@@ -15,9 +15,9 @@
 import {ProtocolError} from '../protocol/errors.js';
 import {type Token} from '../coordination/completions.js';
 import {type CompletionJob} from '../coordination/flight.js';
-import {Limits} from '../coordination/admission.js';
 import {NoBackendError, OutcomeUnknownError} from '../coordination/errors.js';
 import {createLogger} from '../log.js';
+import {admitCaller, refuseOverLimit} from './caller-admission.js';
 import {
 	answerFailure, refuse, refuseOverloaded, refuseUnknownKey,
 } from './caller-answers.js';
@@ -72,11 +72,9 @@
 		return refuse(h, {status: 404, message: `The model ${job.model} does not exist.`, code: 'model_not_found'});
 	}
 
-	const admission = context.limits.admit(account, Limits.limitOf(context.config.activePreset, account), Date.now());
+	const admission = admitCaller(context, account, Date.now());
 	if (!admission.admitted) {
-		return refuse(h, {
-			status: 429, message: `Client account ${account} is over its ${admission.refusal} limit.`, code: 'rate_limit_exceeded', retryAfterSeconds: Math.ceil(admission.retryAfterMs / 1000),
-		});
+		return refuseOverLimit(h, context, account, admission);
 	}
 
 	const {metrics} = context;
--- a/src/transport/peer-link.ts
+++ b/src/transport/peer-link.ts
@@ -7,7 +7,7 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import WebSocket, {WebSocketServer} from 'ws';
 import {type PeerMessage, decodePeerMessage, encodePeerMessage} from '../protocol/peer-messages.js';
-import {type Peer} from '../protocol/settings.js';
+import {type Peer} from '../protocol/gateway-settings.js';
 import {createLogger} from '../log.js';
 
 const log = createLogger('peer');
--- a/src/transport/service-routes.ts
+++ b/src/transport/service-routes.ts
@@ -7,6 +7,7 @@
 import {Outcome} from '../protocol/openai.js';
 import {NoBackendError, OutcomeUnknownError} from '../coordination/errors.js';
 import {KeyTakenError, NotRecordedError, type ServiceCall} from '../coordination/service-calls.js';
+import {admitCaller, refuseOverLimit} from './caller-admission.js';
 import {
 	answerFailure, refuse, refuseOverloaded, refuseUnknownKey,
 } from './caller-answers.js';
@@ -30,6 +31,11 @@
 				return refuse(h, {status: 400, message: 'A non-idempotent call needs an idempotency-key header.', code: 'idempotency_key_missing'});
 			}
 
+			const admission = admitCaller(context, account, Date.now());
+			if (!admission.admitted) {
+				return refuseOverLimit(h, context, account, admission);
+			}
+
 			const call: ServiceCall = {
 				account,
 				service: request.params.name as string,
@@ -43,6 +49,8 @@
 				return h.response(answer.body as Record<string, unknown>).code(answer.statusCode);
 			} catch (error) {
 				return answerError(h, call, error);
+			} finally {
+				admission.release();
 			}
 		},
 	});
