--- a/src/transport/http-client.ts
+++ b/src/transport/http-client.ts
@@ -2,7 +2,7 @@
  * Requests to other processes and to the platform through `@hapi/wreck`.
  */
 import {PassThrough} from 'node:stream';
-import {Agent as HttpAgent, type ClientRequest, type IncomingMessage} from 'node:http';
+import type {ClientRequest, IncomingMessage} from 'node:http';
 import Wreck from '@hapi/wreck';
 import {
 	ConnectError, HttpStatusError, TransportError, WithheldError,
@@ -31,13 +31,6 @@
 
 const defaultTimeoutMs = 10_000;
 
-/**
- * Connections kept for reads, which are polled and may be repeated. Everything else gets
- * a connection of its own: on a kept one, a server's close could cross the request and
- * leave its outcome unknown.
- */
-const readAgent = new HttpAgent({keepAlive: true});
-
 /** Codes of connection failures before any byte of the request was sent. */
 const neverSentCodes = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH']);
 
@@ -87,7 +80,6 @@
 		payload: mayStillSend === undefined ? text : new PassThrough(),
 		headers: text === undefined ? headers : {'content-type': 'application/json', ...headers},
 		timeout: timeoutMs,
-		agent: method === 'GET' ? readAgent : undefined,
 	});
 	if (mayStillSend !== undefined) {
 		writeWhenAllowed(pending.req, text ?? '', url, mayStillSend);
