--- /dev/null
+++ b/src/bench/load.ts
@@ -0,0 +1,66 @@
+/**
+ * The load of an experiment, from seeded random numbers: when each request arrives,
+ * whose it is and what it asks. The same seed gives the same load.
+ */
+import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
+import {uniformInt} from 'pure-rand/distribution/uniformInt';
+import {type Experiment} from './experiment.js';
+
+const words = ['contract', 'offtake', 'assay', 'shipment', 'terms', 'driver', 'gate', 'booking', 'lease', 'summary', 'price', 'copper', 'space', 'ticket', 'resident'];
+
+/** One request to send. */
+export type Arrival = {
+	/** When it is due, in milliseconds from the start. */
+	atMs: number;
+	apiKey: string;
+	/** The key of a non-idempotent service call; absent for a completion. */
+	idempotencyKey?: string;
+	prompt: string;
+	maxTokens: number;
+};
+
+/** Yields an experiment's requests in order: Poisson arrivals at its rate. */
+export function * arrivals(experiment: Experiment): Generator<Arrival> {
+	const rng = xoroshiro128plus(experiment.seed);
+	let totalShare = 0;
+	for (const account of experiment.accounts) {
+		totalShare += account.share;
+	}
+
+	const pickApiKey = () => {
+		let point = uniformFloat64(rng) * totalShare;
+		for (const account of experiment.accounts) {
+			point -= account.share;
+			if (point < 0) {
+				return account.apiKey;
+			}
+		}
+
+		return experiment.accounts.at(-1)!.apiKey;
+	};
+
+	const makePrompt = () => {
+		const length = uniformInt(rng, experiment.promptWords.min, experiment.promptWords.max);
+		const shared = Math.min(experiment.sharedPrefixWords ?? 0, length);
+		return Array.from({length}, (_, index) => index < shared ? words[index % words.length] : words[uniformInt(rng, 0, words.length - 1)]).join(' ');
+	};
+
+	let atMs = 0;
+	for (let index = 0; index < experiment.maxRequests; index++) {
+		atMs += (-Math.log(1 - uniformFloat64(rng)) / experiment.ratePerSecond) * 1000;
+		if (atMs > experiment.durationMs) {
+			return;
+		}
+
+		const apiKey = pickApiKey();
+		const isServiceCall = experiment.service !== undefined && uniformFloat64(rng) < (experiment.nonIdempotentShare ?? 0);
+		yield isServiceCall
+			? {
+				atMs, apiKey, idempotencyKey: `bench-${experiment.seed}-${index}`, prompt: '', maxTokens: 0,
+			}
+			: {
+				atMs, apiKey, prompt: makePrompt(), maxTokens: uniformInt(rng, experiment.maxTokens.min, experiment.maxTokens.max),
+			};
+	}
+}
--- a/src/cli/container.ts
+++ b/src/cli/container.ts
@@ -51,6 +51,7 @@
 			cloudUrl: settings.cloud?.url,
 			retentionMs: settings.platformLog.retentionMs,
 			passMs: settings.controller.passMs,
+			silentMs: settings.controller.silentMs,
 		})),
 	});
 	child.register(BackendDirectory, {
--- a/src/coordination/__tests__/controller.test.ts
+++ b/src/coordination/__tests__/controller.test.ts
@@ -39,7 +39,7 @@
 		cloud: {reclaimNoticeMs: 2000, bootMs: 200},
 		vmListLagMs: 300,
 		downloadsPerSecond: 10,
-		controller: {leaseMs, passMs: 100},
+		controller: {leaseMs, passMs: 100, silentMs: 1500},
 		prices: failureDomains.flatMap(failureDomain => [
 			{
 				failureDomain, machineClass: 'small', reclaimable: true, perHour: 1,
@@ -120,6 +120,19 @@
 		expect(after.length).toBeLessThanOrEqual(fleet.max);
 	});
 
+	it('replaces a VM whose engine died without notice', async () => {
+		// The engine processes' order is that of their ports: three of the model, then the slots.
+		const names = ['desk-0', 'desk-1', 'desk-2', ...failureDomains.flatMap(domain => [0, 1].map(spare => `slot-${domain}-${spare}`))];
+		const states = await readEngines();
+		const victim = states.findIndex(state => state.powered && state.model === 'desk');
+		process.kill(pidOf(stack, names[victim]), 'SIGKILL');
+		engineUrls.splice(victim, 1);
+		await waitUntil(async () => {
+			const vms = await liveVms();
+			return vms.every(vm => vm.name !== states[victim].id) && await servingEngines() >= fleet.min;
+		});
+	});
+
 	it('adds replicas when demand rises', async () => {
 		const streams = Array.from({length: 44}, async (_, index) => receiveStream({url: stack.gateways[index % 3].url, prompt: `peak ${index}`, maxTokens: 200}));
 		await waitUntil(async () => await servingEngines() === fleet.max);
--- a/src/coordination/fleet-controller.ts
+++ b/src/coordination/fleet-controller.ts
@@ -34,6 +34,8 @@
 const startBackoff = {firstMs: 1000, longestMs: 60_000};
 /** How long the highest demand seen keeps replicas, in milliseconds. */
 export const demandWindowMs = 60_000;
+/** Share of the VMs beyond which silence is taken for a fault of the holder's own network. */
+const mostSilentShare = 0.5;
 /** How long an order to load a model is given before it is repeated, in milliseconds. */
 const orderRepeatMs = 5000;
 
@@ -47,6 +49,8 @@
 	cloudUrl?: string;
 	retentionMs: number;
 	passMs: number;
+	/** How long an engine may be silent before its VM is stopped and replaced. */
+	silentMs: number;
 };
 
 type Order = {order: EngineOrder; atMs: number};
@@ -63,6 +67,8 @@
 	private readonly cloud: CloudClient | undefined;
 	/** The model each VM was started for, until its engine reports one. */
 	private readonly assigned = new Map<string, string>();
+	/** The last report seen of each live VM, and when it was new, by the monotonic clock. */
+	private readonly lastHeard = new Map<string, {measuredAtMs: number | undefined; atMs: number}>();
 	private starts = 0;
 
 	constructor(private readonly options: ControllerOptions) {
@@ -78,6 +84,7 @@
 				log.info('acting as controller.', {token: this.options.lease.tokenAt(readClocks())});
 				this.assigned.clear();
 				this.lastOrders.clear();
+				this.lastHeard.clear();
 			}
 
 			wasHolding = isHolding;
@@ -120,8 +127,11 @@
 
 	private async keepFleet(cloud: CloudClient, fleet: Record<string, ModelFleet>, signal: AbortSignal): Promise<void> {
 		const [vms, prices] = await Promise.all([cloud.listVms(signal), cloud.prices(signal)]);
-		const staying = vms.filter(vm => vm.state === VmState.Live || vm.state === VmState.Booting);
 		this.forgetGone(vms);
+		const started = vms.filter(vm => vm.state === VmState.Live || vm.state === VmState.Booting);
+		const silent = this.silentVms(started, performance.now());
+		await this.stopSilent(cloud, silent);
+		const staying = started.filter(vm => !silent.has(vm));
 		this.assignUnclaimed(staying, fleet);
 		for (const [model, wanted] of Object.entries(fleet)) {
 			const replicas = staying.filter(vm => this.modelOf(vm) === model);
@@ -136,6 +146,38 @@
 		}
 	}
 
+	/** VMs whose engine has not reported for long; none while that is most of them. */
+	private silentVms(vms: VmEntry[], nowMs: number): Set<VmEntry> {
+		const silent = new Set<VmEntry>();
+		for (const vm of vms.filter(vm => vm.state === VmState.Live)) {
+			const measuredAtMs = this.reportOf(vm)?.measuredAtMs;
+			const last = this.lastHeard.get(vm.name);
+			if (!last || last.measuredAtMs !== measuredAtMs) {
+				this.lastHeard.set(vm.name, {measuredAtMs, atMs: nowMs});
+			} else if (nowMs - last.atMs > this.options.silentMs) {
+				silent.add(vm);
+			}
+		}
+
+		if (silent.size > Math.max(1, vms.length * mostSilentShare)) {
+			log.warn('most engines are silent, taking it for a fault of this gateway\'s network.', {silent: silent.size, vms: vms.length});
+			return new Set();
+		}
+
+		return silent;
+	}
+
+	private async stopSilent(cloud: CloudClient, silent: Set<VmEntry>): Promise<void> {
+		for (const vm of silent) {
+			if (this.mayAct()) {
+				log.warn('engine silent, stopping its VM.', {vm: vm.name, silentMs: this.options.silentMs});
+				// eslint-disable-next-line no-await-in-loop
+				await cloud.stopVm(vm.name);
+				this.counters.stopped++;
+			}
+		}
+	}
+
 	private need(model: string, wanted: ModelFleet, serving: VmEntry[], nowMs: number): {replicas: number; surviving: number} {
 		let inFlight = 0;
 		for (const vm of serving) {
@@ -238,10 +280,15 @@
 		const fenced = {...order, fencingToken};
 		this.lastOrders.set(vm.name, {order: fenced, atMs: Date.now()});
 		this.counters.orders++;
-		const status = await sendOrder(vm.url, fenced, () => this.options.lease.tokenAt(readClocks()) === fencingToken);
-		log.info('order given.', {
-			vm: vm.name, kind: order.kind, model: order.model, token: fencingToken, status,
-		});
+		try {
+			const status = await sendOrder(vm.url, fenced, () => this.options.lease.tokenAt(readClocks()) === fencingToken);
+			log.info('order given.', {
+				vm: vm.name, kind: order.kind, model: order.model, token: fencingToken, status,
+			});
+		} catch (error) {
+			// One engine out of reach must not keep the others from their orders.
+			log.warn('order unanswered.', {vm: vm.name, kind: order.kind, error: String(error)});
+		}
 	}
 
 	private reportOf(vm: VmEntry): EngineLoad | undefined {
@@ -272,7 +319,7 @@
 
 	private forgetGone(vms: VmEntry[]): void {
 		const names = new Set(vms.map(vm => vm.name));
-		for (const map of [this.assigned, this.lastOrders]) {
+		for (const map of [this.assigned, this.lastOrders, this.lastHeard]) {
 			for (const name of map.keys()) {
 				if (!names.has(name)) {
 					map.delete(name);
--- a/src/protocol/gateway-settings.ts
+++ b/src/protocol/gateway-settings.ts
@@ -55,6 +55,8 @@
 	leaseMs: number;
 	/** Interval between passes over the fleet. */
 	passMs: number;
+	/** How long an engine may be silent before its VM is stopped and replaced. */
+	silentMs: number;
 };
 
 /** Settings of `sesametally gateway`. */
@@ -135,6 +137,7 @@
 			properties: {
 				leaseMs: {type: 'integer', minimum: 500, default: 6000},
 				passMs: {type: 'integer', minimum: 10, default: 500},
+				silentMs: {type: 'integer', minimum: 100, default: 30_000},
 			},
 			additionalProperties: false,
 		},
--- a/src/standins/cloud.ts
+++ b/src/standins/cloud.ts
@@ -37,6 +37,8 @@
 	readonly notices: ReclaimNotice[] = [];
 	readonly vms = new Map<string, VmEntry>();
 	private started = 0;
+	/** Slots whose process is gone. */
+	private readonly brokenSlots = new Set<string>();
 	private readonly byRequest = new Map<string, string>();
 
 	constructor(
@@ -67,7 +69,7 @@
 		}
 
 		const taken = new Set(this.list().map(vm => vm.url));
-		const slot = this.settings.slots.find(candidate => candidate.failureDomain === order.failureDomain && !taken.has(candidate.url));
+		const slot = this.settings.slots.find(candidate => candidate.failureDomain === order.failureDomain && !taken.has(candidate.url) && !this.brokenSlots.has(candidate.url));
 		if (!slot) {
 			return undefined;
 		}
@@ -114,9 +116,14 @@
 
 	private async boot(vm: VmEntry): Promise<void> {
 		await delay(this.settings.bootMs, undefined, {signal: this.signal}).catch(() => undefined);
-		if (vm.state === VmState.Booting) {
-			await this.power(vm, true);
-			vm.state = VmState.Live;
+		if (vm.state !== VmState.Booting) {
+			return;
+		}
+
+		const isUp = await this.power(vm, true);
+		vm.state = isUp ? VmState.Live : VmState.Gone;
+		if (!isUp) {
+			this.brokenSlots.add(vm.url);
 		}
 	}
 
@@ -127,13 +134,16 @@
 		}
 	}
 
-	private async power(vm: VmEntry, isOn: boolean): Promise<void> {
+	/** Switches a slot's power; false when its process does not answer. */
+	private async power(vm: VmEntry, isOn: boolean): Promise<boolean> {
 		try {
 			await requestJson({
 				method: 'POST', url: `${vm.url}/admin/power`, payload: {on: isOn, id: vm.name}, timeoutMs: 2000,
 			});
+			return true;
 		} catch (error) {
 			log.warn('slot did not answer.', {vm: vm.name, error: String(error)});
+			return false;
 		}
 	}
 }
