--- a/src/cli/container.ts
+++ b/src/cli/container.ts
@@ -32,7 +32,7 @@
 	child.register(PlatformLog, {useFactory: instanceCachingFactory(() => new PlatformLog(settings.platformLog.url, settings.id))});
 	child.register(Limits, {useFactory: instanceCachingFactory(() => new Limits())});
 	child.register(Membership, {useFactory: instanceCachingFactory(() => new Membership(settings.heartbeatMs))});
-	child.register(JournalTable, {useFactory: instanceCachingFactory(() => new JournalTable())});
+	child.register(JournalTable, {useFactory: instanceCachingFactory(() => new JournalTable(settings.id))});
 	child.register(Journal, {
 		useFactory: instanceCachingFactory(resolver => new Journal(resolver.resolve(PlatformLog), resolver.resolve(JournalTable), settings.id, settings.journalFlushMs)),
 	});
--- a/src/coordination/journal.ts
+++ b/src/coordination/journal.ts
@@ -42,7 +42,7 @@
 export type ClaimRequest = {account: string; key: string; service: string};
 
 /** What became of a claim, and the intent it wrote. */
-export type ClaimAnswer = {claim: Claim; intentId: string};
+export type ClaimAnswer = {claim: Claim; intent: Intent};
 
 type Pending = {record: JournalRecord; settle: (result: {firstOffset: number; index: number} | Error) => void};
 
@@ -80,17 +80,19 @@
 		const claim = await this.decide(intent, signal);
 		if (claim === Claim.Abandoned) {
 			// The intent may still land: its release frees the key whichever comes first.
-			void this.release(intent.id);
+			void this.release(intent);
 		}
 
-		return {claim, intentId: intent.id};
+		return {claim, intent};
 	}
 
 	/** Withdraws an intent whose call was never sent. If the log refuses, the key stays taken. */
-	async release(intentId: string): Promise<void> {
-		const appended = await this.enqueue({kind: JournalRecordKind.Release, id: intentId});
+	async release({id, account, key}: Intent): Promise<void> {
+		const appended = await this.enqueue({
+			kind: JournalRecordKind.Release, id, account, key,
+		});
 		if (appended instanceof Error) {
-			log.warn('intent not released, its key stays taken.', {intent: intentId, error: String(appended)});
+			log.warn('intent not released, its key stays taken.', {intent: id, error: String(appended)});
 		}
 	}
 
@@ -114,7 +116,7 @@
 		while (!signal.aborted && Date.now() < deadline) {
 			offset ??= this.table.offsetOf(intent.id);
 			if (offset !== undefined && this.table.appliedOffset >= offset) {
-				return this.table.firstFor(account, key)?.intent.id === intent.id ? Claim.Won : Claim.Taken;
+				return this.table.firstFor(account, key)?.id === intent.id ? Claim.Won : Claim.Taken;
 			}
 
 			// eslint-disable-next-line no-await-in-loop
--- a/src/coordination/service-calls.ts
+++ b/src/coordination/service-calls.ts
@@ -60,7 +60,7 @@
 			return this.dispatch(call);
 		}
 
-		const {claim, intentId} = await this.journal.claim({account: call.account, key: call.idempotencyKey, service: call.service}, signal);
+		const {claim, intent} = await this.journal.claim({account: call.account, key: call.idempotencyKey, service: call.service}, signal);
 		if (claim === Claim.Taken) {
 			throw new KeyTakenError(`idempotency key ${call.idempotencyKey} was already submitted`);
 		}
@@ -73,7 +73,7 @@
 			return await this.dispatch(call);
 		} catch (error) {
 			if (error instanceof NoBackendError) {
-				await this.journal.release(intentId);
+				await this.journal.release(intent);
 			}
 
 			throw error;
--- a/src/protocol/journal-records.ts
+++ b/src/protocol/journal-records.ts
@@ -32,6 +32,8 @@
 	kind: JournalRecordKind.Release;
 	/** The id of the intent. */
 	id: string;
+	account: string;
+	key: string;
 };
 
 /** A record on the journal stream. */
--- a/src/state/__tests__/journal-table.test.ts
+++ b/src/state/__tests__/journal-table.test.ts
@@ -6,7 +6,9 @@
 const intent = (id: string, key = 'k'): JournalRecord => ({
 	kind: JournalRecordKind.Intent, id, account: 'a', key, service: 's', gateway: 'g',
 });
-const release = (id: string): JournalRecord => ({kind: JournalRecordKind.Release, id});
+const release = (id: string): JournalRecord => ({
+	kind: JournalRecordKind.Release, id, account: 'a', key: 'k',
+});
 
 describe('the first intent of a key', () => {
 	it.each([
@@ -18,11 +20,11 @@
 		{name: 'is kept until its time is over', records: [[0, intent('one')], [keptMs, intent('other', 'k2')]], first: 'one'},
 		{name: 'is forgotten after its time, by the log\'s clock', records: [[0, intent('one')], [keptMs + 1, intent('other', 'k2')]], first: undefined},
 	] as Array<{name: string; records: Array<[number, JournalRecord]>; first: string | undefined}>)('$name', ({records, first}) => {
-		const table = new JournalTable(keptMs);
+		const table = new JournalTable('g', keptMs);
 		for (const [offset, [appendedAtMs, value]] of records.entries()) {
 			table.apply({offset, appendedAtMs, value});
 		}
 
-		expect(table.firstFor('a', 'k')?.intent.id).toBe(first);
+		expect(table.firstFor('a', 'k')?.id).toBe(first);
 	});
 });
