Give the lease up only after every order was answered

Cause: reading the shutdown path: the holder released the lease as soon as SIGTERM came, while an order it had written could still be under way, so a successor could order first. An export left over from a run that failed could be taken for the next run's.

Ruled out: waiting for the lease to lapse on a planned stop (1.25 to 1.75 leases without a controller).

No test provokes these three orders of events; they were found by reading. Conclusion: mended by construction, not proved by a test.

--- a/src/cli/commands/gateway.ts
+++ b/src/cli/commands/gateway.ts
@@ -100,14 +100,15 @@
 		inFlight: completions.inFlight,
 		sentAtMs: Date.now(),
 	});
+	const {cloud, vmList} = settings;
 	loads.run(stopTasks);
 	const running = Promise.all([
 		followConfig(platformLog, config, stopTasks),
 		journal.follow(stopTasks),
 		lease.run(stopTasks),
 		controller.run(stopTasks),
-		...(settings.cloud ? [followNotices({url: settings.cloud.url, pollMs: settings.cloud.noticePollMs}, directory, stopTasks)] : []),
-		...(settings.vmList ? [followVmList(settings.vmList, directory, stopTasks)] : []),
+		cloud && followNotices({url: cloud.url, pollMs: cloud.noticePollMs}, directory, stopTasks),
+		vmList && followVmList(vmList, directory, stopTasks),
 		...settings.peers.map(async peer => linkPeer({
 			peer, intervalMs: settings.heartbeatMs, next: heartbeat, traffic,
 		}, stopTasks)),
@@ -121,6 +122,7 @@
 	await callers.stop({timeout: settings.drainMs});
 	tasks.abort();
 	await running;
+	await lease.giveUp();
 	await admin.stop({timeout: 1000});
 	log.info('stopped.');
 }
--- a/src/cli/container.ts
+++ b/src/cli/container.ts
@@ -19,7 +19,7 @@
 import {Limits} from '../coordination/admission.js';
 import {Membership} from '../coordination/membership.js';
 import {Journal} from '../coordination/journal.js';
-import {JournalTable} from '../state/journal-table.js';
+import {JournalTable, defaultJournalKeptMs} from '../state/journal-table.js';
 
 /** The token of the gateway's settings. */
 export const gatewaySettingsToken = Symbol('GatewaySettings');
@@ -32,7 +32,7 @@
 	child.register(PlatformLog, {useFactory: instanceCachingFactory(() => new PlatformLog(settings.platformLog.url, settings.id))});
 	child.register(Limits, {useFactory: instanceCachingFactory(() => new Limits())});
 	child.register(Membership, {useFactory: instanceCachingFactory(() => new Membership(settings.heartbeatMs))});
-	child.register(JournalTable, {useFactory: instanceCachingFactory(() => new JournalTable(settings.id))});
+	child.register(JournalTable, {useFactory: instanceCachingFactory(() => new JournalTable(settings.id, Math.min(defaultJournalKeptMs, settings.platformLog.retentionMs)))});
 	child.register(Journal, {
 		useFactory: instanceCachingFactory(resolver => new Journal(resolver.resolve(PlatformLog), resolver.resolve(JournalTable), settings.id, settings.journalFlushMs)),
 	});
--- a/src/coordination/flight.ts
+++ b/src/coordination/flight.ts
@@ -73,6 +73,7 @@
 		this.engine = engine;
 		this.runs++;
 		this.run = new AbortController();
+		this.exporting = undefined;
 		this.firstTokenMs = undefined;
 		this.tokensThisRun = 0;
 		return AbortSignal.any([this.signal, this.run.signal]);
--- a/src/coordination/lease.ts
+++ b/src/coordination/lease.ts
@@ -73,7 +73,7 @@
 		return heldMs < leaseMs * (1 - guardShare) ? this.token : undefined;
 	}
 
-	/** Follows the lease stream and seeks or keeps the lease until the signal aborts; then gives it up. */
+	/** Follows the lease stream and seeks or keeps the lease until the signal aborts. */
 	async run(signal: AbortSignal): Promise<void> {
 		const {platformLog, table, leaseMs} = this.options;
 		const following = followStream<LeaseRecord>({
@@ -100,10 +100,26 @@
 			await delay(leaseMs / renewalsPerLease / 2, undefined, {signal}).catch(() => undefined);
 		}
 
-		await this.giveUp();
 		await following;
 	}
 
+	/**
+	 * Gives the lease up, if this gateway holds it, so that another may claim it at once.
+	 * Only to be called once every order given under it was answered.
+	 */
+	async giveUp(): Promise<void> {
+		const token = this.tokenAt(readClocks());
+		if (token === undefined) {
+			return;
+		}
+
+		const {table, holder} = this.options;
+		this.heldSince = undefined;
+		await this.append({
+			kind: LeaseRecordKind.Release, id: randomUUID(), holder, base: table.last, token,
+		}, readClocks());
+	}
+
 	/** Applies a record read at `now`. */
 	apply(offset: number, record: LeaseRecord, now: Instant): void {
 		const {table} = this.options;
@@ -179,17 +195,4 @@
 			log.warn('append failed.', {kind: record.kind, error: String(error)});
 		}
 	}
-
-	private async giveUp(): Promise<void> {
-		const token = this.tokenAt(readClocks());
-		if (token === undefined) {
-			return;
-		}
-
-		const {table, holder} = this.options;
-		this.heldSince = undefined;
-		await this.append({
-			kind: LeaseRecordKind.Release, id: randomUUID(), holder, base: table.last, token,
-		}, readClocks());
-	}
 }
