--- a/scripts/capacity.mjs
+++ b/scripts/capacity.mjs
@@ -10,10 +10,10 @@
 import {reclaim, stops} from './experiments/failures.mjs';
 import {gateway, overhead, tracked} from './experiments/gateway.mjs';
 import {log} from './experiments/log.mjs';
-import {config, peers} from './experiments/peers.mjs';
+import {config, peers, records} from './experiments/peers.mjs';
 
 const experiments = {
-	overhead, gateway, peers, config, tracked, log, controller, reclaim, stops,
+	overhead, gateway, peers, config, records, tracked, log, controller, reclaim, stops,
 };
 const which = process.argv[2] ?? 'all';
 const outIndex = process.argv.indexOf('--out');
--- a/scripts/experiments/failures.mjs
+++ b/scripts/experiments/failures.mjs
@@ -1,6 +1,7 @@
 // Reclaim waves and planned stops under load: what callers see, and what is recomputed.
+import {waitUntil} from '../stack.mjs';
 import {
-	bench, getJson, loadExperiment, mean, postJson, state, waitFor, withStack,
+	bench, getJson, loadExperiment, mean, postJson, state, withStack,
 } from './harness.mjs';
 
 const reclaimNoticeMs = 3000;
@@ -100,7 +101,7 @@
 				{atMs: 4000, action: 'terminate', pid: childOf('desk-2').pid},
 			],
 		}), dir, `stops-${notReadyMs}`);
-		await waitFor(async () => childOf('gateway-1').exitCode !== null);
+		await waitUntil(async () => childOf('gateway-1').exitCode !== null);
 		return {
 			notReadyMs,
 			sent: report.sent,
--- a/scripts/experiments/harness.mjs
+++ b/scripts/experiments/harness.mjs
@@ -8,7 +8,7 @@
 import path from 'node:path';
 import {setTimeout as delay} from 'node:timers/promises';
 import Wreck from '@hapi/wreck';
-import {startStack, writeStackSettings} from '../stack.mjs';
+import {startStack, waitUntil, writeStackSettings} from '../stack.mjs';
 
 const binary = path.resolve('dist/sesametally.cjs');
 export const gatewayCounts = process.env.CAPACITY_COUNTS?.split(',').map(Number) ?? [3, 9, 27, 81];
@@ -48,25 +48,6 @@
 	return {status: response.status, body: await response.json()};
 }
 
-export async function waitFor(condition, timeoutMs = 30_000) {
-	const deadline = Date.now() + timeoutMs;
-	while (Date.now() < deadline) {
-		try {
-			// eslint-disable-next-line no-await-in-loop
-			if (await condition()) {
-				return;
-			}
-		} catch {
-			// Not up yet.
-		}
-
-		// eslint-disable-next-line no-await-in-loop
-		await delay(50);
-	}
-
-	throw new Error('timed out');
-}
-
 export async function withStack(options, body) {
 	const dir = mkdtempSync(path.join(tmpdir(), 'sesametally-capacity-'));
 	const stack = writeStackSettings(topology(options.basePort, options.topology), dir);
@@ -76,7 +57,7 @@
 		for (const gateway of stack.gateways) {
 			try {
 				// eslint-disable-next-line no-await-in-loop
-				await waitFor(async () => {
+				await waitUntil(async () => {
 					const response = await fetch(`${gateway.adminUrl}/debug/state`, {signal: AbortSignal.timeout(2000)});
 					return response.ok;
 				});
--- a/scripts/experiments/peers.mjs
+++ b/scripts/experiments/peers.mjs
@@ -72,3 +72,43 @@
 	return {results};
 }
 
+const recordCount = 400;
+
+/** CPU and memory of a gateway per config record applied: a burst of presets against an idle time as long. */
+export async function records() {
+	return withStack({basePort: 19_000, settleMs: 3000, topology: {gateways: 3, models: []}}, async ({stack}) => {
+		const [publisher, ...others] = stack.gateways;
+		const readAll = async () => Promise.all(others.map(async gateway => state(gateway.adminUrl)));
+		const cpuMs = (from, to) => mean(to.map((entry, index) => (entry.process.cpuUs - from[index].process.cpuUs) / 1000));
+		const rounds = [];
+		for (let round = 0; round < 3; round++) {
+			// eslint-disable-next-line no-await-in-loop
+			const before = await readAll();
+			const startedMs = performance.now();
+			for (let index = 0; index < recordCount; index++) {
+				const preset = {name: `burst-${round}-${index}`, limits: {default: {requestsPerSecond: 10, burst: 10, maxConcurrent: 10}}};
+				// eslint-disable-next-line no-await-in-loop
+				await postJson(`${publisher.adminUrl}/admin/presets`, {preset}, operatorToken);
+			}
+
+			const elapsedMs = performance.now() - startedMs;
+			// eslint-disable-next-line no-await-in-loop
+			const after = await readAll();
+			// eslint-disable-next-line no-await-in-loop
+			await delay(elapsedMs);
+			// eslint-disable-next-line no-await-in-loop
+			const idle = await readAll();
+			const heapGrown = mean(after.map((entry, index) => entry.process.heapUsedBytes - before[index].process.heapUsedBytes));
+			rounds.push({
+				records: recordCount,
+				elapsedMs,
+				busyCpuMs: cpuMs(before, after),
+				idleCpuMs: cpuMs(after, idle),
+				cpuMsPerRecord: (cpuMs(before, after) - cpuMs(after, idle)) / recordCount,
+				heapBytesPerRecord: heapGrown / recordCount,
+			});
+		}
+
+		return {rounds};
+	});
+}
--- a/scripts/stack.d.mts
+++ b/scripts/stack.d.mts
@@ -16,3 +16,5 @@
 	children: Array<{name: string; child: ChildProcess; exited: Promise<number | undefined>}>;
 	stop(): Promise<void>;
 };
+
+export function waitUntil(condition: () => Promise<boolean>, timeoutMs?: number): Promise<void>;
--- a/scripts/stack.mjs
+++ b/scripts/stack.mjs
@@ -4,6 +4,7 @@
 import {spawn} from 'node:child_process';
 import {mkdirSync, writeFileSync} from 'node:fs';
 import path from 'node:path';
+import {setTimeout as delay} from 'node:timers/promises';
 
 /** Loopback only. */
 export const host = '127.0.0.1';
@@ -153,3 +154,29 @@
 		},
 	};
 }
+
+/**
+ * Polls a condition until it holds; one that throws does not hold yet.
+ * @param {() => Promise<boolean>} condition
+ * @param {number} timeoutMs
+ * @throws {Error} When it does not hold within `timeoutMs`.
+ */
+export async function waitUntil(condition, timeoutMs = 15_000) {
+	const deadline = Date.now() + timeoutMs;
+	let lastError;
+	while (Date.now() < deadline) {
+		try {
+			// eslint-disable-next-line no-await-in-loop
+			if (await condition()) {
+				return;
+			}
+		} catch (error) {
+			lastError = error;
+		}
+
+		// eslint-disable-next-line no-await-in-loop
+		await delay(50);
+	}
+
+	throw new Error(`condition not met within ${timeoutMs} ms`, {cause: lastError});
+}
--- a/src/testing/stack.ts
+++ b/src/testing/stack.ts
@@ -5,8 +5,7 @@
 import {mkdtempSync} from 'node:fs';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
-import {setTimeout as delay} from 'node:timers/promises';
-import {startStack, writeStackSettings} from '../../scripts/stack.mjs';
+import {startStack, waitUntil, writeStackSettings} from '../../scripts/stack.mjs';
 import {requestJson, requestStream} from '../transport/http-client.js';
 import {readEvents} from '../transport/sse.js';
 
@@ -48,6 +47,8 @@
 	return {...stack, running, dir};
 }
 
+export {waitUntil} from '../../scripts/stack.mjs';
+
 /** A running test stack. */
 export type TestStack = Awaited<ReturnType<typeof startTestStack>>;
 
@@ -128,27 +129,3 @@
 export function pidOf(stack: TestStack, name: string): number {
 	return stack.running.children.find(child => child.name === name)!.child.pid!;
 }
-
-/**
- * Polls a condition until it holds.
- *
- * @throws {Error} When it does not hold within `timeoutMs`.
- */
-export async function waitUntil(condition: () => Promise<boolean>, timeoutMs = 15_000): Promise<void> {
-	const deadline = Date.now() + timeoutMs;
-	while (Date.now() < deadline) {
-		try {
-			// eslint-disable-next-line no-await-in-loop
-			if (await condition()) {
-				return;
-			}
-		} catch {
-			// Not up yet.
-		}
-
-		// eslint-disable-next-line no-await-in-loop
-		await delay(50);
-	}
-
-	throw new Error(`condition not met within ${timeoutMs} ms`);
-}
