Wait for every process of a test stack before its tests start

The stack waited for the gateways only; on a busy machine an engine was still starting.

Change: the stack waits until each process answers on its port, and until each gateway is ready and has a load report of every engine it knows. An unused constant is gone.

--- a/src/coordination/journal.ts
+++ b/src/coordination/journal.ts
@@ -20,8 +20,6 @@
 
 const log = createLogger('journal');
 
-/** Default time intents wait to share one append, in milliseconds. */
-export const defaultFlushMs = 5;
 /** How long a claim waits to read its own intent back, in milliseconds. */
 export const readBackMs = 5000;
 const readBackPollMs = 5;
--- a/src/testing/stack.ts
+++ b/src/testing/stack.ts
@@ -2,7 +2,7 @@
  * Test helpers that start a small local stack of real processes on loopback and
  * wait until it serves. Each test file takes its own port range.
  */
-import {mkdtempSync} from 'node:fs';
+import {mkdtempSync, readFileSync} from 'node:fs';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
 import {startStack, waitUntil, writeStackSettings} from '../../scripts/stack.mjs';
@@ -31,19 +31,27 @@
 	};
 }
 
-/** Starts a topology's processes and waits until every gateway answers. */
+/** Whether the process with these settings answers on its port. */
+async function isListening(settingsFile: string): Promise<boolean> {
+	const {listen} = JSON.parse(readFileSync(settingsFile, 'utf8')) as {listen: {host: string; port: number}};
+	const answer = await requestJson({method: 'GET', url: `http://${listen.host}:${listen.port}/debug/state`, timeoutMs: 500});
+	return answer.statusCode > 0;
+}
+
+/** Whether a gateway is ready and has heard from every engine it knows. */
+async function isServing({url, adminUrl}: {url: string; adminUrl: string}): Promise<boolean> {
+	const ready = await requestJson({method: 'GET', url: `${url}/ready`, timeoutMs: 500});
+	const {loads} = await readState<{loads: Record<string, {healthy: boolean; report?: unknown}>}>(adminUrl);
+	return ready.statusCode === 200 && Object.values(loads).every(view => view.healthy && view.report !== undefined);
+}
+
+/** Starts a topology's processes and waits until each answers and every gateway serves. */
 export async function startTestStack(topology: Record<string, unknown>) {
 	const dir = mkdtempSync(path.join(tmpdir(), 'sesametally-'));
 	const stack = writeStackSettings(topology, dir);
 	const running = startStack(stack.processes, {quiet: true});
-	for (const gateway of stack.gateways) {
-		// eslint-disable-next-line no-await-in-loop
-		await waitUntil(async () => {
-			const answer = await requestJson({method: 'GET', url: `${gateway.url}/ready`, timeoutMs: 500});
-			return answer.statusCode === 200;
-		});
-	}
-
+	await Promise.all(stack.processes.map(async ({args}) => waitUntil(async () => isListening(args.at(-1)!))));
+	await Promise.all(stack.gateways.map(async gateway => waitUntil(async () => isServing(gateway))));
 	return {...stack, running, dir};
 }
 
