Serve the users' platform through an adapter: the whole path, thin

Cause: the product spoke only its own interface and its stand-ins; the users' platform keeps configuration, backend servers and duties in its own store and API.

A new daemon (sesametally front) forwards opaque requests, follows the store by long polls, finds peers through it and speaks to them by datagrams, holds the singleton duties by conditional appends, and orders the pool of replicas. platform/ holds names, formats and calls. Ruled out: one process for each duty (a second process on each VM costs memory and gains nothing), sharing limits through the store (400 writes a second for all).

--- /dev/null
+++ b/src/cli/commands/front.ts
@@ -0,0 +1,68 @@
+/**
+ * `sesametally front`: the serving daemon on each entry VM of a platform. It forwards
+ * callers' requests to backend servers, follows the platform's store, speaks with its
+ * peers, and performs the singleton duties while it holds their lease.
+ */
+import {performance} from 'node:perf_hooks';
+import process from 'node:process';
+import {setTimeout as delay} from 'node:timers/promises';
+import {randomBytes} from 'node:crypto';
+import {type Platform} from '../../protocol/platform.js';
+import {createRegistry, addObservationRoutes, createServer, startServer} from '../../transport/http-server.js';
+import {createLogger} from '../../log.js';
+import {waitForAbort} from '../../abort.js';
+import {FrontDaemon} from '../front-daemon.js';
+
+const log = createLogger('front');
+
+/** Time for the balancer's checks to see that the daemon stops, in milliseconds: two misses a second apart, and a margin. */
+const leaveBalancerMs = 2600;
+/** Time kept at the end of the grace period for closing what is left, in milliseconds. */
+const closeMarginMs = 500;
+/** How often the open requests are looked at while stopping, in milliseconds. */
+const stopCheckMs = 50;
+
+/** Runs a serving daemon until the signal aborts, then stops it within the platform's grace period. */
+export async function runFront(platform: Platform, signal: AbortSignal): Promise<void> {
+	const {settings} = platform;
+	const tasks = new AbortController();
+	const registry = createRegistry();
+	const daemon = new FrontDaemon(platform, registry, `${settings.name}#${randomBytes(4).toString('hex')}`, tasks.signal);
+	const metrics = createServer({host: settings.host, port: settings.metricsPort});
+	addObservationRoutes(metrics, registry, () => daemon.dump());
+	const readiness = createServer(settings.readiness);
+	readiness.route({
+		method: 'GET',
+		path: platform.dialect.readinessPath,
+		handler: (_request, h) => h.response({ready: daemon.isReady}).code(daemon.isReady ? 200 : 503),
+	});
+
+	await startServer(readiness);
+	await startServer(metrics);
+	await daemon.start();
+	log.info('started.', {
+		name: settings.name, failureDomain: settings.failureDomain, callers: settings.callers.port, readiness: settings.readiness.port, peers: settings.peerPort, metrics: settings.metricsPort,
+	});
+
+	const reload = () => {
+		daemon.reload();
+	};
+
+	process.on('SIGHUP', reload);
+	await waitForAbort(signal);
+	const stopBy = performance.now() + settings.bounds.graceMs - closeMarginMs;
+	log.info('stopping.', {open: daemon.openRequests, graceMs: settings.bounds.graceMs});
+	daemon.beginStop();
+	await delay(leaveBalancerMs);
+	daemon.closeCallers();
+	while (daemon.openRequests > 0 && performance.now() < stopBy) {
+		// eslint-disable-next-line no-await-in-loop
+		await delay(stopCheckMs);
+	}
+
+	const {openRequests} = daemon;
+	daemon.destroyCallers();
+	tasks.abort();
+	await Promise.all([readiness.stop({timeout: 0}), metrics.stop({timeout: 0})]);
+	log.info('stopped.', {cutOff: openRequests});
+}
--- a/src/cli/index.ts
+++ b/src/cli/index.ts
@@ -8,9 +8,11 @@
 import {
 	command, number, oneOf, option, optional, positional, run, string, subcommands,
 } from 'cmd-ts';
-import {enableLogs} from '../log.js';
+import {enableLogs, logToStandardOutput} from '../log.js';
 import {SesametallyError} from '../errors.js';
+import {createPlatform} from '../../platform/index.js';
 import {runGateway} from './commands/gateway.js';
+import {runFront} from './commands/front.js';
 import {StandinPart, runStandin} from './commands/standin.js';
 import {AdminAction, runAdmin} from './commands/admin.js';
 import {runBench} from './commands/bench.js';
@@ -50,6 +52,16 @@
 	handler: async ({config: file}) => runRole(async () => runGateway(file, stopSignal())),
 });
 
+const front = command({
+	name: 'front',
+	description: 'Run a serving daemon on the users\' platform, with the settings file that the platform wrote.',
+	args: {},
+	async handler() {
+		logToStandardOutput(process.env);
+		await runRole(async () => runFront(createPlatform(), stopSignal()));
+	},
+});
+
 const standins = subcommands({
 	name: 'standin',
 	description: 'Run a stand-in of the platform.',
@@ -116,7 +128,7 @@
 	name: 'sesametally',
 	description: 'Serving system for language-model fleets on reclaimable VMs.',
 	cmds: {
-		gateway, standin: standins, admin, bench,
+		gateway, front, standin: standins, admin, bench,
 	},
 });
 
--- /dev/null
+++ b/src/coordination/serving/call-forwarding.ts
@@ -0,0 +1,110 @@
+/**
+ * Forwards requests that have one answer. The answer is read whole before any of it goes
+ * to the client, so that one that breaks off can be replaced while that is allowed.
+ */
+import {RequestKind} from '../../protocol/serving.js';
+import {TransportError} from '../../transport/errors.js';
+import {RepeatPurpose} from '../retry-allowance.js';
+import {type BegunAnswer, type Dispatcher, DispatchKind, type FailedDispatch} from './dispatcher.js';
+import {type ServedRequest} from './served-request.js';
+
+/** Longest answer that is held, in bytes. */
+const mostAnswerBytes = 8 * 1024 * 1024;
+/** A first try of an idempotent request gets this many times its latency target before another backend server is asked. */
+const tryTargets = 2.5;
+/** ... and at most this share of the time left. */
+const tryShare = 0.45;
+/** Shortest time worth sending a request for, in milliseconds. */
+const leastUsefulMs = 10;
+
+/** The answer of a backend server, read whole. */
+export type WholeAnswer = {status: number; statusText: string; rawHeaders: string[]; body: Uint8Array; backendId: string};
+
+/** How a call ended. */
+export type CallResult =
+	| {kind: 'answer'; answer: WholeAnswer}
+	/** It has not run and never will. */
+	| {kind: 'not-run'; reason: string}
+	/** It may have run. */
+	| {kind: 'unknown'; reason: string};
+
+/** Forwards one call. */
+export async function forwardCall(dispatcher: Dispatcher, served: ServedRequest, onBegun: () => void, now: () => number): Promise<CallResult> {
+	const {route} = served.inputs;
+	let failure: WholeAnswer | undefined;
+	let reason = 'no time left';
+	while (served.remainingMs(now()) > leastUsefulMs && !served.inputs.signal.aborted) {
+		const remainingMs = served.remainingMs(now());
+		const canRepeat = route.kind === RequestKind.Idempotent && served.runs + 1 < route.attempts;
+		const beginMs = canRepeat ? Math.min(remainingMs * tryShare, route.latencyTargetMs * tryTargets) : remainingMs;
+		// eslint-disable-next-line no-await-in-loop -- one backend server after the other.
+		const dispatched = await dispatcher.send(served, {purpose: RepeatPurpose.Retry, beginMs});
+		if (dispatched.kind === DispatchKind.Answer || dispatched.kind === DispatchKind.Unknown) {
+			onBegun();
+		}
+
+		if (dispatched.kind === DispatchKind.Answer) {
+			// eslint-disable-next-line no-await-in-loop
+			const answer = await readWhole(dispatched, served.remainingMs(now()), served);
+			if (answer && (answer.status < 500 || !canRepeat)) {
+				return {kind: 'answer', answer};
+			}
+
+			failure = answer ?? failure;
+			reason = answer ? `failed with ${answer.status}` : 'broken';
+		} else {
+			({reason} = dispatched);
+		}
+
+		if (!mayGoOn(served, dispatched)) {
+			break;
+		}
+	}
+
+	if (failure) {
+		return {kind: 'answer', answer: failure};
+	}
+
+	return served.mayHaveRun ? {kind: 'unknown', reason} : {kind: 'not-run', reason};
+}
+
+/** Whether another backend server may be asked. */
+function mayGoOn(served: ServedRequest, dispatched: BegunAnswer | FailedDispatch): boolean {
+	const {route} = served.inputs;
+	if (dispatched.kind === DispatchKind.NoBackend || dispatched.kind === DispatchKind.NoAllowance) {
+		return false;
+	}
+
+	if (served.mayHaveRun && !served.isRepeatable) {
+		return false;
+	}
+
+	// A refusal is no run, but each arrival loads a backend server: one more than the runs allowed.
+	return served.runs < route.attempts && served.arrivals <= route.attempts;
+}
+
+async function readWhole(begun: BegunAnswer, remainingMs: number, served: ServedRequest): Promise<WholeAnswer | undefined> {
+	const {answer, running, abort, backend} = begun;
+	const timer = setTimeout(() => {
+		abort.abort();
+	}, Math.max(0, remainingMs));
+	const attempt = served.attempts.at(-1)!;
+	try {
+		const body = await answer.read(mostAnswerBytes);
+		attempt.result = String(answer.status);
+		return {
+			status: answer.status, statusText: answer.response.statusMessage ?? '', rawHeaders: answer.response.rawHeaders, body, backendId: backend.id,
+		};
+	} catch (error) {
+		if (!(error instanceof TransportError)) {
+			throw error;
+		}
+
+		attempt.result = 'broken';
+		served.excluded.add(backend.id);
+		return undefined;
+	} finally {
+		clearTimeout(timer);
+		running.end();
+	}
+}
--- /dev/null
+++ b/src/coordination/serving/dispatcher.ts
@@ -0,0 +1,215 @@
+/**
+ * Sends one request to one backend server: chooses it, opens the exchange, checks that the
+ * answer belongs to the request, and says what is known of whether it ran.
+ */
+import {type Dialect} from '../../protocol/platform.js';
+import {type AnswerMarks, type Backend} from '../../protocol/serving.js';
+import {type BackendTable} from '../../state/backend-table.js';
+import {type SteadyClock} from '../../clock.js';
+import {type BackendAnswer, type BackendPool, exchange} from '../../transport/backend-pool.js';
+import {ConnectError} from '../../transport/errors.js';
+import {createLogger} from '../../log.js';
+import {type PeerTable} from '../peer-table.js';
+import {type Choice, type Placement, type RunningRequest} from '../placement.js';
+import {RepeatPurpose, type RetryAllowance} from '../retry-allowance.js';
+import {type ServedRequest} from './served-request.js';
+
+const log = createLogger('dispatch');
+
+/** Time for a connection to open, in milliseconds; a hundred round trips between failure domains. */
+const connectMs = 300;
+/** The status of an answer from another backend server than the one meant. */
+const misdirectedStatus = 421;
+
+/** How a dispatch ended. */
+export enum DispatchKind {
+	/** An answer that belongs to the request has begun. */
+	Answer = 'answer',
+	/** No backend server was left to try. */
+	NoBackend = 'no-backend',
+	/** The backend server stated that it did not run the request, or was never reached. */
+	NotRun = 'not-run',
+	/** It may have run. */
+	Unknown = 'unknown',
+	/** The bound on repeats forbids another arrival. */
+	NoAllowance = 'no-allowance',
+}
+
+/** An answer that has begun. */
+export type BegunAnswer = {
+	kind: DispatchKind.Answer;
+	backend: Backend;
+	answer: BackendAnswer;
+	marks: AnswerMarks;
+	running: RunningRequest;
+	/** Closes the connection. */
+	abort: AbortController;
+};
+
+/** A dispatch that brought no answer. */
+export type FailedDispatch = {kind: Exclude<DispatchKind, DispatchKind.Answer>; backend?: Backend; reason: string};
+
+/** What varies between the dispatches of one request. */
+export type DispatchOptions = {
+	/** The only backend server that may take it; otherwise the best one is chosen. */
+	target?: Backend;
+	lastEventId?: string;
+	kvSource?: string;
+	purpose: RepeatPurpose;
+	/** Time for the answer to begin, in milliseconds. */
+	beginMs: number;
+};
+
+/** The parts a dispatcher works with. */
+export type DispatcherParts = {
+	dialect: Dialect;
+	backends: BackendTable;
+	placement: Placement;
+	peers: PeerTable;
+	allowance: RetryAllowance;
+	pool: BackendPool;
+	clock: SteadyClock;
+};
+
+/** Sends requests to backend servers. */
+export class Dispatcher {
+	constructor(private readonly parts: DispatcherParts) {}
+
+	/** The backend server that would get a request now. */
+	choose(served: ServedRequest): Choice | undefined {
+		const {backends, placement, peers, clock} = this.parts;
+		const {request, service} = served.inputs;
+		const nowMs = clock.now();
+		return placement.choose({
+			candidates: backends.candidates(service, nowMs),
+			excluded: served.excluded,
+			promptTokens: request.promptTokens ?? 0,
+			promptParts: request.promptParts,
+			peersInFlight: id => peers.inFlight(id, nowMs),
+			nowMs,
+		});
+	}
+
+	/** Sends a request once; a connection that does not open is no arrival, so the next backend server is tried. */
+	async send(served: ServedRequest, options: DispatchOptions): Promise<BegunAnswer | FailedDispatch> {
+		for (;;) {
+			const choice = options.target ? {backend: options.target, costMs: 0} : this.choose(served);
+			if (!choice) {
+				return {kind: DispatchKind.NoBackend, reason: 'no backend server left'};
+			}
+
+			if (served.arrivals > 0 && !this.mayRepeat(served, options.purpose)) {
+				return {kind: DispatchKind.NoAllowance, reason: 'repeat allowance used up'};
+			}
+
+			// eslint-disable-next-line no-await-in-loop -- one backend server after the other.
+			const result = await this.sendTo(served, choice.backend, choice.costMs, options);
+			const isUnreached = result.kind === DispatchKind.NotRun && result.reason === 'unreached';
+			if (!isUnreached || options.target || served.inputs.signal.aborted) {
+				return result;
+			}
+		}
+	}
+
+	private mayRepeat(served: ServedRequest, purpose: RepeatPurpose): boolean {
+		const {allowance, peers, clock} = this.parts;
+		const nowMs = clock.now();
+		return allowance.take(served.inputs.service, purpose, peers.daemons(nowMs), nowMs);
+	}
+
+	private async sendTo(served: ServedRequest, backend: Backend, costMs: number, options: DispatchOptions): Promise<BegunAnswer | FailedDispatch> {
+		const {dialect, placement, pool, clock} = this.parts;
+		const {request, account, body, signal} = served.inputs;
+		const sentAtMs = clock.now();
+		const abort = new AbortController();
+		const giveUp = () => {
+			abort.abort();
+		};
+
+		signal.addEventListener('abort', giveUp, {once: true});
+		const timer = setTimeout(giveUp, options.beginMs);
+		const running = placement.begin(backend.id, request.promptTokens ?? 0, request.promptParts, sentAtMs);
+		const attempt = {
+			backendId: backend.id, costMs: Math.round(costMs), atMs: Math.round(sentAtMs - served.inputs.arrivedAtMs), result: 'sent',
+		};
+		served.attempts.push(attempt);
+		const fail = (failure: FailedDispatch): FailedDispatch => {
+			attempt.result = failure.reason;
+			running.end();
+			served.excluded.add(backend.id);
+			return {...failure, backend};
+		};
+
+		try {
+			const answer = await exchange(pool, {
+				backend,
+				method: request.method,
+				path: request.path,
+				headers: dialect.backendHeaders(request, {
+					backendId: backend.id,
+					account: account?.name,
+					deadlineMs: served.remainingMs(sentAtMs),
+					priority: served.priority,
+					lastEventId: options.lastEventId ?? request.lastEventId,
+					kvSource: options.kvSource,
+				}),
+				body,
+				connectMs: Math.min(connectMs, options.beginMs),
+				signal: abort.signal,
+			});
+			served.arrivals++;
+			return this.judge(served, {backend, answer, running, abort}, fail);
+		} catch (error) {
+			if (error instanceof ConnectError) {
+				placement.noteFailure(backend.id, clock.now());
+				log.debug('backend server not reached.', {backend: backend.id, error: String(error)});
+				return fail({kind: DispatchKind.NotRun, reason: 'unreached'});
+			}
+
+			served.arrivals++;
+			served.mayHaveRun = true;
+			served.runs++;
+			if (!signal.aborted) {
+				placement.noteFailure(backend.id, clock.now());
+			}
+
+			return fail({kind: DispatchKind.Unknown, reason: signal.aborted ? 'client gone' : (abort.signal.aborted ? 'silent' : 'broken')});
+		} finally {
+			clearTimeout(timer);
+		}
+	}
+
+	/** Checks that an answer belongs to the request and what it says of the run. */
+	private judge(served: ServedRequest, begun: Omit<BegunAnswer, 'kind' | 'marks'>, fail: (failure: FailedDispatch) => FailedDispatch): BegunAnswer | FailedDispatch {
+		const {dialect, backends, placement, clock} = this.parts;
+		const {backend, answer} = begun;
+		const marks = dialect.readAnswer(answer.response.headers);
+		const nowMs = clock.now();
+		if (marks.load) {
+			placement.noteLoad(backend.id, marks.load, nowMs);
+		}
+
+		if (answer.status === misdirectedStatus || marks.isNotRun) {
+			if (answer.status === misdirectedStatus) {
+				backends.replaced(backend.id, nowMs);
+				log.info('another backend server has its address.', {backend: backend.id});
+			} else {
+				placement.noteFailure(backend.id, nowMs);
+			}
+
+			answer.response.resume();
+			return fail({kind: DispatchKind.NotRun, reason: `refused with ${answer.status}`});
+		}
+
+		served.mayHaveRun = true;
+		served.runs++;
+		const isOwn = marks.requestId === served.inputs.request.id && marks.isSealed && !marks.isEncoded;
+		if (!isOwn) {
+			placement.noteFailure(backend.id, nowMs);
+			answer.destroy();
+			return fail({kind: DispatchKind.Unknown, reason: `not its answer (status ${answer.status})`});
+		}
+
+		return {...begun, kind: DispatchKind.Answer, marks};
+	}
+}
--- /dev/null
+++ b/src/coordination/serving/flight.ts
@@ -0,0 +1,142 @@
+/** One stream on its way from an engine to a client. */
+import {type ServerResponse} from 'node:http';
+import {type MovedRun} from '../../protocol/platform.js';
+import {type Backend} from '../../protocol/serving.js';
+import {EventSplitter, type RawEvent} from '../../transport/event-splitter.js';
+import {type BegunAnswer} from './dispatcher.js';
+import {passedHeaders} from './final-answers.js';
+import {type ServedRequest} from './served-request.js';
+
+/** How the bytes of one engine ended. */
+export enum PumpEnd {
+	Complete = 'complete',
+	Broken = 'broken',
+	/** Events are missing between what was delivered and what came. */
+	Gap = 'gap',
+}
+
+/** A run whose KV cache was copied to another engine, or the failure to do so. */
+export type MoveResult = {target: Backend; run: MovedRun};
+
+/** The state of one stream. */
+export class Flight {
+	/** The run in progress. */
+	begun: BegunAnswer | undefined;
+	/** When the last event came, or the run began. */
+	progressAtMs = 0;
+	/** When the first event of the stream came. */
+	firstEventAtMs: number | undefined;
+	events = 0;
+	/** Id of the last event delivered. */
+	lastEventId: string | undefined;
+	/** Set while the run is being moved. */
+	moving: Promise<MoveResult | undefined> | undefined;
+
+	constructor(
+		readonly served: ServedRequest,
+		private readonly response: ServerResponse,
+		private readonly onFirstEvent: () => void,
+		private readonly now: () => number,
+	) {}
+
+	get isHeadSent(): boolean {
+		return this.response.headersSent;
+	}
+
+	/** Milliseconds that the stream should still take, from its pace and the client's estimate; undefined before it has a pace. */
+	expectedRemainingMs(tokensPerEvent: number): number | undefined {
+		const {expectedOutputTokens, maxOutputTokens} = this.served.inputs.request;
+		const tokens = expectedOutputTokens ?? maxOutputTokens;
+		if (tokens === undefined || this.firstEventAtMs === undefined || this.events < 2) {
+			return undefined;
+		}
+
+		const msPerEvent = (this.progressAtMs - this.firstEventAtMs) / (this.events - 1);
+		return Math.max(0, (tokens / tokensPerEvent) - this.events) * msPerEvent;
+	}
+
+	/** Closes the connection of the run in progress. */
+	interrupt(): void {
+		this.begun?.abort.abort();
+	}
+
+	/** Passes the events of one run on until it ends. */
+	async pump(begun: BegunAnswer): Promise<PumpEnd> {
+		const {answer} = begun;
+		const {response: source} = answer;
+		const splitter = new EventSplitter();
+		this.begun = begun;
+		this.progressAtMs = this.now();
+		return new Promise(resolve => {
+			let isOver = false;
+			const end = (result: PumpEnd) => {
+				if (!isOver) {
+					isOver = true;
+					this.begun = undefined;
+					begun.running.end();
+					if (result !== PumpEnd.Complete) {
+						answer.destroy();
+					}
+
+					resolve(result);
+				}
+			};
+
+			source.on('data', (chunk: Uint8Array) => {
+				for (const event of isOver ? [] : splitter.push(chunk)) {
+					if (!this.deliver(event, begun)) {
+						end(PumpEnd.Gap);
+						return;
+					}
+				}
+
+				if (this.response.writableNeedDrain) {
+					source.pause();
+					this.response.once('drain', () => {
+						source.resume();
+					});
+				}
+			});
+			source.once('end', () => {
+				end(answer.isWhole && !splitter.hasPartial ? PumpEnd.Complete : PumpEnd.Broken);
+			});
+			source.once('error', () => {
+				end(PumpEnd.Broken);
+			});
+			source.once('close', () => {
+				end(PumpEnd.Broken);
+			});
+		});
+	}
+
+	/** Delivers one event in order; false when one before it is missing. */
+	private deliver(event: RawEvent, begun: BegunAnswer): boolean {
+		this.progressAtMs = this.now();
+		if (event.id !== undefined && this.lastEventId !== undefined) {
+			const expected = Number(this.lastEventId) + 1;
+			if (Number(event.id) < expected) {
+				return true;
+			}
+
+			if (Number(event.id) > expected) {
+				return false;
+			}
+		}
+
+		if (this.events === 0) {
+			this.firstEventAtMs = this.progressAtMs;
+			this.onFirstEvent();
+		}
+
+		begun.running.noteRead();
+		if (!this.response.headersSent) {
+			const {response: head} = begun.answer;
+			this.response.writeHead(begun.answer.status, head.statusMessage ?? '', passedHeaders(head.rawHeaders));
+		}
+
+		this.events++;
+		this.lastEventId = event.id ?? this.lastEventId;
+		this.response.write(event.bytes);
+		return true;
+	}
+}
--- /dev/null
+++ b/src/coordination/serving/forwarder.ts
@@ -0,0 +1,256 @@
+/**
+ * Decides on each caller's request: whether the daemon's view is young enough to serve it,
+ * which route and client account it belongs to, whether it is within its limits, and how
+ * its end is told to the client. One log line says what was decided, from what.
+ */
+import {type Dialect} from '../../protocol/platform.js';
+import {type Account, RequestKind, type Route} from '../../protocol/serving.js';
+import {type SteadyClock} from '../../clock.js';
+import {type Belief} from '../../state/belief.js';
+import {type RouteTable} from '../../state/route-table.js';
+import {type FrontRequest, writeOwnAnswer} from '../../transport/front-server.js';
+import {createLogger} from '../../log.js';
+import {type PeerTable} from '../peer-table.js';
+import {type QuotaLedger, requestCost} from '../quota-ledger.js';
+import {type RetryAllowance} from '../retry-allowance.js';
+import {type UsageLedger} from '../usage-ledger.js';
+import {type CallResult, forwardCall} from './call-forwarding.js';
+import {type Dispatcher} from './dispatcher.js';
+import {passWhole, refuse, returnAfterMs} from './final-answers.js';
+import {ServedRequest} from './served-request.js';
+import {forwardStream, type StreamResult} from './stream-forwarding.js';
+import {type StreamRegistry} from './stream-registry.js';
+import {type ServingMetrics} from './serving-metrics.js';
+
+const log = createLogger('request');
+
+/** How a request ended, as the logs and counters name it. */
+export enum Outcome {
+	Served = 'served',
+	/** A failure of the backend server was passed on. */
+	BackendFailure = 'backend-failure',
+	Refused = 'refused',
+	Unknown = 'unknown',
+	Broken = 'broken',
+	ClientGone = 'client-gone',
+	Rejected = 'rejected',
+}
+
+/** The parts a forwarder works with. */
+export type ForwarderParts = {
+	dialect: Dialect;
+	routes: RouteTable;
+	belief: Belief;
+	/** Age beyond which the view may miss a revoked key, in milliseconds. */
+	mostBeliefMs: number;
+	dispatcher: Dispatcher;
+	registry: StreamRegistry;
+	quota: QuotaLedger;
+	usage: UsageLedger;
+	allowance: RetryAllowance;
+	peers: PeerTable;
+	clock: SteadyClock;
+	metrics: ServingMetrics;
+};
+
+/** Delay estimate beyond which a stream is refused, as a share of the time it has left: it would not begin in time. */
+const hopelessShare = 0.8;
+/** A wait proposed to clients while the view is too old or no backend server is there, in milliseconds. */
+const outageReturnMs = 800;
+
+/** Timers fire up to this much early, in milliseconds. */
+const lateMarginMs = 5;
+
+type Admission = {route: Route; account: Account | undefined; service: string; cost: number};
+type Rejection = {status: number; reason: string; retryAfterMs?: number};
+
+function isRejection(value: Admission | Rejection): value is Rejection {
+	return 'status' in value;
+}
+
+/** Serves callers' requests. */
+export class Forwarder {
+	constructor(private readonly parts: ForwarderParts) {}
+
+	async handle(front: FrontRequest): Promise<void> {
+		const {dialect, clock, routes, metrics} = this.parts;
+		const arrivedAtMs = clock.now();
+		const request = dialect.readRequest(front.method, front.path, front.rawHeaders);
+		if (!request || request.id === '') {
+			writeOwnAnswer(front.response, 400, 'contradicting or missing headers');
+			return;
+		}
+
+		const admission = this.admit(request, arrivedAtMs);
+		if (isRejection(admission)) {
+			this.reject(front, request.id, admission, arrivedAtMs);
+			return;
+		}
+
+		const {route, account, service, cost} = admission;
+		const served = new ServedRequest({
+			request, route, service, account, body: front.body, response: front.response, signal: front.signal, arrivedAtMs, configVersion: routes.version!,
+		});
+		metrics.begin(route.name);
+		try {
+			await (route.kind === RequestKind.Streaming ? this.serveStream(served, front) : this.serveCall(served, front));
+		} finally {
+			metrics.end(route.name);
+			if (!served.mayHaveRun && account) {
+				this.parts.quota.refund(account, cost);
+			}
+		}
+	}
+
+	/** Finds the route and account of a request and takes its cost from the limit. */
+	private admit(request: ReturnType<Dialect['readRequest']> & object, nowMs: number): Admission | Rejection {
+		const {routes, belief, mostBeliefMs, quota, peers, allowance} = this.parts;
+		if (!routes.current) {
+			return {status: 503, reason: 'configuration not known yet', retryAfterMs: outageReturnMs};
+		}
+
+		const isStale = belief.ageMs(nowMs) > mostBeliefMs;
+		const route = routes.match(request.host, request.path);
+		if (!route) {
+			return isStale ? {status: 503, reason: 'configuration too old', retryAfterMs: outageReturnMs} : {status: 404, reason: 'no such route'};
+		}
+
+		let account: Account | undefined;
+		if (!route.isPublic && routes.needsKeys) {
+			if (isStale) {
+				return {status: 503, reason: 'configuration too old', retryAfterMs: outageReturnMs};
+			}
+
+			account = request.apiKey === undefined ? undefined : routes.accountOf(request.apiKey);
+			if (!account) {
+				return {status: 401, reason: 'unknown API key'};
+			}
+		}
+
+		const service = pickTarget(route);
+		if (service === undefined) {
+			return {status: 503, reason: 'route without a service', retryAfterMs: outageReturnMs};
+		}
+
+		const cost = account ? requestCost(account, request.promptTokens, request.maxOutputTokens) : 0;
+		const refusal = account && quota.admit(account, cost, peers.daemons(nowMs), peers.silent(nowMs), nowMs);
+		if (refusal) {
+			return {status: 429, reason: `over the limit of ${account!.name}`, retryAfterMs: refusal.waitMs};
+		}
+
+		allowance.countRequest(service, nowMs);
+		return {
+			route, account, service, cost,
+		};
+	}
+
+	private reject(front: FrontRequest, id: string, rejection: Rejection, nowMs: number): void {
+		const {status, reason, retryAfterMs} = rejection;
+		const {routes, belief, metrics} = this.parts;
+		if (status === 429 || status === 503) {
+			refuse(front.response, status, reason, returnAfterMs(Number.POSITIVE_INFINITY, retryAfterMs ?? outageReturnMs));
+		} else {
+			writeOwnAnswer(front.response, status, reason);
+		}
+
+		metrics.finish('none', Outcome.Rejected, 0);
+		log.info('rejected.', {
+			request: id, status, reason, configVersion: routes.version, viewAgeMs: Math.round(belief.ageMs(nowMs)),
+		});
+	}
+
+	private async serveCall(served: ServedRequest, front: FrontRequest): Promise<void> {
+		const {dispatcher, clock} = this.parts;
+		const result = await forwardCall(dispatcher, served, () => {
+			this.countBegun(served);
+		}, () => clock.now());
+		this.answerCall(served, front, result);
+	}
+
+	private async serveStream(served: ServedRequest, front: FrontRequest): Promise<void> {
+		const {dispatcher, registry, clock} = this.parts;
+		const nowMs = clock.now();
+		const choice = dispatcher.choose(served);
+		if (choice && choice.costMs > served.remainingMs(nowMs) * hopelessShare) {
+			this.finishRefused(served, front, `would wait ${Math.round(choice.costMs)} ms`);
+			return;
+		}
+
+		const result = await forwardStream({dispatcher, registry, now: () => clock.now()}, served, front.response, () => {
+			this.countBegun(served);
+		});
+		if (result.kind === 'complete') {
+			front.response.end();
+			this.conclude(served, Outcome.Served, {events: result.events});
+		} else if (result.kind === 'broken') {
+			front.response.destroy();
+			this.conclude(served, front.signal.aborted ? Outcome.ClientGone : Outcome.Broken, {events: result.events, reason: result.reason});
+		} else {
+			this.answerCall(served, front, result);
+		}
+	}
+
+	/** Writes the final answer of a request that delivered nothing yet. */
+	private answerCall(served: ServedRequest, front: FrontRequest, result: CallResult | Exclude<StreamResult, {kind: 'complete' | 'broken'}>): void {
+		if (front.signal.aborted) {
+			this.conclude(served, Outcome.ClientGone, {});
+			return;
+		}
+
+		if (result.kind === 'answer') {
+			const {answer} = result;
+			passWhole(front.response, answer.status, answer.statusText, answer.rawHeaders, answer.body);
+			this.conclude(served, answer.status < 400 ? Outcome.Served : Outcome.BackendFailure, {status: answer.status});
+		} else if (result.kind === 'not-run') {
+			this.finishRefused(served, front, result.reason);
+		} else {
+			const isLate = served.remainingMs(this.parts.clock.now()) <= lateMarginMs;
+			writeOwnAnswer(front.response, isLate ? 504 : 502, result.reason);
+			this.conclude(served, Outcome.Unknown, {status: isLate ? 504 : 502, reason: result.reason});
+		}
+	}
+
+	private finishRefused(served: ServedRequest, front: FrontRequest, reason: string): void {
+		const retryAfterMs = returnAfterMs(served.remainingMs(this.parts.clock.now()), outageReturnMs);
+		refuse(front.response, 503, reason, retryAfterMs);
+		this.conclude(served, Outcome.Refused, {status: 503, reason});
+	}
+
+	private countBegun(served: ServedRequest): void {
+		const {account} = served.inputs;
+		if (!served.isCounted && account) {
+			served.isCounted = true;
+			this.parts.usage.count(account.name, this.parts.clock.wallNow());
+		}
+	}
+
+	/** Counts a request that is over and writes its log line. */
+	private conclude(served: ServedRequest, outcome: Outcome, details: {status?: number; events?: number; reason?: string}): void {
+		const {clock, belief, metrics} = this.parts;
+		const {request, route, account, service, configVersion, arrivedAtMs} = served.inputs;
+		const nowMs = clock.now();
+		metrics.finish(route.name, outcome, (nowMs - arrivedAtMs) / 1000);
+		log.info(`${outcome}.`, {
+			request: request.id, route: route.name, account: account?.name, service, ...details, ms: Math.round(nowMs - arrivedAtMs), configVersion, viewAgeMs: Math.round(belief.ageMs(nowMs)),
+			attempts: served.attempts.map(attempt => `${attempt.backendId} +${attempt.atMs} cost ${attempt.costMs}: ${attempt.result}`),
+		});
+	}
+}
+
+/** Picks the service of a request by the weights of its route. */
+function pickTarget(route: Route): string | undefined {
+	let total = 0;
+	for (const target of route.targets) {
+		total += target.weight;
+	}
+
+	let draw = Math.random() * total;
+	for (const target of route.targets) {
+		draw -= target.weight;
+		if (draw < 0) {
+			return target.service;
+		}
+	}
+
+	return route.targets.at(-1)?.service;
+}
--- /dev/null
+++ b/src/coordination/serving/served-request.ts
@@ -0,0 +1,59 @@
+/** One caller's request while it is being served, and what its log line will say. */
+import {type ServerResponse} from 'node:http';
+import {
+	type Account, type CallerRequest, RequestKind, type Route,
+} from '../../protocol/serving.js';
+
+/** One request sent to a backend server. */
+export type Attempt = {backendId: string; costMs: number; atMs: number; result: string};
+
+/** What a request is served from. */
+export type ServedInputs = {
+	request: CallerRequest;
+	route: Route;
+	/** The service its route selected for it. */
+	service: string;
+	account: Account | undefined;
+	body: Uint8Array;
+	response: ServerResponse;
+	/** Aborts when the client has gone. */
+	signal: AbortSignal;
+	arrivedAtMs: number;
+	configVersion: number;
+};
+
+/** A request being served. */
+export class ServedRequest {
+	readonly attempts: Attempt[] = [];
+	/** Backend servers that failed it. */
+	readonly excluded = new Set<string>();
+	/** When its answer is of no use any more. */
+	readonly deadlineAtMs: number;
+	/** Whether a backend server may have begun to run it. */
+	mayHaveRun = false;
+	/** Backend servers it may have run on. */
+	runs = 0;
+	/** Arrivals at backend servers, refused ones included. */
+	arrivals = 0;
+	/** Whether it was counted as begun for the usage reports. */
+	isCounted = false;
+
+	constructor(readonly inputs: ServedInputs) {
+		const {request, route, arrivedAtMs} = inputs;
+		this.deadlineAtMs = arrivedAtMs + Math.min(request.deadlineMs ?? route.timeoutMs, route.timeoutMs);
+	}
+
+	/** Whether it may run a second time. */
+	get isRepeatable(): boolean {
+		const {kind, isResumable} = this.inputs.route;
+		return kind === RequestKind.Idempotent || (kind === RequestKind.Streaming && isResumable);
+	}
+
+	get priority(): number {
+		return this.inputs.account?.priority ?? this.inputs.route.priority;
+	}
+
+	remainingMs(nowMs: number): number {
+		return this.deadlineAtMs - nowMs;
+	}
+}
--- /dev/null
+++ b/src/coordination/serving/stream-forwarding.ts
@@ -0,0 +1,137 @@
+/**
+ * Forwards streams. Nothing goes to the client before the first event, so that a failure
+ * until then is still answered with a status. A stream that breaks later goes on at another
+ * engine: from its moved KV cache where there is one, otherwise by a new run from the last
+ * event delivered where the route allows it.
+ */
+import {type ServerResponse} from 'node:http';
+import {RepeatPurpose} from '../retry-allowance.js';
+import {type WholeAnswer} from './call-forwarding.js';
+import {type BegunAnswer, type Dispatcher, DispatchKind, type DispatchOptions} from './dispatcher.js';
+import {Flight, type MoveResult, PumpEnd} from './flight.js';
+import {type ServedRequest} from './served-request.js';
+import {type StreamRegistry} from './stream-registry.js';
+
+/** An engine gets this many times the latency target to begin before a resumable stream is sent to another. */
+const beginTargets = 3;
+/** Runs beyond the route's attempts that follow engines that left or broke off. */
+const extraRuns = 2;
+/** Longest answer of an engine that is no stream, in bytes. */
+const mostAnswerBytes = 1024 * 1024;
+/** Shortest time worth sending a request for, in milliseconds. */
+const leastUsefulMs = 20;
+
+/** How a stream ended. */
+export type StreamResult =
+	| {kind: 'complete'; events: number}
+	/** An answer that is no stream, to be passed on whole. */
+	| {kind: 'answer'; answer: WholeAnswer}
+	| {kind: 'not-run'; reason: string}
+	| {kind: 'unknown'; reason: string}
+	/** Broken off after events were delivered. */
+	| {kind: 'broken'; reason: string; events: number};
+
+/** Forwards one stream. */
+export async function forwardStream(parts: {dispatcher: Dispatcher; registry: StreamRegistry; now: () => number}, served: ServedRequest, response: ServerResponse, onBegun: () => void): Promise<StreamResult> {
+	const {dispatcher, registry, now} = parts;
+	const flight = new Flight(served, response, onBegun, now);
+	flight.lastEventId = served.inputs.request.lastEventId;
+	let next: Partial<DispatchOptions> = {};
+	let reason = 'no time left';
+	const deadline = setTimeout(() => {
+		flight.interrupt();
+	}, Math.max(0, served.remainingMs(now())));
+	registry.add(flight);
+	try {
+		while (served.remainingMs(now()) > leastUsefulMs && !served.inputs.signal.aborted) {
+			// eslint-disable-next-line no-await-in-loop -- one engine after the other.
+			const dispatched = await dispatcher.send(served, {
+				purpose: RepeatPurpose.Retry, beginMs: beginMs(served, flight, now()), lastEventId: flight.lastEventId, ...next,
+			});
+			if (dispatched.kind === DispatchKind.Answer) {
+				const isStream = dispatched.answer.status >= 200 && dispatched.answer.status < 300;
+				if (!isStream) {
+					// eslint-disable-next-line no-await-in-loop
+					const answer = await readFailure(dispatched);
+					if (!flight.isHeadSent && answer && !(served.isRepeatable && mayRunAgain(served))) {
+						return {kind: 'answer', answer};
+					}
+
+					reason = `failed with ${dispatched.answer.status}`;
+				} else {
+					// eslint-disable-next-line no-await-in-loop
+					const end = await flight.pump(dispatched);
+					if (end === PumpEnd.Complete) {
+						return {kind: 'complete', events: flight.events};
+					}
+
+					reason = end;
+				}
+
+				served.attempts.at(-1)!.result = reason;
+				served.excluded.add(dispatched.backend.id);
+			} else {
+				({reason} = dispatched);
+				if (dispatched.kind === DispatchKind.NoBackend || dispatched.kind === DispatchKind.NoAllowance) {
+					break;
+				}
+			}
+
+			// eslint-disable-next-line no-await-in-loop
+			const moved = await takeMove(flight);
+			if (moved) {
+				next = {target: moved.target, kvSource: moved.run.kvSource, purpose: RepeatPurpose.Move};
+			} else if (served.mayHaveRun && (!served.isRepeatable || !mayRunAgain(served))) {
+				break;
+			} else if (served.arrivals > served.inputs.route.attempts + extraRuns) {
+				break;
+			} else {
+				next = flight.events > 0 ? {purpose: RepeatPurpose.Move} : {};
+			}
+		}
+	} finally {
+		clearTimeout(deadline);
+		registry.remove(flight);
+	}
+
+	if (flight.isHeadSent) {
+		return {kind: 'broken', reason, events: flight.events};
+	}
+
+	return served.mayHaveRun ? {kind: 'unknown', reason} : {kind: 'not-run', reason};
+}
+
+/** Time for an engine to begin: all there is, unless another may be asked. */
+function beginMs(served: ServedRequest, flight: Flight, nowMs: number): number {
+	const remainingMs = served.remainingMs(nowMs);
+	const {latencyTargetMs} = served.inputs.route;
+	const canRepeat = served.isRepeatable && mayRunAgain(served);
+	return canRepeat && flight.events === 0 ? Math.min(remainingMs, latencyTargetMs * beginTargets) : remainingMs;
+}
+
+/** Whether the route's attempts leave room for one more run; engines that left or broke off leave a little more. */
+function mayRunAgain(served: ServedRequest): boolean {
+	return served.runs < served.inputs.route.attempts + extraRuns;
+}
+
+/** Waits for a move in progress and takes its result. */
+async function takeMove(flight: Flight): Promise<MoveResult | undefined> {
+	const moved = await flight.moving;
+	flight.moving = undefined;
+	return moved;
+}
+
+async function readFailure(begun: BegunAnswer): Promise<WholeAnswer | undefined> {
+	const {answer, running, backend} = begun;
+	try {
+		const body = await answer.read(mostAnswerBytes);
+		return {
+			status: answer.status, statusText: answer.response.statusMessage ?? '', rawHeaders: answer.response.rawHeaders, body, backendId: backend.id,
+		};
+	} catch {
+		// A failure that broke off is no answer; the caller goes on as after any broken run.
+		return undefined;
+	} finally {
+		running.end();
+	}
+}
--- /dev/null
+++ b/src/coordination/serving/stream-registry.ts
@@ -0,0 +1,126 @@
+/**
+ * Watches the running streams: moves those whose engine leaves before they end, and
+ * interrupts those whose engine fell silent while another may go on with them. It answers
+ * reclaims of a whole failure domain, which move dozens of streams within two seconds.
+ */
+import {type Engines} from '../../protocol/platform.js';
+import {type Backend} from '../../protocol/serving.js';
+import {type BackendTable} from '../../state/backend-table.js';
+import {createLogger} from '../../log.js';
+import {type Dispatcher} from './dispatcher.js';
+import {type Flight, type MoveResult} from './flight.js';
+
+const log = createLogger('streams');
+
+/** How often the streams are looked at, in milliseconds. */
+export const sweepMs = 100;
+/** Time kept free before an engine leaves, in milliseconds: a move took 10 to 60 ms, and up to 60 of them queue. */
+const moveLeadMs = 1300;
+/** A stream that should end this much before its engine leaves stays there, in milliseconds. */
+const finishMarginMs = 300;
+/** Factor on the expected rest of a stream, since the client's estimate is often far off. */
+const estimateFactor = 1.3;
+/** A resumable stream without an event for this long goes on elsewhere, in milliseconds; clients leave after two seconds at the earliest. */
+const stallMs = 1300;
+/** Tokens of one event where the engines do not say. */
+const tokensPerEvent = 5;
+/** Engines tried as the target of a move. */
+const moveTargets = 2;
+
+/** The running streams of this daemon. */
+export class StreamRegistry {
+	moved = 0;
+	private readonly flights = new Set<Flight>();
+
+	constructor(private readonly parts: {backends: BackendTable; engines: Engines; dispatcher: () => Dispatcher; signal: AbortSignal}) {}
+
+	get size(): number {
+		return this.flights.size;
+	}
+
+	add(flight: Flight): void {
+		this.flights.add(flight);
+	}
+
+	remove(flight: Flight): void {
+		this.flights.delete(flight);
+	}
+
+	/** Looks at every stream once. */
+	sweep(nowMs: number): void {
+		for (const flight of this.flights) {
+			const backend = flight.begun?.backend;
+			if (!backend || flight.moving) {
+				continue;
+			}
+
+			const leavesAtMs = this.parts.backends.get(backend.id)?.leavesAtMs;
+			if (leavesAtMs !== undefined && shouldMove(flight, leavesAtMs, nowMs)) {
+				this.move(flight, backend);
+			} else if (isStalled(flight, nowMs)) {
+				log.info('stream stalled, interrupted.', {request: flight.served.inputs.request.id, backend: backend.id, silentMs: Math.round(nowMs - flight.progressAtMs)});
+				flight.interrupt();
+			}
+		}
+	}
+
+	private move(flight: Flight, source: Backend): void {
+		if (flight.events === 0) {
+			// Nothing to copy yet. A resumable one is sent elsewhere when its connection ends.
+			if (flight.served.isRepeatable) {
+				flight.interrupt();
+			}
+
+			return;
+		}
+
+		flight.moving = this.copy(flight, source);
+	}
+
+	/** Copies a run to another engine, which ends it at its source. */
+	private async copy(flight: Flight, source: Backend): Promise<MoveResult | undefined> {
+		const {id} = flight.served.inputs.request;
+		flight.served.excluded.add(source.id);
+		for (let tries = 0; tries < moveTargets; tries++) {
+			const target = this.parts.dispatcher().choose(flight.served)?.backend;
+			if (!target) {
+				break;
+			}
+
+			try {
+				// eslint-disable-next-line no-await-in-loop -- the next target only if this one has no room.
+				const run = await this.parts.engines.move(id, source, target, this.parts.signal);
+				log.info(run ? 'stream moved.' : 'stream not moved.', {request: id, from: source.id, to: target.id, events: flight.events});
+				if (run) {
+					this.moved++;
+					// What the source sent before it stopped is still on its way; it closes the stream.
+					return {target, run};
+				}
+			} catch (error) {
+				log.warn('move unanswered.', {request: id, from: source.id, to: target.id, error: String(error)});
+				flight.interrupt();
+				return undefined;
+			}
+
+			flight.served.excluded.add(target.id);
+		}
+
+		return undefined;
+	}
+}
+
+/** Whether a stream would not end before its engine leaves, and the time to move it has come. */
+export function shouldMove(flight: Flight, leavesAtMs: number, nowMs: number): boolean {
+	const leftMs = leavesAtMs - nowMs;
+	if (leftMs > moveLeadMs) {
+		return false;
+	}
+
+	const restMs = flight.expectedRemainingMs(tokensPerEvent);
+	return restMs === undefined || (restMs * estimateFactor) + finishMarginMs > leftMs;
+}
+
+function isStalled(flight: Flight, nowMs: number): boolean {
+	const {isRepeatable, runs, inputs} = flight.served;
+	return flight.events > 0 && isRepeatable && runs <= inputs.route.attempts && nowMs - flight.progressAtMs > stallMs;
+}
--- a/src/log.ts
+++ b/src/log.ts
@@ -3,8 +3,10 @@
  * (`gateway:`, `lease:`), in short sentences, with values as context rather than
  * interpolated into the message.
  */
+import {performance} from 'node:perf_hooks';
 import process from 'node:process';
 import {Roarr, ROARR} from 'roarr';
+import {LogOutput} from './log-output.js';
 
 /** The JSON-serialisable values a log line carries beside its message. */
 export type LogContext = Record<string, string | number | boolean | undefined | string[] | number[]>;
@@ -54,3 +56,15 @@
 		process.stderr.write(line + '\n');
 	};
 }
+
+/** Sends log lines to standard output without ever blocking on it. */
+export function logToStandardOutput(environment: NodeJS.ProcessEnv): void {
+	if (environment.SESAMETALLY_LOG === 'off') {
+		return;
+	}
+
+	const output = new LogOutput();
+	ROARR.write = (line: string) => {
+		output.write(line, performance.now());
+	};
+}
--- /dev/null
+++ b/src/protocol/platform.ts
@@ -0,0 +1,170 @@
+/**
+ * What the serving daemon needs of the platform it runs on. An adapter implements these
+ * interfaces in the platform's names and calls; it decides nothing.
+ */
+import {
+	type AnswerMarks, type Backend, type CallerRequest, type Dispatch, type ServingConfig,
+} from './serving.js';
+import {type Listen} from './settings.js';
+
+/** The settings of one serving daemon. */
+export type FrontSettings = {
+	name: string;
+	failureDomain: string;
+	host: string;
+	/** Where callers connect, and where the balancer asks whether the daemon is ready. */
+	callers: Listen;
+	readiness: Listen;
+	/** Port for datagrams between daemons. */
+	peerPort: number;
+	metricsPort: number;
+	/** The platform's own endpoints. */
+	storeUrl: string;
+	cloudUrl: string;
+	/** What the operators hold the system to; times in milliseconds. */
+	bounds: ServiceBounds;
+};
+
+/** Bounds that the operators set for the deployment. */
+export type ServiceBounds = {
+	/** Within this, a leaving backend server gets no new work. */
+	drainMs: number;
+	/** A stopped process is killed after this. */
+	graceMs: number;
+	/** A revoked API key stops working within this, on every daemon. */
+	revokeMs: number;
+	/** Retries allowed for each request, plus `retrySlack` in each window, over all daemons. */
+	retryRatio: number;
+	retryWindowMs: number;
+	retrySlack: number;
+	/** Cost units by which accounts together may pass their limit in a window. */
+	quotaSlack: number;
+	/** Nobody else may act within this after a holder of a duty acted. */
+	leaseMs: number;
+	usageWindowMs: number;
+	/** A usage report is due this long after its window. */
+	usageDueMs: number;
+};
+
+/** A record of a topic; a record without a value says that its key was dropped. */
+export type KeyedRecord = {key: string; value: Uint8Array | undefined; offset: number};
+
+/** Records that were read, and the offset to go on from. */
+export type RecordBatch = {records: KeyedRecord[]; next: number};
+
+/** The topics that the daemon reads and writes. */
+export enum Topic {
+	/** The operators' configuration. */
+	Config = 'config',
+	/** The platform's list of backend servers. */
+	Backends = 'backends',
+	/** The daemons' own addresses. */
+	Members = 'members',
+	/** Who holds the singleton duties, and the usage reports decided on. */
+	Duties = 'duties',
+}
+
+/** How an append ended. */
+export type AppendResult =
+	| {kind: 'appended'; offset: number}
+	/** The topic does not end at the offset the append named. */
+	| {kind: 'conflict'; end: number};
+
+/** The platform's store: an append-only log with topics. */
+export interface Store {
+	/**
+	 * The newest record of each key.
+	 *
+	 * @throws {StateError} When the store does not answer with them.
+	 */
+	newest(topic: Topic, signal: AbortSignal): Promise<RecordBatch>;
+	/**
+	 * Records from an offset on, as soon as there are any, or none after `waitMs`.
+	 *
+	 * @returns Undefined when records at the offset are no longer kept.
+	 * @throws {StateError} When the store does not answer with them.
+	 */
+	read(topic: Topic, from: number, waitMs: number, signal: AbortSignal): Promise<RecordBatch | undefined>;
+	/**
+	 * Appends one record; with `at`, only if the topic ends at that offset.
+	 *
+	 * @throws {StateError} When nothing was done.
+	 * @throws {UnknownAppendError} When the outcome is unknown.
+	 */
+	append(topic: Topic, record: {key: string; value: Uint8Array}, at: number | undefined, signal: AbortSignal): Promise<AppendResult>;
+}
+
+/** How the platform took a call that belongs to a singleton duty. */
+export enum DutyResult {
+	Accepted = 'accepted',
+	/** A higher fencing token was seen, or what was ordered is not to be had. */
+	Refused = 'refused',
+	/** Too many calls, or the platform is out of order: nothing was done. */
+	Busy = 'busy',
+	/** No answer: it may still be carried out. */
+	Unknown = 'unknown',
+}
+
+/** The holder of the duties and its fencing token. */
+export type DutyHolder = {name: string; token: number};
+
+/** How many VMs of one kind a service should have in a failure domain. */
+export type PoolOrder = {service: string; failureDomain: string; isReclaimable: boolean; count: number};
+
+/** The platform's calls that one daemon at a time may make. */
+export interface Cloud {
+	/** Reports the requests of each account that began to run in a window. */
+	reportUsage(holder: DutyHolder, window: number, counts: Record<string, number>, signal: AbortSignal): Promise<DutyResult>;
+	/** Orders the number of VMs of one kind. */
+	orderPool(holder: DutyHolder, order: PoolOrder, signal: AbortSignal): Promise<DutyResult>;
+}
+
+/** Names and formats of the callers' and backend servers' headers. */
+export interface Dialect {
+	/** Reads a caller's request; undefined when its own headers contradict each other. */
+	readRequest(method: string, path: string, rawHeaders: string[]): CallerRequest | undefined;
+	/** The headers of a request for one backend server, as name and value by turns. */
+	backendHeaders(request: CallerRequest, dispatch: Dispatch): string[];
+	readAnswer(headers: NodeJS.Dict<string | string[]>): AnswerMarks;
+	/** Path at which the balancer asks for readiness. */
+	readonly readinessPath: string;
+}
+
+/** A copy of a run's KV cache at another engine. */
+export type MovedRun = {
+	/** Where to continue, in the form that {@link Dispatch.kvSource} takes. */
+	kvSource: string;
+};
+
+/** Orders to engines. */
+export interface Engines {
+	/**
+	 * Stops a run and copies its KV cache to another engine.
+	 *
+	 * @returns Undefined when the engine has no such run or could not copy it.
+	 * @throws {TransportError} When the engine does not answer.
+	 */
+	move(requestId: string, source: Backend, target: Backend, signal: AbortSignal): Promise<MovedRun | undefined>;
+}
+
+/** Decoders of the operators' and the platform's records. */
+export interface Records {
+	/** @throws {ProtocolError} When the record is not a configuration. */
+	readConfig(value: Uint8Array): ServingConfig;
+	/** @throws {ProtocolError} When the record is not a backend server's entry. */
+	readBackend(id: string, value: Uint8Array): Backend;
+	/** Whether a record of {@link Topic.Config} holds the configuration. */
+	isConfigKey(key: string): boolean;
+}
+
+/** A platform, as the serving daemon sees it. */
+export type Platform = {
+	settings: FrontSettings;
+	/** @throws {SettingsError} When the settings are bad. */
+	readSettings(): FrontSettings;
+	store: Store;
+	cloud: Cloud;
+	dialect: Dialect;
+	engines: Engines;
+	records: Records;
+};
--- /dev/null
+++ b/src/transport/raw-client.ts
@@ -0,0 +1,65 @@
+/**
+ * Calls to one HTTP endpoint with opaque bodies, through `@hapi/wreck` and kept
+ * connections. A call that ends without an answer closes its connection, so that one that
+ * went silent is not used again.
+ */
+import {Agent} from 'node:http';
+import Wreck from '@hapi/wreck';
+import {TransportError} from './errors.js';
+
+/** One call. */
+export type RawCall = {
+	method: 'GET' | 'POST' | 'DELETE';
+	/** Path and query. */
+	path: string;
+	headers?: Record<string, string>;
+	body?: Uint8Array;
+	/** Time without a whole answer after which the call fails, in milliseconds. */
+	timeoutMs: number;
+	signal?: AbortSignal;
+};
+
+/** An answer of any status. */
+export type RawAnswer = {statusCode: number; body: Uint8Array};
+
+/** Kept idle connections of one client. */
+const idleConnections = 4;
+/** An idle connection is closed after this, in milliseconds. */
+const idleMs = 10_000;
+
+/** A client of one endpoint. */
+export class RawClient {
+	private readonly agent = new Agent({
+		keepAlive: true, maxFreeSockets: idleConnections, timeout: idleMs, scheduling: 'lifo', noDelay: true,
+	});
+
+	/** @param baseUrl Such as `http://10.0.0.1:8080`. */
+	constructor(private readonly baseUrl: string) {}
+
+	/**
+	 * Sends a call and reads the whole answer.
+	 *
+	 * @throws {TransportError} When there is no whole answer; the call may have been carried out.
+	 */
+	async call(call: RawCall): Promise<RawAnswer> {
+		const {method, path, headers, body, timeoutMs, signal} = call;
+		const what = `${method} ${path.split('?')[0]}`;
+		const deadline = AbortSignal.timeout(timeoutMs);
+		const either = signal ? AbortSignal.any([signal, deadline]) : deadline;
+		const pending = Wreck.request(method, this.baseUrl + path, {headers, payload: body && Buffer.from(body), agent: this.agent});
+		const abort = () => {
+			pending.req.destroy(new TransportError(`${what} aborted`));
+		};
+
+		either.addEventListener('abort', abort, {once: true});
+		try {
+			const response = await pending;
+			const answer = await Wreck.read(response, {});
+			return {statusCode: response.statusCode ?? 0, body: answer as Uint8Array};
+		} catch (error) {
+			throw new TransportError(`${what} got no answer`, {cause: error});
+		} finally {
+			either.removeEventListener('abort', abort);
+		}
+	}
+}
