--- a/src/cli/front-daemon.ts
+++ b/src/cli/front-daemon.ts
@@ -80,7 +80,7 @@
 		this.backends = new BackendTable(bounds.drainMs);
 		this.placement = new Placement(settings.failureDomain);
 		this.peers = new PeerTable(settings.name, this.startedAtMs);
-		this.quota = new QuotaLedger(bounds.quotaSlack);
+		this.quota = new QuotaLedger({windowMs: bounds.quotaWindowMs, tolerance: bounds.quotaTolerance, slack: bounds.quotaSlack}, this.startedAtMs, settings.isFirstStart);
 		this.usage = new UsageLedger(settings.name, bounds.usageWindowMs);
 		this.lease = new DutyLease(store, incarnation, bounds.leaseMs, clock);
 		this.duties = new DutyRunner({
@@ -225,7 +225,7 @@
 				const config = records.readConfig(record.value);
 				if (this.routes.apply(config)) {
 					this.callers.setLimits(config.limits);
-					log.info('configuration in force.', {version: config.version, offset: record.offset, routes: config.routes.length, accounts: config.accounts.length});
+					log.info('configuration in force.', {version: config.version, offset: record.offset, routes: config.routes.length, accounts: config.accounts.map(account => `${account.name} ${account.ratePerSecond ?? 'unlimited'}/s +${account.burst}`)});
 				}
 			} catch (error) {
 				log.error('configuration unreadable, keeping the last one.', {offset: record.offset, version: this.routes.version, error: String(error)});
@@ -291,6 +291,7 @@
 			uptimeMs: Math.round(nowMs - this.startedAtMs),
 			holder: this.lease.news(nowMs),
 			spent: this.quota.spent(),
+			windowSums: this.quota.sums(nowMs),
 			usage: this.usage.own(),
 			inFlight: this.placement.inFlight(),
 			isStopping: this.isStopping,
@@ -303,7 +304,11 @@
 	private hear(message: PeerMessage): void {
 		const nowMs = this.clock.now();
 		for (const [account, cost] of Object.entries(this.peers.note(message, nowMs))) {
-			this.quota.notePeerSpent(account, cost);
+			this.quota.notePeerSpent(account, cost, nowMs);
+		}
+
+		if (message.windowSums) {
+			this.quota.adopt(message.windowSums, nowMs);
 		}
 
 		for (const [window, counts] of message.usage) {
--- a/src/coordination/peer-table.ts
+++ b/src/coordination/peer-table.ts
@@ -20,6 +20,8 @@
 	holder: HolderNews | undefined;
 	/** Cost units admitted since the start, by client account. */
 	spent: Record<string, number>;
+	/** Cost units that all daemons admitted in the window of the limits; undefined while the sender does not know. */
+	windowSums: Record<string, number> | undefined;
 	usage: Array<[number, WindowCounts]>;
 	/** Requests in flight, by backend server. */
 	inFlight: Record<string, number>;
--- a/src/coordination/quota-ledger.ts
+++ b/src/coordination/quota-ledger.ts
@@ -1,16 +1,28 @@
 /**
- * Client accounts' limits over all daemons. Every daemon keeps one bucket an account and
- * takes from it what it admits itself and what the others say they admitted. It answers an
- * account that sends many times its usual through daemons that serve uneven shares of it.
+ * Client accounts' limits over all daemons. Every daemon keeps what was admitted to an
+ * account in the window of the limit: by itself, and by the others as they say. It answers
+ * an account that sends many times its usual through daemons that serve uneven shares of it.
  *
- * What peers admitted arrives late, so a bucket may go below zero and refuses until it has
- * recovered. A peer that fell silent is taken to admit its equal share, since it may be
- * cut off and serving.
+ * What peers admitted arrives late, so part of the slack that operators grant stays unused.
+ * A peer that fell silent is taken to admit its equal share, since it may be cut off and
+ * serving. A daemon that has just started adopts the sums of its peers; where none can be
+ * heard, all may have started anew, and it grants the limit only as its own window fills.
  */
 import {type Account} from '../protocol/serving.js';
 
-/** Share of the slack over all accounts that is given to admit rather than refuse what may be within the limit. */
-const usableSlackShare = 0.25;
+/** Share of the operators' slack and tolerance that is granted; the rest covers what peers admitted and have not said yet: 0.3 s of an account at eight times its usual. */
+const grantedShare = 0.4;
+/** The window is counted in this many steps. */
+const steps = 32;
+
+/** How the operators bound an account's use. */
+export type QuotaBounds = {
+	windowMs: number;
+	/** Share of the limit by which a window may pass it. */
+	tolerance: number;
+	/** Cost units by which a window may pass it. */
+	slack: number;
+};
 
 /** Cost of a request for an account. */
 export function requestCost(account: Account, promptTokens: number | undefined, maxOutputTokens: number | undefined): number {
@@ -21,73 +33,147 @@
 	return promptTokens === undefined ? account.plainTokens : promptTokens + (maxOutputTokens ?? 0);
 }
 
-type Bucket = {level: number; atMs: number; spent: number; burst: number};
+/** What is known of the other daemons when a request is admitted. */
+export type QuotaPeers = {daemons: number; silent: number};
+
+type Use = {step: number; cost: number};
+
+/** What was admitted to one account in the window. */
+class AccountWindow {
+	private readonly uses: Use[] = [];
+	/** Sum that a peer knew of when this daemon started, and until when it counts. */
+	private adopted = {cost: 0, untilMs: 0};
+	/** Admitted by this daemon since its start. */
+	spent = 0;
 
-/** The buckets of all accounts. */
+	constructor(private readonly windowMs: number) {}
+
+	add(cost: number, nowMs: number): void {
+		const step = Math.floor(nowMs / this.windowMs * steps);
+		const last = this.uses.at(-1);
+		if (last?.step === step) {
+			last.cost += cost;
+		} else {
+			this.uses.push({step, cost});
+		}
+	}
+
+	adopt(cost: number, nowMs: number): void {
+		if (cost > this.sum(nowMs)) {
+			this.adopted = {cost: cost - this.sumOfUses(nowMs), untilMs: nowMs + this.windowMs};
+		}
+	}
+
+	sum(nowMs: number): number {
+		return this.sumOfUses(nowMs) + (nowMs < this.adopted.untilMs ? this.adopted.cost : 0);
+	}
+
+	/** Milliseconds until the oldest use leaves the window. */
+	untilFreeMs(nowMs: number): number {
+		const oldest = this.uses.at(0);
+		return oldest ? Math.max(1, ((oldest.step + steps + 1) / steps * this.windowMs) - nowMs) : this.adopted.untilMs - nowMs;
+	}
+
+	private sumOfUses(nowMs: number): number {
+		const oldest = Math.floor(nowMs / this.windowMs * steps) - steps;
+		while (this.uses.length > 0 && this.uses[0].step < oldest) {
+			this.uses.shift();
+		}
+
+		let sum = 0;
+		for (const use of this.uses) {
+			sum += use.cost;
+		}
+
+		return sum;
+	}
+}
+
+/** What was admitted to all accounts. */
 export class QuotaLedger {
-	private readonly buckets = new Map<string, Bucket>();
-
-	/** @param slack Cost units by which the limit of an account may be passed in a window. */
-	constructor(private readonly slack: number) {}
-
-	/**
-	 * Admits a request, or says in how many milliseconds it would be.
-	 *
-	 * @param daemons How many daemons share the limit; a bucket begins with one share of it.
-	 * @param silentDaemons How many of those have not been heard of for a while.
-	 */
-	admit(account: Account, cost: number, daemons: number, silentDaemons: number, nowMs: number): {waitMs: number} | undefined {
+	private readonly windows = new Map<string, AccountWindow>();
+	/** Whether the history of the window is known: from a peer, or because the whole system has just been set up. */
+	private isHistoryKnown: boolean;
+
+	/** @param isFirstStart Whether the whole system starts for the first time, so that nothing was admitted before. */
+	constructor(
+		private readonly bounds: QuotaBounds,
+		private readonly startedAtMs: number,
+		isFirstStart: boolean,
+	) {
+		this.isHistoryKnown = isFirstStart;
+	}
+
+	/** Admits a request, or says in how many milliseconds it may be. */
+	admit(account: Account, cost: number, peers: QuotaPeers, nowMs: number): {waitMs: number} | undefined {
 		if (account.ratePerSecond === undefined) {
 			return undefined;
 		}
 
-		const bucket = this.refill(account, daemons, silentDaemons, nowMs);
-		if (bucket.level <= 0) {
-			return {waitMs: Math.ceil((1 - bucket.level) / account.ratePerSecond * 1000)};
+		const window = this.window(account.name);
+		if (window.sum(nowMs) + cost > this.limit(account, peers, nowMs)) {
+			return {waitMs: Math.ceil(window.untilFreeMs(nowMs))};
 		}
 
-		bucket.level -= cost;
-		bucket.spent += cost;
+		window.add(cost, nowMs);
+		window.spent += cost;
 		return undefined;
 	}
 
 	/** Gives back the cost of a request that was certainly not run. */
-	refund(account: Account, cost: number): void {
-		const bucket = this.buckets.get(account.name);
-		if (bucket) {
-			bucket.level = Math.min(bucket.burst, bucket.level + cost);
-			bucket.spent -= cost;
+	refund(account: Account, cost: number, nowMs: number): void {
+		if (account.ratePerSecond !== undefined) {
+			const window = this.window(account.name);
+			window.add(-cost, nowMs);
+			window.spent -= cost;
 		}
 	}
 
 	/** Takes what a peer admitted since it last said so. */
-	notePeerSpent(accountName: string, cost: number): void {
-		const bucket = this.buckets.get(accountName);
-		if (bucket) {
-			bucket.level -= cost;
+	notePeerSpent(accountName: string, cost: number, nowMs: number): void {
+		if (cost !== 0) {
+			this.window(accountName).add(cost, nowMs);
+		}
+	}
+
+	/** Takes a peer's sums, while this daemon's own window does not reach back to its start. */
+	adopt(sums: Record<string, number>, nowMs: number): void {
+		if (nowMs - this.startedAtMs > this.bounds.windowMs) {
+			return;
+		}
+
+		this.isHistoryKnown = true;
+		for (const [account, sum] of Object.entries(sums)) {
+			this.window(account).adopt(sum, nowMs);
 		}
 	}
 
-	/** Everything this daemon admitted, by account; only grows, but for refunds. */
+	/** Everything this daemon admitted since its start, by account. */
 	spent(): Record<string, number> {
-		return Object.fromEntries([...this.buckets].map(([name, bucket]) => [name, bucket.spent]));
+		return Object.fromEntries([...this.windows].map(([name, window]) => [name, window.spent]));
+	}
+
+	/** What all daemons admitted in the window, by account, for peers that have just started; none while this daemon does not know. */
+	sums(nowMs: number): Record<string, number> | undefined {
+		const isComplete = this.isHistoryKnown || nowMs - this.startedAtMs > this.bounds.windowMs;
+		return isComplete ? Object.fromEntries([...this.windows].map(([name, window]) => [name, window.sum(nowMs)])) : undefined;
+	}
+
+	private limit(account: Account, peers: QuotaPeers, nowMs: number): number {
+		const {windowMs, tolerance, slack} = this.bounds;
+		const full = (((account.ratePerSecond! * windowMs / 1000) + account.burst) * (1 + (tolerance * grantedShare))) + (slack * grantedShare);
+		const heard = 1 - Math.min(0.9, peers.silent / Math.max(1, peers.daemons));
+		const known = this.isHistoryKnown ? 1 : Math.min(1, (nowMs - this.startedAtMs) / windowMs) / 2;
+		return full * heard * known;
 	}
 
-	private refill(account: Account, daemons: number, silentDaemons: number, nowMs: number): Bucket {
-		const burst = account.burst + (this.slack * usableSlackShare);
-		const share = 1 / Math.max(1, daemons);
-		let bucket = this.buckets.get(account.name);
-		if (!bucket) {
-			bucket = {
-				level: burst * share, atMs: nowMs, spent: 0, burst,
-			};
-			this.buckets.set(account.name, bucket);
+	private window(accountName: string): AccountWindow {
+		let window = this.windows.get(accountName);
+		if (!window) {
+			window = new AccountWindow(this.bounds.windowMs);
+			this.windows.set(accountName, window);
 		}
 
-		const usableRate = account.ratePerSecond! * (1 - Math.min(0.9, silentDaemons * share));
-		bucket.burst = burst;
-		bucket.level = Math.min(burst, bucket.level + (usableRate * (nowMs - bucket.atMs) / 1000));
-		bucket.atMs = nowMs;
-		return bucket;
+		return window;
 	}
 }
--- a/src/coordination/serving/forwarder.ts
+++ b/src/coordination/serving/forwarder.ts
@@ -97,7 +97,7 @@
 		} finally {
 			metrics.end(route.name);
 			if (!served.mayHaveRun && account) {
-				this.parts.quota.refund(account, cost);
+				this.parts.quota.refund(account, cost, clock.now());
 			}
 		}
 	}
@@ -133,9 +133,9 @@
 		}
 
 		const cost = account ? requestCost(account, request.promptTokens, request.maxOutputTokens) : 0;
-		const refusal = account && quota.admit(account, cost, peers.daemons(nowMs), peers.silent(nowMs), nowMs);
+		const refusal = account && quota.admit(account, cost, {daemons: peers.daemons(nowMs), silent: peers.silent(nowMs)}, nowMs);
 		if (refusal) {
-			return {status: 429, reason: `over the limit of ${account!.name}`, retryAfterMs: refusal.waitMs};
+			return {status: 429, reason: `over the limit of ${account!.name}: cost ${cost}, ${refusal.waitMs} ms short`, retryAfterMs: refusal.waitMs};
 		}
 
 		allowance.countRequest(service, nowMs);
--- a/src/protocol/platform.ts
+++ b/src/protocol/platform.ts
@@ -11,6 +11,8 @@
 export type FrontSettings = {
 	name: string;
 	failureDomain: string;
+	/** Whether the whole system starts for the first time. */
+	isFirstStart: boolean;
 	host: string;
 	/** Where callers connect, and where the balancer asks whether the daemon is ready. */
 	callers: Listen;
@@ -37,7 +39,10 @@
 	retryRatio: number;
 	retryWindowMs: number;
 	retrySlack: number;
-	/** Cost units by which accounts together may pass their limit in a window. */
+	/** Limits of accounts hold for any span of this length. */
+	quotaWindowMs: number;
+	/** Share of its limit, and cost units, by which an account may pass it in a window. */
+	quotaTolerance: number;
 	quotaSlack: number;
 	/** Nobody else may act within this after a holder of a duty acted. */
 	leaseMs: number;
