--- a/src/cli/front-daemon.ts
+++ b/src/cli/front-daemon.ts
@@ -31,8 +31,8 @@
 
 /** How long one read of the configuration waits, in milliseconds: bounds the age of the view on a calm day. */
 const configWaitMs = 1000;
-/** How long one read of the backend servers waits, in milliseconds; nothing depends on its age. */
-const backendsWaitMs = 10_000;
+/** How long one read of the backend servers waits, in milliseconds: a connection that went silent is noticed within this and the time of an answer, before leaving backend servers may get no more work. */
+const backendsWaitMs = 2000;
 /** Share of the revocation bound that a view may reach before keys are not believed any more; the rest covers a request's way to a backend server. */
 const beliefShare = 0.8;
 /** Share of the revocation bound beyond which the daemon says it is not ready. */
--- a/src/coordination/serving/dispatcher.ts
+++ b/src/coordination/serving/dispatcher.ts
@@ -158,7 +158,7 @@
 				signal: abort.signal,
 			});
 			served.arrivals++;
-			return this.judge(served, {backend, answer, running, abort}, fail);
+			return this.judge(served, {backend, answer, running, abort}, options, fail);
 		} catch (error) {
 			if (error instanceof ConnectError) {
 				placement.noteFailure(backend.id, clock.now());
@@ -180,7 +180,7 @@
 	}
 
 	/** Checks that an answer belongs to the request and what it says of the run. */
-	private judge(served: ServedRequest, begun: Omit<BegunAnswer, 'kind' | 'marks'>, fail: (failure: FailedDispatch) => FailedDispatch): BegunAnswer | FailedDispatch {
+	private judge(served: ServedRequest, begun: Omit<BegunAnswer, 'kind' | 'marks'>, options: DispatchOptions, fail: (failure: FailedDispatch) => FailedDispatch): BegunAnswer | FailedDispatch {
 		const {dialect, backends, placement, clock} = this.parts;
 		const {backend, answer} = begun;
 		const marks = dialect.readAnswer(answer.response.headers);
@@ -202,7 +202,8 @@
 		}
 
 		served.mayHaveRun = true;
-		served.runs++;
+		// A moved run goes on; it is no second one.
+		served.runs += options.kvSource === undefined ? 1 : 0;
 		const isOwn = marks.requestId === served.inputs.request.id && marks.isSealed && !marks.isEncoded;
 		if (!isOwn) {
 			placement.noteFailure(backend.id, nowMs);
--- a/src/coordination/serving/stream-forwarding.ts
+++ b/src/coordination/serving/stream-forwarding.ts
@@ -14,8 +14,6 @@
 
 /** An engine gets this many times the latency target to begin before a resumable stream is sent to another. */
 const beginTargets = 3;
-/** Runs beyond the route's attempts that follow engines that left or broke off. */
-const extraRuns = 2;
 /** Longest answer of an engine that is no stream, in bytes. */
 const mostAnswerBytes = 1024 * 1024;
 /** Shortest time worth sending a request for, in milliseconds. */
@@ -83,8 +81,6 @@
 				next = {target: moved.target, kvSource: moved.run.kvSource, purpose: RepeatPurpose.Move};
 			} else if (served.mayHaveRun && (!served.isRepeatable || !mayRunAgain(served))) {
 				break;
-			} else if (served.arrivals > served.inputs.route.attempts + extraRuns) {
-				break;
 			} else {
 				next = flight.events > 0 ? {purpose: RepeatPurpose.Move} : {};
 			}
@@ -105,13 +101,13 @@
 function beginMs(served: ServedRequest, flight: Flight, nowMs: number): number {
 	const remainingMs = served.remainingMs(nowMs);
 	const {latencyTargetMs} = served.inputs.route;
-	const canRepeat = served.isRepeatable && mayRunAgain(served);
+	const canRepeat = served.isRepeatable && served.runs + 1 < served.inputs.route.attempts;
 	return canRepeat && flight.events === 0 ? Math.min(remainingMs, latencyTargetMs * beginTargets) : remainingMs;
 }
 
-/** Whether the route's attempts leave room for one more run; engines that left or broke off leave a little more. */
+/** Whether the route's attempts leave room for one more run. */
 function mayRunAgain(served: ServedRequest): boolean {
-	return served.runs < served.inputs.route.attempts + extraRuns;
+	return served.runs < served.inputs.route.attempts;
 }
 
 /** Waits for a move in progress and takes its result. */
