--- /dev/null
+++ b/src/transport/__tests__/backend-pool.test.ts
@@ -0,0 +1,97 @@
+import {createServer, type AddressInfo, type Socket} from 'node:net';
+import {afterEach, describe, expect, it} from 'vitest';
+import {type Backend, BackendState} from '../../protocol/serving.js';
+import {BackendPool, exchange} from '../backend-pool.js';
+import {TransportError} from '../errors.js';
+
+const closers: Array<() => void> = [];
+
+afterEach(() => {
+	for (const close of closers.splice(0)) {
+		close();
+	}
+});
+
+/** Starts a server that answers each connection's bytes by a script. */
+async function startBackend(onRequest: (socket: Socket, requests: number) => void): Promise<Backend> {
+	let requests = 0;
+	const server = createServer(socket => {
+		socket.on('error', () => undefined);
+		socket.on('data', () => {
+			onRequest(socket, ++requests);
+		});
+	});
+	await new Promise<void>(resolve => {
+		server.listen(0, '127.0.0.1', resolve);
+	});
+	closers.push(() => {
+		server.close();
+	});
+	return {
+		id: 'b-1', service: 's', host: '127.0.0.1', port: (server.address() as AddressInfo).port, failureDomain: 'fd', slots: 1, state: BackendState.Ready, isReclaimable: false, leavesInMs: undefined, coldForMs: 0,
+	};
+}
+
+async function send(pool: BackendPool, backend: Backend) {
+	return exchange(pool, {
+		backend, method: 'GET', path: '/x', headers: ['Host', 'h'], body: undefined, connectMs: 500, signal: AbortSignal.timeout(3000),
+	});
+}
+
+const head = 'HTTP/1.1 200 OK\r\n';
+
+describe('answers of backend servers', () => {
+	it.each([
+		{
+			name: 'a body without a length that ends with its connection is whole', script: (socket: Socket) => {
+				socket.end(`${head}\r\nwhole`);
+			}, expected: 'whole',
+		},
+		{
+			name: 'a body without a length that is reset is not', script: (socket: Socket) => {
+				socket.write(`${head}\r\npart`);
+				setTimeout(() => {
+					socket.resetAndDestroy();
+				}, 20);
+			}, expected: undefined,
+		},
+		{
+			name: 'a body without a length that is reset at once is not', script: (socket: Socket) => {
+				socket.write(`${head}\r\npart`, () => {
+					socket.resetAndDestroy();
+				});
+			}, expected: undefined,
+		},
+		{
+			name: 'a body shorter than its length is not whole', script: (socket: Socket) => {
+				socket.end(`${head}Content-Length: 9\r\n\r\npart`);
+			}, expected: undefined,
+		},
+		{
+			name: 'chunks without their end are not whole', script: (socket: Socket) => {
+				socket.end(`${head}Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n`);
+			}, expected: undefined,
+		},
+	])('$name', async ({script, expected}) => {
+		const backend = await startBackend(script);
+		const pool = new BackendPool();
+		const read = async () => Buffer.from(await (await send(pool, backend)).read(1000)).toString();
+		await (expected === undefined ? expect(read()).rejects.toThrow(TransportError) : expect(read()).resolves.toBe(expected));
+	});
+
+	it('a connection that sends more than its answer is not used again', async () => {
+		const answer = `${head}Content-Length: 2\r\nKeep-Alive: timeout=5\r\n\r\nok`;
+		const backend = await startBackend((socket, requests) => {
+			socket.write(requests === 1 ? answer + answer.replace('ok', 'no') : answer);
+		});
+		const pool = new BackendPool();
+		for (let round = 0; round < 3; round++) {
+			// eslint-disable-next-line no-await-in-loop -- one request after the other.
+			expect(Buffer.from(await (await send(pool, backend)).read(1000)).toString()).toBe('ok');
+			// eslint-disable-next-line no-await-in-loop
+			await new Promise(resolve => {
+				setTimeout(resolve, 30);
+			});
+		}
+	});
+});
--- a/src/transport/backend-pool.ts
+++ b/src/transport/backend-pool.ts
@@ -86,14 +86,25 @@
 const watchedSockets = new WeakSet<Socket>();
 const brokenSockets = new WeakSet<Socket>();
 
-/** Notes a connection's error before node sees it: node takes a reset for the end of a body that has no length. */
+/**
+ * Notes a connection's reset before node sees it, since node takes one for the end of a
+ * body that has no length. A reset that comes together with the last bytes is even reported
+ * as a plain end; it shows in that the connection has no peer any more.
+ */
 function watchForErrors(socket: Socket): void {
-	if (!watchedSockets.has(socket)) {
-		watchedSockets.add(socket);
-		socket.prependOnceListener('error', () => {
-			brokenSockets.add(socket);
-		});
+	if (watchedSockets.has(socket)) {
+		return;
 	}
+
+	watchedSockets.add(socket);
+	socket.prependOnceListener('error', () => {
+		brokenSockets.add(socket);
+	});
+	socket.prependOnceListener('end', () => {
+		if (socket.remoteAddress === undefined) {
+			brokenSockets.add(socket);
+		}
+	});
 }
 
 /** An answer whose body is still to be read. */
--- a/src/transport/front-server.ts
+++ b/src/transport/front-server.ts
@@ -20,6 +20,8 @@
 const idleMarginMs = 1000;
 /** Bytes of request bodies held at once, over all requests: a seventh of the smallest daemon's memory. */
 const mostBufferedBytes = 48 * 1024 * 1024;
+/** When a client that met a stopping daemon should return, in seconds: at once, to another. */
+const stoppingReturn = '0.05';
 const defaultLimits: ClientLimits = {
 	headerBytes: 16_384, bodyBytes: 4_194_304, headerTimeoutMs: 3000, idleTimeoutMs: 15_000,
 };
@@ -95,6 +97,7 @@
 	private limits = defaultLimits;
 	private bufferedBytes = 0;
 	private isStopping = false;
+	private isClosed = false;
 
 	constructor(private readonly handler: FrontHandler) {
 		this.server = createServer({
@@ -156,8 +159,9 @@
 		this.isStopping = true;
 	}
 
-	/** Takes no new connections, and closes those that wait for nothing. */
+	/** Takes no new connections and requests, and closes those that wait for nothing. */
 	close(): void {
+		this.isClosed = true;
 		this.server.close();
 		for (const [socket, requests] of this.connections) {
 			if (requests === 0) {
@@ -184,6 +188,9 @@
 
 			if (!response.writableFinished) {
 				gone.abort();
+			} else if (this.isClosed) {
+				// An answer that began before the stop still promised to keep the connection.
+				socket.destroySoon();
 			}
 		});
 		if (this.isStopping) {
@@ -192,6 +199,11 @@
 
 		let held = 0;
 		try {
+			if (this.isClosed) {
+				writeOwnAnswer(response, 503, 'stopping', {'Retry-After': stoppingReturn});
+				return;
+			}
+
 			checkHead(request, this.limits);
 			const body = await this.readBody(request);
 			held = body.length;
