--- /dev/null
+++ b/src/__tests__/log-output.test.ts
@@ -0,0 +1,41 @@
+import {Writable} from 'node:stream';
+import {describe, expect, it} from 'vitest';
+import {LogOutput} from '../log-output.js';
+
+/** An output whose reader takes nothing, or everything. */
+function createOutput(isRead: boolean): {output: Writable; lines: string[]} {
+	const lines: string[] = [];
+	const output = new Writable({
+		write(chunk: Uint8Array, _encoding, done) {
+			lines.push(chunk.toString());
+			if (isRead) {
+				done();
+			}
+		},
+	});
+	return {output, lines};
+}
+
+describe('LogOutput', () => {
+	it('drops lines beyond its rate and says how many', () => {
+		const {output, lines} = createOutput(true);
+		const log = new LogOutput(output);
+		for (let index = 0; index < 1000; index++) {
+			log.write('line', 0);
+		}
+
+		log.write('later', 60_000);
+		expect(lines.length).toBe(402);
+		expect(lines.at(-2)).toContain('"dropped":600');
+	});
+
+	it('holds a bounded amount for a reader that takes nothing', () => {
+		const {output} = createOutput(false);
+		const log = new LogOutput(output);
+		for (let index = 0; index < 10_000; index++) {
+			log.write('x'.repeat(1000), index * 1000);
+		}
+
+		expect(output.writableLength).toBeLessThan(300_000);
+	});
+});
--- a/src/cli/commands/front.ts
+++ b/src/cli/commands/front.ts
@@ -8,7 +8,9 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {randomBytes} from 'node:crypto';
 import {type Platform} from '../../protocol/platform.js';
-import {createRegistry, addObservationRoutes, createServer, startServer} from '../../transport/http-server.js';
+import {
+	createRegistry, addObservationRoutes, createServer, startServer,
+} from '../../transport/http-server.js';
 import {createLogger} from '../../log.js';
 import {waitForAbort} from '../../abort.js';
 import {FrontDaemon} from '../front-daemon.js';
--- a/src/cli/front-daemon.ts
+++ b/src/cli/front-daemon.ts
@@ -1,4 +1,5 @@
 /** The parts of a serving daemon, put together, and the tasks that run them. */
+import {Buffer} from 'node:buffer';
 import {setMaxListeners} from 'node:events';
 import {performance} from 'node:perf_hooks';
 import {setTimeout as delay} from 'node:timers/promises';
@@ -66,6 +67,8 @@
 	private readonly callers: FrontServer;
 	private link: DatagramLink | undefined;
 	private isStopping = false;
+	private isAnnounced = false;
+	private readonly demands = new Map<string, PoolDemand>();
 
 	constructor(
 		private readonly platform: Platform,
@@ -84,7 +87,15 @@
 		this.usage = new UsageLedger(settings.name, bounds.usageWindowMs);
 		this.lease = new DutyLease(store, incarnation, bounds.leaseMs, clock);
 		this.duties = new DutyRunner({
-			cloud, lease: this.lease, usage: this.usage, routes, backends: this.backends, clock, name: settings.name, usageWindowMs: bounds.usageWindowMs, need: service => this.demandOf(service).need(),
+			cloud,
+			lease: this.lease,
+			usage: this.usage,
+			routes,
+			backends: this.backends,
+			clock,
+			name: settings.name,
+			usageWindowMs: bounds.usageWindowMs,
+			need: service => this.demandOf(service).need(),
 		});
 		const allowance = new RetryAllowance({ratio: bounds.retryRatio, windowMs: bounds.retryWindowMs, slack: bounds.retrySlack});
 		const dispatcher = new Dispatcher({
@@ -205,7 +216,7 @@
 				await step();
 			} catch (error) {
 				if (!this.signal.aborted) {
-					log.warn('step failed.', {error: String(error), cause: String((error as Error).cause ?? '')});
+					log.warn('step failed.', {error: String(error), cause: error instanceof Error ? String(error.cause) : ''});
 				}
 			}
 
@@ -225,7 +236,9 @@
 				const config = records.readConfig(record.value);
 				if (this.routes.apply(config)) {
 					this.callers.setLimits(config.limits);
-					log.info('configuration in force.', {version: config.version, offset: record.offset, routes: config.routes.length, accounts: config.accounts.map(account => `${account.name} ${account.ratePerSecond ?? 'unlimited'}/s +${account.burst}`)});
+					log.info('configuration in force.', {
+						version: config.version, offset: record.offset, routes: config.routes.length, accounts: config.accounts.map(account => `${account.name} ${account.ratePerSecond ?? 'unlimited'}/s +${account.burst}`),
+					});
 				}
 			} catch (error) {
 				log.error('configuration unreadable, keeping the last one.', {offset: record.offset, version: this.routes.version, error: String(error)});
@@ -320,9 +333,6 @@
 		}
 	}
 
-	private isAnnounced = false;
-	private readonly demands = new Map<string, PoolDemand>();
-
 	/** The demand for a service, brought up to date. */
 	private demandOf(service: Service): PoolDemand {
 		const nowMs = this.clock.now();
@@ -367,7 +377,7 @@
 		}
 
 		const nowMs = this.clock.now();
-		const names = [...this.peers.audible(nowMs), this.platform.settings.name].sort();
+		const names = [...this.peers.audible(nowMs), this.platform.settings.name].toSorted();
 		await this.lease.step({
 			rank: names.indexOf(this.platform.settings.name), hearsMost: this.peers.hearsMost(nowMs), startedAtMs: this.startedAtMs,
 		}, this.signal);
--- /dev/null
+++ b/src/coordination/__tests__/placement.test.ts
@@ -0,0 +1,58 @@
+import {describe, expect, it} from 'vitest';
+import {type Backend, BackendState} from '../../protocol/serving.js';
+import {Placement, type PlacementQuery} from '../placement.js';
+
+const backend = (id: string, failureDomain = 'fd-a'): Backend => ({
+	id, service: 's', host: '10.0.0.1', port: 1, failureDomain, slots: 64, state: BackendState.Ready, isReclaimable: false, leavesInMs: undefined, coldForMs: 0,
+});
+const candidates = ['a', 'b', 'c', 'd'].map(id => backend(id));
+const parts = [{id: 'p1', tokens: 512}, {id: 'p2', tokens: 4870}, {id: 'own', tokens: 600}];
+const query = (overrides: Partial<PlacementQuery> = {}): PlacementQuery => ({
+	candidates, excluded: new Set(), promptTokens: 6000, promptParts: parts, peersInFlight: () => 0, nowMs: 1000, ...overrides,
+});
+
+describe('Placement', () => {
+	it('daemons that know nothing of each other choose the same engine for a shared part', () => {
+		const choices = new Set(Array.from({length: 5}, () => new Placement('fd-a').choose(query())!.backend.id));
+		expect(choices.size).toBe(1);
+	});
+
+	it('goes where the prompt is cached', () => {
+		const placement = new Placement('fd-a');
+		const home = placement.choose(query())!.backend.id;
+		const other = candidates.find(({id}) => id !== home)!.id;
+		placement.begin(other, 6000, parts, 900).end();
+		expect(placement.choose(query({candidates: [backend(other), backend('z')]}))!.backend.id).toBe(other);
+	});
+
+	it.each([
+		{name: 'what this daemon has in flight', load: (placement: Placement, home: string) => Array.from({length: 40}, () => placement.begin(home, 100, [], 1000)), peers: 0},
+		{name: 'what peers have in flight', load: () => undefined, peers: 60},
+		{
+			name: 'recent failures', load(placement: Placement, home: string) {
+				placement.noteFailure(home, 900);
+			}, peers: 0,
+		},
+	])('leaves a cached engine for $name', ({load, peers}) => {
+		const placement = new Placement('fd-a');
+		const home = placement.choose(query())!.backend.id;
+		load(placement, home);
+		expect(placement.choose(query({peersInFlight: id => id === home ? peers : 0}))!.backend.id).not.toBe(home);
+	});
+
+	it('a burst of equal requests spreads over all engines', () => {
+		const placement = new Placement('fd-a');
+		const counts = new Map<string, number>();
+		for (let index = 0; index < 200; index++) {
+			const {id} = placement.choose(query({promptParts: [{id: `own-${index}`, tokens: 700}], promptTokens: 700}))!.backend;
+			placement.begin(id, 700, [], 1000);
+			counts.set(id, (counts.get(id) ?? 0) + 1);
+		}
+
+		expect(Math.max(...counts.values()) - Math.min(...counts.values())).toBeLessThan(25);
+	});
+
+	it('chooses none when all are excluded', () => {
+		expect(new Placement('fd-a').choose(query({excluded: new Set(['a', 'b', 'c', 'd'])}))).toBeUndefined();
+	});
+});
--- /dev/null
+++ b/src/coordination/__tests__/pool.test.ts
@@ -0,0 +1,67 @@
+import {describe, expect, it} from 'vitest';
+import {DutyResult} from '../../protocol/platform.js';
+import {type Scaling} from '../../protocol/serving.js';
+import {isOrderDue} from '../duty-runner.js';
+import {PoolDemand} from '../pool-demand.js';
+import {planPool} from '../pool-plan.js';
+
+const scaling: Scaling = {
+	min: 1, max: 6, bootMs: 4000, reclaimablePriceRatio: 0.18, prices: new Map([['a', 1], ['b', 0.8], ['c', 1.25], ['d', 0.9]]),
+};
+const need = {replicas: 4, surviving: 3, spare: 4};
+const sum = (numbers: number[]) => {
+	let total = 0;
+	for (const number of numbers) {
+		total += number;
+	}
+
+	return total;
+};
+
+describe('planPool', () => {
+	it.each([
+		{name: 'a calm pool has no on-demand VM', expected: {a: 2, b: 2, c: 2, d: 2}, onDemand: 0},
+		{name: 'two failure domains lost: one more must not take too many', expected: {a: 2, b: 2}, onDemand: 1},
+		{name: 'three lost: on-demand VMs stand in', expected: {a: 2}, onDemand: 3},
+		{name: 'none to be had: the demand is met on demand', expected: {}, onDemand: 4},
+	])('$name', ({expected, onDemand}) => {
+		const pools = planPool(scaling, need, new Map(Object.entries(expected)));
+		expect(sum(pools.map(pool => pool.onDemand))).toBe(onDemand);
+		expect(pools.every(pool => pool.onDemand + pool.reclaimable >= scaling.min)).toBe(true);
+	});
+
+	it('keeps each failure domain within its limit, cheapest first', () => {
+		const pools = planPool({...scaling, max: 2}, {replicas: 7, surviving: 3, spare: 0}, new Map());
+		expect(pools.map(pool => pool.onDemand)).toEqual([2, 2, 2, 1]);
+		expect(pools.every(pool => pool.onDemand + pool.reclaimable <= 2)).toBe(true);
+		expect(pools[0].failureDomain).toBe('b');
+	});
+});
+
+describe('PoolDemand', () => {
+	it('follows a rise at once and a fall slowly', () => {
+		const demand = new PoolDemand();
+		demand.note(120, 0);
+		expect(demand.need().replicas).toBe(10);
+		demand.note(0, 2000);
+		expect(demand.need().replicas).toBeGreaterThan(7);
+		demand.note(0, 60_000);
+		expect(demand.need().replicas).toBe(3);
+	});
+});
+
+describe('isOrderDue', () => {
+	const at = {bootMs: 4000, nowMs: 10_000, token: 5};
+	it.each([
+		{name: 'first order', wanted: 2, present: 2, last: undefined, expected: true},
+		{name: 'same count, pool as ordered', wanted: 2, present: 2, last: {count: 2, atMs: 0, result: DutyResult.Accepted, token: 5}, expected: false},
+		{name: 'another count', wanted: 3, present: 2, last: {count: 2, atMs: 9000, result: DutyResult.Accepted, token: 5}, expected: true},
+		{name: 'still booting', wanted: 2, present: 0, last: {count: 2, atMs: 6000, result: DutyResult.Accepted, token: 5}, expected: false},
+		{name: 'never came', wanted: 2, present: 0, last: {count: 2, atMs: 1000, result: DutyResult.Accepted, token: 5}, expected: true},
+		{name: 'just refused', wanted: 2, present: 0, last: {count: 2, atMs: 9000, result: DutyResult.Refused, token: 5}, expected: false},
+		{name: 'refused a while ago', wanted: 2, present: 0, last: {count: 2, atMs: 5000, result: DutyResult.Refused, token: 5}, expected: true},
+		{name: 'no answer a while ago', wanted: 2, present: 2, last: {count: 2, atMs: 5000, result: DutyResult.Unknown, token: 5}, expected: true},
+	])('$name: $expected', ({wanted, present, last, expected}) => {
+		expect(isOrderDue(wanted, present, last, at)).toBe(expected);
+	});
+});
--- a/src/coordination/duty-lease.ts
+++ b/src/coordination/duty-lease.ts
@@ -8,6 +8,7 @@
  * Only the holder reads the topic; the others hear of it from their peers and read when it
  * falls silent. At rest that is one read a second for the whole system.
  */
+import {Buffer} from 'node:buffer';
 import {type RecordBatch, type Store, Topic} from '../protocol/platform.js';
 import {type SteadyClock} from '../clock.js';
 import {createLogger} from '../log.js';
@@ -193,10 +194,10 @@
 
 		batch ??= await this.store.newest(Topic.Duties, signal);
 		for (const record of batch.records) {
-			if (record.key === DutyKey.Claim && record.value) {
+			if (record.key === String(DutyKey.Claim) && record.value) {
 				const {holder} = JSON.parse(Buffer.from(record.value).toString('utf8')) as {holder: string};
 				this.takeClaim(holder, record.offset, this.clock.now());
-			} else if (record.key === DutyKey.Usage) {
+			} else if (record.key === String(DutyKey.Usage)) {
 				this.lastUsage = record.value;
 			}
 		}
--- a/src/coordination/duty-runner.ts
+++ b/src/coordination/duty-runner.ts
@@ -6,7 +6,10 @@
  * Whoever holds the lease later repeats the decided counts and never others, so that no
  * window is reported in two ways.
  */
-import {type Cloud, type DutyHolder, DutyResult, type PoolOrder} from '../protocol/platform.js';
+import {Buffer} from 'node:buffer';
+import {
+	type Cloud, type DutyHolder, DutyResult, type PoolOrder,
+} from '../protocol/platform.js';
 import {type Service} from '../protocol/serving.js';
 import {type SteadyClock} from '../clock.js';
 import {type BackendTable} from '../state/backend-table.js';
@@ -161,8 +164,12 @@
 		}
 
 		const result = await cloud.orderPool(holder, order, signal);
-		this.orders.set(key, {count: order.count, atMs: clock.now(), result, token: holder.token});
-		log.info('pool ordered.', {...order, present, result, token: holder.token});
+		this.orders.set(key, {
+			count: order.count, atMs: clock.now(), result, token: holder.token,
+		});
+		log.info('pool ordered.', {
+			...order, present, result, token: holder.token,
+		});
 		if (result === DutyResult.Refused && !order.isReclaimable) {
 			// On-demand VMs are always to be had: a refusal means a higher token.
 			this.parts.lease.doubt();
@@ -176,9 +183,13 @@
 
 /** Whether an order must be given: it is new, or the pool has not followed the last one in time. */
 export function isOrderDue(wanted: number, present: number, last: OrderState | undefined, at: {bootMs: number; nowMs: number; token: number}): boolean {
-	if (!last || last.token !== at.token) {
+	if (!last) {
 		// A new holder does not know what its predecessor ordered last.
-		return !last || last.count !== wanted || present !== wanted;
+		return true;
+	}
+
+	if (last.token !== at.token) {
+		return last.count !== wanted || present !== wanted;
 	}
 
 	const ageMs = at.nowMs - last.atMs;
--- a/src/coordination/placement.ts
+++ b/src/coordination/placement.ts
@@ -146,7 +146,9 @@
 			+ (view.failures.length * failureCostMs)
 			+ (backend.coldForMs > 0 ? coldCostMs : 0)
 			+ (backend.failureDomain === this.failureDomain ? 0 : otherDomainCostMs);
-		return {backend, costMs, cachedTokens, inFlight};
+		return {
+			backend, costMs, cachedTokens, inFlight,
+		};
 	}
 
 	private view(backendId: string): View {
--- a/src/coordination/quota-ledger.ts
+++ b/src/coordination/quota-ledger.ts
@@ -40,11 +40,11 @@
 
 /** What was admitted to one account in the window. */
 class AccountWindow {
+	/** Admitted by this daemon since its start. */
+	spent = 0;
 	private readonly uses: Use[] = [];
 	/** Sum that a peer knew of when this daemon started, and until when it counts. */
 	private adopted = {cost: 0, untilMs: 0};
-	/** Admitted by this daemon since its start. */
-	spent = 0;
 
 	constructor(private readonly windowMs: number) {}
 
--- a/src/coordination/serving/call-forwarding.ts
+++ b/src/coordination/serving/call-forwarding.ts
@@ -5,7 +5,9 @@
 import {RequestKind} from '../../protocol/serving.js';
 import {TransportError} from '../../transport/errors.js';
 import {RepeatPurpose} from '../retry-allowance.js';
-import {type BegunAnswer, type Dispatcher, DispatchKind, type FailedDispatch} from './dispatcher.js';
+import {
+	type BegunAnswer, type Dispatcher, DispatchKind, type FailedDispatch,
+} from './dispatcher.js';
 import {type ServedRequest} from './served-request.js';
 
 /** Longest answer that is held, in bytes. */
@@ -21,12 +23,12 @@
 export type WholeAnswer = {status: number; statusText: string; rawHeaders: string[]; body: Uint8Array; backendId: string};
 
 /** How a call ended. */
-export type CallResult =
-	| {kind: 'answer'; answer: WholeAnswer}
+export type CallResult
+	= | {kind: 'answer'; answer: WholeAnswer}
 	/** It has not run and never will. */
-	| {kind: 'not-run'; reason: string}
+		| {kind: 'not-run'; reason: string}
 	/** It may have run. */
-	| {kind: 'unknown'; reason: string};
+		| {kind: 'unknown'; reason: string};
 
 /** Forwards one call. */
 export async function forwardCall(dispatcher: Dispatcher, served: ServedRequest, onBegun: () => void, now: () => number): Promise<CallResult> {
--- a/src/coordination/serving/dispatcher.ts
+++ b/src/coordination/serving/dispatcher.ts
@@ -11,7 +11,7 @@
 import {createLogger} from '../../log.js';
 import {type PeerTable} from '../peer-table.js';
 import {type Choice, type Placement, type RunningRequest} from '../placement.js';
-import {RepeatPurpose, type RetryAllowance} from '../retry-allowance.js';
+import {type RepeatPurpose, type RetryAllowance} from '../retry-allowance.js';
 import {type ServedRequest} from './served-request.js';
 
 const log = createLogger('dispatch');
@@ -105,7 +105,7 @@
 			// eslint-disable-next-line no-await-in-loop -- one backend server after the other.
 			const result = await this.sendTo(served, choice.backend, choice.costMs, options);
 			const isUnreached = result.kind === DispatchKind.NotRun && result.reason === 'unreached';
-			if (!isUnreached || options.target || served.inputs.signal.aborted) {
+			if (!isUnreached || options.target !== undefined || served.inputs.signal.aborted) {
 				return result;
 			}
 		}
@@ -158,7 +158,9 @@
 				signal: abort.signal,
 			});
 			served.arrivals++;
-			return this.judge(served, {backend, answer, running, abort}, options, fail);
+			return this.judge(served, {
+				backend, answer, running, abort,
+			}, options, fail);
 		} catch (error) {
 			if (error instanceof ConnectError) {
 				placement.noteFailure(backend.id, clock.now());
--- a/src/coordination/serving/forwarder.ts
+++ b/src/coordination/serving/forwarder.ts
@@ -103,7 +103,7 @@
 	}
 
 	/** Finds the route and account of a request and takes its cost from the limit. */
-	private admit(request: ReturnType<Dialect['readRequest']> & object, nowMs: number): Admission | Rejection {
+	private admit(request: ReturnType<Dialect['readRequest']> & Record<string, unknown>, nowMs: number): Admission | Rejection {
 		const {routes, belief, mostBeliefMs, quota, peers, allowance} = this.parts;
 		if (!routes.current) {
 			return {status: 503, reason: 'configuration not known yet', retryAfterMs: outageReturnMs};
--- a/src/coordination/serving/stream-forwarding.ts
+++ b/src/coordination/serving/stream-forwarding.ts
@@ -7,7 +7,9 @@
 import {type ServerResponse} from 'node:http';
 import {RepeatPurpose} from '../retry-allowance.js';
 import {type WholeAnswer} from './call-forwarding.js';
-import {type BegunAnswer, type Dispatcher, DispatchKind, type DispatchOptions} from './dispatcher.js';
+import {
+	type BegunAnswer, type Dispatcher, DispatchKind, type DispatchOptions,
+} from './dispatcher.js';
 import {Flight, type MoveResult, PumpEnd} from './flight.js';
 import {type ServedRequest} from './served-request.js';
 import {type StreamRegistry} from './stream-registry.js';
@@ -20,14 +22,14 @@
 const leastUsefulMs = 20;
 
 /** How a stream ended. */
-export type StreamResult =
-	| {kind: 'complete'; events: number}
+export type StreamResult
+	= | {kind: 'complete'; events: number}
 	/** An answer that is no stream, to be passed on whole. */
-	| {kind: 'answer'; answer: WholeAnswer}
-	| {kind: 'not-run'; reason: string}
-	| {kind: 'unknown'; reason: string}
+		| {kind: 'answer'; answer: WholeAnswer}
+		| {kind: 'not-run'; reason: string}
+		| {kind: 'unknown'; reason: string}
 	/** Broken off after events were delivered. */
-	| {kind: 'broken'; reason: string; events: number};
+		| {kind: 'broken'; reason: string; events: number};
 
 /** Forwards one stream. */
 export async function forwardStream(parts: {dispatcher: Dispatcher; registry: StreamRegistry; now: () => number}, served: ServedRequest, response: ServerResponse, onBegun: () => void): Promise<StreamResult> {
@@ -48,15 +50,7 @@
 			});
 			if (dispatched.kind === DispatchKind.Answer) {
 				const isStream = dispatched.answer.status >= 200 && dispatched.answer.status < 300;
-				if (!isStream) {
-					// eslint-disable-next-line no-await-in-loop
-					const answer = await readFailure(dispatched);
-					if (!flight.isHeadSent && answer && !(served.isRepeatable && mayRunAgain(served))) {
-						return {kind: 'answer', answer};
-					}
-
-					reason = `failed with ${dispatched.answer.status}`;
-				} else {
+				if (isStream) {
 					// eslint-disable-next-line no-await-in-loop
 					const end = await flight.pump(dispatched);
 					if (end === PumpEnd.Complete) {
@@ -64,6 +58,14 @@
 					}
 
 					reason = end;
+				} else {
+					// eslint-disable-next-line no-await-in-loop
+					const answer = await readFailure(dispatched);
+					if (!flight.isHeadSent && answer && !(served.isRepeatable && mayRunAgain(served))) {
+						return {kind: 'answer', answer};
+					}
+
+					reason = `failed with ${dispatched.answer.status}`;
 				}
 
 				served.attempts.at(-1)!.result = reason;
--- a/src/coordination/serving/stream-registry.ts
+++ b/src/coordination/serving/stream-registry.ts
@@ -90,14 +90,18 @@
 			try {
 				// eslint-disable-next-line no-await-in-loop -- the next target only if this one has no room.
 				const run = await this.parts.engines.move(id, source, target, this.parts.signal);
-				log.info(run ? 'stream moved.' : 'stream not moved.', {request: id, from: source.id, to: target.id, events: flight.events});
+				log.info(run ? 'stream moved.' : 'stream not moved.', {
+					request: id, from: source.id, to: target.id, events: flight.events,
+				});
 				if (run) {
 					this.moved++;
 					// What the source sent before it stopped is still on its way; it closes the stream.
 					return {target, run};
 				}
 			} catch (error) {
-				log.warn('move unanswered.', {request: id, from: source.id, to: target.id, error: String(error)});
+				log.warn('move unanswered.', {
+					request: id, from: source.id, to: target.id, error: String(error),
+				});
 				flight.interrupt();
 				return undefined;
 			}
--- a/src/coordination/topic-follower.ts
+++ b/src/coordination/topic-follower.ts
@@ -15,12 +15,12 @@
 const retryPauseMs = 200;
 
 /** What is done with the records of a topic. */
-export interface RecordSink {
+export type RecordSink = {
 	/** Takes the newest record of every key; keys that are missing were dropped. */
 	reset(records: KeyedRecord[], nowMs: number): void;
 	/** Takes one later record. */
 	apply(record: KeyedRecord, nowMs: number): void;
-}
+};
 
 /** The parts a follower works with. */
 export type FollowerOptions = {
--- a/src/protocol/platform.ts
+++ b/src/protocol/platform.ts
@@ -70,13 +70,13 @@
 }
 
 /** How an append ended. */
-export type AppendResult =
-	| {kind: 'appended'; offset: number}
+export type AppendResult
+	= | {kind: 'appended'; offset: number}
 	/** The topic does not end at the offset the append named. */
-	| {kind: 'conflict'; end: number};
+		| {kind: 'conflict'; end: number};
 
 /** The platform's store: an append-only log with topics. */
-export interface Store {
+export type Store = {
 	/**
 	 * The newest record of each key.
 	 *
@@ -97,7 +97,7 @@
 	 * @throws {UnknownAppendError} When the outcome is unknown.
 	 */
 	append(topic: Topic, record: {key: string; value: Uint8Array}, at: number | undefined, signal: AbortSignal): Promise<AppendResult>;
-}
+};
 
 /** How the platform took a call that belongs to a singleton duty. */
 export enum DutyResult {
@@ -117,23 +117,23 @@
 export type PoolOrder = {service: string; failureDomain: string; isReclaimable: boolean; count: number};
 
 /** The platform's calls that one daemon at a time may make. */
-export interface Cloud {
+export type Cloud = {
 	/** Reports the requests of each account that began to run in a window. */
 	reportUsage(holder: DutyHolder, window: number, counts: Record<string, number>, signal: AbortSignal): Promise<DutyResult>;
 	/** Orders the number of VMs of one kind. */
 	orderPool(holder: DutyHolder, order: PoolOrder, signal: AbortSignal): Promise<DutyResult>;
-}
+};
 
 /** Names and formats of the callers' and backend servers' headers. */
-export interface Dialect {
+export type Dialect = {
+	/** Path at which the balancer asks for readiness. */
+	readonly readinessPath: string;
 	/** Reads a caller's request; undefined when its own headers contradict each other. */
 	readRequest(method: string, path: string, rawHeaders: string[]): CallerRequest | undefined;
 	/** The headers of a request for one backend server, as name and value by turns. */
 	backendHeaders(request: CallerRequest, dispatch: Dispatch): string[];
 	readAnswer(headers: NodeJS.Dict<string | string[]>): AnswerMarks;
-	/** Path at which the balancer asks for readiness. */
-	readonly readinessPath: string;
-}
+};
 
 /** A copy of a run's KV cache at another engine. */
 export type MovedRun = {
@@ -142,7 +142,7 @@
 };
 
 /** Orders to engines. */
-export interface Engines {
+export type Engines = {
 	/**
 	 * Stops a run and copies its KV cache to another engine.
 	 *
@@ -150,26 +150,26 @@
 	 * @throws {TransportError} When the engine does not answer.
 	 */
 	move(requestId: string, source: Backend, target: Backend, signal: AbortSignal): Promise<MovedRun | undefined>;
-}
+};
 
 /** Decoders of the operators' and the platform's records. */
-export interface Records {
+export type Records = {
 	/** @throws {ProtocolError} When the record is not a configuration. */
 	readConfig(value: Uint8Array): ServingConfig;
 	/** @throws {ProtocolError} When the record is not a backend server's entry. */
 	readBackend(id: string, value: Uint8Array): Backend;
 	/** Whether a record of {@link Topic.Config} holds the configuration. */
 	isConfigKey(key: string): boolean;
-}
+};
 
 /** A platform, as the serving daemon sees it. */
 export type Platform = {
 	settings: FrontSettings;
-	/** @throws {SettingsError} When the settings are bad. */
-	readSettings(): FrontSettings;
 	store: Store;
 	cloud: Cloud;
 	dialect: Dialect;
 	engines: Engines;
 	records: Records;
+	/** @throws {SettingsError} When the settings are bad. */
+	readSettings(): FrontSettings;
 };
--- /dev/null
+++ b/src/state/__tests__/backend-table.test.ts
@@ -0,0 +1,49 @@
+import {describe, expect, it} from 'vitest';
+import {type Backend, BackendState} from '../../protocol/serving.js';
+import {BackendTable} from '../backend-table.js';
+
+const backend = (id: string, state = BackendState.Ready, leavesInMs?: number): Backend => ({
+	id, service: 's', host: '10.0.0.1', port: 1, failureDomain: 'fd', slots: 4, state, isReclaimable: false, leavesInMs, coldForMs: 0,
+});
+const drainMs = 2000;
+const usable = (table: BackendTable, nowMs: number) => table.candidates('s', nowMs).map(({id}) => id);
+
+describe('BackendTable', () => {
+	it.each([
+		{name: 'a leaving one gets no new work', act: (table: BackendTable) => table.upsert(backend('a', BackendState.Draining), 0), expected: ['b']},
+		{
+			name: 'leaving is final', act(table: BackendTable) {
+				table.upsert(backend('a', BackendState.Draining), 0);
+				table.upsert(backend('a'), 0);
+			}, expected: ['b'],
+		},
+		{name: 'one that vanished gets no new work while another is there', act: (table: BackendTable) => table.vanish('a', 0), expected: ['b']},
+		{name: 'one whose address answers as another gets no new work', act: (table: BackendTable) => table.replaced('a', 0), expected: ['b']},
+		{name: 'a full list drops what it lacks', act: (table: BackendTable) => table.retain(new Set(['b']), 0), expected: ['b']},
+		{
+			name: 'one that came back after a lapse is used again', act(table: BackendTable) {
+				table.vanish('a', 0);
+				table.upsert(backend('a'), 500);
+			}, expected: ['a', 'b'],
+		},
+	])('$name', ({act, expected}) => {
+		const table = new BackendTable(drainMs);
+		table.upsert(backend('a'), 0);
+		table.upsert(backend('b'), 0);
+		act(table);
+		expect(usable(table, 600)).toEqual(expected);
+	});
+
+	it('lapsed entries are used a moment when there is no other, and not as long as new work is forbidden', () => {
+		const table = new BackendTable(drainMs);
+		table.upsert(backend('a'), 0);
+		table.vanish('a', 1000);
+		expect(usable(table, 2000)).toEqual(['a']);
+		expect(usable(table, 1000 + drainMs)).toEqual([]);
+	});
+
+	it.each([{leavesInMs: undefined, expected: drainMs}, {leavesInMs: 2600, expected: 2600}])('leaves after $leavesInMs', ({leavesInMs, expected}) => {
+		const table = new BackendTable(drainMs);
+		expect(table.upsert(backend('a', BackendState.Draining, leavesInMs), 0).entry.leavesAtMs).toBe(expected);
+	});
+});
--- /dev/null
+++ b/src/state/__tests__/route-table.test.ts
@@ -0,0 +1,41 @@
+import {describe, expect, it} from 'vitest';
+import {RequestKind, type Route, type ServingConfig} from '../../protocol/serving.js';
+import {RouteTable} from '../route-table.js';
+
+const route = (name: string, host: string, pathPrefix: string): Route => ({
+	name, host, pathPrefix, kind: RequestKind.Idempotent, timeoutMs: 1000, latencyTargetMs: 100, gapTargetMs: 0, priority: 0, attempts: 2, isPublic: false, isResumable: false, targets: [{service: 's', weight: 1}],
+});
+const config = (version: number, routes: Route[], keys: string[] = []): ServingConfig => ({
+	version,
+	routes,
+	services: [],
+	limits: {
+		headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1,
+	},
+	accounts: [{
+		name: 'a', apiKeys: keys, priority: undefined, ratePerSecond: undefined, burst: 0, countsTokens: false, plainTokens: 1,
+	}],
+});
+
+describe('RouteTable', () => {
+	const table = new RouteTable();
+	table.apply(config(7, [route('short', 'h.example', '/a/'), route('long', 'h.example', '/a/b/'), route('other', 'o.example', '/a/')], ['k1']));
+
+	it.each([
+		{host: 'h.example', path: '/a/x', expected: 'short'},
+		{host: 'h.example', path: '/a/b/x', expected: 'long'},
+		{host: 'h.example', path: '/a/b', expected: 'short'},
+		{host: 'h.example', path: '/a?x=/a/b/', expected: undefined},
+		{host: 'o.example', path: '/a/b/x', expected: 'other'},
+		{host: 'n.example', path: '/a/', expected: undefined},
+	])('$host$path goes to $expected', ({host, path, expected}) => {
+		expect(table.match(host, path)?.name).toBe(expected);
+	});
+
+	it.each([{version: 7, taken: false}, {version: 6, taken: false}, {version: 9, taken: true}])('version $version after 7: $taken', ({version, taken}) => {
+		const other = new RouteTable();
+		other.apply(config(7, [], ['k1']));
+		expect(other.apply(config(version, [], ['k2']))).toBe(taken);
+		expect(other.accountOf('k1') !== undefined).toBe(!taken);
+	});
+});
--- /dev/null
+++ b/src/testing/fake-store.ts
@@ -0,0 +1,86 @@
+/** A store in memory with the faults that tests ask for. */
+import {type AppendResult, type KeyedRecord, type RecordBatch, type Store, type Topic} from '../protocol/platform.js';
+import {StateError, UnknownAppendError} from '../state/errors.js';
+
+/** A store whose topics are arrays of records. */
+export class FakeStore implements Store {
+	/** Whether calls fail without having done anything. */
+	isDown = false;
+	/** Whether appends are done and their answers lost. */
+	losesAnswers = false;
+	private readonly topics = new Map<Topic, KeyedRecord[]>();
+	/** Records below this offset are not kept any more. */
+	private readonly firsts = new Map<Topic, number>();
+
+	put(topic: Topic, key: string, value: string | undefined): number {
+		const records = this.records(topic);
+		records.push({key, value: value === undefined ? undefined : new TextEncoder().encode(value), offset: records.length});
+		return records.length - 1;
+	}
+
+	/** Drops the history of a topic; the newest record of each key stays. */
+	compact(topic: Topic): void {
+		this.firsts.set(topic, this.records(topic).length);
+	}
+
+	length(topic: Topic): number {
+		return this.records(topic).length;
+	}
+
+	async newest(topic: Topic): Promise<RecordBatch> {
+		this.check();
+		const newest = new Map<string, KeyedRecord>();
+		for (const record of this.records(topic)) {
+			if (record.value) {
+				newest.set(record.key, record);
+			} else {
+				newest.delete(record.key);
+			}
+		}
+
+		return {records: [...newest.values()], next: this.records(topic).length};
+	}
+
+	async read(topic: Topic, from: number): Promise<RecordBatch | undefined> {
+		this.check();
+		if (from < (this.firsts.get(topic) ?? 0)) {
+			return undefined;
+		}
+
+		await new Promise(resolve => {
+			setTimeout(resolve, 1);
+		});
+		return {records: this.records(topic).slice(from), next: this.records(topic).length};
+	}
+
+	async append(topic: Topic, record: {key: string; value: Uint8Array}, at: number | undefined): Promise<AppendResult> {
+		this.check();
+		const records = this.records(topic);
+		if (at !== undefined && at !== records.length) {
+			return {kind: 'conflict', end: records.length};
+		}
+
+		records.push({...record, offset: records.length});
+		if (this.losesAnswers) {
+			throw new UnknownAppendError('answer lost');
+		}
+
+		return {kind: 'appended', offset: records.length - 1};
+	}
+
+	private check(): void {
+		if (this.isDown) {
+			throw new StateError('down');
+		}
+	}
+
+	private records(topic: Topic): KeyedRecord[] {
+		let records = this.topics.get(topic);
+		if (!records) {
+			records = [];
+			this.topics.set(topic, records);
+		}
+
+		return records;
+	}
+}
--- a/src/transport/__tests__/backend-pool.test.ts
+++ b/src/transport/__tests__/backend-pool.test.ts
@@ -1,5 +1,8 @@
+import {Buffer} from 'node:buffer';
 import {createServer, type AddressInfo, type Socket} from 'node:net';
-import {afterEach, describe, expect, it} from 'vitest';
+import {
+	afterEach, describe, expect, it,
+} from 'vitest';
 import {type Backend, BackendState} from '../../protocol/serving.js';
 import {BackendPool, exchange} from '../backend-pool.js';
 import {TransportError} from '../errors.js';
@@ -32,10 +35,12 @@
 	};
 }
 
-async function send(pool: BackendPool, backend: Backend) {
-	return exchange(pool, {
+async function readText(pool: BackendPool, backend: Backend): Promise<string> {
+	const answer = await exchange(pool, {
 		backend, method: 'GET', path: '/x', headers: ['Host', 'h'], body: undefined, connectMs: 500, signal: AbortSignal.timeout(3000),
 	});
+	const body = await answer.read(1000);
+	return Buffer.from(body).toString();
 }
 
 const head = 'HTTP/1.1 200 OK\r\n';
@@ -43,12 +48,12 @@
 describe('answers of backend servers', () => {
 	it.each([
 		{
-			name: 'a body without a length that ends with its connection is whole', script: (socket: Socket) => {
+			name: 'a body without a length that ends with its connection is whole', script(socket: Socket) {
 				socket.end(`${head}\r\nwhole`);
 			}, expected: 'whole',
 		},
 		{
-			name: 'a body without a length that is reset is not', script: (socket: Socket) => {
+			name: 'a body without a length that is reset is not', script(socket: Socket) {
 				socket.write(`${head}\r\npart`);
 				setTimeout(() => {
 					socket.resetAndDestroy();
@@ -56,26 +61,26 @@
 			}, expected: undefined,
 		},
 		{
-			name: 'a body without a length that is reset at once is not', script: (socket: Socket) => {
+			name: 'a body without a length that is reset at once is not', script(socket: Socket) {
 				socket.write(`${head}\r\npart`, () => {
 					socket.resetAndDestroy();
 				});
 			}, expected: undefined,
 		},
 		{
-			name: 'a body shorter than its length is not whole', script: (socket: Socket) => {
+			name: 'a body shorter than its length is not whole', script(socket: Socket) {
 				socket.end(`${head}Content-Length: 9\r\n\r\npart`);
 			}, expected: undefined,
 		},
 		{
-			name: 'chunks without their end are not whole', script: (socket: Socket) => {
+			name: 'chunks without their end are not whole', script(socket: Socket) {
 				socket.end(`${head}Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n`);
 			}, expected: undefined,
 		},
 	])('$name', async ({script, expected}) => {
 		const backend = await startBackend(script);
 		const pool = new BackendPool();
-		const read = async () => Buffer.from(await (await send(pool, backend)).read(1000)).toString();
+		const read = async () => readText(pool, backend);
 		await (expected === undefined ? expect(read()).rejects.toThrow(TransportError) : expect(read()).resolves.toBe(expected));
 	});
 
@@ -87,7 +92,7 @@
 		const pool = new BackendPool();
 		for (let round = 0; round < 3; round++) {
 			// eslint-disable-next-line no-await-in-loop -- one request after the other.
-			expect(Buffer.from(await (await send(pool, backend)).read(1000)).toString()).toBe('ok');
+			expect(await readText(pool, backend)).toBe('ok');
 			// eslint-disable-next-line no-await-in-loop
 			await new Promise(resolve => {
 				setTimeout(resolve, 30);
--- a/src/transport/backend-pool.ts
+++ b/src/transport/backend-pool.ts
@@ -3,6 +3,7 @@
  * while nothing is in doubt about it: bytes that arrive while no request waits, an answer
  * of another request or a broken one close it.
  */
+import {Buffer} from 'node:buffer';
 import {
 	Agent, type ClientRequest, type IncomingMessage, request as startRequest,
 } from 'node:http';
@@ -25,6 +26,11 @@
 	return seconds === undefined ? unstatedIdleMs : Math.min(idleMs, Number(seconds) * 1000 * idleShare);
 }
 
+/** Closes an idle connection on which bytes arrive. */
+const destroyOnData = function (this: Socket): void {
+	this.destroy();
+};
+
 /** The kept connections to all backend servers. */
 export class BackendPool extends Agent {
 	private readonly idleLimits = new WeakMap<Socket, number>();
@@ -42,6 +48,7 @@
 	}
 
 	/** Called by the agent when an exchange is over. */
+	// eslint-disable-next-line @typescript-eslint/strict-void-return -- the agent closes the connection unless true is returned; the types say void.
 	override keepSocketAlive(socket: Socket): boolean {
 		socket.setKeepAlive(true, keepAliveProbeMs);
 		// Bytes on an idle connection belong to no request.
@@ -51,9 +58,11 @@
 			return false;
 		}
 
-		this.idleTimers.set(socket, setTimeout(() => {
+		const timer = setTimeout(() => {
 			socket.destroy();
-		}, limitMs).unref());
+		}, limitMs);
+		timer.unref();
+		this.idleTimers.set(socket, timer);
 		return true;
 	}
 
@@ -65,10 +74,6 @@
 	}
 }
 
-function destroyOnData(this: Socket): void {
-	this.destroy();
-}
-
 /** One request for one backend server. */
 export type Exchange = {
 	backend: Backend;
--- a/src/transport/datagram-link.ts
+++ b/src/transport/datagram-link.ts
@@ -15,9 +15,6 @@
 
 /** One bound datagram socket. */
 export class DatagramLink {
-	bytesSent = 0;
-	private constructor(private readonly socket: Socket) {}
-
 	/**
 	 * Binds an address and hands every readable message to `onMessage`.
 	 *
@@ -50,6 +47,9 @@
 		return new DatagramLink(socket);
 	}
 
+	bytesSent = 0;
+	private constructor(private readonly socket: Socket) {}
+
 	/** Sends a message; a lost one is not noticed. */
 	send(message: unknown, to: PeerAddress): void {
 		const bytes = pack(message);
--- a/src/transport/event-splitter.ts
+++ b/src/transport/event-splitter.ts
@@ -2,6 +2,7 @@
  * Splits a server-sent event stream into whole events without changing a byte, so that a
  * stream that stops in the middle of an event can go on elsewhere with the next one.
  */
+import {Buffer} from 'node:buffer';
 
 /** One event as it came, with the blank line that ends it. */
 export type RawEvent = {
@@ -13,14 +14,14 @@
 const lineFeed = 0x0A;
 const carriageReturn = 0x0D;
 
-function readId(bytes: Buffer): string | undefined {
-	const text = bytes.toString('latin1');
+function readId(bytes: Uint8Array): string | undefined {
+	const text = Buffer.from(bytes.buffer, bytes.byteOffset, bytes.byteLength).toString('latin1');
 	return /(?:^|\n)id: ?([^\r\n]*)/v.exec(text)?.[1];
 }
 
 /** The splitter of one stream. */
 export class EventSplitter {
-	private pending: Buffer = Buffer.alloc(0);
+	private pending: Uint8Array = new Uint8Array();
 
 	/** Whether part of an event is still waiting for its end. */
 	get hasPartial(): boolean {
@@ -49,6 +50,6 @@
 
 	/** Drops a partial event. */
 	reset(): void {
-		this.pending = Buffer.alloc(0);
+		this.pending = new Uint8Array();
 	}
 }
--- a/src/transport/front-server.ts
+++ b/src/transport/front-server.ts
@@ -4,6 +4,7 @@
  * anything is decided, so that a request can be sent again. `node:http` is used rather than
  * hapi: nothing is routed here, and the connection itself has to be governed.
  */
+import {Buffer} from 'node:buffer';
 import {
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
@@ -101,7 +102,7 @@
 
 	constructor(private readonly handler: FrontHandler) {
 		this.server = createServer({
-			maxHeaderSize: parserHeaderBytes, connectionsCheckingInterval: timeoutCheckMs, insecureHTTPParser: false, noDelay: true, requireHostHeader: false,
+			maxHeaderSize: parserHeaderBytes, connectionsCheckingInterval: timeoutCheckMs, noDelay: true, requireHostHeader: false,
 		}, (request, response) => {
 			void this.take(request, response);
 		});
--- a/src/transport/raw-client.ts
+++ b/src/transport/raw-client.ts
@@ -3,6 +3,7 @@
  * connections. A call that ends without an answer closes its connection, so that one that
  * went silent is not used again.
  */
+import {Buffer} from 'node:buffer';
 import {Agent} from 'node:http';
 import Wreck from '@hapi/wreck';
 import {TransportError} from './errors.js';
@@ -55,7 +56,7 @@
 		try {
 			const response = await pending;
 			const answer = await Wreck.read(response, {});
-			return {statusCode: response.statusCode ?? 0, body: answer as Uint8Array};
+			return {statusCode: response.statusCode ?? 0, body: answer};
 		} catch (error) {
 			throw new TransportError(`${what} got no answer`, {cause: error});
 		} finally {
