--- a/src/coordination/__tests__/topic-follower.test.ts
+++ b/src/coordination/__tests__/topic-follower.test.ts
@@ -37,9 +37,9 @@
 		store.put(Topic.Config, 'a', '1');
 		store.put(Topic.Config, 'a', '2');
 		const {seen, stop} = follow(store);
-		await waitUntil(() => seen.length === 1, 1000);
+		await waitUntil(async () => seen.length === 1, 1000);
 		store.put(Topic.Config, 'b', '3');
-		await waitUntil(() => seen.length === 2, 1000);
+		await waitUntil(async () => seen.length === 2, 1000);
 		stop.abort();
 		expect(seen).toEqual(['reset a', 'b']);
 	});
@@ -48,11 +48,11 @@
 		const store = new FakeStore();
 		store.put(Topic.Config, 'a', '1');
 		const {seen, stop} = follow(store);
-		await waitUntil(() => seen.length === 1, 1000);
+		await waitUntil(async () => seen.length === 1, 1000);
 		store.put(Topic.Config, 'b', '2');
 		store.compact(Topic.Config);
 		store.put(Topic.Config, 'c', '3');
-		await waitUntil(() => seen.some(line => line.includes('c')), 1000);
+		await waitUntil(async () => seen.some(line => line.includes('c')), 1000);
 		stop.abort();
 		expect(seen.join(' ')).toContain('b');
 	});
@@ -60,11 +60,11 @@
 	it('lets the view age while the store is down and confirms it when it is back', async () => {
 		const store = new FakeStore();
 		const {belief, stop, clock} = follow(store);
-		await waitUntil(() => belief.isKnown, 1000);
+		await waitUntil(async () => belief.isKnown, 1000);
 		store.isDown = true;
-		await waitUntil(() => belief.ageMs(clock.now()) > 400, 2000);
+		await waitUntil(async () => belief.ageMs(clock.now()) > 400, 2000);
 		store.isDown = false;
-		await waitUntil(() => belief.ageMs(clock.now()) < 100, 2000);
+		await waitUntil(async () => belief.ageMs(clock.now()) < 100, 2000);
 		stop.abort();
 	});
 });
--- a/src/coordination/placement.ts
+++ b/src/coordination/placement.ts
@@ -13,6 +13,8 @@
 const prefillTokensPerMs = 50;
 /** Delay that one more running request causes, in milliseconds; a step of 64 requests takes twice one of a single one. */
 const runningCostMs = 5;
+/** Cost of a plain service whose slots are all in use, in milliseconds. */
+const slotCostMs = 200;
 /** Delay per request beyond an engine's slots, in milliseconds. */
 const queuedCostMs = 60;
 /** Share of the cached tokens' worth given to the engine that all daemons would choose first for a prompt part, where this daemon knows of no cache. */
@@ -47,8 +49,10 @@
 /** A chosen backend server and why. */
 export type Choice = {
 	backend: Backend;
-	/** Estimated delay, in milliseconds. */
+	/** Estimated delay and what speaks against it beside, in milliseconds. */
 	costMs: number;
+	/** Estimated time until the first event, in milliseconds. */
+	waitMs: number;
 	/** Prompt tokens taken to be cached there. */
 	cachedTokens: number;
 	inFlight: number;
@@ -140,14 +144,14 @@
 		const stated = view.stated && nowMs - view.statedAtMs <= statedLoadMs ? view.stated.running + view.stated.waiting : 0;
 		const inFlight = Math.max(view.inFlight + query.peersInFlight(backend.id), Math.min(stated, view.inFlight + query.peersInFlight(backend.id) + 4));
 		const queued = Math.max(0, inFlight + 1 - backend.slots);
-		const costMs = ((view.pendingTokens + Math.max(0, promptTokens - cachedTokens)) / prefillTokensPerMs)
-			+ (inFlight * (promptTokens > 0 ? runningCostMs : 200 / backend.slots))
-			+ (queued * queuedCostMs)
+		const waitMs = ((view.pendingTokens + Math.max(0, promptTokens - cachedTokens)) / prefillTokensPerMs) + (queued * queuedCostMs);
+		const costMs = waitMs
+			+ (inFlight * (promptTokens > 0 ? runningCostMs : slotCostMs / backend.slots))
 			+ (view.failures.length * failureCostMs)
 			+ (backend.coldForMs > 0 ? coldCostMs : 0)
 			+ (backend.failureDomain === this.failureDomain ? 0 : otherDomainCostMs);
 		return {
-			backend, costMs, cachedTokens, inFlight,
+			backend, costMs, waitMs, cachedTokens, inFlight,
 		};
 	}
 
--- a/src/coordination/serving/call-forwarding.ts
+++ b/src/coordination/serving/call-forwarding.ts
@@ -52,6 +52,7 @@
 				return {kind: 'answer', answer};
 			}
 
+			dispatcher.noteFailure(served, dispatched.backend.id);
 			failure = answer ?? failure;
 			reason = answer ? `failed with ${answer.status}` : 'broken';
 		} else {
@@ -103,7 +104,6 @@
 		}
 
 		attempt.result = 'broken';
-		served.excluded.add(backend.id);
 		return undefined;
 	} finally {
 		clearTimeout(timer);
--- a/src/coordination/serving/dispatcher.ts
+++ b/src/coordination/serving/dispatcher.ts
@@ -111,6 +111,12 @@
 		}
 	}
 
+	/** Notes that a backend server failed a request after it had begun to answer. */
+	noteFailure(served: ServedRequest, backendId: string): void {
+		served.excluded.add(backendId);
+		this.parts.placement.noteFailure(backendId, this.parts.clock.now());
+	}
+
 	private mayRepeat(served: ServedRequest, purpose: RepeatPurpose): boolean {
 		const {allowance, peers, clock} = this.parts;
 		const nowMs = clock.now();
--- a/src/coordination/serving/forwarder.ts
+++ b/src/coordination/serving/forwarder.ts
@@ -171,8 +171,8 @@
 		const {dispatcher, registry, clock} = this.parts;
 		const nowMs = clock.now();
 		const choice = dispatcher.choose(served);
-		if (choice && choice.costMs > served.remainingMs(nowMs) * hopelessShare) {
-			this.finishRefused(served, front, `would wait ${Math.round(choice.costMs)} ms`);
+		if (choice && choice.waitMs > served.remainingMs(nowMs) * hopelessShare) {
+			this.finishRefused(served, front, `would wait ${Math.round(choice.waitMs)} ms`);
 			return;
 		}
 
--- a/src/coordination/serving/stream-forwarding.ts
+++ b/src/coordination/serving/stream-forwarding.ts
@@ -69,7 +69,7 @@
 				}
 
 				served.attempts.at(-1)!.result = reason;
-				served.excluded.add(dispatched.backend.id);
+				dispatcher.noteFailure(served, dispatched.backend.id);
 			} else {
 				({reason} = dispatched);
 				if (dispatched.kind === DispatchKind.NoBackend || dispatched.kind === DispatchKind.NoAllowance) {
