Keep on-demand replicas until what replaces them serves; move streams off replicas that vanish

When reclaimable replicas could be had again, the plan counted them as soon as they were promised and gave up every on-demand replica 4 s before they served; with nothing else listed, lapsed entries were used 2.2 s after the store had dropped them. A replica that leaves without saying draining also kept its streams until it was gone.

--- a/src/cli/front-daemon.ts
+++ b/src/cli/front-daemon.ts
@@ -31,7 +31,7 @@
 const log = createLogger('front');
 
 /** How long one read of the configuration waits, in milliseconds: bounds the age of the view on a calm day. */
-const configWaitMs = 1000;
+const configWaitMs = 1200;
 /** How long one read of the backend servers waits, in milliseconds: a connection that went silent is noticed within this and the time of an answer, before leaving backend servers may get no more work. */
 const backendsWaitMs = 2000;
 /** Share of the revocation bound that a view may reach before keys are not believed any more; the rest covers a request's way to a backend server. */
@@ -42,7 +42,9 @@
 const messageMs = 250;
 const messageDaemons = 12;
 /** How often silent peers are written to and the store's list of daemons is read, in milliseconds. */
-const rediscoverMs = 5000;
+const rediscoverMs = 8000;
+/** Pause between steps of the election, in milliseconds. */
+const leaseStepMs = 100;
 /** Pause between rounds of the duties, in milliseconds. */
 const dutyMs = 250;
 /** Backend servers that vanished are forgotten after this, in milliseconds. */
@@ -190,7 +192,7 @@
 				this.sendMessage(false);
 			}),
 			discovery: async () => this.repeat(() => rediscoverMs, async () => this.discover()),
-			lease: async () => this.repeat(() => dutyMs, async () => this.stepLease()),
+			lease: async () => this.repeat(() => leaseStepMs, async () => this.stepLease()),
 			duties: async () => this.repeat(() => dutyMs, async () => this.duties.step(signal)),
 			sweep: async () => this.repeat(() => sweepMs, () => {
 				this.registry.sweep(clock.now());
--- a/src/coordination/__tests__/pool.test.ts
+++ b/src/coordination/__tests__/pool.test.ts
@@ -3,7 +3,7 @@
 import {type Scaling} from '../../protocol/serving.js';
 import {isOrderDue} from '../duty-runner.js';
 import {PoolDemand} from '../pool-demand.js';
-import {planPool} from '../pool-plan.js';
+import {type DomainState, planPool} from '../pool-plan.js';
 
 const scaling: Scaling = {
 	min: 1, max: 6, bootMs: 4000, reclaimablePriceRatio: 0.18, prices: new Map([['a', 1], ['b', 0.8], ['c', 1.25], ['d', 0.9]]),
@@ -18,20 +18,28 @@
 	return total;
 };
 
+/** States in which reclaimable VMs serve as given, and on-demand VMs were ordered. */
+function states(serving: Record<string, number>, expected: Record<string, number> = serving, onDemand: Record<string, number> = {}): Map<string, DomainState> {
+	return new Map(['a', 'b', 'c', 'd'].map(name => [name, {serving: serving[name] ?? 0, expected: expected[name] ?? 0, onDemand: onDemand[name] ?? 0}]));
+}
+
 describe('planPool', () => {
 	it.each([
-		{name: 'a calm pool has no on-demand VM', expected: {a: 2, b: 2, c: 2, d: 2}, onDemand: 0},
-		{name: 'two failure domains lost: one more must not take too many', expected: {a: 2, b: 2}, onDemand: 1},
-		{name: 'three lost: on-demand VMs stand in', expected: {a: 2}, onDemand: 3},
-		{name: 'none to be had: the demand is met on demand', expected: {}, onDemand: 4},
-	])('$name', ({expected, onDemand}) => {
-		const pools = planPool(scaling, need, new Map(Object.entries(expected)));
+		{name: 'a calm pool has no on-demand VM', states: states({a: 2, b: 2, c: 2, d: 2}), onDemand: 0},
+		{name: 'two failure domains lost: one more must not take too many', states: states({a: 2, b: 2}), onDemand: 1},
+		{name: 'three lost: on-demand VMs stand in', states: states({a: 2}), onDemand: 3},
+		{name: 'none to be had: the demand is met on demand', states: states({}), onDemand: 4},
+		{name: 'promised ones are waited for', states: states({}, {a: 2, b: 2, c: 2, d: 2}), onDemand: 0},
+		{name: 'stand-ins stay until what replaces them serves', states: states({}, {a: 2, b: 2, c: 2, d: 2}, {b: 2, d: 2}), onDemand: 4},
+		{name: 'stand-ins go when what replaces them serves', states: states({a: 2, b: 2, c: 2, d: 2}, undefined, {b: 2, d: 2}), onDemand: 0},
+	])('$name', ({states, onDemand}) => {
+		const pools = planPool(scaling, need, states);
 		expect(sum(pools.map(pool => pool.onDemand))).toBe(onDemand);
 		expect(pools.every(pool => pool.onDemand + pool.reclaimable >= scaling.min)).toBe(true);
 	});
 
 	it('keeps each failure domain within its limit, cheapest first', () => {
-		const pools = planPool({...scaling, max: 2}, {replicas: 7, surviving: 3, spare: 0}, new Map());
+		const pools = planPool({...scaling, max: 2}, {replicas: 7, surviving: 3, spare: 0}, states({}));
 		expect(pools.map(pool => pool.onDemand)).toEqual([2, 2, 2, 1]);
 		expect(pools.every(pool => pool.onDemand + pool.reclaimable <= 2)).toBe(true);
 		expect(pools[0].failureDomain).toBe('b');
--- a/src/coordination/duty-lease.ts
+++ b/src/coordination/duty-lease.ts
@@ -19,7 +19,7 @@
 /** The holder acts while the read that confirmed its claim was sent at most this long ago, in milliseconds. */
 const confirmedMs = 1500;
 /** How long a confirming read waits, in milliseconds. */
-const readWaitMs = 700;
+const readWaitMs = 600;
 /** Added to the lease before a new holder acts, in milliseconds: with reads confirmed for 1.5 s, the same daemon cannot act on both sides of another within a lease. */
 const quietMarginMs = 500;
 /** Silence of the holder after which the first other claims, in milliseconds; eight rounds of messages. */
--- a/src/coordination/duty-runner.ts
+++ b/src/coordination/duty-runner.ts
@@ -16,7 +16,7 @@
 import {type RouteTable} from '../state/route-table.js';
 import {createLogger} from '../log.js';
 import {type DutyLease} from './duty-lease.js';
-import {planPool, type PoolNeed} from './pool-plan.js';
+import {type DomainState, planPool, type PoolNeed} from './pool-plan.js';
 import {type UsageLedger, type WindowCounts} from './usage-ledger.js';
 
 const log = createLogger('duties');
@@ -126,8 +126,8 @@
 
 	private async orderPool(service: Service, signal: AbortSignal): Promise<void> {
 		const scaling = service.scaling!;
-		const expected = new Map([...scaling.prices.keys()].map(failureDomain => [failureDomain, this.expected(service.name, failureDomain, scaling.bootMs)]));
-		const wanted = planPool(scaling, this.parts.need(service), expected).flatMap(pool => [
+		const states = new Map([...scaling.prices.keys()].map(failureDomain => [failureDomain, this.stateOf(service.name, failureDomain, scaling.bootMs)]));
+		const wanted = planPool(scaling, this.parts.need(service), states).flatMap(pool => [
 			// Reclaimable ones first, so that nothing is given up before its replacement is ordered.
 			...(scaling.reclaimablePriceRatio === undefined ? [] : [{failureDomain: pool.failureDomain, isReclaimable: true, count: pool.reclaimable}]),
 			{failureDomain: pool.failureDomain, isReclaimable: false, count: pool.onDemand},
@@ -138,13 +138,19 @@
 		}
 	}
 
-	/** Reclaimable VMs that a failure domain has, or has been promised and may still be booting. */
-	private expected(service: string, failureDomain: string, bootMs: number): number {
+	/** What a failure domain has, and has been promised. */
+	private stateOf(service: string, failureDomain: string, bootMs: number): DomainState {
 		const kind = {service, failureDomain, isReclaimable: true};
-		const present = this.present(kind);
+		const serving = this.present(kind);
 		const last = this.orders.get(orderKey(kind));
 		const isBooting = last?.result === DutyResult.Accepted && this.parts.clock.now() - last.atMs < bootMs + orderSettleMs;
-		return isBooting ? Math.max(present, last.count) : present;
+		const onDemandKind = {...kind, isReclaimable: false};
+		return {
+			serving,
+			expected: isBooting ? Math.max(serving, last.count) : serving,
+			// A new holder starts from what there is.
+			onDemand: this.orders.get(orderKey(onDemandKind))?.count ?? this.present(onDemandKind),
+		};
 	}
 
 	private present(kind: Omit<PoolOrder, 'count'>): number {
--- a/src/state/__tests__/backend-table.test.ts
+++ b/src/state/__tests__/backend-table.test.ts
@@ -34,11 +34,18 @@
 		expect(usable(table, 600)).toEqual(expected);
 	});
 
+	it('one that vanished is expected to go, and is not when it comes back', () => {
+		const table = new BackendTable(drainMs);
+		table.upsert(backend('a'), 0);
+		expect(table.vanish('a', 100)?.leavesAtMs).toBe(100 + drainMs);
+		expect(table.upsert(backend('a'), 500).entry.leavesAtMs).toBeUndefined();
+	});
+
 	it('lapsed entries are used a moment when there is no other, and not as long as new work is forbidden', () => {
 		const table = new BackendTable(drainMs);
 		table.upsert(backend('a'), 0);
 		table.vanish('a', 1000);
-		expect(usable(table, 2000)).toEqual(['a']);
+		expect(usable(table, 1700)).toEqual(['a']);
 		expect(usable(table, 1000 + drainMs)).toEqual([]);
 	});
 
--- a/src/state/backend-table.ts
+++ b/src/state/backend-table.ts
@@ -6,7 +6,7 @@
 import {type Backend, BackendState} from '../protocol/serving.js';
 
 /** How long a backend server whose entry vanished may still be used when no other is left, in milliseconds; below the bound on new work for leaving ones. */
-const vanishedUseMs = 1200;
+const vanishedUseMs = 800;
 
 /** A backend server and what is known of its leaving. */
 export type BackendEntry = {
@@ -40,7 +40,11 @@
 			backend, seenAtMs: nowMs, leavingSinceMs: undefined, leavesAtMs: undefined, vanishedAtMs: undefined,
 		};
 		entry.backend = backend;
-		entry.vanishedAtMs = undefined;
+		if (entry.vanishedAtMs !== undefined) {
+			entry.vanishedAtMs = undefined;
+			entry.leavesAtMs = entry.leavingSinceMs === undefined ? undefined : entry.leavesAtMs;
+		}
+
 		const beganToLeave = backend.state === BackendState.Draining && entry.leavingSinceMs === undefined;
 		if (beganToLeave) {
 			entry.leavingSinceMs = nowMs;
@@ -60,6 +64,8 @@
 		const entry = this.entries.get(id);
 		if (entry && entry.vanishedAtMs === undefined) {
 			entry.vanishedAtMs = nowMs;
+			// Some leave without saying so first, and serve on for as long as the others.
+			entry.leavesAtMs ??= nowMs + this.drainMs;
 		}
 
 		return entry;
