Keep shared prompt parts on one engine, and copy them rather than read them again

A part that every engine holds hid the part's home: any cached token took the place of the home's estimate. Load also weighed as much as the cache far below an engine's slots. The home counts beside the cache now, load grows with the square of the use, and another engine that takes the request copies the parts (a sixth of the price of reading).

--- a/src/coordination/__tests__/placement.test.ts
+++ b/src/coordination/__tests__/placement.test.ts
@@ -40,6 +40,25 @@
 		expect(placement.choose(query({peersInFlight: id => id === home ? peers : 0}))!.backend.id).not.toBe(home);
 	});
 
+	it('every engine has the common part, and daemons still agree on the home of the next one', () => {
+		const home = new Placement('fd-a').choose(query())!.backend.id;
+		const placement = new Placement('fd-a');
+		for (const {id} of candidates) {
+			placement.begin(id, 600, [parts[0]], 900).end();
+		}
+
+		expect(placement.choose(query())!.backend.id).toBe(home);
+	});
+
+	it('names the engine to copy a cached prompt from when another one takes the request', () => {
+		const placement = new Placement('fd-a');
+		const home = placement.choose(query())!.backend.id;
+		const choice = placement.choose(query({excluded: new Set([home])}))!;
+		expect(choice.backend.id).not.toBe(home);
+		expect(choice.copyFrom?.id).toBe(home);
+		expect(placement.choose(query())!.copyFrom).toBeUndefined();
+	});
+
 	it('a burst of equal requests spreads over all engines', () => {
 		const placement = new Placement('fd-a');
 		const counts = new Map<string, number>();
--- a/src/coordination/placement.ts
+++ b/src/coordination/placement.ts
@@ -11,8 +11,8 @@
 
 /** Prompt tokens that an engine reads in a millisecond; from the deployments' sheets. */
 const prefillTokensPerMs = 50;
-/** Delay that one more running request causes, in milliseconds; a step of 64 requests takes twice one of a single one. */
-const runningCostMs = 5;
+/** Delay that an engine with all slots in use causes, in milliseconds: a step of 64 requests takes two and a half times one of a single one. It grows with the square of the use, since the requests there are slowed too. */
+const fullEngineCostMs = 400;
 /** Cost of a plain service whose slots are all in use, in milliseconds. */
 const slotCostMs = 200;
 /** Delay per request beyond an engine's slots, in milliseconds. */
@@ -56,8 +56,13 @@
 	/** Prompt tokens taken to be cached there. */
 	cachedTokens: number;
 	inFlight: number;
+	/** Another engine that should hold more of the prompt, to copy it from. */
+	copyFrom: Backend | undefined;
 };
 
+/** Prompt tokens that another engine must hold beyond the chosen one to be copied from: a copy costs a sixth of reading them again. */
+const leastCopiedTokens = 300;
+
 type View = {
 	inFlight: number;
 	/** Prompt tokens sent there whose first event has not come. */
@@ -78,16 +83,18 @@
 	/** Chooses a backend server, or none when every candidate is excluded. */
 	choose(query: PlacementQuery): Choice | undefined {
 		const home = homeOf(query.promptParts, query.candidates);
+		const choices = query.candidates.map(backend => this.estimate(backend, query, home === backend.id));
 		let best: Choice | undefined;
-		for (const backend of query.candidates) {
-			if (!query.excluded.has(backend.id)) {
-				const choice = this.estimate(backend, query, home === backend.id);
-				if (!best || choice.costMs < best.costMs) {
-					best = choice;
-				}
+		for (const choice of choices) {
+			if (!query.excluded.has(choice.backend.id) && (!best || choice.costMs < best.costMs)) {
+				best = choice;
 			}
 		}
 
+		if (best) {
+			best.copyFrom = fullestBeside(best, choices);
+		}
+
 		return best;
 	}
 
@@ -140,18 +147,18 @@
 		const view = this.view(backend.id);
 		const {nowMs, promptParts, promptTokens} = query;
 		view.failures = view.failures.filter(atMs => nowMs - atMs < failureMemoryMs);
-		const cachedTokens = cachedIn(view, promptParts, nowMs) || (isHome ? sharedTokens(promptParts) * homeShare : 0);
+		const cachedTokens = Math.max(cachedIn(view, promptParts, nowMs), isHome ? sharedTokens(promptParts) * homeShare : 0);
 		const stated = view.stated && nowMs - view.statedAtMs <= statedLoadMs ? view.stated.running + view.stated.waiting : 0;
 		const inFlight = Math.max(view.inFlight + query.peersInFlight(backend.id), Math.min(stated, view.inFlight + query.peersInFlight(backend.id) + 4));
 		const queued = Math.max(0, inFlight + 1 - backend.slots);
 		const waitMs = ((view.pendingTokens + Math.max(0, promptTokens - cachedTokens)) / prefillTokensPerMs) + (queued * queuedCostMs);
 		const costMs = waitMs
-			+ (inFlight * (promptTokens > 0 ? runningCostMs : slotCostMs / backend.slots))
+			+ (promptTokens > 0 ? fullEngineCostMs * ((inFlight / backend.slots) ** 2) : slotCostMs * inFlight / backend.slots)
 			+ (view.failures.length * failureCostMs)
 			+ (backend.coldForMs > 0 ? coldCostMs : 0)
 			+ (backend.failureDomain === this.failureDomain ? 0 : otherDomainCostMs);
 		return {
-			backend, costMs, waitMs, cachedTokens, inFlight,
+			backend, costMs, waitMs, cachedTokens, inFlight, copyFrom: undefined,
 		};
 	}
 
@@ -196,6 +203,18 @@
 	}
 }
 
+/** The engine that should hold the most of the prompt beyond the chosen one. */
+function fullestBeside(chosen: Choice, choices: Choice[]): Backend | undefined {
+	let fullest: Choice | undefined;
+	for (const choice of choices) {
+		if (choice.cachedTokens > (fullest ?? chosen).cachedTokens) {
+			fullest = choice;
+		}
+	}
+
+	return fullest && fullest.cachedTokens - chosen.cachedTokens >= leastCopiedTokens ? fullest.backend : undefined;
+}
+
 /** Tokens of the leading parts that are cached; a part only counts if all before it do. */
 function cachedIn(view: View, parts: PromptPart[], nowMs: number): number {
 	let tokens = 0;
--- a/src/coordination/serving/dispatcher.ts
+++ b/src/coordination/serving/dispatcher.ts
@@ -93,7 +93,7 @@
 	/** Sends a request once; a connection that does not open is no arrival, so the next backend server is tried. */
 	async send(served: ServedRequest, options: DispatchOptions): Promise<BegunAnswer | FailedDispatch> {
 		for (;;) {
-			const choice = options.target ? {backend: options.target, costMs: 0} : this.choose(served);
+			const choice: Pick<Choice, 'backend' | 'costMs' | 'copyFrom'> | undefined = options.target ? {backend: options.target, costMs: 0, copyFrom: undefined} : this.choose(served);
 			if (!choice) {
 				return {kind: DispatchKind.NoBackend, reason: 'no backend server left'};
 			}
@@ -103,7 +103,7 @@
 			}
 
 			// eslint-disable-next-line no-await-in-loop -- one backend server after the other.
-			const result = await this.sendTo(served, choice.backend, choice.costMs, options);
+			const result = await this.sendTo(served, choice, options);
 			const isUnreached = result.kind === DispatchKind.NotRun && result.reason === 'unreached';
 			if (!isUnreached || options.target !== undefined || served.inputs.signal.aborted) {
 				return result;
@@ -123,7 +123,8 @@
 		return allowance.take(served.inputs.service, purpose, peers.daemons(nowMs), nowMs);
 	}
 
-	private async sendTo(served: ServedRequest, backend: Backend, costMs: number, options: DispatchOptions): Promise<BegunAnswer | FailedDispatch> {
+	private async sendTo(served: ServedRequest, choice: Pick<Choice, 'backend' | 'costMs' | 'copyFrom'>, options: DispatchOptions): Promise<BegunAnswer | FailedDispatch> {
+		const {backend, costMs, copyFrom} = choice;
 		const {dialect, placement, pool, clock} = this.parts;
 		const {request, account, body, signal} = served.inputs;
 		const sentAtMs = clock.now();
@@ -158,6 +159,7 @@
 					priority: served.priority,
 					lastEventId: options.lastEventId ?? request.lastEventId,
 					kvSource: options.kvSource,
+					copyFrom,
 				}),
 				body,
 				connectMs: Math.min(connectMs, options.beginMs),
--- a/src/protocol/serving.ts
+++ b/src/protocol/serving.ts
@@ -160,6 +160,8 @@
 	lastEventId: string | undefined;
 	/** Where the KV cache of the run to continue is, as host:port/handle. */
 	kvSource: string | undefined;
+	/** Another engine to copy cached prompt parts from before the run. */
+	copyFrom: Backend | undefined;
 };
 
 /** Load that a backend server states of itself. */
