Let no kept connection hold a stopping process; believe keys for as long as is safe

Idle sockets are unreferenced and closed at the stop. A view was believed for 0.8 of the revocation bound although its age counts from when the read was sent; 0.92 is as safe and serves through one failed read.

--- a/src/cli/front-daemon.ts
+++ b/src/cli/front-daemon.ts
@@ -30,12 +30,12 @@
 
 const log = createLogger('front');
 
-/** Share of the revocation bound for which one read of the configuration waits: a quarter, so that two reads may fail before keys are not believed any more. */
-const configWaitShare = 0.24;
+/** Share of the revocation bound for which one read of the configuration waits: a view is then at most 0.44 of the bound old on a calm day, and one read may fail before keys are not believed any more. */
+const configWaitShare = 0.22;
 /** How long one read of the backend servers waits, in milliseconds: a connection that went silent is noticed within this and the time of an answer, before leaving backend servers may get no more work. */
 const backendsWaitMs = 2000;
-/** Share of the revocation bound that a view may reach before keys are not believed any more; the rest covers a request's way to a backend server. */
-const beliefShare = 0.8;
+/** Share of the revocation bound that a view may reach before keys are not believed any more. The age counts from when a read was sent and is looked at when a request arrives, so the rest only covers the clocks' errors. */
+const beliefShare = 0.92;
 /** Share of the revocation bound beyond which the daemon says it is not ready. */
 const readyShare = 0.7;
 /** Time between messages to peers, in milliseconds, up to a dozen daemons; it grows with their number beyond. */
@@ -166,6 +166,7 @@
 
 	destroyCallers(): void {
 		this.callers.destroy();
+		this.pool.destroy();
 	}
 
 	/** The state of the daemon for a dump. */
--- a/src/transport/backend-pool.ts
+++ b/src/transport/backend-pool.ts
@@ -51,6 +51,8 @@
 	// eslint-disable-next-line @typescript-eslint/strict-void-return -- the agent closes the connection unless true is returned; the types say void.
 	override keepSocketAlive(socket: Socket): boolean {
 		socket.setKeepAlive(true, keepAliveProbeMs);
+		// An idle connection must not keep a stopping process alive.
+		socket.unref();
 		// Bytes on an idle connection belong to no request.
 		socket.on('data', destroyOnData);
 		const limitMs = this.idleLimits.get(socket) ?? unstatedIdleMs;
