--- a/src/state/__tests__/models.test.ts
+++ b/src/state/__tests__/models.test.ts
@@ -41,6 +41,24 @@
 		{
 			model: 'lease.pml', name: 'gateways that claim without waiting are caught', defines: ['-DNO_WAIT'], errors: 1,
 		},
+		{
+			model: 'belief.pml', name: 'no key is served later than its revocation allows', defines: [], errors: 0,
+		},
+		{
+			model: 'belief.pml', name: 'an age that counts from the answer is caught', defines: ['-DAGE_FROM_ANSWER'], errors: 1,
+		},
+		{
+			model: 'belief.pml', name: 'a clock that stands still during a suspension is caught', defines: ['-DMONOTONIC_ONLY'], errors: 1,
+		},
+		{
+			model: 'duties.pml', name: 'no daemon acts on both sides of another within a lease', defines: [], errors: 0,
+		},
+		{
+			model: 'duties.pml', name: 'a new holder that acts at once is caught', defines: ['-DNO_QUIET'], errors: 1,
+		},
+		{
+			model: 'duties.pml', name: 'a holder that acts on any view is caught', defines: ['-DNO_CONFIRM'], errors: 1,
+		},
 	])('$model: $name', ({model, defines, errors}) => {
 		expect(verify(model, defines)).toBe(errors);
 	}, 150_000);
