--- a/src/coordination/serving/flight.ts
+++ b/src/coordination/serving/flight.ts
@@ -98,7 +98,13 @@
 				}
 			});
 			source.once('end', () => {
-				end(answer.isWhole && !splitter.hasPartial ? PumpEnd.Complete : PumpEnd.Broken);
+				const isComplete = answer.isWhole && !splitter.hasPartial;
+				if (isComplete) {
+					// A resumed stream may have no event left, and is still the engine's answer.
+					this.writeHead(begun);
+				}
+
+				end(isComplete ? PumpEnd.Complete : PumpEnd.Broken);
 			});
 			source.once('error', () => {
 				end(PumpEnd.Broken);
@@ -109,6 +115,14 @@
 		});
 	}
 
+	/** Writes the engine's head, once: a stream that goes on elsewhere keeps the first one. */
+	private writeHead(begun: BegunAnswer): void {
+		if (!this.response.headersSent) {
+			const {response: head} = begun.answer;
+			this.response.writeHead(begun.answer.status, head.statusMessage ?? '', passedHeaders(head.rawHeaders));
+		}
+	}
+
 	/** Delivers one event in order; false when one before it is missing. */
 	private deliver(event: RawEvent, begun: BegunAnswer): boolean {
 		this.progressAtMs = this.now();
@@ -129,11 +143,7 @@
 		}
 
 		begun.running.noteRead();
-		if (!this.response.headersSent) {
-			const {response: head} = begun.answer;
-			this.response.writeHead(begun.answer.status, head.statusMessage ?? '', passedHeaders(head.rawHeaders));
-		}
-
+		this.writeHead(begun);
 		this.events++;
 		this.lastEventId = event.id ?? this.lastEventId;
 		this.response.write(event.bytes);
