--- a/src/cli/commands/front.ts
+++ b/src/cli/commands/front.ts
@@ -63,9 +63,9 @@
 /** Opens the metrics port, whose libraries are loaded last: they take longer than the rest of the start. */
 async function openMetrics(daemon: FrontDaemon, settings: FrontSettings): Promise<Server> {
 	const {addObservationRoutes, createRegistry, createServer, startServer} = await import('../../transport/http-server.js');
-	const {ServingMetrics} = await import('../../coordination/serving/serving-metrics.js');
+	const metrics = await import('../../coordination/serving/serving-metrics.js');
 	const registry = createRegistry();
-	daemon.observe(new ServingMetrics(registry, () => daemon.openRequests));
+	daemon.observe(new metrics.ServingMetrics(registry, () => daemon.openRequests));
 	const server = createServer({host: settings.host, port: settings.metricsPort});
 	addObservationRoutes(server, registry, () => daemon.dump());
 	await startServer(server);
--- a/src/coordination/__tests__/duty-lease.test.ts
+++ b/src/coordination/__tests__/duty-lease.test.ts
@@ -29,12 +29,24 @@
 		rank: 0, hearsMost: true, holderHeardAtMs: 0, startedAtMs: 0,
 	};
 	it.each([
-		{name: 'not while the holder is heard', inputs: base, nowMs: 1500, expected: false},
-		{name: 'the first in rank after its silence', inputs: base, nowMs: 2100, expected: true},
-		{name: 'a later rank waits longer', inputs: {...base, rank: 3}, nowMs: 2500, expected: false},
-		{name: 'not one that cannot hear most others', inputs: {...base, hearsMost: false}, nowMs: 5000, expected: false},
-		{name: 'one alone after a long silence', inputs: {...base, hearsMost: false}, nowMs: 13_000, expected: true},
-		{name: 'soon where there was never a holder', inputs: {...base, holderHeardAtMs: undefined}, nowMs: 400, expected: true},
+		{
+			name: 'not while the holder is heard', inputs: base, nowMs: 1500, expected: false,
+		},
+		{
+			name: 'the first in rank after its silence', inputs: base, nowMs: 2100, expected: true,
+		},
+		{
+			name: 'a later rank waits longer', inputs: {...base, rank: 3}, nowMs: 2500, expected: false,
+		},
+		{
+			name: 'not one that cannot hear most others', inputs: {...base, hearsMost: false}, nowMs: 5000, expected: false,
+		},
+		{
+			name: 'one alone after a long silence', inputs: {...base, hearsMost: false}, nowMs: 13_000, expected: true,
+		},
+		{
+			name: 'soon where there was never a holder', inputs: {...base, holderHeardAtMs: undefined}, nowMs: 400, expected: true,
+		},
 	])('$name', ({inputs, nowMs, expected}) => {
 		expect(shouldClaim(inputs, nowMs)).toBe(expected);
 	});
--- a/src/coordination/__tests__/peer-table.test.ts
+++ b/src/coordination/__tests__/peer-table.test.ts
@@ -23,10 +23,18 @@
 	});
 
 	it.each([
-		{afterMs: 500, daemons: 2, silent: 0, hearsMost: true, targets: 1},
-		{afterMs: 5000, daemons: 2, silent: 1, hearsMost: false, targets: 1},
-		{afterMs: 30_000, daemons: 2, silent: 0, hearsMost: true, targets: 0},
-		{afterMs: 70_000, daemons: 1, silent: 0, hearsMost: true, targets: 0},
+		{
+			afterMs: 500, daemons: 2, silent: 0, hearsMost: true, targets: 1,
+		},
+		{
+			afterMs: 5000, daemons: 2, silent: 1, hearsMost: false, targets: 1,
+		},
+		{
+			afterMs: 30_000, daemons: 2, silent: 0, hearsMost: true, targets: 0,
+		},
+		{
+			afterMs: 70_000, daemons: 1, silent: 0, hearsMost: true, targets: 0,
+		},
 	])('after $afterMs ms of silence', ({afterMs, daemons, silent, hearsMost, targets}) => {
 		const table = new PeerTable('a', 0);
 		table.note(message({inFlight: {r: 7}}), 1000);
--- a/src/coordination/__tests__/placement.test.ts
+++ b/src/coordination/__tests__/placement.test.ts
@@ -26,11 +26,12 @@
 	});
 
 	it.each([
-		{name: 'what this daemon has in flight', load: (placement: Placement, home: string) => Array.from({length: 40}, () => placement.begin(home, 100, [], 1000)), peers: 0},
-		{name: 'what peers have in flight', load: () => undefined, peers: 60},
+		{name: 'what this daemon has in flight', load: (placement: Placement, home: string): unknown => Array.from({length: 40}, () => placement.begin(home, 100, [], 1000)), peers: 0},
+		{name: 'what peers have in flight', load: (): unknown => undefined, peers: 60},
 		{
-			name: 'recent failures', load(placement: Placement, home: string) {
+			name: 'recent failures', load(placement: Placement, home: string): unknown {
 				placement.noteFailure(home, 900);
+				return undefined;
 			}, peers: 0,
 		},
 	])('leaves a cached engine for $name', ({load, peers}) => {
--- a/src/coordination/__tests__/pool.test.ts
+++ b/src/coordination/__tests__/pool.test.ts
@@ -25,13 +25,29 @@
 
 describe('planPool', () => {
 	it.each([
-		{name: 'a calm pool has no on-demand VM', states: states({a: 2, b: 2, c: 2, d: 2}), onDemand: 0},
+		{
+			name: 'a calm pool has no on-demand VM', states: states({
+				a: 2, b: 2, c: 2, d: 2,
+			}), onDemand: 0,
+		},
 		{name: 'two failure domains lost: one more must not take too many', states: states({a: 2, b: 2}), onDemand: 1},
 		{name: 'three lost: on-demand VMs stand in', states: states({a: 2}), onDemand: 3},
 		{name: 'none to be had: the demand is met on demand', states: states({}), onDemand: 4},
-		{name: 'promised ones are waited for', states: states({}, {a: 2, b: 2, c: 2, d: 2}), onDemand: 0},
-		{name: 'stand-ins stay until what replaces them serves', states: states({}, {a: 2, b: 2, c: 2, d: 2}, {b: 2, d: 2}), onDemand: 4},
-		{name: 'stand-ins go when what replaces them serves', states: states({a: 2, b: 2, c: 2, d: 2}, undefined, {b: 2, d: 2}), onDemand: 0},
+		{
+			name: 'promised ones are waited for', states: states({}, {
+				a: 2, b: 2, c: 2, d: 2,
+			}), onDemand: 0,
+		},
+		{
+			name: 'stand-ins stay until what replaces them serves', states: states({}, {
+				a: 2, b: 2, c: 2, d: 2,
+			}, {b: 2, d: 2}), onDemand: 4,
+		},
+		{
+			name: 'stand-ins go when what replaces them serves', states: states({
+				a: 2, b: 2, c: 2, d: 2,
+			}, undefined, {b: 2, d: 2}), onDemand: 0,
+		},
 	])('$name', ({states, onDemand}) => {
 		const pools = planPool(scaling, need, states);
 		expect(sum(pools.map(pool => pool.onDemand))).toBe(onDemand);
@@ -61,14 +77,44 @@
 describe('isOrderDue', () => {
 	const at = {bootMs: 4000, nowMs: 10_000, token: 5};
 	it.each([
-		{name: 'first order', wanted: 2, present: 2, last: undefined, expected: true},
-		{name: 'same count, pool as ordered', wanted: 2, present: 2, last: {count: 2, atMs: 0, result: DutyResult.Accepted, token: 5}, expected: false},
-		{name: 'another count', wanted: 3, present: 2, last: {count: 2, atMs: 9000, result: DutyResult.Accepted, token: 5}, expected: true},
-		{name: 'still booting', wanted: 2, present: 0, last: {count: 2, atMs: 6000, result: DutyResult.Accepted, token: 5}, expected: false},
-		{name: 'never came', wanted: 2, present: 0, last: {count: 2, atMs: 1000, result: DutyResult.Accepted, token: 5}, expected: true},
-		{name: 'just refused', wanted: 2, present: 0, last: {count: 2, atMs: 9000, result: DutyResult.Refused, token: 5}, expected: false},
-		{name: 'refused a while ago', wanted: 2, present: 0, last: {count: 2, atMs: 5000, result: DutyResult.Refused, token: 5}, expected: true},
-		{name: 'no answer a while ago', wanted: 2, present: 2, last: {count: 2, atMs: 5000, result: DutyResult.Unknown, token: 5}, expected: true},
+		{
+			name: 'first order', wanted: 2, present: 2, last: undefined, expected: true,
+		},
+		{
+			name: 'same count, pool as ordered', wanted: 2, present: 2, last: {
+				count: 2, atMs: 0, result: DutyResult.Accepted, token: 5,
+			}, expected: false,
+		},
+		{
+			name: 'another count', wanted: 3, present: 2, last: {
+				count: 2, atMs: 9000, result: DutyResult.Accepted, token: 5,
+			}, expected: true,
+		},
+		{
+			name: 'still booting', wanted: 2, present: 0, last: {
+				count: 2, atMs: 6000, result: DutyResult.Accepted, token: 5,
+			}, expected: false,
+		},
+		{
+			name: 'never came', wanted: 2, present: 0, last: {
+				count: 2, atMs: 1000, result: DutyResult.Accepted, token: 5,
+			}, expected: true,
+		},
+		{
+			name: 'just refused', wanted: 2, present: 0, last: {
+				count: 2, atMs: 9000, result: DutyResult.Refused, token: 5,
+			}, expected: false,
+		},
+		{
+			name: 'refused a while ago', wanted: 2, present: 0, last: {
+				count: 2, atMs: 5000, result: DutyResult.Refused, token: 5,
+			}, expected: true,
+		},
+		{
+			name: 'no answer a while ago', wanted: 2, present: 2, last: {
+				count: 2, atMs: 5000, result: DutyResult.Unknown, token: 5,
+			}, expected: true,
+		},
 	])('$name: $expected', ({wanted, present, last, expected}) => {
 		expect(isOrderDue(wanted, present, last, at)).toBe(expected);
 	});
--- a/src/coordination/__tests__/shared-limits.test.ts
+++ b/src/coordination/__tests__/shared-limits.test.ts
@@ -22,9 +22,15 @@
 
 describe('requestCost', () => {
 	it.each([
-		{counts: true, prompt: 1460, output: 80, expected: 1540},
-		{counts: true, prompt: undefined, output: undefined, expected: 200},
-		{counts: false, prompt: 1460, output: 80, expected: 1},
+		{
+			counts: true, prompt: 1460, output: 80, expected: 1540,
+		},
+		{
+			counts: true, prompt: undefined, output: undefined, expected: 200,
+		},
+		{
+			counts: false, prompt: 1460, output: 80, expected: 1,
+		},
 	])('$prompt + $output tokens, counted: $counts', ({counts, prompt, output, expected}) => {
 		expect(requestCost({...account, countsTokens: counts}, prompt, output)).toBe(expected);
 	});
@@ -39,8 +45,12 @@
 	});
 
 	it.each([
-		{name: 'counts what peers admitted', peers: {daemons: 2, silent: 0}, peerSpent: 5000, expected: 4000},
-		{name: 'leaves a silent peer its share', peers: {daemons: 2, silent: 1}, peerSpent: 0, expected: 4500},
+		{
+			name: 'counts what peers admitted', peers: {daemons: 2, silent: 0}, peerSpent: 5000, expected: 4000,
+		},
+		{
+			name: 'leaves a silent peer its share', peers: {daemons: 2, silent: 1}, peerSpent: 0, expected: 4500,
+		},
 	])('$name', ({peers, peerSpent, expected}) => {
 		const ledger = new QuotaLedger(bounds, 0, true);
 		ledger.notePeerSpent('a', peerSpent, 0);
--- a/src/coordination/__tests__/topic-follower.test.ts
+++ b/src/coordination/__tests__/topic-follower.test.ts
@@ -17,6 +17,7 @@
 		belief,
 		clock,
 		waitMs: 5,
+		gatherMs: 0,
 		sink: {
 			reset(records) {
 				seen.push(`reset ${records.map(record => record.key).join(',')}`);
--- a/src/coordination/pool-demand.ts
+++ b/src/coordination/pool-demand.ts
@@ -4,6 +4,9 @@
  * answers waves and bursts: the need follows a rise at once and a fall slowly, since a
  * replica takes seconds to boot and one given up moves its streams.
  */
+import {type BackendTable} from '../state/backend-table.js';
+import {type PeerTable} from './peer-table.js';
+import {type Placement} from './placement.js';
 import {type PoolNeed} from './pool-plan.js';
 
 /** Requests in flight that a replica carries within the latency target; an engine of 64 slots served 10 with its first token in 90 ms, and 30 late. */
@@ -32,3 +35,30 @@
 		return {replicas, surviving: Math.max(fewestReplicas - 1, Math.ceil(replicas * 0.75)), spare: spareReplicas};
 	}
 }
+
+/** The demand for every service, from what this daemon and its peers have in flight. */
+export class PoolDemands {
+	private readonly demands = new Map<string, PoolDemand>();
+
+	constructor(
+		private readonly backends: BackendTable,
+		private readonly placement: Placement,
+		private readonly peers: PeerTable,
+	) {}
+
+	/** What a service needs now. */
+	need(service: string, nowMs: number): PoolNeed {
+		const demand = this.demands.get(service) ?? new PoolDemand();
+		this.demands.set(service, demand);
+		const own = this.placement.inFlight();
+		let inFlight = 0;
+		for (const {backend} of this.backends.listed()) {
+			if (backend.service === service) {
+				inFlight += (own[backend.id] ?? 0) + this.peers.inFlight(backend.id, nowMs);
+			}
+		}
+
+		demand.note(inFlight, nowMs);
+		return demand.need();
+	}
+}
--- a/src/coordination/serving/forwarder.ts
+++ b/src/coordination/serving/forwarder.ts
@@ -6,6 +6,7 @@
 import {type Dialect} from '../../protocol/platform.js';
 import {type Account, RequestKind, type Route} from '../../protocol/serving.js';
 import {type SteadyClock} from '../../clock.js';
+import {type Gate} from '../../gate.js';
 import {type Belief} from '../../state/belief.js';
 import {type RouteTable} from '../../state/route-table.js';
 import {type FrontRequest, writeOwnAnswer} from '../../transport/front-server.js';
@@ -50,8 +51,8 @@
 	allowance: RetryAllowance;
 	peers: PeerTable;
 	clock: SteadyClock;
-	/** Waits until the configuration and the backend servers are known, at most the time given; resolves at once when they are. */
-	firstView: (mostMs: number) => Promise<void>;
+	/** Open once the configuration and the backend servers are known. */
+	firstView: Gate;
 	metrics: RequestMetrics;
 };
 
@@ -85,7 +86,7 @@
 			return;
 		}
 
-		await firstView(firstViewMs);
+		await firstView.wait(firstViewMs);
 		const admission = this.admit(request, arrivedAtMs);
 		if (isRejection(admission)) {
 			this.reject(front, request.id, admission, arrivedAtMs);
--- a/src/coordination/serving/stream-registry.ts
+++ b/src/coordination/serving/stream-registry.ts
@@ -32,7 +32,7 @@
 	moved = 0;
 	private readonly flights = new Set<Flight>();
 
-	constructor(private readonly parts: {backends: BackendTable; engines: Engines; dispatcher: () => Dispatcher; signal: AbortSignal}) {}
+	constructor(private readonly parts: {backends: BackendTable; engines: Engines; dispatcher: Dispatcher; signal: AbortSignal}) {}
 
 	get size(): number {
 		return this.flights.size;
@@ -82,7 +82,7 @@
 		const {id} = flight.served.inputs.request;
 		flight.served.excluded.add(source.id);
 		for (let tries = 0; tries < moveTargets; tries++) {
-			const target = this.parts.dispatcher().choose(flight.served)?.backend;
+			const target = this.parts.dispatcher.choose(flight.served)?.backend;
 			if (!target) {
 				break;
 			}
--- a/src/coordination/topic-follower.ts
+++ b/src/coordination/topic-follower.ts
@@ -31,15 +31,18 @@
 	clock: SteadyClock;
 	/** How long one read waits for records, in milliseconds; bounds the view's age on a calm day. */
 	waitMs: number;
+	/** Pause after records came before the next read, in milliseconds, so that a series of changes costs few reads. */
+	gatherMs: number;
 };
 
 /** Follows a topic until the signal aborts. */
 export async function followTopic(options: FollowerOptions, signal: AbortSignal): Promise<void> {
-	const {store, topic, sink, belief, clock, waitMs} = options;
+	const {store, topic, sink, belief, clock, waitMs, gatherMs} = options;
 	let next: number | undefined;
 	let isLost = false;
 	while (!signal.aborted) {
 		const sentAtMs = clock.now();
+		let hasRecords = false;
 		try {
 			if (next === undefined) {
 				// eslint-disable-next-line no-await-in-loop -- one read at a time, in order.
@@ -51,6 +54,7 @@
 				const batch = await store.read(topic, next, waitMs, signal);
 				for (const record of batch?.records ?? []) {
 					sink.apply(record, clock.now());
+					hasRecords = true;
 				}
 
 				// Records that are no longer kept: start over from the newest of each key.
@@ -66,6 +70,11 @@
 				isLost = false;
 				log.info('regained.', {topic, next});
 			}
+
+			if (hasRecords && gatherMs > 0) {
+				// eslint-disable-next-line no-await-in-loop
+				await delay(gatherMs, undefined, {signal}).catch(() => undefined);
+			}
 		} catch (error) {
 			if (signal.aborted) {
 				return;
--- a/src/state/__tests__/backend-table.test.ts
+++ b/src/state/__tests__/backend-table.test.ts
@@ -10,20 +10,30 @@
 
 describe('BackendTable', () => {
 	it.each([
-		{name: 'a leaving one gets no new work', act: (table: BackendTable) => table.upsert(backend('a', BackendState.Draining), 0), expected: ['b']},
+		{name: 'a leaving one gets no new work', act: (table: BackendTable): unknown => table.upsert(backend('a', BackendState.Draining), 0), expected: ['b']},
 		{
-			name: 'leaving is final', act(table: BackendTable) {
+			name: 'leaving is final', act(table: BackendTable): unknown {
 				table.upsert(backend('a', BackendState.Draining), 0);
-				table.upsert(backend('a'), 0);
+				return table.upsert(backend('a'), 0);
 			}, expected: ['b'],
 		},
-		{name: 'one that vanished gets no new work while another is there', act: (table: BackendTable) => table.vanish('a', 0), expected: ['b']},
-		{name: 'one whose address answers as another gets no new work', act: (table: BackendTable) => table.replaced('a', 0), expected: ['b']},
-		{name: 'a full list drops what it lacks', act: (table: BackendTable) => table.retain(new Set(['b']), 0), expected: ['b']},
+		{name: 'one that vanished gets no new work while another is there', act: (table: BackendTable): unknown => table.vanish('a', 0), expected: ['b']},
 		{
-			name: 'one that came back after a lapse is used again', act(table: BackendTable) {
+			name: 'one whose address answers as another gets no new work', act(table: BackendTable): unknown {
+				table.replaced('a', 0);
+				return undefined;
+			}, expected: ['b'],
+		},
+		{
+			name: 'a full list drops what it lacks', act(table: BackendTable): unknown {
+				table.retain(new Set(['b']), 0);
+				return undefined;
+			}, expected: ['b'],
+		},
+		{
+			name: 'one that came back after a lapse is used again', act(table: BackendTable): unknown {
 				table.vanish('a', 0);
-				table.upsert(backend('a'), 500);
+				return table.upsert(backend('a'), 500);
 			}, expected: ['a', 'b'],
 		},
 	])('$name', ({act, expected}) => {
--- a/src/testing/fake-store.ts
+++ b/src/testing/fake-store.ts
@@ -1,5 +1,7 @@
 /** A store in memory with the faults that tests ask for. */
-import {type AppendResult, type KeyedRecord, type RecordBatch, type Store, type Topic} from '../protocol/platform.js';
+import {
+	type AppendResult, type KeyedRecord, type RecordBatch, type Store, type Topic,
+} from '../protocol/platform.js';
 import {StateError, UnknownAppendError} from '../state/errors.js';
 
 /** A store whose topics are arrays of records. */
--- a/src/transport/__tests__/front-server.test.ts
+++ b/src/transport/__tests__/front-server.test.ts
@@ -1,5 +1,7 @@
 import {connect} from 'node:net';
-import {afterAll, beforeAll, describe, expect, it} from 'vitest';
+import {
+	afterAll, beforeAll, describe, expect, it,
+} from 'vitest';
 import {FrontServer, type FrontRequest} from '../front-server.js';
 
 const port = 18_471;
