--- a/scripts/local-stack.mjs
+++ b/scripts/local-stack.mjs
@@ -3,8 +3,7 @@
 import process from 'node:process';
 import {readFileSync} from 'node:fs';
 import path from 'node:path';
-import {setTimeout as delay} from 'node:timers/promises';
-import {startStack, writeStackSettings} from './stack.mjs';
+import {startStack, waitUntil, writeStackSettings} from './stack.mjs';
 
 const example = process.argv[2] ?? 'examples/cooperativa';
 const topology = JSON.parse(readFileSync(path.join(example, 'stack.json'), 'utf8'));
@@ -13,8 +12,14 @@
 const key = topology.accounts[0].apiKeys[0];
 const model = topology.models[0].name;
 
-await delay(1500);
-process.stdout.write(`\nsesametally local stack "${topology.name}": ${running.children.length} processes. Try:\n\n`
+/** A first start on a slow machine took 6 s. */
+const readyWithinMs = 60_000;
+
+await Promise.all(stack.gateways.map(async ({url}) => waitUntil(async () => {
+	const answer = await fetch(`${url}/ready`);
+	return answer.ok;
+}, readyWithinMs)));
+process.stdout.write(`\nsesametally local stack "${topology.name}" is ready: ${running.children.length} processes. Try:\n\n`
 	+ `curl -N ${stack.gateways[0].url}/v1/chat/completions -H 'authorization: Bearer ${key}' -H 'content-type: application/json' `
 	+ `-d '{"model":"${model}","stream":true,"max_tokens":16,"messages":[{"role":"user","content":"Summarise the offtake contract."}]}'\n\n`
 	+ 'Press Ctrl-C to stop.\n');
--- a/src/cli/front-container.ts
+++ b/src/cli/front-container.ts
@@ -1,7 +1,9 @@
 /** Wiring of a serving daemon's parts with `tsyringe`: each part is built once, on first use. */
 // The metadata polyfill that tsyringe needs loaded once, before any container use.
 import 'reflect-metadata'; // eslint-disable-line import-x/no-unassigned-import
-import {container, type DependencyContainer, instanceCachingFactory} from 'tsyringe';
+import {
+	container, type DependencyContainer, type InjectionToken, instanceCachingFactory,
+} from 'tsyringe';
 import {type Platform} from '../protocol/platform.js';
 import {SteadyClock} from '../clock.js';
 import {Gate} from '../gate.js';
@@ -42,8 +44,8 @@
 	const child = container.createChildContainer();
 	const clock = new SteadyClock();
 	const startedAtMs = clock.now();
-	const register = <T>(type: new (...parameters: never[]) => T, build: (resolver: DependencyContainer) => T) => {
-		child.register<T>(type, {useFactory: instanceCachingFactory(build)});
+	const register = <T>(type: InjectionToken<T>, build: (resolver: DependencyContainer) => T) => {
+		child.register(type, {useFactory: instanceCachingFactory(build)});
 	};
 
 	child.registerInstance(SteadyClock, clock);
--- a/src/transport/caller-admission.ts
+++ b/src/transport/caller-admission.ts
@@ -5,7 +5,7 @@
 import {type Admission, Limits, shareOfLimit} from '../coordination/admission.js';
 import {Outcome} from '../protocol/openai.js';
 import {refuse} from './caller-answers.js';
-import {type CallerContext} from './caller-api.js';
+import {type CallerContext} from './caller-context.js';
 
 type Refused = Extract<Admission, {admitted: false}>;
 
--- a/src/transport/completion-routes.ts
+++ b/src/transport/completion-routes.ts
@@ -22,7 +22,7 @@
 	answerFailure, refuse, refuseOverloaded, refuseUnknownKey,
 } from './caller-answers.js';
 import {answeredWhole} from './caller-metrics.js';
-import {type AuthenticatedContext} from './caller-api.js';
+import {type AuthenticatedContext} from './caller-context.js';
 import {headerValue} from './http-server.js';
 import {doneEvent, formatEvent} from './sse.js';
 
--- a/src/transport/service-routes.ts
+++ b/src/transport/service-routes.ts
@@ -11,7 +11,7 @@
 import {
 	answerFailure, refuse, refuseOverloaded, refuseUnknownKey,
 } from './caller-answers.js';
-import {type AuthenticatedContext} from './caller-api.js';
+import {type AuthenticatedContext} from './caller-context.js';
 import {headerValue} from './http-server.js';
 
 /** Adds the service route to a server. */
