--- /dev/null
+++ b/soak/world.ts
@@ -0,0 +1,161 @@
+/** What a soak run consists of: stand-ins of the platform, and real daemons as processes of their own. */
+import {spawn, type ChildProcess} from 'node:child_process';
+import {mkdtempSync, writeFileSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import process from 'node:process';
+import {CloudStandin, ReplicaStandin, StoreStandin} from '../platform/__tests__/standins.js';
+import {FaultyLink} from './faulty-link.js';
+
+/** Daemons and replicas of one run. */
+const daemonCount = 3;
+const replicaCount = 4;
+/** Time until an ended daemon is started again, in milliseconds. */
+const restartMs = 200;
+/** First port of a run's daemons; each daemon has a loopback address of its own. */
+const callersPort = 18_700;
+/** Bounds that the daemons are held to, in the platform's settings. */
+export const bounds = {
+	revoke_ms: 2000, grace_s: 5, usage_window_s: 1, drain_ms: 1000, lease_ms: 1500,
+};
+
+/** One daemon, through all its restarts. */
+export class SoakDaemon {
+	readonly log: string[] = [];
+	private child: ChildProcess | undefined;
+	private isClosed = false;
+	private readonly settingsFile: string;
+
+	constructor(readonly host: string, settings: Record<string, unknown>) {
+		this.settingsFile = path.join(mkdtempSync(path.join(tmpdir(), 'sesametally-soak-')), 'node.json');
+		writeFileSync(this.settingsFile, JSON.stringify(settings));
+	}
+
+	/** Starts the daemon, and starts it again whenever it ends, as the platform does. */
+	start(): void {
+		const child = spawn(process.execPath, ['dist/sesametally.cjs', 'front'], {env: {...process.env, SESAMETALLY_BOOT: this.settingsFile, SESAMETALLY_LOG: 'on'}, stdio: ['ignore', 'pipe', 'pipe']});
+		this.child = child;
+		child.once('exit', () => {
+			if (!this.isClosed) {
+				setTimeout(() => {
+					this.start();
+				}, restartMs);
+			}
+		});
+		for (const output of [child.stdout, child.stderr]) {
+			output?.on('data', chunk => {
+				this.log.push(...String(chunk).split('\n').filter(line => line !== ''));
+			});
+		}
+	}
+
+	/** Ends the daemon for good. */
+	close(): void {
+		this.isClosed = true;
+		this.signal('SIGCONT');
+		this.signal('SIGKILL');
+	}
+
+	signal(name: NodeJS.Signals): void {
+		this.child?.kill(name);
+	}
+}
+
+/** The processes and stand-ins of one run. */
+export class SoakWorld {
+	readonly store = new StoreStandin();
+	readonly cloud = new CloudStandin();
+	readonly replicas: ReplicaStandin[] = [];
+	readonly links: FaultyLink[] = [];
+	daemons: SoakDaemon[] = [];
+	readonly callersPort = callersPort;
+	/** API keys that the configuration holds now. */
+	apiKeys = ['key-0'];
+	/** When a key's removal was taken by the store, in milliseconds since 1970. */
+	readonly revokedAtMs = new Map<string, number>();
+	private version = 1;
+	private replicaIds = 0;
+
+	async start(): Promise<void> {
+		await this.store.start();
+		await this.cloud.start();
+		for (let index = 0; index < replicaCount; index++) {
+			// eslint-disable-next-line no-await-in-loop -- a handful, in order.
+			await this.addReplica();
+		}
+
+		this.putConfig();
+		this.daemons = Array.from({length: daemonCount}, (_, index) => this.createDaemon(index));
+		for (const daemon of this.daemons) {
+			daemon.start();
+		}
+	}
+
+	stop(): void {
+		for (const daemon of this.daemons) {
+			daemon.close();
+		}
+
+		for (const part of [this.store, this.cloud, ...this.replicas, ...this.links]) {
+			part.stop();
+		}
+	}
+
+	/** Adds a replica behind a link of its own. */
+	async addReplica(): Promise<void> {
+		const replica = new ReplicaStandin(`i-${++this.replicaIds}`);
+		await replica.start();
+		const link = new FaultyLink(replica.address);
+		await link.start();
+		this.replicas.push(replica);
+		this.links.push(link);
+		this.listReplica(replica, link, 'ready');
+	}
+
+	/** Lists a replica as leaving. */
+	drainReplica(index: number): void {
+		this.listReplica(this.replicas[index], this.links[index], 'draining');
+	}
+
+	/** Replaces the API key by a new one. */
+	revokeKey(): void {
+		const [old] = this.apiKeys;
+		this.apiKeys = [`key-${this.version}`];
+		this.putConfig();
+		this.revokedAtMs.set(old, Date.now());
+	}
+
+	private listReplica(replica: ReplicaStandin, link: FaultyLink, state: string): void {
+		this.store.put('keyed.servers', replica.id, {
+			service: 'svc', address: link.address, zone: 'zone-a', slots: 8, state, sequence: 1,
+		});
+	}
+
+	private putConfig(): void {
+		this.version += 2;
+		const route = (name: string, kind: string, isResumable = false) => ({
+			name, host: 'h.example', path_prefix: `/${name}/`, kind, timeout_ms: 1500, latency_target_ms: 200, attempts: 2, service: 'svc', resumable: isResumable,
+		});
+		this.store.put('keyed.op', 'config', {
+			version: this.version,
+			routes: [route('call', 'idempotent'), route('pay', 'non_idempotent'), route('stream', 'streaming', true), route('once', 'streaming')],
+			services: [{name: 'svc', max_conns: 50}],
+			tenants: [{name: 'team', api_keys: this.apiKeys}],
+		});
+	}
+
+	private createDaemon(index: number): SoakDaemon {
+		const host = `127.0.0.${index + 2}`;
+		return new SoakDaemon(host, {
+			node_name: `front-${index}`,
+			ip: host,
+			zone: 'zone-a',
+			bootstrap: true,
+			listen: {front: `${host}:${callersPort}`, readiness_addr: `${host}:${callersPort + 1}`},
+			port_range: [callersPort + 2, callersPort + 5],
+			platform: {address: this.store.address},
+			cloud: {address: this.cloud.address},
+			bounds,
+		});
+	}
+}
