Tell clients over their limit the true time to return; name what nothing used

A 429 said at most 2 s although the window had room later; streams were moved on engines that cannot move; the list of connection headers stood twice; fields and a method that nothing read are gone; the loop that forwards streams is split from what it does with one answer.

--- a/src/cli/front-container.ts
+++ b/src/cli/front-container.ts
@@ -72,7 +72,7 @@
 		clock,
 	}));
 	register(StreamRegistry, resolver => new StreamRegistry({
-		backends: resolver.resolve(BackendTable), engines, dispatcher: resolver.resolve(Dispatcher), signal,
+		backends: resolver.resolve(BackendTable), engines, dispatcher: resolver.resolve(Dispatcher), routes: resolver.resolve(RouteTable), signal,
 	}));
 	register(PeerMessenger, resolver => new PeerMessenger({
 		settings,
--- a/src/coordination/placement.ts
+++ b/src/coordination/placement.ts
@@ -125,10 +125,6 @@
 		this.view(backendId).failures.push(nowMs);
 	}
 
-	noteSuccess(backendId: string): void {
-		this.view(backendId).failures.shift();
-	}
-
 	/** Requests in flight from this daemon, by backend server. */
 	inFlight(): Record<string, number> {
 		return Object.fromEntries([...this.views].filter(([, view]) => view.inFlight > 0).map(([id, view]) => [id, view.inFlight]));
--- a/src/coordination/serving/__tests__/stream-registry.test.ts
+++ b/src/coordination/serving/__tests__/stream-registry.test.ts
@@ -5,7 +5,7 @@
 import {shouldMove} from '../stream-registry.js';
 
 const route: Route = {
-	name: 'r', host: 'h', pathPrefix: '/', kind: RequestKind.Streaming, timeoutMs: 15_000, latencyTargetMs: 1000, gapTargetMs: 300, priority: 0, attempts: 1, isPublic: true, isResumable: false, targets: [],
+	name: 'r', host: 'h', pathPrefix: '/', kind: RequestKind.Streaming, timeoutMs: 15_000, latencyTargetMs: 1000, priority: 0, attempts: 1, isPublic: true, isResumable: false, targets: [],
 };
 
 /** A stream that has delivered events at a steady pace and expects a number of tokens in all. */
--- a/src/coordination/serving/final-answers.ts
+++ b/src/coordination/serving/final-answers.ts
@@ -3,11 +3,9 @@
  * never will; 502 and 504 promise nothing.
  */
 import {type ServerResponse} from 'node:http';
+import {connectionHeaders} from '../../transport/connection-headers.js';
 import {writeOwnAnswer} from '../../transport/front-server.js';
 
-/** Connection headers of a backend server's answer, which stay behind. In lower case. */
-const connectionHeaders = new Set(['connection', 'keep-alive', 'transfer-encoding', 'content-length', 'proxy-connection', 'upgrade', 'trailer']);
-
 /** Shortest and longest Retry-After after a refusal, in milliseconds. */
 const shortestReturnMs = 150;
 const longestReturnMs = 2000;
@@ -29,7 +27,12 @@
 /** When a refused client should return: spread out, and early enough that it still has time. */
 export function returnAfterMs(remainingMs: number, wantedMs: number): number {
 	const mostMs = Math.min(longestReturnMs, Math.max(shortestReturnMs, remainingMs * returnShare));
-	return Math.min(mostMs, Math.max(shortestReturnMs, wantedMs)) * (0.75 + (Math.random() / 4));
+	return spreadReturn(Math.min(mostMs, Math.max(shortestReturnMs, wantedMs)));
+}
+
+/** Spreads the return of clients that were refused together: later by up to a quarter. */
+export function spreadReturn(afterMs: number): number {
+	return afterMs * (1 + (Math.random() / 4));
 }
 
 /** Refuses a request that has not run and never will. */
--- a/src/coordination/serving/forwarder.ts
+++ b/src/coordination/serving/forwarder.ts
@@ -4,7 +4,9 @@
  * its end is told to the client. One log line says what was decided, from what.
  */
 import {type Dialect} from '../../protocol/platform.js';
-import {type Account, RequestKind, type Route} from '../../protocol/serving.js';
+import {
+	type Account, type CallerRequest, RequestKind, type Route,
+} from '../../protocol/serving.js';
 import {type SteadyClock} from '../../clock.js';
 import {type Gate} from '../../gate.js';
 import {type Belief} from '../../state/belief.js';
@@ -17,7 +19,9 @@
 import {type UsageLedger} from '../usage-ledger.js';
 import {type CallResult, forwardCall} from './call-forwarding.js';
 import {type Dispatcher} from './dispatcher.js';
-import {passWhole, refuse, returnAfterMs} from './final-answers.js';
+import {
+	passWhole, refuse, returnAfterMs, spreadReturn,
+} from './final-answers.js';
 import {ServedRequest} from './served-request.js';
 import {forwardStream, type StreamResult} from './stream-forwarding.js';
 import {type StreamRegistry} from './stream-registry.js';
@@ -152,7 +156,7 @@
 		const {status, reason, retryAfterMs} = rejection;
 		const {routes, belief, metrics} = this.parts;
 		if (status === 429 || status === 503) {
-			refuse(front.response, status, reason, returnAfterMs(Number.POSITIVE_INFINITY, retryAfterMs ?? outageReturnMs));
+			refuse(front.response, status, reason, spreadReturn(retryAfterMs ?? outageReturnMs));
 		} else {
 			writeOwnAnswer(front.response, status, reason);
 		}
--- a/src/coordination/serving/stream-forwarding.ts
+++ b/src/coordination/serving/stream-forwarding.ts
@@ -48,33 +48,22 @@
 			const dispatched = await dispatcher.send(served, {
 				purpose: RepeatPurpose.Retry, beginMs: beginMs(served, flight, now()), lastEventId: flight.lastEventId, ...next,
 			});
-			if (dispatched.kind === DispatchKind.Answer) {
-				const isStream = dispatched.answer.status >= 200 && dispatched.answer.status < 300;
-				if (isStream) {
-					// eslint-disable-next-line no-await-in-loop
-					const end = await flight.pump(dispatched);
-					if (end === PumpEnd.Complete) {
-						return {kind: 'complete', events: flight.events};
-					}
-
-					reason = end;
-				} else {
-					// eslint-disable-next-line no-await-in-loop
-					const answer = await readFailure(dispatched);
-					if (!flight.isHeadSent && answer && !(served.isRepeatable && mayRunAgain(served))) {
-						return {kind: 'answer', answer};
-					}
+			if (dispatched.kind === DispatchKind.NoBackend || dispatched.kind === DispatchKind.NoAllowance) {
+				({reason} = dispatched);
+				break;
+			}
 
-					reason = `failed with ${dispatched.answer.status}`;
+			if (dispatched.kind === DispatchKind.Answer) {
+				// eslint-disable-next-line no-await-in-loop
+				const end = await takeAnswer(dispatched, flight);
+				if (typeof end !== 'string') {
+					return end;
 				}
 
-				served.attempts.at(-1)!.result = reason;
+				reason = end;
 				dispatcher.noteFailure(served, dispatched.backend.id);
 			} else {
 				({reason} = dispatched);
-				if (dispatched.kind === DispatchKind.NoBackend || dispatched.kind === DispatchKind.NoAllowance) {
-					break;
-				}
 			}
 
 			// eslint-disable-next-line no-await-in-loop
@@ -99,6 +88,23 @@
 	return served.mayHaveRun ? {kind: 'unknown', reason} : {kind: 'not-run', reason};
 }
 
+/** Passes an engine's answer on; returns how the stream ended, or why it has to go on elsewhere. */
+async function takeAnswer(begun: BegunAnswer, flight: Flight): Promise<StreamResult | string> {
+	const {served} = flight;
+	const attempt = served.attempts.at(-1)!;
+	const {status} = begun.answer;
+	if (status >= 200 && status < 300) {
+		const end = await flight.pump(begun);
+		attempt.result = `${end} after ${flight.events} events`;
+		return end === PumpEnd.Complete ? {kind: 'complete', events: flight.events} : end;
+	}
+
+	const answer = await readFailure(begun);
+	attempt.result = String(status);
+	const mayGoElsewhere = served.isRepeatable && mayRunAgain(served);
+	return answer && !flight.isHeadSent && !mayGoElsewhere ? {kind: 'answer', answer} : `failed with ${status}`;
+}
+
 /** Time for an engine to begin: all there is, unless another may be asked. */
 function beginMs(served: ServedRequest, flight: Flight, nowMs: number): number {
 	const remainingMs = served.remainingMs(nowMs);
--- a/src/coordination/serving/stream-registry.ts
+++ b/src/coordination/serving/stream-registry.ts
@@ -6,6 +6,7 @@
 import {type Engines} from '../../protocol/platform.js';
 import {type Backend} from '../../protocol/serving.js';
 import {type BackendTable} from '../../state/backend-table.js';
+import {type RouteTable} from '../../state/route-table.js';
 import {createLogger} from '../../log.js';
 import {type Dispatcher} from './dispatcher.js';
 import {type Flight, type MoveResult} from './flight.js';
@@ -32,7 +33,7 @@
 	moved = 0;
 	private readonly flights = new Set<Flight>();
 
-	constructor(private readonly parts: {backends: BackendTable; engines: Engines; dispatcher: Dispatcher; signal: AbortSignal}) {}
+	constructor(private readonly parts: {backends: BackendTable; engines: Engines; dispatcher: Dispatcher; routes: RouteTable; signal: AbortSignal}) {}
 
 	get size(): number {
 		return this.flights.size;
@@ -65,8 +66,9 @@
 	}
 
 	private move(flight: Flight, source: Backend): void {
-		if (flight.events === 0) {
-			// Nothing to copy yet. A resumable one is sent elsewhere when its connection ends.
+		const canMove = this.parts.routes.service(flight.served.inputs.service)?.engine?.canMove ?? false;
+		if (flight.events === 0 || !canMove) {
+			// Nothing to copy, or engines that cannot. A resumable one is sent elsewhere when its connection ends.
 			if (flight.served.isRepeatable) {
 				flight.interrupt();
 			}
--- a/src/protocol/platform.ts
+++ b/src/protocol/platform.ts
@@ -47,8 +47,6 @@
 	/** Nobody else may act within this after a holder of a duty acted. */
 	leaseMs: number;
 	usageWindowMs: number;
-	/** A usage report is due this long after its window. */
-	usageDueMs: number;
 };
 
 /** A record of a topic; a record without a value says that its key was dropped. */
--- a/src/protocol/serving.ts
+++ b/src/protocol/serving.ts
@@ -28,8 +28,6 @@
 	timeoutMs: number;
 	/** Time within which an answer is on time, in milliseconds; for streams, to the first event. */
 	latencyTargetMs: number;
-	/** Longest pause between two events of a stream that is on time, in milliseconds. */
-	gapTargetMs: number;
 	/** 0 is the most urgent. */
 	priority: number;
 	/** Most backend servers that may run one request. */
@@ -42,9 +40,6 @@
 
 /** What is known of the engines of a service. */
 export type EngineTraits = {
-	slots: number;
-	/** Tokens that fit an engine's memory. */
-	kvTokens: number;
 	/** Whether a running request may be moved with its KV cache. */
 	canMove: boolean;
 };
@@ -64,7 +59,6 @@
 /** A service that routes send requests to. */
 export type Service = {
 	name: string;
-	maxConnections: number;
 	engine: EngineTraits | undefined;
 	scaling: Scaling | undefined;
 };
--- a/src/state/__tests__/route-table.test.ts
+++ b/src/state/__tests__/route-table.test.ts
@@ -3,7 +3,7 @@
 import {RouteTable} from '../route-table.js';
 
 const route = (name: string, host: string, pathPrefix: string): Route => ({
-	name, host, pathPrefix, kind: RequestKind.Idempotent, timeoutMs: 1000, latencyTargetMs: 100, gapTargetMs: 0, priority: 0, attempts: 2, isPublic: false, isResumable: false, targets: [{service: 's', weight: 1}],
+	name, host, pathPrefix, kind: RequestKind.Idempotent, timeoutMs: 1000, latencyTargetMs: 100, priority: 0, attempts: 2, isPublic: false, isResumable: false, targets: [{service: 's', weight: 1}],
 });
 const config = (version: number, routes: Route[], keys: string[] = []): ServingConfig => ({
 	version,
