Weigh a few of many engines, so that daemons do not all choose the same

Ruled out: reports fast enough for that (120 streams are placed in half a second); cutting by failure domain (caches of shared parts would be read four times). Change: of more than 12 engines, those with the prompt cached, the two homes of its shared part and two drawn at random are weighed. Up to 12 all are, as before. Figures (test): of 120 streams placed without news, fewer than 24 go to the one engine that seemed least loaded; before, all that had no cached part.

--- a/src/coordination/__tests__/placement.test.ts
+++ b/src/coordination/__tests__/placement.test.ts
@@ -1,4 +1,6 @@
 import {describe, expect, it} from 'vitest';
+import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
+import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 import {type Backend, BackendState} from '../../protocol/serving.js';
 import {Placement, type PlacementQuery} from '../placement.js';
 
@@ -8,7 +10,7 @@
 const candidates = ['a', 'b', 'c', 'd'].map(id => backend(id));
 const parts = [{id: 'p1', tokens: 512}, {id: 'p2', tokens: 4870}, {id: 'own', tokens: 600}];
 const query = (overrides: Partial<PlacementQuery> = {}): PlacementQuery => ({
-	candidates, excluded: new Set(), promptTokens: 6000, promptParts: parts, peersInFlight: () => 0, nowMs: 1000, ...overrides,
+	candidates, excluded: new Set(), promptTokens: 6000, promptParts: parts, peersInFlight: () => 0, random: () => 0.5, nowMs: 1000, ...overrides,
 });
 
 describe('Placement', () => {
@@ -72,6 +74,32 @@
 		expect(Math.max(...counts.values()) - Math.min(...counts.values())).toBeLessThan(25);
 	});
 
+	it('daemons that see the same late load do not all choose the least loaded of many engines', () => {
+		const engines = Array.from({length: 50}, (_, index) => ({...backend(`e-${index}`), slots: 16}));
+		const generator = xoroshiro128plus(3);
+		const random = () => uniformFloat64(generator);
+		// Eight in flight on each but one, and the news of what is placed now comes to nobody in time.
+		const peersInFlight = (id: string) => id === 'e-7' ? 2 : 8;
+		const counts = new Map<string, number>();
+		for (let index = 0; index < 120; index++) {
+			const {id} = new Placement('fd-a').choose(query({
+				candidates: engines, promptParts: [{id: `own-${index}`, tokens: 700}], promptTokens: 700, peersInFlight, random,
+			}))!.backend;
+			counts.set(id, (counts.get(id) ?? 0) + 1);
+		}
+
+		expect(counts.get('e-7') ?? 0).toBeLessThan(24);
+		expect(Math.max(...counts.values())).toBeLessThan(24);
+	});
+
+	it('of many engines takes one that has the shared part cached', () => {
+		const engines = Array.from({length: 50}, (_, index) => backend(`e-${index}`));
+		const placement = new Placement('fd-a');
+		placement.begin('e-33', 6000, parts, 900).end();
+		placement.begin('e-7', 600, [parts[0]], 900).end();
+		expect(placement.choose(query({candidates: engines}))!.backend.id).toBe('e-33');
+	});
+
 	it('chooses none when all are excluded', () => {
 		expect(new Placement('fd-a').choose(query({excluded: new Set(['a', 'b', 'c', 'd'])}))).toBeUndefined();
 	});
--- a/src/coordination/placement.ts
+++ b/src/coordination/placement.ts
@@ -33,6 +33,14 @@
 const coldCostMs = 100;
 /** Added for another failure domain than the daemon's, in milliseconds: a round trip more. */
 const otherDomainCostMs = 3;
+/** Up to this many engines each is weighed: eight served bursts evenly so. Beyond, all daemons of a large fleet would choose the one that seemed least loaded half a second ago. */
+const weighedEngines = 12;
+/** Of more engines, those that should have the prompt cached are weighed, and this many drawn at random: from late reports, two spread the load better than all. */
+const drawnEngines = 2;
+/** Engines that all daemons choose first for a prompt part. */
+const homeEngines = 2;
+/** Prompt tokens that an engine must have cached beyond the least to be weighed for that alone: 20 ms of reading. */
+const leastCachedTokens = 1000;
 
 /** What a request asks of a placement. */
 export type PlacementQuery = {
@@ -43,6 +51,8 @@
 	promptParts: PromptPart[];
 	/** Requests that other daemons have in flight at a backend server. */
 	peersInFlight: (backendId: string) => number;
+	/** Draws evenly from 0 to 1. */
+	random: () => number;
 	nowMs: number;
 };
 
@@ -82,11 +92,12 @@
 
 	/** Chooses a backend server, or none when every candidate is excluded. */
 	choose(query: PlacementQuery): Choice | undefined {
-		const home = homeOf(query.promptParts, query.candidates);
-		const choices = query.candidates.map(backend => this.estimate(backend, query, home === backend.id));
+		const homes = homesOf(query.promptParts, query.candidates);
+		const choices = query.candidates.map(backend => this.estimate(backend, query, homes[0] === backend.id));
+		const open = choices.filter(choice => !query.excluded.has(choice.backend.id));
 		let best: Choice | undefined;
-		for (const choice of choices) {
-			if (!query.excluded.has(choice.backend.id) && (!best || choice.costMs < best.costMs)) {
+		for (const choice of open.length > weighedEngines ? sample(open, homes, query.random) : open) {
+			if (!best || choice.costMs < best.costMs) {
 				best = choice;
 			}
 		}
@@ -236,22 +247,21 @@
 	return tokens;
 }
 
-/** The engine that every daemon would choose for a prompt's last shared part, by rendezvous hashing. */
-function homeOf(parts: PromptPart[], candidates: Backend[]): string | undefined {
+/** The engines to weigh of many: those that should have much of the prompt cached, its homes, and a few at random. */
+function sample(choices: Choice[], homes: string[], random: () => number): Choice[] {
+	const least = Math.min(...choices.map(choice => choice.cachedTokens));
+	const known = choices.filter(({backend, cachedTokens}) => cachedTokens - least >= leastCachedTokens || homes.includes(backend.id));
+	const drawn = Array.from({length: drawnEngines}, () => choices[Math.floor(random() * choices.length)]);
+	return [...known, ...drawn];
+}
+
+/** The engines that every daemon would choose first for a prompt's last shared part, by rendezvous hashing. */
+function homesOf(parts: PromptPart[], candidates: Backend[]): string[] {
 	const part = parts.at(-2) ?? parts.at(-1);
 	if (!part) {
-		return undefined;
-	}
-
-	let home: string | undefined;
-	let highest = -1;
-	for (const backend of candidates) {
-		const score = createHash('md5').update(part.id).update(backend.id).digest().readUInt32BE(0);
-		if (score > highest) {
-			highest = score;
-			home = backend.id;
-		}
+		return [];
 	}
 
-	return home;
+	const scored = candidates.map(({id}) => ({id, score: createHash('md5').update(part.id).update(id).digest().readUInt32BE(0)}));
+	return scored.toSorted((a, b) => b.score - a.score).slice(0, homeEngines).map(({id}) => id);
 }
--- a/src/coordination/serving/dispatcher.ts
+++ b/src/coordination/serving/dispatcher.ts
@@ -87,6 +87,7 @@
 			promptTokens: request.promptTokens ?? 0,
 			promptParts: request.promptParts,
 			peersInFlight: id => fleet.inFlight(backendKey(id), nowMs),
+			random: () => Math.random(),
 			nowMs,
 		});
 	}
