Start a pool's demand from the replicas there are, and size it by their slots

Cause: a holder of the duties that knows no traffic took the demand for nothing. Ruled out: ordering by the configured maximum (128 replicas). Change: a pool is taken to be what its traffic needs until traffic is measured, half of the slots count as carried (12 at most), a third of the need is spare (4 at least).

--- a/src/coordination/__tests__/pool.test.ts
+++ b/src/coordination/__tests__/pool.test.ts
@@ -2,7 +2,7 @@
 import {DutyResult} from '../../protocol/platform.js';
 import {type Scaling} from '../../protocol/serving.js';
 import {isOrderDue} from '../duty-runner.js';
-import {PoolDemand} from '../pool-demand.js';
+import {carriedInFlight, PoolDemand} from '../pool-demand.js';
 import {type DomainState, planPool} from '../pool-plan.js';
 
 const scaling: Scaling = {
@@ -64,8 +64,8 @@
 
 describe('PoolDemand', () => {
 	it('follows a rise at once and a fall slowly', () => {
-		const demand = new PoolDemand();
-		demand.note(120, 0);
+		const demand = new PoolDemand(0, 0);
+		demand.note(10, 0);
 		expect(demand.need().replicas).toBe(10);
 		demand.note(0, 2000);
 		expect(demand.need().replicas).toBeGreaterThan(7);
@@ -74,6 +74,38 @@
 	});
 });
 
+describe('PoolDemand before it knows the traffic', () => {
+	it.each([
+		{name: 'keeps the pool it found', present: 90, expected: 90},
+		{name: 'a small one too', present: 8, expected: 8},
+	])('$name', ({present, expected}) => {
+		const demand = new PoolDemand(present, 0);
+		demand.note(0, 20_000);
+		const {replicas, spare} = demand.need();
+		expect(replicas + spare).toBeGreaterThanOrEqual(expected - 1);
+		expect(replicas + spare).toBeLessThanOrEqual(expected);
+	});
+
+	it('follows the traffic once there is any', () => {
+		const demand = new PoolDemand(90, 0);
+		demand.note(0, 15_000);
+		demand.note(20, 16_000);
+		demand.note(20, 60_000);
+		expect(demand.need().replicas).toBeLessThan(25);
+	});
+
+	it('has room for the loss of a failure domain of four', () => {
+		const demand = new PoolDemand(0, 0);
+		demand.note(40, 0);
+		const {replicas, spare} = demand.need();
+		expect((replicas + spare) * 0.75).toBeGreaterThanOrEqual(replicas);
+	});
+
+	it.each([{slots: 64, expected: 12}, {slots: 16, expected: 8}])('a replica of $slots slots carries $expected requests', ({slots, expected}) => {
+		expect(carriedInFlight(slots)).toBe(expected);
+	});
+});
+
 describe('isOrderDue', () => {
 	const at = {bootMs: 4000, nowMs: 10_000, token: 5};
 	it.each([
--- a/src/coordination/serving/__tests__/stream-registry.test.ts
+++ b/src/coordination/serving/__tests__/stream-registry.test.ts
@@ -49,6 +49,6 @@
 			name: 'one that has no pace yet', flight: createFlight(1, 50, 75), nowMs: 9000, expected: true,
 		},
 	])('$name: $expected', ({flight, nowMs, expected}) => {
-		expect(shouldMove(flight, 10_000, nowMs)).toBe(expected);
+		expect(shouldMove(flight, 5, 10_000, nowMs)).toBe(expected);
 	});
 });
--- a/src/coordination/serving/stream-registry.ts
+++ b/src/coordination/serving/stream-registry.ts
@@ -23,8 +23,6 @@
 const estimateFactor = 1.3;
 /** A resumable stream without an event for this long goes on elsewhere, in milliseconds; clients leave after two seconds at the earliest. */
 const stallMs = 1300;
-/** Tokens of one event where the engines do not say. */
-const tokensPerEvent = 5;
 /** Engines tried as the target of a move. */
 const moveTargets = 2;
 
@@ -56,7 +54,7 @@
 			}
 
 			const leavesAtMs = this.parts.backends.get(backend.id)?.leavesAtMs;
-			if (leavesAtMs !== undefined && shouldMove(flight, leavesAtMs, nowMs)) {
+			if (leavesAtMs !== undefined && shouldMove(flight, this.tokensPerEvent(flight), leavesAtMs, nowMs)) {
 				this.move(flight, backend);
 			} else if (isStalled(flight, nowMs)) {
 				log.info('stream stalled, interrupted.', {request: flight.served.inputs.request.id, backend: backend.id, silentMs: Math.round(nowMs - flight.progressAtMs)});
@@ -65,6 +63,10 @@
 		}
 	}
 
+	private tokensPerEvent(flight: Flight): number {
+		return this.parts.routes.service(flight.served.inputs.service)?.engine?.tokensPerEvent ?? 1;
+	}
+
 	private move(flight: Flight, source: Backend): void {
 		const canMove = this.parts.routes.service(flight.served.inputs.service)?.engine?.canMove ?? false;
 		if (flight.events === 0 || !canMove) {
@@ -116,7 +118,7 @@
 }
 
 /** Whether a stream would not end before its engine leaves, and the time to move it has come. */
-export function shouldMove(flight: Flight, leavesAtMs: number, nowMs: number): boolean {
+export function shouldMove(flight: Flight, tokensPerEvent: number, leavesAtMs: number, nowMs: number): boolean {
 	const leftMs = leavesAtMs - nowMs;
 	if (leftMs > moveLeadMs) {
 		return false;
--- a/src/protocol/serving.ts
+++ b/src/protocol/serving.ts
@@ -42,6 +42,8 @@
 export type EngineTraits = {
 	/** Whether a running request may be moved with its KV cache. */
 	canMove: boolean;
+	/** Output tokens in one event of a stream. */
+	tokensPerEvent: number;
 };
 
 /** Limits and prices of a service's pool of backend servers, per failure domain. */
