Send calls that run once on no kept connection while backend servers drop them

Cause: a backend server may drop an idle connection without notice and reset what is sent on it next. A call that may run only once is then lost, since nobody can say whether it ran. Ruled out: a new connection for each such call at all times (they are priced, and most backend servers keep what they say); a shorter idle time for all. Change: after one kept connection was reset by a request, calls that may not be repeated go on connections used within 100 ms, or new ones, for a minute. Figures (test that failed first): of six calls 150 ms apart to a backend server that forgets after 60 ms, one is lost instead of five.

--- a/src/coordination/serving/dispatcher.ts
+++ b/src/coordination/serving/dispatcher.ts
@@ -164,6 +164,7 @@
 					copyFrom,
 				}),
 				body,
+				isRepeatable: served.isRepeatable,
 				connectMs: Math.min(connectMs, options.beginMs),
 				signal: abort.signal,
 			});
--- a/src/transport/__tests__/backend-pool.test.ts
+++ b/src/transport/__tests__/backend-pool.test.ts
@@ -1,5 +1,7 @@
 import {Buffer} from 'node:buffer';
 import {createServer, type AddressInfo, type Socket} from 'node:net';
+import {performance} from 'node:perf_hooks';
+import {setTimeout as delay} from 'node:timers/promises';
 import {
 	afterEach, describe, expect, it,
 } from 'vitest';
@@ -35,9 +37,9 @@
 	};
 }
 
-async function readText(pool: BackendPool, backend: Backend): Promise<string> {
+async function readText(pool: BackendPool, backend: Backend, isRepeatable = true): Promise<string> {
 	const answer = await exchange(pool, {
-		backend, method: 'GET', path: '/x', headers: ['Host', 'h'], body: undefined, connectMs: 500, signal: AbortSignal.timeout(3000),
+		backend, method: 'GET', path: '/x', headers: ['Host', 'h'], body: undefined, isRepeatable, connectMs: 500, signal: AbortSignal.timeout(3000),
 	});
 	const body = await answer.read(1000);
 	return Buffer.from(body).toString();
@@ -100,3 +102,45 @@
 		}
 	});
 });
+
+describe('a backend server that drops idle connections without notice', () => {
+	/** Answers on connections that are new or were used a moment ago, and resets the others. */
+	async function startForgetful(restMs: number): Promise<Backend> {
+		const usedAtMs = new WeakMap<Socket, number>();
+		return startBackend(socket => {
+			const lastMs = usedAtMs.get(socket);
+			usedAtMs.set(socket, Date.now());
+			if (lastMs !== undefined && Date.now() - lastMs > restMs) {
+				socket.resetAndDestroy();
+			} else {
+				socket.write(`${head}Content-Length: 2\r\nKeep-Alive: timeout=5\r\n\r\nok`);
+			}
+		});
+	}
+
+	it('costs one request that may run only once, and none after', async () => {
+		const backend = await startForgetful(60);
+		const pool = new BackendPool();
+		const results: string[] = [];
+		for (let round = 0; round < 6; round++) {
+			// eslint-disable-next-line no-await-in-loop -- one request after the other.
+			results.push(await readText(pool, backend, false).catch(() => 'reset'));
+			// eslint-disable-next-line no-await-in-loop
+			await delay(150);
+		}
+
+		expect(results).toEqual(['ok', 'reset', 'ok', 'ok', 'ok', 'ok']);
+		pool.destroy();
+	});
+
+	it('still gets requests that may be repeated on kept connections', async () => {
+		const backend = await startForgetful(60);
+		const pool = new BackendPool();
+		pool.noteDropped(performance.now());
+		await readText(pool, backend);
+		await delay(30);
+		expect(await readText(pool, backend)).toBe('ok');
+		expect(Object.values(pool.freeSockets).flat()).toHaveLength(1);
+		pool.destroy();
+	});
+});
--- a/src/transport/backend-pool.ts
+++ b/src/transport/backend-pool.ts
@@ -8,6 +8,7 @@
 	Agent, type ClientRequest, type IncomingMessage, request as startRequest,
 } from 'node:http';
 import {type Socket} from 'node:net';
+import {performance} from 'node:perf_hooks';
 import {type Backend} from '../protocol/serving.js';
 import {ConnectError, TransportError} from './errors.js';
 
@@ -17,6 +18,10 @@
 const unstatedIdleMs = 400;
 /** Share of the stated idle time that is used, so that a request doesn't cross the close. */
 const idleShare = 0.6;
+/** After a kept connection turned out to be dropped, requests that may run only once are sent on connections this young, in milliseconds, or new ones: a reset then leaves open whether they ran. */
+const trustedIdleMs = 100;
+/** ... for this long, in milliseconds. */
+const distrustMs = 60_000;
 /** First probe of a silent connection, in milliseconds. */
 const keepAliveProbeMs = 1000;
 
@@ -35,6 +40,10 @@
 export class BackendPool extends Agent {
 	private readonly idleLimits = new WeakMap<Socket, number>();
 	private readonly idleTimers = new WeakMap<Socket, NodeJS.Timeout>();
+	private readonly idleSinceMs = new WeakMap<Socket, number>();
+	private distrustedUntilMs = Number.NEGATIVE_INFINITY;
+	/** Opens a connection for each request that no kept one is trusted with. */
+	private readonly single = new Agent({keepAlive: false, noDelay: true});
 
 	constructor() {
 		super({
@@ -42,6 +51,28 @@
 		});
 	}
 
+	/** Notes that a kept connection was reset by the request sent on it. */
+	noteDropped(nowMs: number): void {
+		this.distrustedUntilMs = nowMs + distrustMs;
+	}
+
+	/** The agent that should send a request: this pool, unless its kept connections are not trusted with it. */
+	agentFor(backend: Backend, isRepeatable: boolean, nowMs: number): Agent {
+		if (isRepeatable || nowMs >= this.distrustedUntilMs) {
+			return this;
+		}
+
+		// The next request takes the connection that was used last.
+		const last = this.freeSockets[this.getName({host: backend.host, port: backend.port})]?.at(-1);
+		const isTrusted = !last || nowMs - (this.idleSinceMs.get(last) ?? nowMs) <= trustedIdleMs;
+		return isTrusted ? this : this.single;
+	}
+
+	override destroy(): void {
+		this.single.destroy();
+		super.destroy();
+	}
+
 	/** Notes how long the backend server keeps this connection. */
 	noteAnswer(response: IncomingMessage): void {
 		this.idleLimits.set(response.socket, statedIdleMs(response.headers['keep-alive']));
@@ -55,6 +86,7 @@
 		socket.unref();
 		// Bytes on an idle connection belong to no request.
 		socket.on('data', destroyOnData);
+		this.idleSinceMs.set(socket, performance.now());
 		const limitMs = this.idleLimits.get(socket) ?? unstatedIdleMs;
 		if (limitMs <= 0) {
 			return false;
@@ -84,6 +116,8 @@
 	/** Names and values by turns. */
 	headers: string[];
 	body: Uint8Array | undefined;
+	/** Whether it may be sent again after a failure that leaves open whether it ran. */
+	isRepeatable: boolean;
 	/** Time for a new connection to open, in milliseconds. */
 	connectMs: number;
 	/** Aborting it closes the connection. */
@@ -174,12 +208,12 @@
  */
 export async function exchange(pool: BackendPool, options: Exchange): Promise<BackendAnswer> {
 	const {
-		backend, method, path, headers, body, connectMs, signal,
+		backend, method, path, headers, body, isRepeatable, connectMs, signal,
 	} = options;
 	signal.throwIfAborted();
 	const hasBody = body !== undefined && (body.length > 0 || (method !== 'GET' && method !== 'HEAD'));
 	const request = startRequest({
-		agent: pool, host: backend.host, port: backend.port, method, path, setHost: false,
+		agent: pool.agentFor(backend, isRepeatable, performance.now()), host: backend.host, port: backend.port, method, path, setHost: false,
 		headers: hasBody ? [...headers, 'Content-Length', String(body.length)] : headers,
 	});
 	let isConnected = false;
@@ -214,6 +248,10 @@
 			resolve(new BackendAnswer(response, request));
 		});
 		request.on('error', error => {
+			if (request.reusedSocket && !signal.aborted) {
+				pool.noteDropped(performance.now());
+			}
+
 			if (isConnected) {
 				reject(new TransportError(`${backend.id} gave no answer`, {cause: error}));
 			} else {
