Take changed settings into force at a reload, and notice a file that changed

Cause: settings were read and checked again on SIGHUP, and the bounds of the start stayed in use; a file that changed without a signal was not noticed. Change: bounds are changed in place and read at each use; the lengths of counted windows, the lease and addresses need a restart, which the log names. The file is read again every 5 s.

--- a/src/cli/commands/front.ts
+++ b/src/cli/commands/front.ts
@@ -35,7 +35,7 @@
 	});
 
 	const reload = () => {
-		daemon.reload();
+		daemon.reload(true);
 	};
 
 	process.on('SIGHUP', reload);
--- a/src/cli/front-container.ts
+++ b/src/cli/front-container.ts
@@ -62,6 +62,7 @@
 /** Builds the container of one serving daemon. */
 export function createFrontContainer({platform, incarnation, signal, createSinks}: FrontInputs): DependencyContainer {
 	const {settings, store, cloud, dialect, engines} = platform;
+	// Changed in place by a reload: parts read what may change at each use.
 	const {bounds} = settings;
 	const child = container.createChildContainer();
 	const clock = new SteadyClock();
@@ -74,14 +75,30 @@
 	register(Gate, () => new Gate());
 	register(Belief, () => new Belief());
 	register(RouteTable, () => new RouteTable());
-	register(BackendTable, () => new BackendTable(bounds.drainMs));
+	register(BackendTable, () => new BackendTable(bounds));
 	register(BackendPool, () => new BackendPool());
 	register(DeferredMetrics, () => new DeferredMetrics());
 	register(Placement, () => new Placement(settings.failureDomain));
 	register(FleetTable, () => new FleetTable({name: settings.name, failureDomain: settings.failureDomain, startedAtMs}));
 	register(UsageLedger, () => new UsageLedger(settings.failureDomain, incarnation, bounds.usageWindowMs));
-	register(QuotaLedger, () => new QuotaLedger({windowMs: bounds.quotaWindowMs, tolerance: bounds.quotaTolerance, slack: bounds.quotaSlack}, startedAtMs, settings.isFirstStart));
-	register(RetryAllowance, () => new RetryAllowance({ratio: bounds.retryRatio, windowMs: bounds.retryWindowMs, slack: bounds.retrySlack}));
+	register(QuotaLedger, () => new QuotaLedger({
+		windowMs: bounds.quotaWindowMs,
+		get tolerance() {
+			return bounds.quotaTolerance;
+		},
+		get slack() {
+			return bounds.quotaSlack;
+		},
+	}, startedAtMs, settings.isFirstStart));
+	register(RetryAllowance, () => new RetryAllowance({
+		windowMs: bounds.retryWindowMs,
+		get ratio() {
+			return bounds.retryRatio;
+		},
+		get slack() {
+			return bounds.retrySlack;
+		},
+	}));
 	register(DutyLease, () => new DutyLease(store, incarnation, bounds.leaseMs, clock));
 	register(PoolDemands, resolver => new PoolDemands(resolver.resolve(BackendTable), resolver.resolve(Placement), resolver.resolve(FleetTable)));
 	register(Dispatcher, resolver => new Dispatcher({
@@ -147,7 +164,9 @@
 		dialect,
 		routes: resolver.resolve(RouteTable),
 		belief: resolver.resolve(Belief),
-		mostBeliefMs: bounds.revokeMs * beliefShare,
+		get mostBeliefMs() {
+			return bounds.revokeMs * beliefShare;
+		},
 		dispatcher: resolver.resolve(Dispatcher),
 		registry: resolver.resolve(StreamRegistry),
 		quota: resolver.resolve(QuotaLedger),
--- a/src/cli/front-daemon.ts
+++ b/src/cli/front-daemon.ts
@@ -18,6 +18,7 @@
 import {FleetTable} from '../coordination/fleet/fleet-table.js';
 import {Placement} from '../coordination/placement.js';
 import {QuotaLedger} from '../coordination/quota-ledger.js';
+import {applySettings} from '../coordination/settings-reload.js';
 import {BackendsSink, ConfigSink} from '../coordination/record-sinks.js';
 import {Forwarder} from '../coordination/serving/forwarder.js';
 import {DeferredMetrics, type RequestMetrics} from '../coordination/serving/request-metrics.js';
@@ -32,6 +33,8 @@
 const dutyMs = 250;
 /** How often the holder of the duties writes the sums of the accounts' limits to the store, in milliseconds. */
 const sumsMs = 1500;
+/** How often the settings are read again for a change without a signal, in milliseconds: one read takes less than a millisecond. */
+const settingsMs = 5000;
 /** Pause between steps of the election, in milliseconds. */
 const leaseStepMs = 100;
 /** Backend servers that vanished are forgotten after this, in milliseconds. */
@@ -51,6 +54,8 @@
 	private readonly callers: FrontServer;
 	private backendsSink: BackendsSink | undefined;
 	private isStopping = false;
+	/** Changed settings that need a restart, as last logged. */
+	private needRestart = '';
 
 	constructor(
 		private readonly platform: Platform,
@@ -98,11 +103,16 @@
 		this.parts.resolve(DeferredMetrics).target = metrics;
 	}
 
-	/** Reads the settings again; addresses stay as they were opened. */
-	reload(): void {
+	/** Reads the settings again and takes what changed into force; without a signal, logs only changes. */
+	reload(isSignalled: boolean): void {
 		try {
-			const settings = this.platform.readSettings();
-			log.info('settings read again.', {failureDomain: settings.failureDomain, bounds: JSON.stringify(settings.bounds)});
+			const fresh = this.platform.readSettings();
+			const {changed, needRestart} = applySettings(this.platform.settings, fresh);
+			const isNews = Object.keys(changed).length > 0 || needRestart.join() !== this.needRestart;
+			this.needRestart = needRestart.join();
+			if (isSignalled || isNews) {
+				log.info('settings read again.', {isSignalled, changed: JSON.stringify(changed), needRestart: this.needRestart});
+			}
 		} catch (error) {
 			log.error('settings unreadable, keeping the last ones.', {error: String(error)});
 		}
@@ -191,6 +201,12 @@
 			sums: {pauseMs: () => sumsMs, step: async () => messenger.saveSums(this.signal)},
 			lease: {pauseMs: () => leaseStepMs, step: async () => this.stepLease()},
 			duties: {pauseMs: () => dutyMs, step: async () => duties.step(this.signal)},
+			settings: {
+				pauseMs: () => settingsMs,
+				step: () => {
+					this.reload(false);
+				},
+			},
 			sweep: {
 				pauseMs: () => sweepMs,
 				step: () => {
--- /dev/null
+++ b/src/coordination/__tests__/settings-reload.test.ts
@@ -0,0 +1,45 @@
+import {describe, expect, it} from 'vitest';
+import {type FrontSettings, type ServiceBounds} from '../../protocol/platform.js';
+import {applySettings} from '../settings-reload.js';
+
+const createSettings = (bounds: Partial<ServiceBounds> = {}, overrides: Partial<FrontSettings> = {}): FrontSettings => ({
+	name: 'a',
+	failureDomain: 'fd-a',
+	isFirstStart: true,
+	host: '10.0.0.1',
+	callers: {host: '10.0.0.1', port: 1},
+	readiness: {host: '10.0.0.1', port: 2},
+	peerPort: 3,
+	metricsPort: 4,
+	storeUrl: 'http://10.0.0.9:1',
+	cloudUrl: 'http://10.0.0.9:2',
+	bounds: {
+		drainMs: 2000, graceMs: 8000, revokeMs: 5000, retryRatio: 0.2, retryWindowMs: 10_000, retrySlack: 52, quotaWindowMs: 8000, quotaTolerance: 0.1, quotaSlack: 140_000, leaseMs: 3000, usageWindowMs: 5000, ...bounds,
+	},
+	...overrides,
+});
+
+describe('applySettings', () => {
+	it.each([
+		{
+			name: 'nothing where nothing changed', fresh: createSettings(), changed: {}, needRestart: [],
+		},
+		{
+			name: 'a shorter revocation bound at once', fresh: createSettings({revokeMs: 3000}), changed: {revokeMs: 3000}, needRestart: [],
+		},
+		{
+			name: 'a limit\'s slack at once, and the length of its window at a restart', fresh: createSettings({quotaSlack: 0, quotaWindowMs: 4000}), changed: {quotaSlack: 0}, needRestart: ['quotaWindowMs'],
+		},
+		{
+			name: 'an address at a restart', fresh: createSettings({}, {storeUrl: 'http://10.0.0.8:1'}), changed: {}, needRestart: ['storeUrl'],
+		},
+		{
+			name: 'nothing when only the first start is over', fresh: createSettings({}, {isFirstStart: false}), changed: {}, needRestart: [],
+		},
+	])('takes $name', ({fresh, changed, needRestart}) => {
+		const current = createSettings();
+		const {bounds} = current;
+		expect(applySettings(current, fresh)).toEqual({changed, needRestart});
+		expect(bounds).toEqual({...createSettings().bounds, ...changed});
+	});
+});
--- a/src/coordination/fleet/__tests__/fleet-messenger.test.ts
+++ b/src/coordination/fleet/__tests__/fleet-messenger.test.ts
@@ -33,6 +33,7 @@
 	readonly usage: UsageLedger;
 	readonly placement: Placement;
 	readonly messenger: FleetMessenger;
+	readonly lease: DutyLease;
 	readonly topics: Record<ToldTopic, TopicFollower>;
 	readonly beliefs = {[Topic.Config]: new Belief(), [Topic.Backends]: new Belief()};
 	readonly backendsSeen: string[] = [];
@@ -63,10 +64,11 @@
 			carriedMs: () => this.fleet.roleAt(net.nowMs) === FleetRole.Leaf ? 2000 : 0,
 		});
 		this.topics = {[Topic.Config]: follow(Topic.Config, []), [Topic.Backends]: follow(Topic.Backends, this.backendsSeen)};
+		this.lease = new DutyLease(net.store, incarnation, 3000, clock);
 		this.messenger = new FleetMessenger({
 			settings: {
 				name, failureDomain, host, peerPort: 1,
-			}, incarnation, store: net.store, fleet: this.fleet, quota: this.quota, usage: this.usage, placement: this.placement, lease: new DutyLease(net.store, incarnation, 3000, clock), topics: this.topics, clock, startedAtMs,
+			}, incarnation, store: net.store, fleet: this.fleet, quota: this.quota, usage: this.usage, placement: this.placement, lease: this.lease, topics: this.topics, clock, startedAtMs,
 		});
 		this.messenger.open({
 			send: (message, to) => {
@@ -219,6 +221,19 @@
 		expect(relays.map(daemon => daemon.usage.total(daemon.usage.windowAt(net.nowMs - 1000)))).toEqual(relays.map(() => ({x: 86})));
 	});
 
+	it('tells a holder of the duties that is no relay the usage of all', async () => {
+		const net = await startNet(86, 4);
+		const holder = net.daemons.find(daemon => daemon.fleet.roleAt(net.nowMs) === FleetRole.Leaf)!;
+		await holder.lease.step({rank: 0, hearsMost: true, startedAtMs: -10_000}, new AbortController().signal);
+		for (const daemon of net.daemons) {
+			daemon.usage.count('x', net.nowMs);
+		}
+
+		const window = holder.usage.windowAt(net.nowMs);
+		net.run(1000);
+		expect(holder.usage.total(window)).toEqual({x: 86});
+	});
+
 	it('of 86 daemons follows the store through its relays', async () => {
 		const net = await startNet(86, 4);
 		const isRelay = (daemon: TestDaemon) => daemon.fleet.roleAt(net.nowMs) === FleetRole.Relay;
--- a/src/coordination/fleet/__tests__/fleet-table.test.ts
+++ b/src/coordination/fleet/__tests__/fleet-table.test.ts
@@ -21,6 +21,7 @@
 		digest,
 		wantsView: false,
 		wantsSums: false,
+		wantsUsage: false,
 		round: 1,
 		offsets: {},
 	};
--- a/src/coordination/fleet/fleet-messenger.ts
+++ b/src/coordination/fleet/fleet-messenger.ts
@@ -253,8 +253,10 @@
 		for (const [window, counts] of digest?.usage ?? []) {
 			if (digest?.scope === DigestScope.Daemon) {
 				usage.note(sender.failureDomain, sender.incarnation, window, counts);
-			} else {
+			} else if (digest?.scope === DigestScope.Domain) {
 				usage.noteDomain(sender.failureDomain, window, counts);
+			} else {
+				usage.noteRest(window, counts);
 			}
 		}
 
@@ -287,16 +289,18 @@
 			digest,
 			wantsView,
 			wantsSums: this.hasMissedNews || nowMs - this.parts.startedAtMs < youngMs,
+			wantsUsage: this.parts.lease.news(nowMs)?.ageMs === 0,
 			round: this.round,
 			offsets: wantsView ? Object.fromEntries(toldTopics.map(topic => [topic, this.parts.topics[topic].nextOffset])) : {},
 		};
 	}
 
-	private createView({sender: receiver, wantsSums, round, offsets}: Report, nowMs: number): View {
-		const {fleet, settings} = this.parts;
+	private createView({sender: receiver, wantsSums, wantsUsage, round, offsets}: Report, nowMs: number): View {
+		const {fleet, settings, usage} = this.parts;
 		const isRelay = fleet.roleAt(nowMs) === FleetRole.Relay;
 		const isNeighbour = receiver.failureDomain === settings.failureDomain;
-		const digest = isNeighbour ? fleet.restDigest(this.ownDigest(), receiver.name, nowMs) : this.domainDigest(nowMs);
+		const restUsage = wantsUsage ? usage.restOf(receiver.failureDomain, receiver.incarnation) : [];
+		const digest = isNeighbour ? {...fleet.restDigest(this.ownDigest(), receiver.name, nowMs), usage: restUsage} : this.domainDigest(nowMs);
 		return {
 			kind: FleetMessageKind.View,
 			...this.head(wantsSums, nowMs),
--- a/src/coordination/usage-ledger.ts
+++ b/src/coordination/usage-ledger.ts
@@ -26,6 +26,8 @@
 /** The counts of this daemon and those heard from others. */
 export class UsageLedger {
 	private readonly domains = new Map<string, DomainUsage>();
+	/** What relays said of all daemons but this one. */
+	private readonly rest: Windows = new Map();
 
 	/**
 	 * @param failureDomain This daemon's.
@@ -57,6 +59,22 @@
 		raise(countsOf(this.usageOf(failureDomain).told, window), counts);
 	}
 
+	/** Takes what a relay said of all daemons but this one. */
+	noteRest(window: number, counts: WindowCounts): void {
+		raise(countsOf(this.rest, window), counts);
+	}
+
+	/** The counts of the latest windows of all daemons but one. */
+	restOf(failureDomain: string, incarnation: string): Array<[number, WindowCounts]> {
+		const known = [...this.domains.values()].flatMap(usage => [...usage.daemons.values(), usage.told]).flatMap(windows => [...windows.keys()]);
+		const windows = [...new Set(known)].toSorted((a, b) => a - b).slice(-toldWindows);
+		return windows.map(window => {
+			const total = this.domainsTotal(window);
+			subtractCounts(total, this.usageOf(failureDomain).daemons.get(incarnation)?.get(window) ?? {});
+			return [window, total];
+		});
+	}
+
 	/** This daemon's counts of its latest windows. */
 	own(): Array<[number, WindowCounts]> {
 		return latest(this.ownWindows());
@@ -71,12 +89,21 @@
 
 	/** The counts of a window over all daemons; undefined when none counted anything. */
 	total(window: number): WindowCounts | undefined {
+		const total = this.domainsTotal(window);
+		// One that is no relay hears of most daemons only through the relays.
+		const told = {...this.ownWindows().get(window)};
+		addCounts(told, this.rest.get(window) ?? {});
+		raise(total, told);
+		return Object.keys(total).length === 0 ? undefined : total;
+	}
+
+	private domainsTotal(window: number): WindowCounts {
 		const total: WindowCounts = {};
 		for (const usage of this.domains.values()) {
 			addCounts(total, domainTotal(usage, window));
 		}
 
-		return Object.keys(total).length === 0 ? undefined : total;
+		return total;
 	}
 
 	private ownWindows(): Windows {
@@ -151,6 +178,12 @@
 	}
 }
 
+function subtractCounts(total: WindowCounts, counts: WindowCounts): void {
+	for (const [account, count] of Object.entries(counts)) {
+		total[account] = (total[account] ?? 0) - count;
+	}
+}
+
 /** Raises counts to others where these are higher. */
 function raise(known: WindowCounts, counts: WindowCounts): void {
 	for (const [account, count] of Object.entries(counts)) {
--- a/src/protocol/fleet-messages.ts
+++ b/src/protocol/fleet-messages.ts
@@ -89,6 +89,8 @@
 	wantsView: boolean;
 	/** Whether the view should have the sums of the window. */
 	wantsSums: boolean;
+	/** Whether the view should have usage counts: the sender holds the singleton duties. */
+	wantsUsage: boolean;
 	/** Number of the sender's round, which the view repeats. */
 	round: number;
 	/** Offsets up to which the sender's views of the store's topics reach. */
--- a/src/protocol/platform.ts
+++ b/src/protocol/platform.ts
@@ -23,7 +23,7 @@
 	/** The platform's own endpoints. */
 	storeUrl: string;
 	cloudUrl: string;
-	/** What the operators hold the system to; times in milliseconds. */
+	/** What the operators hold the system to; times in milliseconds. Changed in place when the settings change, so it is read at each use. */
 	bounds: ServiceBounds;
 };
 
--- a/src/state/backend-table.ts
+++ b/src/state/backend-table.ts
@@ -26,8 +26,8 @@
 	private readonly entries = new Map<string, BackendEntry>();
 	private readonly byService = new Map<string, BackendEntry[]>();
 
-	/** @param drainMs How long a leaving backend server serves on, unless it says otherwise. */
-	constructor(private readonly drainMs: number) {}
+	/** @param bounds `drainMs` is how long a leaving backend server serves on, unless it says otherwise. */
+	constructor(private readonly bounds: {drainMs: number}) {}
 
 	/**
 	 * Takes an entry of the platform's list.
@@ -48,7 +48,7 @@
 		const beganToLeave = backend.state === BackendState.Draining && entry.leavingSinceMs === undefined;
 		if (beganToLeave) {
 			entry.leavingSinceMs = nowMs;
-			entry.leavesAtMs = nowMs + (backend.leavesInMs ?? this.drainMs);
+			entry.leavesAtMs = nowMs + (backend.leavesInMs ?? this.bounds.drainMs);
 		}
 
 		if (!known) {
@@ -65,7 +65,7 @@
 		if (entry && entry.vanishedAtMs === undefined) {
 			entry.vanishedAtMs = nowMs;
 			// Some leave without saying so first, and serve on for as long as the others.
-			entry.leavesAtMs ??= nowMs + this.drainMs;
+			entry.leavesAtMs ??= nowMs + this.bounds.drainMs;
 		}
 
 		return entry;
