--- a/src/coordination/pool-demand.ts
+++ b/src/coordination/pool-demand.ts
@@ -10,7 +10,7 @@
 import {type Placement} from './placement.js';
 import {type PoolNeed} from './pool-plan.js';
 
-/** Most requests in flight that a replica carries within the latency target; an engine of 64 slots served 10 with its first token in 90 ms, and 30 late. */
+/** Most requests in flight that a replica carries within the latency target: an estimate, from an engine's step that takes a quarter longer with 12 requests than with one. */
 const mostPerReplica = 12;
 /** Share of a replica's slots that may be in use on average; the rest takes what daemons place there before they hear of each other. */
 const usedSlots = 0.5;
--- a/src/coordination/serving/stream-registry.ts
+++ b/src/coordination/serving/stream-registry.ts
@@ -15,7 +15,7 @@
 
 /** How often the streams are looked at, in milliseconds. */
 export const sweepMs = 100;
-/** Time kept free before an engine leaves, in milliseconds: a move took 10 to 60 ms, and up to 60 of them queue. */
+/** Time kept free before an engine leaves, in milliseconds: an estimate of 20 ms a move, of which 60 may queue. */
 const moveLeadMs = 1300;
 /** A stream that should end this much before its engine leaves stays there, in milliseconds. */
 const finishMarginMs = 300;
