--- a/src/coordination/completions.ts
+++ b/src/coordination/completions.ts
@@ -17,7 +17,7 @@
 import {type LoadTracker} from './load-tracker.js';
 import {ChunkSequencer} from './chunk-sequencer.js';
 import {type CompletionJob, Flight} from './flight.js';
-import {RetryBudget} from './retry-budget.js';
+import {defaultRetryBound, RepeatPurpose, RetryAllowance} from './retry-allowance.js';
 import {chooseBackend, defaultAffinitySlack, servesModel} from './router.js';
 import {
 	CoordinationError, NoBackendError, OutcomeUnknownError, StreamBrokenError,
@@ -56,7 +56,7 @@
 	moves = 0;
 	kvMoves = 0;
 	private readonly flights = new Set<Flight>();
-	private readonly retryBudget = new RetryBudget();
+	private readonly retries = new RetryAllowance(defaultRetryBound);
 
 	constructor(private readonly context: CompletionsContext) {
 		context.directory.onLeaving(entry => {
@@ -91,7 +91,7 @@
 	async * stream(job: CompletionJob, signal: AbortSignal): AsyncGenerator<Token> {
 		const flight = new Flight(job, signal);
 		this.flights.add(flight);
-		this.retryBudget.earn();
+		this.retries.countRequest(job.model, Date.now());
 		try {
 			while (flight.delivered < job.maxTokens) {
 				// eslint-disable-next-line no-await-in-loop -- each run goes on where the last one stopped.
@@ -106,7 +106,7 @@
 	/** Counters for state dumps. */
 	toJson(): Record<string, number> {
 		return {
-			inFlight: this.inFlight, recomputedTokens: this.recomputedTokens, resumes: this.resumes, moves: this.moves, kvMoves: this.kvMoves, retryBudget: this.retryBudget.toJson(),
+			inFlight: this.inFlight, recomputedTokens: this.recomputedTokens, resumes: this.resumes, moves: this.moves, kvMoves: this.kvMoves,
 		};
 	}
 
@@ -223,7 +223,7 @@
 		log.warn('engine failed.', {
 			request: flight.job.requestId, engine: engine.id, delivered: flight.delivered, error: String(error),
 		});
-		const isRetryAllowed = flight.hasDelivered || this.retryBudget.spend();
+		const isRetryAllowed = flight.hasDelivered || this.retries.take(flight.job.model, RepeatPurpose.Retry, 1, Date.now());
 		if (flight.failures >= maxFailures || !isRetryAllowed) {
 			throw this.giveUp(flight, error);
 		}
--- a/src/coordination/retry-allowance.ts
+++ b/src/coordination/retry-allowance.ts
@@ -21,6 +21,9 @@
 /** The bound over all daemons. */
 export type RetryBound = {ratio: number; windowMs: number; slack: number};
 
+/** The bound of one gateway, whose settings name none: one retry for five first tries, and some for a short outage of one engine. */
+export const defaultRetryBound: RetryBound = {ratio: 0.2, windowMs: 10_000, slack: 27};
+
 type Counts = {step: number; firsts: number; repeats: number};
 
 class ServiceWindow {
--- a/src/coordination/service-calls.ts
+++ b/src/coordination/service-calls.ts
@@ -9,7 +9,7 @@
 import {createLogger} from '../log.js';
 import {type BackendDirectory} from './backend-directory.js';
 import {Claim, type Journal} from './journal.js';
-import {RetryBudget} from './retry-budget.js';
+import {defaultRetryBound, RepeatPurpose, RetryAllowance} from './retry-allowance.js';
 import {NoBackendError, OutcomeUnknownError} from './errors.js';
 
 const log = createLogger('services');
@@ -40,7 +40,7 @@
 export class ServiceCalls {
 	private turn = 0;
 	private readonly avoidedUntilMs = new Map<string, number>();
-	private readonly retryBudget = new RetryBudget();
+	private readonly retries = new RetryAllowance(defaultRetryBound);
 
 	constructor(
 		private readonly directory: BackendDirectory,
@@ -81,7 +81,7 @@
 	}
 
 	private async dispatch(call: ServiceCall): Promise<JsonResponse<unknown>> {
-		this.retryBudget.earn();
+		this.retries.countRequest(call.service, Date.now());
 		const tried = new Set<string>();
 		for (;;) {
 			const target = this.targets(call.service, Date.now()).find(candidate => !tried.has(candidate.id));
@@ -99,7 +99,7 @@
 				this.avoidedUntilMs.set(target.id, Date.now() + avoidMs);
 				log.warn('backend server failed.', {service: call.service, backend: target.id, error: String(error)});
 				const neverSent = error instanceof ConnectError;
-				if (!neverSent && !(call.idempotent && tried.size < maxTargets && this.retryBudget.spend())) {
+				if (!neverSent && !(call.idempotent && tried.size < maxTargets && this.retries.take(call.service, RepeatPurpose.Retry, 1, Date.now()))) {
 					throw new OutcomeUnknownError(`call to ${target.id} may have run`, {cause: error});
 				}
 			}
