Grant the part of a window before a limit was lowered what held then

Ruled out: the share admitted near a limit (no other account was refused); waiting a window before a lowered limit counts (it must hold one window after it came into force). Change: the limit of a window in which it was lowered is the mean of both by time; a raise counts at once. It counts from when the configuration came into force.

--- a/src/cli/front-daemon.ts
+++ b/src/cli/front-daemon.ts
@@ -108,8 +108,8 @@
 		try {
 			const fresh = this.platform.readSettings();
 			const {changed, needRestart} = applySettings(this.platform.settings, fresh);
-			const isNews = Object.keys(changed).length > 0 || needRestart.join() !== this.needRestart;
-			this.needRestart = needRestart.join();
+			const isNews = Object.keys(changed).length > 0 || needRestart.join(',') !== this.needRestart;
+			this.needRestart = needRestart.join(',');
 			if (isSignalled || isNews) {
 				log.info('settings read again.', {isSignalled, changed: JSON.stringify(changed), needRestart: this.needRestart});
 			}
@@ -172,6 +172,7 @@
 		const routes = resolver.resolve(RouteTable);
 		const configSink = new ConfigSink(records, routes, () => {
 			this.callers.setLimits(routes.current!.limits);
+			resolver.resolve(QuotaLedger).noteLimits(routes.current!.accounts, this.clock.now());
 			this.openWhenKnown();
 		});
 		this.backendsSink = new BackendsSink(records, resolver.resolve(BackendTable), () => {
--- a/src/coordination/__tests__/shared-limits.test.ts
+++ b/src/coordination/__tests__/shared-limits.test.ts
@@ -83,6 +83,36 @@
 		expect(admitted).toBeLessThanOrEqual(4500);
 	});
 
+	it('does not hold against an account what it used before its limit was lowered', () => {
+		const ledger = new QuotaLedger(bounds, 0, true);
+		for (let nowMs = 0; nowMs < 8000; nowMs += 100) {
+			ledger.admit(account, 90, alone, 0, nowMs);
+		}
+
+		const lowered = {...account, ratePerSecond: 250, burst: 0};
+		expect(ledger.admit(lowered, 90, alone, 0, 8000)).toBeUndefined();
+		let admitted = 0;
+		for (let nowMs = 8100; nowMs < 24_000; nowMs += 100) {
+			admitted += nowMs >= 16_000 && !ledger.admit(lowered, 90, alone, 0, nowMs) ? 90 : 0;
+		}
+
+		expect(admitted).toBeLessThanOrEqual(2000);
+	});
+
+	it('counts a lowered limit from when it came into force, whenever the account asks next', () => {
+		const ledger = new QuotaLedger(bounds, 0, true);
+		ledger.noteLimits([account], 0);
+		ledger.admit(account, 90, alone, 0, 0);
+		const lowered = {...account, ratePerSecond: 250, burst: 0};
+		ledger.noteLimits([lowered], 1000);
+		let admitted = 0;
+		while (!ledger.admit(lowered, 100, alone, 0, 20_000)) {
+			admitted += 100;
+		}
+
+		expect(admitted).toBe(2000);
+	});
+
 	it('gives back what was not run', () => {
 		const ledger = new QuotaLedger(bounds, 0, true);
 		admitAll(ledger, alone, 0);
--- a/src/coordination/quota-ledger.ts
+++ b/src/coordination/quota-ledger.ts
@@ -14,6 +14,7 @@
  */
 import {type Account} from '../protocol/serving.js';
 import {CostMeter} from './cost-meter.js';
+import {LimitHistory} from './limit-history.js';
 
 /** Share of the operators' slack and tolerance that is granted; the rest covers the error of what peers are taken to admit. */
 const grantedShare = 0.4;
@@ -61,13 +62,16 @@
 	readonly own: AccountUse = {admitted: 0, refused: 0};
 	/** What peers admitted of late. */
 	readonly peersAdmitted = new CostMeter();
+	readonly limits: LimitHistory;
 	/** What was asked of peers of late. */
 	readonly peersAsked = new CostMeter();
 	private readonly uses: Use[] = [];
 	/** Sum that a peer knew of when this daemon started, and until when it counts. */
 	private adopted = {cost: 0, untilMs: 0};
 
-	constructor(private readonly windowMs: number) {}
+	constructor(private readonly windowMs: number) {
+		this.limits = new LimitHistory(windowMs);
+	}
 
 	add(cost: number, nowMs: number): void {
 		const step = Math.floor(nowMs / this.windowMs * steps);
@@ -162,6 +166,15 @@
 		return undefined;
 	}
 
+	/** Notes the limits of a configuration as it comes into force, so that a lowered one counts from then on, also for an account that asks for nothing here for a while. */
+	noteLimits(accounts: Account[], nowMs: number): void {
+		for (const {name, ratePerSecond, burst} of accounts) {
+			if (ratePerSecond !== undefined) {
+				this.window(name).limits.note({ratePerSecond, burst}, nowMs);
+			}
+		}
+	}
+
 	/** Gives back the cost of a request that was certainly not run. */
 	refund(account: Account, cost: number, nowMs: number): void {
 		if (account.ratePerSecond !== undefined) {
@@ -214,7 +227,8 @@
 
 	private limit(account: Account, peers: QuotaPeers, nowMs: number): number {
 		const {windowMs, tolerance, slack} = this.bounds;
-		const full = (((account.ratePerSecond! * windowMs / 1000) + account.burst) * (1 + (tolerance * grantedShare))) + (slack * grantedShare);
+		const granted = this.window(account.name).limits.granted({ratePerSecond: account.ratePerSecond!, burst: account.burst}, nowMs);
+		const full = (granted * (1 + (tolerance * grantedShare))) + (slack * grantedShare);
 		const heard = 1 - Math.min(0.9, peers.silent / Math.max(1, peers.daemons));
 		const known = this.isHistoryKnown ? 1 : Math.min(1, (nowMs - this.startedAtMs) / windowMs) / 2;
 		return full * heard * known;
