Wait until the list of backend servers has stopped growing before ordering from it

Change: no order until no new backend server has come for 1.5 s, or the list has been followed for 8 s.

--- a/src/cli/front-container.ts
+++ b/src/cli/front-container.ts
@@ -23,6 +23,7 @@
 import {Forwarder} from '../coordination/serving/forwarder.js';
 import {DeferredMetrics} from '../coordination/serving/request-metrics.js';
 import {StreamRegistry} from '../coordination/serving/stream-registry.js';
+import {type BackendsSink} from '../coordination/record-sinks.js';
 import {type RecordSink, TopicFollower} from '../coordination/topic-follower.js';
 import {UsageLedger} from '../coordination/usage-ledger.js';
 
@@ -56,7 +57,7 @@
 	/** Aborts when the daemon stops. */
 	signal: AbortSignal;
 	/** What is done with the records of the store's topics. */
-	createSinks: (resolver: DependencyContainer) => {configSink: RecordSink; backendsSink: RecordSink};
+	createSinks: (resolver: DependencyContainer) => {configSink: RecordSink; backendsSink: BackendsSink};
 };
 
 /** Builds the container of one serving daemon. */
@@ -158,7 +159,7 @@
 		clock,
 		name: settings.name,
 		usageWindowMs: bounds.usageWindowMs,
-		listedForMs: nowMs => resolver.resolve(BackendsFollower).followedForMs(nowMs),
+		list: nowMs => ({followedForMs: resolver.resolve(BackendsFollower).followedForMs(nowMs), unchangedForMs: nowMs - backendsSink.grownAtMs}),
 		need: service => resolver.resolve(PoolDemands).need(service.name, clock.now()),
 	}));
 	register(Forwarder, resolver => new Forwarder({
--- a/src/coordination/__tests__/duty-runner.test.ts
+++ b/src/coordination/__tests__/duty-runner.test.ts
@@ -6,7 +6,7 @@
 import {RouteTable} from '../../state/route-table.js';
 import {FakeStore} from '../../testing/fake-store.js';
 import {DutyLease} from '../duty-lease.js';
-import {DutyRunner} from '../duty-runner.js';
+import {DutyRunner, isListSettled} from '../duty-runner.js';
 import {PoolDemand} from '../pool-demand.js';
 import {UsageLedger} from '../usage-ledger.js';
 
@@ -39,7 +39,7 @@
 		},
 	});
 	let demand: PoolDemand | undefined;
-	const state = {listedForMs: 0};
+	const state = {followedForMs: 0, unchangedForMs: 0};
 	const runner = new DutyRunner({
 		cloud,
 		lease,
@@ -49,7 +49,7 @@
 		clock,
 		name: 'a',
 		usageWindowMs: 5000,
-		listedForMs: () => state.listedForMs,
+		list: () => state,
 		need() {
 			demand ??= new PoolDemand(backends.listed().length, time.ms);
 			return demand.need();
@@ -68,6 +68,17 @@
 	};
 }
 
+describe('isListSettled', () => {
+	it.each([
+		{followedForMs: 2000, unchangedForMs: 2000, expected: false},
+		{followedForMs: 3000, unchangedForMs: 500, expected: false},
+		{followedForMs: 3000, unchangedForMs: 1500, expected: true},
+		{followedForMs: 9000, unchangedForMs: 100, expected: true},
+	])('followed for $followedForMs ms, unchanged for $unchangedForMs: $expected', ({expected, ...list}) => {
+		expect(isListSettled(list)).toBe(expected);
+	});
+});
+
 describe('DutyRunner', () => {
 	it('orders nothing from a list that is still filling, and gives up none of what it then finds before it is replaced', async () => {
 		const {runner, orders, list, state} = await createRunner();
@@ -75,7 +86,8 @@
 		await runner.step(signal);
 		expect(orders).toEqual([]);
 		list(40);
-		state.listedForMs = 3000;
+		state.followedForMs = 3000;
+		state.unchangedForMs = 1600;
 		await runner.step(signal);
 		const reclaimable = orders.filter(order => order.isReclaimable).map(order => order.count);
 		const onDemand = orders.filter(order => !order.isReclaimable).map(order => order.count);
--- a/src/coordination/duty-runner.ts
+++ b/src/coordination/duty-runner.ts
@@ -30,14 +30,19 @@
 const orderSettleMs = 2000;
 /** Pause after an order that was not to be had, in milliseconds. */
 const refusedPauseMs = 2500;
-/** The list of backend servers must have been followed for this long before anything is ordered from it, in milliseconds. Backend servers register within a heartbeat of 1.2 s of the first start, and are back within two seconds of the store's return; an order made from fewer gave up 80 of 90 running ones. */
+/** The list of backend servers must have been followed for this long before anything is ordered from it, in milliseconds, and must have stopped growing for this long, unless it has been followed for long enough. Backend servers are back within two seconds of the store's return, and register by and by when the system starts: an order made from the first 3 of 90 gave up the others, and one made after 2.5 s, from 33, still most of them. */
 const listSettleMs = 2500;
+const listRestMs = 1500;
+const listFilledMs = 8000;
 /** Pause after an order without an answer, in milliseconds: it may still be carried out. */
 const unknownPauseMs = 3000;
 
 /** A usage report that was decided. */
 type DecidedReport = {window: number; counts: WindowCounts};
 
+/** How long the list of backend servers has been followed without a loss, and how long no new one came, in milliseconds. */
+export type FollowedList = {followedForMs: number; unchangedForMs: number};
+
 type OrderState = {count: number; atMs: number; result: DutyResult; token: number};
 
 /** The parts the duties work with. */
@@ -50,8 +55,8 @@
 	clock: SteadyClock;
 	name: string;
 	usageWindowMs: number;
-	/** How long the list of backend servers has been followed, in milliseconds. */
-	listedForMs: (nowMs: number) => number;
+	/** How the list of backend servers has been followed. */
+	list: (nowMs: number) => FollowedList;
 	/** What each service needs now. */
 	need: (service: Service) => PoolNeed;
 };
@@ -121,8 +126,8 @@
 	}
 
 	private async orderPools(signal: AbortSignal): Promise<void> {
-		const {clock, listedForMs} = this.parts;
-		if (listedForMs(clock.now()) < listSettleMs) {
+		const {clock, list} = this.parts;
+		if (!isListSettled(list(clock.now()))) {
 			return;
 		}
 
@@ -193,6 +198,11 @@
 	}
 }
 
+/** Whether the list of backend servers can be taken to have all there are. */
+export function isListSettled({followedForMs, unchangedForMs}: FollowedList): boolean {
+	return followedForMs >= listFilledMs || (followedForMs >= listSettleMs && unchangedForMs >= listRestMs);
+}
+
 function orderKey(kind: Omit<PoolOrder, 'count'>): string {
 	return `${kind.service}/${kind.failureDomain}/${kind.isReclaimable ? 'reclaimable' : 'on-demand'}`;
 }
--- a/src/coordination/record-sinks.ts
+++ b/src/coordination/record-sinks.ts
@@ -45,6 +45,8 @@
 export class BackendsSink implements RecordSink {
 	/** Whether a full list was read. */
 	isKnown = false;
+	/** When a backend server was listed that was not known before. */
+	grownAtMs = Number.NEGATIVE_INFINITY;
 
 	/** @param onList Called after each full list. */
 	constructor(
@@ -74,6 +76,7 @@
 			const backend = this.records.readBackend(record.key, record.value);
 			const isKnown = this.backends.get(record.key) !== undefined;
 			const {beganToLeave} = this.backends.upsert(backend, nowMs);
+			this.grownAtMs = isKnown ? this.grownAtMs : nowMs;
 			if (beganToLeave || !isKnown) {
 				log.info(beganToLeave ? 'backend server leaves.' : 'backend server listed.', {
 					backend: backend.id,
