--- a/src/coordination/duty-lease.ts
+++ b/src/coordination/duty-lease.ts
@@ -92,7 +92,7 @@
 
 	/** The fencing token, while this daemon may act. */
 	tokenAt(nowMs: number): number | undefined {
-		const isActing = this.isHolder && nowMs - this.confirmedAtMs <= confirmedMs && nowMs >= this.quietUntilMs;
+		const isActing = this.isConfirmedAt(nowMs) && nowMs >= this.quietUntilMs;
 		if (isActing !== this.wasActing) {
 			this.wasActing = isActing;
 			log.info(isActing ? 'acting.' : 'not acting.', {token: this.newest?.token, holder: this.newest?.holder, viewAgeMs: Math.round(nowMs - this.confirmedAtMs)});
@@ -101,9 +101,14 @@
 		return isActing ? this.newest!.token : undefined;
 	}
 
+	/** Whether a read confirmed not long ago that this daemon's claim is the newest. */
+	isConfirmedAt(nowMs: number): boolean {
+		return this.isHolder && nowMs - this.confirmedAtMs <= confirmedMs;
+	}
+
 	/** What this daemon tells its peers of the holder. */
 	news(nowMs: number): HolderNews | undefined {
-		if (this.isHolder && nowMs - this.confirmedAtMs <= confirmedMs) {
+		if (this.isConfirmedAt(nowMs)) {
 			return {token: this.newest!.token, ageMs: 0};
 		}
 
--- a/src/coordination/fleet/fleet-messenger.ts
+++ b/src/coordination/fleet/fleet-messenger.ts
@@ -7,7 +7,7 @@
 import {Buffer} from 'node:buffer';
 import {type FrontSettings, type Store, Topic} from '../../protocol/platform.js';
 import {
-	type Digest, DigestScope, type FleetMessage, FleetMessageKind, isFleetMessage, type NamedAddress, type PeerAddress, type Report, type ToldTopic, type View,
+	type Digest, DigestScope, type FleetMessage, FleetMessageKind, isFleetMessage, type NamedAddress, type PeerAddress, type Report, type Sender, type ToldTopic, type View,
 } from '../../protocol/fleet-messages.js';
 import {type SteadyClock} from '../../clock.js';
 import {type MessageLink} from '../../transport/datagram-link.js';
@@ -17,9 +17,8 @@
 import {type TopicFollower} from '../topic-follower.js';
 import {type UsageLedger} from '../usage-ledger.js';
 import {backendKey} from './backend-key.js';
-import {
-	FleetRole, type FleetTable, packCounts, writeUse,
-} from './fleet-table.js';
+import {packCounts, writeUse} from './digest-sums.js';
+import {FleetRole, type FleetTable} from './fleet-table.js';
 import {type UseTotals} from './merged-counters.js';
 
 /** Time between reports, in milliseconds. */
@@ -289,28 +288,36 @@
 			digest,
 			wantsView,
 			wantsSums: this.hasMissedNews || nowMs - this.parts.startedAtMs < youngMs,
-			wantsUsage: this.parts.lease.news(nowMs)?.ageMs === 0,
+			wantsUsage: this.parts.lease.isConfirmedAt(nowMs),
 			round: this.round,
 			offsets: wantsView ? Object.fromEntries(toldTopics.map(topic => [topic, this.parts.topics[topic].nextOffset])) : {},
 		};
 	}
 
 	private createView({sender: receiver, wantsSums, wantsUsage, round, offsets}: Report, nowMs: number): View {
-		const {fleet, settings, usage} = this.parts;
+		const {fleet, settings} = this.parts;
 		const isRelay = fleet.roleAt(nowMs) === FleetRole.Relay;
 		const isNeighbour = receiver.failureDomain === settings.failureDomain;
-		const restUsage = wantsUsage ? usage.restOf(receiver.failureDomain, receiver.incarnation) : [];
-		const digest = isNeighbour ? {...fleet.restDigest(this.ownDigest(), receiver.name, nowMs), usage: restUsage} : this.domainDigest(nowMs);
 		return {
 			kind: FleetMessageKind.View,
 			...this.head(wantsSums, nowMs),
-			digest: isRelay ? digest : undefined,
+			digest: isRelay ? this.viewDigest(receiver, wantsUsage, nowMs) : undefined,
 			relays: fleet.relays(settings.failureDomain, nowMs),
 			round,
 			topics: isRelay && isNeighbour ? this.topicNews(offsets, nowMs) : {},
 		};
 	}
 
+	/** What a relay tells: a daemon of its failure domain the sums of all others, a relay of another one those of its own. */
+	private viewDigest(receiver: Sender, wantsUsage: boolean, nowMs: number): Digest {
+		const {fleet, usage, settings} = this.parts;
+		if (receiver.failureDomain !== settings.failureDomain) {
+			return this.domainDigest(nowMs);
+		}
+
+		return {...fleet.restDigest(this.ownDigest(), receiver.name, nowMs), usage: wantsUsage ? usage.restOf(receiver.failureDomain, receiver.incarnation) : []};
+	}
+
 	private topicNews(offsets: Report['offsets'], nowMs: number): View['topics'] {
 		return Object.fromEntries(toldTopics.map(topic => [topic, this.parts.topics[topic].newsFor(offsets[topic], nowMs)]));
 	}
--- a/src/coordination/fleet/fleet-table.ts
+++ b/src/coordination/fleet/fleet-table.ts
@@ -9,8 +9,14 @@
 	type Digest, DigestScope, type NamedAddress, type PeerAddress, type Report, type Sender, type View,
 } from '../../protocol/fleet-messages.js';
 import {type AccountUse} from '../quota-ledger.js';
-import {addUse, MergedCounters, type UseTotals} from './merged-counters.js';
+import {
+	packCounts, readUse, sumCounts, writeUse,
+} from './digest-sums.js';
+import {addUse, type UseTotals} from './merged-counters.js';
 import {RelayChoice} from './relay-choice.js';
+import {
+	countedMs, freshMs, goneMs, type Headcount, type Part, silentMs, ToldGroup, toldPart,
+} from './told-group.js';
 
 /** What a daemon is to the others. */
 export enum FleetRole {
@@ -28,16 +34,6 @@
 const smallForMs = 5000;
 /** A new relay goes by what relays told it for this long, in milliseconds: until its failure domain's daemons and the other relays have reported. */
 const newRelayMs = 1000;
-/** Age after which a message says nothing of the load any more, in milliseconds: four rounds. */
-const freshMs = 1000;
-/** A teller heard within this answers every round, in milliseconds: two rounds. */
-const answeringMs = 600;
-/** A daemon not heard of for this long is silent, in milliseconds. */
-const silentMs = 1500;
-/** A silent daemon is taken to be gone after this, in milliseconds. */
-const goneMs = 20_000;
-/** A daemon counts for shares of limits this long after it was last heard, in milliseconds. */
-const countedMs = 60_000;
 /** How often a daemon looks what it is to the others, in milliseconds: twice a round. */
 const roleCheckMs = 100;
 /** The sums of requests in flight are made anew after this, in milliseconds: a fifth of a round. */
@@ -46,39 +42,6 @@
 /** A daemon that reported by itself. */
 type Row = {sender: Sender; digest: Digest; heardAtMs: number};
 
-/** What one teller said of a group of daemons. */
-type Told = {digest: Digest; heardAtMs: number};
-
-/** A group of daemons that is known by the digests of its tellers. */
-class ToldGroup {
-	readonly tellers = new Map<string, Told>();
-	private readonly counters = new MergedCounters();
-
-	note(sender: Sender, digest: Digest, nowMs: number): UseTotals {
-		this.tellers.set(sender.name, {digest, heardAtMs: nowMs});
-		for (const [name, told] of this.tellers) {
-			if (nowMs - told.heardAtMs > countedMs) {
-				this.tellers.delete(name);
-			}
-		}
-
-		return this.counters.note(`${sender.incarnation}/${digest.epoch}`, readUse(digest), nowMs);
-	}
-
-	/** What the teller that hears most says, among those heard within a time; of equals the first by name, which is asked most often, while it answers. */
-	best(withinMs: number, nowMs: number): Told | undefined {
-		const recent = [...this.tellers].filter(([, told]) => nowMs - told.heardAtMs <= withinMs);
-		const answers = ({heardAtMs}: Told) => Number(nowMs - heardAtMs <= answeringMs);
-		return recent.toSorted(([nameA, a], [nameB, b]) => audibleIn(b.digest) - audibleIn(a.digest) || answers(b) - answers(a) || (nameA < nameB ? -1 : 1)).at(0)?.[1];
-	}
-}
-
-/** How many daemons a part of the fleet has, and how many of them are silent. */
-type Headcount = {daemons: number; silent: number};
-
-/** A part of the fleet: its daemons, and what is in flight from it. */
-type Part = {count: () => Headcount; inFlight: () => number[][]};
-
 /** The daemon that keeps the table. */
 export type Self = {name: string; failureDomain: string; startedAtMs: number};
 
@@ -402,13 +365,6 @@
 	}
 }
 
-/** A group as its teller knows it; all of it is silent while the teller is. */
-function toldPart({digest, heardAtMs}: Told, nowMs: number): Part {
-	const ageMs = nowMs - heardAtMs;
-	const silent = ageMs <= silentMs ? digest.silent : (ageMs <= goneMs ? digest.daemons : 0);
-	return {count: () => ({daemons: digest.daemons, silent}), inFlight: () => ageMs <= freshMs ? [digest.inFlight] : []};
-}
-
 function sumHeadcounts(parts: Part[]): Headcount {
 	const sum: Headcount = {daemons: 0, silent: 0};
 	for (const part of parts) {
@@ -420,36 +376,7 @@
 	return sum;
 }
 
-function audibleIn(digest: Digest): number {
-	return digest.daemons - digest.silent;
-}
-
 /** Key of a failure domain among the counted daemons; no daemon is called so. */
 function domainKey(failureDomain: string): string {
 	return `#${failureDomain}`;
 }
-
-function readUse(digest: Digest): UseTotals {
-	return new Map(Object.entries(digest.use).map(([account, [admitted, refused]]) => [account, {admitted, refused}]));
-}
-
-/** Totals as messages carry them. */
-export function writeUse(totals: UseTotals): Digest['use'] {
-	return Object.fromEntries([...totals].map(([account, {admitted, refused}]) => [account, [admitted, refused]]));
-}
-
-/** Counts by key as messages carry them. */
-export function packCounts(counts: ReadonlyMap<number, number>): number[] {
-	return [...counts].flat();
-}
-
-function sumCounts(packed: number[][]): Map<number, number> {
-	const sums = new Map<number, number>();
-	for (const counts of packed) {
-		for (let index = 0; index < counts.length; index += 2) {
-			sums.set(counts[index], (sums.get(counts[index]) ?? 0) + counts[index + 1]);
-		}
-	}
-
-	return sums;
-}
