--- a/src/coordination/settings-reload.ts
+++ b/src/coordination/settings-reload.ts
@@ -6,7 +6,7 @@
 import {type FrontSettings, type ServiceBounds} from '../protocol/platform.js';
 
 /** Bounds whose change would make what was counted so far meaningless, or two daemons disagree on who may act. */
-const fixedBounds: ReadonlyArray<keyof ServiceBounds> = ['quotaWindowMs', 'retryWindowMs', 'usageWindowMs', 'leaseMs'];
+const fixedBounds: ReadonlySet<keyof ServiceBounds> = new Set(['quotaWindowMs', 'retryWindowMs', 'usageWindowMs', 'leaseMs']);
 
 /** What a reload changed. */
 export type Reload = {
@@ -25,7 +25,7 @@
 			continue;
 		}
 
-		if (fixedBounds.includes(name)) {
+		if (fixedBounds.has(name)) {
 			needRestart.push(name);
 		} else {
 			changed[name] = value;
--- a/src/state/__tests__/backend-table.test.ts
+++ b/src/state/__tests__/backend-table.test.ts
@@ -37,7 +37,7 @@
 			}, expected: ['a', 'b'],
 		},
 	])('$name', ({act, expected}) => {
-		const table = new BackendTable({drainMs: drainMs});
+		const table = new BackendTable({drainMs});
 		table.upsert(backend('a'), 0);
 		table.upsert(backend('b'), 0);
 		act(table);
@@ -45,14 +45,14 @@
 	});
 
 	it('one that vanished is expected to go, and is not when it comes back', () => {
-		const table = new BackendTable({drainMs: drainMs});
+		const table = new BackendTable({drainMs});
 		table.upsert(backend('a'), 0);
 		expect(table.vanish('a', 100)?.leavesAtMs).toBe(100 + drainMs);
 		expect(table.upsert(backend('a'), 500).entry.leavesAtMs).toBeUndefined();
 	});
 
 	it('lapsed entries are used a moment when there is no other, and not as long as new work is forbidden', () => {
-		const table = new BackendTable({drainMs: drainMs});
+		const table = new BackendTable({drainMs});
 		table.upsert(backend('a'), 0);
 		table.vanish('a', 1000);
 		expect(usable(table, 1700)).toEqual(['a']);
@@ -60,7 +60,7 @@
 	});
 
 	it.each([{leavesInMs: undefined, expected: drainMs}, {leavesInMs: 2600, expected: 2600}])('leaves after $leavesInMs', ({leavesInMs, expected}) => {
-		const table = new BackendTable({drainMs: drainMs});
+		const table = new BackendTable({drainMs});
 		expect(table.upsert(backend('a', BackendState.Draining, leavesInMs), 0).entry.leavesAtMs).toBe(expected);
 	});
 });
