--- a/soak/__tests__/soak.test.ts
+++ b/soak/__tests__/soak.test.ts
@@ -5,6 +5,7 @@
 const seeds: Array<{seed: number; daemons: number; why: string}> = [
 	{seed: 1, daemons: 3, why: 'a first mix of faults'},
 	{seed: 2, daemons: 3, why: 'a second one'},
+	{seed: 102, daemons: 16, why: 'calls on single connections lost their last bytes in the soak\'s own proxy'},
 	{seed: 3, daemons: 16, why: 'more daemons than report to each other, most of which go by what relays say'},
 ];
 
--- a/src/coordination/pool-demand.ts
+++ b/src/coordination/pool-demand.ts
@@ -33,8 +33,8 @@
 
 	/**
 	 * @param present Replicas found at the first look. They are taken to be what the traffic
-	 * needs until it is measured: a new holder of the duties knows of no traffic, and gave up
-	 * 60 of 90 engines seconds before callers came.
+	 * needs until it is measured: a new holder of the duties knows of no traffic, and would
+	 * give up most of a pool seconds before callers come.
 	 */
 	constructor(present: number, nowMs: number) {
 		this.level = carried(present);
--- a/src/coordination/quota-ledger.ts
+++ b/src/coordination/quota-ledger.ts
@@ -6,8 +6,9 @@
  * What peers admitted arrives late. Until it does, they are taken to go on at the rate that
  * was heard of them. When less is left of a limit than is asked for until news come, all
  * daemons admit the same share of what they are asked, so that together they do not take
- * what is left many times over: over 86 daemons, an account at eight times its usual stayed
- * within its bound, and one within its limit was refused nothing.
+ * what is left many times over: in simulated plays over 86 daemons, an account that asks for
+ * four to eight times its limit stays within its bound, and passes it without; one within
+ * its limit is refused less than one request in a hundred.
  * A peer that fell silent is taken to admit its equal share, since it may be cut off and
  * serving. A daemon that has just started adopts the sums of its peers; where none can be
  * heard, all may have started anew, and it grants the limit only as its own window fills.
