--- a/src/coordination/__tests__/duty-runner.test.ts
+++ b/src/coordination/__tests__/duty-runner.test.ts
@@ -58,7 +58,7 @@
 	const list = (count: number) => {
 		for (let index = 0; index < count; index++) {
 			backends.upsert({
-				id: `b-${index}`, service: 's', host: '10.0.0.1', port: index, failureDomain: index % 2 === 0 ? 'fd-a' : 'fd-b', slots: 16, state: BackendState.Ready, isReclaimable: false, leavesInMs: undefined, coldForMs: 0,
+				id: `b-${index}`, name: `b-${index}`, startedAtMs: undefined, service: 's', host: '10.0.0.1', port: index, failureDomain: index % 2 === 0 ? 'fd-a' : 'fd-b', slots: 16, state: BackendState.Ready, isReclaimable: false, leavesInMs: undefined, coldForMs: 0,
 			}, time.ms);
 		}
 	};
