Place requests, and size the pool, by the prompt tokens that engines have not read yet

The rate of reading was a constant from two deployments.

Ruled out: counting prompt tokens of arrivals (says nothing of what is cached); the engines' own reports (some hundred ms old, priced as probes).

The pool's need is the larger of what is in flight and of what waits to be read, against a quarter of the tightest latency target.

--- a/src/cli/front-container.ts
+++ b/src/cli/front-container.ts
@@ -101,7 +101,7 @@
 		},
 	}));
 	register(DutyLease, () => new DutyLease(store, incarnation, bounds.leaseMs, clock));
-	register(PoolDemands, resolver => new PoolDemands(resolver.resolve(BackendTable), resolver.resolve(Placement), resolver.resolve(FleetTable)));
+	register(PoolDemands, resolver => new PoolDemands(resolver.resolve(BackendTable), resolver.resolve(Placement), resolver.resolve(FleetTable), resolver.resolve(RouteTable)));
 	register(Dispatcher, resolver => new Dispatcher({
 		dialect,
 		backends: resolver.resolve(BackendTable),
--- a/src/cli/front-daemon.ts
+++ b/src/cli/front-daemon.ts
@@ -148,7 +148,7 @@
 			backends: this.parts.resolve(BackendTable).toJson(),
 			fleet: this.parts.resolve(FleetTable).toJson(nowMs),
 			holder: this.parts.resolve(DutyLease).news(nowMs),
-			inFlight: this.parts.resolve(Placement).inFlight(),
+			sent: Object.fromEntries(this.parts.resolve(Placement).sent()),
 			streams: {running: registry.size, moved: registry.moved},
 			connections: this.callers.openConnections,
 			limits: Object.fromEntries(this.parts.resolve(QuotaLedger).own()),
--- a/src/coordination/fleet/__tests__/fleet-table.test.ts
+++ b/src/coordination/fleet/__tests__/fleet-table.test.ts
@@ -4,12 +4,12 @@
 } from '../../../protocol/fleet-messages.js';
 import {FleetTable} from '../fleet-table.js';
 
-type Overrides = Partial<Sender> & {admitted?: number; inFlight?: number[]};
+type Overrides = Partial<Sender> & {admitted?: number; loads?: number[]};
 
 /** A report of daemon b. */
-const report = ({admitted = 0, inFlight = [], ...sender}: Overrides = {}): Report => {
+const report = ({admitted = 0, loads = [], ...sender}: Overrides = {}): Report => {
 	const digest: Digest = {
-		scope: DigestScope.Daemon, epoch: '', daemons: 1, silent: 0, use: {x: [admitted, 0]}, usage: [], inFlight,
+		scope: DigestScope.Daemon, epoch: '', daemons: 1, silent: 0, use: {x: [admitted, 0]}, usage: [], loads,
 	};
 	return {
 		kind: FleetMessageKind.Report,
@@ -57,13 +57,13 @@
 		},
 	])('after $afterMs ms of silence', ({afterMs, daemons, silent, hearsMost, targets}) => {
 		const table = createTable();
-		table.noteReport(report({inFlight: [1, 7]}), 1000);
+		table.noteReport(report({loads: [1, 7, 25]}), 1000);
 		const nowMs = 1000 + afterMs;
 		expect(table.daemons(nowMs)).toBe(daemons);
 		expect(table.silent(nowMs)).toBe(silent);
 		expect(table.hearsMost(nowMs)).toBe(hearsMost);
 		expect(table.addresses(false, nowMs)).toHaveLength(targets);
 		expect(table.addresses(true, nowMs)).toHaveLength(1);
-		expect(table.inFlight(1, nowMs)).toBe(afterMs <= 1000 ? 7 : 0);
+		expect(table.load(1, nowMs)).toEqual(afterMs <= 1000 ? {inFlight: 7, unreadTokens: 2500} : {inFlight: 0, unreadTokens: 0});
 	});
 });
--- a/src/coordination/fleet/fleet-messenger.ts
+++ b/src/coordination/fleet/fleet-messenger.ts
@@ -18,7 +18,7 @@
 import {type UsageLedger} from '../usage-ledger.js';
 import {fieldsOf, readOwnRecord} from '../own-record.js';
 import {backendKey} from './backend-key.js';
-import {packCounts, writeUse} from './digest-sums.js';
+import {packLoads, writeUse} from './digest-sums.js';
 import {FleetRole, type FleetTable} from './fleet-table.js';
 import {type UseTotals} from './merged-counters.js';
 
@@ -274,7 +274,7 @@
 			silent: 0,
 			use: writeUse(quota.own()),
 			usage: usage.own(),
-			inFlight: packCounts(new Map(Object.entries(placement.inFlight()).map(([id, count]) => [backendKey(id), count]))),
+			loads: packLoads(new Map([...placement.sent()].map(([id, load]) => [backendKey(id), load]))),
 		};
 	}
 
--- a/src/coordination/fleet/fleet-table.ts
+++ b/src/coordination/fleet/fleet-table.ts
@@ -6,11 +6,11 @@
  * reports to all came every 1.8 s, too late for the load of engines and the usage counts.
  */
 import {
-	type Digest, DigestScope, type NamedAddress, type PeerAddress, type Report, type Sender, type View,
+	type Digest, DigestScope, type NamedAddress, type PeerAddress, type Report, type Sender, type SentLoad, type View,
 } from '../../protocol/fleet-messages.js';
 import {type AccountUse} from '../quota-ledger.js';
 import {
-	packCounts, readUse, sumCounts, writeUse,
+	packLoads, readUse, sumLoads, writeUse,
 } from './digest-sums.js';
 import {addUse, type UseTotals} from './merged-counters.js';
 import {RelayChoice} from './relay-choice.js';
@@ -36,7 +36,8 @@
 const newRelayMs = 1000;
 /** How often a daemon looks what it is to the others, in milliseconds: twice a round. */
 const roleCheckMs = 100;
-/** The sums of requests in flight are made anew after this, in milliseconds: a fifth of a round. */
+const noLoad: SentLoad = {inFlight: 0, unreadTokens: 0};
+/** The sums of loads are made anew after this, in milliseconds: a fifth of a round. */
 const loadSumsMs = 50;
 
 /** A daemon that reported by itself. */
@@ -58,7 +59,7 @@
 	/** Since when the fleet has been small enough to report to all. */
 	private smallSinceMs: number | undefined;
 	private roleCheckedAtMs = Number.NEGATIVE_INFINITY;
-	private loadSums = {atMs: Number.NEGATIVE_INFINITY, counts: new Map<number, number>()};
+	private loadSums = {atMs: Number.NEGATIVE_INFINITY, loads: new Map<number, SentLoad>()};
 
 	constructor(private readonly self: Self) {
 		this.roleSinceMs = self.startedAtMs;
@@ -177,13 +178,13 @@
 		return [...names, this.self.name].toSorted().indexOf(this.self.name);
 	}
 
-	/** Requests that the other daemons have in flight at a backend server, by its key. */
-	inFlight(backendKey: number, nowMs: number): number {
+	/** What the other daemons have sent to a backend server, by its key. */
+	load(backendKey: number, nowMs: number): SentLoad {
 		if (nowMs - this.loadSums.atMs >= loadSumsMs) {
-			this.loadSums = {atMs: nowMs, counts: sumCounts(this.parts(nowMs).flatMap(part => part.inFlight()))};
+			this.loadSums = {atMs: nowMs, loads: sumLoads(this.parts(nowMs).flatMap(part => part.loads()))};
 		}
 
-		return this.loadSums.counts.get(backendKey) ?? 0;
+		return this.loadSums.loads.get(backendKey) ?? noLoad;
 	}
 
 	/**
@@ -335,7 +336,7 @@
 		const within = (ageMs: number) => rows.filter(row => nowMs - row.heardAtMs <= ageMs);
 		return {
 			count: () => ({daemons: within(countedMs).filter(row => !row.sender.isStopping).length, silent: within(goneMs).length - within(silentMs).length}),
-			inFlight: () => within(freshMs).map(row => row.digest.inFlight),
+			loads: () => within(freshMs).map(row => row.digest.loads),
 		};
 	}
 
@@ -355,7 +356,7 @@
 			silent,
 			use: writeUse(use),
 			usage: [],
-			inFlight: packCounts(sumCounts([own.inFlight, ...parts.flatMap(part => part.inFlight())])),
+			loads: packLoads(sumLoads([own.loads, ...parts.flatMap(part => part.loads())])),
 		};
 	}
 
--- a/src/coordination/placement.ts
+++ b/src/coordination/placement.ts
@@ -4,13 +4,13 @@
  * read before it, and every running request makes each token slower, its own and others'.
  * For plain services it is the share of slots in use. It answers bursts that many daemons
  * place at once from late reports: each adds what it sent itself and what its peers say
- * they have in flight.
+ * they have sent, in requests and in prompt tokens that are not read yet.
  */
 import {createHash} from 'node:crypto';
+import {type SentLoad} from '../protocol/fleet-messages.js';
 import {type Backend, type PromptPart, type StatedLoad} from '../protocol/serving.js';
+import {ReadingRate} from './reading-rate.js';
 
-/** Prompt tokens that an engine reads in a millisecond; from the deployments' sheets. */
-const prefillTokensPerMs = 50;
 /** Delay that an engine with all slots in use causes, in milliseconds: a step of 64 requests takes two and a half times one of a single one. It grows with the square of the use, since the requests there are slowed too. */
 const fullEngineCostMs = 400;
 /** Cost of a plain service whose slots are all in use, in milliseconds. */
@@ -49,8 +49,8 @@
 	excluded: ReadonlySet<string>;
 	promptTokens: number;
 	promptParts: PromptPart[];
-	/** Requests that other daemons have in flight at a backend server. */
-	peersInFlight: (backendId: string) => number;
+	/** What other daemons have sent to a backend server. */
+	peersLoad: (backendId: string) => SentLoad;
 	/** Draws evenly from 0 to 1. */
 	random: () => number;
 	nowMs: number;
@@ -63,8 +63,9 @@
 	costMs: number;
 	/** Estimated time until the first event, in milliseconds. */
 	waitMs: number;
-	/** Prompt tokens taken to be cached there. */
+	/** Prompt tokens taken to be cached there, and those to be read. */
 	cachedTokens: number;
+	unreadTokens: number;
 	inFlight: number;
 	/** Another engine that should hold more of the prompt, to copy it from. */
 	copyFrom: Backend | undefined;
@@ -75,8 +76,8 @@
 
 type View = {
 	inFlight: number;
-	/** Prompt tokens sent there whose first event has not come. */
-	pendingTokens: number;
+	/** Prompt tokens to be read there, of requests whose first event has not come. */
+	unreadTokens: number;
 	stated: StatedLoad | undefined;
 	statedAtMs: number;
 	failures: number[];
@@ -87,6 +88,8 @@
 /** What this daemon knows of the load and caches of backend servers. */
 export class Placement {
 	private readonly views = new Map<string, View>();
+	/** How fast the engines of each service read. */
+	private readonly rates = new Map<string, ReadingRate>();
 
 	constructor(private readonly failureDomain: string) {}
 
@@ -109,11 +112,23 @@
 		return best;
 	}
 
-	/** Notes a request sent; call the returned function once when it is over. */
-	begin(backendId: string, promptTokens: number, promptParts: PromptPart[], nowMs: number): RunningRequest {
-		const view = this.view(backendId);
+	/** Prompt tokens that an engine of a service reads in a millisecond. */
+	readingRate(service: string): ReadingRate {
+		let rate = this.rates.get(service);
+		if (!rate) {
+			rate = new ReadingRate();
+			this.rates.set(service, rate);
+		}
+
+		return rate;
+	}
+
+	/** Notes a request sent, with the prompt tokens that are to be read there; end the returned one when it is over. */
+	begin(backend: Backend, unreadTokens: number, promptParts: PromptPart[], nowMs: number): RunningRequest {
+		const view = this.view(backend.id);
+		const rate = view.unreadTokens === 0 ? this.readingRate(backend.service) : undefined;
 		view.inFlight++;
-		view.pendingTokens += promptTokens;
+		view.unreadTokens += unreadTokens;
 		for (const part of promptParts) {
 			view.cached.delete(part.id);
 			view.cached.set(part.id, nowMs);
@@ -123,7 +138,7 @@
 			view.cached.delete(view.cached.keys().next().value!);
 		}
 
-		return new RunningRequest(view, promptTokens);
+		return new RunningRequest(view, unreadTokens, rate, nowMs);
 	}
 
 	noteLoad(backendId: string, load: StatedLoad, nowMs: number): void {
@@ -136,9 +151,9 @@
 		this.view(backendId).failures.push(nowMs);
 	}
 
-	/** Requests in flight from this daemon, by backend server. */
-	inFlight(): Record<string, number> {
-		return Object.fromEntries([...this.views].filter(([, view]) => view.inFlight > 0).map(([id, view]) => [id, view.inFlight]));
+	/** What this daemon has sent, by backend server. */
+	sent(): Map<string, SentLoad> {
+		return new Map([...this.views].filter(([, view]) => view.inFlight > 0));
 	}
 
 	/** Forgets backend servers that are not listed any more. */
@@ -156,16 +171,19 @@
 		view.failures = view.failures.filter(atMs => nowMs - atMs < failureMemoryMs);
 		const cachedTokens = Math.max(cachedIn(view, promptParts, nowMs), isHome ? sharedTokens(promptParts) * homeShare : 0);
 		const stated = view.stated && nowMs - view.statedAtMs <= statedLoadMs ? view.stated.running + view.stated.waiting : 0;
-		const inFlight = Math.max(view.inFlight + query.peersInFlight(backend.id), Math.min(stated, view.inFlight + query.peersInFlight(backend.id) + 4));
+		const peers = query.peersLoad(backend.id);
+		const sent = view.inFlight + peers.inFlight;
+		const inFlight = Math.max(sent, Math.min(stated, sent + 4));
 		const queued = Math.max(0, inFlight + 1 - backend.slots);
-		const waitMs = ((view.pendingTokens + Math.max(0, promptTokens - cachedTokens)) / prefillTokensPerMs) + (queued * queuedCostMs);
+		const unreadTokens = Math.max(0, promptTokens - cachedTokens);
+		const waitMs = ((view.unreadTokens + peers.unreadTokens + unreadTokens) / this.readingRate(backend.service).tokensPerMs) + (queued * queuedCostMs);
 		const costMs = waitMs
 			+ (promptTokens > 0 ? fullEngineCostMs * ((inFlight / backend.slots) ** 2) : slotCostMs * inFlight / backend.slots)
 			+ (view.failures.length * failureCostMs)
 			+ (backend.coldForMs > 0 ? coldCostMs : 0)
 			+ (backend.failureDomain === this.failureDomain ? 0 : otherDomainCostMs);
 		return {
-			backend, costMs, waitMs, cachedTokens, inFlight, copyFrom: undefined,
+			backend, costMs, waitMs, cachedTokens, unreadTokens, inFlight, copyFrom: undefined,
 		};
 	}
 
@@ -173,7 +191,7 @@
 		let view = this.views.get(backendId);
 		if (!view) {
 			view = {
-				inFlight: 0, pendingTokens: 0, stated: undefined, statedAtMs: 0, failures: [], cached: new Map(),
+				inFlight: 0, unreadTokens: 0, stated: undefined, statedAtMs: 0, failures: [], cached: new Map(),
 			};
 			this.views.set(backendId, view);
 		}
@@ -187,16 +205,19 @@
 	private isReading = true;
 	private isOver = false;
 
+	/** @param rate Learns from this request; undefined where others were to be read before it. */
 	constructor(
 		private readonly view: View,
-		private readonly promptTokens: number,
+		private readonly unreadTokens: number,
+		private readonly rate: ReadingRate | undefined,
+		private readonly sentAtMs: number,
 	) {}
 
 	/** Its first event came: its prompt was read. */
-	noteRead(): void {
+	noteRead(nowMs: number): void {
 		if (this.isReading) {
-			this.isReading = false;
-			this.view.pendingTokens -= this.promptTokens;
+			this.rate?.note(this.unreadTokens, nowMs - this.sentAtMs);
+			this.stopReading();
 		}
 	}
 
@@ -204,10 +225,17 @@
 	end(): void {
 		if (!this.isOver) {
 			this.isOver = true;
-			this.noteRead();
+			this.stopReading();
 			this.view.inFlight--;
 		}
 	}
+
+	private stopReading(): void {
+		if (this.isReading) {
+			this.isReading = false;
+			this.view.unreadTokens -= this.unreadTokens;
+		}
+	}
 }
 
 /** The engine that should hold the most of the prompt beyond the chosen one. */
