Replace what is reclaimed at once, and count only what an order still brings

And while the list of backend servers was lost nothing was ordered, though only giving up is dangerous then.

Change: what arrives is the order's count less what was there and what has come since; from a list that may lack some, counts are raised and never lowered. Two tests, which fail on the code before.

--- a/src/coordination/__tests__/duty-runner.test.ts
+++ b/src/coordination/__tests__/duty-runner.test.ts
@@ -8,6 +8,7 @@
 import {DutyLease} from '../duty-lease.js';
 import {DutyRunner, isListSettled} from '../duty-runner.js';
 import {PoolDemand} from '../pool-demand.js';
+import {type PoolNeed} from '../pool-plan.js';
 import {UsageLedger} from '../usage-ledger.js';
 
 const service: Service = {
@@ -18,7 +19,7 @@
 const {signal} = new AbortController();
 
 /** A holder of the duties whose list of backend servers has been followed for some time. */
-async function createRunner() {
+async function createRunner(fixedNeed?: PoolNeed) {
 	const time = {ms: 100_000};
 	const clock = new SteadyClock({monotonicMs: () => time.ms, wallMs: () => time.ms, uptimeMs: () => time.ms});
 	const lease = new DutyLease(new FakeStore(), 'a', 3000, clock);
@@ -52,7 +53,7 @@
 		list: () => state,
 		need() {
 			demand ??= new PoolDemand(backends.listed().length, time.ms);
-			return demand.need();
+			return fixedNeed ?? demand.need();
 		},
 	});
 	const list = (count: number) => {
@@ -64,7 +65,7 @@
 	};
 
 	return {
-		runner, orders, list, state,
+		runner, orders, list, state, backends, time, lease,
 	};
 }
 
@@ -94,4 +95,60 @@
 		expect(reclaimable).toEqual([20, 20]);
 		expect(onDemand[0] + onDemand[1]).toBeGreaterThanOrEqual(30);
 	});
+
+	/** A settled runner that needs four replicas and ordered its reclaimable ones, all of which serve. */
+	async function createServing() {
+		const parts = await createRunner({replicas: 4, surviving: 3, spare: 4});
+		const {runner, backends, state, time} = parts;
+		state.followedForMs = 10_000;
+		state.unchangedForMs = 10_000;
+		const put = (index: number, backendState = BackendState.Ready) => {
+			backends.upsert({
+				id: `r-${index}`, name: `r-${index}`, startedAtMs: undefined, service: 's', host: '10.0.0.2', port: index, failureDomain: index % 2 === 0 ? 'fd-a' : 'fd-b', slots: 16, state: backendState, isReclaimable: true, leavesInMs: 2500, coldForMs: 0,
+			}, time.ms);
+		};
+
+		for (let index = 0; index < 8; index++) {
+			put(index);
+		}
+
+		await runner.step(signal);
+		parts.orders.length = 0;
+		const reclaim = () => {
+			for (const index of [0, 2, 4, 6]) {
+				put(index, BackendState.Draining);
+			}
+		};
+
+		const onDemand = () => parts.orders.filter(order => !order.isReclaimable).map(order => order.count);
+		return {...parts, reclaim, onDemand};
+	}
+
+	it('replaces what is reclaimed right after an order that it does not come back by', async () => {
+		const {runner, reclaim, onDemand, time, lease} = await createServing();
+		time.ms += 500;
+		reclaim();
+		await lease.step({rank: 0, hearsMost: true, startedAtMs: 0}, signal);
+		await runner.step(signal);
+		expect(Math.max(...onDemand())).toBeGreaterThanOrEqual(2);
+	});
+
+	it('replaces what is reclaimed while its list may lack some, and gives nothing up', async () => {
+		const {runner, reclaim, orders, onDemand, state, time, lease, backends} = await createServing();
+		time.ms += 10_000;
+		state.followedForMs = 0;
+		reclaim();
+		await lease.step({rank: 0, hearsMost: true, startedAtMs: 0}, signal);
+		await runner.step(signal);
+		expect(Math.max(...onDemand())).toBeGreaterThanOrEqual(2);
+		const ordered = orders.length;
+		for (const index of [0, 2, 4, 6]) {
+			backends.upsert({
+				id: `n-${index}`, name: `n-${index}`, startedAtMs: undefined, service: 's', host: '10.0.0.3', port: index, failureDomain: 'fd-a', slots: 16, state: BackendState.Ready, isReclaimable: true, leavesInMs: undefined, coldForMs: 0,
+			}, time.ms);
+		}
+
+		await runner.step(signal);
+		expect(orders).toHaveLength(ordered);
+	});
 });
--- a/src/coordination/duty-runner.ts
+++ b/src/coordination/duty-runner.ts
@@ -13,7 +13,7 @@
 import {type WindowCounts} from '../protocol/fleet-messages.js';
 import {type Service} from '../protocol/serving.js';
 import {type SteadyClock} from '../clock.js';
-import {type BackendTable} from '../state/backend-table.js';
+import {type BackendEntry, type BackendTable} from '../state/backend-table.js';
 import {type RouteTable} from '../state/route-table.js';
 import {createLogger} from '../log.js';
 import {sumOf} from '../sum.js';
@@ -50,7 +50,17 @@
 /** How long the list of backend servers has been followed without a loss, and how long no new one came, in milliseconds. */
 export type FollowedList = {followedForMs: number; unchangedForMs: number};
 
-type OrderState = {count: number; atMs: number; result: DutyResult; token: number};
+type OrderState = {
+	count: number;
+	/** VMs of the kind that were there when it was given. */
+	present: number;
+	atMs: number;
+	result: DutyResult;
+	token: number;
+};
+
+/** A kind of VM of a service in a failure domain. */
+type PoolKind = Omit<PoolOrder, 'count'>;
 
 /** The parts the duties work with. */
 export type DutyParts = {
@@ -72,6 +82,8 @@
 export class DutyRunner {
 	private readonly orders = new Map<string, OrderState>();
 	private sentWindow: number | undefined;
+	/** Whether the list was settled once, so that it holds all there are but what the store has not told yet. */
+	private hasSettled = false;
 
 	constructor(private readonly parts: DutyParts) {}
 
@@ -134,19 +146,22 @@
 
 	private async orderPools(signal: AbortSignal): Promise<void> {
 		const {clock, list} = this.parts;
-		if (!isListSettled(list(clock.now()))) {
+		// From a list that may lack some nothing is given up, but what is known to be gone is replaced: a list that was lost for 3 s held up every order for 9.
+		const mayGiveUp = isListSettled(list(clock.now()));
+		this.hasSettled ||= mayGiveUp;
+		if (!this.hasSettled) {
 			return;
 		}
 
 		for (const service of this.parts.routes.current?.services ?? []) {
 			if (service.scaling) {
 				// eslint-disable-next-line no-await-in-loop -- the platform takes few calls a second.
-				await this.orderPool(service, signal);
+				await this.orderPool(service, mayGiveUp, signal);
 			}
 		}
 	}
 
-	private async orderPool(service: Service, signal: AbortSignal): Promise<void> {
+	private async orderPool(service: Service, mayGiveUp: boolean, signal: AbortSignal): Promise<void> {
 		const scaling = service.scaling!;
 		const states = new Map([...scaling.prices.keys()].map(failureDomain => [failureDomain, this.stateOf(service.name, failureDomain, scaling.bootMs)]));
 		const wanted = planPool(scaling, this.parts.need(service), states).flatMap(pool => [
@@ -156,7 +171,7 @@
 		]);
 		for (const order of wanted.toSorted((a, b) => Number(b.isReclaimable) - Number(a.isReclaimable))) {
 			// eslint-disable-next-line no-await-in-loop
-			await this.order({service: service.name, ...order}, scaling.bootMs, signal);
+			await this.order({service: service.name, ...order}, {bootMs: scaling.bootMs, mayGiveUp}, signal);
 		}
 	}
 
@@ -166,34 +181,48 @@
 		const serving = this.present(kind);
 		const last = this.orders.get(orderKey(kind));
 		const isBooting = last?.result === DutyResult.Accepted && this.parts.clock.now() - last.atMs < bootMs + orderSettleMs;
+		const arriving = isBooting ? Math.max(0, last.count - last.present - this.arrivedSince(kind, last.atMs)) : 0;
 		const onDemandKind = {...kind, isReclaimable: false};
 		return {
 			serving,
-			expected: isBooting ? Math.max(serving, last.count) : serving,
+			// What left after the order is not coming back by it: counting the whole order hid a reclaim for six seconds.
+			expected: serving + arriving,
 			// A new holder starts from what there is.
 			onDemand: this.orders.get(orderKey(onDemandKind))?.count ?? this.present(onDemandKind),
 		};
 	}
 
-	private present(kind: Omit<PoolOrder, 'count'>): number {
-		return this.parts.backends.listed().filter(({backend, leavingSinceMs}) => leavingSinceMs === undefined
-			&& backend.service === kind.service && backend.failureDomain === kind.failureDomain && backend.isReclaimable === kind.isReclaimable).length;
+	private present(kind: PoolKind): number {
+		return this.listed(kind).filter(({leavingSinceMs}) => leavingSinceMs === undefined).length;
 	}
 
-	private async order(order: PoolOrder, bootMs: number, signal: AbortSignal): Promise<void> {
+	private arrivedSince(kind: PoolKind, atMs: number): number {
+		return this.listed(kind).filter(({seenAtMs}) => seenAtMs > atMs).length;
+	}
+
+	private listed(kind: PoolKind): BackendEntry[] {
+		return this.parts.backends.listed().filter(({backend}) => backend.service === kind.service && backend.failureDomain === kind.failureDomain && backend.isReclaimable === kind.isReclaimable);
+	}
+
+	private async order(order: PoolOrder, {bootMs, mayGiveUp}: {bootMs: number; mayGiveUp: boolean}, signal: AbortSignal): Promise<void> {
 		const {clock, cloud} = this.parts;
 		const holder = this.holder();
 		const key = orderKey(order);
 		const last = this.orders.get(key);
 		const nowMs = clock.now();
 		const present = this.present(order);
+		const isRaise = last !== undefined && order.count > last.count;
+		if (!mayGiveUp && !isRaise) {
+			return;
+		}
+
 		if (!holder || !isOrderDue(order.count, present, last, {bootMs, nowMs, token: holder.token})) {
 			return;
 		}
 
 		const result = await cloud.orderPool(holder, order, signal);
 		this.orders.set(key, {
-			count: order.count, atMs: clock.now(), result, token: holder.token,
+			count: order.count, present, atMs: clock.now(), result, token: holder.token,
 		});
 		log.info('pool ordered.', {
 			...order, present, result, token: holder.token,
@@ -210,7 +239,7 @@
 	return followedForMs >= listFilledMs || (followedForMs >= listSettleMs && unchangedForMs >= listRestMs);
 }
 
-function orderKey(kind: Omit<PoolOrder, 'count'>): string {
+function orderKey(kind: PoolKind): string {
 	return `${kind.service}/${kind.failureDomain}/${kind.isReclaimable ? 'reclaimable' : 'on-demand'}`;
 }
 
