Let one daemon of a small fleet read the store for the others

Ruled out: longer waits of each read (a view may be 2 s old at most, and revoked keys must go).

Without word for 1.2 s a daemon reads for itself. Tests: 8 daemons follow one reader, and another one when it stops or is cut off.

--- a/src/coordination/fleet/fleet-messenger.ts
+++ b/src/coordination/fleet/fleet-messenger.ts
@@ -125,7 +125,7 @@
 		this.askedAtMs.set(this.round, nowMs);
 		this.askedAtMs.delete(this.round - keptRounds);
 		if (role === FleetRole.Mesh) {
-			this.link?.send(this.createReport(this.ownDigest(), false, nowMs), fleet.addresses(false, nowMs));
+			this.reportToAll(nowMs);
 			return;
 		}
 
@@ -139,6 +139,18 @@
 		}
 	}
 
+	/** Tells all of a small fleet, and asks the one that reads the store for its view. */
+	private reportToAll(nowMs: number): void {
+		const {fleet} = this.parts;
+		const digest = this.ownDigest();
+		const reader = fleet.reader(nowMs)?.address;
+		const isReader = (address: PeerAddress) => reader !== undefined && address.host === reader.host && address.port === reader.port;
+		this.link?.send(this.createReport(digest, false, nowMs), fleet.addresses(false, nowMs).filter(address => !isReader(address)));
+		if (reader) {
+			this.link?.send(this.createReport(digest, true, nowMs), [reader]);
+		}
+	}
+
 	/** Takes what came by datagram. */
 	hear(message: unknown): void {
 		if (!isFleetMessage(message)) {
@@ -284,10 +296,10 @@
 	}
 
 	private createReport(digest: Digest, wantsView: boolean, nowMs: number): Report {
-		// Those that get a view are told the sums with it.
+		// In a large fleet those that get a view are told the sums with it.
 		return {
 			kind: FleetMessageKind.Report,
-			...this.head(!wantsView, nowMs),
+			...this.head(!wantsView || this.parts.fleet.roleAt(nowMs) === FleetRole.Mesh, nowMs),
 			digest,
 			wantsView,
 			wantsSums: this.hasMissedNews || nowMs - this.parts.startedAtMs < youngMs,
@@ -299,15 +311,16 @@
 
 	private createView({sender: receiver, wantsSums, wantsUsage, round, offsets}: Report, nowMs: number): View {
 		const {fleet, settings} = this.parts;
-		const isRelay = fleet.roleAt(nowMs) === FleetRole.Relay;
-		const isNeighbour = receiver.failureDomain === settings.failureDomain;
+		const role = fleet.roleAt(nowMs);
+		const isRelay = role === FleetRole.Relay;
+		const readsFor = role === FleetRole.Mesh || (isRelay && receiver.failureDomain === settings.failureDomain);
 		return {
 			kind: FleetMessageKind.View,
 			...this.head(wantsSums, nowMs),
 			digest: isRelay ? this.viewDigest(receiver, wantsUsage, nowMs) : undefined,
 			relays: fleet.relays(settings.failureDomain, nowMs),
 			round,
-			topics: isRelay && isNeighbour ? this.topicNews(offsets, nowMs) : {},
+			topics: readsFor ? this.topicNews(offsets, nowMs) : {},
 		};
 	}
 
