Order the first reclaimable VMs before the list of backend servers is settled

Change: the first holder of all orders the fewest reclaimable VMs as soon as every backend server has had the time to write its entry, where none of them is reclaimable; nothing is given up by that.

--- a/src/cli/front-container.ts
+++ b/src/cli/front-container.ts
@@ -163,6 +163,7 @@
 		clock,
 		name: settings.name,
 		usageWindowMs: bounds.usageWindowMs,
+		isFirstStart: settings.isFirstStart,
 		list: nowMs => ({followedForMs: resolver.resolve(BackendsFollower).followedForMs(nowMs), unchangedForMs: nowMs - backendsSink.grownAtMs}),
 		need: service => resolver.resolve(PoolDemands).need(service.name, clock.now()),
 	}));
--- a/src/coordination/__tests__/duty-runner.test.ts
+++ b/src/coordination/__tests__/duty-runner.test.ts
@@ -19,7 +19,7 @@
 const {signal} = new AbortController();
 
 /** A holder of the duties whose list of backend servers has been followed for some time. */
-async function createRunner(fixedNeed?: PoolNeed) {
+async function createRunner(fixedNeed?: PoolNeed, isFirstStart = false) {
 	const time = {ms: 100_000};
 	const clock = new SteadyClock({monotonicMs: () => time.ms, wallMs: () => time.ms, uptimeMs: () => time.ms});
 	const lease = new DutyLease(new FakeStore(), 'a', 3000, clock);
@@ -50,6 +50,7 @@
 		clock,
 		name: 'a',
 		usageWindowMs: 5000,
+		isFirstStart,
 		list: () => state,
 		need() {
 			demand ??= new PoolDemand(backends.listed().length, time.ms);
@@ -96,6 +97,31 @@
 		expect(onDemand[0] + onDemand[1]).toBeGreaterThanOrEqual(30);
 	});
 
+	it.each([
+		{
+			name: 'orders the fewest reclaimable ones when all starts for the first time, and gives nothing up', isFirstStart: true, hasReclaimable: false, expected: [4, 4],
+		},
+		{
+			name: 'orders nothing so early when the system starts again', isFirstStart: false, hasReclaimable: false, expected: [],
+		},
+		{
+			name: 'orders nothing so early where there are reclaimable ones already', isFirstStart: true, hasReclaimable: true, expected: [],
+		},
+	])('$name', async ({isFirstStart, hasReclaimable, expected}) => {
+		const {runner, orders, list, state, backends, time} = await createRunner(undefined, isFirstStart);
+		list(5);
+		if (hasReclaimable) {
+			backends.upsert({
+				id: 'r', name: 'r', startedAtMs: undefined, service: 's', host: '10.0.0.2', port: 1, failureDomain: 'fd-a', slots: 16, state: BackendState.Ready, isReclaimable: true, leavesInMs: undefined, coldForMs: 0,
+			}, time.ms);
+		}
+
+		state.followedForMs = 1400;
+		await runner.step(signal);
+		expect(orders.filter(order => !order.isReclaimable)).toEqual([]);
+		expect(orders.map(order => order.count)).toEqual(expected);
+	});
+
 	/** A settled runner that needs four replicas and ordered its reclaimable ones, all of which serve. */
 	async function createServing() {
 		const parts = await createRunner({replicas: 4, surviving: 3, spare: 4});
--- a/src/coordination/duty-runner.ts
+++ b/src/coordination/duty-runner.ts
@@ -19,6 +19,7 @@
 import {sumOf} from '../sum.js';
 import {type DutyLease} from './duty-lease.js';
 import {fieldsOf, readOwnRecord} from './own-record.js';
+import {leastNeed} from './pool-demand.js';
 import {type DomainState, planPool, type PoolNeed} from './pool-plan.js';
 import {type UsageLedger} from './usage-ledger.js';
 
@@ -36,6 +37,10 @@
 const listSettleMs = 2500;
 const listRestMs = 1500;
 const listFilledMs = 8000;
+/** Backend servers write their entries this often at the latest, in milliseconds: the sheets' longest interval, and a margin. */
+const listBeatMs = 1300;
+/** Fencing token of the first holder there ever was. */
+const firstToken = 1;
 /** Pause after an order without an answer, in milliseconds: it may still be carried out. */
 const unknownPauseMs = 3000;
 
@@ -72,6 +77,8 @@
 	clock: SteadyClock;
 	name: string;
 	usageWindowMs: number;
+	/** Whether the whole system starts for the first time. */
+	isFirstStart: boolean;
 	/** How the list of backend servers has been followed. */
 	list: (nowMs: number) => FollowedList;
 	/** What each service needs now. */
@@ -150,6 +157,7 @@
 		const mayGiveUp = isListSettled(list(clock.now()));
 		this.hasSettled ||= mayGiveUp;
 		if (!this.hasSettled) {
+			await this.orderFirst(signal);
 			return;
 		}
 
@@ -161,6 +169,30 @@
 		}
 	}
 
+	/**
+	 * Orders the fewest reclaimable VMs when the whole system starts for the first time,
+	 * before the list is settled: they replace on-demand ones that cost six times as much, and
+	 * take seconds to boot. Where there are reclaimable ones already, such an order could give
+	 * some up.
+	 */
+	private async orderFirst(signal: AbortSignal): Promise<void> {
+		const {clock, list, isFirstStart, backends, routes} = this.parts;
+		const isFirst = isFirstStart && this.holder()?.token === firstToken && list(clock.now()).followedForMs >= listBeatMs;
+		for (const {name, scaling} of isFirst ? routes.current?.services ?? [] : []) {
+			const replicas = backends.listed().filter(({backend}) => backend.service === name);
+			if (scaling?.reclaimablePriceRatio === undefined || replicas.length === 0 || replicas.some(({backend}) => backend.isReclaimable)) {
+				continue;
+			}
+
+			for (const {failureDomain, reclaimable} of planPool(scaling, leastNeed(), new Map())) {
+				// eslint-disable-next-line no-await-in-loop -- the platform takes few calls a second.
+				await this.order({
+					service: name, failureDomain, isReclaimable: true, count: reclaimable,
+				}, {bootMs: scaling.bootMs, mayGiveUp: true}, signal);
+			}
+		}
+	}
+
 	private async orderPool(service: Service, mayGiveUp: boolean, signal: AbortSignal): Promise<void> {
 		const scaling = service.scaling!;
 		const states = new Map([...scaling.prices.keys()].map(failureDomain => [failureDomain, this.stateOf(service.name, failureDomain, scaling.bootMs)]));
--- a/src/coordination/pool-demand.ts
+++ b/src/coordination/pool-demand.ts
@@ -63,11 +63,19 @@
 	}
 
 	need(): PoolNeed {
-		const replicas = Math.max(fewestReplicas, Math.ceil(this.level));
-		return {replicas, surviving: Math.max(fewestReplicas - 1, Math.ceil(replicas * 0.75)), spare: spareFor(replicas)};
+		return needOf(Math.max(fewestReplicas, Math.ceil(this.level)));
 	}
 }
 
+/** What a service needs before anything is known of its traffic. */
+export function leastNeed(): PoolNeed {
+	return needOf(fewestReplicas);
+}
+
+function needOf(replicas: number): PoolNeed {
+	return {replicas, surviving: Math.max(fewestReplicas - 1, Math.ceil(replicas * 0.75)), spare: spareFor(replicas)};
+}
+
 /** Requests in flight that a replica carries. */
 export function carriedInFlight(slots: number): number {
 	return Math.min(mostPerReplica, slots * usedSlots);
