--- a/src/coordination/__tests__/placement.test.ts
+++ b/src/coordination/__tests__/placement.test.ts
@@ -11,7 +11,7 @@
 const candidates = ['a', 'b', 'c', 'd'].map(id => backend(id));
 const parts = [{id: 'p1', tokens: 512}, {id: 'p2', tokens: 4870}, {id: 'own', tokens: 600}];
 const query = (overrides: Partial<PlacementQuery> = {}): PlacementQuery => ({
-	candidates, excluded: new Set(), promptTokens: 6000, promptParts: parts, peersLoad: () => noLoad, random: () => 0.5, nowMs: 1000, ...overrides,
+	candidates, excluded: new Set(), promptTokens: 6000, promptParts: parts, isConnected: () => false, peersLoad: () => noLoad, random: () => 0.5, nowMs: 1000, ...overrides,
 });
 
 describe('Placement', () => {
@@ -50,6 +50,16 @@
 		expect(new Placement('fd-a').choose(query({peersLoad}))!.backend.id).not.toBe(home);
 	});
 
+	it('of equals takes one that a connection is kept to', () => {
+		const chosen = new Placement('fd-a').choose(query({promptParts: [], promptTokens: 0, isConnected: ({id}) => id === 'c'}))!.backend.id;
+		expect(chosen).toBe('c');
+	});
+
+	it('opens a connection rather than have much of a prompt read again', () => {
+		const home = new Placement('fd-a').choose(query())!.backend.id;
+		expect(new Placement('fd-a').choose(query({isConnected: ({id}) => id !== home}))!.backend.id).toBe(home);
+	});
+
 	it('every engine has the common part, and daemons still agree on the home of the next one', () => {
 		const home = new Placement('fd-a').choose(query())!.backend.id;
 		const placement = new Placement('fd-a');
--- a/src/coordination/placement.ts
+++ b/src/coordination/placement.ts
@@ -33,6 +33,8 @@
 const coldCostMs = 100;
 /** Added for another failure domain than the daemon's, in milliseconds: a round trip more. */
 const otherDomainCostMs = 3;
+/** Added where a new connection must be opened, in milliseconds: a round trip, and a moment of one of the backend server's slots. */
+const connectionCostMs = 8;
 /** Up to this many engines each is weighed: eight served bursts evenly so. Beyond, all daemons of a large fleet would choose the one that seemed least loaded half a second ago. */
 const weighedEngines = 12;
 /** Of more engines, those that should have the prompt cached are weighed, and this many drawn at random: from late reports, two spread the load better than all. */
@@ -49,6 +51,8 @@
 	excluded: ReadonlySet<string>;
 	promptTokens: number;
 	promptParts: PromptPart[];
+	/** Whether an idle connection to a backend server is kept. */
+	isConnected: (backend: Backend) => boolean;
 	/** What other daemons have sent to a backend server. */
 	peersLoad: (backendId: string) => SentLoad;
 	/** Draws evenly from 0 to 1. */
@@ -181,6 +185,7 @@
 			+ (promptTokens > 0 ? fullEngineCostMs * ((inFlight / backend.slots) ** 2) : slotCostMs * inFlight / backend.slots)
 			+ (view.failures.length * failureCostMs)
 			+ (backend.coldForMs > 0 ? coldCostMs : 0)
+			+ (query.isConnected(backend) ? 0 : connectionCostMs)
 			+ (backend.failureDomain === this.failureDomain ? 0 : otherDomainCostMs);
 		return {
 			backend, costMs, waitMs, cachedTokens, unreadTokens, inFlight, copyFrom: undefined,
--- a/src/coordination/serving/dispatcher.ts
+++ b/src/coordination/serving/dispatcher.ts
@@ -81,7 +81,9 @@
 
 	/** The backend server that would get a request now. */
 	choose(served: ServedRequest): Choice | undefined {
-		const {backends, placement, fleet, clock} = this.parts;
+		const {
+			backends, placement, fleet, pool, clock,
+		} = this.parts;
 		const {request, service} = served.inputs;
 		const nowMs = clock.now();
 		return placement.choose({
@@ -89,6 +91,7 @@
 			excluded: served.excluded,
 			promptTokens: request.promptTokens ?? 0,
 			promptParts: request.promptParts,
+			isConnected: backend => pool.hasIdle(backend),
 			peersLoad: id => fleet.load(backendKey(id), nowMs),
 			random: () => Math.random(),
 			nowMs,
