--- a/src/coordination/__tests__/pool.test.ts
+++ b/src/coordination/__tests__/pool.test.ts
@@ -1,7 +1,7 @@
 import {describe, expect, it} from 'vitest';
 import {DutyResult} from '../../protocol/platform.js';
 import {type Scaling} from '../../protocol/serving.js';
-import {isOrderDue} from '../pool-orders.js';
+import {isOrderDue} from '../duty-runner.js';
 import {carriedInFlight, PoolDemand} from '../pool-demand.js';
 import {type DomainState, planPool} from '../pool-plan.js';
 
--- a/src/coordination/__tests__/shared-limits.test.ts
+++ b/src/coordination/__tests__/shared-limits.test.ts
@@ -2,8 +2,9 @@
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
 import {type Account} from '../../protocol/serving.js';
-import {type AccountUse, type QuotaPeers} from '../account-window.js';
-import {QuotaLedger, requestCost} from '../quota-ledger.js';
+import {
+	type AccountUse, QuotaLedger, type QuotaPeers, requestCost,
+} from '../quota-ledger.js';
 import {sumOf} from '../../sum.js';
 import {RepeatPurpose, RetryAllowance} from '../retry-allowance.js';
 import {UsageLedger} from '../usage-ledger.js';
--- a/src/coordination/fleet/fleet-messenger.ts
+++ b/src/coordination/fleet/fleet-messenger.ts
@@ -4,6 +4,7 @@
  * The holder of the duties also writes the sums of the accounts' limits to the store, for
  * the case that all daemons are lost at once and nobody remembers.
  */
+import {Buffer} from 'node:buffer';
 import {type FrontSettings, type Store, Topic} from '../../protocol/platform.js';
 import {
 	type Digest, DigestScope, type FleetMessage, FleetMessageKind, isFleetMessage, type NamedAddress, type PeerAddress, type Report, type Sender, type ToldTopic, type View,
@@ -12,18 +13,14 @@
 import {type MessageLink} from '../../transport/datagram-link.js';
 import {type DutyLease} from '../duty-lease.js';
 import {type Placement} from '../placement.js';
-import {type QuotaPeers} from '../account-window.js';
-import {type QuotaLedger} from '../quota-ledger.js';
+import {type QuotaLedger, type QuotaPeers, type WindowParts} from '../quota-ledger.js';
 import {type TopicFollower} from '../topic-follower.js';
 import {type UsageLedger} from '../usage-ledger.js';
-import {readOwnRecord} from '../own-record.js';
+import {fieldsOf, readOwnRecord} from '../own-record.js';
 import {backendKey} from './backend-key.js';
 import {packLoads, writeUse} from './digest-sums.js';
 import {FleetRole, type FleetTable} from './fleet-table.js';
 import {type UseTotals} from './merged-counters.js';
-import {
-	encodeRecord, isWrittenMember, isWrittenSums, sumsKey, type WrittenMember, type WrittenSums,
-} from './written-records.js';
 
 /** Time between reports, in milliseconds. */
 export const roundMs = 250;
@@ -47,6 +44,18 @@
 const untoldMs = 1100;
 /** Age up to which written sums are taken over at a start, in milliseconds: older ones miss too much. */
 const sumsFreshMs = 6000;
+/** Key of the written sums among the daemons' records; no daemon is called so. */
+const sumsKey = '#sums';
+
+/** A daemon's record in the store. */
+type WrittenMember = PeerAddress & {failureDomain?: string};
+
+/** Sums of the accounts' limits as the store keeps them. */
+type WrittenSums = {
+	/** When they were written, in milliseconds since 1970. */
+	atMs: number;
+	sums: Record<string, WindowParts>;
+};
 
 /** The parts a messenger works with. */
 export type MessengerParts = {
@@ -169,7 +178,7 @@
 		const {settings, store, fleet, clock} = this.parts;
 		if (!this.isAnnounced) {
 			const written: WrittenMember = {...this.address, failureDomain: settings.failureDomain};
-			await store.append(Topic.Members, {key: settings.name, value: encodeRecord(written)}, undefined, signal);
+			await store.append(Topic.Members, {key: settings.name, value: encode(written)}, undefined, signal);
 			this.isAnnounced = true;
 		}
 
@@ -202,7 +211,7 @@
 		const sums = quota.sums(nowMs);
 		if (lease.tokenAt(nowMs) !== undefined && sums) {
 			const written: WrittenSums = {atMs: clock.wallNow(), sums};
-			await store.append(Topic.Members, {key: sumsKey, value: encodeRecord(written)}, undefined, signal);
+			await store.append(Topic.Members, {key: sumsKey, value: encode(written)}, undefined, signal);
 		}
 	}
 
@@ -348,3 +357,17 @@
 		}
 	}
 }
+
+function encode(value: unknown): Uint8Array {
+	return Buffer.from(JSON.stringify(value));
+}
+
+function isWrittenMember(value: unknown): value is WrittenMember {
+	const {host, port, failureDomain} = fieldsOf(value);
+	return typeof host === 'string' && Number.isInteger(port) && (failureDomain === undefined || typeof failureDomain === 'string');
+}
+
+function isWrittenSums(value: unknown): value is WrittenSums {
+	const {atMs, sums} = fieldsOf(value);
+	return typeof atMs === 'number' && Object.values(fieldsOf(sums)).every(parts => Array.isArray(parts) && parts.every(part => typeof part === 'number'));
+}
--- a/src/coordination/fleet/fleet-table.ts
+++ b/src/coordination/fleet/fleet-table.ts
@@ -8,7 +8,7 @@
 import {
 	type Digest, DigestScope, type NamedAddress, type PeerAddress, type Report, type Sender, type SentLoad, type View,
 } from '../../protocol/fleet-messages.js';
-import {type AccountUse} from '../account-window.js';
+import {type AccountUse} from '../quota-ledger.js';
 import {
 	packLoads, readUse, sumLoads, writeUse,
 } from './digest-sums.js';
