--- a/src/cli/front-container.ts
+++ b/src/cli/front-container.ts
@@ -40,9 +40,6 @@
 const relayBackendsWaitMs = 800;
 /** Age up to which a daemon goes by what relays say of the backend servers, in milliseconds: twice the relay's wait and two rounds; below the two seconds within which leaving ones may get no more work and the time to read. */
 const backendsCarriedMs = 2100;
-/** The same where one of a small fleet reads for the others, in milliseconds. A small fleet asks it every round, so that its view may be younger: a reader that is cut off is noticed well before leaving backend servers may get no more work. */
-const meshBackendsWaitMs = 500;
-const meshBackendsCarriedMs = 1200;
 /** Pause after changes of the backend servers before the next read, in milliseconds: of 14,776 store and cloud calls of 86 daemons in 24 s, most were reads that brought one record. */
 const backendsGatherMs = 100;
 
@@ -119,8 +116,7 @@
 	}));
 	const {configSink, backendsSink} = createSinks(child);
 	const isRelay = (resolver: DependencyContainer) => resolver.resolve(FleetTable).roleAt(clock.now()) === FleetRole.Relay;
-	const isMesh = (resolver: DependencyContainer) => resolver.resolve(FleetTable).roleAt(clock.now()) === FleetRole.Mesh;
-	const isTold = (resolver: DependencyContainer) => resolver.resolve(FleetTable).isTold(clock.now());
+	const isLeaf = (resolver: DependencyContainer) => resolver.resolve(FleetTable).roleAt(clock.now()) === FleetRole.Leaf;
 	register(ConfigFollower, resolver => new ConfigFollower({
 		store,
 		topic: Topic.Config,
@@ -129,7 +125,7 @@
 		clock,
 		waitMs: () => Math.round(bounds.revokeMs * configWaitShare),
 		gatherMs: 0,
-		carriedMs: () => isTold(resolver) ? bounds.revokeMs * configCarriedShare : 0,
+		carriedMs: () => isLeaf(resolver) ? bounds.revokeMs * configCarriedShare : 0,
 	}));
 	register(BackendsFollower, resolver => new BackendsFollower({
 		store,
@@ -137,9 +133,9 @@
 		sink: backendsSink,
 		belief: new Belief(),
 		clock,
-		waitMs: () => isRelay(resolver) ? relayBackendsWaitMs : (isMesh(resolver) ? meshBackendsWaitMs : backendsWaitMs),
+		waitMs: () => isRelay(resolver) ? relayBackendsWaitMs : backendsWaitMs,
 		gatherMs: backendsGatherMs,
-		carriedMs: () => isTold(resolver) ? (isMesh(resolver) ? meshBackendsCarriedMs : backendsCarriedMs) : 0,
+		carriedMs: () => isLeaf(resolver) ? backendsCarriedMs : 0,
 	}));
 	register(FleetMessenger, resolver => new FleetMessenger({
 		settings,
--- a/src/coordination/fleet/fleet-messenger.ts
+++ b/src/coordination/fleet/fleet-messenger.ts
@@ -125,7 +125,7 @@
 		this.askedAtMs.set(this.round, nowMs);
 		this.askedAtMs.delete(this.round - keptRounds);
 		if (role === FleetRole.Mesh) {
-			this.reportToAll(nowMs);
+			this.link?.send(this.createReport(this.ownDigest(), false, nowMs), fleet.addresses(false, nowMs));
 			return;
 		}
 
@@ -296,10 +296,10 @@
 	}
 
 	private createReport(digest: Digest, wantsView: boolean, nowMs: number): Report {
-		// In a large fleet those that get a view are told the sums with it.
+		// Those that get a view are told the sums with it.
 		return {
 			kind: FleetMessageKind.Report,
-			...this.head(!wantsView || this.parts.fleet.roleAt(nowMs) === FleetRole.Mesh, nowMs),
+			...this.head(!wantsView, nowMs),
 			digest,
 			wantsView,
 			wantsSums: this.hasMissedNews || nowMs - this.parts.startedAtMs < youngMs,
@@ -311,16 +311,15 @@
 
 	private createView({sender: receiver, wantsSums, wantsUsage, round, offsets}: Report, nowMs: number): View {
 		const {fleet, settings} = this.parts;
-		const role = fleet.roleAt(nowMs);
-		const isRelay = role === FleetRole.Relay;
-		const readsFor = role === FleetRole.Mesh || (isRelay && receiver.failureDomain === settings.failureDomain);
+		const isRelay = fleet.roleAt(nowMs) === FleetRole.Relay;
+		const isNeighbour = receiver.failureDomain === settings.failureDomain;
 		return {
 			kind: FleetMessageKind.View,
 			...this.head(wantsSums, nowMs),
 			digest: isRelay ? this.viewDigest(receiver, wantsUsage, nowMs) : undefined,
 			relays: fleet.relays(settings.failureDomain, nowMs),
 			round,
-			topics: readsFor ? this.topicNews(offsets, nowMs) : {},
+			topics: isRelay && isNeighbour ? this.topicNews(offsets, nowMs) : {},
 		};
 	}
 
--- a/src/coordination/fleet/fleet-table.ts
+++ b/src/coordination/fleet/fleet-table.ts
@@ -144,19 +144,6 @@
 		return [...this.relayChoices.values()].flatMap(choice => choice.all()).filter(({name}) => name !== this.self.name).map(({address}) => address);
 	}
 
-	/** The daemon that reads the store's topics for a small fleet: the first by name that answers; undefined when that is this one. */
-	reader(nowMs: number): NamedAddress | undefined {
-		const others = this.rowsWithin(answeringMs, nowMs).map(row => row.sender).filter(sender => !sender.isStopping);
-		const first = others.toSorted((a, b) => a.name < b.name ? -1 : 1).at(0);
-		return first && first.name < this.self.name ? {name: first.name, address: first.address} : undefined;
-	}
-
-	/** Whether another daemon reads the store's topics for this one, as long as it tells of them. */
-	isTold(nowMs: number): boolean {
-		const role = this.roleAt(nowMs);
-		return role === FleetRole.Leaf || (role === FleetRole.Mesh && this.reader(nowMs) !== undefined);
-	}
-
 	/** Daemons that share the limits, this one included. */
 	daemons(nowMs: number): number {
 		return 1 + this.headcount(nowMs).daemons;
