--- a/src/coordination/quota-ledger.ts
+++ b/src/coordination/quota-ledger.ts
@@ -27,13 +27,6 @@
 /** Time for which what is left of a limit must suffice before all that is asked is admitted, as a factor on the time that news take and are apart. Less than one lets every daemon take the rest before it hears of the others; more leaves that much of the limit unused by an account that asks for more than it. */
 const reserveFactor = 1.2;
 
-/** A request that costs at most this share of what the account's requests cost on average is small. */
-const smallShare = 0.1;
-/** Share of a limit that only small requests may use: calls of 200 tokens beside prompts of 10,000 are a quarter of the requests and a hundredth of the cost, and refusing them saves nothing. */
-const smallReserve = 0.02;
-/** Weight of the newest request in the average cost. */
-const costWeight = 0.02;
-
 /** How the operators bound an account's use. */
 export type QuotaBounds = {
 	windowMs: number;
@@ -77,9 +70,6 @@
 	/** What peers admitted of late. */
 	readonly peersAdmitted = new CostMeter();
 	readonly limits: LimitHistory;
-	/** What the account's requests to this daemon cost on average, and when a small one came last. */
-	meanCost: number | undefined;
-	smallAtMs = Number.NEGATIVE_INFINITY;
 	/** What was asked of peers of late. */
 	readonly peersAsked = new CostMeter();
 	private readonly uses: Use[] = [];
@@ -88,11 +78,6 @@
 		this.limits = new LimitHistory(windowMs);
 	}
 
-	/** Whether the account sends small requests beside large ones. */
-	hasSmall(nowMs: number): boolean {
-		return nowMs - this.smallAtMs <= this.windowMs;
-	}
-
 	add(cost: number, nowMs: number): void {
 		const step = Math.floor(nowMs / this.windowMs * steps);
 		const last = this.uses.at(-1);
@@ -154,20 +139,10 @@
 function admittedShare(window: AccountWindow, cost: number, limit: number, peers: QuotaPeers, nowMs: number): number {
 	const unheard = window.peersAdmitted.perMs(peers.roundMs, nowMs) * peers.unheardMs;
 	const left = limit - window.sum(nowMs) - unheard;
-	const isSmall = cost <= (window.meanCost ?? 0) * smallShare;
-	if (isSmall) {
-		window.smallAtMs = nowMs;
-	}
-
-	const reserved = !isSmall && window.hasSmall(nowMs) ? limit * smallReserve : 0;
-	if (left < cost + reserved) {
+	if (left < cost) {
 		return 0;
 	}
 
-	if (isSmall) {
-		return 1;
-	}
-
 	const reserve = window.peersAsked.perMs(peers.roundMs, nowMs) * (peers.unheardMs + peers.roundMs) * reserveFactor;
 	return left >= reserve ? 1 : left / reserve;
 }
@@ -201,7 +176,6 @@
 		}
 
 		const window = this.window(account.name);
-		window.meanCost = ((window.meanCost ?? cost) * (1 - costWeight)) + (cost * costWeight);
 		const share = admittedShare(window, cost, this.limit(account, peers, nowMs), peers, nowMs);
 		if (draw >= share) {
 			window.own.refused += cost;
