--- a/src/coordination/fleet/fleet-messenger.ts
+++ b/src/coordination/fleet/fleet-messenger.ts
@@ -112,7 +112,7 @@
 	quotaPeers(nowMs: number): QuotaPeers {
 		const {fleet} = this.parts;
 		return {
-			daemons: fleet.daemons(nowMs), silent: fleet.unheard(nowMs), unheardMs: newsMs[fleet.roleAt(nowMs)] + (roundMs / 2), roundMs,
+			daemons: fleet.daemons(nowMs), silent: fleet.silent(nowMs), unheardMs: newsMs[fleet.roleAt(nowMs)] + (roundMs / 2), roundMs,
 		};
 	}
 
--- a/src/coordination/fleet/fleet-table.ts
+++ b/src/coordination/fleet/fleet-table.ts
@@ -15,7 +15,7 @@
 import {addUse, type UseTotals} from './merged-counters.js';
 import {RelayChoice} from './relay-choice.js';
 import {
-	answeringMs, countedMs, freshMs, goneMs, type Headcount, type Part, silentMs, ToldGroup, toldPart,
+	countedMs, freshMs, goneMs, type Headcount, type Part, silentMs, ToldGroup, toldPart,
 } from './told-group.js';
 
 /** What a daemon is to the others. */
@@ -154,11 +154,6 @@
 		return this.headcount(nowMs).silent;
 	}
 
-	/** Daemons whose use of the limits may not be known: of a small fleet, those that missed two rounds already. */
-	unheard(nowMs: number): number {
-		return this.roleAt(nowMs) === FleetRole.Mesh ? this.rowsWithin(goneMs, nowMs).length - this.rowsWithin(answeringMs, nowMs).length : this.silent(nowMs);
-	}
-
 	/** Whether at least half of the daemons of late can be heard; true where there are none. */
 	hearsMost(nowMs: number): boolean {
 		const {daemons, silent} = this.headcount(nowMs);
--- a/src/coordination/fleet/told-group.ts
+++ b/src/coordination/fleet/told-group.ts
@@ -5,8 +5,8 @@
 
 /** Age after which a message says nothing of the load any more, in milliseconds: four rounds. */
 export const freshMs = 1000;
-/** A teller heard within this answers every round, in milliseconds: two rounds, and a margin. */
-export const answeringMs = 600;
+/** A teller heard within this answers every round, in milliseconds: two rounds. */
+const answeringMs = 600;
 /** A daemon not heard of for this long is silent, in milliseconds. */
 export const silentMs = 1500;
 /** A silent daemon is taken to be gone after this, in milliseconds. */
--- a/src/coordination/quota-ledger.ts
+++ b/src/coordination/quota-ledger.ts
@@ -18,8 +18,8 @@
 import {CostMeter} from './cost-meter.js';
 import {LimitHistory} from './limit-history.js';
 
-/** Share of the operators' slack and tolerance that is granted; the rest covers the error of what peers are taken to admit. In simulated plays over 6 to 86 daemons an account that asks for two to eight times its limit reaches at most 0.962 of its bound; 0.9 would let it reach 0.995, and 0.4 left 0.09 of it unused. */
-const grantedShare = 0.7;
+/** Share of the operators' slack and tolerance that is granted; the rest covers the error of what peers are taken to admit. */
+const grantedShare = 0.4;
 /** The window is counted in this many steps. */
 const steps = 32;
 /** Parts of a window told to daemons that start: a sum that counted as admitted just now refused an account everything for a whole window of 8 s after all daemons were killed. */
@@ -249,12 +249,10 @@
 	private limit(account: Account, peers: QuotaPeers, nowMs: number): number {
 		const {windowMs, tolerance, slack} = this.bounds;
 		const granted = this.window(account.name).limits.granted({ratePerSecond: account.ratePerSecond!, burst: account.burst}, nowMs);
-		const extra = ((granted * tolerance) + slack) * grantedShare;
+		const full = (granted * (1 + (tolerance * grantedShare))) + (slack * grantedShare);
 		const heard = 1 - Math.min(0.9, peers.silent / Math.max(1, peers.daemons));
-		// Daemons that are cut off keep within their share; what the operators allow beyond the limit goes to most of the fleet.
-		const full = (granted * heard) + (peers.silent * 2 < peers.daemons ? extra : 0);
 		const known = this.isHistoryKnown ? 1 : Math.min(1, (nowMs - this.startedAtMs) / windowMs) / 2;
-		return full * known;
+		return full * heard * known;
 	}
 
 	private window(accountName: string): AccountWindow {
