--- a/src/coordination/duty-runner.ts
+++ b/src/coordination/duty-runner.ts
@@ -16,7 +16,6 @@
 import {type BackendEntry, type BackendTable} from '../state/backend-table.js';
 import {type RouteTable} from '../state/route-table.js';
 import {createLogger} from '../log.js';
-import {sumOf} from '../sum.js';
 import {type DutyLease} from './duty-lease.js';
 import {fieldsOf, readOwnRecord} from './own-record.js';
 import {leastNeed} from './pool-demand.js';
@@ -126,7 +125,7 @@
 
 		const report = {window, counts};
 		if (await lease.recordUsage(Buffer.from(JSON.stringify(report)), signal)) {
-			log.info('usage decided.', {window, windowMs: usageWindowMs, requests: sumOf(Object.values(counts))});
+			log.info('usage decided.', {window, windowMs: usageWindowMs, requests: sumOf(counts)});
 			await this.sendReport(report, signal);
 		}
 	}
@@ -297,3 +296,12 @@
 
 	return last.count !== wanted || (present < wanted && ageMs > at.bootMs + orderSettleMs);
 }
+
+function sumOf(counts: WindowCounts): number {
+	let sum = 0;
+	for (const count of Object.values(counts)) {
+		sum += count;
+	}
+
+	return sum;
+}
--- a/src/coordination/fleet-plan.ts
+++ b/src/coordination/fleet-plan.ts
@@ -4,7 +4,6 @@
  * failure domain loses all its reclaimable VMs.
  */
 import {type Price} from '../protocol/cloud-api.js';
-import {sumOf} from '../sum.js';
 
 /** A kind of VM that can be bought, without limit unless one is given. */
 export type Offer = Price & {limit?: number};
@@ -107,3 +106,12 @@
 function countOf(plan: FleetPlan): number {
 	return sumOf([...plan.values()]);
 }
+
+function sumOf(numbers: number[]): number {
+	let sum = 0;
+	for (const number of numbers) {
+		sum += number;
+	}
+
+	return sum;
+}
--- a/src/coordination/fleet/fleet-messenger.ts
+++ b/src/coordination/fleet/fleet-messenger.ts
@@ -13,7 +13,7 @@
 import {type MessageLink} from '../../transport/datagram-link.js';
 import {type DutyLease} from '../duty-lease.js';
 import {type Placement} from '../placement.js';
-import {type QuotaLedger, type QuotaPeers, type WindowParts} from '../quota-ledger.js';
+import {type QuotaLedger, type QuotaPeers} from '../quota-ledger.js';
 import {type TopicFollower} from '../topic-follower.js';
 import {type UsageLedger} from '../usage-ledger.js';
 import {fieldsOf, readOwnRecord} from '../own-record.js';
@@ -54,7 +54,7 @@
 type WrittenSums = {
 	/** When they were written, in milliseconds since 1970. */
 	atMs: number;
-	sums: Record<string, WindowParts>;
+	sums: Record<string, number>;
 };
 
 /** The parts a messenger works with. */
@@ -368,5 +368,5 @@
 
 function isWrittenSums(value: unknown): value is WrittenSums {
 	const {atMs, sums} = fieldsOf(value);
-	return typeof atMs === 'number' && Object.values(fieldsOf(sums)).every(parts => Array.isArray(parts) && parts.every(part => typeof part === 'number'));
+	return typeof atMs === 'number' && Object.values(fieldsOf(sums)).every(sum => typeof sum === 'number');
 }
--- a/src/coordination/pool-plan.ts
+++ b/src/coordination/pool-plan.ts
@@ -7,7 +7,6 @@
  * leave too few. They are given up only when what replaces them serves.
  */
 import {type Scaling} from '../protocol/serving.js';
-import {sumOf} from '../sum.js';
 
 /** VMs of one failure domain. */
 export type DomainPool = {
@@ -87,3 +86,12 @@
 		}
 	}
 }
+
+function sumOf(numbers: number[]): number {
+	let sum = 0;
+	for (const number of numbers) {
+		sum += number;
+	}
+
+	return sum;
+}
--- a/src/coordination/quota-ledger.ts
+++ b/src/coordination/quota-ledger.ts
@@ -14,7 +14,6 @@
  * heard, all may have started anew, and it grants the limit only as its own window fills.
  */
 import {type Account} from '../protocol/serving.js';
-import {sumOf} from '../sum.js';
 import {CostMeter} from './cost-meter.js';
 import {LimitHistory} from './limit-history.js';
 
@@ -22,8 +21,6 @@
 const grantedShare = 0.4;
 /** The window is counted in this many steps. */
 const steps = 32;
-/** Parts of a window told to daemons that start: a sum that counted as admitted just now refused an account everything for a whole window of 8 s after all daemons were killed. */
-const toldParts = 4;
 /** Time for which what is left of a limit must suffice before all that is asked is admitted, as a factor on the time that news take and are apart. Less than one lets every daemon take the rest before it hears of the others; more leaves that much of the limit unused by an account that asks for more than it. */
 const reserveFactor = 1.2;
 
@@ -58,9 +55,6 @@
 /** What an account was admitted and refused, in cost units. */
 export type AccountUse = {admitted: number; refused: number};
 
-/** What was admitted to an account in the window, by equal parts of it, the oldest first. */
-export type WindowParts = number[];
-
 type Use = {step: number; cost: number};
 
 /** What was admitted to one account in the window. */
@@ -73,6 +67,8 @@
 	/** What was asked of peers of late. */
 	readonly peersAsked = new CostMeter();
 	private readonly uses: Use[] = [];
+	/** Sum that a peer knew of when this daemon started, and until when it counts. */
+	private adopted = {cost: 0, untilMs: 0};
 
 	constructor(private readonly windowMs: number) {
 		this.limits = new LimitHistory(windowMs);
@@ -88,50 +84,34 @@
 		}
 	}
 
-	/** Takes what a peer knows beyond this window's sum, each part as of the end of its span. */
-	adopt(parts: WindowParts, nowMs: number): void {
-		const total = sumOf(parts);
-		const missing = total - this.sum(nowMs);
-		for (const [index, cost] of missing > 0 ? parts.entries() : []) {
-			const ageMs = (parts.length - 1 - index) / parts.length * this.windowMs;
-			this.insert(cost * missing / total, Math.floor((nowMs - ageMs) / this.windowMs * steps));
+	adopt(cost: number, nowMs: number): void {
+		if (cost > this.sum(nowMs)) {
+			this.adopted = {cost: cost - this.sumOfUses(nowMs), untilMs: nowMs + this.windowMs};
 		}
 	}
 
-	/** What was admitted in the window, by parts of it. */
-	parts(nowMs: number): WindowParts {
-		const parts = Array.from({length: toldParts}, () => 0);
-		const newest = Math.floor(nowMs / this.windowMs * steps);
-		for (const {step, cost} of this.usesAt(nowMs)) {
-			const index = Math.min(toldParts - 1, Math.floor((newest - step) / steps * toldParts));
-			parts[toldParts - 1 - index] += cost;
-		}
-
-		return parts;
-	}
-
 	sum(nowMs: number): number {
-		return sumOf(this.usesAt(nowMs).map(({cost}) => cost));
+		return this.sumOfUses(nowMs) + (nowMs < this.adopted.untilMs ? this.adopted.cost : 0);
 	}
 
 	/** Milliseconds until the oldest use leaves the window. */
 	untilFreeMs(nowMs: number): number {
 		const oldest = this.uses.at(0);
-		return oldest ? Math.max(1, ((oldest.step + steps + 1) / steps * this.windowMs) - nowMs) : 1;
+		return oldest ? Math.max(1, ((oldest.step + steps + 1) / steps * this.windowMs) - nowMs) : this.adopted.untilMs - nowMs;
 	}
 
-	private insert(cost: number, step: number): void {
-		const index = this.uses.findIndex(use => use.step > step);
-		this.uses.splice(index === -1 ? this.uses.length : index, 0, {step, cost});
-	}
-
-	private usesAt(nowMs: number): Use[] {
+	private sumOfUses(nowMs: number): number {
 		const oldest = Math.floor(nowMs / this.windowMs * steps) - steps;
 		while (this.uses.length > 0 && this.uses[0].step < oldest) {
 			this.uses.shift();
 		}
 
-		return this.uses;
+		let sum = 0;
+		for (const use of this.uses) {
+			sum += use.cost;
+		}
+
+		return sum;
 	}
 }
 
@@ -223,15 +203,15 @@
 	}
 
 	/** Takes a peer's sums, once after a start or a doubt: what is admitted later the peers say themselves. */
-	adopt(sums: Record<string, WindowParts>, nowMs: number): void {
+	adopt(sums: Record<string, number>, nowMs: number): void {
 		if (!this.needsSums) {
 			return;
 		}
 
 		this.needsSums = false;
 		this.isHistoryKnown = true;
-		for (const [account, parts] of Object.entries(sums)) {
-			this.window(account).adopt(parts, nowMs);
+		for (const [account, sum] of Object.entries(sums)) {
+			this.window(account).adopt(sum, nowMs);
 		}
 	}
 
@@ -241,9 +221,9 @@
 	}
 
 	/** What all daemons admitted in the window, by account, for peers that have just started; none while this daemon does not know. */
-	sums(nowMs: number): Record<string, WindowParts> | undefined {
+	sums(nowMs: number): Record<string, number> | undefined {
 		const isComplete = this.isHistoryKnown || nowMs - this.startedAtMs > this.bounds.windowMs;
-		return isComplete ? Object.fromEntries([...this.windows].map(([name, window]) => [name, window.parts(nowMs).map(cost => Math.round(cost))])) : undefined;
+		return isComplete ? Object.fromEntries([...this.windows].map(([name, window]) => [name, window.sum(nowMs)])) : undefined;
 	}
 
 	private limit(account: Account, peers: QuotaPeers, nowMs: number): number {
--- a/src/protocol/fleet-messages.ts
+++ b/src/protocol/fleet-messages.ts
@@ -67,8 +67,8 @@
 type MessageHead = {
 	sender: Sender;
 	holder: HolderNews | undefined;
-	/** Cost units that all daemons admitted in the window of the limits, by parts of it, for receivers that have just started; undefined while the sender does not know. */
-	windowSums: Record<string, number[]> | undefined;
+	/** Cost units that all daemons admitted in the window of the limits, for receivers that have just started; undefined while the sender does not know. */
+	windowSums: Record<string, number> | undefined;
 };
 
 /** How far a relay has read a topic of the store. */
