--- a/src/coordination/fleet/__tests__/fleet-table.test.ts
+++ b/src/coordination/fleet/__tests__/fleet-table.test.ts
@@ -29,6 +29,18 @@
 
 const createTable = () => new FleetTable({name: 'a', failureDomain: 'fd-a', startedAtMs: 0});
 
+describe('a daemon that has just started', () => {
+	it('counts those that the store lists and that it has not heard as silent, for a while', () => {
+		const table = new FleetTable({name: 'a', failureDomain: 'fd', startedAtMs: 0});
+		for (const name of ['a', 'b', 'c']) {
+			table.learn(name, 'fd', {host: '10.0.0.1', port: 1});
+		}
+
+		expect(table.unmet(500)).toBe(2);
+		expect(table.unmet(30_000)).toBe(0);
+	});
+});
+
 describe('FleetTable', () => {
 	it.each([
 		{name: 'what a daemon admitted since its last report', reports: [report({admitted: 5}), report({admitted: 8})], expected: 3},
--- a/src/coordination/fleet/fleet-messenger.ts
+++ b/src/coordination/fleet/fleet-messenger.ts
@@ -111,8 +111,9 @@
 	/** What limits over all daemons are decided from. */
 	quotaPeers(nowMs: number): QuotaPeers {
 		const {fleet} = this.parts;
+		const unmet = fleet.unmet(nowMs);
 		return {
-			daemons: fleet.daemons(nowMs), silent: fleet.silent(nowMs), unheardMs: newsMs[fleet.roleAt(nowMs)] + (roundMs / 2), roundMs,
+			daemons: fleet.daemons(nowMs) + unmet, silent: fleet.silent(nowMs) + unmet, unheardMs: newsMs[fleet.roleAt(nowMs)] + (roundMs / 2), roundMs,
 		};
 	}
 
--- a/src/coordination/fleet/fleet-table.ts
+++ b/src/coordination/fleet/fleet-table.ts
@@ -149,6 +149,20 @@
 		return 1 + this.headcount(nowMs).daemons;
 	}
 
+	/**
+	 * Daemons of a small fleet that the store lists and that a daemon which has just started
+	 * has not heard: they may be cut off and serve. Without, it grants what their share keeps
+	 * back: an account at six times its usual passed its bound by 24 to 45 % in three plays.
+	 */
+	unmet(nowMs: number): number {
+		if (this.roleAt(nowMs) !== FleetRole.Mesh || nowMs - this.self.startedAtMs > goneMs) {
+			return 0;
+		}
+
+		const listed = [...this.relayChoices.values()].flatMap(choice => choice.all());
+		return listed.filter(({name}) => name !== this.self.name && !this.rows.has(name)).length;
+	}
+
 	/** Daemons that were heard of not long ago and are silent now. */
 	silent(nowMs: number): number {
 		return this.headcount(nowMs).silent;
