--- a/src/cli/commands/front.ts
+++ b/src/cli/commands/front.ts
@@ -20,8 +20,6 @@
 const leaveBalancerMs = 2600;
 /** Time kept at the end of the grace period for closing what is left, in milliseconds. */
 const closeMarginMs = 500;
-/** Pause before the libraries of the metrics are loaded, in milliseconds: they take longer than the rest of the start, and held up the first answers after a restart by 180 ms. */
-const metricsDelayMs = 2000;
 /** How often the open requests are looked at while stopping, in milliseconds. */
 const stopCheckMs = 50;
 
@@ -41,7 +39,7 @@
 	};
 
 	process.on('SIGHUP', reload);
-	const metrics = openMetrics(daemon, settings, tasks.signal);
+	const metrics = await openMetrics(daemon, settings);
 	await waitForAbort(signal);
 	const stopBy = performance.now() + settings.bounds.graceMs - closeMarginMs;
 	log.info('stopping.', {open: daemon.openRequests, graceMs: settings.bounds.graceMs});
@@ -58,26 +56,12 @@
 	tasks.abort();
 	readiness.close();
 	readiness.closeAllConnections();
-	const metricsServer = await metrics;
-	await metricsServer?.stop({timeout: 0});
+	await metrics.stop({timeout: 0});
 	log.info('stopped.', {cutOff: openRequests});
 }
 
-/** Opens the metrics port; requests are served without it if it cannot be opened. */
-async function openMetrics(daemon: FrontDaemon, settings: FrontSettings, signal: AbortSignal): Promise<Server | undefined> {
-	try {
-		await delay(metricsDelayMs, undefined, {signal});
-		return await startMetrics(daemon, settings);
-	} catch (error) {
-		if (!signal.aborted) {
-			log.error('metrics not served.', {port: settings.metricsPort, error: String(error)});
-		}
-
-		return undefined;
-	}
-}
-
-async function startMetrics(daemon: FrontDaemon, settings: FrontSettings): Promise<Server> {
+/** Opens the metrics port, whose libraries are loaded last: they take longer than the rest of the start. */
+async function openMetrics(daemon: FrontDaemon, settings: FrontSettings): Promise<Server> {
 	const {addObservationRoutes, createRegistry, createServer, startServer} = await import('../../transport/http-server.js');
 	const metrics = await import('../../coordination/serving/serving-metrics.js');
 	const registry = createRegistry();
--- a/src/cli/front-container.ts
+++ b/src/cli/front-container.ts
@@ -101,7 +101,7 @@
 		},
 	}));
 	register(DutyLease, () => new DutyLease(store, incarnation, bounds.leaseMs, clock));
-	register(PoolDemands, resolver => new PoolDemands(resolver.resolve(BackendTable), resolver.resolve(Placement), resolver.resolve(FleetTable), resolver.resolve(RouteTable)));
+	register(PoolDemands, resolver => new PoolDemands(resolver.resolve(BackendTable), resolver.resolve(Placement), resolver.resolve(FleetTable)));
 	register(Dispatcher, resolver => new Dispatcher({
 		dialect,
 		backends: resolver.resolve(BackendTable),
@@ -159,7 +159,6 @@
 		clock,
 		name: settings.name,
 		usageWindowMs: bounds.usageWindowMs,
-		isFirstStart: settings.isFirstStart,
 		list: nowMs => ({followedForMs: resolver.resolve(BackendsFollower).followedForMs(nowMs), unchangedForMs: nowMs - backendsSink.grownAtMs}),
 		need: service => resolver.resolve(PoolDemands).need(service.name, clock.now()),
 	}));
--- a/src/cli/front-daemon.ts
+++ b/src/cli/front-daemon.ts
@@ -100,7 +100,7 @@
 
 	/** Counts requests with these metrics from now on. */
 	observe(metrics: RequestMetrics): void {
-		this.parts.resolve(DeferredMetrics).open(metrics);
+		this.parts.resolve(DeferredMetrics).target = metrics;
 	}
 
 	/** Reads the settings again and takes what changed into force; without a signal, logs only changes. */
@@ -148,7 +148,7 @@
 			backends: this.parts.resolve(BackendTable).toJson(),
 			fleet: this.parts.resolve(FleetTable).toJson(nowMs),
 			holder: this.parts.resolve(DutyLease).news(nowMs),
-			sent: Object.fromEntries(this.parts.resolve(Placement).sent()),
+			inFlight: this.parts.resolve(Placement).inFlight(),
 			streams: {running: registry.size, moved: registry.moved},
 			connections: this.callers.openConnections,
 			limits: Object.fromEntries(this.parts.resolve(QuotaLedger).own()),
--- a/src/coordination/__tests__/placement.test.ts
+++ b/src/coordination/__tests__/placement.test.ts
@@ -5,13 +5,12 @@
 import {Placement, type PlacementQuery} from '../placement.js';
 
 const backend = (id: string, failureDomain = 'fd-a'): Backend => ({
-	id, name: id, startedAtMs: undefined, service: 's', host: '10.0.0.1', port: 1, failureDomain, slots: 64, state: BackendState.Ready, isReclaimable: false, leavesInMs: undefined, coldForMs: 0,
+	id, service: 's', host: '10.0.0.1', port: 1, failureDomain, slots: 64, state: BackendState.Ready, isReclaimable: false, leavesInMs: undefined, coldForMs: 0,
 });
-const noLoad = {inFlight: 0, unreadTokens: 0};
 const candidates = ['a', 'b', 'c', 'd'].map(id => backend(id));
 const parts = [{id: 'p1', tokens: 512}, {id: 'p2', tokens: 4870}, {id: 'own', tokens: 600}];
 const query = (overrides: Partial<PlacementQuery> = {}): PlacementQuery => ({
-	candidates, excluded: new Set(), promptTokens: 6000, promptParts: parts, isConnected: () => false, peersLoad: () => noLoad, random: () => 0.5, nowMs: 1000, ...overrides,
+	candidates, excluded: new Set(), promptTokens: 6000, promptParts: parts, peersInFlight: () => 0, random: () => 0.5, nowMs: 1000, ...overrides,
 });
 
 describe('Placement', () => {
@@ -24,12 +23,12 @@
 		const placement = new Placement('fd-a');
 		const home = placement.choose(query())!.backend.id;
 		const other = candidates.find(({id}) => id !== home)!.id;
-		placement.begin(backend(other), 6000, parts, 900).end();
+		placement.begin(other, 6000, parts, 900).end();
 		expect(placement.choose(query({candidates: [backend(other), backend('z')]}))!.backend.id).toBe(other);
 	});
 
 	it.each([
-		{name: 'what this daemon has in flight', load: (placement: Placement, home: string): unknown => Array.from({length: 40}, () => placement.begin(backend(home), 100, [], 1000)), peers: 0},
+		{name: 'what this daemon has in flight', load: (placement: Placement, home: string): unknown => Array.from({length: 40}, () => placement.begin(home, 100, [], 1000)), peers: 0},
 		{name: 'what peers have in flight', load: (): unknown => undefined, peers: 60},
 		{
 			name: 'recent failures', load(placement: Placement, home: string): unknown {
@@ -41,30 +40,14 @@
 		const placement = new Placement('fd-a');
 		const home = placement.choose(query())!.backend.id;
 		load(placement, home);
-		expect(placement.choose(query({peersLoad: id => id === home ? {inFlight: peers, unreadTokens: 0} : noLoad}))!.backend.id).not.toBe(home);
-	});
-
-	it('leaves a cached engine that has much to read for peers, before the news of a first event', () => {
-		const home = new Placement('fd-a').choose(query())!.backend.id;
-		const peersLoad = (id: string) => id === home ? {inFlight: 2, unreadTokens: 30_000} : noLoad;
-		expect(new Placement('fd-a').choose(query({peersLoad}))!.backend.id).not.toBe(home);
-	});
-
-	it('of equals takes one that a connection is kept to', () => {
-		const chosen = new Placement('fd-a').choose(query({promptParts: [], promptTokens: 0, isConnected: ({id}) => id === 'c'}))!.backend.id;
-		expect(chosen).toBe('c');
-	});
-
-	it('opens a connection rather than have much of a prompt read again', () => {
-		const home = new Placement('fd-a').choose(query())!.backend.id;
-		expect(new Placement('fd-a').choose(query({isConnected: ({id}) => id !== home}))!.backend.id).toBe(home);
+		expect(placement.choose(query({peersInFlight: id => id === home ? peers : 0}))!.backend.id).not.toBe(home);
 	});
 
 	it('every engine has the common part, and daemons still agree on the home of the next one', () => {
 		const home = new Placement('fd-a').choose(query())!.backend.id;
 		const placement = new Placement('fd-a');
 		for (const {id} of candidates) {
-			placement.begin(backend(id), 600, [parts[0]], 900).end();
+			placement.begin(id, 600, [parts[0]], 900).end();
 		}
 
 		expect(placement.choose(query())!.backend.id).toBe(home);
@@ -84,7 +67,7 @@
 		const counts = new Map<string, number>();
 		for (let index = 0; index < 200; index++) {
 			const {id} = placement.choose(query({promptParts: [{id: `own-${index}`, tokens: 700}], promptTokens: 700}))!.backend;
-			placement.begin(backend(id), 700, [], 1000);
+			placement.begin(id, 700, [], 1000);
 			counts.set(id, (counts.get(id) ?? 0) + 1);
 		}
 
@@ -96,11 +79,11 @@
 		const generator = xoroshiro128plus(3);
 		const random = () => uniformFloat64(generator);
 		// Eight in flight on each but one, and the news of what is placed now comes to nobody in time.
-		const peersLoad = (id: string) => ({inFlight: id === 'e-7' ? 2 : 8, unreadTokens: 0});
+		const peersInFlight = (id: string) => id === 'e-7' ? 2 : 8;
 		const counts = new Map<string, number>();
 		for (let index = 0; index < 120; index++) {
 			const {id} = new Placement('fd-a').choose(query({
-				candidates: engines, promptParts: [{id: `own-${index}`, tokens: 700}], promptTokens: 700, peersLoad, random,
+				candidates: engines, promptParts: [{id: `own-${index}`, tokens: 700}], promptTokens: 700, peersInFlight, random,
 			}))!.backend;
 			counts.set(id, (counts.get(id) ?? 0) + 1);
 		}
@@ -112,8 +95,8 @@
 	it('of many engines takes one that has the shared part cached', () => {
 		const engines = Array.from({length: 50}, (_, index) => backend(`e-${index}`));
 		const placement = new Placement('fd-a');
-		placement.begin(backend('e-33'), 6000, parts, 900).end();
-		placement.begin(backend('e-7'), 600, [parts[0]], 900).end();
+		placement.begin('e-33', 6000, parts, 900).end();
+		placement.begin('e-7', 600, [parts[0]], 900).end();
 		expect(placement.choose(query({candidates: engines}))!.backend.id).toBe('e-33');
 	});
 
--- a/src/coordination/__tests__/pool.test.ts
+++ b/src/coordination/__tests__/pool.test.ts
@@ -114,37 +114,37 @@
 		},
 		{
 			name: 'same count, pool as ordered', wanted: 2, present: 2, last: {
-				count: 2, atMs: 0, present: 0, result: DutyResult.Accepted, token: 5,
+				count: 2, atMs: 0, result: DutyResult.Accepted, token: 5,
 			}, expected: false,
 		},
 		{
 			name: 'another count', wanted: 3, present: 2, last: {
-				count: 2, atMs: 9000, present: 0, result: DutyResult.Accepted, token: 5,
+				count: 2, atMs: 9000, result: DutyResult.Accepted, token: 5,
 			}, expected: true,
 		},
 		{
 			name: 'still booting', wanted: 2, present: 0, last: {
-				count: 2, atMs: 6000, present: 0, result: DutyResult.Accepted, token: 5,
+				count: 2, atMs: 6000, result: DutyResult.Accepted, token: 5,
 			}, expected: false,
 		},
 		{
 			name: 'never came', wanted: 2, present: 0, last: {
-				count: 2, atMs: 1000, present: 0, result: DutyResult.Accepted, token: 5,
+				count: 2, atMs: 1000, result: DutyResult.Accepted, token: 5,
 			}, expected: true,
 		},
 		{
 			name: 'just refused', wanted: 2, present: 0, last: {
-				count: 2, atMs: 9000, present: 0, result: DutyResult.Refused, token: 5,
+				count: 2, atMs: 9000, result: DutyResult.Refused, token: 5,
 			}, expected: false,
 		},
 		{
 			name: 'refused a while ago', wanted: 2, present: 0, last: {
-				count: 2, atMs: 5000, present: 0, result: DutyResult.Refused, token: 5,
+				count: 2, atMs: 5000, result: DutyResult.Refused, token: 5,
 			}, expected: true,
 		},
 		{
 			name: 'no answer a while ago', wanted: 2, present: 2, last: {
-				count: 2, atMs: 5000, present: 0, result: DutyResult.Unknown, token: 5,
+				count: 2, atMs: 5000, result: DutyResult.Unknown, token: 5,
 			}, expected: true,
 		},
 	])('$name: $expected', ({wanted, present, last, expected}) => {
--- a/src/coordination/duty-runner.ts
+++ b/src/coordination/duty-runner.ts
@@ -13,12 +13,10 @@
 import {type WindowCounts} from '../protocol/fleet-messages.js';
 import {type Service} from '../protocol/serving.js';
 import {type SteadyClock} from '../clock.js';
-import {type BackendEntry, type BackendTable} from '../state/backend-table.js';
+import {type BackendTable} from '../state/backend-table.js';
 import {type RouteTable} from '../state/route-table.js';
 import {createLogger} from '../log.js';
 import {type DutyLease} from './duty-lease.js';
-import {fieldsOf, readOwnRecord} from './own-record.js';
-import {leastNeed} from './pool-demand.js';
 import {type DomainState, planPool, type PoolNeed} from './pool-plan.js';
 import {type UsageLedger} from './usage-ledger.js';
 
@@ -36,35 +34,16 @@
 const listSettleMs = 2500;
 const listRestMs = 1500;
 const listFilledMs = 8000;
-/** Backend servers write their entries this often at the latest, in milliseconds: the sheets' longest interval, and a margin. */
-const listBeatMs = 1300;
-/** Fencing token of the first holder there ever was. */
-const firstToken = 1;
 /** Pause after an order without an answer, in milliseconds: it may still be carried out. */
 const unknownPauseMs = 3000;
 
 /** A usage report that was decided. */
 type DecidedReport = {window: number; counts: WindowCounts};
 
-function isDecidedReport(value: unknown): value is DecidedReport {
-	const {window, counts} = fieldsOf(value);
-	return Number.isInteger(window) && Object.values(fieldsOf(counts)).every(count => typeof count === 'number') && typeof counts === 'object';
-}
-
 /** How long the list of backend servers has been followed without a loss, and how long no new one came, in milliseconds. */
 export type FollowedList = {followedForMs: number; unchangedForMs: number};
 
-type OrderState = {
-	count: number;
-	/** VMs of the kind that were there when it was given. */
-	present: number;
-	atMs: number;
-	result: DutyResult;
-	token: number;
-};
-
-/** A kind of VM of a service in a failure domain. */
-type PoolKind = Omit<PoolOrder, 'count'>;
+type OrderState = {count: number; atMs: number; result: DutyResult; token: number};
 
 /** The parts the duties work with. */
 export type DutyParts = {
@@ -76,8 +55,6 @@
 	clock: SteadyClock;
 	name: string;
 	usageWindowMs: number;
-	/** Whether the whole system starts for the first time. */
-	isFirstStart: boolean;
 	/** How the list of backend servers has been followed. */
 	list: (nowMs: number) => FollowedList;
 	/** What each service needs now. */
@@ -88,8 +65,6 @@
 export class DutyRunner {
 	private readonly orders = new Map<string, OrderState>();
 	private sentWindow: number | undefined;
-	/** Whether the list was settled once, so that it holds all there are but what the store has not told yet. */
-	private hasSettled = false;
 
 	constructor(private readonly parts: DutyParts) {}
 
@@ -147,52 +122,24 @@
 
 	private decided(): DecidedReport | undefined {
 		const record = this.parts.lease.usageRecord;
-		return record && readOwnRecord(record, isDecidedReport, 'decided usage report');
+		return record && JSON.parse(Buffer.from(record).toString('utf8')) as DecidedReport;
 	}
 
 	private async orderPools(signal: AbortSignal): Promise<void> {
 		const {clock, list} = this.parts;
-		// From a list that may lack some nothing is given up, but what is known to be gone is replaced: a list that was lost for 3 s held up every order for 9.
-		const mayGiveUp = isListSettled(list(clock.now()));
-		this.hasSettled ||= mayGiveUp;
-		if (!this.hasSettled) {
-			await this.orderFirst(signal);
+		if (!isListSettled(list(clock.now()))) {
 			return;
 		}
 
 		for (const service of this.parts.routes.current?.services ?? []) {
 			if (service.scaling) {
 				// eslint-disable-next-line no-await-in-loop -- the platform takes few calls a second.
-				await this.orderPool(service, mayGiveUp, signal);
-			}
-		}
-	}
-
-	/**
-	 * Orders the fewest reclaimable VMs when the whole system starts for the first time,
-	 * before the list is settled: they replace on-demand ones that cost six times as much, and
-	 * take seconds to boot. Where there are reclaimable ones already, such an order could give
-	 * some up.
-	 */
-	private async orderFirst(signal: AbortSignal): Promise<void> {
-		const {clock, list, isFirstStart, backends, routes} = this.parts;
-		const isFirst = isFirstStart && this.holder()?.token === firstToken && list(clock.now()).followedForMs >= listBeatMs;
-		for (const {name, scaling} of isFirst ? routes.current?.services ?? [] : []) {
-			const replicas = backends.listed().filter(({backend}) => backend.service === name);
-			if (scaling?.reclaimablePriceRatio === undefined || replicas.length === 0 || replicas.some(({backend}) => backend.isReclaimable)) {
-				continue;
-			}
-
-			for (const {failureDomain, reclaimable} of planPool(scaling, leastNeed(), new Map())) {
-				// eslint-disable-next-line no-await-in-loop -- the platform takes few calls a second.
-				await this.order({
-					service: name, failureDomain, isReclaimable: true, count: reclaimable,
-				}, {bootMs: scaling.bootMs, mayGiveUp: true}, signal);
+				await this.orderPool(service, signal);
 			}
 		}
 	}
 
-	private async orderPool(service: Service, mayGiveUp: boolean, signal: AbortSignal): Promise<void> {
+	private async orderPool(service: Service, signal: AbortSignal): Promise<void> {
 		const scaling = service.scaling!;
 		const states = new Map([...scaling.prices.keys()].map(failureDomain => [failureDomain, this.stateOf(service.name, failureDomain, scaling.bootMs)]));
 		const wanted = planPool(scaling, this.parts.need(service), states).flatMap(pool => [
@@ -202,7 +149,7 @@
 		]);
 		for (const order of wanted.toSorted((a, b) => Number(b.isReclaimable) - Number(a.isReclaimable))) {
 			// eslint-disable-next-line no-await-in-loop
-			await this.order({service: service.name, ...order}, {bootMs: scaling.bootMs, mayGiveUp}, signal);
+			await this.order({service: service.name, ...order}, scaling.bootMs, signal);
 		}
 	}
 
@@ -212,48 +159,34 @@
 		const serving = this.present(kind);
 		const last = this.orders.get(orderKey(kind));
 		const isBooting = last?.result === DutyResult.Accepted && this.parts.clock.now() - last.atMs < bootMs + orderSettleMs;
-		const arriving = isBooting ? Math.max(0, last.count - last.present - this.arrivedSince(kind, last.atMs)) : 0;
 		const onDemandKind = {...kind, isReclaimable: false};
 		return {
 			serving,
-			// What left after the order is not coming back by it: counting the whole order hid a reclaim for six seconds.
-			expected: serving + arriving,
+			expected: isBooting ? Math.max(serving, last.count) : serving,
 			// A new holder starts from what there is.
 			onDemand: this.orders.get(orderKey(onDemandKind))?.count ?? this.present(onDemandKind),
 		};
 	}
 
-	private present(kind: PoolKind): number {
-		return this.listed(kind).filter(({leavingSinceMs}) => leavingSinceMs === undefined).length;
+	private present(kind: Omit<PoolOrder, 'count'>): number {
+		return this.parts.backends.listed().filter(({backend, leavingSinceMs}) => leavingSinceMs === undefined
+			&& backend.service === kind.service && backend.failureDomain === kind.failureDomain && backend.isReclaimable === kind.isReclaimable).length;
 	}
 
-	private arrivedSince(kind: PoolKind, atMs: number): number {
-		return this.listed(kind).filter(({seenAtMs}) => seenAtMs > atMs).length;
-	}
-
-	private listed(kind: PoolKind): BackendEntry[] {
-		return this.parts.backends.listed().filter(({backend}) => backend.service === kind.service && backend.failureDomain === kind.failureDomain && backend.isReclaimable === kind.isReclaimable);
-	}
-
-	private async order(order: PoolOrder, {bootMs, mayGiveUp}: {bootMs: number; mayGiveUp: boolean}, signal: AbortSignal): Promise<void> {
+	private async order(order: PoolOrder, bootMs: number, signal: AbortSignal): Promise<void> {
 		const {clock, cloud} = this.parts;
 		const holder = this.holder();
 		const key = orderKey(order);
 		const last = this.orders.get(key);
 		const nowMs = clock.now();
 		const present = this.present(order);
-		const isRaise = last !== undefined && order.count > last.count;
-		if (!mayGiveUp && !isRaise) {
-			return;
-		}
-
 		if (!holder || !isOrderDue(order.count, present, last, {bootMs, nowMs, token: holder.token})) {
 			return;
 		}
 
 		const result = await cloud.orderPool(holder, order, signal);
 		this.orders.set(key, {
-			count: order.count, present, atMs: clock.now(), result, token: holder.token,
+			count: order.count, atMs: clock.now(), result, token: holder.token,
 		});
 		log.info('pool ordered.', {
 			...order, present, result, token: holder.token,
@@ -270,7 +203,7 @@
 	return followedForMs >= listFilledMs || (followedForMs >= listSettleMs && unchangedForMs >= listRestMs);
 }
 
-function orderKey(kind: PoolKind): string {
+function orderKey(kind: Omit<PoolOrder, 'count'>): string {
 	return `${kind.service}/${kind.failureDomain}/${kind.isReclaimable ? 'reclaimable' : 'on-demand'}`;
 }
 
--- a/src/coordination/fleet/__tests__/fleet-messenger.test.ts
+++ b/src/coordination/fleet/__tests__/fleet-messenger.test.ts
@@ -4,7 +4,7 @@
 import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 import {SteadyClock} from '../../../clock.js';
-import {type Account, type Backend, BackendState} from '../../../protocol/serving.js';
+import {type Account} from '../../../protocol/serving.js';
 import {type PeerAddress, type ToldTopic} from '../../../protocol/fleet-messages.js';
 import {Topic} from '../../../protocol/platform.js';
 import {Belief} from '../../../state/belief.js';
@@ -171,10 +171,6 @@
 	return net;
 }
 
-const engine: Backend = {
-	id: 'i-1', name: 'i-1', startedAtMs: undefined, service: 's', host: '10.0.0.1', port: 1, failureDomain: 'fd-0', slots: 64, state: BackendState.Ready, isReclaimable: false, leavesInMs: undefined, coldForMs: 0,
-};
-
 describe('a fleet', () => {
 	it.each([
 		{count: 6, domains: 4, roles: {mesh: 6, relay: 0, leaf: 0}},
@@ -215,12 +211,12 @@
 	it('of 86 daemons knows the load of a backend server within four rounds, and the holder the usage', async () => {
 		const net = await startNet(86, 4);
 		for (const daemon of net.daemons) {
-			daemon.placement.begin(engine, 0, [], net.nowMs);
+			daemon.placement.begin('i-1', 0, [], net.nowMs);
 			daemon.usage.count('x', net.nowMs);
 		}
 
 		net.run(1000);
-		expect(new Set(net.daemons.map(daemon => daemon.fleet.load(backendKey('i-1'), net.nowMs).inFlight))).toEqual(new Set([85]));
+		expect(new Set(net.daemons.map(daemon => daemon.fleet.inFlight(backendKey('i-1'), net.nowMs)))).toEqual(new Set([85]));
 		const relays = net.daemons.filter(daemon => daemon.fleet.roleAt(net.nowMs) === FleetRole.Relay);
 		expect(relays.map(daemon => daemon.usage.total(daemon.usage.windowAt(net.nowMs - 1000)))).toEqual(relays.map(() => ({x: 86})));
 	});
--- a/src/coordination/fleet/__tests__/fleet-table.test.ts
+++ b/src/coordination/fleet/__tests__/fleet-table.test.ts
@@ -4,12 +4,12 @@
 } from '../../../protocol/fleet-messages.js';
 import {FleetTable} from '../fleet-table.js';
 
-type Overrides = Partial<Sender> & {admitted?: number; loads?: number[]};
+type Overrides = Partial<Sender> & {admitted?: number; inFlight?: number[]};
 
 /** A report of daemon b. */
-const report = ({admitted = 0, loads = [], ...sender}: Overrides = {}): Report => {
+const report = ({admitted = 0, inFlight = [], ...sender}: Overrides = {}): Report => {
 	const digest: Digest = {
-		scope: DigestScope.Daemon, epoch: '', daemons: 1, silent: 0, use: {x: [admitted, 0]}, usage: [], loads,
+		scope: DigestScope.Daemon, epoch: '', daemons: 1, silent: 0, use: {x: [admitted, 0]}, usage: [], inFlight,
 	};
 	return {
 		kind: FleetMessageKind.Report,
@@ -29,18 +29,6 @@
 
 const createTable = () => new FleetTable({name: 'a', failureDomain: 'fd-a', startedAtMs: 0});
 
-describe('a daemon that has just started', () => {
-	it('counts those that the store lists and that it has not heard as silent, for a while', () => {
-		const table = new FleetTable({name: 'a', failureDomain: 'fd', startedAtMs: 0});
-		for (const name of ['a', 'b', 'c']) {
-			table.learn(name, 'fd', {host: '10.0.0.1', port: 1});
-		}
-
-		expect(table.unmet(500)).toBe(2);
-		expect(table.unmet(30_000)).toBe(0);
-	});
-});
-
 describe('FleetTable', () => {
 	it.each([
 		{name: 'what a daemon admitted since its last report', reports: [report({admitted: 5}), report({admitted: 8})], expected: 3},
@@ -69,13 +57,13 @@
 		},
 	])('after $afterMs ms of silence', ({afterMs, daemons, silent, hearsMost, targets}) => {
 		const table = createTable();
-		table.noteReport(report({loads: [1, 7, 25]}), 1000);
+		table.noteReport(report({inFlight: [1, 7]}), 1000);
 		const nowMs = 1000 + afterMs;
 		expect(table.daemons(nowMs)).toBe(daemons);
 		expect(table.silent(nowMs)).toBe(silent);
 		expect(table.hearsMost(nowMs)).toBe(hearsMost);
 		expect(table.addresses(false, nowMs)).toHaveLength(targets);
 		expect(table.addresses(true, nowMs)).toHaveLength(1);
-		expect(table.load(1, nowMs)).toEqual(afterMs <= 1000 ? {inFlight: 7, unreadTokens: 2500} : {inFlight: 0, unreadTokens: 0});
+		expect(table.inFlight(1, nowMs)).toBe(afterMs <= 1000 ? 7 : 0);
 	});
 });
--- a/src/coordination/fleet/fleet-messenger.ts
+++ b/src/coordination/fleet/fleet-messenger.ts
@@ -16,9 +16,8 @@
 import {type QuotaLedger, type QuotaPeers} from '../quota-ledger.js';
 import {type TopicFollower} from '../topic-follower.js';
 import {type UsageLedger} from '../usage-ledger.js';
-import {fieldsOf, readOwnRecord} from '../own-record.js';
 import {backendKey} from './backend-key.js';
-import {packLoads, writeUse} from './digest-sums.js';
+import {packCounts, writeUse} from './digest-sums.js';
 import {FleetRole, type FleetTable} from './fleet-table.js';
 import {type UseTotals} from './merged-counters.js';
 
@@ -111,9 +110,8 @@
 	/** What limits over all daemons are decided from. */
 	quotaPeers(nowMs: number): QuotaPeers {
 		const {fleet} = this.parts;
-		const unmet = fleet.unmet(nowMs);
 		return {
-			daemons: fleet.daemons(nowMs) + unmet, silent: fleet.silent(nowMs) + unmet, unheardMs: newsMs[fleet.roleAt(nowMs)] + (roundMs / 2), roundMs,
+			daemons: fleet.daemons(nowMs), silent: fleet.silent(nowMs), unheardMs: newsMs[fleet.roleAt(nowMs)] + (roundMs / 2), roundMs,
 		};
 	}
 
@@ -186,12 +184,10 @@
 		const batch = await store.newest(Topic.Members, signal);
 		for (const {key, value} of batch.records) {
 			if (key === sumsKey && value) {
-				this.takeSums(readOwnRecord(value, isWrittenSums, 'sums of the limits'));
+				this.takeSums(decode(value));
 			} else if (value) {
-				const member = readOwnRecord(value, isWrittenMember, `address of ${key}`);
-				if (member) {
-					fleet.learn(key, member.failureDomain ?? settings.failureDomain, {host: member.host, port: member.port});
-				}
+				const {host, port, failureDomain} = decode<WrittenMember>(value);
+				fleet.learn(key, failureDomain ?? settings.failureDomain, {host, port});
 			}
 		}
 
@@ -275,7 +271,7 @@
 			silent: 0,
 			use: writeUse(quota.own()),
 			usage: usage.own(),
-			loads: packLoads(new Map([...placement.sent()].map(([id, load]) => [backendKey(id), load]))),
+			inFlight: packCounts(new Map(Object.entries(placement.inFlight()).map(([id, count]) => [backendKey(id), count]))),
 		};
 	}
 
@@ -338,9 +334,9 @@
 	}
 
 	/** Takes sums over that were written shortly before this daemon started. */
-	private takeSums(written: WrittenSums | undefined): void {
+	private takeSums(written: WrittenSums): void {
 		const {quota, clock} = this.parts;
-		if (written && Math.abs(clock.wallNow() - written.atMs) <= sumsFreshMs) {
+		if (Math.abs(clock.wallNow() - written.atMs) <= sumsFreshMs) {
 			quota.adopt(written.sums, clock.now());
 		}
 	}
@@ -350,12 +346,6 @@
 	return Buffer.from(JSON.stringify(value));
 }
 
-function isWrittenMember(value: unknown): value is WrittenMember {
-	const {host, port, failureDomain} = fieldsOf(value);
-	return typeof host === 'string' && Number.isInteger(port) && (failureDomain === undefined || typeof failureDomain === 'string');
-}
-
-function isWrittenSums(value: unknown): value is WrittenSums {
-	const {atMs, sums} = fieldsOf(value);
-	return typeof atMs === 'number' && Object.values(fieldsOf(sums)).every(sum => typeof sum === 'number');
+function decode<T>(value: Uint8Array): T {
+	return JSON.parse(Buffer.from(value).toString('utf8')) as T;
 }
--- a/src/coordination/fleet/fleet-table.ts
+++ b/src/coordination/fleet/fleet-table.ts
@@ -6,11 +6,11 @@
  * reports to all came every 1.8 s, too late for the load of engines and the usage counts.
  */
 import {
-	type Digest, DigestScope, type NamedAddress, type PeerAddress, type Report, type Sender, type SentLoad, type View,
+	type Digest, DigestScope, type NamedAddress, type PeerAddress, type Report, type Sender, type View,
 } from '../../protocol/fleet-messages.js';
 import {type AccountUse} from '../quota-ledger.js';
 import {
-	packLoads, readUse, sumLoads, writeUse,
+	packCounts, readUse, sumCounts, writeUse,
 } from './digest-sums.js';
 import {addUse, type UseTotals} from './merged-counters.js';
 import {RelayChoice} from './relay-choice.js';
@@ -36,8 +36,7 @@
 const newRelayMs = 1000;
 /** How often a daemon looks what it is to the others, in milliseconds: twice a round. */
 const roleCheckMs = 100;
-const noLoad: SentLoad = {inFlight: 0, unreadTokens: 0};
-/** The sums of loads are made anew after this, in milliseconds: a fifth of a round. */
+/** The sums of requests in flight are made anew after this, in milliseconds: a fifth of a round. */
 const loadSumsMs = 50;
 
 /** A daemon that reported by itself. */
@@ -59,7 +58,7 @@
 	/** Since when the fleet has been small enough to report to all. */
 	private smallSinceMs: number | undefined;
 	private roleCheckedAtMs = Number.NEGATIVE_INFINITY;
-	private loadSums = {atMs: Number.NEGATIVE_INFINITY, loads: new Map<number, SentLoad>()};
+	private loadSums = {atMs: Number.NEGATIVE_INFINITY, counts: new Map<number, number>()};
 
 	constructor(private readonly self: Self) {
 		this.roleSinceMs = self.startedAtMs;
@@ -149,20 +148,6 @@
 		return 1 + this.headcount(nowMs).daemons;
 	}
 
-	/**
-	 * Daemons of a small fleet that the store lists and that a daemon which has just started
-	 * has not heard: they may be cut off and serve. Without, it grants what their share keeps
-	 * back: an account at six times its usual passed its bound by 24 to 45 % in three plays.
-	 */
-	unmet(nowMs: number): number {
-		if (this.roleAt(nowMs) !== FleetRole.Mesh || nowMs - this.self.startedAtMs > goneMs) {
-			return 0;
-		}
-
-		const listed = [...this.relayChoices.values()].flatMap(choice => choice.all());
-		return listed.filter(({name}) => name !== this.self.name && !this.rows.has(name)).length;
-	}
-
 	/** Daemons that were heard of not long ago and are silent now. */
 	silent(nowMs: number): number {
 		return this.headcount(nowMs).silent;
@@ -187,13 +172,13 @@
 		return [...names, this.self.name].toSorted().indexOf(this.self.name);
 	}
 
-	/** What the other daemons have sent to a backend server, by its key. */
-	load(backendKey: number, nowMs: number): SentLoad {
+	/** Requests that the other daemons have in flight at a backend server, by its key. */
+	inFlight(backendKey: number, nowMs: number): number {
 		if (nowMs - this.loadSums.atMs >= loadSumsMs) {
-			this.loadSums = {atMs: nowMs, loads: sumLoads(this.parts(nowMs).flatMap(part => part.loads()))};
+			this.loadSums = {atMs: nowMs, counts: sumCounts(this.parts(nowMs).flatMap(part => part.inFlight()))};
 		}
 
-		return this.loadSums.loads.get(backendKey) ?? noLoad;
+		return this.loadSums.counts.get(backendKey) ?? 0;
 	}
 
 	/**
@@ -345,7 +330,7 @@
 		const within = (ageMs: number) => rows.filter(row => nowMs - row.heardAtMs <= ageMs);
 		return {
 			count: () => ({daemons: within(countedMs).filter(row => !row.sender.isStopping).length, silent: within(goneMs).length - within(silentMs).length}),
-			loads: () => within(freshMs).map(row => row.digest.loads),
+			inFlight: () => within(freshMs).map(row => row.digest.inFlight),
 		};
 	}
 
@@ -365,7 +350,7 @@
 			silent,
 			use: writeUse(use),
 			usage: [],
-			loads: packLoads(sumLoads([own.loads, ...parts.flatMap(part => part.loads())])),
+			inFlight: packCounts(sumCounts([own.inFlight, ...parts.flatMap(part => part.inFlight())])),
 		};
 	}
 
--- a/src/coordination/fleet/told-group.ts
+++ b/src/coordination/fleet/told-group.ts
@@ -17,8 +17,8 @@
 /** How many daemons a part of the fleet has, and how many of them are silent. */
 export type Headcount = {daemons: number; silent: number};
 
-/** A part of the fleet: its daemons, and what they have sent to backend servers. */
-export type Part = {count: () => Headcount; loads: () => number[][]};
+/** A part of the fleet: its daemons, and what is in flight from it. */
+export type Part = {count: () => Headcount; inFlight: () => number[][]};
 
 /** What one teller said of a group of daemons. */
 type Told = {digest: Digest; heardAtMs: number};
@@ -51,7 +51,7 @@
 export function toldPart({digest, heardAtMs}: Told, nowMs: number): Part {
 	const ageMs = nowMs - heardAtMs;
 	const silent = ageMs <= silentMs ? digest.silent : (ageMs <= goneMs ? digest.daemons : 0);
-	return {count: () => ({daemons: digest.daemons, silent}), loads: () => ageMs <= freshMs ? [digest.loads] : []};
+	return {count: () => ({daemons: digest.daemons, silent}), inFlight: () => ageMs <= freshMs ? [digest.inFlight] : []};
 }
 
 function audibleIn(digest: Digest): number {
--- a/src/coordination/placement.ts
+++ b/src/coordination/placement.ts
@@ -4,13 +4,13 @@
  * read before it, and every running request makes each token slower, its own and others'.
  * For plain services it is the share of slots in use. It answers bursts that many daemons
  * place at once from late reports: each adds what it sent itself and what its peers say
- * they have sent, in requests and in prompt tokens that are not read yet.
+ * they have in flight.
  */
 import {createHash} from 'node:crypto';
-import {type SentLoad} from '../protocol/fleet-messages.js';
 import {type Backend, type PromptPart, type StatedLoad} from '../protocol/serving.js';
-import {ReadingRate} from './reading-rate.js';
 
+/** Prompt tokens that an engine reads in a millisecond; from the deployments' sheets. */
+const prefillTokensPerMs = 50;
 /** Delay that an engine with all slots in use causes, in milliseconds: a step of 64 requests takes two and a half times one of a single one. It grows with the square of the use, since the requests there are slowed too. */
 const fullEngineCostMs = 400;
 /** Cost of a plain service whose slots are all in use, in milliseconds. */
@@ -33,8 +33,6 @@
 const coldCostMs = 100;
 /** Added for another failure domain than the daemon's, in milliseconds: a round trip more. */
 const otherDomainCostMs = 3;
-/** Added where a new connection must be opened, in milliseconds: a round trip, and a moment of one of the backend server's slots. */
-const connectionCostMs = 8;
 /** Up to this many engines each is weighed: eight served bursts evenly so. Beyond, all daemons of a large fleet would choose the one that seemed least loaded half a second ago. */
 const weighedEngines = 12;
 /** Of more engines, those that should have the prompt cached are weighed, and this many drawn at random: from late reports, two spread the load better than all. */
@@ -51,10 +49,8 @@
 	excluded: ReadonlySet<string>;
 	promptTokens: number;
 	promptParts: PromptPart[];
-	/** Whether an idle connection to a backend server is kept. */
-	isConnected: (backend: Backend) => boolean;
-	/** What other daemons have sent to a backend server. */
-	peersLoad: (backendId: string) => SentLoad;
+	/** Requests that other daemons have in flight at a backend server. */
+	peersInFlight: (backendId: string) => number;
 	/** Draws evenly from 0 to 1. */
 	random: () => number;
 	nowMs: number;
@@ -67,9 +63,8 @@
 	costMs: number;
 	/** Estimated time until the first event, in milliseconds. */
 	waitMs: number;
-	/** Prompt tokens taken to be cached there, and those to be read. */
+	/** Prompt tokens taken to be cached there. */
 	cachedTokens: number;
-	unreadTokens: number;
 	inFlight: number;
 	/** Another engine that should hold more of the prompt, to copy it from. */
 	copyFrom: Backend | undefined;
@@ -80,8 +75,8 @@
 
 type View = {
 	inFlight: number;
-	/** Prompt tokens to be read there, of requests whose first event has not come. */
-	unreadTokens: number;
+	/** Prompt tokens sent there whose first event has not come. */
+	pendingTokens: number;
 	stated: StatedLoad | undefined;
 	statedAtMs: number;
 	failures: number[];
@@ -92,8 +87,6 @@
 /** What this daemon knows of the load and caches of backend servers. */
 export class Placement {
 	private readonly views = new Map<string, View>();
-	/** How fast the engines of each service read. */
-	private readonly rates = new Map<string, ReadingRate>();
 
 	constructor(private readonly failureDomain: string) {}
 
@@ -116,23 +109,11 @@
 		return best;
 	}
 
-	/** Prompt tokens that an engine of a service reads in a millisecond. */
-	readingRate(service: string): ReadingRate {
-		let rate = this.rates.get(service);
-		if (!rate) {
-			rate = new ReadingRate();
-			this.rates.set(service, rate);
-		}
-
-		return rate;
-	}
-
-	/** Notes a request sent, with the prompt tokens that are to be read there; end the returned one when it is over. */
-	begin(backend: Backend, unreadTokens: number, promptParts: PromptPart[], nowMs: number): RunningRequest {
-		const view = this.view(backend.id);
-		const rate = view.unreadTokens === 0 ? this.readingRate(backend.service) : undefined;
+	/** Notes a request sent; call the returned function once when it is over. */
+	begin(backendId: string, promptTokens: number, promptParts: PromptPart[], nowMs: number): RunningRequest {
+		const view = this.view(backendId);
 		view.inFlight++;
-		view.unreadTokens += unreadTokens;
+		view.pendingTokens += promptTokens;
 		for (const part of promptParts) {
 			view.cached.delete(part.id);
 			view.cached.set(part.id, nowMs);
@@ -142,7 +123,7 @@
 			view.cached.delete(view.cached.keys().next().value!);
 		}
 
-		return new RunningRequest(view, unreadTokens, rate, nowMs);
+		return new RunningRequest(view, promptTokens);
 	}
 
 	noteLoad(backendId: string, load: StatedLoad, nowMs: number): void {
@@ -155,9 +136,9 @@
 		this.view(backendId).failures.push(nowMs);
 	}
 
-	/** What this daemon has sent, by backend server. */
-	sent(): Map<string, SentLoad> {
-		return new Map([...this.views].filter(([, view]) => view.inFlight > 0));
+	/** Requests in flight from this daemon, by backend server. */
+	inFlight(): Record<string, number> {
+		return Object.fromEntries([...this.views].filter(([, view]) => view.inFlight > 0).map(([id, view]) => [id, view.inFlight]));
 	}
 
 	/** Forgets backend servers that are not listed any more. */
@@ -175,20 +156,16 @@
 		view.failures = view.failures.filter(atMs => nowMs - atMs < failureMemoryMs);
 		const cachedTokens = Math.max(cachedIn(view, promptParts, nowMs), isHome ? sharedTokens(promptParts) * homeShare : 0);
 		const stated = view.stated && nowMs - view.statedAtMs <= statedLoadMs ? view.stated.running + view.stated.waiting : 0;
-		const peers = query.peersLoad(backend.id);
-		const sent = view.inFlight + peers.inFlight;
-		const inFlight = Math.max(sent, Math.min(stated, sent + 4));
+		const inFlight = Math.max(view.inFlight + query.peersInFlight(backend.id), Math.min(stated, view.inFlight + query.peersInFlight(backend.id) + 4));
 		const queued = Math.max(0, inFlight + 1 - backend.slots);
-		const unreadTokens = Math.max(0, promptTokens - cachedTokens);
-		const waitMs = ((view.unreadTokens + peers.unreadTokens + unreadTokens) / this.readingRate(backend.service).tokensPerMs) + (queued * queuedCostMs);
+		const waitMs = ((view.pendingTokens + Math.max(0, promptTokens - cachedTokens)) / prefillTokensPerMs) + (queued * queuedCostMs);
 		const costMs = waitMs
 			+ (promptTokens > 0 ? fullEngineCostMs * ((inFlight / backend.slots) ** 2) : slotCostMs * inFlight / backend.slots)
 			+ (view.failures.length * failureCostMs)
 			+ (backend.coldForMs > 0 ? coldCostMs : 0)
-			+ (query.isConnected(backend) ? 0 : connectionCostMs)
 			+ (backend.failureDomain === this.failureDomain ? 0 : otherDomainCostMs);
 		return {
-			backend, costMs, waitMs, cachedTokens, unreadTokens, inFlight, copyFrom: undefined,
+			backend, costMs, waitMs, cachedTokens, inFlight, copyFrom: undefined,
 		};
 	}
 
@@ -196,7 +173,7 @@
 		let view = this.views.get(backendId);
 		if (!view) {
 			view = {
-				inFlight: 0, unreadTokens: 0, stated: undefined, statedAtMs: 0, failures: [], cached: new Map(),
+				inFlight: 0, pendingTokens: 0, stated: undefined, statedAtMs: 0, failures: [], cached: new Map(),
 			};
 			this.views.set(backendId, view);
 		}
@@ -210,19 +187,16 @@
 	private isReading = true;
 	private isOver = false;
 
-	/** @param rate Learns from this request; undefined where others were to be read before it. */
 	constructor(
 		private readonly view: View,
-		private readonly unreadTokens: number,
-		private readonly rate: ReadingRate | undefined,
-		private readonly sentAtMs: number,
+		private readonly promptTokens: number,
 	) {}
 
 	/** Its first event came: its prompt was read. */
-	noteRead(nowMs: number): void {
+	noteRead(): void {
 		if (this.isReading) {
-			this.rate?.note(this.unreadTokens, nowMs - this.sentAtMs);
-			this.stopReading();
+			this.isReading = false;
+			this.view.pendingTokens -= this.promptTokens;
 		}
 	}
 
@@ -230,17 +204,10 @@
 	end(): void {
 		if (!this.isOver) {
 			this.isOver = true;
-			this.stopReading();
+			this.noteRead();
 			this.view.inFlight--;
 		}
 	}
-
-	private stopReading(): void {
-		if (this.isReading) {
-			this.isReading = false;
-			this.view.unreadTokens -= this.unreadTokens;
-		}
-	}
 }
 
 /** The engine that should hold the most of the prompt beyond the chosen one. */
--- a/src/coordination/pool-demand.ts
+++ b/src/coordination/pool-demand.ts
@@ -1,13 +1,10 @@
 /**
  * How many replicas a service's traffic needs, from the requests in flight over all
- * daemons and from the prompt tokens that engines have not read yet. A slow fleet has more
- * of both, so the need rises when it falls behind. It answers waves and bursts: the need
- * follows a rise at once and a fall slowly, since a replica takes seconds to boot and one
- * given up moves its streams.
+ * daemons. A slow fleet has more in flight, so the need rises when it falls behind. It
+ * answers waves and bursts: the need follows a rise at once and a fall slowly, since a
+ * replica takes seconds to boot and one given up moves its streams.
  */
-import {type Backend, RequestKind} from '../protocol/serving.js';
 import {type BackendTable} from '../state/backend-table.js';
-import {type RouteTable} from '../state/route-table.js';
 import {backendKey} from './fleet/backend-key.js';
 import {type FleetTable} from './fleet/fleet-table.js';
 import {type Placement} from './placement.js';
@@ -19,12 +16,6 @@
 const usedSlots = 0.5;
 /** Fewest replicas that serve any traffic. */
 const fewestReplicas = 3;
-/** Share of the tightest latency target that prompts may wait on average until they are read; the rest is left for the spread around it, and for the first token. */
-const waitingShare = 0.25;
-/** Latency target where no streaming route names one, in milliseconds. */
-const defaultTargetMs = 1000;
-/** The prompt tokens to be read are averaged over this time, in milliseconds: one long prompt fills an engine for a second. */
-const unreadSpanMs = 1500;
 /** The need falls by half in this time, in milliseconds. */
 const fallHalfMs = 10_000;
 /** Reclaimable VMs beyond the need: at least these, for two failure domains in a row; and this share, so that what is left of a large pool after the loss of one failure domain of four still serves it. */
@@ -63,19 +54,11 @@
 	}
 
 	need(): PoolNeed {
-		return needOf(Math.max(fewestReplicas, Math.ceil(this.level)));
+		const replicas = Math.max(fewestReplicas, Math.ceil(this.level));
+		return {replicas, surviving: Math.max(fewestReplicas - 1, Math.ceil(replicas * 0.75)), spare: spareFor(replicas)};
 	}
 }
 
-/** What a service needs before anything is known of its traffic. */
-export function leastNeed(): PoolNeed {
-	return needOf(fewestReplicas);
-}
-
-function needOf(replicas: number): PoolNeed {
-	return {replicas, surviving: Math.max(fewestReplicas - 1, Math.ceil(replicas * 0.75)), spare: spareFor(replicas)};
-}
-
 /** Requests in flight that a replica carries. */
 export function carriedInFlight(slots: number): number {
 	return Math.min(mostPerReplica, slots * usedSlots);
@@ -95,86 +78,28 @@
 	return replicas;
 }
 
-/** An average that forgets. */
-class FadingAverage {
-	private value = 0;
-	private atMs: number | undefined;
-
-	constructor(private readonly spanMs: number) {}
-
-	note(sample: number, nowMs: number): number {
-		const kept = this.atMs === undefined ? 0 : Math.exp((this.atMs - nowMs) / this.spanMs);
-		this.value = (this.value * kept) + (sample * (1 - kept));
-		this.atMs = nowMs;
-		return this.value;
-	}
-}
-
-/** Latency targets of the services' streams, from the configuration in force. */
-class LatencyTargets {
-	private version: number | undefined;
-	private readonly targets = new Map<string, number>();
-
-	constructor(private readonly routes: RouteTable) {}
-
-	/** The tightest target of a service's streams, in milliseconds. */
-	tightestMs(service: string): number {
-		if (this.version !== this.routes.version) {
-			this.version = this.routes.version;
-			this.read();
-		}
-
-		return this.targets.get(service) ?? defaultTargetMs;
-	}
-
-	private read(): void {
-		this.targets.clear();
-		for (const {kind, latencyTargetMs, targets} of this.routes.current?.routes ?? []) {
-			for (const {service} of kind === RequestKind.Streaming ? targets : []) {
-				this.targets.set(service, Math.min(latencyTargetMs, this.targets.get(service) ?? Number.POSITIVE_INFINITY));
-			}
-		}
-	}
-}
-
-/** The demand for every service, from what this daemon and its peers have sent. */
+/** The demand for every service, from what this daemon and its peers have in flight. */
 export class PoolDemands {
 	private readonly demands = new Map<string, PoolDemand>();
-	private readonly unread = new Map<string, FadingAverage>();
-	private readonly targets: LatencyTargets;
 
 	constructor(
 		private readonly backends: BackendTable,
 		private readonly placement: Placement,
 		private readonly fleet: FleetTable,
-		routes: RouteTable,
-	) {
-		this.targets = new LatencyTargets(routes);
-	}
+	) {}
 
 	/** What a service needs now. */
 	need(service: string, nowMs: number): PoolNeed {
 		const replicas = this.backends.listed().filter(({backend}) => backend.service === service).map(({backend}) => backend);
 		const demand = this.demands.get(service) ?? new PoolDemand(replicas.length, nowMs);
 		this.demands.set(service, demand);
-		demand.note(this.filled(service, replicas, nowMs), nowMs);
-		return demand.need();
-	}
-
-	/** Replicas that the requests in flight and the prompts to be read fill now, whichever are more. */
-	private filled(service: string, replicas: Backend[], nowMs: number): number {
-		const own = this.placement.sent();
+		const own = this.placement.inFlight();
 		let busy = 0;
-		let unreadTokens = 0;
 		for (const {id, slots} of replicas) {
-			const peers = this.fleet.load(backendKey(id), nowMs);
-			busy += ((own.get(id)?.inFlight ?? 0) + peers.inFlight) / carriedInFlight(slots);
-			unreadTokens += (own.get(id)?.unreadTokens ?? 0) + peers.unreadTokens;
+			busy += ((own[id] ?? 0) + this.fleet.inFlight(backendKey(id), nowMs)) / carriedInFlight(slots);
 		}
 
-		const average = this.unread.get(service) ?? new FadingAverage(unreadSpanMs);
-		this.unread.set(service, average);
-		const readTokens = this.placement.readingRate(service).tokensPerMs * this.targets.tightestMs(service) * waitingShare;
-		return Math.max(busy, average.note(unreadTokens, nowMs) / readTokens);
+		demand.note(busy, nowMs);
+		return demand.need();
 	}
 }
--- a/src/coordination/serving/dispatcher.ts
+++ b/src/coordination/serving/dispatcher.ts
@@ -61,9 +61,6 @@
 	beginMs: number;
 };
 
-/** A choice as far as sending needs it; a run that is continued from its moved KV cache has nothing to read. */
-type SentChoice = Pick<Choice, 'backend' | 'costMs' | 'unreadTokens' | 'copyFrom'>;
-
 /** The parts a dispatcher works with. */
 export type DispatcherParts = {
 	dialect: Dialect;
@@ -81,9 +78,7 @@
 
 	/** The backend server that would get a request now. */
 	choose(served: ServedRequest): Choice | undefined {
-		const {
-			backends, placement, fleet, pool, clock,
-		} = this.parts;
+		const {backends, placement, fleet, clock} = this.parts;
 		const {request, service} = served.inputs;
 		const nowMs = clock.now();
 		return placement.choose({
@@ -91,8 +86,7 @@
 			excluded: served.excluded,
 			promptTokens: request.promptTokens ?? 0,
 			promptParts: request.promptParts,
-			isConnected: backend => pool.hasIdle(backend),
-			peersLoad: id => fleet.load(backendKey(id), nowMs),
+			peersInFlight: id => fleet.inFlight(backendKey(id), nowMs),
 			random: () => Math.random(),
 			nowMs,
 		});
@@ -101,11 +95,7 @@
 	/** Sends a request once; a connection that does not open is no arrival, so the next backend server is tried. */
 	async send(served: ServedRequest, options: DispatchOptions): Promise<BegunAnswer | FailedDispatch> {
 		for (;;) {
-			const choice: SentChoice | undefined = options.target
-				? {
-					backend: options.target, costMs: 0, unreadTokens: 0, copyFrom: undefined,
-				}
-				: this.choose(served);
+			const choice: Pick<Choice, 'backend' | 'costMs' | 'copyFrom'> | undefined = options.target ? {backend: options.target, costMs: 0, copyFrom: undefined} : this.choose(served);
 			if (!choice) {
 				return {kind: DispatchKind.NoBackend, reason: 'no backend server left'};
 			}
@@ -135,10 +125,8 @@
 		return allowance.take(served.inputs.service, purpose, fleet.daemons(nowMs), nowMs);
 	}
 
-	private async sendTo(served: ServedRequest, choice: SentChoice, options: DispatchOptions): Promise<BegunAnswer | FailedDispatch> {
-		const {
-			backend, costMs, unreadTokens, copyFrom,
-		} = choice;
+	private async sendTo(served: ServedRequest, choice: Pick<Choice, 'backend' | 'costMs' | 'copyFrom'>, options: DispatchOptions): Promise<BegunAnswer | FailedDispatch> {
+		const {backend, costMs, copyFrom} = choice;
 		const {dialect, placement, pool, clock} = this.parts;
 		const {request, account, body, signal} = served.inputs;
 		const sentAtMs = clock.now();
@@ -149,7 +137,7 @@
 
 		signal.addEventListener('abort', giveUp, {once: true});
 		const timer = setTimeout(giveUp, options.beginMs);
-		const running = placement.begin(backend, unreadTokens, request.promptParts, sentAtMs);
+		const running = placement.begin(backend.id, request.promptTokens ?? 0, request.promptParts, sentAtMs);
 		const attempt = {
 			backendId: backend.id, costMs: Math.round(costMs), atMs: Math.round(sentAtMs - served.inputs.arrivedAtMs), result: 'sent',
 		};
@@ -167,7 +155,7 @@
 				method: request.method,
 				path: request.path,
 				headers: dialect.backendHeaders(request, {
-					backendName: backend.name,
+					backendId: backend.id,
 					account: account?.name,
 					deadlineMs: served.remainingMs(sentAtMs),
 					priority: served.priority,
--- a/src/coordination/serving/flight.ts
+++ b/src/coordination/serving/flight.ts
@@ -142,7 +142,7 @@
 			this.onFirstEvent();
 		}
 
-		begun.running.noteRead(this.progressAtMs);
+		begun.running.noteRead();
 		this.writeHead(begun);
 		this.events++;
 		this.lastEventId = event.id ?? this.lastEventId;
--- a/src/coordination/serving/stream-registry.ts
+++ b/src/coordination/serving/stream-registry.ts
@@ -53,10 +53,8 @@
 				continue;
 			}
 
-			const {leavesAtMs, isEnded} = this.parts.backends.get(backend.id) ?? {};
-			if (isEnded) {
-				this.goOnElsewhere(flight);
-			} else if (leavesAtMs !== undefined && shouldMove(flight, this.tokensPerEvent(flight), leavesAtMs, nowMs)) {
+			const leavesAtMs = this.parts.backends.get(backend.id)?.leavesAtMs;
+			if (leavesAtMs !== undefined && shouldMove(flight, this.tokensPerEvent(flight), leavesAtMs, nowMs)) {
 				this.move(flight, backend);
 			} else if (isStalled(flight, nowMs)) {
 				log.info('stream stalled, interrupted.', {request: flight.served.inputs.request.id, backend: backend.id, silentMs: Math.round(nowMs - flight.progressAtMs)});
@@ -72,21 +70,17 @@
 	private move(flight: Flight, source: Backend): void {
 		const canMove = this.parts.routes.service(flight.served.inputs.service)?.engine?.canMove ?? false;
 		if (flight.events === 0 || !canMove) {
-			// Nothing to copy, or engines that cannot.
-			this.goOnElsewhere(flight);
+			// Nothing to copy, or engines that cannot. A resumable one is sent elsewhere when its connection ends.
+			if (flight.served.isRepeatable) {
+				flight.interrupt();
+			}
+
 			return;
 		}
 
 		flight.moving = this.copy(flight, source);
 	}
 
-	/** Ends the run of a stream that may be repeated; it is sent elsewhere when its connection ends. */
-	private goOnElsewhere(flight: Flight): void {
-		if (flight.served.isRepeatable) {
-			flight.interrupt();
-		}
-	}
-
 	/** Copies a run to another engine, which ends it at its source. */
 	private async copy(flight: Flight, source: Backend): Promise<MoveResult | undefined> {
 		const {id} = flight.served.inputs.request;
--- a/src/protocol/fleet-messages.ts
+++ b/src/protocol/fleet-messages.ts
@@ -41,13 +41,10 @@
 	use: Record<string, [admitted: number, refused: number]>;
 	/** Counts of the latest usage windows; empty where the receiver needs none. */
 	usage: Array<[window: number, counts: WindowCounts]>;
-	/** Load by backend server: its key, requests in flight, and hundreds of prompt tokens that it has not read yet, by turns. */
-	loads: number[];
+	/** Requests in flight: keys of backend servers and counts by turns. */
+	inFlight: number[];
 };
 
-/** What daemons have sent to a backend server. */
-export type SentLoad = {inFlight: number; unreadTokens: number};
-
 /** Who sends a message. */
 export type Sender = {
 	name: string;
--- a/src/transport/backend-pool.ts
+++ b/src/transport/backend-pool.ts
@@ -56,11 +56,6 @@
 		this.distrustedUntilMs = nowMs + distrustMs;
 	}
 
-	/** Whether an idle connection to a backend server is kept. */
-	hasIdle(backend: Backend): boolean {
-		return this.idleTo(backend).length > 0;
-	}
-
 	/** The agent that should send a request: this pool, unless its kept connections are not trusted with it. */
 	agentFor(backend: Backend, isRepeatable: boolean, nowMs: number): Agent {
 		if (isRepeatable || nowMs >= this.distrustedUntilMs) {
@@ -68,7 +63,7 @@
 		}
 
 		// The next request takes the connection that was used last.
-		const last = this.idleTo(backend).at(-1);
+		const last = this.freeSockets[this.getName({host: backend.host, port: backend.port})]?.at(-1);
 		const isTrusted = !last || nowMs - (this.idleSinceMs.get(last) ?? nowMs) <= trustedIdleMs;
 		return isTrusted ? this : this.single;
 	}
@@ -111,10 +106,6 @@
 		socket.off('data', destroyOnData);
 		super.reuseSocket(socket, request);
 	}
-
-	private idleTo({host, port}: Backend): Socket[] {
-		return this.freeSockets[this.getName({host, port})] ?? [];
-	}
 }
 
 /** One request for one backend server. */
