Say in the logs who ended a stream's run and why

Cause: 'broken' stood for an engine that broke off and for an interrupt of the daemon's own, so that no log told the hypotheses of the cut stream apart. Now the attempt and the reason say 'interrupted' with its cause, the events and the silence before it; an interrupt for a leaving engine is logged like one for silence; a used-up repeat allowance gives its counts. No decision is changed.

--- a/src/coordination/retry-allowance.ts
+++ b/src/coordination/retry-allowance.ts
@@ -84,6 +84,11 @@
 		return true;
 	}
 
+	/** The requests for a service and the repeats of them in the last window. */
+	used(service: string, nowMs: number): {firsts: number; repeats: number} {
+		return this.window(service).sum(nowMs);
+	}
+
 	private window(service: string): ServiceWindow {
 		let window = this.windows.get(service);
 		if (!window) {
--- a/src/coordination/serving/dispatcher.ts
+++ b/src/coordination/serving/dispatcher.ts
@@ -101,7 +101,7 @@
 			}
 
 			if (served.arrivals > 0 && !this.mayRepeat(served, options.purpose)) {
-				return {kind: DispatchKind.NoAllowance, reason: 'repeat allowance used up'};
+				return {kind: DispatchKind.NoAllowance, reason: `repeat allowance used up (${this.describeAllowance(served)})`};
 			}
 
 			// eslint-disable-next-line no-await-in-loop -- one backend server after the other.
@@ -125,6 +125,13 @@
 		return allowance.take(served.inputs.service, purpose, fleet.daemons(nowMs), nowMs);
 	}
 
+	private describeAllowance(served: ServedRequest): string {
+		const {allowance, fleet, clock} = this.parts;
+		const nowMs = clock.now();
+		const {firsts, repeats} = allowance.used(served.inputs.service, nowMs);
+		return `${repeats} repeats for ${firsts} requests, ${fleet.daemons(nowMs)} daemons`;
+	}
+
 	private async sendTo(served: ServedRequest, choice: Pick<Choice, 'backend' | 'costMs' | 'copyFrom'>, options: DispatchOptions): Promise<BegunAnswer | FailedDispatch> {
 		const {backend, costMs, copyFrom} = choice;
 		const {dialect, placement, pool, clock} = this.parts;
--- a/src/coordination/serving/flight.ts
+++ b/src/coordination/serving/flight.ts
@@ -13,6 +13,20 @@
 	Broken = 'broken',
 	/** Events are missing between what was delivered and what came. */
 	Gap = 'gap',
+	/** The daemon ended the run itself. */
+	Interrupted = 'interrupted',
+}
+
+/** Why the daemon ended a run itself. */
+export enum InterruptCause {
+	/** No event came for too long. */
+	Silent = 'silent',
+	/** The engine leaves, and the run cannot be moved. */
+	Leaving = 'engine leaves',
+	/** Whether an ordered move took place is unknown. */
+	MoveUnanswered = 'move unanswered',
+	/** The request's time is over. */
+	Deadline = 'deadline',
 }
 
 /** A run whose KV cache was copied to another engine, or the failure to do so. */
@@ -31,6 +45,7 @@
 	lastEventId: string | undefined;
 	/** Set while the run is being moved. */
 	moving: Promise<MoveResult | undefined> | undefined;
+	private interruptCause: InterruptCause | undefined;
 
 	constructor(
 		readonly served: ServedRequest,
@@ -56,8 +71,17 @@
 	}
 
 	/** Closes the connection of the run in progress. */
-	interrupt(): void {
-		this.begun?.abort.abort();
+	interrupt(cause: InterruptCause): void {
+		if (this.begun) {
+			this.interruptCause = cause;
+			this.begun.abort.abort();
+		}
+	}
+
+	/** Says how a run ended, by whom, and how long it had been silent. */
+	describeEnd(end: PumpEnd): string {
+		const by = end === PumpEnd.Interrupted ? `${end}, ${this.interruptCause}` : end;
+		return `${by}, after ${this.events} events and ${Math.round(this.now() - this.progressAtMs)} ms of silence`;
 	}
 
 	/** Passes the events of one run on until it ends. */
@@ -66,6 +90,7 @@
 		const {response: source} = answer;
 		const splitter = new EventSplitter();
 		this.begun = begun;
+		this.interruptCause = undefined;
 		this.progressAtMs = this.now();
 		return new Promise(resolve => {
 			let isOver = false;
@@ -106,12 +131,12 @@
 
 				end(isComplete ? PumpEnd.Complete : PumpEnd.Broken);
 			});
-			source.once('error', () => {
-				end(PumpEnd.Broken);
-			});
-			source.once('close', () => {
-				end(PumpEnd.Broken);
-			});
+			const breakOff = () => {
+				end(this.interruptCause === undefined ? PumpEnd.Broken : PumpEnd.Interrupted);
+			};
+
+			source.once('error', breakOff);
+			source.once('close', breakOff);
 		});
 	}
 
--- a/src/coordination/serving/stream-forwarding.ts
+++ b/src/coordination/serving/stream-forwarding.ts
@@ -10,7 +10,9 @@
 import {
 	type BegunAnswer, type Dispatcher, DispatchKind, type DispatchOptions,
 } from './dispatcher.js';
-import {Flight, type MoveResult, PumpEnd} from './flight.js';
+import {
+	Flight, InterruptCause, type MoveResult, PumpEnd,
+} from './flight.js';
 import {type ServedRequest} from './served-request.js';
 import {type StreamRegistry} from './stream-registry.js';
 
@@ -39,7 +41,7 @@
 	let next: Partial<DispatchOptions> = {};
 	let reason = 'no time left';
 	const deadline = setTimeout(() => {
-		flight.interrupt();
+		flight.interrupt(InterruptCause.Deadline);
 	}, Math.max(0, served.remainingMs(now())));
 	registry.add(flight);
 	try {
@@ -95,8 +97,8 @@
 	const {status} = begun.answer;
 	if (status >= 200 && status < 300) {
 		const end = await flight.pump(begun);
-		attempt.result = `${end} after ${flight.events} events`;
-		return end === PumpEnd.Complete ? {kind: 'complete', events: flight.events} : end;
+		attempt.result = flight.describeEnd(end);
+		return end === PumpEnd.Complete ? {kind: 'complete', events: flight.events} : attempt.result;
 	}
 
 	const answer = await readFailure(begun);
--- a/src/coordination/serving/stream-registry.ts
+++ b/src/coordination/serving/stream-registry.ts
@@ -9,7 +9,7 @@
 import {type RouteTable} from '../../state/route-table.js';
 import {createLogger} from '../../log.js';
 import {type Dispatcher} from './dispatcher.js';
-import {type Flight, type MoveResult} from './flight.js';
+import {type Flight, InterruptCause, type MoveResult} from './flight.js';
 
 const log = createLogger('streams');
 
@@ -57,8 +57,10 @@
 			if (leavesAtMs !== undefined && shouldMove(flight, this.tokensPerEvent(flight), leavesAtMs, nowMs)) {
 				this.move(flight, backend);
 			} else if (isStalled(flight, nowMs)) {
-				log.info('stream stalled, interrupted.', {request: flight.served.inputs.request.id, backend: backend.id, silentMs: Math.round(nowMs - flight.progressAtMs)});
-				flight.interrupt();
+				log.info('stream stalled, interrupted.', {
+					request: flight.served.inputs.request.id, backend: backend.id, events: flight.events, silentMs: Math.round(nowMs - flight.progressAtMs), runs: flight.served.runs,
+				});
+				flight.interrupt(InterruptCause.Silent);
 			}
 		}
 	}
@@ -72,7 +74,10 @@
 		if (flight.events === 0 || !canMove) {
 			// Nothing to copy, or engines that cannot. A resumable one is sent elsewhere when its connection ends.
 			if (flight.served.isRepeatable) {
-				flight.interrupt();
+				log.info('stream cannot be moved, interrupted.', {
+					request: flight.served.inputs.request.id, backend: source.id, events: flight.events, runs: flight.served.runs,
+				});
+				flight.interrupt(InterruptCause.Leaving);
 			}
 
 			return;
@@ -106,7 +111,7 @@
 				log.warn('move unanswered.', {
 					request: id, from: source.id, to: target.id, error: String(error),
 				});
-				flight.interrupt();
+				flight.interrupt(InterruptCause.MoveUnanswered);
 				return undefined;
 			}
 
