Give up a stream's run only when what takes it over is held

If not, the loop ended at once and the answer broke off. An unanswered move interrupted a run that might still go on, also one that may not run twice.

The next send uses what is held. A place that was not needed is given back, and a connection that did not open uses none.

Ruled out: waiting for a place before the cut with the run already gone, which leaves the client in silence for nothing.

--- a/src/coordination/__tests__/shared-limits.test.ts
+++ b/src/coordination/__tests__/shared-limits.test.ts
@@ -251,6 +251,18 @@
 
 		expect(repeats).toBeLessThanOrEqual((1000 * bound.ratio) + bound.slack);
 	});
+
+	it.each([
+		{name: 'in its window', givenBackAtMs: 5000, isFree: true},
+		{name: 'after its window, where it counts no more', givenBackAtMs: 12_000, isFree: false},
+	])('a place that was not used is free again $name', ({givenBackAtMs, isFree}) => {
+		const allowance = new RetryAllowance({ratio: 0, windowMs: 10_000, slack: 2});
+		expect(allowance.take('s', RepeatPurpose.Move, 1, 0)).toBe(true);
+		const isTakenAgain = givenBackAtMs > 10_000 && allowance.take('s', RepeatPurpose.Move, 1, givenBackAtMs);
+		allowance.giveBack('s', 0);
+		expect(allowance.used('s', givenBackAtMs).repeats).toBe(isTakenAgain ? 1 : 0);
+		expect(allowance.take('s', RepeatPurpose.Move, 1, givenBackAtMs)).toBe(isFree);
+	});
 });
 
 describe('UsageLedger', () => {
--- a/src/coordination/retry-allowance.ts
+++ b/src/coordination/retry-allowance.ts
@@ -31,8 +31,14 @@
 
 	constructor(private readonly stepMs: number) {}
 
+	/** The counts of an earlier step, if it is still in the window. */
+	earlier(atMs: number): Counts | undefined {
+		const step = this.stepOf(atMs);
+		return this.counts.find(count => count.step === step);
+	}
+
 	at(nowMs: number): Counts {
-		const step = Math.floor(nowMs / this.stepMs);
+		const step = this.stepOf(nowMs);
 		while (this.counts.length > 0 && this.counts[0].step <= step - steps) {
 			this.counts.shift();
 		}
@@ -58,6 +64,10 @@
 
 		return {firsts, repeats};
 	}
+
+	private stepOf(atMs: number): number {
+		return Math.floor(atMs / this.stepMs);
+	}
 }
 
 /** This daemon's share of the retries of every service. */
@@ -84,6 +94,14 @@
 		return true;
 	}
 
+	/** Gives back a repeat that was taken and not used. */
+	giveBack(service: string, takenAtMs: number): void {
+		const taken = this.window(service).earlier(takenAtMs);
+		if (taken) {
+			taken.repeats--;
+		}
+	}
+
 	/** The requests for a service and the repeats of them in the last window. */
 	used(service: string, nowMs: number): {firsts: number; repeats: number} {
 		return this.window(service).sum(nowMs);
--- a/src/coordination/serving/dispatcher.ts
+++ b/src/coordination/serving/dispatcher.ts
@@ -12,7 +12,7 @@
 import {backendKey} from '../fleet/backend-key.js';
 import {type FleetTable} from '../fleet/fleet-table.js';
 import {type Choice, type Placement, type RunningRequest} from '../placement.js';
-import {type RepeatPurpose, type RetryAllowance} from '../retry-allowance.js';
+import {RepeatPurpose, type RetryAllowance} from '../retry-allowance.js';
 import {type ServedRequest} from './served-request.js';
 
 const log = createLogger('dispatch');
@@ -76,14 +76,14 @@
 export class Dispatcher {
 	constructor(private readonly parts: DispatcherParts) {}
 
-	/** The backend server that would get a request now. */
-	choose(served: ServedRequest): Choice | undefined {
+	/** The backend server that would get a request now, other than the one it runs at. */
+	choose(served: ServedRequest, runningAt?: string): Choice | undefined {
 		const {backends, placement, fleet, clock} = this.parts;
 		const {request, service} = served.inputs;
 		const nowMs = clock.now();
 		return placement.choose({
 			candidates: backends.candidates(service, nowMs),
-			excluded: served.excluded,
+			excluded: runningAt === undefined ? served.excluded : new Set([...served.excluded, runningAt]),
 			promptTokens: request.promptTokens ?? 0,
 			promptParts: request.promptParts,
 			peersInFlight: id => fleet.inFlight(backendKey(id), nowMs),
@@ -92,18 +92,62 @@
 		});
 	}
 
+	/**
+	 * Holds a backend server and a place in the repeat allowance for the next run of a request.
+	 * The daemon ends a run in progress only when this succeeded: otherwise an answer that may
+	 * still come would break off with nothing to follow.
+	 */
+	holdSuccessor(served: ServedRequest, runningAt: string, nowMs: number): boolean {
+		if (served.successor) {
+			return true;
+		}
+
+		const choice = this.choose(served, runningAt);
+		if (!choice || !this.mayRepeat(served, RepeatPurpose.Move, nowMs)) {
+			return false;
+		}
+
+		served.successor = {choice, heldAtMs: nowMs};
+		return true;
+	}
+
+	/** The backend server held for the next run, or another one if that has failed the request meanwhile. */
+	heldBackend(served: ServedRequest): Backend | undefined {
+		const {successor} = served;
+		if (successor && served.excluded.has(successor.choice.backend.id)) {
+			successor.choice = this.choose(served) ?? successor.choice;
+		}
+
+		return successor && !served.excluded.has(successor.choice.backend.id) ? successor.choice.backend : undefined;
+	}
+
+	/** Gives back a place that is not needed. */
+	releaseSuccessor(served: ServedRequest): void {
+		if (served.successor) {
+			this.parts.allowance.giveBack(served.inputs.service, served.successor.heldAtMs);
+			served.successor = undefined;
+		}
+	}
+
 	/** Sends a request once; a connection that does not open is no arrival, so the next backend server is tried. */
 	async send(served: ServedRequest, options: DispatchOptions): Promise<BegunAnswer | FailedDispatch> {
+		const held = served.successor;
+		served.successor = undefined;
+		let hasPlace = served.arrivals === 0 || held !== undefined;
+		let planned = options.target ? {backend: options.target, costMs: 0, copyFrom: undefined} : held?.choice;
 		for (;;) {
-			const choice: Pick<Choice, 'backend' | 'costMs' | 'copyFrom'> | undefined = options.target ? {backend: options.target, costMs: 0, copyFrom: undefined} : this.choose(served);
+			const choice = planned && !served.excluded.has(planned.backend.id) ? planned : this.choose(served);
+			planned = undefined;
 			if (!choice) {
 				return {kind: DispatchKind.NoBackend, reason: 'no backend server left'};
 			}
 
-			if (served.arrivals > 0 && !this.mayRepeat(served, options.purpose)) {
+			if (!hasPlace && !this.mayRepeat(served, options.purpose, this.parts.clock.now())) {
 				return {kind: DispatchKind.NoAllowance, reason: `repeat allowance used up (${this.describeAllowance(served)})`};
 			}
 
+			// A place is used by an arrival, not by a connection that did not open.
+			hasPlace = true;
 			// eslint-disable-next-line no-await-in-loop -- one backend server after the other.
 			const result = await this.sendTo(served, choice, options);
 			const isUnreached = result.kind === DispatchKind.NotRun && result.reason === 'unreached';
@@ -119,9 +163,8 @@
 		this.parts.placement.noteFailure(backendId, this.parts.clock.now());
 	}
 
-	private mayRepeat(served: ServedRequest, purpose: RepeatPurpose): boolean {
-		const {allowance, fleet, clock} = this.parts;
-		const nowMs = clock.now();
+	private mayRepeat(served: ServedRequest, purpose: RepeatPurpose, nowMs: number): boolean {
+		const {allowance, fleet} = this.parts;
 		return allowance.take(served.inputs.service, purpose, fleet.daemons(nowMs), nowMs);
 	}
 
--- a/src/coordination/serving/flight.ts
+++ b/src/coordination/serving/flight.ts
@@ -23,8 +23,6 @@
 	Silent = 'silent',
 	/** The engine leaves, and the run cannot be moved. */
 	Leaving = 'engine leaves',
-	/** Whether an ordered move took place is unknown. */
-	MoveUnanswered = 'move unanswered',
 	/** The request's time is over. */
 	Deadline = 'deadline',
 }
@@ -45,6 +43,8 @@
 	lastEventId: string | undefined;
 	/** Set while the run is being moved. */
 	moving: Promise<MoveResult | undefined> | undefined;
+	/** Whether the log says that it stays at its engine since nothing can take it over. */
+	isKept = false;
 	private interruptCause: InterruptCause | undefined;
 
 	constructor(
--- a/src/coordination/serving/served-request.ts
+++ b/src/coordination/serving/served-request.ts
@@ -3,6 +3,7 @@
 import {
 	type Account, type CallerRequest, RequestKind, type Route,
 } from '../../protocol/serving.js';
+import {type Choice} from '../placement.js';
 
 /** One request sent to a backend server. */
 export type Attempt = {backendId: string; costMs: number; atMs: number; result: string};
@@ -22,6 +23,9 @@
 	configVersion: number;
 };
 
+/** A backend server for a request's next run, and a place in the repeat allowance taken for it. */
+export type Successor = {choice: Pick<Choice, 'backend' | 'costMs' | 'copyFrom'>; heldAtMs: number};
+
 /** A request being served. */
 export class ServedRequest {
 	readonly attempts: Attempt[] = [];
@@ -35,6 +39,8 @@
 	runs = 0;
 	/** Arrivals at backend servers, refused ones included. */
 	arrivals = 0;
+	/** What takes over from the run in progress, held before that is given up. */
+	successor: Successor | undefined;
 	/** Whether it was counted as begun for the usage reports. */
 	isCounted = false;
 
@@ -49,6 +55,11 @@
 		return kind === RequestKind.Idempotent || (kind === RequestKind.Streaming && isResumable);
 	}
 
+	/** Whether the route lets one more backend server run it. */
+	get mayRunAgain(): boolean {
+		return this.isRepeatable && this.runs < this.inputs.route.attempts;
+	}
+
 	get priority(): number {
 		return this.inputs.account?.priority ?? this.inputs.route.priority;
 	}
--- a/src/coordination/serving/stream-forwarding.ts
+++ b/src/coordination/serving/stream-forwarding.ts
@@ -72,7 +72,7 @@
 			const moved = await takeMove(flight);
 			if (moved) {
 				next = {target: moved.target, kvSource: moved.run.kvSource, purpose: RepeatPurpose.Move};
-			} else if (served.mayHaveRun && (!served.isRepeatable || !mayRunAgain(served))) {
+			} else if (served.mayHaveRun && !served.mayRunAgain) {
 				break;
 			} else {
 				next = flight.events > 0 ? {purpose: RepeatPurpose.Move} : {};
@@ -81,6 +81,7 @@
 	} finally {
 		clearTimeout(deadline);
 		registry.remove(flight);
+		dispatcher.releaseSuccessor(served);
 	}
 
 	if (flight.isHeadSent) {
@@ -103,8 +104,7 @@
 
 	const answer = await readFailure(begun);
 	attempt.result = String(status);
-	const mayGoElsewhere = served.isRepeatable && mayRunAgain(served);
-	return answer && !flight.isHeadSent && !mayGoElsewhere ? {kind: 'answer', answer} : `failed with ${status}`;
+	return answer && !flight.isHeadSent && !served.mayRunAgain ? {kind: 'answer', answer} : `failed with ${status}`;
 }
 
 /** Time for an engine to begin: all there is, unless another may be asked. */
@@ -115,11 +115,6 @@
 	return canRepeat && flight.events === 0 ? Math.min(remainingMs, latencyTargetMs * beginTargets) : remainingMs;
 }
 
-/** Whether the route's attempts leave room for one more run. */
-function mayRunAgain(served: ServedRequest): boolean {
-	return served.runs < served.inputs.route.attempts;
-}
-
 /** Waits for a move in progress and takes its result. */
 async function takeMove(flight: Flight): Promise<MoveResult | undefined> {
 	const moved = await flight.moving;
--- a/src/coordination/serving/stream-registry.ts
+++ b/src/coordination/serving/stream-registry.ts
@@ -3,7 +3,7 @@
  * interrupts those whose engine fell silent while another may go on with them. It answers
  * reclaims of a whole failure domain, which move dozens of streams within two seconds.
  */
-import {type Engines} from '../../protocol/platform.js';
+import {type Engines, type MovedRun} from '../../protocol/platform.js';
 import {type Backend} from '../../protocol/serving.js';
 import {type BackendTable} from '../../state/backend-table.js';
 import {type RouteTable} from '../../state/route-table.js';
@@ -55,12 +55,9 @@
 
 			const leavesAtMs = this.parts.backends.get(backend.id)?.leavesAtMs;
 			if (leavesAtMs !== undefined && shouldMove(flight, this.tokensPerEvent(flight), leavesAtMs, nowMs)) {
-				this.move(flight, backend);
-			} else if (isStalled(flight, nowMs)) {
-				log.info('stream stalled, interrupted.', {
-					request: flight.served.inputs.request.id, backend: backend.id, events: flight.events, silentMs: Math.round(nowMs - flight.progressAtMs), runs: flight.served.runs,
-				});
-				flight.interrupt(InterruptCause.Silent);
+				this.leave(flight, backend, nowMs);
+			} else if (isSilent(flight, nowMs) && flight.served.mayRunAgain) {
+				this.handOver(flight, backend, InterruptCause.Silent, nowMs);
 			}
 		}
 	}
@@ -69,57 +66,85 @@
 		return this.parts.routes.service(flight.served.inputs.service)?.engine?.tokensPerEvent ?? 1;
 	}
 
-	private move(flight: Flight, source: Backend): void {
+	/** Takes a stream off an engine that leaves. */
+	private leave(flight: Flight, source: Backend, nowMs: number): void {
 		const canMove = this.parts.routes.service(flight.served.inputs.service)?.engine?.canMove ?? false;
-		if (flight.events === 0 || !canMove) {
-			// Nothing to copy, or engines that cannot. A resumable one is sent elsewhere when its connection ends.
-			if (flight.served.isRepeatable) {
-				log.info('stream cannot be moved, interrupted.', {
-					request: flight.served.inputs.request.id, backend: source.id, events: flight.events, runs: flight.served.runs,
-				});
-				flight.interrupt(InterruptCause.Leaving);
+		if (flight.events > 0 && canMove) {
+			if (this.hold(flight, source, InterruptCause.Leaving, nowMs)) {
+				flight.moving = this.move(flight, source);
 			}
+		} else if (flight.served.mayRunAgain) {
+			// Nothing to copy, or engines that cannot.
+			this.handOver(flight, source, InterruptCause.Leaving, nowMs);
+		}
+	}
 
-			return;
+	/** Ends a run if another engine takes over. */
+	private handOver(flight: Flight, source: Backend, cause: InterruptCause, nowMs: number): void {
+		if (this.hold(flight, source, cause, nowMs)) {
+			log.info('stream interrupted.', {cause, ...describe(flight, source, nowMs)});
+			flight.interrupt(cause);
 		}
+	}
 
-		flight.moving = this.copy(flight, source);
+	/** Holds what takes over from a run. Without it the run goes on: a stream is not cut while it may still end well. */
+	private hold(flight: Flight, source: Backend, cause: InterruptCause, nowMs: number): boolean {
+		const isHeld = this.parts.dispatcher.holdSuccessor(flight.served, source.id, nowMs);
+		if (!isHeld && !flight.isKept) {
+			flight.isKept = true;
+			log.info('stream kept, nothing can take it over.', {cause, ...describe(flight, source, nowMs)});
+		}
+
+		return isHeld;
 	}
 
-	/** Copies a run to another engine, which ends it at its source. */
-	private async copy(flight: Flight, source: Backend): Promise<MoveResult | undefined> {
-		const {id} = flight.served.inputs.request;
+	/** Moves a run; one that was not moved, and was not stopped either, is looked at again. */
+	private async move(flight: Flight, source: Backend): Promise<MoveResult | undefined> {
 		flight.served.excluded.add(source.id);
 		for (let tries = 0; tries < moveTargets; tries++) {
-			const target = this.parts.dispatcher.choose(flight.served)?.backend;
+			const target = this.parts.dispatcher.heldBackend(flight.served);
 			if (!target) {
 				break;
 			}
 
-			try {
-				// eslint-disable-next-line no-await-in-loop -- the next target only if this one has no room.
-				const run = await this.parts.engines.move(id, source, target, this.parts.signal);
-				log.info(run ? 'stream moved.' : 'stream not moved.', {
-					request: id, from: source.id, to: target.id, events: flight.events,
-				});
-				if (run) {
-					this.moved++;
-					// What the source sent before it stopped is still on its way; it closes the stream.
-					return {target, run};
-				}
-			} catch (error) {
-				log.warn('move unanswered.', {
-					request: id, from: source.id, to: target.id, error: String(error),
-				});
-				flight.interrupt(InterruptCause.MoveUnanswered);
-				return undefined;
+			// eslint-disable-next-line no-await-in-loop -- the next target only if this one has no room.
+			const run = await this.copy(flight, source, target);
+			if (run) {
+				this.moved++;
+				// What the source sent before it stopped is still on its way; it closes the stream.
+				return {target, run};
 			}
 
 			flight.served.excluded.add(target.id);
 		}
 
+		flight.moving = undefined;
 		return undefined;
 	}
+
+	/** Copies a run to another engine, which ends it at its source. */
+	private async copy(flight: Flight, source: Backend, target: Backend): Promise<MovedRun | undefined> {
+		const {id} = flight.served.inputs.request;
+		const context = {
+			request: id, from: source.id, to: target.id, events: flight.events,
+		};
+		try {
+			const run = await this.parts.engines.move(id, source, target, this.parts.signal);
+			log.info(run ? 'stream moved.' : 'stream not moved.', context);
+			return run;
+		} catch (error) {
+			// Perhaps it was carried out: the source then ends the stream itself.
+			log.warn('move unanswered.', {...context, error: String(error)});
+			return undefined;
+		}
+	}
+}
+
+/** What a log line says of a stream. */
+function describe(flight: Flight, backend: Backend, nowMs: number): Record<string, unknown> {
+	return {
+		request: flight.served.inputs.request.id, backend: backend.id, events: flight.events, silentMs: Math.round(nowMs - flight.progressAtMs), runs: flight.served.runs,
+	};
 }
 
 /** Whether a stream would not end before its engine leaves, and the time to move it has come. */
@@ -133,7 +158,6 @@
 	return restMs === undefined || (restMs * estimateFactor) + finishMarginMs > leftMs;
 }
 
-function isStalled(flight: Flight, nowMs: number): boolean {
-	const {isRepeatable, runs, inputs} = flight.served;
-	return flight.events > 0 && isRepeatable && runs <= inputs.route.attempts && nowMs - flight.progressAtMs > stallMs;
+function isSilent(flight: Flight, nowMs: number): boolean {
+	return flight.events > 0 && nowMs - flight.progressAtMs > stallMs;
 }
