Keep a late run until what takes it over is held

Cause: the limits for a stream's first event and for a call's answer dropped a run after their time, and only the next send found that the repeat allowance was used up, no other backend server was there or, for a call that had been refused before, one more arrival was not permitted. The answer that was on its way became a 502.

Now the limit is when the dispatcher begins to try to hold a backend server and a place, every 50 ms; the run is dropped when it has them, and otherwise goes on until its answer or its deadline. The answer may come late, and is delivered.

--- a/src/coordination/serving/call-forwarding.ts
+++ b/src/coordination/serving/call-forwarding.ts
@@ -12,7 +12,7 @@
 
 /** Longest answer that is held, in bytes. */
 const mostAnswerBytes = 8 * 1024 * 1024;
-/** A first try of an idempotent request gets this many times its latency target before another backend server is asked. */
+/** A first try of an idempotent request gets this many times its latency target before another backend server that is held for it is asked. */
 const tryTargets = 2.5;
 /** ... and at most this share of the time left. */
 const tryShare = 0.45;
@@ -32,15 +32,21 @@
 
 /** Forwards one call. */
 export async function forwardCall(dispatcher: Dispatcher, served: ServedRequest, onBegun: () => void, now: () => number): Promise<CallResult> {
-	const {route} = served.inputs;
+	try {
+		return await tryCall(dispatcher, served, onBegun, now);
+	} finally {
+		dispatcher.releaseSuccessor(served);
+	}
+}
+
+async function tryCall(dispatcher: Dispatcher, served: ServedRequest, onBegun: () => void, now: () => number): Promise<CallResult> {
 	let failure: WholeAnswer | undefined;
 	let reason = 'no time left';
 	while (served.remainingMs(now()) > leastUsefulMs && !served.inputs.signal.aborted) {
 		const remainingMs = served.remainingMs(now());
-		const canRepeat = route.kind === RequestKind.Idempotent && served.runs + 1 < route.attempts;
-		const beginMs = canRepeat ? Math.min(remainingMs * tryShare, route.latencyTargetMs * tryTargets) : remainingMs;
+		const patienceMs = patienceOf(served, remainingMs);
 		// eslint-disable-next-line no-await-in-loop -- one backend server after the other.
-		const dispatched = await dispatcher.send(served, {purpose: RepeatPurpose.Retry, beginMs});
+		const dispatched = await dispatcher.send(served, {purpose: RepeatPurpose.Retry, beginMs: remainingMs, patienceMs});
 		if (dispatched.kind === DispatchKind.Answer || dispatched.kind === DispatchKind.Unknown) {
 			onBegun();
 		}
@@ -48,7 +54,7 @@
 		if (dispatched.kind === DispatchKind.Answer) {
 			// eslint-disable-next-line no-await-in-loop
 			const answer = await readWhole(dispatched, served.remainingMs(now()), served);
-			if (answer && (answer.status < 500 || !canRepeat)) {
+			if (answer && (answer.status < 500 || patienceMs === undefined)) {
 				return {kind: 'answer', answer};
 			}
 
@@ -71,6 +77,13 @@
 	return served.mayHaveRun ? {kind: 'unknown', reason} : {kind: 'not-run', reason};
 }
 
+/** Time after which another backend server is asked instead; undefined when none may be after this one. */
+function patienceOf(served: ServedRequest, remainingMs: number): number | undefined {
+	const {kind, attempts, latencyTargetMs} = served.inputs.route;
+	const canRepeat = kind === RequestKind.Idempotent && served.runs + 1 < attempts && served.arrivals < attempts;
+	return canRepeat ? Math.min(remainingMs * tryShare, latencyTargetMs * tryTargets) : undefined;
+}
+
 /** Whether another backend server may be asked. */
 function mayGoOn(served: ServedRequest, dispatched: BegunAnswer | FailedDispatch): boolean {
 	const {route} = served.inputs;
--- a/src/coordination/serving/dispatcher.ts
+++ b/src/coordination/serving/dispatcher.ts
@@ -12,13 +12,15 @@
 import {backendKey} from '../fleet/backend-key.js';
 import {type FleetTable} from '../fleet/fleet-table.js';
 import {type Choice, type Placement, type RunningRequest} from '../placement.js';
-import {RepeatPurpose, type RetryAllowance} from '../retry-allowance.js';
+import {type RepeatPurpose, type RetryAllowance} from '../retry-allowance.js';
 import {type ServedRequest} from './served-request.js';
 
 const log = createLogger('dispatch');
 
 /** Time for a connection to open, in milliseconds; a hundred round trips between failure domains. */
 const connectMs = 300;
+/** How often it is tried to hold what takes over from a late backend server, in milliseconds. */
+const holdPauseMs = 50;
 /** The status of an answer from another backend server than the one meant. */
 const misdirectedStatus = 421;
 
@@ -59,6 +61,8 @@
 	purpose: RepeatPurpose;
 	/** Time for the answer to begin, in milliseconds. */
 	beginMs: number;
+	/** Time after which another backend server takes over if one is held, in milliseconds; undefined where none may. */
+	patienceMs?: number;
 };
 
 /** The parts a dispatcher works with. */
@@ -97,13 +101,13 @@
 	 * The daemon ends a run in progress only when this succeeded: otherwise an answer that may
 	 * still come would break off with nothing to follow.
 	 */
-	holdSuccessor(served: ServedRequest, runningAt: string, nowMs: number): boolean {
+	holdSuccessor(served: ServedRequest, runningAt: string, purpose: RepeatPurpose, nowMs: number): boolean {
 		if (served.successor) {
 			return true;
 		}
 
 		const choice = this.choose(served, runningAt);
-		if (!choice || !this.mayRepeat(served, RepeatPurpose.Move, nowMs)) {
+		if (!choice || !this.mayRepeat(served, purpose, nowMs)) {
 			return false;
 		}
 
@@ -187,6 +191,7 @@
 
 		signal.addEventListener('abort', giveUp, {once: true});
 		const timer = setTimeout(giveUp, options.beginMs);
+		const stopWatching = this.watchLateness(served, backend.id, options, giveUp);
 		const running = placement.begin(backend.id, request.promptTokens ?? 0, request.promptParts, sentAtMs);
 		const attempt = {
 			backendId: backend.id, costMs: Math.round(costMs), atMs: Math.round(sentAtMs - served.inputs.arrivedAtMs), result: 'sent',
@@ -239,9 +244,30 @@
 			return fail({kind: DispatchKind.Unknown, reason: signal.aborted ? 'client gone' : (abort.signal.aborted ? 'silent' : 'broken')});
 		} finally {
 			clearTimeout(timer);
+			stopWatching();
 		}
 	}
 
+	/** Ends a dispatch whose answer is late as soon as another backend server is held for it; returns what ends the watch. */
+	private watchLateness(served: ServedRequest, backendId: string, {patienceMs, purpose}: DispatchOptions, giveUp: () => void): () => void {
+		if (patienceMs === undefined) {
+			return () => undefined;
+		}
+
+		const look = () => {
+			if (this.holdSuccessor(served, backendId, purpose, this.parts.clock.now())) {
+				giveUp();
+			} else {
+				timer = setTimeout(look, holdPauseMs);
+			}
+		};
+
+		let timer = setTimeout(look, patienceMs);
+		return () => {
+			clearTimeout(timer);
+		};
+	}
+
 	/** Checks that an answer belongs to the request and what it says of the run. */
 	private judge(served: ServedRequest, begun: Omit<BegunAnswer, 'kind' | 'marks'>, options: DispatchOptions, fail: (failure: FailedDispatch) => FailedDispatch): BegunAnswer | FailedDispatch {
 		const {dialect, backends, placement, clock} = this.parts;
--- a/src/coordination/serving/stream-forwarding.ts
+++ b/src/coordination/serving/stream-forwarding.ts
@@ -16,7 +16,7 @@
 import {type ServedRequest} from './served-request.js';
 import {type StreamRegistry} from './stream-registry.js';
 
-/** An engine gets this many times the latency target to begin before a resumable stream is sent to another. */
+/** An engine gets this many times the latency target to begin before a resumable stream is sent to another that is held for it. */
 const beginTargets = 3;
 /** Longest answer of an engine that is no stream, in bytes. */
 const mostAnswerBytes = 1024 * 1024;
@@ -48,7 +48,7 @@
 		while (served.remainingMs(now()) > leastUsefulMs && !served.inputs.signal.aborted) {
 			// eslint-disable-next-line no-await-in-loop -- one engine after the other.
 			const dispatched = await dispatcher.send(served, {
-				purpose: RepeatPurpose.Retry, beginMs: beginMs(served, flight, now()), lastEventId: flight.lastEventId, ...next,
+				purpose: RepeatPurpose.Retry, beginMs: served.remainingMs(now()), patienceMs: patienceMs(served, flight), lastEventId: flight.lastEventId, ...next,
 			});
 			if (dispatched.kind === DispatchKind.NoBackend || dispatched.kind === DispatchKind.NoAllowance) {
 				({reason} = dispatched);
@@ -107,12 +107,11 @@
 	return answer && !flight.isHeadSent && !served.mayRunAgain ? {kind: 'answer', answer} : `failed with ${status}`;
 }
 
-/** Time for an engine to begin: all there is, unless another may be asked. */
-function beginMs(served: ServedRequest, flight: Flight, nowMs: number): number {
-	const remainingMs = served.remainingMs(nowMs);
-	const {latencyTargetMs} = served.inputs.route;
-	const canRepeat = served.isRepeatable && served.runs + 1 < served.inputs.route.attempts;
-	return canRepeat && flight.events === 0 ? Math.min(remainingMs, latencyTargetMs * beginTargets) : remainingMs;
+/** Time after which another engine is asked to begin a stream instead; undefined when none may be. */
+function patienceMs(served: ServedRequest, flight: Flight): number | undefined {
+	const {attempts, latencyTargetMs} = served.inputs.route;
+	const canRepeat = served.isRepeatable && served.runs + 1 < attempts;
+	return canRepeat && flight.events === 0 ? latencyTargetMs * beginTargets : undefined;
 }
 
 /** Waits for a move in progress and takes its result. */
--- a/src/coordination/serving/stream-registry.ts
+++ b/src/coordination/serving/stream-registry.ts
@@ -8,6 +8,7 @@
 import {type BackendTable} from '../../state/backend-table.js';
 import {type RouteTable} from '../../state/route-table.js';
 import {createLogger} from '../../log.js';
+import {RepeatPurpose} from '../retry-allowance.js';
 import {type Dispatcher} from './dispatcher.js';
 import {type Flight, InterruptCause, type MoveResult} from './flight.js';
 
@@ -89,7 +90,7 @@
 
 	/** Holds what takes over from a run. Without it the run goes on: a stream is not cut while it may still end well. */
 	private hold(flight: Flight, source: Backend, cause: InterruptCause, nowMs: number): boolean {
-		const isHeld = this.parts.dispatcher.holdSuccessor(flight.served, source.id, nowMs);
+		const isHeld = this.parts.dispatcher.holdSuccessor(flight.served, source.id, RepeatPurpose.Move, nowMs);
 		if (!isHeld && !flight.isKept) {
 			flight.isKept = true;
 			log.info('stream kept, nothing can take it over.', {cause, ...describe(flight, source, nowMs)});
