Let a daemon that starts ask the fleet that the list of daemons shows

Cause: a daemon began as one of few, which all report to each other, and changed only when it heard of more than twelve. In a large fleet daemons report to their relays alone, so one that restarted heard nobody until a dozen others had restarted after it. It took its own load for the fleet's, and as holder of the duties gave up the pool; its share of limits and repeats was that of a daemon alone.

Now a newcomer goes by the number of names on the platform's list: above twelve it asks the relays of its failure domain at once. It reports to all that are listed while it is new, so that a small fleet with a long list finds it too. A list that could not be read is read again after 2 s; before, after 8 or 30 s. Role changes are logged, and orders say the need.

Ruled out: a holder that waits before it shrinks the pool; it would be as wrong ten seconds later, and limits and usage counts stay wrong.

--- a/src/coordination/duty-runner.ts
+++ b/src/coordination/duty-runner.ts
@@ -141,15 +141,16 @@
 
 	private async orderPool(service: Service, signal: AbortSignal): Promise<void> {
 		const scaling = service.scaling!;
+		const need = this.parts.need(service);
 		const states = new Map([...scaling.prices.keys()].map(failureDomain => [failureDomain, this.stateOf(service.name, failureDomain, scaling.bootMs)]));
-		const wanted = planPool(scaling, this.parts.need(service), states).flatMap(pool => [
+		const wanted = planPool(scaling, need, states).flatMap(pool => [
 			// Reclaimable ones first, so that nothing is given up before its replacement is ordered.
 			...(scaling.reclaimablePriceRatio === undefined ? [] : [{failureDomain: pool.failureDomain, isReclaimable: true, count: pool.reclaimable}]),
 			{failureDomain: pool.failureDomain, isReclaimable: false, count: pool.onDemand},
 		]);
 		for (const order of wanted.toSorted((a, b) => Number(b.isReclaimable) - Number(a.isReclaimable))) {
 			// eslint-disable-next-line no-await-in-loop
-			await this.order({service: service.name, ...order}, scaling.bootMs, signal);
+			await this.order({service: service.name, ...order}, {bootMs: scaling.bootMs, need}, signal);
 		}
 	}
 
@@ -173,7 +174,7 @@
 			&& backend.service === kind.service && backend.failureDomain === kind.failureDomain && backend.isReclaimable === kind.isReclaimable).length;
 	}
 
-	private async order(order: PoolOrder, bootMs: number, signal: AbortSignal): Promise<void> {
+	private async order(order: PoolOrder, {bootMs, need}: {bootMs: number; need: PoolNeed}, signal: AbortSignal): Promise<void> {
 		const {clock, cloud} = this.parts;
 		const holder = this.holder();
 		const key = orderKey(order);
@@ -189,7 +190,7 @@
 			count: order.count, atMs: clock.now(), result, token: holder.token,
 		});
 		log.info('pool ordered.', {
-			...order, present, result, token: holder.token,
+			...order, present, needed: need.replicas, result, token: holder.token,
 		});
 		if (result === DutyResult.Refused && !order.isReclaimable) {
 			// On-demand VMs are always to be had: a refusal means a higher token.
--- a/src/coordination/fleet/__tests__/fleet-messenger.test.ts
+++ b/src/coordination/fleet/__tests__/fleet-messenger.test.ts
@@ -362,6 +362,34 @@
 		}
 	});
 
+	it('a daemon alone of a list of many comes to report to all', async () => {
+		const net = await startNet(20, 4);
+		for (const daemon of net.daemons.slice(6)) {
+			daemon.isRunning = false;
+		}
+
+		const fresh = net.restart(net.daemons[2]);
+		await fresh.messenger.discover(new AbortController().signal);
+		// The others count those that are gone for a minute; the list is read again every 8 s by then.
+		net.run(70_000);
+		await fresh.messenger.discover(new AbortController().signal);
+		net.run(1000);
+		expect(net.roles()).toEqual({mesh: 6, relay: 0, leaf: 0});
+		expect(fresh.fleet.daemons(net.nowMs)).toBe(6);
+	});
+
+	it.each([
+		{name: 'could not be read', isDown: true, pauseMs: 2000},
+		{name: 'was read', isDown: false, pauseMs: 30_000},
+	])('looks again after $pauseMs ms where the list of daemons $name', async ({isDown, pauseMs}) => {
+		const net = await startNet(86, 4);
+		const fresh = net.restart(net.daemons[50]);
+		net.store.isDown = isDown;
+		await fresh.messenger.discover(new AbortController().signal).catch(() => undefined);
+		net.run(9000);
+		expect(fresh.messenger.discoverPauseMs).toBe(pauseMs);
+	});
+
 	it('costs a daemon that is no relay the same at any size', async () => {
 		const bytes = await Promise.all([{count: 40, domains: 4}, {count: 120, domains: 4}].map(async ({count, domains}) => {
 			const net = await startNet(count, domains);
--- a/src/coordination/fleet/fleet-messenger.ts
+++ b/src/coordination/fleet/fleet-messenger.ts
@@ -34,7 +34,7 @@
 /** How often the store's list of daemons is read and silent ones are written to, in milliseconds: where all report to each other, and where relays tell of each other. */
 const rediscoverMs = 8000;
 const rediscoverLargeMs = 30_000;
-/** A daemon that has just started reads the list this often, in milliseconds, and for this long: those that start with it write their addresses meanwhile. */
+/** A daemon that has just started reads the list this often, in milliseconds, and for this long: those that start with it write their addresses meanwhile. One that could not read it goes on until it can. */
 const discoverEarlyMs = 2000;
 const earlyMs = 8000;
 /** A daemon that has just started asks for the sums of the limits' window for this long, in milliseconds: a window and the time to read the answer. */
@@ -79,6 +79,8 @@
 	isStopping = false;
 	private link: MessageLink | undefined;
 	private isAnnounced = false;
+	/** Whether the store's list of daemons was read since the start. */
+	private isListRead = false;
 	private round = 0;
 	/** When a relay last told something of others. */
 	private toldAtMs: number;
@@ -95,7 +97,7 @@
 	get discoverPauseMs(): number {
 		const {clock, startedAtMs, fleet} = this.parts;
 		const nowMs = clock.now();
-		if (nowMs - startedAtMs < earlyMs) {
+		if (nowMs - startedAtMs < earlyMs || !this.isListRead) {
 			return discoverEarlyMs;
 		}
 
@@ -191,8 +193,9 @@
 			}
 		}
 
+		this.isListRead = true;
 		const nowMs = clock.now();
-		if (fleet.roleAt(nowMs) === FleetRole.Mesh) {
+		if (fleet.roleAt(nowMs) === FleetRole.Mesh || fleet.isNewcomer) {
 			this.link?.send(this.createReport(this.ownDigest(), false, nowMs), fleet.addresses(true, nowMs));
 		}
 	}
--- a/src/coordination/fleet/fleet-table.ts
+++ b/src/coordination/fleet/fleet-table.ts
@@ -8,6 +8,7 @@
 import {
 	type Digest, DigestScope, type NamedAddress, type PeerAddress, type Report, type Sender, type View,
 } from '../../protocol/fleet-messages.js';
+import {createLogger} from '../../log.js';
 import {type AccountUse} from '../quota-ledger.js';
 import {
 	packCounts, readUse, sumCounts, writeUse,
@@ -18,6 +19,8 @@
 	countedMs, freshMs, goneMs, type Headcount, type Part, silentMs, ToldGroup, toldPart,
 } from './told-group.js';
 
+const log = createLogger('fleet');
+
 /** What a daemon is to the others. */
 export enum FleetRole {
 	/** One of few, which all report to each other. */
@@ -55,6 +58,8 @@
 	private readonly counted = new Map<string, UseTotals>();
 	private readonly domains = new Map<string, ToldGroup>();
 	private readonly rest = new ToldGroup();
+	/** Whether it has not yet heard how large the fleet is; until then it goes by the platform's list of daemons. */
+	private isNew = true;
 	/** Since when the fleet has been small enough to report to all. */
 	private smallSinceMs: number | undefined;
 	private roleCheckedAtMs = Number.NEGATIVE_INFINITY;
@@ -108,6 +113,11 @@
 		return growth;
 	}
 
+	/** Whether this daemon started not long ago and has not heard how large the fleet is. */
+	get isNewcomer(): boolean {
+		return this.isNew;
+	}
+
 	/** What this daemon is to the others now. */
 	roleAt(nowMs: number): FleetRole {
 		this.updateRole(nowMs);
@@ -277,6 +287,9 @@
 		this.roleCheckedAtMs = nowMs;
 		const role = this.roleFor(nowMs);
 		if (role !== this.role) {
+			log.info('role changed.', {
+				from: this.role, to: role, daemons: this.daemons(nowMs), silent: this.silent(nowMs), listed: this.listed(),
+			});
 			this.role = role;
 			this.roleSinceMs = nowMs;
 		}
@@ -285,14 +298,28 @@
 	private roleFor(nowMs: number): FleetRole {
 		const daemons = this.daemons(nowMs);
 		this.smallSinceMs = daemons <= meshAgainDaemons ? this.smallSinceMs ?? nowMs : undefined;
-		const isSmall = this.role === FleetRole.Mesh ? daemons <= meshDaemons : this.smallSinceMs !== undefined && nowMs - this.smallSinceMs >= smallForMs;
+		this.isNew &&= daemons <= meshDaemons;
+		// In a large fleet nobody reports to a daemon that does not ask: one that restarted took itself for the only one, held the duties and gave up most of the pool.
+		const isListedLarge = this.isNew && this.listed() > meshDaemons;
+		const isSmall = this.role === FleetRole.Mesh ? daemons <= meshDaemons && !isListedLarge : this.smallSinceMs !== undefined && nowMs - this.smallSinceMs >= smallForMs;
 		if (isSmall) {
+			this.isNew &&= this.role === FleetRole.Mesh;
 			return FleetRole.Mesh;
 		}
 
 		return this.relays(this.self.failureDomain, nowMs).some(({name}) => name === this.self.name) ? FleetRole.Relay : FleetRole.Leaf;
 	}
 
+	/** Daemons that are known by name, also of the past. */
+	private listed(): number {
+		let sum = 0;
+		for (const choice of this.relayChoices.values()) {
+			sum += choice.all().length;
+		}
+
+		return sum;
+	}
+
 	private headcount(nowMs: number): Headcount {
 		return sumHeadcounts(this.parts(nowMs));
 	}
