Learn of a large fleet by relays' answers, not by the length of a list

The list of daemons keeps names that are gone for good. With it as the measure a fleet of 6 or 10 that had been 20 took itself for a large one after a restart: the new test found 6 relays, and 8 relays and 2 leaves, where all should report to each other.

Now the reports that a daemon sends to all while it is one of few ask for a view. A daemon that was cut off as it started asks again with each reading of the list.

--- a/src/coordination/fleet/__tests__/fleet-messenger.test.ts
+++ b/src/coordination/fleet/__tests__/fleet-messenger.test.ts
@@ -362,20 +362,23 @@
 		}
 	});
 
-	it('a daemon alone of a list of many comes to report to all', async () => {
+	it.each([{left: 6}, {left: 10}])('of $left daemons that were many is joined by one that restarts', async ({left}) => {
 		const net = await startNet(20, 4);
-		for (const daemon of net.daemons.slice(6)) {
+		for (const daemon of net.daemons.slice(left)) {
 			daemon.isRunning = false;
 		}
 
-		const fresh = net.restart(net.daemons[2]);
-		await fresh.messenger.discover(new AbortController().signal);
-		// The others count those that are gone for a minute; the list is read again every 8 s by then.
+		// They count those that are gone for a minute.
 		net.run(70_000);
-		await fresh.messenger.discover(new AbortController().signal);
-		net.run(1000);
-		expect(net.roles()).toEqual({mesh: 6, relay: 0, leaf: 0});
-		expect(fresh.fleet.daemons(net.nowMs)).toBe(6);
+		for (const daemon of net.running()) {
+			// eslint-disable-next-line no-await-in-loop -- a small fleet is put together again from the list, by the first that reads it.
+			await net.restart(daemon).messenger.discover(new AbortController().signal);
+			net.run(300);
+		}
+
+		net.run(2500);
+		expect(net.roles()).toEqual({mesh: left, relay: 0, leaf: 0});
+		expect(net.running().map(daemon => daemon.fleet.daemons(net.nowMs))).toEqual(net.running().map(() => left));
 	});
 
 	it.each([
--- a/src/coordination/fleet/fleet-messenger.ts
+++ b/src/coordination/fleet/fleet-messenger.ts
@@ -195,8 +195,9 @@
 
 		this.isListRead = true;
 		const nowMs = clock.now();
-		if (fleet.roleAt(nowMs) === FleetRole.Mesh || fleet.isNewcomer) {
-			this.link?.send(this.createReport(this.ownDigest(), false, nowMs), fleet.addresses(true, nowMs));
+		if (fleet.roleAt(nowMs) === FleetRole.Mesh) {
+			// Relays among them answer, which tells a daemon that started late of a large fleet.
+			this.link?.send(this.createReport(this.ownDigest(), true, nowMs), fleet.addresses(true, nowMs));
 		}
 	}
 
--- a/src/coordination/fleet/fleet-table.ts
+++ b/src/coordination/fleet/fleet-table.ts
@@ -58,8 +58,6 @@
 	private readonly counted = new Map<string, UseTotals>();
 	private readonly domains = new Map<string, ToldGroup>();
 	private readonly rest = new ToldGroup();
-	/** Whether it has not yet heard how large the fleet is; until then it goes by the platform's list of daemons. */
-	private isNew = true;
 	/** Since when the fleet has been small enough to report to all. */
 	private smallSinceMs: number | undefined;
 	private roleCheckedAtMs = Number.NEGATIVE_INFINITY;
@@ -113,11 +111,6 @@
 		return growth;
 	}
 
-	/** Whether this daemon started not long ago and has not heard how large the fleet is. */
-	get isNewcomer(): boolean {
-		return this.isNew;
-	}
-
 	/** What this daemon is to the others now. */
 	roleAt(nowMs: number): FleetRole {
 		this.updateRole(nowMs);
@@ -288,7 +281,7 @@
 		const role = this.roleFor(nowMs);
 		if (role !== this.role) {
 			log.info('role changed.', {
-				from: this.role, to: role, daemons: this.daemons(nowMs), silent: this.silent(nowMs), listed: this.listed(),
+				from: this.role, to: role, daemons: this.daemons(nowMs), silent: this.silent(nowMs),
 			});
 			this.role = role;
 			this.roleSinceMs = nowMs;
@@ -298,28 +291,16 @@
 	private roleFor(nowMs: number): FleetRole {
 		const daemons = this.daemons(nowMs);
 		this.smallSinceMs = daemons <= meshAgainDaemons ? this.smallSinceMs ?? nowMs : undefined;
-		this.isNew &&= daemons <= meshDaemons;
-		// In a large fleet nobody reports to a daemon that does not ask: one that restarted took itself for the only one, held the duties and gave up most of the pool.
-		const isListedLarge = this.isNew && this.listed() > meshDaemons;
-		const isSmall = this.role === FleetRole.Mesh ? daemons <= meshDaemons && !isListedLarge : this.smallSinceMs !== undefined && nowMs - this.smallSinceMs >= smallForMs;
+		// In a large fleet nobody reports to a daemon that does not ask. One that restarted heard nobody, held the duties and gave up three quarters of the pool.
+		const isRelayed = (this.rest.best(silentMs, nowMs)?.digest.daemons ?? 0) > meshDaemons;
+		const isSmall = this.role === FleetRole.Mesh ? daemons <= meshDaemons && !isRelayed : this.smallSinceMs !== undefined && nowMs - this.smallSinceMs >= smallForMs;
 		if (isSmall) {
-			this.isNew &&= this.role === FleetRole.Mesh;
 			return FleetRole.Mesh;
 		}
 
 		return this.relays(this.self.failureDomain, nowMs).some(({name}) => name === this.self.name) ? FleetRole.Relay : FleetRole.Leaf;
 	}
 
-	/** Daemons that are known by name, also of the past. */
-	private listed(): number {
-		let sum = 0;
-		for (const choice of this.relayChoices.values()) {
-			sum += choice.all().length;
-		}
-
-		return sum;
-	}
-
 	private headcount(nowMs: number): Headcount {
 		return sumHeadcounts(this.parts(nowMs));
 	}
