End a run only when another engine has begun to go on with it

Cause, found by a review of the trace and the mend: a held engine is no begun run. Where it refused or could not be reached, the stream was cut after all.

Now a hand-over asks the next engine first and closes the old run when the answer has begun; if it does not, or the old run brings an event first, the old run goes on. A move copies while the run goes on and stops it only with room at the target; a copy that is not used is freed. After a failed move the stream is looked at as any other. A run is not given up with less than a quarter of the latency target left, the place in the allowance is asked for before an engine is chosen, places of unopened connections stay held, an engine that began to leave is replaced, a stream that its client holds back is not silent, and an engine's own failure is passed on where nothing may follow, as for calls.

Ruled out: ending the old run 400 ms after the new one was asked, which cuts it where the new one waits in a queue.

--- a/src/coordination/serving/call-forwarding.ts
+++ b/src/coordination/serving/call-forwarding.ts
@@ -53,7 +53,7 @@
 
 		if (dispatched.kind === DispatchKind.Answer) {
 			// eslint-disable-next-line no-await-in-loop
-			const answer = await readWhole(dispatched, served.remainingMs(now()), served);
+			const answer = await readWhole(dispatched, served.remainingMs(now()));
 			if (answer && (answer.status < 500 || patienceMs === undefined)) {
 				return {kind: 'answer', answer};
 			}
@@ -99,12 +99,13 @@
 	return served.runs < route.attempts && served.arrivals <= route.attempts;
 }
 
-async function readWhole(begun: BegunAnswer, remainingMs: number, served: ServedRequest): Promise<WholeAnswer | undefined> {
-	const {answer, running, abort, backend} = begun;
+async function readWhole(begun: BegunAnswer, remainingMs: number): Promise<WholeAnswer | undefined> {
+	const {
+		answer, running, attempt, abort, backend,
+	} = begun;
 	const timer = setTimeout(() => {
 		abort.abort();
 	}, Math.max(0, remainingMs));
-	const attempt = served.attempts.at(-1)!;
 	try {
 		const body = await answer.read(mostAnswerBytes);
 		attempt.result = String(answer.status);
--- a/src/coordination/serving/dispatcher.ts
+++ b/src/coordination/serving/dispatcher.ts
@@ -13,7 +13,7 @@
 import {type FleetTable} from '../fleet/fleet-table.js';
 import {type Choice, type Placement, type RunningRequest} from '../placement.js';
 import {type RepeatPurpose, type RetryAllowance} from '../retry-allowance.js';
-import {type ServedRequest} from './served-request.js';
+import {type Attempt, type ServedRequest, type Successor} from './served-request.js';
 
 const log = createLogger('dispatch');
 
@@ -21,6 +21,10 @@
 const connectMs = 300;
 /** How often it is tried to hold what takes over from a late backend server, in milliseconds. */
 const holdPauseMs = 50;
+/** A run is given up for another one only with this share of the latency target left: engines begin within a third of it on most days. */
+const leastRunShare = 0.25;
+/** Reason of a dispatch whose connection did not open. */
+const unreachedReason = 'unreached';
 /** The status of an answer from another backend server than the one meant. */
 const misdirectedStatus = 421;
 
@@ -45,6 +49,7 @@
 	answer: BackendAnswer;
 	marks: AnswerMarks;
 	running: RunningRequest;
+	attempt: Attempt;
 	/** Closes the connection. */
 	abort: AbortController;
 };
@@ -63,6 +68,8 @@
 	beginMs: number;
 	/** Time after which another backend server takes over if one is held, in milliseconds; undefined where none may. */
 	patienceMs?: number;
+	/** Ends the dispatch before its answer has begun. */
+	signal?: AbortSignal;
 };
 
 /** The parts a dispatcher works with. */
@@ -102,12 +109,22 @@
 	 * still come would break off with nothing to follow.
 	 */
 	holdSuccessor(served: ServedRequest, runningAt: string, purpose: RepeatPurpose, nowMs: number): boolean {
+		if (served.remainingMs(nowMs) < served.inputs.route.latencyTargetMs * leastRunShare) {
+			return false;
+		}
+
 		if (served.successor) {
-			return true;
+			return this.heldBackend(served, runningAt) !== undefined;
+		}
+
+		// The place first: it is what lacks under load, and choosing takes most of a millisecond among a hundred engines.
+		if (!this.mayRepeat(served, purpose, nowMs)) {
+			return false;
 		}
 
 		const choice = this.choose(served, runningAt);
-		if (!choice || !this.mayRepeat(served, purpose, nowMs)) {
+		if (!choice) {
+			this.giveBack(served, nowMs);
 			return false;
 		}
 
@@ -115,47 +132,60 @@
 		return true;
 	}
 
-	/** The backend server held for the next run, or another one if that has failed the request meanwhile. */
-	heldBackend(served: ServedRequest): Backend | undefined {
+	/** The backend server held for the next run, or another one if that leaves or has failed the request meanwhile. */
+	heldBackend(served: ServedRequest, runningAt?: string): Backend | undefined {
 		const {successor} = served;
-		if (successor && served.excluded.has(successor.choice.backend.id)) {
-			successor.choice = this.choose(served) ?? successor.choice;
+		if (!successor) {
+			return undefined;
+		}
+
+		if (!this.isUsable(served, successor.choice.backend)) {
+			const choice = this.choose(served, runningAt);
+			if (!choice) {
+				return undefined;
+			}
+
+			successor.choice = choice;
 		}
 
-		return successor && !served.excluded.has(successor.choice.backend.id) ? successor.choice.backend : undefined;
+		return successor.choice.backend;
 	}
 
 	/** Gives back a place that is not needed. */
 	releaseSuccessor(served: ServedRequest): void {
 		if (served.successor) {
-			this.parts.allowance.giveBack(served.inputs.service, served.successor.heldAtMs);
+			this.giveBack(served, served.successor.heldAtMs);
 			served.successor = undefined;
 		}
 	}
 
 	/** Sends a request once; a connection that does not open is no arrival, so the next backend server is tried. */
 	async send(served: ServedRequest, options: DispatchOptions): Promise<BegunAnswer | FailedDispatch> {
-		const held = served.successor;
-		served.successor = undefined;
-		let hasPlace = served.arrivals === 0 || held !== undefined;
-		let planned = options.target ? {backend: options.target, costMs: 0, copyFrom: undefined} : held?.choice;
+		let planned = options.target ? {backend: options.target, costMs: 0, copyFrom: undefined} : served.successor?.choice;
 		for (;;) {
-			const choice = planned && !served.excluded.has(planned.backend.id) ? planned : this.choose(served);
+			const isFixed = options.target !== undefined;
+			const choice = planned && (isFixed || this.isUsable(served, planned.backend)) ? planned : this.choose(served);
 			planned = undefined;
 			if (!choice) {
 				return {kind: DispatchKind.NoBackend, reason: 'no backend server left'};
 			}
 
-			if (!hasPlace && !this.mayRepeat(served, options.purpose, this.parts.clock.now())) {
+			const nowMs = this.parts.clock.now();
+			if (served.arrivals > 0 && !served.successor && !this.mayRepeat(served, options.purpose, nowMs)) {
 				return {kind: DispatchKind.NoAllowance, reason: `repeat allowance used up (${this.describeAllowance(served)})`};
 			}
 
-			// A place is used by an arrival, not by a connection that did not open.
-			hasPlace = true;
+			// A place is used by an arrival, not by a connection that did not open: it stays held for the next choice.
+			const place = served.arrivals > 0 ? served.successor ?? {choice, heldAtMs: nowMs} : undefined;
+			served.successor = undefined;
 			// eslint-disable-next-line no-await-in-loop -- one backend server after the other.
 			const result = await this.sendTo(served, choice, options);
-			const isUnreached = result.kind === DispatchKind.NotRun && result.reason === 'unreached';
-			if (!isUnreached || options.target !== undefined || served.inputs.signal.aborted) {
+			if (result.kind !== DispatchKind.NotRun || result.reason !== unreachedReason) {
+				return result;
+			}
+
+			this.keepPlace(served, place);
+			if (isFixed || served.inputs.signal.aborted || options.signal?.aborted) {
 				return result;
 			}
 		}
@@ -172,6 +202,25 @@
 		return allowance.take(served.inputs.service, purpose, fleet.daemons(nowMs), nowMs);
 	}
 
+	/** Holds a place that no arrival used, unless another one was taken meanwhile. */
+	private keepPlace(served: ServedRequest, place: Successor | undefined): void {
+		if (place && served.successor) {
+			this.giveBack(served, place.heldAtMs);
+		} else {
+			served.successor = place;
+		}
+	}
+
+	private giveBack(served: ServedRequest, takenAtMs: number): void {
+		this.parts.allowance.giveBack(served.inputs.service, takenAtMs);
+	}
+
+	/** Whether a backend server that was chosen earlier may still get a request. */
+	private isUsable(served: ServedRequest, backend: Backend): boolean {
+		const entry = this.parts.backends.get(backend.id);
+		return !served.excluded.has(backend.id) && entry !== undefined && entry.leavingSinceMs === undefined;
+	}
+
 	private describeAllowance(served: ServedRequest): string {
 		const {allowance, fleet, clock} = this.parts;
 		const nowMs = clock.now();
@@ -190,6 +239,7 @@
 		};
 
 		signal.addEventListener('abort', giveUp, {once: true});
+		options.signal?.addEventListener('abort', giveUp, {once: true});
 		const timer = setTimeout(giveUp, options.beginMs);
 		const stopWatching = this.watchLateness(served, backend.id, options, giveUp);
 		const running = placement.begin(backend.id, request.promptTokens ?? 0, request.promptParts, sentAtMs);
@@ -225,13 +275,13 @@
 			});
 			served.arrivals++;
 			return this.judge(served, {
-				backend, answer, running, abort,
+				backend, answer, running, attempt, abort,
 			}, options, fail);
 		} catch (error) {
 			if (error instanceof ConnectError) {
 				placement.noteFailure(backend.id, clock.now());
 				log.debug('backend server not reached.', {backend: backend.id, error: String(error)});
-				return fail({kind: DispatchKind.NotRun, reason: 'unreached'});
+				return fail({kind: DispatchKind.NotRun, reason: unreachedReason});
 			}
 
 			served.arrivals++;
--- a/src/coordination/serving/flight.ts
+++ b/src/coordination/serving/flight.ts
@@ -27,8 +27,11 @@
 	Deadline = 'deadline',
 }
 
-/** A run whose KV cache was copied to another engine, or the failure to do so. */
-export type MoveResult = {target: Backend; run: MovedRun};
+/** A run whose KV cache was moved to another engine. */
+export type Moved = {target: Backend; run: MovedRun};
+
+/** A run that is being started in place of the one in progress. */
+export type Takeover = {startedAtMs: number; abort: AbortController; begun: Promise<BegunAnswer | undefined>};
 
 /** The state of one stream. */
 export class Flight {
@@ -42,7 +45,11 @@
 	/** Id of the last event delivered. */
 	lastEventId: string | undefined;
 	/** Set while the run is being moved. */
-	moving: Promise<MoveResult | undefined> | undefined;
+	moving: Promise<Moved | undefined> | undefined;
+	/** Whether it could not be moved; its engine then serves it as long as it can. */
+	hasMoveFailed = false;
+	/** Set while another engine is asked to go on with it. */
+	takeover: Takeover | undefined;
 	/** Whether the log says that it stays at its engine since nothing can take it over. */
 	isKept = false;
 	private interruptCause: InterruptCause | undefined;
@@ -54,6 +61,11 @@
 		private readonly now: () => number,
 	) {}
 
+	/** Whether the client takes events more slowly than they come, so that none is read from the engine. */
+	get isPaused(): boolean {
+		return this.response.writableNeedDrain;
+	}
+
 	get isHeadSent(): boolean {
 		return this.response.headersSent;
 	}
@@ -78,6 +90,21 @@
 		}
 	}
 
+	/** Takes the run that another engine has begun in place of the last one, once it is known whether it does. */
+	async takeTakeover(): Promise<BegunAnswer | undefined> {
+		const begun = await this.takeover?.begun;
+		this.takeover = undefined;
+		return begun;
+	}
+
+	/** Ends a takeover that is not needed. */
+	async dropTakeover(): Promise<void> {
+		this.takeover?.abort.abort();
+		const begun = await this.takeTakeover();
+		begun?.running.end();
+		begun?.answer.destroy();
+	}
+
 	/** Says how a run ended, by whom, and how long it had been silent. */
 	describeEnd(end: PumpEnd): string {
 		const by = end === PumpEnd.Interrupted ? `${end}, ${this.interruptCause}` : end;
@@ -137,6 +164,10 @@
 
 			source.once('error', breakOff);
 			source.once('close', breakOff);
+			if (source.destroyed) {
+				// It broke off while the run before it was being ended.
+				breakOff();
+			}
 		});
 	}
 
--- a/src/coordination/serving/stream-forwarding.ts
+++ b/src/coordination/serving/stream-forwarding.ts
@@ -11,7 +11,7 @@
 	type BegunAnswer, type Dispatcher, DispatchKind, type DispatchOptions,
 } from './dispatcher.js';
 import {
-	Flight, InterruptCause, type MoveResult, PumpEnd,
+	Flight, InterruptCause, type Moved, PumpEnd,
 } from './flight.js';
 import {type ServedRequest} from './served-request.js';
 import {type StreamRegistry} from './stream-registry.js';
@@ -38,73 +38,95 @@
 	const {dispatcher, registry, now} = parts;
 	const flight = new Flight(served, response, onBegun, now);
 	flight.lastEventId = served.inputs.request.lastEventId;
-	let next: Partial<DispatchOptions> = {};
-	let reason = 'no time left';
 	const deadline = setTimeout(() => {
 		flight.interrupt(InterruptCause.Deadline);
 	}, Math.max(0, served.remainingMs(now())));
 	registry.add(flight);
 	try {
-		while (served.remainingMs(now()) > leastUsefulMs && !served.inputs.signal.aborted) {
-			// eslint-disable-next-line no-await-in-loop -- one engine after the other.
-			const dispatched = await dispatcher.send(served, {
-				purpose: RepeatPurpose.Retry, beginMs: served.remainingMs(now()), patienceMs: patienceMs(served, flight), lastEventId: flight.lastEventId, ...next,
-			});
-			if (dispatched.kind === DispatchKind.NoBackend || dispatched.kind === DispatchKind.NoAllowance) {
-				({reason} = dispatched);
-				break;
-			}
+		return await runStream(dispatcher, flight, now);
+	} finally {
+		clearTimeout(deadline);
+		registry.remove(flight);
+		await flight.dropTakeover();
+		dispatcher.releaseSuccessor(served);
+	}
+}
 
-			if (dispatched.kind === DispatchKind.Answer) {
-				// eslint-disable-next-line no-await-in-loop
-				const end = await takeAnswer(dispatched, flight);
-				if (typeof end !== 'string') {
-					return end;
-				}
-
-				reason = end;
-				dispatcher.noteFailure(served, dispatched.backend.id);
-			} else {
-				({reason} = dispatched);
-			}
+/** Runs a stream at one engine after the other, until it has ended or none may follow. */
+async function runStream(dispatcher: Dispatcher, flight: Flight, now: () => number): Promise<StreamResult> {
+	const {served} = flight;
+	let next: Partial<DispatchOptions> = {};
+	let reason = 'no time left';
+	let failure: WholeAnswer | undefined;
+	let taken: BegunAnswer | undefined;
+	while (served.remainingMs(now()) > leastUsefulMs && !served.inputs.signal.aborted) {
+		// eslint-disable-next-line no-await-in-loop -- one engine after the other.
+		const dispatched = taken ?? await dispatcher.send(served, {
+			purpose: RepeatPurpose.Retry, beginMs: served.remainingMs(now()), patienceMs: patienceMs(served, flight), lastEventId: flight.lastEventId, ...next,
+		});
+		if (dispatched.kind === DispatchKind.NoBackend || dispatched.kind === DispatchKind.NoAllowance) {
+			({reason} = dispatched);
+			break;
+		}
 
+		if (dispatched.kind === DispatchKind.Answer) {
 			// eslint-disable-next-line no-await-in-loop
-			const moved = await takeMove(flight);
-			if (moved) {
-				next = {target: moved.target, kvSource: moved.run.kvSource, purpose: RepeatPurpose.Move};
-			} else if (served.mayHaveRun && !served.mayRunAgain) {
-				break;
-			} else {
-				next = flight.events > 0 ? {purpose: RepeatPurpose.Move} : {};
+			const end = await takeAnswer(dispatched, flight);
+			if (end.kind === 'complete') {
+				return end;
 			}
+
+			failure = end.kind === 'answer' ? end.answer : failure;
+			reason = end.kind === 'answer' ? `failed with ${end.answer.status}` : end.reason;
+			dispatcher.noteFailure(served, dispatched.backend.id);
+		} else {
+			({reason} = dispatched);
+		}
+
+		// eslint-disable-next-line no-await-in-loop
+		const moved = await takeMove(flight);
+		// eslint-disable-next-line no-await-in-loop
+		taken = await flight.takeTakeover();
+		if (taken) {
+			continue;
+		}
+
+		if (moved) {
+			next = {target: moved.target, kvSource: moved.run.kvSource, purpose: RepeatPurpose.Move};
+		} else if (served.mayHaveRun && !served.mayRunAgain) {
+			break;
+		} else {
+			next = flight.events > 0 ? {purpose: RepeatPurpose.Move} : {};
 		}
-	} finally {
-		clearTimeout(deadline);
-		registry.remove(flight);
-		dispatcher.releaseSuccessor(served);
 	}
 
 	if (flight.isHeadSent) {
 		return {kind: 'broken', reason, events: flight.events};
 	}
 
+	if (failure) {
+		return {kind: 'answer', answer: failure};
+	}
+
 	return served.mayHaveRun ? {kind: 'unknown', reason} : {kind: 'not-run', reason};
 }
 
-/** Passes an engine's answer on; returns how the stream ended, or why it has to go on elsewhere. */
-async function takeAnswer(begun: BegunAnswer, flight: Flight): Promise<StreamResult | string> {
-	const {served} = flight;
-	const attempt = served.attempts.at(-1)!;
+/** How one run ended: whole, with an answer that is no stream, or broken off. */
+type RunEnd = Extract<StreamResult, {kind: 'complete' | 'answer'}> | {kind: 'ended'; reason: string};
+
+/** Passes the events of one run on. */
+async function takeAnswer(begun: BegunAnswer, flight: Flight): Promise<RunEnd> {
+	const {attempt} = begun;
 	const {status} = begun.answer;
 	if (status >= 200 && status < 300) {
 		const end = await flight.pump(begun);
 		attempt.result = flight.describeEnd(end);
-		return end === PumpEnd.Complete ? {kind: 'complete', events: flight.events} : attempt.result;
+		return end === PumpEnd.Complete ? {kind: 'complete', events: flight.events} : {kind: 'ended', reason: attempt.result};
 	}
 
 	const answer = await readFailure(begun);
 	attempt.result = String(status);
-	return answer && !flight.isHeadSent && !served.mayRunAgain ? {kind: 'answer', answer} : `failed with ${status}`;
+	return answer ? {kind: 'answer', answer} : {kind: 'ended', reason: `failed with ${status}`};
 }
 
 /** Time after which another engine is asked to begin a stream instead; undefined when none may be. */
@@ -115,7 +137,7 @@
 }
 
 /** Waits for a move in progress and takes its result. */
-async function takeMove(flight: Flight): Promise<MoveResult | undefined> {
+async function takeMove(flight: Flight): Promise<Moved | undefined> {
 	const moved = await flight.moving;
 	flight.moving = undefined;
 	return moved;
--- a/src/coordination/serving/stream-registry.ts
+++ b/src/coordination/serving/stream-registry.ts
@@ -3,14 +3,16 @@
  * interrupts those whose engine fell silent while another may go on with them. It answers
  * reclaims of a whole failure domain, which move dozens of streams within two seconds.
  */
-import {type Engines, type MovedRun} from '../../protocol/platform.js';
+import {
+	type Engines, type MoveAnswer, type MovedRun, MoveResult,
+} from '../../protocol/platform.js';
 import {type Backend} from '../../protocol/serving.js';
 import {type BackendTable} from '../../state/backend-table.js';
 import {type RouteTable} from '../../state/route-table.js';
 import {createLogger} from '../../log.js';
 import {RepeatPurpose} from '../retry-allowance.js';
-import {type Dispatcher} from './dispatcher.js';
-import {type Flight, InterruptCause, type MoveResult} from './flight.js';
+import {type BegunAnswer, type Dispatcher, DispatchKind} from './dispatcher.js';
+import {type Flight, InterruptCause, type Moved} from './flight.js';
 
 const log = createLogger('streams');
 
@@ -55,7 +57,9 @@
 			}
 
 			const leavesAtMs = this.parts.backends.get(backend.id)?.leavesAtMs;
-			if (leavesAtMs !== undefined && shouldMove(flight, this.tokensPerEvent(flight), leavesAtMs, nowMs)) {
+			if (flight.takeover) {
+				endNeedless(flight);
+			} else if (leavesAtMs !== undefined && !flight.hasMoveFailed && shouldMove(flight, this.tokensPerEvent(flight), leavesAtMs, nowMs)) {
 				this.leave(flight, backend, nowMs);
 			} else if (isSilent(flight, nowMs) && flight.served.mayRunAgain) {
 				this.handOver(flight, backend, InterruptCause.Silent, nowMs);
@@ -80,12 +84,39 @@
 		}
 	}
 
-	/** Ends a run if another engine takes over. */
+	/** Asks another engine to go on with a stream; its run ends when that has begun. */
 	private handOver(flight: Flight, source: Backend, cause: InterruptCause, nowMs: number): void {
 		if (this.hold(flight, source, cause, nowMs)) {
-			log.info('stream interrupted.', {cause, ...describe(flight, source, nowMs)});
+			log.info('stream handed over.', {cause, ...describe(flight, source, nowMs)});
+			const abort = new AbortController();
+			flight.takeover = {startedAtMs: nowMs, abort, begun: this.begin(flight, source, {cause, startedAtMs: nowMs, signal: abort.signal})};
+		}
+	}
+
+	/** Begins a run at another engine and then ends the one in progress, which goes on if the other does not begin or it brings an event first. */
+	private async begin(flight: Flight, source: Backend, {cause, startedAtMs, signal}: {cause: InterruptCause; startedAtMs: number; signal: AbortSignal}): Promise<BegunAnswer | undefined> {
+		const {served} = flight;
+		served.excluded.add(source.id);
+		const dispatched = await this.parts.dispatcher.send(served, {
+			purpose: RepeatPurpose.Move, beginMs: served.remainingMs(startedAtMs), lastEventId: flight.lastEventId, signal,
+		});
+		const hasBegun = dispatched.kind === DispatchKind.Answer && isSuccess(dispatched);
+		if (hasBegun && !signal.aborted && (!flight.begun || flight.progressAtMs <= startedAtMs)) {
 			flight.interrupt(cause);
+			return dispatched;
+		}
+
+		log.info('stream not taken over.', {request: served.inputs.request.id, from: source.id, reason: dispatched.kind === DispatchKind.Answer ? `status ${dispatched.answer.status}` : dispatched.reason});
+		if (dispatched.kind === DispatchKind.Answer) {
+			dispatched.running.end();
+			dispatched.answer.destroy();
 		}
+
+		if (flight.begun) {
+			flight.takeover = undefined;
+		}
+
+		return undefined;
 	}
 
 	/** Holds what takes over from a run. Without it the run goes on: a stream is not cut while it may still end well. */
@@ -99,8 +130,8 @@
 		return isHeld;
 	}
 
-	/** Moves a run; one that was not moved, and was not stopped either, is looked at again. */
-	private async move(flight: Flight, source: Backend): Promise<MoveResult | undefined> {
+	/** Moves a run; one that no engine has room for goes on where it is. */
+	private async move(flight: Flight, source: Backend): Promise<Moved | undefined> {
 		flight.served.excluded.add(source.id);
 		for (let tries = 0; tries < moveTargets; tries++) {
 			const target = this.parts.dispatcher.heldBackend(flight.served);
@@ -109,35 +140,48 @@
 			}
 
 			// eslint-disable-next-line no-await-in-loop -- the next target only if this one has no room.
-			const run = await this.copy(flight, source, target);
+			const {result, run} = await this.copyAndMove(flight, source, target);
 			if (run) {
 				this.moved++;
 				// What the source sent before it stopped is still on its way; it closes the stream.
 				return {target, run};
 			}
 
+			if (result === MoveResult.Unanswered) {
+				// Nothing speaks against the target. If the move was carried out, the source ends the stream.
+				break;
+			}
+
 			flight.served.excluded.add(target.id);
 		}
 
+		flight.hasMoveFailed = true;
 		flight.moving = undefined;
 		return undefined;
 	}
 
-	/** Copies a run to another engine, which ends it at its source. */
-	private async copy(flight: Flight, source: Backend, target: Backend): Promise<MovedRun | undefined> {
+	/** Moves a run after a copy has shown that the target has room: an order to move stops it also where the target then refuses. */
+	private async copyAndMove(flight: Flight, source: Backend, target: Backend): Promise<MoveAnswer> {
+		const {engines, signal} = this.parts;
 		const {id} = flight.served.inputs.request;
-		const context = {
-			request: id, from: source.id, to: target.id, events: flight.events,
-		};
-		try {
-			const run = await this.parts.engines.move(id, source, target, this.parts.signal);
-			log.info(run ? 'stream moved.' : 'stream not moved.', context);
-			return run;
-		} catch (error) {
-			// Perhaps it was carried out: the source then ends the stream itself.
-			log.warn('move unanswered.', {...context, error: String(error)});
-			return undefined;
+		const copied = await engines.copy(id, source, target, signal);
+		const moved = copied.run ? await engines.move(id, source, target, signal) : copied;
+		log.info('stream move ordered.', {
+			request: id, from: source.id, to: target.id, events: flight.events, copied: copied.result, moved: copied.run && moved.result,
+		});
+		if (copied.run && !moved.run) {
+			this.release(copied.run, source);
 		}
+
+		return moved;
+	}
+
+	/** Frees a copy that is not used, so that it doesn't keep a slot at its target. */
+	private release(run: MovedRun, source: Backend): void {
+		void this.parts.engines.release(run, source, this.parts.signal).catch((error: unknown) => {
+			// The engine leaves, and frees it then.
+			log.debug('copy not released.', {from: source.id, error: String(error)});
+		});
 	}
 }
 
@@ -159,6 +203,17 @@
 	return restMs === undefined || (restMs * estimateFactor) + finishMarginMs > leftMs;
 }
 
+function isSuccess({answer}: BegunAnswer): boolean {
+	return answer.status >= 200 && answer.status < 300;
+}
+
+/** Ends a takeover whose stream has brought events since. */
+function endNeedless({takeover, progressAtMs}: Flight): void {
+	if (takeover && progressAtMs > takeover.startedAtMs) {
+		takeover.abort.abort();
+	}
+}
+
 function isSilent(flight: Flight, nowMs: number): boolean {
-	return flight.events > 0 && nowMs - flight.progressAtMs > stallMs;
+	return flight.events > 0 && !flight.isPaused && nowMs - flight.progressAtMs > stallMs;
 }
--- a/src/protocol/platform.ts
+++ b/src/protocol/platform.ts
@@ -139,15 +139,26 @@
 	kvSource: string;
 };
 
+/** How an engine took an order to copy or move a run. */
+export enum MoveResult {
+	Done = 'done',
+	/** It has no such run, or the target has no room or cannot be reached. */
+	Refused = 'refused',
+	/** No answer: it may have been carried out. */
+	Unanswered = 'unanswered',
+}
+
+/** The answer to an order to copy or move a run; `run` is set when it is done. */
+export type MoveAnswer = {result: MoveResult; run?: MovedRun};
+
 /** Orders to engines. */
 export type Engines = {
-	/**
-	 * Stops a run and copies its KV cache to another engine.
-	 *
-	 * @returns Undefined when the engine has no such run or could not copy it.
-	 * @throws {TransportError} When the engine does not answer.
-	 */
-	move(requestId: string, source: Backend, target: Backend, signal: AbortSignal): Promise<MovedRun | undefined>;
+	/** Copies a running request's KV cache to another engine, which keeps room for it; the run goes on. */
+	copy(requestId: string, source: Backend, target: Backend, signal: AbortSignal): Promise<MoveAnswer>;
+	/** Stops a run and copies what is new of its KV cache; it is stopped also where the target then refuses. */
+	move(requestId: string, source: Backend, target: Backend, signal: AbortSignal): Promise<MoveAnswer>;
+	/** Frees what a copy holds at both engines. */
+	release(run: MovedRun, source: Backend, signal: AbortSignal): Promise<void>;
 };
 
 /** Decoders of the operators' and the platform's records. */
