Let the gateway end a stalled run only while another engine could go on with it

The same cause in the OpenAI gateway: a stream without a token for 5 s was ended before anyone looked for another engine, and the third such end broke the answer off; the export of a KV cache ended a run before another engine was known to take work.

--- a/src/coordination/completions.ts
+++ b/src/coordination/completions.ts
@@ -89,7 +89,7 @@
 	 * @throws {StreamBrokenError} When it gave up after some tokens were delivered.
 	 */
 	async * stream(job: CompletionJob, signal: AbortSignal): AsyncGenerator<Token> {
-		const flight = new Flight(job, signal);
+		const flight = new Flight(job, signal, stalled => stalled.failures + 1 < maxFailures && this.hasOtherEngine(stalled));
 		this.flights.add(flight);
 		this.retries.countRequest(job.model, Date.now());
 		try {
@@ -181,13 +181,13 @@
 
 	/** Chooses an engine; a request that has begun waits a while for one to become available. */
 	private async choose(flight: Flight): Promise<BackendServer> {
-		const {directory, loads, affinitySlack} = this.context;
+		const {loads, affinitySlack} = this.context;
 		const deadlineMs = performance.now() + patienceMs;
 		for (;;) {
 			flight.signal.throwIfAborted();
 			try {
 				return chooseBackend({
-					candidates: directory.takingWork(BackendKind.Engine).filter(engine => servesModel(engine, loads.views.get(engine.id), flight.job.model)),
+					candidates: this.enginesFor(flight.job.model),
 					loads: loads.views,
 					excluded: flight.failedEngines,
 					prompt: flight.job.prompt,
@@ -207,6 +207,16 @@
 		}
 	}
 
+	/** Whether an engine other than the one it runs at takes work for a stream now. */
+	private hasOtherEngine(flight: Flight): boolean {
+		return this.enginesFor(flight.job.model).some(engine => engine.id !== flight.engine?.id && !flight.failedEngines.has(engine.id));
+	}
+
+	private enginesFor(model: string): BackendServer[] {
+		const {directory, loads} = this.context;
+		return directory.takingWork(BackendKind.Engine).filter(engine => servesModel(engine, loads.views.get(engine.id), model));
+	}
+
 	private async noteFailedRun(flight: Flight, engine: BackendServer, error: unknown): Promise<void> {
 		if (flight.signal.aborted) {
 			throw error;
@@ -248,7 +258,8 @@
 			}
 
 			flight.abortAt(leavesAtMs - nowMs);
-			if (!flight.finishesBy(leavesAtMs, nowMs)) {
+			// An export ends the run here, so another engine has to be there first.
+			if (!flight.finishesBy(leavesAtMs, nowMs) && this.hasOtherEngine(flight)) {
 				flight.export(exportKv(backend.url, flight.engineRequestId));
 			}
 		}
--- a/src/coordination/flight.ts
+++ b/src/coordination/flight.ts
@@ -48,9 +48,11 @@
 	private lastTokenMs = 0;
 	private tokensThisRun = 0;
 
+	/** @param mayGoOnElsewhere Whether an engine could go on with it now. */
 	constructor(
 		readonly job: CompletionJob,
 		readonly signal: AbortSignal,
+		private readonly mayGoOnElsewhere: (flight: Flight) => boolean,
 	) {
 		this.delivered = job.resumeFrom;
 	}
@@ -93,10 +95,7 @@
 		this.tokensThisRun++;
 		this.firstTokenMs ??= nowMs;
 		this.lastTokenMs = nowMs;
-		clearTimeout(this.stallTimer);
-		this.stallTimer = setTimeout(() => {
-			this.run.abort(new StalledStreamError(`no token for ${stallMs} ms`));
-		}, stallMs);
+		this.watchForStall();
 	}
 
 	/** Aborts the run when its VM goes, should its connection hang. */
@@ -145,4 +144,16 @@
 		this.exportedFrom = undefined;
 		return source;
 	}
+
+	/** Ends the run after a pause, unless nothing could go on with it: the engine may still. */
+	private watchForStall(): void {
+		clearTimeout(this.stallTimer);
+		this.stallTimer = setTimeout(() => {
+			if (this.mayGoOnElsewhere(this)) {
+				this.run.abort(new StalledStreamError(`no token for ${stallMs} ms`));
+			} else {
+				this.watchForStall();
+			}
+		}, stallMs);
+	}
 }
