Find a relayed fleet of 9 to 13, and one whose failure domain restarts whole

Cause, found by a second review: relays' sums leave the receiver out, so that 13 were taken for 12; a fleet of 9 to 12 that had been larger keeps its relays; and where all twelve of a failure domain start again nobody there knows the sums, and those of other failure domains were passed over. Each time the restarted daemons heard only each other.

Now a daemon that is one of few goes by all that relays tell, with itself counted, against the mark below which a fleet gives its relays up. A refusal at a limit says how many daemons are silent.

--- a/src/coordination/fleet/fleet-table.ts
+++ b/src/coordination/fleet/fleet-table.ts
@@ -292,8 +292,7 @@
 		const daemons = this.daemons(nowMs);
 		this.smallSinceMs = daemons <= meshAgainDaemons ? this.smallSinceMs ?? nowMs : undefined;
 		// In a large fleet nobody reports to a daemon that does not ask. One that restarted heard nobody, held the duties and gave up three quarters of the pool.
-		const isRelayed = (this.rest.best(silentMs, nowMs)?.digest.daemons ?? 0) > meshDaemons;
-		const isSmall = this.role === FleetRole.Mesh ? daemons <= meshDaemons && !isRelayed : this.smallSinceMs !== undefined && nowMs - this.smallSinceMs >= smallForMs;
+		const isSmall = this.role === FleetRole.Mesh ? daemons <= meshDaemons && this.told(nowMs) <= meshAgainDaemons : this.smallSinceMs !== undefined && nowMs - this.smallSinceMs >= smallForMs;
 		if (isSmall) {
 			return FleetRole.Mesh;
 		}
@@ -301,6 +300,17 @@
 		return this.relays(this.self.failureDomain, nowMs).some(({name}) => name === this.self.name) ? FleetRole.Relay : FleetRole.Leaf;
 	}
 
+	/** Daemons that relays tell of, this one included: by all that one of this failure domain knows, or by the failure domains that others tell of. Only in a large fleet there are any. */
+	private told(nowMs: number): number {
+		let inDomains = 0;
+		for (const group of this.domains.values()) {
+			inDomains += group.best(silentMs, nowMs)?.digest.daemons ?? 0;
+		}
+
+		const own = inDomains > 0 ? this.rowsPart(this.domainRows(), nowMs).count().daemons : 0;
+		return 1 + Math.max(this.rest.best(silentMs, nowMs)?.digest.daemons ?? 0, inDomains + own);
+	}
+
 	private headcount(nowMs: number): Headcount {
 		return sumHeadcounts(this.parts(nowMs));
 	}
--- a/src/coordination/serving/forwarder.ts
+++ b/src/coordination/serving/forwarder.ts
@@ -141,9 +141,10 @@
 		}
 
 		const cost = account ? requestCost(account, request.promptTokens, request.maxOutputTokens) : 0;
-		const refusal = account && quota.admit(account, cost, quotaPeers(nowMs), Math.random(), nowMs);
+		const peers = quotaPeers(nowMs);
+		const refusal = account && quota.admit(account, cost, peers, Math.random(), nowMs);
 		if (refusal) {
-			return {status: 429, reason: `over the limit of ${account!.name}: cost ${cost}, ${refusal.waitMs} ms short`, retryAfterMs: refusal.waitMs};
+			return {status: 429, reason: `over the limit of ${account!.name}: cost ${cost}, ${refusal.waitMs} ms short, ${peers.silent} of ${peers.daemons} daemons silent`, retryAfterMs: refusal.waitMs};
 		}
 
 		allowance.countRequest(service, nowMs);
