--- /dev/null
+++ b/src/coordination/serving/__tests__/flight.test.ts
@@ -0,0 +1,60 @@
+import {Writable} from 'node:stream';
+import {createServer, type ServerResponse} from 'node:http';
+import {type AddressInfo} from 'node:net';
+import {setTimeout as delay} from 'node:timers/promises';
+import {describe, expect, it} from 'vitest';
+import {BackendState} from '../../../protocol/serving.js';
+import {BackendPool, exchange} from '../../../transport/backend-pool.js';
+import {Placement} from '../../placement.js';
+import {DispatchKind} from '../dispatcher.js';
+import {Flight, InterruptCause, PumpEnd} from '../flight.js';
+
+/** A client that takes one event and then none. */
+class HeldResponse extends Writable {
+	headersSent = false;
+
+	constructor() {
+		super({highWaterMark: 1});
+	}
+
+	writeHead(): void {
+		this.headersSent = true;
+	}
+
+	override _write(): void {
+		// Never done.
+	}
+}
+
+describe('a stream that its client holds back', () => {
+	it('is not taken for whole when its run is closed with events unread', async () => {
+		const server = createServer((_, response) => {
+			response.write('id: 1\ndata: x\n\n');
+			setTimeout(() => {
+				response.end(Array.from({length: 39}, (_, index) => `id: ${index + 2}\ndata: x\n\n`).join(''));
+			}, 20);
+		});
+		await new Promise<void>(resolve => {
+			server.listen(0, '127.0.0.1', resolve);
+		});
+		const backend = {
+			id: 'e', service: 's', host: '127.0.0.1', port: (server.address() as AddressInfo).port, failureDomain: 'fd', slots: 1, state: BackendState.Ready, isReclaimable: false, leavesInMs: undefined, coldForMs: 0,
+		};
+		const abort = new AbortController();
+		const pool = new BackendPool();
+		const answer = await exchange(pool, {
+			backend, method: 'GET', path: '/', headers: ['Host', 'x'], body: undefined, isRepeatable: true, connectMs: 1000, signal: abort.signal,
+		});
+		const flight = new Flight(undefined as never, new HeldResponse() as unknown as ServerResponse, () => undefined, () => 0);
+		const ended = flight.pump({
+			kind: DispatchKind.Answer, backend, answer, abort, marks: undefined as never, running: new Placement('fd').begin('e', 0, [], 0), attempt: undefined as never,
+		});
+		await delay(100);
+		expect(flight.isPaused).toBe(true);
+		flight.interrupt(InterruptCause.Deadline);
+		expect(await ended).toBe(PumpEnd.Interrupted);
+		expect(flight.events).toBeLessThan(40);
+		pool.destroy();
+		server.close();
+	});
+});
--- a/src/coordination/serving/dispatcher.ts
+++ b/src/coordination/serving/dispatcher.ts
@@ -177,7 +177,13 @@
 
 			// A place is used by an arrival, not by a connection that did not open: it stays held for the next choice.
 			const place = served.arrivals > 0 ? served.successor ?? {choice, heldAtMs: nowMs} : undefined;
-			served.successor = undefined;
+			if (place) {
+				served.successor = undefined;
+			} else {
+				// One that was taken while a connection did not open: a first arrival needs none.
+				this.releaseSuccessor(served);
+			}
+
 			// eslint-disable-next-line no-await-in-loop -- one backend server after the other.
 			const result = await this.sendTo(served, choice, options);
 			if (result.kind !== DispatchKind.NotRun || result.reason !== unreachedReason) {
@@ -207,7 +213,7 @@
 		if (place && served.successor) {
 			this.giveBack(served, place.heldAtMs);
 		} else {
-			served.successor = place;
+			served.successor ??= place;
 		}
 	}
 
@@ -287,7 +293,7 @@
 			served.arrivals++;
 			served.mayHaveRun = true;
 			served.runs++;
-			if (!signal.aborted) {
+			if (!signal.aborted && !options.signal?.aborted) {
 				placement.noteFailure(backend.id, clock.now());
 			}
 
--- a/src/coordination/serving/flight.ts
+++ b/src/coordination/serving/flight.ts
@@ -31,7 +31,7 @@
 export type Moved = {target: Backend; run: MovedRun};
 
 /** A run that is being started in place of the one in progress. */
-export type Takeover = {startedAtMs: number; abort: AbortController; begun: Promise<BegunAnswer | undefined>};
+export type Takeover = {cause: InterruptCause; startedAtMs: number; abort: AbortController; begun: Promise<BegunAnswer | undefined>};
 
 /** The state of one stream. */
 export class Flight {
@@ -101,8 +101,9 @@
 	async dropTakeover(): Promise<void> {
 		this.takeover?.abort.abort();
 		const begun = await this.takeTakeover();
-		begun?.running.end();
-		begun?.answer.destroy();
+		if (begun) {
+			closeRun(begun);
+		}
 	}
 
 	/** Says how a run ended, by whom, and how long it had been silent. */
@@ -118,6 +119,7 @@
 		const splitter = new EventSplitter();
 		this.begun = begun;
 		this.interruptCause = undefined;
+		this.hasMoveFailed = false;
 		this.progressAtMs = this.now();
 		return new Promise(resolve => {
 			let isOver = false;
@@ -149,19 +151,22 @@
 					});
 				}
 			});
-			source.once('end', () => {
-				const isComplete = answer.isWhole && !splitter.hasPartial;
-				if (isComplete) {
-					// A resumed stream may have no event left, and is still the engine's answer.
-					this.writeHead(begun);
-				}
-
-				end(isComplete ? PumpEnd.Complete : PumpEnd.Broken);
-			});
 			const breakOff = () => {
 				end(this.interruptCause === undefined ? PumpEnd.Broken : PumpEnd.Interrupted);
 			};
 
+			source.once('end', () => {
+				// An answer that is closed while its client holds it back ends as if it were whole, its last events unread.
+				const isClosed = this.interruptCause !== undefined || begun.abort.signal.aborted;
+				if (isClosed || !answer.isWhole || splitter.hasPartial) {
+					breakOff();
+					return;
+				}
+
+				// A resumed stream may have no event left, and is still the engine's answer.
+				this.writeHead(begun);
+				end(PumpEnd.Complete);
+			});
 			source.once('error', breakOff);
 			source.once('close', breakOff);
 			if (source.destroyed) {
@@ -206,3 +211,9 @@
 		return true;
 	}
 }
+
+/** Closes a run that has begun and whose events nobody reads. */
+export function closeRun({running, answer}: BegunAnswer): void {
+	running.end();
+	answer.destroy();
+}
--- a/src/coordination/serving/stream-forwarding.ts
+++ b/src/coordination/serving/stream-forwarding.ts
@@ -8,10 +8,10 @@
 import {RepeatPurpose} from '../retry-allowance.js';
 import {type WholeAnswer} from './call-forwarding.js';
 import {
-	type BegunAnswer, type Dispatcher, DispatchKind, type DispatchOptions,
+	type BegunAnswer, type Dispatcher, DispatchKind, type DispatchOptions, type FailedDispatch,
 } from './dispatcher.js';
 import {
-	Flight, InterruptCause, type Moved, PumpEnd,
+	closeRun, Flight, InterruptCause, type Moved, PumpEnd,
 } from './flight.js';
 import {type ServedRequest} from './served-request.js';
 import {type StreamRegistry} from './stream-registry.js';
@@ -61,9 +61,10 @@
 	let taken: BegunAnswer | undefined;
 	while (served.remainingMs(now()) > leastUsefulMs && !served.inputs.signal.aborted) {
 		// eslint-disable-next-line no-await-in-loop -- one engine after the other.
-		const dispatched = taken ?? await dispatcher.send(served, {
+		const dispatched: BegunAnswer | FailedDispatch = taken ?? await dispatcher.send(served, {
 			purpose: RepeatPurpose.Retry, beginMs: served.remainingMs(now()), patienceMs: patienceMs(served, flight), lastEventId: flight.lastEventId, ...next,
 		});
+		taken = undefined;
 		if (dispatched.kind === DispatchKind.NoBackend || dispatched.kind === DispatchKind.NoAllowance) {
 			({reason} = dispatched);
 			break;
@@ -100,6 +101,11 @@
 		}
 	}
 
+	if (taken) {
+		// It began too late to be of use.
+		closeRun(taken);
+	}
+
 	if (flight.isHeadSent) {
 		return {kind: 'broken', reason, events: flight.events};
 	}
--- a/src/coordination/serving/stream-registry.ts
+++ b/src/coordination/serving/stream-registry.ts
@@ -12,7 +12,9 @@
 import {createLogger} from '../../log.js';
 import {RepeatPurpose} from '../retry-allowance.js';
 import {type BegunAnswer, type Dispatcher, DispatchKind} from './dispatcher.js';
-import {type Flight, InterruptCause, type Moved} from './flight.js';
+import {
+	closeRun, type Flight, InterruptCause, type Moved,
+} from './flight.js';
 
 const log = createLogger('streams');
 
@@ -26,6 +28,8 @@
 const estimateFactor = 1.3;
 /** A resumable stream without an event for this long goes on elsewhere, in milliseconds; clients leave after two seconds at the earliest. */
 const stallMs = 1300;
+/** A run is ended this long after another engine was asked to go on with it, in milliseconds, if that has not refused: no two may work on one request for 400 ms, and refusals come within a few. */
+const overlapMs = 250;
 /** Engines tried as the target of a move. */
 const moveTargets = 2;
 
@@ -84,32 +88,41 @@
 		}
 	}
 
-	/** Asks another engine to go on with a stream; its run ends when that has begun. */
+	/** Asks another engine to go on with a stream. */
 	private handOver(flight: Flight, source: Backend, cause: InterruptCause, nowMs: number): void {
 		if (this.hold(flight, source, cause, nowMs)) {
 			log.info('stream handed over.', {cause, ...describe(flight, source, nowMs)});
 			const abort = new AbortController();
-			flight.takeover = {startedAtMs: nowMs, abort, begun: this.begin(flight, source, {cause, startedAtMs: nowMs, signal: abort.signal})};
+			flight.served.excluded.add(source.id);
+			flight.takeover = {
+				cause, startedAtMs: nowMs, abort, begun: this.begin(flight, {cause, startedAtMs: nowMs, signal: abort.signal}),
+			};
 		}
 	}
 
-	/** Begins a run at another engine and then ends the one in progress, which goes on if the other does not begin or it brings an event first. */
-	private async begin(flight: Flight, source: Backend, {cause, startedAtMs, signal}: {cause: InterruptCause; startedAtMs: number; signal: AbortSignal}): Promise<BegunAnswer | undefined> {
+	/**
+	 * Begins a run at another engine. The one in progress ends when that has begun, or has not
+	 * refused for a while; until then it goes on, and a silent one that brings an event stays.
+	 */
+	private async begin(flight: Flight, {cause, startedAtMs, signal}: {cause: InterruptCause; startedAtMs: number; signal: AbortSignal}): Promise<BegunAnswer | undefined> {
 		const {served} = flight;
-		served.excluded.add(source.id);
+		const overlap = setTimeout(() => {
+			if (!signal.aborted) {
+				flight.interrupt(cause);
+			}
+		}, overlapMs);
 		const dispatched = await this.parts.dispatcher.send(served, {
 			purpose: RepeatPurpose.Move, beginMs: served.remainingMs(startedAtMs), lastEventId: flight.lastEventId, signal,
 		});
-		const hasBegun = dispatched.kind === DispatchKind.Answer && isSuccess(dispatched);
-		if (hasBegun && !signal.aborted && (!flight.begun || flight.progressAtMs <= startedAtMs)) {
+		clearTimeout(overlap);
+		if (dispatched.kind === DispatchKind.Answer && isSuccess(dispatched) && !signal.aborted) {
 			flight.interrupt(cause);
 			return dispatched;
 		}
 
-		log.info('stream not taken over.', {request: served.inputs.request.id, from: source.id, reason: dispatched.kind === DispatchKind.Answer ? `status ${dispatched.answer.status}` : dispatched.reason});
+		log.info('stream not taken over.', {request: served.inputs.request.id, reason: dispatched.kind === DispatchKind.Answer ? `status ${dispatched.answer.status}` : dispatched.reason});
 		if (dispatched.kind === DispatchKind.Answer) {
-			dispatched.running.end();
-			dispatched.answer.destroy();
+			closeRun(dispatched);
 		}
 
 		if (flight.begun) {
@@ -155,6 +168,7 @@
 			flight.served.excluded.add(target.id);
 		}
 
+		this.parts.dispatcher.releaseSuccessor(flight.served);
 		flight.hasMoveFailed = true;
 		flight.moving = undefined;
 		return undefined;
@@ -207,9 +221,9 @@
 	return answer.status >= 200 && answer.status < 300;
 }
 
-/** Ends a takeover whose stream has brought events since. */
+/** Ends the takeover of a silent stream that has brought events since. */
 function endNeedless({takeover, progressAtMs}: Flight): void {
-	if (takeover && progressAtMs > takeover.startedAtMs) {
+	if (takeover?.cause === InterruptCause.Silent && progressAtMs > takeover.startedAtMs) {
 		takeover.abort.abort();
 	}
 }
