--- a/src/coordination/fleet/__tests__/fleet-messenger.test.ts
+++ b/src/coordination/fleet/__tests__/fleet-messenger.test.ts
@@ -107,6 +107,13 @@
 		return daemon;
 	}
 
+	/** Stops a daemon and starts it again under its name and address. */
+	restart(daemon: TestDaemon): TestDaemon {
+		const fresh = new TestDaemon(daemon.name, daemon.failureDomain, daemon.host, this);
+		this.daemons[this.daemons.indexOf(daemon)] = fresh;
+		return fresh;
+	}
+
 	send(bytes: Uint8Array, from: TestDaemon, to: PeerAddress): void {
 		if (uniformFloat64(this.generator) >= this.lossShare && !this.cuts.has(`${from.host} ${to.host}`)) {
 			this.flying.push({atMs: this.nowMs + 2, bytes, to});
@@ -322,6 +329,105 @@
 		expect(alone.fleet.hearsMost(net.nowMs)).toBe(true);
 	});
 
+	// A holder of the duties that had restarted shrank the pool from 120 engines to 30 while callers
+	// had 390 requests in flight, and reported 32 requests of 2,000: it heard nobody. A daemon takes
+	// itself for one of few until it hears of many, and in a large fleet nobody reports to one that
+	// doesn't ask. Its log said `usage decided, requests 17`, 24 and 69 for three windows in a row.
+	it.each([
+		{name: 'a relay', index: 0},
+		{name: 'a stand-in of the relays', index: 8},
+		{name: 'a daemon that never relays', index: 85},
+	])('of 86 daemons is heard at once by $name that restarts', async ({index}) => {
+		const net = await startNet(86, 4);
+		for (const daemon of net.daemons) {
+			daemon.placement.begin('i-1', 0, [], net.nowMs);
+		}
+
+		const fresh = net.restart(net.daemons[index]);
+		await fresh.messenger.discover(new AbortController().signal);
+		net.run(2500);
+		expect(fresh.fleet.daemons(net.nowMs)).toBe(86);
+		expect(fresh.fleet.inFlight(backendKey('i-1'), net.nowMs)).toBe(85);
+		expect(net.roles()).toEqual({mesh: 0, relay: 8, leaf: 78});
+	});
+
+	it.each([
+		{
+			name: 'one of 13', count: 13, domains: 4, left: 13, isFresh: (index: number) => index === 12,
+		},
+		{
+			name: 'one of 10 that were 20', count: 20, domains: 4, left: 10, isFresh: (index: number) => index === 9,
+		},
+		{
+			name: 'the first of 9 that were 20', count: 20, domains: 4, left: 9, isFresh: (index: number) => index === 0,
+		},
+		{
+			name: 'all of one failure domain of 12', count: 60, domains: 5, left: 60, isFresh: (index: number) => index % 5 === 3,
+		},
+	])('stays one when $name restart', async ({count, domains, left, isFresh}) => {
+		const net = await startNet(count, domains);
+		for (const daemon of net.daemons.slice(left)) {
+			daemon.isRunning = false;
+		}
+
+		net.run(left < count ? 70_000 : 0);
+		for (const daemon of net.running().filter((_, index) => isFresh(index))) {
+			// eslint-disable-next-line no-await-in-loop -- within a moment.
+			await net.restart(daemon).messenger.discover(new AbortController().signal);
+		}
+
+		net.run(3000);
+		expect(net.running().map(daemon => daemon.fleet.daemons(net.nowMs))).toEqual(net.running().map(() => left));
+		expect(net.roles().mesh).toBe(0);
+		const ranks = net.running().map(daemon => daemon.fleet.rank(net.nowMs)).filter(rank => rank !== undefined);
+		expect(ranks.toSorted((a, b) => a - b)).toEqual(ranks.map((_, index) => index));
+	});
+
+	it('of 86 daemons that restart one after the other stays one fleet', async () => {
+		const net = await startNet(86, 4);
+		for (const daemon of net.daemons.slice(0, 40)) {
+			const fresh = net.restart(daemon);
+			// eslint-disable-next-line no-await-in-loop -- one after the other.
+			await fresh.messenger.discover(new AbortController().signal);
+			net.run(1000);
+			expect(fresh.fleet.daemons(net.nowMs)).toBeGreaterThan(80);
+		}
+	});
+
+	it.each([
+		{left: 6, roles: {mesh: 6, relay: 0, leaf: 0}},
+		{left: 10, roles: {mesh: 0, relay: 8, leaf: 2}},
+	])('of $left daemons that were many is joined by one that restarts', async ({left, roles}) => {
+		const net = await startNet(20, 4);
+		for (const daemon of net.daemons.slice(left)) {
+			daemon.isRunning = false;
+		}
+
+		// They count those that are gone for a minute.
+		net.run(70_000);
+		for (const daemon of net.running()) {
+			// eslint-disable-next-line no-await-in-loop -- a small fleet is put together again from the list, by the first that reads it.
+			await net.restart(daemon).messenger.discover(new AbortController().signal);
+			net.run(300);
+		}
+
+		net.run(2500);
+		expect(net.roles()).toEqual(roles);
+		expect(net.running().map(daemon => daemon.fleet.daemons(net.nowMs))).toEqual(net.running().map(() => left));
+	});
+
+	it.each([
+		{name: 'could not be read', isDown: true, pauseMs: 2000},
+		{name: 'was read', isDown: false, pauseMs: 30_000},
+	])('looks again after $pauseMs ms where the list of daemons $name', async ({isDown, pauseMs}) => {
+		const net = await startNet(86, 4);
+		const fresh = net.restart(net.daemons[50]);
+		net.store.isDown = isDown;
+		await fresh.messenger.discover(new AbortController().signal).catch(() => undefined);
+		net.run(9000);
+		expect(fresh.messenger.discoverPauseMs).toBe(pauseMs);
+	});
+
 	it('costs a daemon that is no relay the same at any size', async () => {
 		const bytes = await Promise.all([{count: 40, domains: 4}, {count: 120, domains: 4}].map(async ({count, domains}) => {
 			const net = await startNet(count, domains);
--- a/src/coordination/fleet/fleet-table.ts
+++ b/src/coordination/fleet/fleet-table.ts
@@ -8,6 +8,7 @@
 import {
 	type Digest, DigestScope, type NamedAddress, type PeerAddress, type Report, type Sender, type View,
 } from '../../protocol/fleet-messages.js';
+import {createLogger} from '../../log.js';
 import {type AccountUse} from '../quota-ledger.js';
 import {
 	packCounts, readUse, sumCounts, writeUse,
@@ -18,6 +19,8 @@
 	countedMs, freshMs, goneMs, type Headcount, type Part, silentMs, ToldGroup, toldPart,
 } from './told-group.js';
 
+const log = createLogger('fleet');
+
 /** What a daemon is to the others. */
 export enum FleetRole {
 	/** One of few, which all report to each other. */
@@ -277,6 +280,9 @@
 		this.roleCheckedAtMs = nowMs;
 		const role = this.roleFor(nowMs);
 		if (role !== this.role) {
+			log.info('role changed.', {
+				from: this.role, to: role, daemons: this.daemons(nowMs), silent: this.silent(nowMs),
+			});
 			this.role = role;
 			this.roleSinceMs = nowMs;
 		}
@@ -285,7 +291,8 @@
 	private roleFor(nowMs: number): FleetRole {
 		const daemons = this.daemons(nowMs);
 		this.smallSinceMs = daemons <= meshAgainDaemons ? this.smallSinceMs ?? nowMs : undefined;
-		const isSmall = this.role === FleetRole.Mesh ? daemons <= meshDaemons : this.smallSinceMs !== undefined && nowMs - this.smallSinceMs >= smallForMs;
+		// In a large fleet nobody reports to a daemon that does not ask. One that restarted heard nobody, held the duties and gave up three quarters of the pool.
+		const isSmall = this.role === FleetRole.Mesh ? daemons <= meshDaemons && this.told(nowMs) <= meshAgainDaemons : this.smallSinceMs !== undefined && nowMs - this.smallSinceMs >= smallForMs;
 		if (isSmall) {
 			return FleetRole.Mesh;
 		}
@@ -293,6 +300,17 @@
 		return this.relays(this.self.failureDomain, nowMs).some(({name}) => name === this.self.name) ? FleetRole.Relay : FleetRole.Leaf;
 	}
 
+	/** Daemons that relays tell of, this one included: by all that one of this failure domain knows, or by the failure domains that others tell of. Only in a large fleet there are any. */
+	private told(nowMs: number): number {
+		let inDomains = 0;
+		for (const group of this.domains.values()) {
+			inDomains += group.best(silentMs, nowMs)?.digest.daemons ?? 0;
+		}
+
+		const own = inDomains > 0 ? this.rowsPart(this.domainRows(), nowMs).count().daemons : 0;
+		return 1 + Math.max(this.rest.best(silentMs, nowMs)?.digest.daemons ?? 0, inDomains + own);
+	}
+
 	private headcount(nowMs: number): Headcount {
 		return sumHeadcounts(this.parts(nowMs));
 	}
--- a/src/coordination/serving/dispatcher.ts
+++ b/src/coordination/serving/dispatcher.ts
@@ -13,12 +13,18 @@
 import {type FleetTable} from '../fleet/fleet-table.js';
 import {type Choice, type Placement, type RunningRequest} from '../placement.js';
 import {type RepeatPurpose, type RetryAllowance} from '../retry-allowance.js';
-import {type ServedRequest} from './served-request.js';
+import {type Attempt, type ServedRequest, type Successor} from './served-request.js';
 
 const log = createLogger('dispatch');
 
 /** Time for a connection to open, in milliseconds; a hundred round trips between failure domains. */
 const connectMs = 300;
+/** How often it is tried to hold what takes over from a late backend server, in milliseconds. */
+const holdPauseMs = 50;
+/** A run is given up for another one only with this share of the latency target left: engines begin within a third of it on most days. */
+const leastRunShare = 0.25;
+/** Reason of a dispatch whose connection did not open. */
+const unreachedReason = 'unreached';
 /** The status of an answer from another backend server than the one meant. */
 const misdirectedStatus = 421;
 
@@ -43,6 +49,7 @@
 	answer: BackendAnswer;
 	marks: AnswerMarks;
 	running: RunningRequest;
+	attempt: Attempt;
 	/** Closes the connection. */
 	abort: AbortController;
 };
@@ -59,6 +66,10 @@
 	purpose: RepeatPurpose;
 	/** Time for the answer to begin, in milliseconds. */
 	beginMs: number;
+	/** Time after which another backend server takes over if one is held, in milliseconds; undefined where none may. */
+	patienceMs?: number;
+	/** Ends the dispatch before its answer has begun. */
+	signal?: AbortSignal;
 };
 
 /** The parts a dispatcher works with. */
@@ -76,14 +87,14 @@
 export class Dispatcher {
 	constructor(private readonly parts: DispatcherParts) {}
 
-	/** The backend server that would get a request now. */
-	choose(served: ServedRequest): Choice | undefined {
+	/** The backend server that would get a request now, other than the one it runs at. */
+	choose(served: ServedRequest, runningAt?: string): Choice | undefined {
 		const {backends, placement, fleet, clock} = this.parts;
 		const {request, service} = served.inputs;
 		const nowMs = clock.now();
 		return placement.choose({
 			candidates: backends.candidates(service, nowMs),
-			excluded: served.excluded,
+			excluded: runningAt === undefined ? served.excluded : new Set([...served.excluded, runningAt]),
 			promptTokens: request.promptTokens ?? 0,
 			promptParts: request.promptParts,
 			peersInFlight: id => fleet.inFlight(backendKey(id), nowMs),
@@ -92,22 +103,95 @@
 		});
 	}
 
+	/**
+	 * Holds a backend server and a place in the repeat allowance for the next run of a request.
+	 * The daemon ends a run in progress only when this succeeded: otherwise an answer that may
+	 * still come would break off with nothing to follow.
+	 */
+	holdSuccessor(served: ServedRequest, runningAt: string, purpose: RepeatPurpose, nowMs: number): boolean {
+		if (served.remainingMs(nowMs) < served.inputs.route.latencyTargetMs * leastRunShare) {
+			return false;
+		}
+
+		if (served.successor) {
+			return this.heldBackend(served, runningAt) !== undefined;
+		}
+
+		// The place first: it is what lacks under load, and choosing takes most of a millisecond among a hundred engines.
+		if (!this.mayRepeat(served, purpose, nowMs)) {
+			return false;
+		}
+
+		const choice = this.choose(served, runningAt);
+		if (!choice) {
+			this.giveBack(served, nowMs);
+			return false;
+		}
+
+		served.successor = {choice, heldAtMs: nowMs};
+		return true;
+	}
+
+	/** The backend server held for the next run, or another one if that leaves or has failed the request meanwhile. */
+	heldBackend(served: ServedRequest, runningAt?: string): Backend | undefined {
+		const {successor} = served;
+		if (!successor) {
+			return undefined;
+		}
+
+		if (!this.isUsable(served, successor.choice.backend)) {
+			const choice = this.choose(served, runningAt);
+			if (!choice) {
+				return undefined;
+			}
+
+			successor.choice = choice;
+		}
+
+		return successor.choice.backend;
+	}
+
+	/** Gives back a place that is not needed. */
+	releaseSuccessor(served: ServedRequest): void {
+		if (served.successor) {
+			this.giveBack(served, served.successor.heldAtMs);
+			served.successor = undefined;
+		}
+	}
+
 	/** Sends a request once; a connection that does not open is no arrival, so the next backend server is tried. */
 	async send(served: ServedRequest, options: DispatchOptions): Promise<BegunAnswer | FailedDispatch> {
+		let planned = options.target ? {backend: options.target, costMs: 0, copyFrom: undefined} : served.successor?.choice;
 		for (;;) {
-			const choice: Pick<Choice, 'backend' | 'costMs' | 'copyFrom'> | undefined = options.target ? {backend: options.target, costMs: 0, copyFrom: undefined} : this.choose(served);
+			const isFixed = options.target !== undefined;
+			const choice = planned && (isFixed || this.isUsable(served, planned.backend)) ? planned : this.choose(served);
+			planned = undefined;
 			if (!choice) {
 				return {kind: DispatchKind.NoBackend, reason: 'no backend server left'};
 			}
 
-			if (served.arrivals > 0 && !this.mayRepeat(served, options.purpose)) {
-				return {kind: DispatchKind.NoAllowance, reason: 'repeat allowance used up'};
+			const nowMs = this.parts.clock.now();
+			if (served.arrivals > 0 && !served.successor && !this.mayRepeat(served, options.purpose, nowMs)) {
+				return {kind: DispatchKind.NoAllowance, reason: `repeat allowance used up (${this.describeAllowance(served)})`};
+			}
+
+			// A place is used by an arrival, not by a connection that did not open: it stays held for the next choice.
+			const place = served.arrivals > 0 ? served.successor ?? {choice, heldAtMs: nowMs} : undefined;
+			if (place) {
+				served.successor = undefined;
+			} else {
+				// One that was taken while a connection did not open: a first arrival needs none.
+				this.releaseSuccessor(served);
 			}
 
 			// eslint-disable-next-line no-await-in-loop -- one backend server after the other.
 			const result = await this.sendTo(served, choice, options);
-			const isUnreached = result.kind === DispatchKind.NotRun && result.reason === 'unreached';
-			if (!isUnreached || options.target !== undefined || served.inputs.signal.aborted) {
+			if (result.kind !== DispatchKind.NotRun || result.reason !== unreachedReason) {
+				return result;
+			}
+
+			this.keepPlace(served, place);
+			if (isFixed || served.inputs.signal.aborted || options.signal?.aborted) {
 				return result;
 			}
 		}
@@ -119,10 +203,35 @@
 		this.parts.placement.noteFailure(backendId, this.parts.clock.now());
 	}
 
-	private mayRepeat(served: ServedRequest, purpose: RepeatPurpose): boolean {
+	private mayRepeat(served: ServedRequest, purpose: RepeatPurpose, nowMs: number): boolean {
+		const {allowance, fleet} = this.parts;
+		return allowance.take(served.inputs.service, purpose, fleet.daemons(nowMs), nowMs);
+	}
+
+	/** Holds a place that no arrival used, unless another one was taken meanwhile. */
+	private keepPlace(served: ServedRequest, place: Successor | undefined): void {
+		if (place && served.successor) {
+			this.giveBack(served, place.heldAtMs);
+		} else {
+			served.successor ??= place;
+		}
+	}
+
+	private giveBack(served: ServedRequest, takenAtMs: number): void {
+		this.parts.allowance.giveBack(served.inputs.service, takenAtMs);
+	}
+
+	/** Whether a backend server that was chosen earlier may still get a request. */
+	private isUsable(served: ServedRequest, backend: Backend): boolean {
+		const entry = this.parts.backends.get(backend.id);
+		return !served.excluded.has(backend.id) && entry !== undefined && entry.leavingSinceMs === undefined;
+	}
+
+	private describeAllowance(served: ServedRequest): string {
 		const {allowance, fleet, clock} = this.parts;
 		const nowMs = clock.now();
-		return allowance.take(served.inputs.service, purpose, fleet.daemons(nowMs), nowMs);
+		const {firsts, repeats} = allowance.used(served.inputs.service, nowMs);
+		return `${repeats} repeats for ${firsts} requests, ${fleet.daemons(nowMs)} daemons`;
 	}
 
 	private async sendTo(served: ServedRequest, choice: Pick<Choice, 'backend' | 'costMs' | 'copyFrom'>, options: DispatchOptions): Promise<BegunAnswer | FailedDispatch> {
@@ -136,7 +245,9 @@
 		};
 
 		signal.addEventListener('abort', giveUp, {once: true});
+		options.signal?.addEventListener('abort', giveUp, {once: true});
 		const timer = setTimeout(giveUp, options.beginMs);
+		const stopWatching = this.watchLateness(served, backend.id, options, giveUp);
 		const running = placement.begin(backend.id, request.promptTokens ?? 0, request.promptParts, sentAtMs);
 		const attempt = {
 			backendId: backend.id, costMs: Math.round(costMs), atMs: Math.round(sentAtMs - served.inputs.arrivedAtMs), result: 'sent',
@@ -170,26 +281,47 @@
 			});
 			served.arrivals++;
 			return this.judge(served, {
-				backend, answer, running, abort,
+				backend, answer, running, attempt, abort,
 			}, options, fail);
 		} catch (error) {
 			if (error instanceof ConnectError) {
 				placement.noteFailure(backend.id, clock.now());
 				log.debug('backend server not reached.', {backend: backend.id, error: String(error)});
-				return fail({kind: DispatchKind.NotRun, reason: 'unreached'});
+				return fail({kind: DispatchKind.NotRun, reason: unreachedReason});
 			}
 
 			served.arrivals++;
 			served.mayHaveRun = true;
 			served.runs++;
-			if (!signal.aborted) {
+			if (!signal.aborted && !options.signal?.aborted) {
 				placement.noteFailure(backend.id, clock.now());
 			}
 
 			return fail({kind: DispatchKind.Unknown, reason: signal.aborted ? 'client gone' : (abort.signal.aborted ? 'silent' : 'broken')});
 		} finally {
 			clearTimeout(timer);
+			stopWatching();
+		}
+	}
+
+	/** Ends a dispatch whose answer is late as soon as another backend server is held for it; returns what ends the watch. */
+	private watchLateness(served: ServedRequest, backendId: string, {patienceMs, purpose}: DispatchOptions, giveUp: () => void): () => void {
+		if (patienceMs === undefined) {
+			return () => undefined;
 		}
+
+		const look = () => {
+			if (this.holdSuccessor(served, backendId, purpose, this.parts.clock.now())) {
+				giveUp();
+			} else {
+				timer = setTimeout(look, holdPauseMs);
+			}
+		};
+
+		let timer = setTimeout(look, patienceMs);
+		return () => {
+			clearTimeout(timer);
+		};
 	}
 
 	/** Checks that an answer belongs to the request and what it says of the run. */
--- a/src/coordination/serving/flight.ts
+++ b/src/coordination/serving/flight.ts
@@ -13,10 +13,25 @@
 	Broken = 'broken',
 	/** Events are missing between what was delivered and what came. */
 	Gap = 'gap',
+	/** The daemon ended the run itself. */
+	Interrupted = 'interrupted',
 }
 
-/** A run whose KV cache was copied to another engine, or the failure to do so. */
-export type MoveResult = {target: Backend; run: MovedRun};
+/** Why the daemon ended a run itself. */
+export enum InterruptCause {
+	/** No event came for too long. */
+	Silent = 'silent',
+	/** The engine leaves, and the run cannot be moved. */
+	Leaving = 'engine leaves',
+	/** The request's time is over. */
+	Deadline = 'deadline',
+}
+
+/** A run whose KV cache was moved to another engine. */
+export type Moved = {target: Backend; run: MovedRun};
+
+/** A run that is being started in place of the one in progress. */
+export type Takeover = {cause: InterruptCause; startedAtMs: number; abort: AbortController; begun: Promise<BegunAnswer | undefined>};
 
 /** The state of one stream. */
 export class Flight {
@@ -30,7 +45,14 @@
 	/** Id of the last event delivered. */
 	lastEventId: string | undefined;
 	/** Set while the run is being moved. */
-	moving: Promise<MoveResult | undefined> | undefined;
+	moving: Promise<Moved | undefined> | undefined;
+	/** Whether it could not be moved; its engine then serves it as long as it can. */
+	hasMoveFailed = false;
+	/** Set while another engine is asked to go on with it. */
+	takeover: Takeover | undefined;
+	/** Whether the log says that it stays at its engine since nothing can take it over. */
+	isKept = false;
+	private interruptCause: InterruptCause | undefined;
 
 	constructor(
 		readonly served: ServedRequest,
@@ -39,6 +61,11 @@
 		private readonly now: () => number,
 	) {}
 
+	/** Whether the client takes events more slowly than they come, so that none is read from the engine. */
+	get isPaused(): boolean {
+		return this.response.writableNeedDrain;
+	}
+
 	get isHeadSent(): boolean {
 		return this.response.headersSent;
 	}
@@ -56,8 +83,33 @@
 	}
 
 	/** Closes the connection of the run in progress. */
-	interrupt(): void {
-		this.begun?.abort.abort();
+	interrupt(cause: InterruptCause): void {
+		if (this.begun) {
+			this.interruptCause = cause;
+			this.begun.abort.abort();
+		}
+	}
+
+	/** Takes the run that another engine has begun in place of the last one, once it is known whether it does. */
+	async takeTakeover(): Promise<BegunAnswer | undefined> {
+		const begun = await this.takeover?.begun;
+		this.takeover = undefined;
+		return begun;
+	}
+
+	/** Ends a takeover that is not needed. */
+	async dropTakeover(): Promise<void> {
+		this.takeover?.abort.abort();
+		const begun = await this.takeTakeover();
+		if (begun) {
+			closeRun(begun);
+		}
+	}
+
+	/** Says how a run ended, by whom, and how long it had been silent. */
+	describeEnd(end: PumpEnd): string {
+		const by = end === PumpEnd.Interrupted ? `${end}, ${this.interruptCause}` : end;
+		return `${by}, after ${this.events} events and ${Math.round(this.now() - this.progressAtMs)} ms of silence`;
 	}
 
 	/** Passes the events of one run on until it ends. */
@@ -66,6 +118,8 @@
 		const {response: source} = answer;
 		const splitter = new EventSplitter();
 		this.begun = begun;
+		this.interruptCause = undefined;
+		this.hasMoveFailed = false;
 		this.progressAtMs = this.now();
 		return new Promise(resolve => {
 			let isOver = false;
@@ -97,21 +151,28 @@
 					});
 				}
 			});
+			const breakOff = () => {
+				end(this.interruptCause === undefined ? PumpEnd.Broken : PumpEnd.Interrupted);
+			};
+
 			source.once('end', () => {
-				const isComplete = answer.isWhole && !splitter.hasPartial;
-				if (isComplete) {
-					// A resumed stream may have no event left, and is still the engine's answer.
-					this.writeHead(begun);
+				// An answer that is closed while its client holds it back ends as if it were whole, its last events unread.
+				const isClosed = this.interruptCause !== undefined || begun.abort.signal.aborted;
+				if (isClosed || !answer.isWhole || splitter.hasPartial) {
+					breakOff();
+					return;
 				}
 
-				end(isComplete ? PumpEnd.Complete : PumpEnd.Broken);
-			});
-			source.once('error', () => {
-				end(PumpEnd.Broken);
-			});
-			source.once('close', () => {
-				end(PumpEnd.Broken);
+				// A resumed stream may have no event left, and is still the engine's answer.
+				this.writeHead(begun);
+				end(PumpEnd.Complete);
 			});
+			source.once('error', breakOff);
+			source.once('close', breakOff);
+			if (source.destroyed) {
+				// It broke off while the run before it was being ended.
+				breakOff();
+			}
 		});
 	}
 
@@ -150,3 +211,9 @@
 		return true;
 	}
 }
+
+/** Closes a run that has begun and whose events nobody reads. */
+export function closeRun({running, answer}: BegunAnswer): void {
+	running.end();
+	answer.destroy();
+}
--- a/src/coordination/serving/stream-forwarding.ts
+++ b/src/coordination/serving/stream-forwarding.ts
@@ -8,13 +8,15 @@
 import {RepeatPurpose} from '../retry-allowance.js';
 import {type WholeAnswer} from './call-forwarding.js';
 import {
-	type BegunAnswer, type Dispatcher, DispatchKind, type DispatchOptions,
+	type BegunAnswer, type Dispatcher, DispatchKind, type DispatchOptions, type FailedDispatch,
 } from './dispatcher.js';
-import {Flight, type MoveResult, PumpEnd} from './flight.js';
+import {
+	closeRun, Flight, InterruptCause, type Moved, PumpEnd,
+} from './flight.js';
 import {type ServedRequest} from './served-request.js';
 import {type StreamRegistry} from './stream-registry.js';
 
-/** An engine gets this many times the latency target to begin before a resumable stream is sent to another. */
+/** An engine gets this many times the latency target to begin before a resumable stream is sent to another that is held for it. */
 const beginTargets = 3;
 /** Longest answer of an engine that is no stream, in bytes. */
 const mostAnswerBytes = 1024 * 1024;
@@ -36,90 +38,112 @@
 	const {dispatcher, registry, now} = parts;
 	const flight = new Flight(served, response, onBegun, now);
 	flight.lastEventId = served.inputs.request.lastEventId;
-	let next: Partial<DispatchOptions> = {};
-	let reason = 'no time left';
 	const deadline = setTimeout(() => {
-		flight.interrupt();
+		flight.interrupt(InterruptCause.Deadline);
 	}, Math.max(0, served.remainingMs(now())));
 	registry.add(flight);
 	try {
-		while (served.remainingMs(now()) > leastUsefulMs && !served.inputs.signal.aborted) {
-			// eslint-disable-next-line no-await-in-loop -- one engine after the other.
-			const dispatched = await dispatcher.send(served, {
-				purpose: RepeatPurpose.Retry, beginMs: beginMs(served, flight, now()), lastEventId: flight.lastEventId, ...next,
-			});
-			if (dispatched.kind === DispatchKind.NoBackend || dispatched.kind === DispatchKind.NoAllowance) {
-				({reason} = dispatched);
-				break;
-			}
+		return await runStream(dispatcher, flight, now);
+	} finally {
+		clearTimeout(deadline);
+		registry.remove(flight);
+		await flight.dropTakeover();
+		dispatcher.releaseSuccessor(served);
+	}
+}
 
-			if (dispatched.kind === DispatchKind.Answer) {
-				// eslint-disable-next-line no-await-in-loop
-				const end = await takeAnswer(dispatched, flight);
-				if (typeof end !== 'string') {
-					return end;
-				}
-
-				reason = end;
-				dispatcher.noteFailure(served, dispatched.backend.id);
-			} else {
-				({reason} = dispatched);
-			}
+/** Runs a stream at one engine after the other, until it has ended or none may follow. */
+async function runStream(dispatcher: Dispatcher, flight: Flight, now: () => number): Promise<StreamResult> {
+	const {served} = flight;
+	let next: Partial<DispatchOptions> = {};
+	let reason = 'no time left';
+	let failure: WholeAnswer | undefined;
+	let taken: BegunAnswer | undefined;
+	while (served.remainingMs(now()) > leastUsefulMs && !served.inputs.signal.aborted) {
+		// eslint-disable-next-line no-await-in-loop -- one engine after the other.
+		const dispatched: BegunAnswer | FailedDispatch = taken ?? await dispatcher.send(served, {
+			purpose: RepeatPurpose.Retry, beginMs: served.remainingMs(now()), patienceMs: patienceMs(served, flight), lastEventId: flight.lastEventId, ...next,
+		});
+		taken = undefined;
+		if (dispatched.kind === DispatchKind.NoBackend || dispatched.kind === DispatchKind.NoAllowance) {
+			({reason} = dispatched);
+			break;
+		}
 
+		if (dispatched.kind === DispatchKind.Answer) {
 			// eslint-disable-next-line no-await-in-loop
-			const moved = await takeMove(flight);
-			if (moved) {
-				next = {target: moved.target, kvSource: moved.run.kvSource, purpose: RepeatPurpose.Move};
-			} else if (served.mayHaveRun && (!served.isRepeatable || !mayRunAgain(served))) {
-				break;
-			} else {
-				next = flight.events > 0 ? {purpose: RepeatPurpose.Move} : {};
+			const end = await takeAnswer(dispatched, flight);
+			if (end.kind === 'complete') {
+				return end;
 			}
+
+			failure = end.kind === 'answer' ? end.answer : failure;
+			reason = end.kind === 'answer' ? `failed with ${end.answer.status}` : end.reason;
+			dispatcher.noteFailure(served, dispatched.backend.id);
+		} else {
+			({reason} = dispatched);
+		}
+
+		// eslint-disable-next-line no-await-in-loop
+		const moved = await takeMove(flight);
+		// eslint-disable-next-line no-await-in-loop
+		taken = await flight.takeTakeover();
+		if (taken) {
+			continue;
+		}
+
+		if (moved) {
+			next = {target: moved.target, kvSource: moved.run.kvSource, purpose: RepeatPurpose.Move};
+		} else if (served.mayHaveRun && !served.mayRunAgain) {
+			break;
+		} else {
+			next = flight.events > 0 ? {purpose: RepeatPurpose.Move} : {};
 		}
-	} finally {
-		clearTimeout(deadline);
-		registry.remove(flight);
+	}
+
+	if (taken) {
+		// It began too late to be of use.
+		closeRun(taken);
 	}
 
 	if (flight.isHeadSent) {
 		return {kind: 'broken', reason, events: flight.events};
 	}
 
+	if (failure) {
+		return {kind: 'answer', answer: failure};
+	}
+
 	return served.mayHaveRun ? {kind: 'unknown', reason} : {kind: 'not-run', reason};
 }
 
-/** Passes an engine's answer on; returns how the stream ended, or why it has to go on elsewhere. */
-async function takeAnswer(begun: BegunAnswer, flight: Flight): Promise<StreamResult | string> {
-	const {served} = flight;
-	const attempt = served.attempts.at(-1)!;
+/** How one run ended: whole, with an answer that is no stream, or broken off. */
+type RunEnd = Extract<StreamResult, {kind: 'complete' | 'answer'}> | {kind: 'ended'; reason: string};
+
+/** Passes the events of one run on. */
+async function takeAnswer(begun: BegunAnswer, flight: Flight): Promise<RunEnd> {
+	const {attempt} = begun;
 	const {status} = begun.answer;
 	if (status >= 200 && status < 300) {
 		const end = await flight.pump(begun);
-		attempt.result = `${end} after ${flight.events} events`;
-		return end === PumpEnd.Complete ? {kind: 'complete', events: flight.events} : end;
+		attempt.result = flight.describeEnd(end);
+		return end === PumpEnd.Complete ? {kind: 'complete', events: flight.events} : {kind: 'ended', reason: attempt.result};
 	}
 
 	const answer = await readFailure(begun);
 	attempt.result = String(status);
-	const mayGoElsewhere = served.isRepeatable && mayRunAgain(served);
-	return answer && !flight.isHeadSent && !mayGoElsewhere ? {kind: 'answer', answer} : `failed with ${status}`;
-}
-
-/** Time for an engine to begin: all there is, unless another may be asked. */
-function beginMs(served: ServedRequest, flight: Flight, nowMs: number): number {
-	const remainingMs = served.remainingMs(nowMs);
-	const {latencyTargetMs} = served.inputs.route;
-	const canRepeat = served.isRepeatable && served.runs + 1 < served.inputs.route.attempts;
-	return canRepeat && flight.events === 0 ? Math.min(remainingMs, latencyTargetMs * beginTargets) : remainingMs;
+	return answer ? {kind: 'answer', answer} : {kind: 'ended', reason: `failed with ${status}`};
 }
 
-/** Whether the route's attempts leave room for one more run. */
-function mayRunAgain(served: ServedRequest): boolean {
-	return served.runs < served.inputs.route.attempts;
+/** Time after which another engine is asked to begin a stream instead; undefined when none may be. */
+function patienceMs(served: ServedRequest, flight: Flight): number | undefined {
+	const {attempts, latencyTargetMs} = served.inputs.route;
+	const canRepeat = served.isRepeatable && served.runs + 1 < attempts;
+	return canRepeat && flight.events === 0 ? latencyTargetMs * beginTargets : undefined;
 }
 
 /** Waits for a move in progress and takes its result. */
-async function takeMove(flight: Flight): Promise<MoveResult | undefined> {
+async function takeMove(flight: Flight): Promise<Moved | undefined> {
 	const moved = await flight.moving;
 	flight.moving = undefined;
 	return moved;
