--- a/soak/world.ts
+++ b/soak/world.ts
@@ -140,7 +140,7 @@
 
 	private listReplica(replica: ReplicaStandin, link: FaultyLink, state: string): void {
 		this.store.put('keyed.servers', replica.id, {
-			service: 'svc', address: link.address, zone: zones[0], slots: 8, state, sequence: 1,
+			service: 'svc', address: link.address, zone: zones[0], slots: 8, state, sequence: 1, version: 'v1', cold_left_ms: 0,
 		});
 	}
 
--- a/src/coordination/__tests__/duty-runner.test.ts
+++ b/src/coordination/__tests__/duty-runner.test.ts
@@ -58,7 +58,7 @@
 	const list = (count: number) => {
 		for (let index = 0; index < count; index++) {
 			backends.upsert({
-				id: `b-${index}`, service: 's', host: '10.0.0.1', port: index, failureDomain: index % 2 === 0 ? 'fd-a' : 'fd-b', slots: 16, state: BackendState.Ready, isReclaimable: false, leavesInMs: undefined, coldForMs: 0,
+				id: `b-${index}`, name: `b-${index}`, startedAtMs: undefined, service: 's', host: '10.0.0.1', port: index, failureDomain: index % 2 === 0 ? 'fd-a' : 'fd-b', slots: 16, state: BackendState.Ready, isReclaimable: false, leavesInMs: undefined, coldForMs: 0,
 			}, time.ms);
 		}
 	};
@@ -68,6 +68,35 @@
 	};
 }
 
+/** Two daemons at one store and a cloud that checks no fencing token; each has a usage report to send every window. */
+function createUnfencedPair() {
+	const time = {ms: 100_000};
+	const clock = new SteadyClock({monotonicMs: () => time.ms, wallMs: () => time.ms, uptimeMs: () => time.ms});
+	const store = new FakeStore();
+	const calls: Array<{holder: string; token: number; atMs: number}> = [];
+	const routes = new RouteTable();
+	const daemons = ['a', 'b'].map(name => {
+		/** The daemon's way to the store, which a test can cut. */
+		const ownStore = Object.create(store) as FakeStore;
+		const lease = new DutyLease(ownStore, name, 3000, clock);
+		const usage = new UsageLedger('fd-a', name, 5000);
+		const cloud: Cloud = {
+			async reportUsage(holder) {
+				calls.push({holder: name, token: holder.token, atMs: time.ms});
+				return DutyResult.Accepted;
+			},
+			orderPool: async () => DutyResult.Accepted,
+		};
+		const runner = new DutyRunner({
+			cloud, lease, usage, routes, backends: new BackendTable({drainMs: 2000}), clock, name, usageWindowMs: 5000, list: () => ({followedForMs: 0, unchangedForMs: 0}), need: undefined as never,
+		});
+		return {
+			name, ownStore, lease, usage, runner,
+		};
+	});
+	return {daemons, calls, time};
+}
+
 describe('isListSettled', () => {
 	it.each([
 		{followedForMs: 2000, unchangedForMs: 2000, expected: false},
@@ -95,3 +124,40 @@
 		expect(onDemand[0] + onDemand[1]).toBeGreaterThanOrEqual(30);
 	});
 });
+
+describe('where the platform checks no fencing token', () => {
+	it.each([
+		{name: 'the holder is cut off and comes back', cuts: [{daemon: 0, fromMs: 11_000, untilMs: 25_000}]},
+		{name: 'both are cut off in turn', cuts: [{daemon: 0, fromMs: 11_000, untilMs: 18_000}, {daemon: 1, fromMs: 25_000, untilMs: 35_000}]},
+		{name: 'the cuts are shorter than a lease', cuts: [{daemon: 0, fromMs: 11_000, untilMs: 13_000}, {daemon: 0, fromMs: 14_500, untilMs: 17_500}]},
+	])('no daemon acts under a lower token, nor twice around another within a lease, as $name', async ({cuts}) => {
+		const {daemons, calls, time} = createUnfencedPair();
+		const startMs = time.ms;
+		for (; time.ms < startMs + 60_000; time.ms += 100) {
+			const atMs = time.ms - startMs;
+			for (const [index, daemon] of daemons.entries()) {
+				const isCut = cuts.some(cut => cut.daemon === index && atMs >= cut.fromMs && atMs < cut.untilMs);
+				daemon.ownStore.isDown = isCut;
+				daemon.usage.count('x', time.ms);
+				const others = daemons.filter(other => other !== daemon && !other.ownStore.isDown && !isCut);
+				for (const news of others.map(other => other.lease.news(time.ms)).filter(news => news !== undefined)) {
+					daemon.lease.hear(news, time.ms);
+				}
+
+				// eslint-disable-next-line no-await-in-loop -- steps in the order of time.
+				await daemon.lease.step({rank: index, hearsMost: true, startedAtMs: startMs}, signal).catch(() => undefined);
+				// eslint-disable-next-line no-await-in-loop
+				await daemon.runner.step(signal).catch(() => undefined);
+			}
+		}
+
+		expect(new Set(calls.map(call => call.holder)).size).toBe(2);
+		for (const [index, call] of calls.entries()) {
+			const before = calls.slice(0, index);
+			expect(call.token).toBeGreaterThanOrEqual(Math.max(0, ...before.map(other => other.token)));
+			const lastOther = before.findLast(other => other.holder !== call.holder);
+			const ownBefore = lastOther && before.slice(0, before.indexOf(lastOther)).findLast(other => other.holder === call.holder);
+			expect(ownBefore === undefined || call.atMs - ownBefore.atMs > 3000).toBe(true);
+		}
+	});
+});
--- /dev/null
+++ b/src/coordination/__tests__/own-record.test.ts
@@ -0,0 +1,42 @@
+import {Buffer} from 'node:buffer';
+import fc from 'fast-check';
+import {describe, expect, it} from 'vitest';
+import {SteadyClock} from '../../clock.js';
+import {Topic} from '../../protocol/platform.js';
+import {FakeStore} from '../../testing/fake-store.js';
+import {DutyKey, DutyLease} from '../duty-lease.js';
+import {fieldsOf, readOwnRecord} from '../own-record.js';
+
+const {signal} = new AbortController();
+const isNamed = (value: unknown): value is {name: string} => typeof fieldsOf(value).name === 'string';
+
+describe('readOwnRecord', () => {
+	it.each([
+		{name: 'a whole record', text: '{"name":"a"}', expected: {name: 'a'}},
+		{name: 'a field of another type', text: '{"name":1}', expected: undefined},
+		{name: 'a list', text: '["a"]', expected: undefined},
+		{name: 'nothing', text: 'null', expected: undefined},
+		{name: 'no JSON', text: '{', expected: undefined},
+	])('$name', ({text, expected}) => {
+		expect(readOwnRecord(Buffer.from(text), isNamed, 'test')).toEqual(expected);
+	});
+
+	it('never throws, whatever the bytes', () => {
+		fc.assert(fc.property(fc.oneof(fc.uint8Array(), fc.json().map(text => Buffer.from(text))), value => {
+			readOwnRecord(value, isNamed, 'test');
+		}), {seed: 996, numRuns: 300});
+	});
+});
+
+describe('a foreign record among the claims', () => {
+	it.each(['{', 'null', '{"holder":7}'])('is passed over: %s', async text => {
+		const clock = new SteadyClock({monotonicMs: () => 10_000, wallMs: () => 10_000, uptimeMs: () => 10_000});
+		const store = new FakeStore();
+		store.put(Topic.Duties, DutyKey.Claim, text);
+		const lease = new DutyLease(store, 'a', 3000, clock);
+		const inputs = {rank: 0, hearsMost: true, startedAtMs: 0};
+		await lease.step(inputs, signal);
+		await lease.step(inputs, signal);
+		expect(lease.isConfirmedAt(10_000)).toBe(true);
+	});
+});
--- a/src/coordination/duty-lease.ts
+++ b/src/coordination/duty-lease.ts
@@ -13,6 +13,7 @@
 import {type SteadyClock} from '../clock.js';
 import {createLogger} from '../log.js';
 import {type HolderNews} from '../protocol/fleet-messages.js';
+import {fieldsOf, readOwnRecord} from './own-record.js';
 
 const log = createLogger('lease');
 
@@ -35,8 +36,15 @@
 	Usage = 'usage',
 }
 
+/** A claim as it is written. */
+type WrittenClaim = {holder: string};
+
 type Claim = {holder: string; token: number; seenAtMs: number};
 
+function isWrittenClaim(value: unknown): value is WrittenClaim {
+	return typeof fieldsOf(value).holder === 'string';
+}
+
 /** What the decision to claim is made from. */
 export type ClaimInputs = {
 	/** Position of this daemon among those that may claim; undefined for one that leaves it to the relays, which hear of all daemons first. */
@@ -180,7 +188,8 @@
 
 	private async claim(signal: AbortSignal): Promise<void> {
 		const sentAtMs = this.clock.now();
-		const value = Buffer.from(JSON.stringify({holder: this.holder}));
+		const written: WrittenClaim = {holder: this.holder};
+		const value = Buffer.from(JSON.stringify(written));
 		const result = await this.store.append(Topic.Duties, {key: DutyKey.Claim, value}, this.next, signal);
 		if (result.kind === 'conflict') {
 			log.info('claim lost.', {at: this.next, end: result.end});
@@ -204,8 +213,10 @@
 		batch ??= await this.store.newest(Topic.Duties, signal);
 		for (const record of batch.records) {
 			if (record.key === String(DutyKey.Claim) && record.value) {
-				const {holder} = JSON.parse(Buffer.from(record.value).toString('utf8')) as {holder: string};
-				this.takeClaim(holder, record.offset, this.clock.now());
+				const claim = readOwnRecord(record.value, isWrittenClaim, 'claim of the duties');
+				if (claim) {
+					this.takeClaim(claim.holder, record.offset, this.clock.now());
+				}
 			} else if (record.key === String(DutyKey.Usage)) {
 				this.lastUsage = record.value;
 			}
--- a/src/coordination/duty-runner.ts
+++ b/src/coordination/duty-runner.ts
@@ -17,6 +17,7 @@
 import {type RouteTable} from '../state/route-table.js';
 import {createLogger} from '../log.js';
 import {type DutyLease} from './duty-lease.js';
+import {fieldsOf, readOwnRecord} from './own-record.js';
 import {type DomainState, planPool, type PoolNeed} from './pool-plan.js';
 import {type UsageLedger} from './usage-ledger.js';
 
@@ -40,6 +41,11 @@
 /** A usage report that was decided. */
 type DecidedReport = {window: number; counts: WindowCounts};
 
+function isDecidedReport(value: unknown): value is DecidedReport {
+	const {window, counts} = fieldsOf(value);
+	return Number.isInteger(window) && Object.values(fieldsOf(counts)).every(count => typeof count === 'number') && typeof counts === 'object';
+}
+
 /** How long the list of backend servers has been followed without a loss, and how long no new one came, in milliseconds. */
 export type FollowedList = {followedForMs: number; unchangedForMs: number};
 
@@ -122,7 +128,7 @@
 
 	private decided(): DecidedReport | undefined {
 		const record = this.parts.lease.usageRecord;
-		return record && JSON.parse(Buffer.from(record).toString('utf8')) as DecidedReport;
+		return record && readOwnRecord(record, isDecidedReport, 'decided usage report');
 	}
 
 	private async orderPools(signal: AbortSignal): Promise<void> {
--- a/src/coordination/fleet/fleet-messenger.ts
+++ b/src/coordination/fleet/fleet-messenger.ts
@@ -16,6 +16,7 @@
 import {type QuotaLedger, type QuotaPeers} from '../quota-ledger.js';
 import {type TopicFollower} from '../topic-follower.js';
 import {type UsageLedger} from '../usage-ledger.js';
+import {fieldsOf, readOwnRecord} from '../own-record.js';
 import {backendKey} from './backend-key.js';
 import {packCounts, writeUse} from './digest-sums.js';
 import {FleetRole, type FleetTable} from './fleet-table.js';
@@ -186,10 +187,12 @@
 		const batch = await store.newest(Topic.Members, signal);
 		for (const {key, value} of batch.records) {
 			if (key === sumsKey && value) {
-				this.takeSums(decode(value));
+				this.takeSums(readOwnRecord(value, isWrittenSums, 'sums of the limits'));
 			} else if (value) {
-				const {host, port, failureDomain} = decode<WrittenMember>(value);
-				fleet.learn(key, failureDomain ?? settings.failureDomain, {host, port});
+				const member = readOwnRecord(value, isWrittenMember, `address of ${key}`);
+				if (member) {
+					fleet.learn(key, member.failureDomain ?? settings.failureDomain, {host: member.host, port: member.port});
+				}
 			}
 		}
 
@@ -338,9 +341,9 @@
 	}
 
 	/** Takes sums over that were written shortly before this daemon started. */
-	private takeSums(written: WrittenSums): void {
+	private takeSums(written: WrittenSums | undefined): void {
 		const {quota, clock} = this.parts;
-		if (Math.abs(clock.wallNow() - written.atMs) <= sumsFreshMs) {
+		if (written && Math.abs(clock.wallNow() - written.atMs) <= sumsFreshMs) {
 			quota.adopt(written.sums, clock.now());
 		}
 	}
@@ -350,6 +353,12 @@
 	return Buffer.from(JSON.stringify(value));
 }
 
-function decode<T>(value: Uint8Array): T {
-	return JSON.parse(Buffer.from(value).toString('utf8')) as T;
+function isWrittenMember(value: unknown): value is WrittenMember {
+	const {host, port, failureDomain} = fieldsOf(value);
+	return typeof host === 'string' && Number.isInteger(port) && (failureDomain === undefined || typeof failureDomain === 'string');
+}
+
+function isWrittenSums(value: unknown): value is WrittenSums {
+	const {atMs, sums} = fieldsOf(value);
+	return typeof atMs === 'number' && Object.values(fieldsOf(sums)).every(sum => typeof sum === 'number');
 }
--- a/src/coordination/record-sinks.ts
+++ b/src/coordination/record-sinks.ts
@@ -7,6 +7,9 @@
 
 const log = createLogger('front');
 
+/** Most names whose unreadable entries are logged at a time; more than a misdirected writer's first ones tell nothing new. */
+const mostUnreadable = 100;
+
 /** Takes configurations into force. */
 export class ConfigSink implements RecordSink {
 	/** @param onChange Called after each version taken into force. */
@@ -48,6 +51,9 @@
 	/** When a backend server was listed that was not known before. */
 	grownAtMs = Number.NEGATIVE_INFINITY;
 
+	/** Names whose entry could not be read, logged once. */
+	private readonly unreadable = new Set<string>();
+
 	/** @param onList Called after each full list. */
 	constructor(
 		private readonly records: Records,
@@ -67,6 +73,7 @@
 
 	apply(record: KeyedRecord, nowMs: number): void {
 		if (!record.value) {
+			this.unreadable.delete(record.key);
 			const entry = this.backends.vanish(record.key, nowMs);
 			log.info('backend server not listed any more.', {backend: record.key, wasLeaving: entry?.leavingSinceMs !== undefined, offset: record.offset});
 			return;
@@ -74,10 +81,10 @@
 
 		try {
 			const backend = this.records.readBackend(record.key, record.value);
-			const isKnown = this.backends.get(record.key) !== undefined;
-			const {beganToLeave} = this.backends.upsert(backend, nowMs);
-			this.grownAtMs = isKnown ? this.grownAtMs : nowMs;
-			if (beganToLeave || !isKnown) {
+			this.unreadable.delete(record.key);
+			const {beganToLeave, isNew} = this.backends.upsert(backend, nowMs);
+			this.grownAtMs = isNew ? nowMs : this.grownAtMs;
+			if (beganToLeave || isNew) {
 				log.info(beganToLeave ? 'backend server leaves.' : 'backend server listed.', {
 					backend: backend.id,
 					service: backend.service,
@@ -89,6 +96,15 @@
 				});
 			}
 		} catch (error) {
+			this.withhold(record, nowMs, error);
+		}
+	}
+
+	/** Passes over an entry that cannot be read; logged once until one can, since others than backend servers may repeat it. */
+	private withhold(record: KeyedRecord, nowMs: number, error: unknown): void {
+		this.backends.withhold(record.key, nowMs);
+		if (!this.unreadable.has(record.key) && this.unreadable.size < mostUnreadable) {
+			this.unreadable.add(record.key);
 			log.error('entry of a backend server unreadable, skipped.', {backend: record.key, offset: record.offset, error: String(error)});
 		}
 	}
--- a/src/coordination/serving/__tests__/flight.test.ts
+++ b/src/coordination/serving/__tests__/flight.test.ts
@@ -38,7 +38,7 @@
 			server.listen(0, '127.0.0.1', resolve);
 		});
 		const backend = {
-			id: 'e', service: 's', host: '127.0.0.1', port: (server.address() as AddressInfo).port, failureDomain: 'fd', slots: 1, state: BackendState.Ready, isReclaimable: false, leavesInMs: undefined, coldForMs: 0,
+			id: 'e', name: 'e', startedAtMs: undefined, service: 's', host: '127.0.0.1', port: (server.address() as AddressInfo).port, failureDomain: 'fd', slots: 1, state: BackendState.Ready, isReclaimable: false, leavesInMs: undefined, coldForMs: 0,
 		};
 		const abort = new AbortController();
 		const pool = new BackendPool();
--- a/src/coordination/serving/dispatcher.ts
+++ b/src/coordination/serving/dispatcher.ts
@@ -266,7 +266,7 @@
 				method: request.method,
 				path: request.path,
 				headers: dialect.backendHeaders(request, {
-					backendId: backend.id,
+					backendName: backend.name,
 					account: account?.name,
 					deadlineMs: served.remainingMs(sentAtMs),
 					priority: served.priority,
--- a/src/coordination/serving/flight.ts
+++ b/src/coordination/serving/flight.ts
@@ -23,6 +23,8 @@
 	Silent = 'silent',
 	/** The engine leaves, and the run cannot be moved. */
 	Leaving = 'engine leaves',
+	/** The engine has started anew, and holds nothing of the run. */
+	Ended = 'engine restarted',
 	/** The request's time is over. */
 	Deadline = 'deadline',
 }
--- a/src/coordination/serving/stream-registry.ts
+++ b/src/coordination/serving/stream-registry.ts
@@ -60,8 +60,11 @@
 				continue;
 			}
 
-			const leavesAtMs = this.parts.backends.get(backend.id)?.leavesAtMs;
-			if (flight.takeover) {
+			const {leavesAtMs, isEnded} = this.parts.backends.get(backend.id) ?? {};
+			if (isEnded) {
+				// Its connection may stay open without a word, and nothing of the run is left to keep or to copy.
+				flight.interrupt(InterruptCause.Ended);
+			} else if (flight.takeover) {
 				endNeedless(flight);
 			} else if (leavesAtMs !== undefined && !flight.hasMoveFailed && shouldMove(flight, this.tokensPerEvent(flight), leavesAtMs, nowMs)) {
 				this.leave(flight, backend, nowMs);
--- a/src/protocol/platform.ts
+++ b/src/protocol/platform.ts
@@ -165,8 +165,8 @@
 export type Records = {
 	/** @throws {ProtocolError} When the record is not a configuration. */
 	readConfig(value: Uint8Array): ServingConfig;
-	/** @throws {ProtocolError} When the record is not a backend server's entry. */
-	readBackend(id: string, value: Uint8Array): Backend;
+	/** @throws {ProtocolError} When the record is not a whole entry of a backend server. */
+	readBackend(name: string, value: Uint8Array): Backend;
 	/** Whether a record of {@link Topic.Config} holds the configuration. */
 	isConfigKey(key: string): boolean;
 };
--- a/src/protocol/schema.ts
+++ b/src/protocol/schema.ts
@@ -3,8 +3,8 @@
  * so that schemas compile once per process.
  */
 import process from 'node:process';
-import {Ajv, type ErrorObject, type ValidateFunction} from 'ajv';
-import {ProtocolError} from './errors.js';
+import {Ajv, type ValidateFunction} from 'ajv';
+import {narrow} from './schema-error.js';
 
 const ajv = new Ajv({allErrors: false, useDefaults: true, strict: true});
 
@@ -14,22 +14,6 @@
 	readonly validate: ValidateFunction;
 };
 
-/** Formats the first schema error as `/path/to/setting: message`. */
-export function describeSchemaError(error: ErrorObject): {setting: string; detail: string} {
-	const base = error.instancePath === '' ? '' : error.instancePath;
-	if (error.keyword === 'required') {
-		const missing = (error.params as {missingProperty: string}).missingProperty;
-		return {setting: `${base}/${missing}`, detail: 'is missing'};
-	}
-
-	if (error.keyword === 'additionalProperties') {
-		const extra = (error.params as {additionalProperty: string}).additionalProperty;
-		return {setting: `${base}/${extra}`, detail: 'is not a known setting'};
-	}
-
-	return {setting: base === '' ? '/' : base, detail: error.message ?? 'is invalid'};
-}
-
 /**
  * Compiles a JSON schema into a check.
  *
@@ -37,14 +21,6 @@
  */
 export function compileCheck<T>(schema: Record<string, unknown>, what: string): Check<T> {
 	const validate = ajv.compile(schema);
-	const check = (value: unknown): T => {
-		if (!validate(value)) {
-			const {setting, detail} = describeSchemaError(validate.errors![0]);
-			throw new ProtocolError(`${what}: ${setting} ${detail}`);
-		}
-
-		return value as T;
-	};
-
+	const check = (value: unknown): T => narrow<T>(validate, value, what);
 	return Object.assign(check, {validate});
 }
--- a/src/protocol/serving.ts
+++ b/src/protocol/serving.ts
@@ -106,8 +106,12 @@
 
 /** A running replica of a service, as the platform lists it. */
 export type Backend = {
-	/** Unique to one start of the backend server; its address may be used again by another. */
+	/** Unique to one start of the backend server; all that is known of it goes by this, since a restarted one holds nothing of before. */
 	id: string;
+	/** Its name on the platform, which it keeps when it starts again. */
+	name: string;
+	/** When it started, in milliseconds since 1970; undefined where its entry does not say. */
+	startedAtMs: number | undefined;
 	service: string;
 	host: string;
 	port: number;
@@ -147,7 +151,7 @@
 
 /** What the daemon sets on a request for one backend server. */
 export type Dispatch = {
-	backendId: string;
+	backendName: string;
 	account: string | undefined;
 	/** Time left for the answer, in milliseconds. */
 	deadlineMs: number;
--- a/src/protocol/settings.ts
+++ b/src/protocol/settings.ts
@@ -5,7 +5,7 @@
  */
 import {readFileSync} from 'node:fs';
 import {type ValidateFunction} from 'ajv';
-import {describeSchemaError} from './schema.js';
+import {describeSchemaError} from './schema-error.js';
 import {SettingsError} from './errors.js';
 
 /** Where a server listens. */
--- a/src/state/__tests__/backend-table.test.ts
+++ b/src/state/__tests__/backend-table.test.ts
@@ -3,7 +3,7 @@
 import {BackendTable} from '../backend-table.js';
 
 const backend = (id: string, state = BackendState.Ready, leavesInMs?: number): Backend => ({
-	id, service: 's', host: '10.0.0.1', port: 1, failureDomain: 'fd', slots: 4, state, isReclaimable: false, leavesInMs, coldForMs: 0,
+	id, name: id, startedAtMs: undefined, service: 's', host: '10.0.0.1', port: 1, failureDomain: 'fd', slots: 4, state, isReclaimable: false, leavesInMs, coldForMs: 0,
 });
 const drainMs = 2000;
 const usable = (table: BackendTable, nowMs: number) => table.candidates('s', nowMs).map(({id}) => id);
@@ -64,3 +64,71 @@
 		expect(table.upsert(backend('a', BackendState.Draining, leavesInMs), 0).entry.leavesAtMs).toBe(expected);
 	});
 });
+
+describe('a backend server that starts again under its name', () => {
+	const started = (startedAtMs: number, service = 's'): Backend => ({
+		...backend(`a@${startedAtMs}`), name: 'a', startedAtMs, service,
+	});
+
+	it.each([
+		{
+			name: 'is a new one, though the old one was leaving', act(table: BackendTable) {
+				table.upsert({...started(1), state: BackendState.Draining}, 0);
+				table.upsert(started(2), 100);
+			}, expected: ['a@2'],
+		},
+		{
+			name: 'is not overwritten by a late entry of its earlier start', act(table: BackendTable) {
+				table.upsert(started(2), 0);
+				table.upsert({...started(1), state: BackendState.Draining}, 100);
+			}, expected: ['a@2'],
+		},
+		{
+			name: 'comes back after its entry was removed', act(table: BackendTable) {
+				table.upsert(started(1), 0);
+				table.vanish('a', 100);
+				table.upsert(started(2), 200);
+			}, expected: ['a@2'],
+		},
+		{
+			name: 'is found under its new service only', act(table: BackendTable) {
+				table.upsert(started(1), 0);
+				table.upsert(started(1, 'other'), 100);
+			}, expected: [],
+		},
+		{
+			name: 'gets no work while its entry is unreadable and another is there', act(table: BackendTable) {
+				table.upsert(started(1), 0);
+				table.upsert(backend('b'), 0);
+				table.withhold('a', 100);
+			}, expected: ['b'],
+		},
+		{
+			name: 'gets work again once its entry is readable', act(table: BackendTable) {
+				table.upsert(started(1), 0);
+				table.upsert(backend('b'), 0);
+				table.withhold('a', 100);
+				table.upsert(started(1), 200);
+			}, expected: ['a@1', 'b'],
+		},
+	])('$name', ({act, expected}) => {
+		const table = new BackendTable({drainMs});
+		act(table);
+		expect(usable(table, 300)).toEqual(expected);
+	});
+
+	it('has ended before', () => {
+		const table = new BackendTable({drainMs});
+		table.upsert(started(1), 0);
+		expect(table.get('a@1')?.isEnded).toBe(false);
+		table.upsert(started(2), 100);
+		expect(table.get('a@1')).toMatchObject({isEnded: true, leavesAtMs: 100});
+	});
+
+	it('one whose entry is unreadable is not expected to leave', () => {
+		const table = new BackendTable({drainMs});
+		table.upsert(started(1), 0);
+		table.withhold('a', 100);
+		expect(table.get('a@1')?.leavesAtMs).toBeUndefined();
+	});
+});
--- a/xo.config.js
+++ b/xo.config.js
@@ -1,7 +1,7 @@
 /** Lint and format settings: XO's own rules, which `xo --fix` also applies as the formatter. */
 const config = [
 	{
-		ignores: ['dist/**', 'reports/**', 'model/**', 'examples/*/settings/**'],
+		ignores: ['dist/**', 'reports/**', 'model/**', 'examples/*/settings/**', 'platform/generated-checks.js'],
 	},
 	{
 		rules: {
