--- a/src/cli/commands/front.ts
+++ b/src/cli/commands/front.ts
@@ -29,20 +29,38 @@
 	const tasks = new AbortController();
 	const daemon = new FrontDaemon(platform, `${settings.name}#${randomBytes(4).toString('hex')}`, tasks.signal);
 	const readiness = await openReadiness(settings.readiness, platform.dialect.readinessPath, () => daemon.isReady);
-	await daemon.start();
-	log.info('started.', {
-		name: settings.name, failureDomain: settings.failureDomain, callers: settings.callers.port, readiness: settings.readiness.port, peers: settings.peerPort, metrics: settings.metricsPort, cpuMs: Math.round(process.cpuUsage().user / 1000),
-	});
+	let metrics: Server | undefined;
+	try {
+		await daemon.start();
+		log.info('started.', {
+			name: settings.name, failureDomain: settings.failureDomain, callers: settings.callers.port, readiness: settings.readiness.port, peers: settings.peerPort, metrics: settings.metricsPort, cpuMs: Math.round(process.cpuUsage().user / 1000),
+		});
 
-	const reload = () => {
-		daemon.reload(true);
-	};
+		const reload = () => {
+			daemon.reload(true);
+		};
 
-	process.on('SIGHUP', reload);
-	const metrics = await openMetrics(daemon, settings);
-	await waitForAbort(signal);
-	const stopBy = performance.now() + settings.bounds.graceMs - closeMarginMs;
-	log.info('stopping.', {open: daemon.openRequests, graceMs: settings.bounds.graceMs});
+		process.on('SIGHUP', reload);
+		metrics = await openMetrics(daemon, settings);
+		await waitForAbort(signal);
+		await finishRequests(daemon, settings.bounds.graceMs);
+	} finally {
+		// Also where a port is taken: a process left with open ports and no one to stop it would have to be killed, and cut its requests.
+		const {openRequests} = daemon;
+		daemon.closeCallers();
+		daemon.destroyCallers();
+		tasks.abort();
+		readiness.close();
+		readiness.closeAllConnections();
+		await metrics?.stop({timeout: 0});
+		log.info('stopped.', {cutOff: openRequests});
+	}
+}
+
+/** Leaves the balancer's rotation, and waits for the open requests to end while the grace period lasts. */
+async function finishRequests(daemon: FrontDaemon, graceMs: number): Promise<void> {
+	const stopBy = performance.now() + graceMs - closeMarginMs;
+	log.info('stopping.', {open: daemon.openRequests, graceMs});
 	daemon.beginStop();
 	await delay(leaveBalancerMs);
 	daemon.closeCallers();
@@ -50,14 +68,6 @@
 		// eslint-disable-next-line no-await-in-loop
 		await delay(stopCheckMs);
 	}
-
-	const {openRequests} = daemon;
-	daemon.destroyCallers();
-	tasks.abort();
-	readiness.close();
-	readiness.closeAllConnections();
-	await metrics.stop({timeout: 0});
-	log.info('stopped.', {cutOff: openRequests});
 }
 
 /** Opens the metrics port, whose libraries are loaded last: they take longer than the rest of the start. */
