--- a/src/transport/http-server.ts
+++ b/src/transport/http-server.ts
@@ -33,7 +33,7 @@
 /** Creates a metrics registry with Node's default process metrics. */
 export function createRegistry(): Registry {
 	const registry = new Registry();
-	collectDefaultMetrics({register: registry});
+	collectDefaultMetrics({register: registry, eventLoopMonitoringPrecision: 250});
 	return registry;
 }
 
