--- a/src/coordination/fleet/fleet-table.ts
+++ b/src/coordination/fleet/fleet-table.ts
@@ -10,13 +10,14 @@
 } from '../../protocol/fleet-messages.js';
 import {createLogger} from '../../log.js';
 import {type AccountUse} from '../quota-ledger.js';
-import {
-	packCounts, readUse, sumCounts, writeUse,
-} from './digest-sums.js';
-import {addUse, type UseTotals} from './merged-counters.js';
+import {readUse, sumCounts, writeUse} from './digest-sums.js';
+import {type UseTotals} from './merged-counters.js';
 import {RelayChoice} from './relay-choice.js';
 import {
-	countedMs, freshMs, goneMs, type Headcount, type Part, silentMs, ToldGroup, toldPart,
+	type Contribution, CountedUse, KeptLoad, type LoadDigest, type LoadSources,
+} from './relay-sums.js';
+import {
+	countedMs, freshMs, goneMs, type Headcount, type Part, silentMs, sumHeadcounts, ToldGroup, toldPart,
 } from './told-group.js';
 
 const log = createLogger('fleet');
@@ -54,8 +55,9 @@
 	private roleSinceMs: number;
 	private readonly rows = new Map<string, Row>();
 	private readonly relayChoices = new Map<string, RelayChoice>();
-	/** What this daemon counted of each daemon and failure domain since it started; only grows. */
-	private readonly counted = new Map<string, UseTotals>();
+	/** What this daemon counted of each daemon and failure domain since it started. */
+	private readonly counted = new CountedUse();
+	private readonly keptLoad = new KeptLoad();
 	private readonly domains = new Map<string, ToldGroup>();
 	private readonly rest = new ToldGroup();
 	/** Since when the fleet has been small enough to report to all. */
@@ -190,14 +192,12 @@
 	 * @param own This daemon's own digest.
 	 */
 	domainDigest(own: Digest, nowMs: number): Digest {
-		return this.sum(DigestScope.Domain, own, [this.rowsPart(this.domainRows(), nowMs)], this.domainRows().map(row => row.sender.name));
+		return this.digest(DigestScope.Domain, this.counted.domainTotals(readUse(own)), this.keptLoad.domain(own, this.loadSources(nowMs), nowMs));
 	}
 
 	/** Sums over all daemons but one of this failure domain. */
 	restDigest(own: Digest, receiver: string, nowMs: number): Digest {
-		const rows = this.domainRows().filter(row => row.sender.name !== receiver);
-		const others = this.otherDomains();
-		return this.sum(DigestScope.Rest, own, [this.rowsPart(rows, nowMs), ...others.map(domain => this.domainPart(domain, nowMs))], [...rows.map(row => row.sender.name), ...others.map(domain => domainKey(domain))]);
+		return this.digest(DigestScope.Rest, this.counted.restTotals(readUse(own), receiver), this.keptLoad.rest(own, receiver, this.loadSources(nowMs), nowMs));
 	}
 
 	/** What a state dump shows. */
@@ -231,7 +231,7 @@
 			growth.set(account, isHistory ? {admitted: 0, refused: 0} : {admitted: total.admitted - known[0], refused: total.refused - known[1]});
 		}
 
-		this.count(sender.name, growth);
+		this.counted.addDaemon(sender.name, sender.failureDomain === this.self.failureDomain, growth);
 		return growth;
 	}
 
@@ -247,18 +247,10 @@
 			return new Map();
 		}
 
-		this.count(domainKey(sender.failureDomain), growth);
+		this.counted.addDomain(growth);
 		return growth;
 	}
 
-	private count(key: string, growth: UseTotals): void {
-		const totals = this.counted.get(key) ?? new Map() as UseTotals;
-		this.counted.set(key, totals);
-		for (const [account, use] of growth) {
-			addUse(totals, account, use);
-		}
-	}
-
 	/** Whether a daemon's own reports count, rather than what relays say of it. */
 	private countsRow(sender: Sender, nowMs: number): boolean {
 		if (this.role === FleetRole.Mesh) {
@@ -312,7 +304,7 @@
 	}
 
 	private headcount(nowMs: number): Headcount {
-		return sumHeadcounts(this.parts(nowMs));
+		return sumHeadcounts(this.parts(nowMs).map(part => part.count()));
 	}
 
 	/** The parts that together make up the rest of the fleet. */
@@ -345,30 +337,20 @@
 	}
 
 	private rowsPart(rows: Row[], nowMs: number): Part {
-		const within = (ageMs: number) => rows.filter(row => nowMs - row.heardAtMs <= ageMs);
+		const contributions = rows.map(row => rowContribution(row, nowMs));
+		return {count: () => sumHeadcounts(contributions), inFlight: () => contributions.map(({inFlight}) => inFlight)};
+	}
+
+	private loadSources(nowMs: number): LoadSources {
 		return {
-			count: () => ({daemons: within(countedMs).filter(row => !row.sender.isStopping).length, silent: within(goneMs).length - within(silentMs).length}),
-			inFlight: () => within(freshMs).map(row => row.digest.inFlight),
+			daemons: () => new Map(this.domainRows().map(row => [row.sender.name, rowContribution(row, nowMs)])),
+			otherDomains: () => this.otherDomains().map(domain => this.domainPart(domain, nowMs)),
 		};
 	}
 
-	private sum(scope: DigestScope, own: Digest, parts: Part[], countedKeys: string[]): Digest {
-		const use: UseTotals = readUse(own);
-		for (const key of countedKeys) {
-			for (const [account, amount] of this.counted.get(key) ?? []) {
-				addUse(use, account, amount);
-			}
-		}
-
-		const {daemons, silent} = sumHeadcounts(parts);
+	private digest(scope: DigestScope, use: UseTotals, load: LoadDigest): Digest {
 		return {
-			scope,
-			epoch: this.epoch,
-			daemons: own.daemons + daemons,
-			silent,
-			use: writeUse(use),
-			usage: [],
-			inFlight: packCounts(sumCounts([own.inFlight, ...parts.flatMap(part => part.inFlight())])),
+			scope, epoch: this.epoch, ...load, use: writeUse(use), usage: [],
 		};
 	}
 
@@ -383,18 +365,12 @@
 	}
 }
 
-function sumHeadcounts(parts: Part[]): Headcount {
-	const sum: Headcount = {daemons: 0, silent: 0};
-	for (const part of parts) {
-		const {daemons, silent} = part.count();
-		sum.daemons += daemons;
-		sum.silent += silent;
-	}
-
-	return sum;
-}
-
-/** Key of a failure domain among the counted daemons; no daemon is called so. */
-function domainKey(failureDomain: string): string {
-	return `#${failureDomain}`;
+/** What a daemon that reported by itself adds to sums. */
+function rowContribution({sender, digest, heardAtMs}: Row, nowMs: number): Contribution {
+	const ageMs = nowMs - heardAtMs;
+	return {
+		daemons: ageMs <= countedMs && !sender.isStopping ? 1 : 0,
+		silent: ageMs > silentMs && ageMs <= goneMs ? 1 : 0,
+		inFlight: ageMs <= freshMs ? digest.inFlight : [],
+	};
 }
--- a/src/coordination/fleet/merged-counters.ts
+++ b/src/coordination/fleet/merged-counters.ts
@@ -28,6 +28,11 @@
 	totals.set(account, {admitted: admitted + use.admitted, refused: refused + use.refused});
 }
 
+/** Takes off the totals of one account what was added to them before. */
+export function subtractUse(totals: UseTotals, account: string, use: AccountUse): void {
+	addUse(totals, account, {admitted: -use.admitted, refused: -use.refused});
+}
+
 /** What one group of daemons admitted and refused, merged from several tellers. */
 export class MergedCounters {
 	private readonly merged: UseTotals = new Map();
--- a/src/coordination/fleet/relay-choice.ts
+++ b/src/coordination/fleet/relay-choice.ts
@@ -13,6 +13,7 @@
 const probeMs = 2000;
 
 type Candidate = {
+	readonly name: string;
 	address: PeerAddress;
 	/** When it was first asked since it last said something. */
 	askedAtMs: number | undefined;
@@ -23,6 +24,8 @@
 /** The daemons of one failure domain, and which of them relay. */
 export class RelayChoice {
 	private readonly candidates = new Map<string, Candidate>();
+	/** In the order of their names, which every message asks for. */
+	private inOrder: Candidate[] = [];
 
 	/** @param self This daemon's name, where the failure domain is its own. */
 	constructor(private readonly self: string | undefined) {}
@@ -34,8 +37,9 @@
 			known.address = address;
 		} else {
 			this.candidates.set(name, {
-				address, askedAtMs: undefined, probedAtMs: Number.NEGATIVE_INFINITY, isStopping: false,
+				name, address, askedAtMs: undefined, probedAtMs: Number.NEGATIVE_INFINITY, isStopping: false,
 			});
+			this.inOrder = [...this.candidates.values()].toSorted((a, b) => a.name < b.name ? -1 : 1);
 		}
 	}
 
@@ -57,28 +61,42 @@
 
 	/** The relays, the one to ask each round first; this daemon may be among them. */
 	relays(nowMs: number): NamedAddress[] {
-		return this.inOrder().filter(({name, candidate}) => name === this.self || isUsable(candidate, nowMs)).slice(0, relayCount).map(({name, candidate}) => ({name, address: candidate.address}));
+		const relays: NamedAddress[] = [];
+		for (const candidate of this.inOrder) {
+			if (candidate.name === this.self || isUsable(candidate, nowMs)) {
+				relays.push({name: candidate.name, address: candidate.address});
+			}
+
+			if (relays.length === relayCount) {
+				break;
+			}
+		}
+
+		return relays;
 	}
 
 	/** Daemons that would be relays if they answered, to be asked once more; each is named once in a while. */
 	probes(nowMs: number): NamedAddress[] {
 		const last = this.relays(nowMs).at(-1)?.name;
-		const due = this.inOrder().filter(({name, candidate}) => (last === undefined || name < last) && name !== this.self && !isUsable(candidate, nowMs) && nowMs - candidate.probedAtMs >= probeMs);
-		for (const {candidate} of due) {
-			candidate.probedAtMs = nowMs;
+		const due: NamedAddress[] = [];
+		for (const candidate of this.inOrder) {
+			if (candidate.name === last) {
+				break;
+			}
+
+			if (candidate.name !== this.self && !isUsable(candidate, nowMs) && nowMs - candidate.probedAtMs >= probeMs) {
+				candidate.probedAtMs = nowMs;
+				due.push({name: candidate.name, address: candidate.address});
+			}
 		}
 
-		return due.map(({name, candidate}) => ({name, address: candidate.address}));
+		return due;
 	}
 
 	/** Every daemon that is known. */
 	all(): NamedAddress[] {
 		return [...this.candidates].map(([name, {address}]) => ({name, address}));
 	}
-
-	private inOrder(): Array<{name: string; candidate: Candidate}> {
-		return [...this.candidates].map(([name, candidate]) => ({name, candidate})).toSorted((a, b) => a.name < b.name ? -1 : 1);
-	}
 }
 
 function isUsable(candidate: Candidate, nowMs: number): boolean {
--- a/src/coordination/fleet/told-group.ts
+++ b/src/coordination/fleet/told-group.ts
@@ -20,6 +20,17 @@
 /** A part of the fleet: its daemons, and what is in flight from it. */
 export type Part = {count: () => Headcount; inFlight: () => number[][]};
 
+/** Adds headcounts. */
+export function sumHeadcounts(counts: Headcount[]): Headcount {
+	const sum: Headcount = {daemons: 0, silent: 0};
+	for (const {daemons, silent} of counts) {
+		sum.daemons += daemons;
+		sum.silent += silent;
+	}
+
+	return sum;
+}
+
 /** What one teller said of a group of daemons. */
 type Told = {digest: Digest; heardAtMs: number};
 
