--- a/src/cli/commands/front.ts
+++ b/src/cli/commands/front.ts
@@ -7,8 +7,8 @@
 import process from 'node:process';
 import {setTimeout as delay} from 'node:timers/promises';
 import {randomBytes} from 'node:crypto';
-import {type Server} from '@hapi/hapi';
 import {type FrontSettings, type Platform} from '../../protocol/platform.js';
+import {ObservationPort} from '../../transport/observation-port.js';
 import {openReadiness} from '../../transport/readiness-server.js';
 import {createLogger} from '../../log.js';
 import {waitForAbort} from '../../abort.js';
@@ -29,7 +29,7 @@
 	const tasks = new AbortController();
 	const daemon = new FrontDaemon(platform, `${settings.name}#${randomBytes(4).toString('hex')}`, tasks.signal);
 	const readiness = await openReadiness(settings.readiness, platform.dialect.readinessPath, () => daemon.isReady);
-	let metrics: Server | undefined;
+	let metrics: ObservationPort | undefined;
 	try {
 		await daemon.start();
 		log.info('started.', {
@@ -52,7 +52,7 @@
 		tasks.abort();
 		readiness.close();
 		readiness.closeAllConnections();
-		await metrics?.stop({timeout: 0});
+		metrics?.close();
 		log.info('stopped.', {cutOff: openRequests});
 	}
 }
@@ -71,13 +71,10 @@
 }
 
 /** Opens the metrics port, whose libraries are loaded last: they take longer than the rest of the start. */
-async function openMetrics(daemon: FrontDaemon, settings: FrontSettings): Promise<Server> {
-	const {addObservationRoutes, createRegistry, createServer, startServer} = await import('../../transport/http-server.js');
+async function openMetrics(daemon: FrontDaemon, settings: FrontSettings): Promise<ObservationPort> {
+	const {createRegistry} = await import('../../transport/process-registry.js');
 	const metrics = await import('../../coordination/serving/serving-metrics.js');
 	const registry = createRegistry();
 	daemon.observe(new metrics.ServingMetrics(registry, () => daemon.openRequests));
-	const server = createServer({host: settings.host, port: settings.metricsPort});
-	addObservationRoutes(server, registry, () => daemon.dump());
-	await startServer(server);
-	return server;
+	return ObservationPort.open({host: settings.host, port: settings.metricsPort}, registry, () => daemon.dump());
 }
--- a/src/cli/commands/gateway.ts
+++ b/src/cli/commands/gateway.ts
@@ -22,8 +22,9 @@
 import {followConfig} from '../../coordination/config-follower.js';
 import {PeerMessageKind, type Heartbeat} from '../../protocol/peer-messages.js';
 import {
-	addObservationRoutes, createRegistry, createServer, startServer,
+	addObservationRoutes, createServer, startServer,
 } from '../../transport/http-server.js';
+import {createRegistry} from '../../transport/process-registry.js';
 import {CallerMetrics} from '../../transport/caller-metrics.js';
 import {addCallerRoutes} from '../../transport/caller-api.js';
 import {addAdminRoutes} from '../../transport/admin-api.js';
--- a/src/standins/cloud.ts
+++ b/src/standins/cloud.ts
@@ -12,7 +12,8 @@
 	type NoticePage, type ReclaimNotice, type VmEntry, type VmOrder, VmState,
 } from '../protocol/cloud-api.js';
 import {requestJson} from '../transport/http-client.js';
-import {createRegistry, createObservedServer, startServer} from '../transport/http-server.js';
+import {createObservedServer, startServer} from '../transport/http-server.js';
+import {createRegistry} from '../transport/process-registry.js';
 import {createLogger} from '../log.js';
 import {waitForAbort} from '../abort.js';
 import {type CloudStandinSettings} from './options.js';
--- a/src/standins/engine.ts
+++ b/src/standins/engine.ts
@@ -15,7 +15,8 @@
 	EngineRole, OrderKind, notRunCode,
 } from '../protocol/engine-api.js';
 import {fetchJson} from '../transport/http-client.js';
-import {createRegistry, createObservedServer, startServer} from '../transport/http-server.js';
+import {createObservedServer, startServer} from '../transport/http-server.js';
+import {createRegistry} from '../transport/process-registry.js';
 import {createLogger} from '../log.js';
 import {waitForAbort} from '../abort.js';
 import {promptTokens} from '../protocol/tokens.js';
--- a/src/standins/log.ts
+++ b/src/standins/log.ts
@@ -9,8 +9,9 @@
 	type AppendRequest, type LogFaults, type LogRecord, type ReadAnswer,
 } from '../protocol/platform-log.js';
 import {
-	createRegistry, createObservedServer, headerValue, startServer,
+	createObservedServer, headerValue, startServer,
 } from '../transport/http-server.js';
+import {createRegistry} from '../transport/process-registry.js';
 import {createLogger} from '../log.js';
 import {waitForAbort} from '../abort.js';
 import {type LogStandinSettings} from './options.js';
--- a/src/standins/service.ts
+++ b/src/standins/service.ts
@@ -8,8 +8,9 @@
  */
 import {setTimeout as delay} from 'node:timers/promises';
 import {
-	createRegistry, createObservedServer, headerValue, startServer,
+	createObservedServer, headerValue, startServer,
 } from '../transport/http-server.js';
+import {createRegistry} from '../transport/process-registry.js';
 import {createLogger} from '../log.js';
 import {waitForAbort} from '../abort.js';
 import {type ServiceStandinSettings} from './options.js';
--- a/src/standins/vm-list.ts
+++ b/src/standins/vm-list.ts
@@ -5,7 +5,8 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {type VmEntry} from '../protocol/cloud-api.js';
 import {fetchJson} from '../transport/http-client.js';
-import {createRegistry, createObservedServer, startServer} from '../transport/http-server.js';
+import {createObservedServer, startServer} from '../transport/http-server.js';
+import {createRegistry} from '../transport/process-registry.js';
 import {createLogger} from '../log.js';
 import {type VmListStandinSettings} from './options.js';
 import {addFaultRoute} from './faults.js';
--- a/src/standins/weights.ts
+++ b/src/standins/weights.ts
@@ -2,7 +2,8 @@
  * Stand-in for the rate-limited weight store: `GET /weights/{model}` answers 429 over
  * `downloadsPerSecond`.
  */
-import {createRegistry, createObservedServer, startServer} from '../transport/http-server.js';
+import {createObservedServer, startServer} from '../transport/http-server.js';
+import {createRegistry} from '../transport/process-registry.js';
 import {createLogger} from '../log.js';
 import {waitForAbort} from '../abort.js';
 import {type WeightsStandinSettings} from './options.js';
--- a/src/transport/http-server.ts
+++ b/src/transport/http-server.ts
@@ -3,9 +3,10 @@
  * a port that callers do not reach, `/metrics` (prom-client) and `/debug/state` (a JSON
  * dump of its state).
  */
+import {type Server} from 'node:http';
 import process from 'node:process';
 import Hapi from '@hapi/hapi';
-import {collectDefaultMetrics, Registry} from 'prom-client';
+import {type Registry} from 'prom-client';
 import {type Listen} from '../protocol/settings.js';
 import {TransportError} from './errors.js';
 
@@ -30,13 +31,6 @@
 	return (headerValue(request, 'authorization') ?? '').replace(/^Bearer /v, '');
 }
 
-/** Creates a metrics registry with Node's default process metrics. */
-export function createRegistry(): Registry {
-	const registry = new Registry();
-	collectDefaultMetrics({register: registry, eventLoopMonitoringPrecision: 250});
-	return registry;
-}
-
 /** Reads CPU and memory use of this process, for dumps and the capacity bench. */
 export function readProcessUsage(): {cpuUs: number; rssBytes: number; heapUsedBytes: number} {
 	const cpu = process.cpuUsage();
@@ -53,6 +47,11 @@
 	});
 }
 
+/** Creates a hapi server that answers what comes to a port that is open already. */
+export function createServerAt(listener: Server): Hapi.Server {
+	return Hapi.server({listener, autoListen: false});
+}
+
 /** Adds `/metrics` and `/debug/state` to a server that callers do not reach. */
 export function addObservationRoutes(server: Hapi.Server, registry: Registry, dump: StateDump): void {
 	server.route({
