--- a/src/cli/front-container.ts
+++ b/src/cli/front-container.ts
@@ -13,7 +13,8 @@
 import {BackendPool} from '../transport/backend-pool.js';
 import {DutyLease} from '../coordination/duty-lease.js';
 import {DutyRunner} from '../coordination/duty-runner.js';
-import {FleetMessenger} from '../coordination/fleet/fleet-messenger.js';
+import {BoundsRecord} from '../coordination/fleet/bounds-record.js';
+import {FleetMessenger, roundMs} from '../coordination/fleet/fleet-messenger.js';
 import {FleetRole, FleetTable} from '../coordination/fleet/fleet-table.js';
 import {Placement} from '../coordination/placement.js';
 import {PoolDemands} from '../coordination/pool-demand.js';
@@ -137,6 +138,9 @@
 		gatherMs: backendsGatherMs,
 		carriedMs: () => isLeaf(resolver) ? backendsCarriedMs : 0,
 	}));
+	register(BoundsRecord, resolver => new BoundsRecord({
+		store, quota: resolver.resolve(QuotaLedger), lease: resolver.resolve(DutyLease), clock, roundMs,
+	}));
 	register(FleetMessenger, resolver => new FleetMessenger({
 		settings,
 		incarnation,
@@ -146,6 +150,7 @@
 		usage: resolver.resolve(UsageLedger),
 		placement: resolver.resolve(Placement),
 		lease: resolver.resolve(DutyLease),
+		bounds: resolver.resolve(BoundsRecord),
 		topics: {[Topic.Config]: resolver.resolve(ConfigFollower), [Topic.Backends]: resolver.resolve(BackendsFollower)},
 		clock,
 		startedAtMs,
--- a/src/cli/front-daemon.ts
+++ b/src/cli/front-daemon.ts
@@ -14,6 +14,7 @@
 import {FrontServer} from '../transport/front-server.js';
 import {DutyLease} from '../coordination/duty-lease.js';
 import {DutyRunner} from '../coordination/duty-runner.js';
+import {BoundsRecord, checkMs} from '../coordination/fleet/bounds-record.js';
 import {FleetMessenger, roundMs} from '../coordination/fleet/fleet-messenger.js';
 import {FleetTable} from '../coordination/fleet/fleet-table.js';
 import {Placement} from '../coordination/placement.js';
@@ -31,8 +32,6 @@
 const readyShare = 0.7;
 /** Pause between rounds of the duties, in milliseconds. */
 const dutyMs = 250;
-/** How often the holder of the duties writes the sums of the accounts' limits to the store, in milliseconds. */
-const sumsMs = 1500;
 /** How often the settings are read again for a change without a signal, in milliseconds: one read takes less than a millisecond. */
 const settingsMs = 5000;
 /** Pause between steps of the election, in milliseconds. */
@@ -183,6 +182,7 @@
 
 	private repeatedTasks(): Record<string, RepeatedTask> {
 		const messenger = this.parts.resolve(FleetMessenger);
+		const bounds = this.parts.resolve(BoundsRecord);
 		const duties = this.parts.resolve(DutyRunner);
 		const registry = this.parts.resolve(StreamRegistry);
 		return {
@@ -199,7 +199,7 @@
 					await messenger.discover(this.signal);
 				},
 			},
-			sums: {pauseMs: () => sumsMs, step: async () => messenger.saveSums(this.signal)},
+			limits: {pauseMs: () => checkMs, step: async () => bounds.save(this.signal)},
 			lease: {pauseMs: () => leaseStepMs, step: async () => this.stepLease()},
 			duties: {pauseMs: () => dutyMs, step: async () => duties.step(this.signal)},
 			settings: {
--- a/src/coordination/__tests__/shared-limits.test.ts
+++ b/src/coordination/__tests__/shared-limits.test.ts
@@ -2,9 +2,8 @@
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
 import {type Account} from '../../protocol/serving.js';
-import {
-	type AccountUse, QuotaLedger, type QuotaPeers, requestCost,
-} from '../quota-ledger.js';
+import {type AccountUse} from '../account-window.js';
+import {QuotaLedger, type QuotaPeers, requestCost} from '../quota-ledger.js';
 import {RepeatPurpose, RetryAllowance} from '../retry-allowance.js';
 import {UsageLedger} from '../usage-ledger.js';
 
@@ -13,7 +12,7 @@
 };
 const bounds = {windowMs: 8000, tolerance: 0, slack: 0};
 const alone = {
-	daemons: 1, silent: 0, unheardMs: 300, roundMs: 300,
+	daemons: 1, silent: 0, unheardMs: 300, roundMs: 300, unheardOf: 0,
 };
 
 /** Admits requests of 100 units until one is refused, and says how much was admitted. */
@@ -53,12 +52,12 @@
 	it.each([
 		{
 			name: 'counts what peers admitted', peers: {
-				daemons: 2, silent: 0, unheardMs: 0, roundMs: 0,
+				daemons: 2, silent: 0, unheardMs: 0, roundMs: 0, unheardOf: 0,
 			}, peerSpent: 5000, expected: 4000,
 		},
 		{
 			name: 'leaves a silent peer its share', peers: {
-				daemons: 2, silent: 1, unheardMs: 0, roundMs: 0,
+				daemons: 2, silent: 1, unheardMs: 0, roundMs: 0, unheardOf: 0,
 			}, peerSpent: 0, expected: 4500,
 		},
 	])('$name', ({peers, peerSpent, expected}) => {
@@ -69,7 +68,7 @@
 
 	it('a daemon that starts anew adopts its peers\' sums', () => {
 		const ledger = new QuotaLedger(bounds, 0, false);
-		ledger.adopt({a: 7000}, 0);
+		ledger.adopt({a: [7000]}, 0);
 		expect(admitAll(ledger, alone, 0)).toBe(2000);
 	});
 
@@ -148,7 +147,7 @@
 	const news: Array<{atMs: number; from: QuotaLedger; use: AccountUse}> = [];
 	const admitted: number[] = [];
 	const peers = {
-		daemons, silent: 0, unheardMs: newsMs + (roundMs / 2), roundMs,
+		daemons, silent: 0, unheardMs: newsMs + (roundMs / 2), roundMs, unheardOf: 0,
 	};
 	let due = 0;
 	let offered = 0;
--- /dev/null
+++ b/src/coordination/fleet/__fixtures__/test-net.ts
@@ -0,0 +1,187 @@
+/** Daemons' parts of a fleet that exchange datagrams in a simulated time, without ports. */
+import {pack, unpack} from 'msgpackr';
+import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
+import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+import {SteadyClock} from '../../../clock.js';
+import {type Account} from '../../../protocol/serving.js';
+import {type PeerAddress, type ToldTopic} from '../../../protocol/fleet-messages.js';
+import {Topic} from '../../../protocol/platform.js';
+import {Belief} from '../../../state/belief.js';
+import {FakeStore} from '../../../testing/fake-store.js';
+import {sumOfProfile} from '../../account-window.js';
+import {DutyLease} from '../../duty-lease.js';
+import {Placement} from '../../placement.js';
+import {type QuotaBounds, QuotaLedger} from '../../quota-ledger.js';
+import {TopicFollower} from '../../topic-follower.js';
+import {UsageLedger} from '../../usage-ledger.js';
+import {BoundsRecord} from '../bounds-record.js';
+import {FleetMessenger, roundMs} from '../fleet-messenger.js';
+import {FleetRole, FleetTable} from '../fleet-table.js';
+
+export const account: Account = {
+	name: 'x', apiKeys: [], priority: undefined, ratePerSecond: 1_000_000, burst: 1_000_000, countsTokens: true, plainTokens: 1,
+};
+/** Step of the simulated time, in milliseconds. */
+export const tickMs = 10;
+
+/** A daemon's part of the fleet without its ports. */
+export class TestDaemon {
+	isRunning = true;
+	bytesSent = 0;
+	sent = 0;
+	readonly fleet: FleetTable;
+	readonly quota: QuotaLedger;
+	readonly usage: UsageLedger;
+	readonly placement: Placement;
+	readonly messenger: FleetMessenger;
+	readonly lease: DutyLease;
+	readonly bounds: BoundsRecord;
+	readonly topics: Record<ToldTopic, TopicFollower>;
+	readonly beliefs = {[Topic.Config]: new Belief(), [Topic.Backends]: new Belief()};
+	readonly backendsSeen: string[] = [];
+
+	constructor(readonly name: string, readonly failureDomain: string, readonly host: string, net: TestNet) {
+		const clock = new SteadyClock({monotonicMs: () => net.nowMs, wallMs: () => net.nowMs, uptimeMs: () => net.nowMs});
+		const startedAtMs = net.nowMs;
+		const incarnation = `${name}#${startedAtMs}`;
+		this.fleet = new FleetTable({name, failureDomain, startedAtMs});
+		this.quota = new QuotaLedger(net.bounds, startedAtMs, net.isFirstStart);
+		this.usage = new UsageLedger(failureDomain, incarnation, 5000);
+		this.placement = new Placement(failureDomain);
+		const follow = (topic: ToldTopic, seen: string[]) => new TopicFollower({
+			store: net.store,
+			topic,
+			sink: {
+				reset() {
+					seen.length = 0;
+				},
+				apply(record) {
+					seen.push(record.key);
+				},
+			},
+			belief: this.beliefs[topic],
+			clock,
+			waitMs: () => 0,
+			gatherMs: 0,
+			carriedMs: () => this.fleet.roleAt(net.nowMs) === FleetRole.Leaf ? 2000 : 0,
+		});
+		this.topics = {[Topic.Config]: follow(Topic.Config, []), [Topic.Backends]: follow(Topic.Backends, this.backendsSeen)};
+		this.lease = new DutyLease(net.store, incarnation, 3000, clock);
+		this.bounds = new BoundsRecord({
+			store: net.store, quota: this.quota, lease: this.lease, clock, roundMs,
+		});
+		this.messenger = new FleetMessenger({
+			settings: {
+				name, failureDomain, host, peerPort: 1,
+			}, incarnation, store: net.store, fleet: this.fleet, quota: this.quota, usage: this.usage, placement: this.placement, lease: this.lease, bounds: this.bounds, topics: this.topics, clock, startedAtMs,
+		});
+		this.messenger.open({
+			send: (message, to) => {
+				const bytes = pack(message);
+				for (const address of to) {
+					this.bytesSent += bytes.length;
+					this.sent++;
+					net.send(bytes, this, address);
+				}
+			},
+		});
+	}
+}
+
+/** Daemons that exchange datagrams in a simulated time. */
+export class TestNet {
+	nowMs = 0;
+	lossShare = 0;
+	/** Whether daemons are started as parts of a system that is set up for the first time. */
+	isFirstStart = true;
+	readonly store = new FakeStore();
+	readonly daemons: TestDaemon[] = [];
+	/** Pairs of daemons that cannot reach each other. */
+	readonly cuts = new Set<string>();
+	private readonly generator = xoroshiro128plus(7);
+	private flying: Array<{atMs: number; bytes: Uint8Array; to: PeerAddress}> = [];
+
+	constructor(count: number, domains: number, readonly bounds: QuotaBounds = {windowMs: 8000, tolerance: 0, slack: 0}) {
+		for (let index = 0; index < count; index++) {
+			this.add(index, domains);
+		}
+	}
+
+	add(index: number, domains: number): TestDaemon {
+		const domain = `fd-${index % domains}`;
+		const daemon = new TestDaemon(`${domain}-${String(Math.floor(index / domains)).padStart(3, '0')}`, domain, `10.0.${Math.floor(index / 250)}.${index % 250}`, this);
+		this.daemons.push(daemon);
+		return daemon;
+	}
+
+	/** Stops a daemon and starts it again under its name and address. */
+	restart(daemon: TestDaemon): TestDaemon {
+		const fresh = new TestDaemon(daemon.name, daemon.failureDomain, daemon.host, this);
+		this.daemons[this.daemons.indexOf(daemon)] = fresh;
+		return fresh;
+	}
+
+	send(bytes: Uint8Array, from: TestDaemon, to: PeerAddress): void {
+		if (uniformFloat64(this.generator) >= this.lossShare && !this.cuts.has(`${from.host} ${to.host}`)) {
+			this.flying.push({atMs: this.nowMs + 2, bytes, to});
+		}
+	}
+
+	cut(one: TestDaemon, other: TestDaemon): void {
+		this.cuts.add(`${one.host} ${other.host}`).add(`${other.host} ${one.host}`);
+	}
+
+	async discover(): Promise<void> {
+		for (const daemon of this.daemons) {
+			// eslint-disable-next-line no-await-in-loop -- in order.
+			await daemon.messenger.discover(new AbortController().signal);
+		}
+	}
+
+	/** Lets time pass; every daemon reports once a round, each at a time of its own. */
+	run(forMs: number, each: () => void = () => undefined): void {
+		for (const endMs = this.nowMs + forMs; this.nowMs < endMs; this.nowMs += tickMs) {
+			const due = this.flying.filter(({atMs}) => atMs <= this.nowMs);
+			this.flying = this.flying.filter(({atMs}) => atMs > this.nowMs);
+			for (const {bytes, to} of due) {
+				const receiver = this.daemons.find(daemon => daemon.host === to.host && daemon.isRunning);
+				receiver?.messenger.hear(unpack(bytes));
+			}
+
+			for (const [index, daemon] of this.daemons.entries()) {
+				if (daemon.isRunning && (this.nowMs + (index * 30)) % roundMs < tickMs) {
+					daemon.messenger.report();
+				}
+			}
+
+			each();
+		}
+	}
+
+	roles(): Record<FleetRole, number> {
+		const counts = {[FleetRole.Mesh]: 0, [FleetRole.Relay]: 0, [FleetRole.Leaf]: 0};
+		for (const daemon of this.running()) {
+			counts[daemon.fleet.roleAt(this.nowMs)]++;
+		}
+
+		return counts;
+	}
+
+	running(): TestDaemon[] {
+		return this.daemons.filter(daemon => daemon.isRunning);
+	}
+
+	/** Cost units that each running daemon takes all to have admitted. */
+	sums(): number[] {
+		return this.running().map(daemon => sumOfProfile(daemon.quota.profiles(this.nowMs)?.x ?? []));
+	}
+}
+
+/** A fleet whose daemons have found each other. */
+export async function startNet(count: number, domains: number, bounds?: QuotaBounds): Promise<TestNet> {
+	const net = new TestNet(count, domains, bounds);
+	await net.discover();
+	await net.discover();
+	net.run(3000);
+	return net;
+}
--- /dev/null
+++ b/src/coordination/fleet/__tests__/limits-after-kill.test.ts
@@ -0,0 +1,132 @@
+import {describe, expect, it} from 'vitest';
+import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
+import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+import {
+	account as anyAccount, startNet, type TestDaemon, tickMs,
+} from '../__fixtures__/test-net.js';
+import {checkMs} from '../bounds-record.js';
+
+const {signal} = new AbortController();
+const bounds = {windowMs: 8000, tolerance: 0.1, slack: 140_000};
+const cost = 9000;
+/** An account, and how far it sends beyond its limit, by time since it was first heard of in milliseconds. */
+type Load = {ratePerSecond: number; factor: (atMs: number) => number};
+
+/** One play in which all daemons are killed. */
+type Play = {
+	daemons: number;
+	domains: number;
+	load: Load;
+	killAtMs: number;
+	/** Time from the kill until the first daemon is back, and until the last one is after it, in milliseconds. */
+	downMs: number;
+	backOverMs: number;
+	seed: number;
+};
+
+/** What a play showed: the most that any window held beside its bound, and what was admitted in the seconds after the kill. */
+type Outcome = {most: number; allowed: number; served: (fromMs: number, untilMs: number) => number; limitPerMs: number};
+
+/** Plays callers of one account against a fleet that is killed whole and comes back one daemon after the other. */
+async function play({daemons, domains, load, killAtMs, downMs, backOverMs, seed}: Play): Promise<Outcome> {
+	const generator = xoroshiro128plus(seed);
+	const random = () => uniformFloat64(generator);
+	const account = {...anyAccount, ratePerSecond: load.ratePerSecond, burst: load.ratePerSecond};
+	const net = await startNet(daemons, domains, bounds);
+	const startMs = net.nowMs;
+	const admitted: number[] = [];
+	let due = 0;
+	const ask = () => {
+		const running = net.running();
+		due += running.length === 0 ? 0 : load.ratePerSecond * load.factor(net.nowMs - startMs) * tickMs / 1000;
+		for (; due >= cost; due -= cost) {
+			const daemon = running[Math.floor(random() * running.length)];
+			if (!daemon.quota.admit(account, cost, daemon.messenger.quotaPeers(net.nowMs), random(), net.nowMs)) {
+				admitted.push(net.nowMs);
+			}
+		}
+	};
+
+	const holder = net.daemons[0];
+	await holder.lease.step({rank: 0, hearsMost: true, startedAtMs: -10_000}, signal);
+	while (net.nowMs < startMs + killAtMs) {
+		net.run(checkMs, ask);
+		await holder.lease.step({rank: 0, hearsMost: true, startedAtMs: -10_000}, signal); // eslint-disable-line no-await-in-loop -- in the order of time.
+		await holder.bounds.save(signal); // eslint-disable-line no-await-in-loop
+	}
+
+	net.run(random() * checkMs, ask);
+
+	for (const daemon of net.daemons) {
+		daemon.isRunning = false;
+	}
+
+	net.isFirstStart = false;
+	const backAtMs = net.nowMs + downMs;
+	const waiting = net.daemons.map(daemon => ({daemon, atMs: backAtMs + (random() * backOverMs)})).toSorted((a, b) => a.atMs - b.atMs);
+	const fresh: TestDaemon[] = [];
+	while (net.nowMs < startMs + killAtMs + 14_000) {
+		while (waiting.length > 0 && waiting[0].atMs <= net.nowMs) {
+			const daemon = net.restart(waiting.shift()!.daemon);
+			fresh.push(daemon);
+			await daemon.messenger.discover(signal); // eslint-disable-line no-await-in-loop
+		}
+
+		net.run(50, ask);
+		for (const daemon of fresh.filter((_, index) => (net.nowMs - backAtMs - (index * 50)) % 2000 < 50)) {
+			await daemon.messenger.discover(signal); // eslint-disable-line no-await-in-loop
+		}
+	}
+
+	const most = Math.max(...admitted.map((from, index) => admitted.slice(index).filter(atMs => atMs < from + bounds.windowMs).length * cost));
+	const limit = (load.ratePerSecond * bounds.windowMs / 1000) + load.ratePerSecond;
+	return {
+		most,
+		allowed: (limit * (1 + bounds.tolerance)) + bounds.slack,
+		served: (fromMs, untilMs) => admitted.filter(atMs => atMs >= backAtMs + fromMs && atMs < backAtMs + untilMs).length * cost,
+		limitPerMs: load.ratePerSecond / 1000,
+	};
+}
+
+const steady = (factor: number) => () => factor;
+const risesAt = (riseMs: number, factor: number) => (atMs: number) => atMs < riseMs ? 0.6 : factor;
+
+describe('after all daemons are killed within a window of the limits', () => {
+	it.each([
+		{
+			name: '6 daemons back at once', daemons: 6, domains: 4, backOverMs: 100, factor: steady(5), killAtMs: 12_000,
+		},
+		{
+			name: '80 daemons back one after the other', daemons: 80, domains: 4, backOverMs: 1500, factor: steady(5), killAtMs: 12_000,
+		},
+		{
+			name: '80 daemons, as the account has gone far over its limit for four seconds', daemons: 80, domains: 4, backOverMs: 1500, factor: risesAt(8000, 6), killAtMs: 12_000,
+		},
+		{
+			name: '80 daemons, as the account has gone far over its limit for two seconds', daemons: 80, domains: 4, backOverMs: 800, factor: risesAt(10_000, 6), killAtMs: 12_000,
+		},
+	])('an account far over its limit stays within its bound: $name', async ({factor, ...fleet}) => {
+		for (const seed of [1, 2, 3]) {
+			// eslint-disable-next-line no-await-in-loop -- one play after the other.
+			const {most, allowed} = await play({
+				...fleet, load: {ratePerSecond: 400_000, factor}, downMs: 700, seed,
+			});
+			expect(most).toBeLessThanOrEqual(allowed);
+		}
+	});
+
+	it.each([
+		{
+			name: 'within half of its limit is hardly refused', factor: 0.5, fromMs: 500, untilMs: 8000, share: 0.45,
+		},
+		{
+			name: 'far over its limit is served again within three seconds', factor: 5, fromMs: 3000, untilMs: 8000, share: 0.5,
+		},
+	])('an account $name', async ({factor, fromMs, untilMs, share}) => {
+		const outcome = await play({
+			daemons: 40, domains: 4, load: {ratePerSecond: 400_000, factor: steady(factor)}, killAtMs: 12_000, downMs: 700, backOverMs: 500, seed: 1,
+		});
+		const served = outcome.served(fromMs, untilMs) / (outcome.limitPerMs * (untilMs - fromMs));
+		expect(served).toBeGreaterThan(share);
+	});
+});
--- a/src/coordination/fleet/fleet-messenger.ts
+++ b/src/coordination/fleet/fleet-messenger.ts
@@ -1,8 +1,7 @@
 /**
  * What daemons tell each other, and how they find each other: each writes its address to
  * the platform's store once and reads the others'; from then on messages go by datagram.
- * The holder of the duties also writes the sums of the accounts' limits to the store, for
- * the case that all daemons are lost at once and nobody remembers.
+ * Beside the addresses the store keeps the bounds of the accounts' limits (`bounds-record.ts`).
  */
 import {Buffer} from 'node:buffer';
 import {type FrontSettings, type Store, Topic} from '../../protocol/platform.js';
@@ -18,6 +17,7 @@
 import {type UsageLedger} from '../usage-ledger.js';
 import {fieldsOf, readOwnRecord} from '../own-record.js';
 import {backendKey} from './backend-key.js';
+import {type BoundsRecord, boundsKey} from './bounds-record.js';
 import {packCounts, writeUse} from './digest-sums.js';
 import {FleetRole, type FleetTable} from './fleet-table.js';
 import {type UseTotals} from './merged-counters.js';
@@ -38,25 +38,18 @@
 /** A daemon that has just started reads the list this often, in milliseconds, and for this long: those that start with it write their addresses meanwhile. One that could not read it goes on until it can. */
 const discoverEarlyMs = 2000;
 const earlyMs = 8000;
-/** A daemon that has just started asks for the sums of the limits' window for this long, in milliseconds: a window and the time to read the answer. */
+/** A daemon that has just started asks for what was admitted in the limits' window for this long, in milliseconds: a window and the time to read the answer. */
 const youngMs = 10_000;
 /** A daemon that no relay told anything for this long misses what was admitted meanwhile, in milliseconds: two answers of the relay that stands by. */
 const untoldMs = 1100;
-/** Age up to which written sums are taken over at a start, in milliseconds: older ones miss too much. */
-const sumsFreshMs = 6000;
-/** Key of the written sums among the daemons' records; no daemon is called so. */
-const sumsKey = '#sums';
+/** A daemon that has just started takes those on the list that it has not heard yet to serve beside it for this long, in milliseconds: all hear of each other within a second. Later they are taken to be gone. */
+const unheardOfMs = 3000;
+/** What was admitted in the window goes with reports to all for this long after one of them asked for it, in milliseconds: three rounds. */
+const usesWantedMs = 750;
 
 /** A daemon's record in the store. */
 type WrittenMember = PeerAddress & {failureDomain?: string};
 
-/** Sums of the accounts' limits as the store keeps them. */
-type WrittenSums = {
-	/** When they were written, in milliseconds since 1970. */
-	atMs: number;
-	sums: Record<string, number>;
-};
-
 /** The parts a messenger works with. */
 export type MessengerParts = {
 	settings: Pick<FrontSettings, 'name' | 'failureDomain' | 'host' | 'peerPort'>;
@@ -68,6 +61,7 @@
 	usage: UsageLedger;
 	placement: Placement;
 	lease: DutyLease;
+	bounds: BoundsRecord;
 	/** The followers of the topics that relays tell of. */
 	topics: Record<ToldTopic, TopicFollower>;
 	clock: SteadyClock;
@@ -86,6 +80,8 @@
 	/** When a relay last told something of others. */
 	private toldAtMs: number;
 	private hasMissedNews = false;
+	/** When a daemon last asked for what was admitted in the window. */
+	private usesWantedAtMs = Number.NEGATIVE_INFINITY;
 	/** When the reports of the latest rounds were sent. */
 	private readonly askedAtMs = new Map<number, number>();
 
@@ -112,9 +108,14 @@
 
 	/** What limits over all daemons are decided from. */
 	quotaPeers(nowMs: number): QuotaPeers {
-		const {fleet} = this.parts;
+		const {fleet, startedAtMs} = this.parts;
+		const daemons = fleet.daemons(nowMs);
 		return {
-			daemons: fleet.daemons(nowMs), silent: fleet.silent(nowMs), unheardMs: newsMs[fleet.roleAt(nowMs)] + (roundMs / 2), roundMs,
+			daemons,
+			silent: fleet.silent(nowMs),
+			unheardMs: newsMs[fleet.roleAt(nowMs)] + (roundMs / 2),
+			roundMs,
+			unheardOf: nowMs - startedAtMs < unheardOfMs ? Math.max(0, fleet.known - daemons) : 0,
 		};
 	}
 
@@ -149,6 +150,10 @@
 
 		const {quota, lease, clock} = this.parts;
 		const nowMs = clock.now();
+		if (message.kind === FleetMessageKind.Report && message.wantsUses) {
+			this.usesWantedAtMs = nowMs;
+		}
+
 		if (message.holder) {
 			lease.hear(message.holder, nowMs);
 		}
@@ -158,8 +163,8 @@
 		}
 
 		// The sums include what the digest says, so they come after it.
-		if (message.windowSums) {
-			quota.adopt(message.windowSums, nowMs);
+		if (message.windowUses) {
+			quota.adopt(message.windowUses, nowMs);
 			this.hasMissedNews = false;
 		}
 
@@ -186,8 +191,8 @@
 
 		const batch = await store.newest(Topic.Members, signal);
 		for (const {key, value} of batch.records) {
-			if (key === sumsKey && value) {
-				this.takeSums(readOwnRecord(value, isWrittenSums, 'sums of the limits'));
+			if (key === boundsKey && value) {
+				this.parts.bounds.take(value);
 			} else if (value) {
 				const member = readOwnRecord(value, isWrittenMember, `address of ${key}`);
 				if (member) {
@@ -204,21 +209,6 @@
 		}
 	}
 
-	/**
-	 * Writes what all daemons admitted in the window, while this one holds the duties.
-	 *
-	 * @throws {StateError} When the store does not take it.
-	 */
-	async saveSums(signal: AbortSignal): Promise<void> {
-		const {quota, lease, clock, store} = this.parts;
-		const nowMs = clock.now();
-		const sums = quota.sums(nowMs);
-		if (lease.tokenAt(nowMs) !== undefined && sums) {
-			const written: WrittenSums = {atMs: clock.wallNow(), sums};
-			await store.append(Topic.Members, {key: sumsKey, value: encode(written)}, undefined, signal);
-		}
-	}
-
 	private get address(): PeerAddress {
 		return {host: this.parts.settings.host, port: this.parts.settings.peerPort};
 	}
@@ -288,26 +278,25 @@
 	}
 
 	private createReport(digest: Digest, wantsView: boolean, nowMs: number): Report {
-		// Those that get a view are told the sums with it.
 		return {
 			kind: FleetMessageKind.Report,
-			...this.head(!wantsView, nowMs),
+			...this.head(!wantsView && nowMs - this.usesWantedAtMs < usesWantedMs, nowMs),
 			digest,
 			wantsView,
-			wantsSums: this.hasMissedNews || nowMs - this.parts.startedAtMs < youngMs,
+			wantsUses: this.hasMissedNews || (this.parts.quota.lacksSums && nowMs - this.parts.startedAtMs < youngMs),
 			wantsUsage: this.parts.lease.isConfirmedAt(nowMs),
 			round: this.round,
 			offsets: wantsView ? Object.fromEntries(toldTopics.map(topic => [topic, this.parts.topics[topic].nextOffset])) : {},
 		};
 	}
 
-	private createView({sender: receiver, wantsSums, wantsUsage, round, offsets}: Report, nowMs: number): View {
+	private createView({sender: receiver, wantsUses, wantsUsage, round, offsets}: Report, nowMs: number): View {
 		const {fleet, settings} = this.parts;
 		const isRelay = fleet.roleAt(nowMs) === FleetRole.Relay;
 		const isNeighbour = receiver.failureDomain === settings.failureDomain;
 		return {
 			kind: FleetMessageKind.View,
-			...this.head(wantsSums, nowMs),
+			...this.head(wantsUses, nowMs),
 			digest: isRelay ? this.viewDigest(receiver, wantsUsage, nowMs) : undefined,
 			relays: fleet.relays(settings.failureDomain, nowMs),
 			round,
@@ -329,24 +318,16 @@
 		return Object.fromEntries(toldTopics.map(topic => [topic, this.parts.topics[topic].newsFor(offsets[topic], nowMs)]));
 	}
 
-	private head(withSums: boolean, nowMs: number): Pick<FleetMessage, 'sender' | 'holder' | 'windowSums'> {
+	private head(withUses: boolean, nowMs: number): Pick<FleetMessage, 'sender' | 'holder' | 'windowUses'> {
 		const {settings, incarnation, lease, quota, startedAtMs} = this.parts;
 		return {
 			sender: {
 				name: settings.name, incarnation, failureDomain: settings.failureDomain, address: this.address, uptimeMs: Math.round(nowMs - startedAtMs), isStopping: this.isStopping,
 			},
 			holder: lease.news(nowMs),
-			windowSums: withSums ? quota.sums(nowMs) : undefined,
+			windowUses: withUses ? quota.profiles(nowMs) : undefined,
 		};
 	}
-
-	/** Takes sums over that were written shortly before this daemon started. */
-	private takeSums(written: WrittenSums | undefined): void {
-		const {quota, clock} = this.parts;
-		if (written && Math.abs(clock.wallNow() - written.atMs) <= sumsFreshMs) {
-			quota.adopt(written.sums, clock.now());
-		}
-	}
 }
 
 function encode(value: unknown): Uint8Array {
@@ -357,8 +338,3 @@
 	const {host, port, failureDomain} = fieldsOf(value);
 	return typeof host === 'string' && Number.isInteger(port) && (failureDomain === undefined || typeof failureDomain === 'string');
 }
-
-function isWrittenSums(value: unknown): value is WrittenSums {
-	const {atMs, sums} = fieldsOf(value);
-	return typeof atMs === 'number' && Object.values(fieldsOf(sums)).every(sum => typeof sum === 'number');
-}
--- a/src/coordination/fleet/fleet-table.ts
+++ b/src/coordination/fleet/fleet-table.ts
@@ -9,7 +9,7 @@
 	type Digest, DigestScope, type NamedAddress, type PeerAddress, type Report, type Sender, type View,
 } from '../../protocol/fleet-messages.js';
 import {createLogger} from '../../log.js';
-import {type AccountUse} from '../quota-ledger.js';
+import {type AccountUse} from '../account-window.js';
 import {readUse, sumCounts, writeUse} from './digest-sums.js';
 import {type UseTotals} from './merged-counters.js';
 import {RelayChoice} from './relay-choice.js';
@@ -148,6 +148,16 @@
 		return [...this.relayChoices.values()].flatMap(choice => choice.all()).filter(({name}) => name !== this.self.name).map(({address}) => address);
 	}
 
+	/** Daemons whose addresses are known, those that are gone included. */
+	get known(): number {
+		let known = 0;
+		for (const choice of this.relayChoices.values()) {
+			known += choice.size;
+		}
+
+		return known;
+	}
+
 	/** Daemons that share the limits, this one included. */
 	daemons(nowMs: number): number {
 		return 1 + this.headcount(nowMs).daemons;
--- a/src/coordination/fleet/merged-counters.ts
+++ b/src/coordination/fleet/merged-counters.ts
@@ -4,7 +4,7 @@
  * relay that dies, lags or begins anew neither loses what another one counted nor counts it
  * twice.
  */
-import {type AccountUse} from '../quota-ledger.js';
+import {type AccountUse} from '../account-window.js';
 
 /** Totals by client account. */
 export type UseTotals = Map<string, AccountUse>;
--- a/src/coordination/fleet/relay-choice.ts
+++ b/src/coordination/fleet/relay-choice.ts
@@ -30,6 +30,11 @@
 	/** @param self This daemon's name, where the failure domain is its own. */
 	constructor(private readonly self: string | undefined) {}
 
+	/** How many daemons are known. */
+	get size(): number {
+		return this.candidates.size;
+	}
+
 	/** Notes where a daemon takes datagrams. */
 	learn(name: string, address: PeerAddress): void {
 		const known = this.candidates.get(name);
--- a/src/coordination/limit-history.ts
+++ b/src/coordination/limit-history.ts
@@ -16,6 +16,11 @@
 
 	constructor(private readonly windowMs: number) {}
 
+	/** The limit in force now; undefined before the first. */
+	get latest(): Limit | undefined {
+		return this.stages.at(-1);
+	}
+
 	/** Notes the limit in force from now on. */
 	note({ratePerSecond, burst}: Limit, nowMs: number): void {
 		const last = this.stages.at(-1);
--- a/src/coordination/quota-ledger.ts
+++ b/src/coordination/quota-ledger.ts
@@ -10,19 +10,27 @@
  * four to eight times its limit stays within its bound, and passes it without; one within
  * its limit is refused less than one request in a hundred.
  * A peer that fell silent is taken to admit its equal share, since it may be cut off and
- * serving. A daemon that has just started adopts the sums of its peers; where none can be
- * heard, all may have started anew, and it grants the limit only as its own window fills.
+ * serving.
+ *
+ * A daemon that has just started adopts what its peers know of the window, or what the store
+ * does: the latter with what may have been admitted after it was written, since all daemons
+ * may have been killed at once. Peers that it knows of and has not heard yet are taken to be
+ * asked as much as it is: otherwise each of many daemons that start together would admit all
+ * that is left. Where nothing is known, it grants the limit only as its own window fills.
  */
 import {type Account} from '../protocol/serving.js';
-import {CostMeter} from './cost-meter.js';
-import {LimitHistory} from './limit-history.js';
+import {
+	type AccountUse, AccountWindow, profileParts, sumOfProfile, type UseProfile,
+} from './account-window.js';
 
 /** Share of the operators' slack and tolerance that is granted; the rest covers the error of what peers are taken to admit. */
 const grantedShare = 0.4;
-/** The window is counted in this many steps. */
-const steps = 32;
 /** Time for which what is left of a limit must suffice before all that is asked is admitted, as a factor on the time that news take and are apart. Less than one lets every daemon take the rest before it hears of the others; more leaves that much of the limit unused by an account that asks for more than it. */
 const reserveFactor = 1.2;
+/** Time for which a written bound is meant to last, in milliseconds: until the next one is written and can be read, with the time that news take to the writer. */
+const aheadMs = 2500;
+/** Factor on what an account is expected to ask for in that time, since it may ask for more than just now. */
+const aheadFactor = 1.5;
 
 /** How the operators bound an account's use. */
 export type QuotaBounds = {
@@ -50,80 +58,23 @@
 	unheardMs: number;
 	/** Time between news, in milliseconds. */
 	roundMs: number;
+	/** Daemons that may have started with this one and were not heard yet. */
+	unheardOf: number;
 };
 
-/** What an account was admitted and refused, in cost units. */
-export type AccountUse = {admitted: number; refused: number};
-
-type Use = {step: number; cost: number};
-
-/** What was admitted to one account in the window. */
-class AccountWindow {
-	/** Admitted and refused by this daemon since its start. */
-	readonly own: AccountUse = {admitted: 0, refused: 0};
-	/** What peers admitted of late. */
-	readonly peersAdmitted = new CostMeter();
-	readonly limits: LimitHistory;
-	/** What was asked of peers of late. */
-	readonly peersAsked = new CostMeter();
-	private readonly uses: Use[] = [];
-	/** Sum that a peer knew of when this daemon started, and until when it counts. */
-	private adopted = {cost: 0, untilMs: 0};
-
-	constructor(private readonly windowMs: number) {
-		this.limits = new LimitHistory(windowMs);
-	}
-
-	add(cost: number, nowMs: number): void {
-		const step = Math.floor(nowMs / this.windowMs * steps);
-		const last = this.uses.at(-1);
-		if (last?.step === step) {
-			last.cost += cost;
-		} else {
-			this.uses.push({step, cost});
-		}
-	}
-
-	adopt(cost: number, nowMs: number): void {
-		if (cost > this.sum(nowMs)) {
-			this.adopted = {cost: cost - this.sumOfUses(nowMs), untilMs: nowMs + this.windowMs};
-		}
-	}
-
-	sum(nowMs: number): number {
-		return this.sumOfUses(nowMs) + (nowMs < this.adopted.untilMs ? this.adopted.cost : 0);
-	}
-
-	/** Milliseconds until the oldest use leaves the window. */
-	untilFreeMs(nowMs: number): number {
-		const oldest = this.uses.at(0);
-		return oldest ? Math.max(1, ((oldest.step + steps + 1) / steps * this.windowMs) - nowMs) : this.adopted.untilMs - nowMs;
-	}
-
-	private sumOfUses(nowMs: number): number {
-		const oldest = Math.floor(nowMs / this.windowMs * steps) - steps;
-		while (this.uses.length > 0 && this.uses[0].step < oldest) {
-			this.uses.shift();
-		}
-
-		let sum = 0;
-		for (const use of this.uses) {
-			sum += use.cost;
-		}
-
-		return sum;
-	}
-}
+/** What all daemons admitted to an account in the window, and what they may admit beyond it until that is said anew, in cost units. */
+export type WindowBound = {uses: UseProfile; ahead: number};
 
 /** Share of an account's requests to admit now: 1 far from its limit, 0 where nothing is left of it. */
 function admittedShare(window: AccountWindow, cost: number, limit: number, peers: QuotaPeers, nowMs: number): number {
-	const unheard = window.peersAdmitted.perMs(peers.roundMs, nowMs) * peers.unheardMs;
+	const unheard = (window.peersAdmitted.perMs(peers.roundMs, nowMs) * peers.unheardMs) + (window.own.admitted * peers.unheardOf);
 	const left = limit - window.sum(nowMs) - unheard;
 	if (left < cost) {
 		return 0;
 	}
 
-	const reserve = window.peersAsked.perMs(peers.roundMs, nowMs) * (peers.unheardMs + peers.roundMs) * reserveFactor;
+	const askedPerMs = window.peersAsked.perMs(peers.roundMs, nowMs) + (window.ownAsked.perMs(peers.roundMs, nowMs) * peers.unheardOf);
+	const reserve = askedPerMs * (peers.unheardMs + peers.roundMs) * reserveFactor;
 	return left >= reserve ? 1 : left / reserve;
 }
 
@@ -156,6 +107,7 @@
 		}
 
 		const window = this.window(account.name);
+		window.ownAsked.add(cost, nowMs);
 		const share = admittedShare(window, cost, this.limit(account, peers, nowMs), peers, nowMs);
 		if (draw >= share) {
 			window.own.refused += cost;
@@ -202,16 +154,34 @@
 		this.needsSums = true;
 	}
 
-	/** Takes a peer's sums, once after a start or a doubt: what is admitted later the peers say themselves. */
-	adopt(sums: Record<string, number>, nowMs: number): void {
+	/** Whether the sums of a peer are still to be taken over. */
+	get lacksSums(): boolean {
+		return this.needsSums;
+	}
+
+	/** Takes over what a peer knows of the window, once after a start or a doubt: what is admitted later the peers say themselves. */
+	adopt(profiles: Record<string, UseProfile>, nowMs: number): void {
 		if (!this.needsSums) {
 			return;
 		}
 
 		this.needsSums = false;
 		this.isHistoryKnown = true;
-		for (const [account, sum] of Object.entries(sums)) {
-			this.window(account).adopt(sum, nowMs);
+		for (const [account, profile] of Object.entries(profiles)) {
+			this.window(account).adopt(profile, nowMs);
+		}
+	}
+
+	/** Takes over what was written before this daemon started, as if it had been written just now: nobody can say for how long all daemons were away. A peer's word is still taken after it. */
+	adoptWritten(bounds: Record<string, WindowBound>, nowMs: number): void {
+		if (!this.needsSums || this.isHistoryKnown) {
+			return;
+		}
+
+		this.isHistoryKnown = true;
+		for (const [account, {uses, ahead}] of Object.entries(bounds)) {
+			const [newest = 0, ...older] = uses;
+			this.window(account).adopt([newest + ahead, ...older], nowMs);
 		}
 	}
 
@@ -221,20 +191,55 @@
 	}
 
 	/** What all daemons admitted in the window, by account, for peers that have just started; none while this daemon does not know. */
-	sums(nowMs: number): Record<string, number> | undefined {
-		const isComplete = this.isHistoryKnown || nowMs - this.startedAtMs > this.bounds.windowMs;
-		return isComplete ? Object.fromEntries([...this.windows].map(([name, window]) => [name, window.sum(nowMs)])) : undefined;
+	profiles(nowMs: number): Record<string, UseProfile> | undefined {
+		return this.isCompleteAt(nowMs) ? Object.fromEntries([...this.windows].map(([name, window]) => [name, window.profile(nowMs).map(cost => Math.round(cost))])) : undefined;
+	}
+
+	/** What all daemons admitted in the window and may admit until this is said anew, for daemons that start after all were lost; none while this daemon does not know. */
+	writtenBounds(roundMs: number, nowMs: number): Record<string, WindowBound> | undefined {
+		const profiles = this.profiles(nowMs);
+		return profiles && Object.fromEntries(Object.entries(profiles).map(([name, uses]) => [name, {uses, ahead: this.aheadOf(name, uses, roundMs, nowMs)}]));
+	}
+
+	/** Whether more was admitted to an account than a bound says, so that a daemon that went by it would grant too much. */
+	passes(bounds: Record<string, WindowBound>, nowMs: number): boolean {
+		return [...this.windows].some(([name, window]) => {
+			const bound = bounds[name];
+			return window.sum(nowMs) > (bound ? sumOfProfile(bound.uses) + bound.ahead : 0);
+		});
+	}
+
+	private isCompleteAt(nowMs: number): boolean {
+		return this.isHistoryKnown || nowMs - this.startedAtMs > this.bounds.windowMs;
+	}
+
+	/** Cost units that an account may be admitted while a written bound is to last: what it is expected to ask for, as far as its limit allows. */
+	private aheadOf(accountName: string, uses: UseProfile, roundMs: number, nowMs: number): number {
+		const window = this.window(accountName);
+		const {latest} = window.limits;
+		const expected = (window.peersAsked.perMs(roundMs, nowMs) + window.ownAsked.perMs(roundMs, nowMs)) * aheadMs * aheadFactor;
+		if (!latest) {
+			return Math.round(expected);
+		}
+
+		const stays = sumOfProfile(uses.slice(0, Math.floor(profileParts * (1 - (aheadMs / this.bounds.windowMs)))));
+		return Math.round(Math.max(0, Math.min(expected, this.full(window.limits.granted(latest, nowMs)) - stays)));
 	}
 
 	private limit(account: Account, peers: QuotaPeers, nowMs: number): number {
-		const {windowMs, tolerance, slack} = this.bounds;
-		const granted = this.window(account.name).limits.granted({ratePerSecond: account.ratePerSecond!, burst: account.burst}, nowMs);
-		const full = (granted * (1 + (tolerance * grantedShare))) + (slack * grantedShare);
+		const {windowMs} = this.bounds;
+		const full = this.full(this.window(account.name).limits.granted({ratePerSecond: account.ratePerSecond!, burst: account.burst}, nowMs));
 		const heard = 1 - Math.min(0.9, peers.silent / Math.max(1, peers.daemons));
 		const known = this.isHistoryKnown ? 1 : Math.min(1, (nowMs - this.startedAtMs) / windowMs) / 2;
 		return full * heard * known;
 	}
 
+	/** A limit with the part of the operators' tolerance and slack that is granted. */
+	private full(granted: number): number {
+		const {tolerance, slack} = this.bounds;
+		return (granted * (1 + (tolerance * grantedShare))) + (slack * grantedShare);
+	}
+
 	private window(accountName: string): AccountWindow {
 		let window = this.windows.get(accountName);
 		if (!window) {
--- a/src/protocol/fleet-messages.ts
+++ b/src/protocol/fleet-messages.ts
@@ -64,8 +64,8 @@
 type MessageHead = {
 	sender: Sender;
 	holder: HolderNews | undefined;
-	/** Cost units that all daemons admitted in the window of the limits, for receivers that have just started; undefined while the sender does not know. */
-	windowSums: Record<string, number> | undefined;
+	/** Cost units that all daemons admitted in the window of the limits, in equal parts by age, the newest first, by client account; for receivers that have just started, undefined while the sender does not know. */
+	windowUses: Record<string, number[]> | undefined;
 };
 
 /** How far a relay has read a topic of the store. */
@@ -87,8 +87,8 @@
 	digest: Digest;
 	/** Whether the receiver should answer with a view. */
 	wantsView: boolean;
-	/** Whether the view should have the sums of the window. */
-	wantsSums: boolean;
+	/** Whether the view should have what was admitted in the window. */
+	wantsUses: boolean;
 	/** Whether the view should have usage counts: the sender holds the singleton duties. */
 	wantsUsage: boolean;
 	/** Number of the sender's round, which the view repeats. */
