--- a/src/coordination/fleet/__tests__/limits-after-kill.test.ts
+++ b/src/coordination/fleet/__tests__/limits-after-kill.test.ts
@@ -130,3 +130,80 @@
 		expect(served).toBeGreaterThan(share);
 	});
 });
+
+/** Plays callers of one account against a fleet of which some daemons are cut off from the others and from the store, and some restart. */
+async function playCut({daemons, cut, restarted, seed}: {daemons: number; cut: number; restarted: number; seed: number}): Promise<{most: number; allowed: number}> {
+	const generator = xoroshiro128plus(seed);
+	const random = () => uniformFloat64(generator);
+	const ratePerSecond = 400_000;
+	const account = {...anyAccount, ratePerSecond, burst: ratePerSecond};
+	const net = await startNet(daemons, 4, bounds);
+	const startMs = net.nowMs;
+	const admitted: number[] = [];
+	let due = 0;
+	const ask = () => {
+		const running = net.running();
+		due += ratePerSecond * (net.nowMs - startMs < 2800 ? 0.6 : 6) * tickMs / 1000;
+		for (; due >= cost; due -= cost) {
+			const daemon = running[Math.floor(random() * running.length)];
+			if (!daemon.quota.admit(account, cost, daemon.messenger.quotaPeers(net.nowMs), random(), net.nowMs)) {
+				admitted.push(net.nowMs);
+			}
+		}
+	};
+
+	const holder = net.daemons.at(-1)!;
+	const runUntil = async (atMs: number) => {
+		while (net.nowMs < startMs + atMs) {
+			net.run(checkMs, ask);
+			await holder.lease.step({rank: 0, hearsMost: true, startedAtMs: -10_000}, signal); // eslint-disable-line no-await-in-loop -- in the order of time.
+			await holder.bounds.save(signal); // eslint-disable-line no-await-in-loop
+		}
+	};
+
+	await runUntil(1000);
+	const alone = net.daemons.slice(0, cut);
+	for (const daemon of alone) {
+		for (const other of net.daemons) {
+			net.cut(daemon, other);
+		}
+	}
+
+	await runUntil(3300);
+	const killed = net.daemons.slice(cut, cut + restarted);
+	for (const daemon of killed) {
+		daemon.isRunning = false;
+	}
+
+	net.isFirstStart = false;
+	await runUntil(3900);
+	for (const daemon of killed) {
+		await net.restart(daemon).messenger.discover(signal); // eslint-disable-line no-await-in-loop
+	}
+
+	await runUntil(13_000);
+	const most = Math.max(...admitted.map((from, index) => admitted.slice(index).filter(atMs => atMs < from + bounds.windowMs).length * cost));
+	return {most, allowed: (((ratePerSecond * bounds.windowMs / 1000) + ratePerSecond) * (1 + bounds.tolerance)) + bounds.slack};
+}
+
+describe('while daemons are cut off from the others', () => {
+	it.each([
+		{
+			name: '3 of 9, and 2 others restart', daemons: 9, cut: 3, restarted: 2,
+		},
+		{
+			name: '3 of 9', daemons: 9, cut: 3, restarted: 0,
+		},
+		{
+			name: '20 of 80, all relays among them', daemons: 80, cut: 20, restarted: 0,
+		},
+		{
+			name: '20 of 80, all relays among them, and the 20 that follow them restart', daemons: 80, cut: 20, restarted: 20,
+		},
+	])('an account that goes far over its limit stays within its bound: $name', async fleet => {
+		for (const seed of [1, 2, 3]) {
+			const {most, allowed} = await playCut({...fleet, seed}); // eslint-disable-line no-await-in-loop -- one play after the other.
+			expect(most).toBeLessThanOrEqual(allowed);
+		}
+	});
+});
--- a/src/coordination/fleet/fleet-messenger.ts
+++ b/src/coordination/fleet/fleet-messenger.ts
@@ -21,6 +21,8 @@
 import {packCounts, writeUse} from './digest-sums.js';
 import {FleetRole, type FleetTable} from './fleet-table.js';
 import {type UseTotals} from './merged-counters.js';
+import {RecentMaximum} from './recent-maximum.js';
+import {goneMs} from './told-group.js';
 
 /** Time between reports, in milliseconds. */
 export const roundMs = 250;
@@ -80,6 +82,8 @@
 	/** When a relay last told something of others. */
 	private toldAtMs: number;
 	private hasMissedNews = false;
+	/** Daemons of a large fleet, as many as were known of late. */
+	private readonly fleetSize = new RecentMaximum(goneMs);
 	/** When a daemon last asked for what was admitted in the window. */
 	private usesWantedAtMs = Number.NEGATIVE_INFINITY;
 	/** When the reports of the latest rounds were sent. */
@@ -110,12 +114,17 @@
 	quotaPeers(nowMs: number): QuotaPeers {
 		const {fleet, startedAtMs} = this.parts;
 		const daemons = fleet.daemons(nowMs);
+		const isYoung = nowMs - startedAtMs < unheardOfMs;
+		const listed = isYoung ? Math.max(daemons, fleet.known) : daemons;
+		// A relay that has just begun knows few daemons; those that others or the list knew of may still serve.
+		const most = fleet.roleAt(nowMs) === FleetRole.Mesh ? listed : this.fleetSize.note(listed, nowMs);
+		const unheardOf = listed - daemons;
 		return {
-			daemons,
-			silent: fleet.silent(nowMs),
+			daemons: most - unheardOf,
+			silent: fleet.silent(nowMs) + most - listed,
 			unheardMs: newsMs[fleet.roleAt(nowMs)] + (roundMs / 2),
 			roundMs,
-			unheardOf: nowMs - startedAtMs < unheardOfMs ? Math.max(0, fleet.known - daemons) : 0,
+			unheardOf,
 		};
 	}
 
--- a/src/coordination/quota-ledger.ts
+++ b/src/coordination/quota-ledger.ts
@@ -229,7 +229,7 @@
 	private limit(account: Account, peers: QuotaPeers, nowMs: number): number {
 		const {windowMs} = this.bounds;
 		const full = this.full(this.window(account.name).limits.granted({ratePerSecond: account.ratePerSecond!, burst: account.burst}, nowMs));
-		const heard = 1 - Math.min(0.9, peers.silent / Math.max(1, peers.daemons));
+		const heard = 1 - (Math.min(peers.silent, peers.daemons - 1) / Math.max(1, peers.daemons));
 		const known = this.isHistoryKnown ? 1 : Math.min(1, (nowMs - this.startedAtMs) / windowMs) / 2;
 		return full * heard * known;
 	}
