--- a/src/coordination/__tests__/shared-limits.test.ts
+++ b/src/coordination/__tests__/shared-limits.test.ts
@@ -72,6 +72,26 @@
 		expect(admitAll(ledger, alone, 0)).toBe(2000);
 	});
 
+	it.each([
+		{name: 'the store\'s word while it hears nobody', hears: undefined, expected: 0},
+		{name: 'a peer\'s word in its place', hears: [5000], expected: 4000},
+		{name: 'the word of a peer that started from the store as well', hears: [9000], expected: 0},
+	])('a daemon that starts anew goes by $name', ({hears, expected}) => {
+		const ledger = new QuotaLedger(bounds, 0, false);
+		ledger.adoptWritten({a: {uses: [4000, 3000], ahead: 2000}}, 0);
+		if (hears) {
+			ledger.adopt({a: hears}, 100);
+		}
+
+		expect(admitAll(ledger, alone, 200)).toBe(expected);
+	});
+
+	it('what a daemon that starts anew adopts leaves the window by and by', () => {
+		const ledger = new QuotaLedger(bounds, 0, false);
+		ledger.adoptWritten({a: {uses: [1000, 1000, 1000, 1000, 1000, 1000, 1000, 2000], ahead: 0}}, 0);
+		expect([0, 2000, 6000].map(nowMs => admitAll(ledger, alone, nowMs))).toEqual([0, 3000, 4000]);
+	});
+
 	it('a daemon that starts anew and hears nobody grants less than a window\'s limit in its first window', () => {
 		const ledger = new QuotaLedger(bounds, 0, false);
 		let admitted = 0;
--- a/src/coordination/account-window.ts
+++ b/src/coordination/account-window.ts
@@ -14,7 +14,12 @@
 /** What an account was admitted and refused, in cost units. */
 export type AccountUse = {admitted: number; refused: number};
 
-type Use = {step: number; cost: number};
+type Use = {
+	step: number;
+	cost: number;
+	/** Whether it is a guess that a peer's word takes the place of. */
+	isGuess?: boolean;
+};
 
 /** What was admitted to one account in the window. */
 export class AccountWindow {
@@ -28,7 +33,7 @@
 	readonly peersAsked = new CostMeter();
 	readonly limits: LimitHistory;
 	/** In the order of their steps. */
-	private readonly uses: Use[] = [];
+	private uses: Use[] = [];
 
 	constructor(private readonly windowMs: number) {
 		this.limits = new LimitHistory(windowMs);
@@ -44,17 +49,15 @@
 		}
 	}
 
-	/** Takes over what another daemon knows of the window beyond what this one does. It leaves the window by and by, as it did there. */
+	/** Takes over what another daemon knows of the window beyond what this one does, in place of what was guessed. It leaves the window by and by, as it did there. */
 	adopt(told: UseProfile, nowMs: number): void {
-		const known = this.profile(nowMs);
-		const step = this.stepAt(nowMs);
-		for (const [part, cost] of told.slice(0, profileParts).entries()) {
-			if (cost > known[part]) {
-				this.uses.push({step: step - (part * partSteps) - (partSteps / 2), cost: cost - known[part]});
-			}
-		}
+		this.uses = this.uses.filter(use => !use.isGuess);
+		this.addBeyondKnown(told, false, nowMs);
+	}
 
-		this.uses.sort((a, b) => a.step - b.step);
+	/** Guesses what was admitted, until a daemon that knows says so. */
+	guess(profile: UseProfile, nowMs: number): void {
+		this.addBeyondKnown(profile, true, nowMs);
 	}
 
 	/** What was admitted in the window, by age. */
@@ -86,6 +89,18 @@
 		return oldest ? Math.max(1, ((oldest.step + steps + 1) / steps * this.windowMs) - nowMs) : 0;
 	}
 
+	private addBeyondKnown(profile: UseProfile, isGuess: boolean, nowMs: number): void {
+		const known = this.profile(nowMs);
+		const step = this.stepAt(nowMs);
+		for (const [part, cost] of profile.slice(0, profileParts).entries()) {
+			if (cost > known[part]) {
+				this.uses.push({step: step - (part * partSteps) - (partSteps / 2), cost: cost - known[part], isGuess});
+			}
+		}
+
+		this.uses.sort((a, b) => a.step - b.step);
+	}
+
 	private stepAt(nowMs: number): number {
 		return Math.floor(nowMs / this.windowMs * steps);
 	}
--- a/src/coordination/fleet/fleet-messenger.ts
+++ b/src/coordination/fleet/fleet-messenger.ts
@@ -82,7 +82,7 @@
 	/** When a relay last told something of others. */
 	private toldAtMs: number;
 	private hasMissedNews = false;
-	/** Daemons of a large fleet, as many as were known of late. */
+	/** Daemons that were known of late: at the start, and later in a large fleet. */
 	private readonly fleetSize = new RecentMaximum(goneMs);
 	/** When a daemon last asked for what was admitted in the window. */
 	private usesWantedAtMs = Number.NEGATIVE_INFINITY;
@@ -116,8 +116,9 @@
 		const daemons = fleet.daemons(nowMs);
 		const isYoung = nowMs - startedAtMs < unheardOfMs;
 		const listed = isYoung ? Math.max(daemons, fleet.known) : daemons;
-		// A relay that has just begun knows few daemons; those that others or the list knew of may still serve.
-		const most = fleet.roleAt(nowMs) === FleetRole.Mesh ? listed : this.fleetSize.note(listed, nowMs);
+		// Daemons on the list that one which starts never hears may be cut off and serving; so may those that a relay which has just begun does not know.
+		const isKept = isYoung || fleet.roleAt(nowMs) !== FleetRole.Mesh;
+		const most = Math.max(listed, this.fleetSize.note(isKept ? listed : 0, nowMs));
 		const unheardOf = listed - daemons;
 		return {
 			daemons: most - unheardOf,
--- a/src/coordination/quota-ledger.ts
+++ b/src/coordination/quota-ledger.ts
@@ -167,12 +167,12 @@
 
 		this.needsSums = false;
 		this.isHistoryKnown = true;
-		for (const [account, profile] of Object.entries(profiles)) {
-			this.window(account).adopt(profile, nowMs);
+		for (const account of new Set([...this.windows.keys(), ...Object.keys(profiles)])) {
+			this.window(account).adopt(profiles[account] ?? [], nowMs);
 		}
 	}
 
-	/** Takes over what was written before this daemon started, as if it had been written just now: nobody can say for how long all daemons were away. A peer's word is still taken after it. */
+	/** Takes over what was written before this daemon started, as if it had been written just now: nobody can say for how long all daemons were away. A peer's word takes its place. */
 	adoptWritten(bounds: Record<string, WindowBound>, nowMs: number): void {
 		if (!this.needsSums || this.isHistoryKnown) {
 			return;
@@ -181,7 +181,7 @@
 		this.isHistoryKnown = true;
 		for (const [account, {uses, ahead}] of Object.entries(bounds)) {
 			const [newest = 0, ...older] = uses;
-			this.window(account).adopt([newest + ahead, ...older], nowMs);
+			this.window(account).guess([newest + ahead, ...older], nowMs);
 		}
 	}
 
