--- a/src/coordination/fleet/fleet-messenger.ts
+++ b/src/coordination/fleet/fleet-messenger.ts
@@ -44,7 +44,7 @@
 const youngMs = 10_000;
 /** A daemon that no relay told anything for this long misses what was admitted meanwhile, in milliseconds: two answers of the relay that stands by. */
 const untoldMs = 1100;
-/** A daemon that has just started takes those on the list that it has not heard yet to serve beside it for this long, in milliseconds: all hear of each other within a second. Later they are taken to be gone. */
+/** A daemon that has just started takes those on the list that it has not heard yet to serve beside it for this long, in milliseconds: all hear of each other within a second. Later they count as silent, and then as gone. */
 const unheardOfMs = 3000;
 /** What was admitted in the window goes with reports to all for this long after one of them asked for it, in milliseconds: three rounds. */
 const usesWantedMs = 750;
