Tell a daemon's own reads of the store from its relays' word

'lost' and 'regained' now speak of the daemon's own reads, 'lost' names the cause down to the connection, and a daemon says when it begins and ends to go by its relays because of age. The state dump and the metrics show each topic's age and its reads. No decision changes, but one that read the old flag: a relay that is refused by the store and told by the other one no longer counts its list of backend servers as followed.

--- a/src/cli/commands/front.ts
+++ b/src/cli/commands/front.ts
@@ -75,6 +75,6 @@
 	const {createRegistry} = await import('../../transport/process-registry.js');
 	const metrics = await import('../../coordination/serving/serving-metrics.js');
 	const registry = createRegistry();
-	daemon.observe(new metrics.ServingMetrics(registry, () => daemon.openRequests));
+	daemon.observe(new metrics.ServingMetrics(registry, {openRequests: () => daemon.openRequests, views: () => daemon.views}));
 	return ObservationPort.open({host: settings.host, port: settings.metricsPort}, registry, () => daemon.dump());
 }
--- a/src/cli/front-daemon.ts
+++ b/src/cli/front-daemon.ts
@@ -2,7 +2,8 @@
 import {setMaxListeners} from 'node:events';
 import {setTimeout as delay} from 'node:timers/promises';
 import {type DependencyContainer} from 'tsyringe';
-import {type Platform} from '../protocol/platform.js';
+import {type ToldTopic} from '../protocol/fleet-messages.js';
+import {type Platform, Topic} from '../protocol/platform.js';
 import {SteadyClock} from '../clock.js';
 import {Gate} from '../gate.js';
 import {createLogger} from '../log.js';
@@ -21,6 +22,7 @@
 import {QuotaLedger} from '../coordination/quota-ledger.js';
 import {applySettings} from '../coordination/settings-reload.js';
 import {BackendsSink, ConfigSink} from '../coordination/record-sinks.js';
+import {type ViewState} from '../coordination/topic-follower.js';
 import {Forwarder} from '../coordination/serving/forwarder.js';
 import {DeferredMetrics, type RequestMetrics} from '../coordination/serving/request-metrics.js';
 import {StreamRegistry, sweepMs} from '../coordination/serving/stream-registry.js';
@@ -135,6 +137,12 @@
 		this.parts.resolve(BackendPool).destroy();
 	}
 
+	/** How current the views of the store's topics are. */
+	get views(): Record<ToldTopic, ViewState> {
+		const nowMs = this.clock.now();
+		return {[Topic.Config]: this.parts.resolve(ConfigFollower).stateAt(nowMs), [Topic.Backends]: this.parts.resolve(BackendsFollower).stateAt(nowMs)};
+	}
+
 	/** The state of the daemon for a dump. */
 	dump(): unknown {
 		const nowMs = this.clock.now();
@@ -142,7 +150,7 @@
 		return {
 			incarnation: this.incarnation,
 			isReady: this.isReady,
-			viewAgeMs: this.parts.resolve(Belief).ageMs(nowMs),
+			views: this.views,
 			routes: this.parts.resolve(RouteTable).toJson(),
 			backends: this.parts.resolve(BackendTable).toJson(),
 			fleet: this.parts.resolve(FleetTable).toJson(nowMs),
--- a/src/coordination/serving/serving-metrics.ts
+++ b/src/coordination/serving/serving-metrics.ts
@@ -2,17 +2,25 @@
 import {
 	Counter, Gauge, Histogram, type Registry,
 } from 'prom-client';
+import {type ViewState} from '../topic-follower.js';
 import {type RequestMetrics} from './request-metrics.js';
 
 /** Upper bounds of the latency buckets, in seconds: around the targets of 0.1 to 1.5 s and the deadlines of 0.6 to 15 s. */
 const latencyBuckets = [0.01, 0.025, 0.05, 0.1, 0.15, 0.25, 0.5, 0.8, 1.2, 2, 3, 5, 8, 15];
 
-/** The metrics of one daemon's requests. */
+/** What the metrics show of a daemon at the time of a scrape. */
+export type ServingState = {
+	openRequests: () => number;
+	/** The views of the store's topics, by topic. */
+	views: () => Record<string, ViewState>;
+};
+
+/** The metrics of one daemon's requests, and of the views that decide on them. */
 export class ServingMetrics implements RequestMetrics {
 	private readonly finished: Counter;
 	private readonly latency: Histogram;
 
-	constructor(registry: Registry, openRequests: () => number) {
+	constructor(registry: Registry, state: ServingState) {
 		this.finished = new Counter({
 			name: 'sesametally_requests_total', help: 'Requests by route and outcome.', labelNames: ['route', 'outcome'], registers: [registry],
 		});
@@ -24,7 +32,30 @@
 			help: 'Requests being served.',
 			registers: [registry],
 			collect() {
-				open.set(openRequests());
+				open.set(state.openRequests());
+			},
+		});
+		const age = new Gauge({
+			name: 'sesametally_view_age_seconds',
+			help: 'Time since the view of a topic of the store was confirmed to be current.',
+			labelNames: ['topic'],
+			registers: [registry],
+			collect() {
+				for (const [topic, {ageMs}] of Object.entries(state.views())) {
+					age.set({topic}, ageMs / 1000);
+				}
+			},
+		});
+		const reads = new Gauge({
+			name: 'sesametally_store_reads',
+			help: 'Reads of a topic of the store since the start, by outcome.',
+			labelNames: ['topic', 'outcome'],
+			registers: [registry],
+			collect() {
+				for (const [topic, view] of Object.entries(state.views())) {
+					reads.set({topic, outcome: 'answered'}, view.reads.answered);
+					reads.set({topic, outcome: 'failed'}, view.reads.failed);
+				}
 			},
 		});
 	}
--- a/src/coordination/topic-follower.ts
+++ b/src/coordination/topic-follower.ts
@@ -53,6 +53,17 @@
 	carriedMs: () => number;
 };
 
+/** How current a view is, and what it rests on. */
+export type ViewState = {
+	ageMs: number;
+	/** Offset of the first record that is not in the view. */
+	next: number | undefined;
+	/** Whether the daemon goes by its relays' word instead of reading. */
+	isCarried: boolean;
+	/** Reads of this daemon's own since its start. */
+	reads: {answered: number; failed: number};
+};
+
 /** Follows one topic. */
 export class TopicFollower {
 	private next: number | undefined;
@@ -63,6 +74,9 @@
 	private carriedAtMs = Number.NEGATIVE_INFINITY;
 	/** Whether a relay told of records that it did not hand on. */
 	private isBehind = false;
+	/** Whether the view was last left to the relays; undefined before the first read. */
+	private wasCarried: boolean | undefined;
+	private readonly reads = {answered: 0, failed: 0};
 	/** The latest records, in order and without gaps. */
 	private tail: KeyedRecord[] = [];
 
@@ -78,10 +92,19 @@
 		return this.isLost || this.followedSinceMs === undefined ? 0 : nowMs - this.followedSinceMs;
 	}
 
+	/** How current the view is and where it comes from, for a state dump and metrics. */
+	stateAt(nowMs: number): ViewState {
+		return {
+			ageMs: Math.round(this.options.belief.ageMs(nowMs)), next: this.next, isCarried: this.isCarried, reads: {...this.reads},
+		};
+	}
+
 	/** Follows the topic until the signal aborts. */
 	async run(signal: AbortSignal): Promise<void> {
 		while (!signal.aborted) {
-			if (this.isCarried) {
+			const {isCarried} = this;
+			this.noteSource(isCarried);
+			if (isCarried) {
 				// eslint-disable-next-line no-await-in-loop -- one step after the other.
 				await delay(carriedStepMs, undefined, {signal}).catch(() => undefined);
 				continue;
@@ -90,7 +113,7 @@
 			try {
 				// eslint-disable-next-line no-await-in-loop
 				const hasRecords = await this.read(signal);
-				this.noteRegained();
+				this.noteAnswered();
 				if (hasRecords && this.options.gatherMs > 0) {
 					// eslint-disable-next-line no-await-in-loop
 					await delay(this.options.gatherMs, undefined, {signal}).catch(() => undefined);
@@ -100,7 +123,7 @@
 					return;
 				}
 
-				this.noteLost(error);
+				this.noteFailed(error);
 				// eslint-disable-next-line no-await-in-loop
 				await delay(retryPauseMs * (0.5 + (Math.random() / 2)), undefined, {signal}).catch(() => undefined);
 			}
@@ -138,7 +161,6 @@
 		const confirmedAtMs = askedAtMs - news.ageMs;
 		this.carriedAtMs = Math.max(this.carriedAtMs, confirmedAtMs);
 		this.options.belief.confirm(confirmedAtMs);
-		this.noteRegained();
 	}
 
 	private get isCarried(): boolean {
@@ -205,7 +227,23 @@
 		return records;
 	}
 
-	private noteRegained(): void {
+	/** Logs when the view is left to the relays, and when their word is too old. A record that they do not hand on is read without a line: it has one of its own. */
+	private noteSource(isCarried: boolean): void {
+		if (isCarried === this.wasCarried || (!isCarried && this.isBehind)) {
+			return;
+		}
+
+		const {topic, belief, clock} = this.options;
+		if (isCarried || this.wasCarried !== undefined) {
+			log.info(isCarried ? 'going by relays.' : 'relays\' word too old, reading.', {topic, next: this.next, viewAgeMs: Math.round(belief.ageMs(clock.now()))});
+		}
+
+		this.wasCarried = isCarried;
+	}
+
+	/** Notes a read of this daemon's own that was answered; a relay's word says nothing of the store's answers here. */
+	private noteAnswered(): void {
+		this.reads.answered++;
 		this.followedSinceMs ??= this.options.clock.now();
 		if (this.isLost) {
 			this.isLost = false;
@@ -214,11 +252,14 @@
 		}
 	}
 
-	private noteLost(error: unknown): void {
+	private noteFailed(error: unknown): void {
+		this.reads.failed++;
 		if (!this.isLost) {
 			this.isLost = true;
 			const {topic, belief, clock} = this.options;
-			log.warn('lost.', {topic, error: String(error), viewAgeMs: Math.round(belief.ageMs(clock.now()))});
+			log.warn('lost.', {
+				topic, error: String(error), cause: error instanceof Error ? String(error.cause) : '', viewAgeMs: Math.round(belief.ageMs(clock.now())),
+			});
 		}
 	}
 }
--- a/src/transport/raw-client.ts
+++ b/src/transport/raw-client.ts
@@ -5,6 +5,7 @@
  */
 import {Buffer} from 'node:buffer';
 import {Agent} from 'node:http';
+import {performance} from 'node:perf_hooks';
 import Wreck from '@hapi/wreck';
 import {TransportError} from './errors.js';
 
@@ -45,6 +46,7 @@
 	async call(call: RawCall): Promise<RawAnswer> {
 		const {method, path, headers, body, timeoutMs, signal} = call;
 		const what = `${method} ${path.split('?')[0]}`;
+		const startedAtMs = performance.now();
 		const deadline = AbortSignal.timeout(timeoutMs);
 		const either = signal ? AbortSignal.any([signal, deadline]) : deadline;
 		const pending = Wreck.request(method, this.baseUrl + path, {headers, payload: body && Buffer.from(body), agent: this.agent});
@@ -58,7 +60,8 @@
 			const answer = await Wreck.read(response, {});
 			return {statusCode: response.statusCode ?? 0, body: answer};
 		} catch (error) {
-			throw new TransportError(`${what} got no answer`, {cause: error});
+			const connection = pending.req.reusedSocket ? 'a kept connection' : 'a new connection';
+			throw new TransportError(`${what} got no answer on ${connection} in ${Math.round(performance.now() - startedAtMs)} ms`, {cause: error});
 		} finally {
 			either.removeEventListener('abort', abort);
 		}
