Derive how long views go unread from the tightest bound that they serve

Cause: a leaf goes by its relays until their word is 0.55 of the bound of revocations old, 2,750 ms, and then reads. A configuration is due after 2,000 ms, and no setting even held that bound. The same class elsewhere: backend servers were left to relays for 2,100 ms where leaving ones get no work after 2,000, and a read that waits was noticed to be lost after 2,000 ms (configuration) and 2,900 ms (backend servers).

Ruled out: records lost or out of order (the leaf read all versions at once in the end); a slow daemon (its requests took a millisecond); relays that were silent (they answered each round).

Waits and ages now follow from the bound of the topic (follow-limits.ts), with time left for the read that brings the change; a relay waits as short as its leaves need. A read after a failure or after relays' old word asks without waiting, so that the view is confirmed at once.

Calls, by the waits: a daemon that reads for itself waits 1,000 ms for 1,100 (configuration) and 900 for 2,000 (backend servers) where the bounds are 2,000 ms.

--- a/src/cli/front-container.ts
+++ b/src/cli/front-container.ts
@@ -14,8 +14,9 @@
 import {DutyLease} from '../coordination/duty-lease.js';
 import {DutyRunner} from '../coordination/duty-runner.js';
 import {BoundsRecord} from '../coordination/fleet/bounds-record.js';
-import {FleetMessenger, roundMs} from '../coordination/fleet/fleet-messenger.js';
+import {FleetMessenger, roundMs, tellingMs} from '../coordination/fleet/fleet-messenger.js';
 import {FleetRole, FleetTable} from '../coordination/fleet/fleet-table.js';
+import {limitsFor} from '../coordination/follow-limits.js';
 import {Placement} from '../coordination/placement.js';
 import {PoolDemands} from '../coordination/pool-demand.js';
 import {QuotaLedger} from '../coordination/quota-ledger.js';
@@ -31,15 +32,15 @@
 /** Share of the revocation bound that a view may reach before keys are not believed any more. The age counts from when a read was sent and is looked at when a request arrives, so the rest only covers the clocks' errors. */
 const beliefShare = 0.92;
 
-/** Share of the revocation bound for which one read of the configuration waits: a view is then at most 0.44 of the bound old on a calm day, and one read may fail before keys are not believed any more. */
+/** Share of the revocation bound for which one read of the configuration waits at most, so that one read may fail before keys are not believed any more. */
 const configWaitShare = 0.22;
-/** Share of the revocation bound up to which a daemon goes by what relays say of the configuration: the oldest a relay's view is on a calm day, and two rounds. */
+/** Share of the revocation bound up to which a daemon goes by what relays say of the configuration at most: time is left for reads of its own before keys are not believed any more. */
 const configCarriedShare = 0.55;
-/** How long one read of the backend servers waits, in milliseconds: a connection that went silent is noticed within this and the time of an answer, before leaving backend servers may get no more work. */
+/** How long one read of the backend servers waits at most, in milliseconds. */
 const backendsWaitMs = 2000;
 /** The same for a relay, in milliseconds, whose view others go by. */
 const relayBackendsWaitMs = 800;
-/** Age up to which a daemon goes by what relays say of the backend servers, in milliseconds: twice the relay's wait and two rounds; below the two seconds within which leaving ones may get no more work and the time to read. */
+/** Age up to which a daemon goes by what relays say of the backend servers at most, in milliseconds. */
 const backendsCarriedMs = 2100;
 /** Pause after changes of the backend servers before the next read, in milliseconds: of 14,776 store and cloud calls of 86 daemons in 24 s, most were reads that brought one record. */
 const backendsGatherMs = 100;
@@ -118,15 +119,19 @@
 	const {configSink, backendsSink} = createSinks(child);
 	const isRelay = (resolver: DependencyContainer) => resolver.resolve(FleetTable).roleAt(clock.now()) === FleetRole.Relay;
 	const isLeaf = (resolver: DependencyContainer) => resolver.resolve(FleetTable).roleAt(clock.now()) === FleetRole.Leaf;
+	const configLimits = () => limitsFor(bounds.configApplyMs, tellingMs, {
+		waitMs: bounds.revokeMs * configWaitShare, relayWaitMs: bounds.revokeMs * configWaitShare, carriedMs: bounds.revokeMs * configCarriedShare,
+	});
+	const backendsLimits = () => limitsFor(bounds.drainMs - backendsGatherMs, tellingMs, {waitMs: backendsWaitMs, relayWaitMs: relayBackendsWaitMs, carriedMs: backendsCarriedMs});
 	register(ConfigFollower, resolver => new ConfigFollower({
 		store,
 		topic: Topic.Config,
 		sink: configSink,
 		belief: resolver.resolve(Belief),
 		clock,
-		waitMs: () => Math.round(bounds.revokeMs * configWaitShare),
+		waitMs: () => isRelay(resolver) ? configLimits().relayWaitMs : configLimits().waitMs,
 		gatherMs: 0,
-		carriedMs: () => isLeaf(resolver) ? bounds.revokeMs * configCarriedShare : 0,
+		carriedMs: () => isLeaf(resolver) ? configLimits().carriedMs : 0,
 	}));
 	register(BackendsFollower, resolver => new BackendsFollower({
 		store,
@@ -134,9 +139,9 @@
 		sink: backendsSink,
 		belief: new Belief(),
 		clock,
-		waitMs: () => isRelay(resolver) ? relayBackendsWaitMs : backendsWaitMs,
+		waitMs: () => isRelay(resolver) ? backendsLimits().relayWaitMs : backendsLimits().waitMs,
 		gatherMs: backendsGatherMs,
-		carriedMs: () => isLeaf(resolver) ? backendsCarriedMs : 0,
+		carriedMs: () => isLeaf(resolver) ? backendsLimits().carriedMs : 0,
 	}));
 	register(BoundsRecord, resolver => new BoundsRecord({
 		store, quota: resolver.resolve(QuotaLedger), lease: resolver.resolve(DutyLease), clock, roundMs,
--- a/src/coordination/fleet/fleet-messenger.ts
+++ b/src/coordination/fleet/fleet-messenger.ts
@@ -32,6 +32,8 @@
 const toldTopics = [Topic.Config, Topic.Backends] as const;
 /** Rounds between reports to the relays that stand by; their digests then are two rounds old at most. */
 const standbyRounds = 2;
+/** Longest time between two words of a relay that answers, in milliseconds. */
+export const tellingMs = standbyRounds * roundMs;
 /** How long news take to reach a daemon, in milliseconds, beside half a round: read at once from a peer, or passed on by two relays that each wait for a round, half of one on average. */
 const newsMs: Record<FleetRole, number> = {[FleetRole.Mesh]: 50, [FleetRole.Relay]: 200, [FleetRole.Leaf]: 300};
 /** How often the store's list of daemons is read and silent ones are written to, in milliseconds: where all report to each other, and where relays tell of each other. */
--- /dev/null
+++ b/src/coordination/follow-limits.ts
@@ -0,0 +1,42 @@
+/**
+ * How long reads of the store may wait, and how long a daemon may go by its relays' word.
+ * Both follow from the tightest bound that a view serves: a change is in force within it
+ * also where a connection goes silent under the read that waits for the change, and where
+ * the relays can no longer read.
+ */
+
+/** Time that the answer to a waiting read may take beyond the wait, in milliseconds: an answer takes 4 ms, and 250 of a store that is sixty times slower. */
+export const answerMs = 500;
+/** Longest pause after a failed read, in milliseconds. */
+export const retryPauseMs = 200;
+/** How often a daemon that is told by relays looks whether it still is, in milliseconds. */
+export const carriedStepMs = 100;
+/** Time kept for the read that brings the change, in milliseconds: a new connection whose first packet is lost. */
+const lastReadMs = 300;
+/** Shortest wait of a read, in milliseconds, so that a bound too tight to keep does not make a daemon read without pause. */
+const shortestWaitMs = 100;
+
+/** Limits of following one topic, in milliseconds. */
+export type FollowLimits = {
+	/** How long one read waits for records. */
+	waitMs: number;
+	/** The same for a relay, whose view others go by. */
+	relayWaitMs: number;
+	/** Age of the relays' word up to which a daemon goes by it instead of reading. */
+	carriedMs: number;
+};
+
+/**
+ * The limits of following a topic.
+ *
+ * @param boundMs Within this, a change must be in force.
+ * @param tellingMs Longest time between two words of a relay that stands by.
+ * @param most What other needs of the view allow.
+ */
+export function limitsFor(boundMs: number, tellingMs: number, most: FollowLimits): FollowLimits {
+	const carriedMs = Math.max(0, Math.min(most.carriedMs, boundMs - carriedStepMs - lastReadMs));
+	const waitMs = Math.max(shortestWaitMs, Math.min(most.waitMs, boundMs - answerMs - retryPauseMs - lastReadMs));
+	// A view is confirmed as of the sending of a read, so one that waits leaves it up to two waits old.
+	const relayWaitMs = Math.max(shortestWaitMs, Math.min(most.relayWaitMs, waitMs, (carriedMs - tellingMs) / 2));
+	return {waitMs: Math.round(waitMs), relayWaitMs: Math.round(relayWaitMs), carriedMs: Math.round(carriedMs)};
+}
--- a/src/coordination/topic-follower.ts
+++ b/src/coordination/topic-follower.ts
@@ -11,18 +11,17 @@
  */
 import {setTimeout as delay} from 'node:timers/promises';
 import {type TopicNews} from '../protocol/fleet-messages.js';
-import {type KeyedRecord, type Store, type Topic} from '../protocol/platform.js';
+import {
+	type KeyedRecord, type RecordBatch, type Store, type Topic,
+} from '../protocol/platform.js';
 import {type Belief} from '../state/belief.js';
 import {StateError} from '../state/errors.js';
 import {type SteadyClock} from '../clock.js';
 import {createLogger} from '../log.js';
+import {answerMs, carriedStepMs, retryPauseMs} from './follow-limits.js';
 
 const log = createLogger('store');
 
-/** Pause after a failed read, in milliseconds: half of it fixed, half drawn, so that daemons do not return in step. */
-const retryPauseMs = 200;
-/** How often a daemon that is told by relays looks whether it still is, in milliseconds. */
-const carriedStepMs = 100;
 /** Records kept to be handed on: some seconds of the changes of a reclaim of 30 backend servers. */
 const keptRecords = 128;
 /** Records that a daemon waits for to be handed on, rather than read them: two rounds' worth. */
@@ -74,6 +73,8 @@
 	private carriedAtMs = Number.NEGATIVE_INFINITY;
 	/** Whether a relay told of records that it did not hand on. */
 	private isBehind = false;
+	/** Whether the next read asks without waiting, since the view's age is in doubt. */
+	private isInDoubt = false;
 	/** Whether the view was last left to the relays; undefined before the first read. */
 	private wasCarried: boolean | undefined;
 	private readonly reads = {answered: 0, failed: 0};
@@ -105,6 +106,7 @@
 			const {isCarried} = this;
 			this.noteSource(isCarried);
 			if (isCarried) {
+				this.isInDoubt = true;
 				// eslint-disable-next-line no-await-in-loop -- one step after the other.
 				await delay(carriedStepMs, undefined, {signal}).catch(() => undefined);
 				continue;
@@ -170,10 +172,10 @@
 
 	/** One read; returns whether it brought records. */
 	private async read(signal: AbortSignal): Promise<boolean> {
-		const {store, topic, sink, belief, clock, waitMs} = this.options;
+		const {store, topic, sink, belief, clock} = this.options;
 		const sentAtMs = clock.now();
 		this.isBehind = false;
-		const batch = this.next === undefined ? undefined : await store.read(topic, this.next, waitMs(), signal);
+		const batch = this.next === undefined ? undefined : await this.readFrom(this.next, signal);
 		if (batch) {
 			for (const record of batch.records) {
 				// A relay may have handed it on meanwhile.
@@ -202,6 +204,17 @@
 		return false;
 	}
 
+	/** Reads records from an offset on, and waits for them unless the view is in doubt. */
+	private async readFrom(next: number, signal: AbortSignal): Promise<RecordBatch | undefined> {
+		const {store, topic, waitMs} = this.options;
+		if (this.isInDoubt) {
+			return store.read(topic, next, 0, signal);
+		}
+
+		const limitMs = waitMs() + answerMs;
+		return store.read(topic, next, waitMs(), AbortSignal.any([signal, AbortSignal.timeout(limitMs)]));
+	}
+
 	private take(record: KeyedRecord, nowMs: number): void {
 		this.options.sink.apply(record, nowMs);
 		this.next = record.offset + 1;
@@ -244,6 +257,7 @@
 	/** Notes a read of this daemon's own that was answered; a relay's word says nothing of the store's answers here. */
 	private noteAnswered(): void {
 		this.reads.answered++;
+		this.isInDoubt = false;
 		this.followedSinceMs ??= this.options.clock.now();
 		if (this.isLost) {
 			this.isLost = false;
@@ -254,6 +268,7 @@
 
 	private noteFailed(error: unknown): void {
 		this.reads.failed++;
+		this.isInDoubt = true;
 		if (!this.isLost) {
 			this.isLost = true;
 			const {topic, belief, clock} = this.options;
--- a/src/protocol/platform.ts
+++ b/src/protocol/platform.ts
@@ -29,6 +29,8 @@
 
 /** Bounds that the operators set for the deployment. */
 export type ServiceBounds = {
+	/** Within this, an accepted configuration is in force on every daemon. */
+	configApplyMs: number;
 	/** Within this, a leaving backend server gets no new work. */
 	drainMs: number;
 	/** A stopped process is killed after this. */
