Use no idle connection to the store after one went silent

Cause: a read that gets no answer closes its connection, and the next one takes another kept connection, which is as silent: 2,000 ms, a pause and 2,000 ms again.

Ruled out: the store (it answered new connections at once), the bound of the waiting read alone (the first read was over 1.5 s before the bound held again).

--- a/src/transport/raw-client.ts
+++ b/src/transport/raw-client.ts
@@ -1,7 +1,7 @@
 /**
  * Calls to one HTTP endpoint with opaque bodies, through `@hapi/wreck` and kept
- * connections. A call that ends without an answer closes its connection, so that one that
- * went silent is not used again.
+ * connections. A call that ends without an answer closes its connection and the idle ones,
+ * so that none that went silent is used again.
  */
 import {Buffer} from 'node:buffer';
 import {Agent} from 'node:http';
@@ -60,10 +60,18 @@
 			const answer = await Wreck.read(response, {});
 			return {statusCode: response.statusCode ?? 0, body: answer};
 		} catch (error) {
+			this.dropIdle();
 			const connection = pending.req.reusedSocket ? 'a kept connection' : 'a new connection';
 			throw new TransportError(`${what} got no answer on ${connection} in ${Math.round(performance.now() - startedAtMs)} ms`, {cause: error});
 		} finally {
 			either.removeEventListener('abort', abort);
 		}
 	}
+
+	/** Closes the idle connections: what ended one without an answer may have left the others silent, and each would cost a whole timeout. */
+	private dropIdle(): void {
+		for (const socket of Object.values(this.agent.freeSockets).flatMap(sockets => sockets ?? [])) {
+			socket.destroy();
+		}
+	}
 }
