Deny a route or key only while the view is young enough to know

A 404 or 401 is final for a caller: it does not come back. The age that was asked was that of revocations (4.6 of 5 s), which says how long a known key may be believed, not how long an unknown one may be denied.

Beyond the bound within which a configuration is in force, a request whose route or key is not known is now refused as not run, with a time to return; what is known is served as before.

--- a/src/cli/front-container.ts
+++ b/src/cli/front-container.ts
@@ -179,6 +179,9 @@
 		get mostBeliefMs() {
 			return bounds.revokeMs * beliefShare;
 		},
+		get mostDenialMs() {
+			return Math.min(bounds.configApplyMs, bounds.revokeMs * beliefShare);
+		},
 		dispatcher: resolver.resolve(Dispatcher),
 		registry: resolver.resolve(StreamRegistry),
 		quota: resolver.resolve(QuotaLedger),
--- a/src/coordination/__tests__/follow-limits.test.ts
+++ b/src/coordination/__tests__/follow-limits.test.ts
@@ -16,6 +16,12 @@
 		expect(relayWaitMs).toBeLessThanOrEqual(waitMs);
 	});
 
+	it.each([
+		{boundMs: 1500}, {boundMs: 2000}, {boundMs: 3000}, {boundMs: 17_000},
+	])('keeps a view within $boundMs ms on a calm day', ({boundMs}) => {
+		expect(2 * limitsFor(boundMs, tellingMs, most).waitMs).toBeLessThan(boundMs);
+	});
+
 	it.each([
 		{boundMs: 2000}, {boundMs: 3000}, {boundMs: 4000}, {boundMs: 17_000},
 	])('lets nobody read but relays on a calm day, with a bound of $boundMs ms', ({boundMs}) => {
--- a/src/coordination/follow-limits.ts
+++ b/src/coordination/follow-limits.ts
@@ -35,8 +35,8 @@
  */
 export function limitsFor(boundMs: number, tellingMs: number, most: FollowLimits): FollowLimits {
 	const carriedMs = Math.max(0, Math.min(most.carriedMs, boundMs - carriedStepMs - lastReadMs));
-	const waitMs = Math.max(shortestWaitMs, Math.min(most.waitMs, boundMs - answerMs - retryPauseMs - lastReadMs));
-	// A view is confirmed as of the sending of a read, so one that waits leaves it up to two waits old.
+	// A view is confirmed as of the sending of a read, so reads that wait leave it up to two waits old.
+	const waitMs = Math.max(shortestWaitMs, Math.min(most.waitMs, boundMs - answerMs - retryPauseMs - lastReadMs, (boundMs - lastReadMs) / 2));
 	const relayWaitMs = Math.max(shortestWaitMs, Math.min(most.relayWaitMs, waitMs, (carriedMs - tellingMs) / 2));
 	return {waitMs: Math.round(waitMs), relayWaitMs: Math.round(relayWaitMs), carriedMs: Math.round(carriedMs)};
 }
--- a/src/coordination/serving/forwarder.ts
+++ b/src/coordination/serving/forwarder.ts
@@ -47,6 +47,8 @@
 	belief: Belief;
 	/** Age beyond which the view may miss a revoked key, in milliseconds. */
 	mostBeliefMs: number;
+	/** Age beyond which the view may miss an added route or key, in milliseconds: what it does not know is then refused for now only. */
+	mostDenialMs: number;
 	dispatcher: Dispatcher;
 	registry: StreamRegistry;
 	quota: QuotaLedger;
@@ -112,24 +114,27 @@
 
 	/** Finds the route and account of a request and takes its cost from the limit. */
 	private admit(request: ReturnType<Dialect['readRequest']> & Record<string, unknown>, nowMs: number): Admission | Rejection {
-		const {routes, belief, mostBeliefMs, quota, quotaPeers, allowance} = this.parts;
+		const {
+			routes, belief, mostBeliefMs, mostDenialMs, quota, quotaPeers, allowance,
+		} = this.parts;
 		if (!routes.current) {
 			return {status: 503, reason: 'configuration not known yet', retryAfterMs: outageReturnMs};
 		}
 
-		const isStale = belief.ageMs(nowMs) > mostBeliefMs;
+		const viewAgeMs = belief.ageMs(nowMs);
+		const outdated: Rejection = {status: 503, reason: 'configuration too old', retryAfterMs: outageReturnMs};
 		const route = routes.match(request.host, request.path);
 		if (!route) {
-			return isStale ? {status: 503, reason: 'configuration too old', retryAfterMs: outageReturnMs} : {status: 404, reason: 'no such route'};
+			return viewAgeMs > mostDenialMs ? outdated : {status: 404, reason: 'no such route'};
 		}
 
 		let account: Account | undefined;
 		if (!route.isPublic && routes.needsKeys) {
-			if (isStale) {
-				return {status: 503, reason: 'configuration too old', retryAfterMs: outageReturnMs};
+			account = request.apiKey === undefined ? undefined : routes.accountOf(request.apiKey);
+			if (viewAgeMs > (account ? mostBeliefMs : mostDenialMs)) {
+				return outdated;
 			}
 
-			account = request.apiKey === undefined ? undefined : routes.accountOf(request.apiKey);
 			if (!account) {
 				return {status: 401, reason: 'unknown API key'};
 			}
