Keep an uninformed daemon to its equal share of each limit

Cause, from a play with the daemons' sums beside the true ones: what the others admit until new relays are chosen (1.0 to 5.5 s there, since five daemons a failure domain must be passed over) is told by nobody later, as a new relay counts from its beginning. Known sums stood at 2.4 million for 3.9 admitted, with the limit shared as if they were right. Meanwhile a daemon measured all that it knew of against its own share, so that it refused everything.

Ruled out: counting at the handover (each relay's totals have a start of their own, and several hand over within seconds); telling uses by age all the time (16 accounts by 8 parts, six times a second, would double what a daemon sends).

A daemon that hears less than half of the others now admits up to its equal share by what it admitted itself, in a large fleet for a window after. Others keep that share back already. One that restarted gets half, since it may have admitted the rest before; where most were heard, daemons on the list that were not count as silent at once.

--- a/src/coordination/__tests__/shared-limits.test.ts
+++ b/src/coordination/__tests__/shared-limits.test.ts
@@ -12,7 +12,7 @@
 };
 const bounds = {windowMs: 8000, tolerance: 0, slack: 0};
 const alone = {
-	daemons: 1, silent: 0, unheardMs: 300, roundMs: 300, unheardOf: 0,
+	daemons: 1, silent: 0, unheardMs: 300, roundMs: 300, unheardOf: 0, isAlone: false,
 };
 
 /** Admits requests of 100 units until one is refused, and says how much was admitted. */
@@ -52,12 +52,12 @@
 	it.each([
 		{
 			name: 'counts what peers admitted', peers: {
-				daemons: 2, silent: 0, unheardMs: 0, roundMs: 0, unheardOf: 0,
+				daemons: 2, silent: 0, unheardMs: 0, roundMs: 0, unheardOf: 0, isAlone: false,
 			}, peerSpent: 5000, expected: 4000,
 		},
 		{
 			name: 'leaves a silent peer its share', peers: {
-				daemons: 2, silent: 1, unheardMs: 0, roundMs: 0, unheardOf: 0,
+				daemons: 2, silent: 1, unheardMs: 0, roundMs: 0, unheardOf: 0, isAlone: false,
 			}, peerSpent: 0, expected: 4500,
 		},
 	])('$name', ({peers, peerSpent, expected}) => {
@@ -167,7 +167,7 @@
 	const news: Array<{atMs: number; from: QuotaLedger; use: AccountUse}> = [];
 	const admitted: number[] = [];
 	const peers = {
-		daemons, silent: 0, unheardMs: newsMs + (roundMs / 2), roundMs, unheardOf: 0,
+		daemons, silent: 0, unheardMs: newsMs + (roundMs / 2), roundMs, unheardOf: 0, isAlone: false,
 	};
 	let due = 0;
 	let offered = 0;
--- a/src/coordination/account-window.ts
+++ b/src/coordination/account-window.ts
@@ -34,19 +34,23 @@
 	readonly limits: LimitHistory;
 	/** In the order of their steps. */
 	private uses: Use[] = [];
+	/** The part of them that this daemon admitted. */
+	private readonly ownUses: Use[] = [];
 
 	constructor(private readonly windowMs: number) {
 		this.limits = new LimitHistory(windowMs);
 	}
 
+	/** Counts what any daemon was admitted. */
 	add(cost: number, nowMs: number): void {
-		const step = this.stepAt(nowMs);
-		const last = this.uses.at(-1);
-		if (last?.step === step) {
-			last.cost += cost;
-		} else {
-			this.uses.push({step, cost});
-		}
+		addAt(this.uses, cost, this.stepAt(nowMs));
+	}
+
+	/** Counts what this daemon admitted; less than nothing for what it takes back. */
+	addOwn(cost: number, nowMs: number): void {
+		this.own.admitted += cost;
+		this.add(cost, nowMs);
+		addAt(this.ownUses, cost, this.stepAt(nowMs));
 	}
 
 	/** Takes over what another daemon knows of the window beyond what this one does, in place of what was guessed. It leaves the window by and by, as it did there. */
@@ -75,12 +79,13 @@
 	/** Cost units admitted in the window. */
 	sum(nowMs: number): number {
 		this.forget(nowMs);
-		let sum = 0;
-		for (const use of this.uses) {
-			sum += use.cost;
-		}
+		return costOf(this.uses);
+	}
 
-		return sum;
+	/** Cost units that this daemon admitted in the window. */
+	ownSum(nowMs: number): number {
+		this.forget(nowMs);
+		return costOf(this.ownUses);
 	}
 
 	/** Milliseconds until the oldest use leaves the window. */
@@ -107,12 +112,32 @@
 
 	private forget(nowMs: number): void {
 		const oldest = this.stepAt(nowMs) - steps;
-		while (this.uses.length > 0 && this.uses[0].step < oldest) {
-			this.uses.shift();
+		for (const uses of [this.uses, this.ownUses]) {
+			while (uses.length > 0 && uses[0].step < oldest) {
+				uses.shift();
+			}
 		}
 	}
 }
 
+function addAt(uses: Use[], cost: number, step: number): void {
+	const last = uses.at(-1);
+	if (last?.step === step) {
+		last.cost += cost;
+	} else {
+		uses.push({step, cost});
+	}
+}
+
+function costOf(uses: Use[]): number {
+	let sum = 0;
+	for (const use of uses) {
+		sum += use.cost;
+	}
+
+	return sum;
+}
+
 /** Cost units of a whole profile. */
 export function sumOfProfile(profile: UseProfile): number {
 	let sum = 0;
--- a/src/coordination/fleet/__fixtures__/test-net.ts
+++ b/src/coordination/fleet/__fixtures__/test-net.ts
@@ -72,7 +72,7 @@
 		});
 		this.messenger = new FleetMessenger({
 			settings: {
-				name, failureDomain, host, peerPort: 1,
+				name, failureDomain, host, peerPort: 1, bounds: {quotaWindowMs: net.bounds.windowMs},
 			}, incarnation, store: net.store, fleet: this.fleet, quota: this.quota, usage: this.usage, placement: this.placement, lease: this.lease, bounds: this.bounds, topics: this.topics, clock, startedAtMs,
 		});
 		this.messenger.open({
--- a/src/coordination/fleet/__tests__/limits-after-kill.test.ts
+++ b/src/coordination/fleet/__tests__/limits-after-kill.test.ts
@@ -132,7 +132,7 @@
 });
 
 /** Plays callers of one account against a fleet of which some daemons are cut off from the others and from the store, and some restart. */
-async function playCut({daemons, cut, restarted, seed}: {daemons: number; cut: number; restarted: number; seed: number}): Promise<{most: number; allowed: number}> {
+async function playCut({daemons, cut, restarted, seed, factor = 6}: {daemons: number; cut: number; restarted: number; seed: number; factor?: number}): Promise<{most: number; allowed: number; servedShare: number}> {
 	const generator = xoroshiro128plus(seed);
 	const random = () => uniformFloat64(generator);
 	const ratePerSecond = 400_000;
@@ -141,11 +141,13 @@
 	const startMs = net.nowMs;
 	const admitted: number[] = [];
 	let due = 0;
+	let asked = 0;
 	const ask = () => {
 		const running = net.running();
-		due += ratePerSecond * (net.nowMs - startMs < 2800 ? 0.6 : 6) * tickMs / 1000;
+		due += ratePerSecond * (net.nowMs - startMs < 2800 ? Math.min(0.6, factor) : factor) * tickMs / 1000;
 		for (; due >= cost; due -= cost) {
 			const daemon = running[Math.floor(random() * running.length)];
+			asked++;
 			if (!daemon.quota.admit(account, cost, daemon.messenger.quotaPeers(net.nowMs), random(), net.nowMs)) {
 				admitted.push(net.nowMs);
 			}
@@ -183,7 +185,7 @@
 
 	await runUntil(13_000);
 	const most = Math.max(...admitted.map((from, index) => admitted.slice(index).filter(atMs => atMs < from + bounds.windowMs).length * cost));
-	return {most, allowed: (((ratePerSecond * bounds.windowMs / 1000) + ratePerSecond) * (1 + bounds.tolerance)) + bounds.slack};
+	return {most, allowed: (((ratePerSecond * bounds.windowMs / 1000) + ratePerSecond) * (1 + bounds.tolerance)) + bounds.slack, servedShare: admitted.length / asked};
 }
 
 describe('while daemons are cut off from the others', () => {
@@ -206,4 +208,14 @@
 			expect(most).toBeLessThanOrEqual(allowed);
 		}
 	});
+
+	it.each([
+		{name: '3 of 9', daemons: 9, cut: 3},
+		{name: '20 of 80, all relays among them', daemons: 80, cut: 20},
+	])('an account within half of its limit is hardly refused: $name', async fleet => {
+		const {servedShare} = await playCut({
+			...fleet, restarted: 0, seed: 1, factor: 0.5,
+		});
+		expect(servedShare).toBeGreaterThan(0.9);
+	});
 });
--- a/src/coordination/fleet/fleet-messenger.ts
+++ b/src/coordination/fleet/fleet-messenger.ts
@@ -4,7 +4,9 @@
  * Beside the addresses the store keeps the bounds of the accounts' limits (`bounds-record.ts`).
  */
 import {Buffer} from 'node:buffer';
-import {type FrontSettings, type Store, Topic} from '../../protocol/platform.js';
+import {
+	type FrontSettings, type ServiceBounds, type Store, Topic,
+} from '../../protocol/platform.js';
 import {
 	type Digest, DigestScope, type FleetMessage, FleetMessageKind, isFleetMessage, type NamedAddress, type PeerAddress, type Report, type Sender, type ToldTopic, type View,
 } from '../../protocol/fleet-messages.js';
@@ -56,7 +58,7 @@
 
 /** The parts a messenger works with. */
 export type MessengerParts = {
-	settings: Pick<FrontSettings, 'name' | 'failureDomain' | 'host' | 'peerPort'>;
+	settings: Pick<FrontSettings, 'name' | 'failureDomain' | 'host' | 'peerPort'> & {bounds: Pick<ServiceBounds, 'quotaWindowMs'>};
 	/** Differs for each start of the daemon. */
 	incarnation: string;
 	store: Store;
@@ -86,6 +88,8 @@
 	private hasMissedNews = false;
 	/** Daemons that were known of late: at the start, and later in a large fleet. */
 	private readonly fleetSize = new RecentMaximum(goneMs);
+	/** When most of the other daemons were last silent. */
+	private aloneAtMs = Number.NEGATIVE_INFINITY;
 	/** When a daemon last asked for what was admitted in the window. */
 	private usesWantedAtMs = Number.NEGATIVE_INFINITY;
 	/** When the reports of the latest rounds were sent. */
@@ -121,13 +125,18 @@
 		// Daemons on the list that one which starts never hears may be cut off and serving; so may those that a relay which has just begun does not know.
 		const isKept = isYoung || fleet.roleAt(nowMs) !== FleetRole.Mesh;
 		const most = Math.max(listed, this.fleetSize.note(isKept ? listed : 0, nowMs));
-		const unheardOf = listed - daemons;
+		const unheard = listed - daemons;
+		// Where most were heard, the others are cut off rather than about to be.
+		const unheardOf = unheard > daemons ? unheard : 0;
+		const silent = fleet.silent(nowMs);
 		return {
 			daemons: most - unheardOf,
-			silent: fleet.silent(nowMs) + most - listed,
+			silent: silent + most - daemons - unheardOf,
 			unheardMs: newsMs[fleet.roleAt(nowMs)] + (roundMs / 2),
 			roundMs,
 			unheardOf,
+			// Names on the list may be long gone, so only those that were heard of count here.
+			isAlone: this.isAlone(silent > daemons / 2, nowMs),
 		};
 	}
 
@@ -145,6 +154,8 @@
 		}
 
 		this.noteUntold(nowMs);
+		// Keeps track of silence also while no account asks.
+		this.quotaPeers(nowMs);
 		this.ask(settings.failureDomain, this.ownDigest(), nowMs);
 		if (role === FleetRole.Relay) {
 			const digest = this.domainDigest(nowMs);
@@ -221,6 +232,13 @@
 		}
 	}
 
+	/** Relays that have just begun do not tell what was admitted while there were none, daemons that report by themselves do. */
+	private isAlone(isNow: boolean, nowMs: number): boolean {
+		const {fleet, settings} = this.parts;
+		this.aloneAtMs = isNow ? nowMs : this.aloneAtMs;
+		return isNow || (fleet.roleAt(nowMs) !== FleetRole.Mesh && nowMs - this.aloneAtMs < settings.bounds.quotaWindowMs);
+	}
+
 	private get address(): PeerAddress {
 		return {host: this.parts.settings.host, port: this.parts.settings.peerPort};
 	}
--- a/src/coordination/quota-ledger.ts
+++ b/src/coordination/quota-ledger.ts
@@ -10,7 +10,8 @@
  * four to eight times its limit stays within its bound, and passes it without; one within
  * its limit is refused less than one request in a hundred.
  * A peer that fell silent is taken to admit its equal share, since it may be cut off and
- * serving.
+ * serving. A daemon that hears few of the others keeps to that share itself, in a large fleet
+ * for a window after: what was admitted while no relay answered is told by nobody.
  *
  * A daemon that has just started adopts what its peers know of the window, or what the store
  * does: the latter with what may have been admitted after it was written, since all daemons
@@ -60,13 +61,15 @@
 	roundMs: number;
 	/** Daemons that may have started with this one and were not heard yet. */
 	unheardOf: number;
+	/** Whether this daemon does not know what most of the others admitted in the window. */
+	isAlone: boolean;
 };
 
 /** What all daemons admitted to an account in the window, and what they may admit beyond it until that is said anew, in cost units. */
 export type WindowBound = {uses: UseProfile; ahead: number};
 
-/** Share of an account's requests to admit now: 1 far from its limit, 0 where nothing is left of it. */
-function admittedShare(window: AccountWindow, cost: number, limit: number, peers: QuotaPeers, nowMs: number): number {
+/** Share of an account's requests to admit by what is known of the window: 1 far from its limit, 0 where nothing is left of it. */
+function shareOf(window: AccountWindow, cost: number, limit: number, peers: QuotaPeers, nowMs: number): number {
 	const unheard = (window.peersAdmitted.perMs(peers.roundMs, nowMs) * peers.unheardMs) + (window.own.admitted * peers.unheardOf);
 	const left = limit - window.sum(nowMs) - unheard;
 	if (left < cost) {
@@ -90,7 +93,7 @@
 	constructor(
 		private readonly bounds: QuotaBounds,
 		private readonly startedAtMs: number,
-		isFirstStart: boolean,
+		private readonly isFirstStart: boolean,
 	) {
 		this.isHistoryKnown = isFirstStart;
 		this.needsSums = !isFirstStart;
@@ -108,14 +111,12 @@
 
 		const window = this.window(account.name);
 		window.ownAsked.add(cost, nowMs);
-		const share = admittedShare(window, cost, this.limit(account, peers, nowMs), peers, nowMs);
-		if (draw >= share) {
+		if (draw >= this.admittedShare(account, cost, peers, nowMs)) {
 			window.own.refused += cost;
 			return {waitMs: Math.ceil(window.untilFreeMs(nowMs))};
 		}
 
-		window.add(cost, nowMs);
-		window.own.admitted += cost;
+		window.addOwn(cost, nowMs);
 		return undefined;
 	}
 
@@ -131,9 +132,7 @@
 	/** Gives back the cost of a request that was certainly not run. */
 	refund(account: Account, cost: number, nowMs: number): void {
 		if (account.ratePerSecond !== undefined) {
-			const window = this.window(account.name);
-			window.add(-cost, nowMs);
-			window.own.admitted -= cost;
+			this.window(account.name).addOwn(-cost, nowMs);
 		}
 	}
 
@@ -226,12 +225,36 @@
 		return Math.round(Math.max(0, Math.min(expected, this.full(window.limits.granted(latest, nowMs)) - stays)));
 	}
 
+	/** Share of an account's requests to admit now. */
+	private admittedShare(account: Account, cost: number, peers: QuotaPeers, nowMs: number): number {
+		const window = this.window(account.name);
+		const isUninformed = peers.isAlone || peers.unheardOf > 0;
+		if (isUninformed && window.ownSum(nowMs) + cost > this.equalShare(account, peers, nowMs)) {
+			return 0;
+		}
+
+		return peers.isAlone ? 1 : shareOf(window, cost, this.limit(account, peers, nowMs), peers, nowMs);
+	}
+
 	private limit(account: Account, peers: QuotaPeers, nowMs: number): number {
 		const {windowMs} = this.bounds;
-		const full = this.full(this.window(account.name).limits.granted({ratePerSecond: account.ratePerSecond!, burst: account.burst}, nowMs));
 		const heard = 1 - (Math.min(peers.silent, peers.daemons - 1) / Math.max(1, peers.daemons));
 		const known = this.isHistoryKnown ? 1 : Math.min(1, (nowMs - this.startedAtMs) / windowMs) / 2;
-		return full * heard * known;
+		return this.full(this.granted(account, nowMs)) * heard * known;
+	}
+
+	/**
+	 * This daemon's equal share of a limit. Tolerance and slack are left out, since they cover
+	 * what the others admit before they notice that this one is silent; one that restarted
+	 * gets half, since it may have admitted the rest before.
+	 */
+	private equalShare(account: Account, {daemons, unheardOf}: QuotaPeers, nowMs: number): number {
+		const hasRestarted = !this.isFirstStart && nowMs - this.startedAtMs < this.bounds.windowMs;
+		return this.granted(account, nowMs) / (daemons + unheardOf) / (hasRestarted ? 2 : 1);
+	}
+
+	private granted(account: Account, nowMs: number): number {
+		return this.window(account.name).limits.granted({ratePerSecond: account.ratePerSecond!, burst: account.burst}, nowMs);
 	}
 
 	/** A limit with the part of the operators' tolerance and slack that is granted. */
