Move streams off a leaving engine until it is gone

Cause: when an engine is learned to leave, the gateway looked once at the streams there. One whose request had not reached the engine yet has nothing to export ('no such request'), one that ended well at its pace so far may slow down, and one that came to the engine later was not seen: each stayed until the VM went and was resumed.

Ruled out by runs: load alone (seven runs of the test, four beside a load of 12 to 16, passed on the code before).

The streams of a leaving engine are now looked at every 200 ms until it is gone, and an export that failed is tried again. completions.test.ts on the code before: cut after 2.6 s, moves 0; now moved with the KV cache, both.

--- a/src/coordination/completions.ts
+++ b/src/coordination/completions.ts
@@ -30,6 +30,8 @@
 /** How long a begun request waits for an engine to become available, in milliseconds. */
 export const patienceMs = 10_000;
 const patiencePollMs = 100;
+/** How often the requests on a leaving engine are looked at, in milliseconds. */
+const evacuationStepMs = 200;
 
 /** One token delivered to the caller. */
 export type Token = {
@@ -60,7 +62,7 @@
 
 	constructor(private readonly context: CompletionsContext) {
 		context.directory.onLeaving(entry => {
-			this.leave(entry, Date.now());
+			void this.evacuate(entry);
 		});
 	}
 
@@ -250,10 +252,25 @@
 			: new NoBackendError(`no engine took request ${requestId}`, {cause});
 	}
 
+	/** Moves the requests on a leaving engine away until it is gone: some reach it late, and some turn out too slow to finish there. */
+	private async evacuate({backend, leavesAtMs}: BackendEntry): Promise<void> {
+		if (leavesAtMs === undefined) {
+			return;
+		}
+
+		let nowMs: number;
+		do {
+			nowMs = Date.now();
+			this.leave(backend, leavesAtMs, nowMs);
+			// eslint-disable-next-line no-await-in-loop
+			await delay(evacuationStepMs, undefined, {ref: false});
+		} while (nowMs < leavesAtMs);
+	}
+
 	/** Moves the requests on a leaving engine away, but for those that will finish there in time. */
-	private leave({backend, leavesAtMs}: BackendEntry, nowMs: number): void {
+	private leave(backend: BackendServer, leavesAtMs: number, nowMs: number): void {
 		for (const flight of this.flights) {
-			if (flight.engine?.id !== backend.id || leavesAtMs === undefined) {
+			if (flight.engine?.id !== backend.id || flight.isExporting) {
 				continue;
 			}
 
--- a/src/coordination/flight.ts
+++ b/src/coordination/flight.ts
@@ -117,13 +117,20 @@
 		return nowMs + remainingMs + finishMarginMs < leavesAtMs;
 	}
 
-	/** Notes that the request's KV cache is being exported from its engine. */
+	/** Whether the KV cache is being exported, or was. */
+	get isExporting(): boolean {
+		return this.exporting !== undefined;
+	}
+
+	/** Notes that the request's KV cache is being exported from its engine; one that fails may be tried again. */
 	export(exporting: Promise<KvSnapshot>): void {
+		const {runs} = this;
 		this.exporting = (async () => {
 			try {
 				return await exporting;
 			} catch (error) {
 				log.warn('KV cache not exported, the stream stays.', {request: this.job.requestId, engine: this.engine?.id, error: String(error)});
+				this.exporting = runs === this.runs ? undefined : this.exporting;
 				return undefined;
 			}
 		})();
