Confirm a view only by a read that reaches the end of its topic

Cause: a read brings a megabyte of records at most, three such versions, and confirmed the view as of its sending, whatever it left unread. Each daemon read every version in turn, 25 MB a version over the fleet of the store's 80 a second, fell behind and could not know it: 404s were given for routes 4.4 s old though they are denied for good only while the view is younger than 3.

A batch now says where the topic ended. A read that does not reach it confirms nothing; where only the newest record of a key counts, that is read instead of all between, and one read brings one version. A call is given up for silence, no longer for the size of its answer, and the time allowed grows after failures, since a store that carries much answers late. The holder of the duties took its claim for the newest by such a read as well.

--- a/src/cli/front-container.ts
+++ b/src/cli/front-container.ts
@@ -42,6 +42,8 @@
 const relayBackendsWaitMs = 800;
 /** Age up to which a daemon goes by what relays say of the backend servers at most, in milliseconds. */
 const backendsCarriedMs = 2100;
+/** Entries of backend servers that one read brings, in bytes: thousands of them. */
+const mostBackendsBytes = 1024 * 1024;
 /** Pause after changes of the backend servers before the next read, in milliseconds: of 14,776 store and cloud calls of 86 daemons in 24 s, most were reads that brought one record. */
 const backendsGatherMs = 100;
 
@@ -130,6 +132,9 @@
 		belief: resolver.resolve(Belief),
 		clock,
 		waitMs: () => isRelay(resolver) ? configLimits().relayWaitMs : configLimits().waitMs,
+		// A configuration may have hundreds of kilobytes: one that is already replaced is not worth reading.
+		mostBytes: 1,
+		isNewestEnough: true,
 		gatherMs: 0,
 		carriedMs: () => isLeaf(resolver) ? configLimits().carriedMs : 0,
 	}));
@@ -140,6 +145,8 @@
 		belief: new Belief(),
 		clock,
 		waitMs: () => isRelay(resolver) ? backendsLimits().relayWaitMs : backendsLimits().waitMs,
+		mostBytes: mostBackendsBytes,
+		isNewestEnough: false,
 		gatherMs: backendsGatherMs,
 		carriedMs: () => isLeaf(resolver) ? backendsLimits().carriedMs : 0,
 	}));
--- a/src/coordination/__tests__/duty-lease.test.ts
+++ b/src/coordination/__tests__/duty-lease.test.ts
@@ -108,4 +108,14 @@
 		store.put(Topic.Duties, DutyKey.Claim, JSON.stringify({holder: 'other'}));
 		expect(await first.recordUsage(new Uint8Array([1]), signal)).toBe(false);
 	});
+
+	it('does not act on a read that left records unread, since another\'s claim may be among them', async () => {
+		const {store, time, first, inputs} = createPair();
+		await first.step(inputs, signal);
+		store.put(Topic.Duties, DutyKey.Claim, JSON.stringify({holder: 'b'}));
+		store.mostRecords = 0;
+		time.ms += 1600;
+		await first.step(inputs, signal);
+		expect(first.isConfirmedAt(time.ms)).toBe(false);
+	});
 });
--- a/src/coordination/__tests__/topic-follower.test.ts
+++ b/src/coordination/__tests__/topic-follower.test.ts
@@ -9,7 +9,7 @@
 
 type Following = {seen: string[]; belief: Belief; stop: AbortController; clock: SteadyClock; follower: TopicFollower};
 
-function follow(store: FakeStore, carriedMs = 0): Following {
+function follow(store: FakeStore, {carriedMs = 0, isNewestEnough = false} = {}): Following {
 	const seen: string[] = [];
 	const belief = new Belief();
 	const stop = new AbortController();
@@ -21,6 +21,8 @@
 		clock,
 		waitMs: () => 5,
 		carriedMs: () => carriedMs,
+		mostBytes: 1024,
+		isNewestEnough,
 		gatherMs: 0,
 		sink: {
 			reset(records) {
@@ -75,6 +77,38 @@
 	});
 });
 
+describe('a TopicFollower of a topic that grows faster than it is read', () => {
+	it('lets its view age while the store has more than it brought', async () => {
+		const store = new FakeStore();
+		const {belief, stop, clock} = follow(store);
+		await waitUntil(async () => belief.isKnown, 1000);
+		store.mostRecords = 0;
+		store.put(Topic.Config, 'a', '1');
+		await waitUntil(async () => belief.ageMs(clock.now()) > 300, 2000);
+		store.mostRecords = 1;
+		await waitUntil(async () => belief.ageMs(clock.now()) < 100, 2000);
+		stop.abort();
+	});
+
+	it.each([
+		{name: 'every one', isNewestEnough: false, passes: 20},
+		{name: 'the newest one', isNewestEnough: true, passes: 1},
+	])('takes $name of the records that one read does not bring', async ({isNewestEnough, passes}) => {
+		const store = new FakeStore();
+		store.mostRecords = 1;
+		const {belief, seen, stop, follower} = follow(store, {isNewestEnough});
+		await waitUntil(async () => belief.isKnown, 1000);
+		seen.length = 0;
+		for (let index = 0; index < 20; index++) {
+			store.put(Topic.Config, 'a', String(index));
+		}
+
+		await waitUntil(async () => follower.nextOffset === 20, 2000);
+		stop.abort();
+		expect(seen).toHaveLength(passes);
+	});
+});
+
 describe('a TopicFollower that relays tell', () => {
 	const value = new TextEncoder().encode('v');
 
@@ -83,7 +117,7 @@
 		const store = new FakeStore();
 		store.put(Topic.Config, 'a', '1');
 		store.put(Topic.Config, 'b', '1');
-		const following = follow(store, 300);
+		const following = follow(store, {carriedMs: 300});
 		const {clock, belief, follower} = following;
 		await waitUntil(async () => belief.isKnown, 1000);
 		const confirm = (next: number, ageMs = 0) => {
--- a/src/coordination/duty-lease.ts
+++ b/src/coordination/duty-lease.ts
@@ -21,6 +21,10 @@
 const confirmedMs = 1500;
 /** How long a confirming read waits, in milliseconds. */
 const readWaitMs = 600;
+/** Time that the answer to a read may take beyond its wait, in milliseconds. */
+const answerMs = 900;
+/** Records of one read, in bytes: hundreds of claims and usage reports. */
+const mostBytes = 1024 * 1024;
 /** Added to the lease before a new holder acts, in milliseconds: with reads confirmed for 1.5 s, the same daemon cannot act on both sides of another within a lease. */
 const quietMarginMs = 500;
 /** Silence of the holder after which the first other claims, in milliseconds; eight rounds of messages. */
@@ -207,10 +211,10 @@
 		const sentAtMs = this.clock.now();
 		let batch: RecordBatch | undefined;
 		if (this.next !== undefined) {
-			batch = await this.store.read(Topic.Duties, this.next, waitMs, signal);
+			batch = await this.store.read(Topic.Duties, this.next, {waitMs, answerMs, mostBytes}, signal);
 		}
 
-		batch ??= await this.store.newest(Topic.Duties, signal);
+		batch ??= await this.store.newest(Topic.Duties, answerMs, signal);
 		for (const record of batch.records) {
 			if (record.key === String(DutyKey.Claim) && record.value) {
 				const claim = readOwnRecord(record.value, isWrittenClaim, 'claim of the duties');
@@ -223,7 +227,8 @@
 		}
 
 		this.next = Math.max(this.next ?? 0, batch.next);
-		this.confirmedAtMs = sentAtMs;
+		// A claim may be among the records that are still to be read.
+		this.confirmedAtMs = batch.next < batch.end ? this.confirmedAtMs : sentAtMs;
 	}
 
 	private takeClaim(holder: string, offset: number, nowMs: number): void {
--- a/src/coordination/fleet/__fixtures__/test-net.ts
+++ b/src/coordination/fleet/__fixtures__/test-net.ts
@@ -62,6 +62,8 @@
 			belief: this.beliefs[topic],
 			clock,
 			waitMs: () => 0,
+			mostBytes: 1024,
+			isNewestEnough: false,
 			gatherMs: 0,
 			carriedMs: () => this.fleet.roleAt(net.nowMs) === FleetRole.Leaf ? 2000 : 0,
 		});
--- a/src/coordination/fleet/fleet-messenger.ts
+++ b/src/coordination/fleet/fleet-messenger.ts
@@ -26,6 +26,8 @@
 import {RecentMaximum} from './recent-maximum.js';
 import {goneMs} from './told-group.js';
 
+/** Time without an answer after which a reading of the store's list of daemons has failed, in milliseconds. */
+const membersMs = 900;
 /** Time between reports, in milliseconds. */
 export const roundMs = 250;
 /** Rounds whose time is kept; an answer later than that says nothing of now. */
@@ -212,7 +214,7 @@
 			this.isAnnounced = true;
 		}
 
-		const batch = await store.newest(Topic.Members, signal);
+		const batch = await store.newest(Topic.Members, membersMs, signal);
 		for (const {key, value} of batch.records) {
 			if (key === boundsKey && value) {
 				this.parts.bounds.take(value);
--- a/src/coordination/follow-limits.ts
+++ b/src/coordination/follow-limits.ts
@@ -7,6 +7,10 @@
 
 /** Time that the answer to a waiting read may take beyond the wait, in milliseconds: an answer takes 4 ms, and 250 of a store that is sixty times slower. */
 export const answerMs = 500;
+/** The same for a read that does not wait, in milliseconds, since nothing is lost by its being late but time. */
+export const doubtAnswerMs = 900;
+/** The same after several failures, in milliseconds: short enough to notice within the time that a store takes to settle that it answers again. */
+export const mostAnswerMs = 1800;
 /** Longest pause after a failed read, in milliseconds. */
 export const retryPauseMs = 200;
 /** How often a daemon that is told by relays looks whether it still is, in milliseconds. */
--- a/src/coordination/topic-follower.ts
+++ b/src/coordination/topic-follower.ts
@@ -18,7 +18,9 @@
 import {StateError} from '../state/errors.js';
 import {type SteadyClock} from '../clock.js';
 import {createLogger} from '../log.js';
-import {answerMs, carriedStepMs, retryPauseMs} from './follow-limits.js';
+import {
+	answerMs, carriedStepMs, doubtAnswerMs, mostAnswerMs, retryPauseMs,
+} from './follow-limits.js';
 
 const log = createLogger('store');
 
@@ -46,6 +48,10 @@
 	clock: SteadyClock;
 	/** How long one read waits for records, in milliseconds; bounds the view's age on a calm day. */
 	waitMs: () => number;
+	/** Size of records beyond which one read adds no further one, in bytes. */
+	mostBytes: number;
+	/** Whether only the newest record of each key counts, so that a view that falls behind may pass over those between. */
+	isNewestEnough: boolean;
 	/** Pause after records came before the next read, in milliseconds, so that a series of changes costs few reads. */
 	gatherMs: number;
 	/** Age up to which a view that relays confirm needs no reads, in milliseconds; 0 while this daemon reads for others. */
@@ -78,6 +84,7 @@
 	/** Whether the view was last left to the relays; undefined before the first read. */
 	private wasCarried: boolean | undefined;
 	private readonly reads = {answered: 0, failed: 0};
+	private failedInRow = 0;
 	/** The latest records, in order and without gaps. */
 	private tail: KeyedRecord[] = [];
 
@@ -170,29 +177,47 @@
 		return carriedMs > 0 && !this.isBehind && this.options.clock.now() - this.carriedAtMs <= carriedMs;
 	}
 
-	/** One read; returns whether it brought records. */
+	/** One read; returns whether it brought all there was, and any. */
 	private async read(signal: AbortSignal): Promise<boolean> {
-		const {store, topic, sink, belief, clock} = this.options;
+		const {topic, belief, clock, isNewestEnough} = this.options;
 		const sentAtMs = clock.now();
 		this.isBehind = false;
 		const batch = this.next === undefined ? undefined : await this.readFrom(this.next, signal);
-		if (batch) {
-			for (const record of batch.records) {
-				// A relay may have handed it on meanwhile.
-				if (record.offset >= this.next!) {
-					this.take(record, clock.now());
-				}
+		if (!batch && this.next !== undefined) {
+			log.info('records expired, reading the newest of each key.', {topic});
+		}
+
+		if (!batch || (isNewestEnough && batch.next < batch.end)) {
+			await this.readNewest(signal);
+			return false;
+		}
+
+		for (const record of batch.records) {
+			// A relay may have handed it on meanwhile.
+			if (record.offset >= this.next!) {
+				this.take(record, clock.now());
 			}
+		}
 
+		const isWhole = this.next! >= batch.end;
+		if (isWhole) {
 			belief.confirm(sentAtMs);
-			return batch.records.length > 0;
 		}
 
-		if (this.next !== undefined) {
-			log.info('records expired, reading the newest of each key.', {topic});
-		}
+		return isWhole && batch.records.length > 0;
+	}
+
+	/** Reads records from an offset on, and waits for them unless the view is in doubt. */
+	private async readFrom(next: number, signal: AbortSignal): Promise<RecordBatch | undefined> {
+		const {store, topic, waitMs, mostBytes} = this.options;
+		const limits = this.isInDoubt ? {waitMs: 0, answerMs: this.patienceMs} : {waitMs: waitMs(), answerMs};
+		return store.read(topic, next, {...limits, mostBytes}, signal);
+	}
 
-		const newest = await store.newest(topic, signal);
+	private async readNewest(signal: AbortSignal): Promise<void> {
+		const {store, topic, sink, belief, clock} = this.options;
+		const sentAtMs = clock.now();
+		const newest = await store.newest(topic, this.patienceMs, signal);
 		if (newest.next < (this.next ?? 0)) {
 			throw new StateError(`the store's newest records of ${topic} end at ${newest.next}, before ${this.next}`);
 		}
@@ -201,18 +226,11 @@
 		this.next = newest.next;
 		this.tail = [];
 		belief.confirm(sentAtMs);
-		return false;
 	}
 
-	/** Reads records from an offset on, and waits for them unless the view is in doubt. */
-	private async readFrom(next: number, signal: AbortSignal): Promise<RecordBatch | undefined> {
-		const {store, topic, waitMs} = this.options;
-		if (this.isInDoubt) {
-			return store.read(topic, next, 0, signal);
-		}
-
-		const limitMs = waitMs() + answerMs;
-		return store.read(topic, next, waitMs(), AbortSignal.any([signal, AbortSignal.timeout(limitMs)]));
+	/** Time that an answer may take beyond a wait, in milliseconds: more after failures, since a store that carries much answers late. */
+	private get patienceMs(): number {
+		return this.failedInRow < 2 ? doubtAnswerMs : mostAnswerMs;
 	}
 
 	private take(record: KeyedRecord, nowMs: number): void {
@@ -257,6 +275,7 @@
 	/** Notes a read of this daemon's own that was answered; a relay's word says nothing of the store's answers here. */
 	private noteAnswered(): void {
 		this.reads.answered++;
+		this.failedInRow = 0;
 		this.isInDoubt = false;
 		this.followedSinceMs ??= this.options.clock.now();
 		if (this.isLost) {
@@ -268,6 +287,7 @@
 
 	private noteFailed(error: unknown): void {
 		this.reads.failed++;
+		this.failedInRow++;
 		this.isInDoubt = true;
 		if (!this.isLost) {
 			this.isLost = true;
--- a/src/protocol/platform.ts
+++ b/src/protocol/platform.ts
@@ -54,8 +54,18 @@
 /** A record of a topic; a record without a value says that its key was dropped. */
 export type KeyedRecord = {key: string; value: Uint8Array | undefined; offset: number};
 
-/** Records that were read, and the offset to go on from. */
-export type RecordBatch = {records: KeyedRecord[]; next: number};
+/** Records that were read, the offset to go on from, and where the topic ended. */
+export type RecordBatch = {records: KeyedRecord[]; next: number; end: number};
+
+/** What one read may take. */
+export type ReadLimits = {
+	/** How long it waits for records, in milliseconds. */
+	waitMs: number;
+	/** Time without a byte of the answer beyond the wait after which it fails, in milliseconds. */
+	answerMs: number;
+	/** Size of records beyond which no further one is added, in bytes. */
+	mostBytes: number;
+};
 
 /** The topics that the daemon reads and writes. */
 export enum Topic {
@@ -80,16 +90,18 @@
 	/**
 	 * The newest record of each key.
 	 *
+	 * @param answerMs Time without a byte of the answer after which it fails, in milliseconds.
 	 * @throws {StateError} When the store does not answer with them.
 	 */
-	newest(topic: Topic, signal: AbortSignal): Promise<RecordBatch>;
+	newest(topic: Topic, answerMs: number, signal: AbortSignal): Promise<RecordBatch>;
 	/**
-	 * Records from an offset on, as soon as there are any, or none after `waitMs`.
+	 * Records from an offset on, as soon as there are any, or none after the wait. What is
+	 * beyond the size limit is left to the next read, or the first record is: `end` tells.
 	 *
 	 * @returns Undefined when records at the offset are no longer kept.
 	 * @throws {StateError} When the store does not answer with them.
 	 */
-	read(topic: Topic, from: number, waitMs: number, signal: AbortSignal): Promise<RecordBatch | undefined>;
+	read(topic: Topic, from: number, limits: ReadLimits, signal: AbortSignal): Promise<RecordBatch | undefined>;
 	/**
 	 * Appends one record; with `at`, only if the topic ends at that offset.
 	 *
--- a/src/testing/fake-store.ts
+++ b/src/testing/fake-store.ts
@@ -10,6 +10,8 @@
 	isDown = false;
 	/** Whether appends are done and their answers lost. */
 	losesAnswers = false;
+	/** Records that one read brings at most. */
+	mostRecords = Number.POSITIVE_INFINITY;
 	/** Reads that were answered. */
 	reads = 0;
 	private readonly topics = new Map<Topic, KeyedRecord[]>();
@@ -43,7 +45,8 @@
 			}
 		}
 
-		return {records: [...newest.values()], next: this.records(topic).length};
+		const end = this.records(topic).length;
+		return {records: [...newest.values()], next: end, end};
 	}
 
 	async read(topic: Topic, from: number): Promise<RecordBatch | undefined> {
@@ -56,7 +59,9 @@
 		await new Promise(resolve => {
 			setTimeout(resolve, 1);
 		});
-		return {records: this.records(topic).slice(from), next: this.records(topic).length};
+		const end = this.records(topic).length;
+		const records = this.records(topic).slice(from, from + Math.min(this.mostRecords, end));
+		return {records, next: from + records.length, end};
 	}
 
 	async append(topic: Topic, record: {key: string; value: Uint8Array}, at: number | undefined): Promise<AppendResult> {
--- a/src/transport/raw-client.ts
+++ b/src/transport/raw-client.ts
@@ -16,7 +16,7 @@
 	path: string;
 	headers?: Record<string, string>;
 	body?: Uint8Array;
-	/** Time without a whole answer after which the call fails, in milliseconds. */
+	/** Time without a byte of the answer after which the call fails, in milliseconds. */
 	timeoutMs: number;
 	signal?: AbortSignal;
 };
@@ -47,16 +47,23 @@
 		const {method, path, headers, body, timeoutMs, signal} = call;
 		const what = `${method} ${path.split('?')[0]}`;
 		const startedAtMs = performance.now();
-		const deadline = AbortSignal.timeout(timeoutMs);
-		const either = signal ? AbortSignal.any([signal, deadline]) : deadline;
 		const pending = Wreck.request(method, this.baseUrl + path, {headers, payload: body && Buffer.from(body), agent: this.agent});
 		const abort = () => {
 			pending.req.destroy(new TransportError(`${what} aborted`));
 		};
 
-		either.addEventListener('abort', abort, {once: true});
+		const timer = setTimeout(abort, timeoutMs);
+		signal?.addEventListener('abort', abort, {once: true});
+		if (signal?.aborted) {
+			abort();
+		}
+
 		try {
 			const response = await pending;
+			// An answer that keeps coming is not given up, however large it is.
+			response.on('data', () => {
+				timer.refresh();
+			});
 			const answer = await Wreck.read(response, {});
 			return {statusCode: response.statusCode ?? 0, body: answer};
 		} catch (error) {
@@ -64,7 +71,8 @@
 			const connection = pending.req.reusedSocket ? 'a kept connection' : 'a new connection';
 			throw new TransportError(`${what} got no answer on ${connection} in ${Math.round(performance.now() - startedAtMs)} ms`, {cause: error});
 		} finally {
-			either.removeEventListener('abort', abort);
+			clearTimeout(timer);
+			signal?.removeEventListener('abort', abort);
 		}
 	}
 
