--- a/src/coordination/__tests__/topic-follower.test.ts
+++ b/src/coordination/__tests__/topic-follower.test.ts
@@ -77,6 +77,20 @@
 	});
 });
 
+describe('a TopicFollower that the store turns away', () => {
+	it('asks less and less often, and reads within a second once it is let in', async () => {
+		const store = new FakeStore();
+		const {belief, stop, clock} = follow(store);
+		await waitUntil(async () => belief.isKnown, 1000);
+		store.isDown = true;
+		await delay(4000);
+		expect(store.refusals).toBeLessThanOrEqual(12);
+		store.isDown = false;
+		await waitUntil(async () => belief.ageMs(clock.now()) < 100, 1000);
+		stop.abort();
+	});
+});
+
 describe('a TopicFollower of a topic that grows faster than it is read', () => {
 	it('lets its view age while the store has more than it brought', async () => {
 		const store = new FakeStore();
--- a/src/coordination/follow-limits.ts
+++ b/src/coordination/follow-limits.ts
@@ -11,8 +11,10 @@
 export const doubtAnswerMs = 900;
 /** The same after several failures, in milliseconds: short enough to notice within the time that a store takes to settle that it answers again. */
 export const mostAnswerMs = 1800;
-/** Longest pause after a failed read, in milliseconds. */
+/** Longest pause after a failed read, in milliseconds; it doubles with each failure in a row. */
 export const retryPauseMs = 200;
+/** Longest pause after any number of failures, in milliseconds: a store that turns daemons away is not made busier by them, and callers wait this long at most once it answers again. */
+const longestPauseMs = 800;
 /** How often a daemon that is told by relays looks whether it still is, in milliseconds. */
 export const carriedStepMs = 100;
 /** Time kept for the read that brings the change, in milliseconds: a new connection whose first packet is lost. */
@@ -20,6 +22,16 @@
 /** Shortest wait of a read, in milliseconds, so that a bound too tight to keep does not make a daemon read without pause. */
 const shortestWaitMs = 100;
 
+/**
+ * The pause before the next try of a read.
+ *
+ * @param failedInRow Failures since the last answer, 1 or more.
+ * @param draw Drawn evenly from 0 to 1, so that daemons do not return in step.
+ */
+export function pauseAfter(failedInRow: number, draw: number): number {
+	return Math.min(longestPauseMs, retryPauseMs * (2 ** (failedInRow - 1))) * (0.5 + (draw / 2));
+}
+
 /** Limits of following one topic, in milliseconds. */
 export type FollowLimits = {
 	/** How long one read waits for records. */
--- a/src/coordination/topic-follower.ts
+++ b/src/coordination/topic-follower.ts
@@ -19,7 +19,7 @@
 import {type SteadyClock} from '../clock.js';
 import {createLogger} from '../log.js';
 import {
-	answerMs, carriedStepMs, doubtAnswerMs, mostAnswerMs, retryPauseMs,
+	answerMs, carriedStepMs, doubtAnswerMs, mostAnswerMs, pauseAfter,
 } from './follow-limits.js';
 
 const log = createLogger('store');
@@ -134,7 +134,7 @@
 
 				this.noteFailed(error);
 				// eslint-disable-next-line no-await-in-loop
-				await delay(retryPauseMs * (0.5 + (Math.random() / 2)), undefined, {signal}).catch(() => undefined);
+				await delay(pauseAfter(this.failedInRow, Math.random()), undefined, {signal}).catch(() => undefined);
 			}
 		}
 	}
--- a/src/testing/fake-store.ts
+++ b/src/testing/fake-store.ts
@@ -14,6 +14,8 @@
 	mostRecords = Number.POSITIVE_INFINITY;
 	/** Reads that were answered. */
 	reads = 0;
+	/** Calls that failed because it was down. */
+	refusals = 0;
 	private readonly topics = new Map<Topic, KeyedRecord[]>();
 	/** Records below this offset are not kept any more. */
 	private readonly firsts = new Map<Topic, number>();
@@ -81,6 +83,7 @@
 
 	private check(): void {
 		if (this.isDown) {
+			this.refusals++;
 			throw new StateError('down');
 		}
 	}
