--- a/src/transport/__tests__/raw-client.test.ts
+++ b/src/transport/__tests__/raw-client.test.ts
@@ -23,7 +23,9 @@
 		server = createServer((_, response) => {
 			response.writeHead(200, {'Content-Length': String(answerBytes)});
 			for (let index = 0; index < bytes; index++) {
-				setTimeout(() => response.write('x'), index * chunkMs);
+				setTimeout(() => {
+					response.write('x');
+				}, index * chunkMs);
 			}
 		});
 		await new Promise<void>(resolve => {
