--- a/src/cli/__tests__/follow-in-time.test.ts
+++ b/src/cli/__tests__/follow-in-time.test.ts
@@ -8,7 +8,8 @@
 	type FrontSettings, type Platform, type ServiceBounds, Topic,
 } from '../../protocol/platform.js';
 import {SteadyClock} from '../../clock.js';
-import {FleetMessenger, roundMs} from '../../coordination/fleet/fleet-messenger.js';
+import {FleetMessenger} from '../../coordination/fleet/fleet-messenger.js';
+import {roundMs} from '../../coordination/fleet/peer-census.js';
 import {FleetRole, FleetTable} from '../../coordination/fleet/fleet-table.js';
 import {type RecordSink} from '../../coordination/topic-follower.js';
 import {FakeStore} from '../../testing/fake-store.js';
--- a/src/coordination/fleet/__fixtures__/test-net.ts
+++ b/src/coordination/fleet/__fixtures__/test-net.ts
@@ -15,7 +15,8 @@
 import {TopicFollower} from '../../topic-follower.js';
 import {UsageLedger} from '../../usage-ledger.js';
 import {BoundsRecord} from '../bounds-record.js';
-import {FleetMessenger, roundMs} from '../fleet-messenger.js';
+import {FleetMessenger} from '../fleet-messenger.js';
+import {roundMs} from '../peer-census.js';
 import {FleetRole, FleetTable} from '../fleet-table.js';
 
 export const account: Account = {
--- a/src/coordination/fleet/__tests__/fleet-messenger.test.ts
+++ b/src/coordination/fleet/__tests__/fleet-messenger.test.ts
@@ -5,7 +5,7 @@
 	account, startNet, type TestDaemon, tickMs,
 } from '../__fixtures__/test-net.js';
 import {backendKey} from '../backend-key.js';
-import {roundMs} from '../fleet-messenger.js';
+import {roundMs} from '../peer-census.js';
 import {FleetRole} from '../fleet-table.js';
 
 describe('a fleet', () => {
--- a/src/coordination/fleet/fleet-messenger.ts
+++ b/src/coordination/fleet/fleet-messenger.ts
@@ -23,13 +23,10 @@
 import {packCounts, writeUse} from './digest-sums.js';
 import {FleetRole, type FleetTable} from './fleet-table.js';
 import {type UseTotals} from './merged-counters.js';
-import {RecentMaximum} from './recent-maximum.js';
-import {goneMs} from './told-group.js';
+import {PeerCensus, roundMs} from './peer-census.js';
 
 /** Time without an answer after which a reading of the store's list of daemons has failed, in milliseconds. */
 const membersMs = 900;
-/** Time between reports, in milliseconds. */
-export const roundMs = 250;
 /** Rounds whose time is kept; an answer later than that says nothing of now. */
 const keptRounds = 16;
 /** The topics that relays tell of. */
@@ -38,8 +35,6 @@
 const standbyRounds = 2;
 /** Longest time between two words of a relay that answers, in milliseconds. */
 export const tellingMs = standbyRounds * roundMs;
-/** How long news take to reach a daemon, in milliseconds, beside half a round: read at once from a peer, or passed on by two relays that each wait for a round, half of one on average. */
-const newsMs: Record<FleetRole, number> = {[FleetRole.Mesh]: 50, [FleetRole.Relay]: 200, [FleetRole.Leaf]: 300};
 /** How often the store's list of daemons is read and silent ones are written to, in milliseconds: where all report to each other, and where relays tell of each other. */
 const rediscoverMs = 8000;
 const rediscoverLargeMs = 30_000;
@@ -50,8 +45,6 @@
 const youngMs = 10_000;
 /** A daemon that no relay told anything for this long misses what was admitted meanwhile, in milliseconds: two answers of the relay that stands by. */
 const untoldMs = 1100;
-/** A daemon that has just started takes those on the list that it has not heard yet to serve beside it for this long, in milliseconds: all hear of each other within a second. Later they count as silent, and then as gone. */
-const unheardOfMs = 3000;
 /** What was admitted in the window goes with reports to all for this long after one of them asked for it, in milliseconds: three rounds. */
 const usesWantedMs = 750;
 
@@ -88,10 +81,7 @@
 	/** When a relay last told something of others. */
 	private toldAtMs: number;
 	private hasMissedNews = false;
-	/** Daemons that were known of late: at the start, and later in a large fleet. */
-	private readonly fleetSize = new RecentMaximum(goneMs);
-	/** When most of the other daemons were last silent. */
-	private aloneAtMs = Number.NEGATIVE_INFINITY;
+	private readonly census: PeerCensus;
 	/** When a daemon last asked for what was admitted in the window. */
 	private usesWantedAtMs = Number.NEGATIVE_INFINITY;
 	/** When the reports of the latest rounds were sent. */
@@ -99,6 +89,7 @@
 
 	constructor(private readonly parts: MessengerParts) {
 		this.toldAtMs = parts.startedAtMs;
+		this.census = new PeerCensus({...parts, quotaWindowMs: parts.settings.bounds.quotaWindowMs});
 		parts.fleet.learn(parts.settings.name, parts.settings.failureDomain, this.address);
 	}
 
@@ -120,26 +111,7 @@
 
 	/** What limits over all daemons are decided from. */
 	quotaPeers(nowMs: number): QuotaPeers {
-		const {fleet, startedAtMs} = this.parts;
-		const daemons = fleet.daemons(nowMs);
-		const isYoung = nowMs - startedAtMs < unheardOfMs;
-		const listed = isYoung ? Math.max(daemons, fleet.known) : daemons;
-		// Daemons on the list that one which starts never hears may be cut off and serving; so may those that a relay which has just begun does not know.
-		const isKept = isYoung || fleet.roleAt(nowMs) !== FleetRole.Mesh;
-		const most = Math.max(listed, this.fleetSize.note(isKept ? listed : 0, nowMs));
-		const unheard = listed - daemons;
-		// Where most were heard, the others are cut off rather than about to be.
-		const unheardOf = unheard > daemons ? unheard : 0;
-		const silent = fleet.silent(nowMs);
-		return {
-			daemons: most - unheardOf,
-			silent: silent + most - daemons - unheardOf,
-			unheardMs: newsMs[fleet.roleAt(nowMs)] + (roundMs / 2),
-			roundMs,
-			unheardOf,
-			// Names on the list may be long gone, so only those that were heard of count here.
-			isAlone: this.isAlone(silent > daemons / 2, nowMs),
-		};
+		return this.census.count(nowMs);
 	}
 
 	/** Reports to the others, once a round. */
@@ -157,7 +129,7 @@
 
 		this.noteUntold(nowMs);
 		// Keeps track of silence also while no account asks.
-		this.quotaPeers(nowMs);
+		this.census.count(nowMs);
 		this.ask(settings.failureDomain, this.ownDigest(), nowMs);
 		if (role === FleetRole.Relay) {
 			const digest = this.domainDigest(nowMs);
@@ -234,13 +206,6 @@
 		}
 	}
 
-	/** Relays that have just begun do not tell what was admitted while there were none, daemons that report by themselves do. */
-	private isAlone(isNow: boolean, nowMs: number): boolean {
-		const {fleet, settings} = this.parts;
-		this.aloneAtMs = isNow ? nowMs : this.aloneAtMs;
-		return isNow || (fleet.roleAt(nowMs) !== FleetRole.Mesh && nowMs - this.aloneAtMs < settings.bounds.quotaWindowMs);
-	}
-
 	private get address(): PeerAddress {
 		return {host: this.parts.settings.host, port: this.parts.settings.peerPort};
 	}
--- a/src/coordination/topic-follower.ts
+++ b/src/coordination/topic-follower.ts
@@ -21,15 +21,12 @@
 import {
 	answerMs, carriedStepMs, doubtAnswerMs, mostAnswerMs, pauseAfter,
 } from './follow-limits.js';
+import {RecordTail} from './record-tail.js';
 
 const log = createLogger('store');
 
-/** Records kept to be handed on: some seconds of the changes of a reclaim of 30 backend servers. */
-const keptRecords = 128;
 /** Records that a daemon waits for to be handed on, rather than read them: two rounds' worth. */
 const awaitedRecords = 8;
-/** Bytes of records handed on in one message, so that it stays within a datagram; what is left over is read from the store. */
-const handedBytes = 900;
 
 /** What is done with the records of a topic. */
 export type RecordSink = {
@@ -85,8 +82,7 @@
 	private wasCarried: boolean | undefined;
 	private readonly reads = {answered: 0, failed: 0};
 	private failedInRow = 0;
-	/** The latest records, in order and without gaps. */
-	private tail: KeyedRecord[] = [];
+	private readonly tail = new RecordTail();
 
 	constructor(private readonly options: FollowerOptions) {}
 
@@ -141,7 +137,7 @@
 
 	/** What this daemon may tell one whose view reaches up to an offset; undefined before the first read. */
 	newsFor(offset: number | undefined, nowMs: number): TopicNews | undefined {
-		return this.next === undefined ? undefined : {next: this.next, ageMs: Math.ceil(this.options.belief.ageMs(nowMs)), records: this.recordsFrom(offset)};
+		return this.next === undefined ? undefined : {next: this.next, ageMs: Math.ceil(this.options.belief.ageMs(nowMs)), records: this.tail.from(offset)};
 	}
 
 	/**
@@ -224,7 +220,7 @@
 
 		sink.reset(newest.records, clock.now());
 		this.next = newest.next;
-		this.tail = [];
+		this.tail.clear();
 		belief.confirm(sentAtMs);
 	}
 
@@ -236,26 +232,7 @@
 	private take(record: KeyedRecord, nowMs: number): void {
 		this.options.sink.apply(record, nowMs);
 		this.next = record.offset + 1;
-		this.tail.push(record);
-		if (this.tail.length > keptRecords) {
-			this.tail.shift();
-		}
-	}
-
-	private recordsFrom(offset: number | undefined): TopicNews['records'] {
-		const first = this.tail.findIndex(record => record.offset === offset);
-		const records: TopicNews['records'] = [];
-		let bytes = 0;
-		for (const record of first === -1 ? [] : this.tail.slice(first)) {
-			bytes += record.key.length + (record.value?.length ?? 0);
-			if (bytes > handedBytes) {
-				break;
-			}
-
-			records.push([record.offset, record.key, record.value]);
-		}
-
-		return records;
+		this.tail.add(record);
 	}
 
 	/** Logs when the view is left to the relays, and when their word is too old. A record that they do not hand on is read without a line: it has one of its own. */
