Read a small configuration in one call

A read of the configuration asked for the first record only. Up to 64 KB now come with the read; larger ones are still read as the newest record only.

--- a/src/cli/front-container.ts
+++ b/src/cli/front-container.ts
@@ -43,6 +43,8 @@
 const relayBackendsWaitMs = 800;
 /** Age up to which a daemon goes by what relays say of the backend servers at most, in milliseconds. */
 const backendsCarriedMs = 2100;
+/** Configurations that one read brings, in bytes: a small one comes at once, of large ones only the newest is read. */
+const mostConfigBytes = 64 * 1024;
 /** Entries of backend servers that one read brings, in bytes: thousands of them. */
 const mostBackendsBytes = 1024 * 1024;
 /** Pause after changes of the backend servers before the next read, in milliseconds: of 14,776 store and cloud calls of 86 daemons in 24 s, most were reads that brought one record. */
@@ -133,8 +135,7 @@
 		belief: resolver.resolve(Belief),
 		clock,
 		waitMs: () => isRelay(resolver) ? configLimits().relayWaitMs : configLimits().waitMs,
-		// A configuration may have hundreds of kilobytes: one that is already replaced is not worth reading.
-		mostBytes: 1,
+		mostBytes: mostConfigBytes,
 		isNewestEnough: true,
 		gatherMs: 0,
 		carriedMs: () => isLeaf(resolver) ? configLimits().carriedMs : 0,
