Let the soak silence and reset the link to the store

Open connections that go silent while new ones work, resets and a link that carries nothing, in runs that ask for it, so that the seeds of other runs draw the faults that they did. A key that has been in the configuration for its bound must not be denied for good.

--- a/soak/faulty-link.ts
+++ b/soak/faulty-link.ts
@@ -1,4 +1,4 @@
-/** A loopback TCP proxy between daemons and a backend server, whose connections can be delayed, silenced, cut one way or reset. */
+/** A loopback TCP proxy between daemons and a backend server or the store, whose connections can be delayed, silenced, cut one way or reset. */
 import {
 	connect, createServer, type AddressInfo, type Socket,
 } from 'node:net';
@@ -22,6 +22,8 @@
 	mode = LinkMode.Pass;
 	address = '';
 	private readonly pairs = new Set<[Socket, Socket]>();
+	/** Connections that carry nothing any more, whatever the mode. */
+	private readonly silent = new WeakSet<Socket>();
 	private readonly server = createServer(client => {
 		this.open(client);
 	});
@@ -50,6 +52,13 @@
 		}
 	}
 
+	/** Lets the open connections stay open and carry nothing for good; new ones work. */
+	silenceOpen(): void {
+		for (const socket of [...this.pairs].flat()) {
+			this.silent.add(socket);
+		}
+	}
+
 	private open(client: Socket): void {
 		const [host, port] = this.target.split(':');
 		const backend = connect(Number(port), host);
@@ -73,7 +82,7 @@
 
 	private pipe(from: Socket, to: Socket, isAnswer: boolean): void {
 		from.on('data', bytes => {
-			const isLost = this.mode === LinkMode.Silence || (this.mode === LinkMode.OneWay && isAnswer);
+			const isLost = this.silent.has(from) || this.mode === LinkMode.Silence || (this.mode === LinkMode.OneWay && isAnswer);
 			if (isLost) {
 				return;
 			}
--- a/soak/soak.ts
+++ b/soak/soak.ts
@@ -37,10 +37,10 @@
 /** Daemons of a run unless it says otherwise. */
 const usualDaemons = 3;
 
-/** Plays one run of `faultsMs` of faults and returns what it saw. */
-export async function soak(seed: number, faultsMs: number, daemons = usualDaemons): Promise<SoakReport> {
+/** Plays one run of `faultsMs` of faults, with or without some on the link to the store, and returns what it saw. */
+export async function soak(seed: number, faultsMs: number, daemons = usualDaemons, hasStoreLink = false): Promise<SoakReport> {
 	const random = xoroshiro128plus(seed);
-	const world = new SoakWorld(daemons);
+	const world = new SoakWorld(daemons, hasStoreLink);
 	const stop = new AbortController();
 	const faults: string[] = [];
 	await world.start();
@@ -158,10 +158,42 @@
 		}),
 		...[ReplicaMode.Fail, ReplicaMode.Shed, ReplicaMode.Reset, ReplicaMode.Cut, ReplicaMode.Misplace].map(mode => () => setMode(mode)),
 		...[LinkMode.Delay, LinkMode.Silence, LinkMode.OneWay].map(mode => () => setLink(mode)),
+		...storeLinkFaults(world),
 	];
 	return choices[draw(random, choices.length) - 1]();
 }
 
+/** Faults on the link to the store, in runs that have one: other runs' seeds draw from the same faults as before. */
+function storeLinkFaults({storeLink}: SoakWorld): Array<() => Fault> {
+	if (!storeLink) {
+		return [];
+	}
+
+	return [
+		() => ({
+			name: 'connections to the store go silent',
+			begin() {
+				storeLink.silenceOpen();
+			},
+		}),
+		() => ({
+			name: 'connections to the store reset',
+			begin() {
+				storeLink.reset();
+			},
+		}),
+		() => ({
+			name: 'link to the store silent',
+			begin() {
+				storeLink.mode = LinkMode.Silence;
+			},
+			end() {
+				storeLink.mode = LinkMode.Pass;
+			},
+		}),
+	];
+}
+
 /** Checks every promise against what clients and replicas saw. */
 function report({seed, faults, world, tries, calmAtMs}: {seed: number; faults: string[]; world: SoakWorld; tries: Try[]; calmAtMs: number}): SoakReport {
 	const runs = new Map<string, number>();
@@ -171,7 +203,7 @@
 
 	const broken: string[] = [];
 	for (const record of tries) {
-		const problem = judgeAnswer(record) ?? judgeRuns(record, runs.get(record.id) ?? 0) ?? judgeKey(record, runs.get(record.id) ?? 0, world);
+		const problem = judgeAnswer(record) ?? judgeRuns(record, runs.get(record.id) ?? 0) ?? judgeKey(record, runs.get(record.id) ?? 0, world) ?? judgeDenial(record, world);
 		if (problem !== undefined) {
 			broken.push(`${record.id} (${record.kind}, ${record.status ?? 'no answer'}): ${problem}`);
 		}
@@ -206,6 +238,12 @@
 	return isLate && runs > 0 ? 'ran with a revoked key' : undefined;
 }
 
+/** A key that has been in the configuration for the bound is not denied for good. */
+function judgeDenial({apiKey, sentAtMs, status}: Try, world: SoakWorld): string | undefined {
+	const addedAtMs = world.addedAtMs.get(apiKey);
+	return status === 401 && addedAtMs !== undefined && sentAtMs > addedAtMs + bounds.config_apply_ms + clockSlackMs ? 'denied a key of the configuration' : undefined;
+}
+
 /** One holder a token, and one report a window. */
 function judgeDuties({cloud}: SoakWorld): string[] {
 	const broken: string[] = [];
--- a/soak/world.ts
+++ b/soak/world.ts
@@ -19,7 +19,7 @@
 const callersPort = 18_700;
 /** Bounds that the daemons are held to, in the platform's settings. */
 export const bounds = {
-	revoke_ms: 2000, grace_s: 5, usage_window_s: 1, drain_ms: 1000, lease_ms: 1500,
+	revoke_ms: 2000, config_apply_ms: 1500, grace_s: 5, usage_window_s: 1, drain_ms: 1000, lease_ms: 1500,
 };
 
 /** One daemon, through all its restarts. */
@@ -70,16 +70,20 @@
 	readonly cloud = new CloudStandin();
 	readonly replicas: ReplicaStandin[] = [];
 	readonly links: FaultyLink[] = [];
+	/** The link to the store, in runs with faults on it. */
+	storeLink: FaultyLink | undefined;
 	daemons: SoakDaemon[] = [];
 	readonly callersPort = callersPort;
 	/** API keys that the configuration holds now. */
 	apiKeys = ['key-0'];
 	/** When a key's removal was taken by the store, in milliseconds since 1970. */
 	readonly revokedAtMs = new Map<string, number>();
+	/** When a key was taken into the configuration by the store, in milliseconds since 1970. */
+	readonly addedAtMs = new Map<string, number>();
 	private version = 1;
 	private replicaIds = 0;
 
-	constructor(private readonly daemonCount: number) {}
+	constructor(private readonly daemonCount: number, private readonly hasStoreLink: boolean) {}
 
 	async start(): Promise<void> {
 		await this.store.start();
@@ -89,6 +93,11 @@
 			await this.addReplica();
 		}
 
+		if (this.hasStoreLink) {
+			this.storeLink = new FaultyLink(this.store.address);
+			await this.storeLink.start();
+		}
+
 		this.putConfig();
 		this.daemons = Array.from({length: this.daemonCount}, (_, index) => this.createDaemon(index));
 		for (const daemon of this.daemons) {
@@ -101,8 +110,8 @@
 			daemon.close();
 		}
 
-		for (const part of [this.store, this.cloud, ...this.replicas, ...this.links]) {
-			part.stop();
+		for (const part of [this.store, this.cloud, ...this.replicas, ...this.links, this.storeLink]) {
+			part?.stop();
 		}
 	}
 
@@ -136,6 +145,7 @@
 		this.apiKeys = [`key-${this.version}`];
 		this.putConfig();
 		this.revokedAtMs.set(old, Date.now());
+		this.addedAtMs.set(this.apiKeys[0], Date.now());
 	}
 
 	private listReplica(replica: ReplicaStandin, link: FaultyLink, state: string): void {
@@ -166,7 +176,7 @@
 			bootstrap: true,
 			listen: {front: `${host}:${callersPort}`, readiness_addr: `${host}:${callersPort + 1}`},
 			port_range: [callersPort + 2, callersPort + 5],
-			platform: {address: this.store.address},
+			platform: {address: this.storeLink?.address ?? this.store.address},
 			cloud: {address: this.cloud.address},
 			bounds,
 		});
