--- a/src/coordination/follow-limits.ts
+++ b/src/coordination/follow-limits.ts
@@ -7,9 +7,9 @@
 
 /** Time that the answer to a waiting read may take beyond the wait, in milliseconds: an answer takes 4 ms, and 250 of a store that is sixty times slower. */
 export const answerMs = 500;
-/** The same for a read that does not wait, in milliseconds, since nothing is lost by its being late but time. */
+/** The same for a read that does not wait, in milliseconds. */
 export const doubtAnswerMs = 900;
-/** The same after several failures, in milliseconds: short enough to notice within the time that a store takes to settle that it answers again. */
+/** The same after several failures, in milliseconds: one sent just before the store answers again delays the next by no more than this. */
 export const mostAnswerMs = 1800;
 /** Longest pause after a failed read, in milliseconds; it doubles with each failure in a row. */
 export const retryPauseMs = 200;
