--- a/soak/soak.ts
+++ b/soak/soak.ts
@@ -10,7 +10,7 @@
 import {ReplicaMode} from '../platform/__tests__/standins.js';
 import {judgeAnswer, runClient, type Try} from './clients.js';
 import {LinkMode} from './faulty-link.js';
-import {bounds, SoakWorld} from './world.js';
+import {SoakWorld} from './world.js';
 
 /** Clients of one run. */
 const clientCount = 8;
@@ -234,14 +234,14 @@
 
 function judgeKey({apiKey, sentAtMs}: Try, runs: number, world: SoakWorld): string | undefined {
 	const revokedAtMs = world.revokedAtMs.get(apiKey);
-	const isLate = revokedAtMs !== undefined && sentAtMs > revokedAtMs + bounds.revoke_ms + clockSlackMs;
+	const isLate = revokedAtMs !== undefined && sentAtMs > revokedAtMs + world.bounds.revoke_ms + clockSlackMs;
 	return isLate && runs > 0 ? 'ran with a revoked key' : undefined;
 }
 
 /** A key that has been in the configuration for the bound is not denied for good. */
 function judgeDenial({apiKey, sentAtMs, status}: Try, world: SoakWorld): string | undefined {
 	const addedAtMs = world.addedAtMs.get(apiKey);
-	return status === 401 && addedAtMs !== undefined && sentAtMs > addedAtMs + bounds.config_apply_ms + clockSlackMs ? 'denied a key of the configuration' : undefined;
+	return status === 401 && addedAtMs !== undefined && sentAtMs > addedAtMs + world.bounds.config_apply_ms + clockSlackMs ? 'denied a key of the configuration' : undefined;
 }
 
 /** One holder a token, and one report a window. */
