--- a/src/cli/__tests__/follow-in-time.test.ts
+++ b/src/cli/__tests__/follow-in-time.test.ts
@@ -11,6 +11,7 @@
 import {FleetMessenger} from '../../coordination/fleet/fleet-messenger.js';
 import {roundMs} from '../../coordination/fleet/peer-census.js';
 import {FleetRole, FleetTable} from '../../coordination/fleet/fleet-table.js';
+import {type BackendsSink} from '../../coordination/record-sinks.js';
 import {type RecordSink} from '../../coordination/topic-follower.js';
 import {FakeStore} from '../../testing/fake-store.js';
 import {waitUntil} from '../../testing/stack.js';
@@ -49,7 +50,7 @@
 		platform: {settings, store} as unknown as Platform,
 		incarnation: 'fd-a-9#1',
 		signal: stop.signal,
-		createSinks: () => ({configSink: createSink(Topic.Config), backendsSink: createSink(Topic.Backends)}) as unknown as ReturnType<Parameters<typeof createFrontContainer>[0]['createSinks']>,
+		createSinks: () => ({configSink: createSink(Topic.Config), backendsSink: createSink(Topic.Backends) as unknown as BackendsSink}),
 	});
 	const messenger = parts.resolve(FleetMessenger);
 	let lastReadAtMs = clock.now();
