Log what identifies a request that a replica failed

Callers got 502 again and again for one request, and the logs could not say that it was one: each attempt has an id of its own. The line of a request that a replica failed now has a fingerprint of account, host, method, path and body. It is hashed only then; the common path does not change.

--- a/src/coordination/serving/forwarder.ts
+++ b/src/coordination/serving/forwarder.ts
@@ -13,6 +13,7 @@
 import {type RouteTable} from '../../state/route-table.js';
 import {type FrontRequest, writeOwnAnswer} from '../../transport/front-server.js';
 import {createLogger} from '../../log.js';
+import {describeFingerprint} from '../quarantine/request-fingerprint.js';
 import {type QuotaLedger, type QuotaPeers, requestCost} from '../quota-ledger.js';
 import {type RetryAllowance} from '../retry-allowance.js';
 import {type UsageLedger} from '../usage-ledger.js';
@@ -247,6 +248,7 @@
 		log.info(`${outcome}.`, {
 			request: request.id, route: route.name, account: account?.name, service, ...details, ms: Math.round(nowMs - arrivedAtMs), configVersion, viewAgeMs: Math.round(belief.ageMs(nowMs)),
 			attempts: served.attempts.map(attempt => `${attempt.backendId} +${attempt.atMs} cost ${attempt.costMs}: ${attempt.result}`),
+			fingerprint: served.excluded.size > 0 ? describeFingerprint(served.fingerprint) : undefined,
 		});
 	}
 }
--- a/src/coordination/serving/served-request.ts
+++ b/src/coordination/serving/served-request.ts
@@ -4,6 +4,7 @@
 	type Account, type CallerRequest, RequestKind, type Route,
 } from '../../protocol/serving.js';
 import {type Choice} from '../placement.js';
+import {fingerprintOf} from '../quarantine/request-fingerprint.js';
 
 /** One request sent to a backend server. */
 export type Attempt = {backendId: string; costMs: number; atMs: number; result: string};
@@ -43,6 +44,7 @@
 	successor: Successor | undefined;
 	/** Whether it was counted as begun for the usage reports. */
 	isCounted = false;
+	private hashed: number | undefined;
 
 	constructor(readonly inputs: ServedInputs) {
 		const {request, route, arrivedAtMs} = inputs;
@@ -60,6 +62,15 @@
 		return this.isRepeatable && this.runs < this.inputs.route.attempts;
 	}
 
+	/** Its identity over the client's attempts; hashed on first use, since few requests are ever asked for it. */
+	get fingerprint(): number {
+		const {account, request, body} = this.inputs;
+		this.hashed ??= fingerprintOf({
+			account: account?.name, host: request.host, method: request.method, path: request.path, body,
+		});
+		return this.hashed;
+	}
+
 	get priority(): number {
 		return this.inputs.account?.priority ?? this.inputs.route.priority;
 	}
