Run a suspected request where the fewest others would break off

A request under which two backend servers have ended ran wherever its prompt was cached, and took up to 64 others with it. Its next run now goes to the backend server with the fewest requests in flight.

--- a/src/coordination/__tests__/placement.test.ts
+++ b/src/coordination/__tests__/placement.test.ts
@@ -10,7 +10,7 @@
 const candidates = ['a', 'b', 'c', 'd'].map(id => backend(id));
 const parts = [{id: 'p1', tokens: 512}, {id: 'p2', tokens: 4870}, {id: 'own', tokens: 600}];
 const query = (overrides: Partial<PlacementQuery> = {}): PlacementQuery => ({
-	candidates, excluded: new Set(), promptTokens: 6000, promptParts: parts, peersInFlight: () => 0, random: () => 0.5, nowMs: 1000, ...overrides,
+	candidates, excluded: new Set(), promptTokens: 6000, promptParts: parts, isSuspect: false, peersInFlight: () => 0, random: () => 0.5, nowMs: 1000, ...overrides,
 });
 
 describe('Placement', () => {
@@ -27,6 +27,15 @@
 		expect(placement.choose(query({candidates: [backend(other), backend('z')]}))!.backend.id).toBe(other);
 	});
 
+	it('sends a request that may crash an engine to where the fewest others would break off', () => {
+		const placement = new Placement('fd-a');
+		const home = placement.choose(query())!.backend.id;
+		const quietest = candidates.find(({id}) => id !== home)!.id;
+		const peersInFlight = (id: string) => id === quietest ? 1 : 5;
+		expect(placement.choose(query({peersInFlight}))!.backend.id).toBe(home);
+		expect(placement.choose(query({peersInFlight, isSuspect: true}))!.backend.id).toBe(quietest);
+	});
+
 	it.each([
 		{name: 'what this daemon has in flight', load: (placement: Placement, home: string): unknown => Array.from({length: 40}, () => placement.begin(home, 100, [], 1000)), peers: 0},
 		{name: 'what peers have in flight', load: (): unknown => undefined, peers: 60},
--- a/src/coordination/placement.ts
+++ b/src/coordination/placement.ts
@@ -49,6 +49,8 @@
 	excluded: ReadonlySet<string>;
 	promptTokens: number;
 	promptParts: PromptPart[];
+	/** Whether it may crash the backend server that runs it, so that it goes where the fewest others would break off. */
+	isSuspect: boolean;
 	/** Requests that other daemons have in flight at a backend server. */
 	peersInFlight: (backendId: string) => number;
 	/** Draws evenly from 0 to 1. */
@@ -96,8 +98,8 @@
 		const choices = query.candidates.map(backend => this.estimate(backend, query, homes[0] === backend.id));
 		const open = choices.filter(choice => !query.excluded.has(choice.backend.id));
 		let best: Choice | undefined;
-		for (const choice of open.length > weighedEngines ? sample(open, homes, query.random) : open) {
-			if (!best || choice.costMs < best.costMs) {
+		for (const choice of open.length > weighedEngines && !query.isSuspect ? sample(open, homes, query.random) : open) {
+			if (!best || (query.isSuspect ? choice.inFlight < best.inFlight : choice.costMs < best.costMs)) {
 				best = choice;
 			}
 		}
--- a/src/coordination/quarantine/__tests__/quarantine.test.ts
+++ b/src/coordination/quarantine/__tests__/quarantine.test.ts
@@ -16,11 +16,21 @@
 
 describe('Quarantine', () => {
 	it.each([
-		{name: 'nothing is known', crashes: 0, isRefused: false},
-		{name: 'two backend servers ended under it', crashes: 2, isRefused: false},
-		{name: 'three did', crashes: 3, isRefused: true},
-	])('refuses a request: $isRefused when $name', ({crashes, isRefused}) => {
+		{
+			name: 'nothing is known', crashes: 0, isSuspect: false, isRefused: false,
+		},
+		{
+			name: 'one backend server ended under it', crashes: 1, isSuspect: false, isRefused: false,
+		},
+		{
+			name: 'two did', crashes: 2, isSuspect: true, isRefused: false,
+		},
+		{
+			name: 'three did', crashes: 3, isSuspect: true, isRefused: true,
+		},
+	])('refuses a request: $isRefused, keeps it away from others: $isSuspect when $name', ({crashes, isSuspect, isRefused}) => {
 		const quarantine = afterCrashes(crashes);
+		expect(quarantine.isSuspect(fingerprint)).toBe(isSuspect);
 		expect(quarantine.admit(fingerprint, startMs) !== undefined).toBe(isRefused);
 		expect(quarantine.forbidsRepeat(fingerprint)).toBe(isRefused);
 		expect(quarantine.admit(fingerprint + 1, startMs)).toBeUndefined();
--- a/src/coordination/quarantine/quarantine.ts
+++ b/src/coordination/quarantine/quarantine.ts
@@ -11,6 +11,8 @@
 
 /** Backend servers that must have ended under a request before it is refused. Innocent requests met two ends in crash waves, when they were sent on at once. */
 export const crashesToQuarantine = 3;
+/** Backend servers that must have ended under a request before the next run of it is kept away from others. */
+const crashesToIsolate = 2;
 /** How long a request is refused after the crash that made it known, in milliseconds; doubled by each further one. */
 export const firstQuarantineMs = 60_000;
 const longestQuarantineMs = 15 * 60_000;
@@ -114,6 +116,11 @@
 		return (this.suspects.get(fingerprint)?.crashes.size ?? 0) >= crashesToQuarantine;
 	}
 
+	/** Whether the next run of a request may well crash its backend server. */
+	isSuspect(fingerprint: number): boolean {
+		return (this.suspects.get(fingerprint)?.crashes.size ?? 0) >= crashesToIsolate;
+	}
+
 	/** What other daemons should know: what changed of late, and with `withQuarantined` all that is quarantined, for those that have just started. */
 	news(withQuarantined: boolean, nowMs: number): SuspectNews[] {
 		this.prune(nowMs);
--- a/src/coordination/serving/dispatcher.ts
+++ b/src/coordination/serving/dispatcher.ts
@@ -100,7 +100,7 @@
 
 	/** The backend server that would get a request now, other than the one it runs at. */
 	choose(served: ServedRequest, runningAt?: string): Choice | undefined {
-		const {backends, placement, fleet, clock} = this.parts;
+		const {backends, placement, fleet, quarantine, clock} = this.parts;
 		const {request, service} = served.inputs;
 		const nowMs = clock.now();
 		return placement.choose({
@@ -108,6 +108,7 @@
 			excluded: runningAt === undefined ? served.excluded : new Set([...served.excluded, runningAt]),
 			promptTokens: request.promptTokens ?? 0,
 			promptParts: request.promptParts,
+			isSuspect: !quarantine.isEmpty && quarantine.isSuspect(served.fingerprint),
 			peersInFlight: id => fleet.inFlight(backendKey(id), nowMs),
 			random: () => Math.random(),
 			nowMs,
