Keep to the limits that backend servers state of themselves

Cause: the header was passed on to callers and read by nobody.

Dividing the limit by the daemons doesn't scale: 195 daemons that each send one request are too many already. So as many daemons as the limit's requests a second, and two more, chosen alike by all with rendezvous hashing (among the relays in a large fleet), send at an even pace; the others send nothing. All daemons hear of the limit and of its end from each other.

--- a/src/cli/front-container.ts
+++ b/src/cli/front-container.ts
@@ -17,6 +17,7 @@
 import {FleetMessenger, tellingMs} from '../coordination/fleet/fleet-messenger.js';
 import {roundMs} from '../coordination/fleet/peer-census.js';
 import {FleetRole, FleetTable} from '../coordination/fleet/fleet-table.js';
+import {chooseSenders} from '../coordination/fleet/sender-choice.js';
 import {limitsFor} from '../coordination/follow-limits.js';
 import {Placement} from '../coordination/placement.js';
 import {PoolDemands} from '../coordination/pool-demand.js';
@@ -30,6 +31,7 @@
 import {DeferredMetrics} from '../coordination/serving/request-metrics.js';
 import {StreamRegistry} from '../coordination/serving/stream-registry.js';
 import {type BackendsSink} from '../coordination/record-sinks.js';
+import {StatedLimits} from '../coordination/stated-limits.js';
 import {type RecordSink, TopicFollower} from '../coordination/topic-follower.js';
 import {UsageLedger} from '../coordination/usage-ledger.js';
 
@@ -111,11 +113,12 @@
 		},
 	}));
 	register(DutyLease, () => new DutyLease(store, incarnation, bounds.leaseMs, clock));
-	register(PoolDemands, resolver => new PoolDemands(resolver.resolve(BackendTable), resolver.resolve(Placement), resolver.resolve(FleetTable)));
+	register(PoolDemands, resolver => new PoolDemands(resolver.resolve(BackendTable), resolver.resolve(Placement), resolver.resolve(FleetTable), resolver.resolve(StatedLimits)));
 	register(Quarantine, resolver => new Quarantine(nowMs => resolver.resolve(DutyLease).tokenAt(nowMs) !== undefined));
 	register(QuarantineRecord, resolver => new QuarantineRecord({
 		store, quarantine: resolver.resolve(Quarantine), lease: resolver.resolve(DutyLease), clock,
 	}));
+	register(StatedLimits, resolver => new StatedLimits((backend, most, nowMs) => chooseSenders(resolver.resolve(FleetTable), settings.name, backend, most, nowMs)));
 	register(CrashWatch, resolver => new CrashWatch({backends: resolver.resolve(BackendTable), quarantine: resolver.resolve(Quarantine), clock}));
 	register(Dispatcher, resolver => new Dispatcher({
 		dialect,
@@ -126,6 +129,7 @@
 		pool: resolver.resolve(BackendPool),
 		quarantine: resolver.resolve(Quarantine),
 		crashes: resolver.resolve(CrashWatch),
+		statedLimits: resolver.resolve(StatedLimits),
 		clock,
 	}));
 	register(StreamRegistry, resolver => new StreamRegistry({
@@ -177,6 +181,7 @@
 		bounds: resolver.resolve(BoundsRecord),
 		quarantine: resolver.resolve(Quarantine),
 		quarantineRecord: resolver.resolve(QuarantineRecord),
+		statedLimits: resolver.resolve(StatedLimits),
 		topics: {[Topic.Config]: resolver.resolve(ConfigFollower), [Topic.Backends]: resolver.resolve(BackendsFollower)},
 		clock,
 		startedAtMs,
--- a/src/cli/front-daemon.ts
+++ b/src/cli/front-daemon.ts
@@ -25,6 +25,7 @@
 import {QuotaLedger} from '../coordination/quota-ledger.js';
 import {applySettings} from '../coordination/settings-reload.js';
 import {BackendsSink, ConfigSink} from '../coordination/record-sinks.js';
+import {StatedLimits} from '../coordination/stated-limits.js';
 import {type ViewState} from '../coordination/topic-follower.js';
 import {Forwarder} from '../coordination/serving/forwarder.js';
 import {DeferredMetrics, type RequestMetrics} from '../coordination/serving/request-metrics.js';
@@ -163,6 +164,7 @@
 			connections: this.callers.openConnections,
 			limits: Object.fromEntries(this.parts.resolve(QuotaLedger).own()),
 			quarantine: this.parts.resolve(Quarantine).toJson(nowMs),
+			statedLimits: this.parts.resolve(StatedLimits).toJson(nowMs),
 		};
 	}
 
--- a/src/coordination/fleet/__fixtures__/test-net.ts
+++ b/src/coordination/fleet/__fixtures__/test-net.ts
@@ -14,12 +14,14 @@
 import {Quarantine} from '../../quarantine/quarantine.js';
 import {QuarantineRecord} from '../../quarantine/quarantine-record.js';
 import {type QuotaBounds, QuotaLedger} from '../../quota-ledger.js';
+import {StatedLimits} from '../../stated-limits.js';
 import {TopicFollower} from '../../topic-follower.js';
 import {UsageLedger} from '../../usage-ledger.js';
 import {BoundsRecord} from '../bounds-record.js';
 import {FleetMessenger} from '../fleet-messenger.js';
 import {roundMs} from '../peer-census.js';
 import {FleetRole, FleetTable} from '../fleet-table.js';
+import {chooseSenders} from '../sender-choice.js';
 
 export const account: Account = {
 	name: 'x', apiKeys: [], priority: undefined, ratePerSecond: 1_000_000, burst: 1_000_000, countsTokens: true, plainTokens: 1,
@@ -41,6 +43,7 @@
 	readonly bounds: BoundsRecord;
 	readonly quarantine: Quarantine;
 	readonly quarantineRecord: QuarantineRecord;
+	readonly statedLimits: StatedLimits;
 	readonly topics: Record<ToldTopic, TopicFollower>;
 	readonly beliefs = {[Topic.Config]: new Belief(), [Topic.Backends]: new Belief()};
 	readonly backendsSeen: string[] = [];
@@ -81,10 +84,11 @@
 		this.quarantineRecord = new QuarantineRecord({
 			store: net.store, quarantine: this.quarantine, lease: this.lease, clock,
 		});
+		this.statedLimits = new StatedLimits((backend, most, nowMs) => chooseSenders(this.fleet, name, backend, most, nowMs));
 		this.messenger = new FleetMessenger({
 			settings: {
 				name, failureDomain, host, peerPort: 1, bounds: {quotaWindowMs: net.bounds.windowMs},
-			}, incarnation, store: net.store, fleet: this.fleet, quota: this.quota, usage: this.usage, placement: this.placement, lease: this.lease, bounds: this.bounds, quarantine: this.quarantine, quarantineRecord: this.quarantineRecord, topics: this.topics, clock, startedAtMs,
+			}, incarnation, store: net.store, fleet: this.fleet, quota: this.quota, usage: this.usage, placement: this.placement, lease: this.lease, bounds: this.bounds, quarantine: this.quarantine, quarantineRecord: this.quarantineRecord, statedLimits: this.statedLimits, topics: this.topics, clock, startedAtMs,
 		});
 		this.messenger.open({
 			send: (message, to) => {
--- a/src/coordination/fleet/fleet-messenger.ts
+++ b/src/coordination/fleet/fleet-messenger.ts
@@ -8,7 +8,7 @@
 	type FrontSettings, type ServiceBounds, type Store, Topic,
 } from '../../protocol/platform.js';
 import {
-	type Digest, DigestScope, type FleetMessage, FleetMessageKind, isFleetMessage, type NamedAddress, type PeerAddress, type Report, type Sender, type SuspectList, type ToldTopic, type View,
+	type Digest, DigestScope, type FleetMessage, FleetMessageKind, isFleetMessage, type NamedAddress, type PeerAddress, type Report, type Sender, type ToldTopic, type View,
 } from '../../protocol/fleet-messages.js';
 import {type SteadyClock} from '../../clock.js';
 import {type MessageLink} from '../../transport/datagram-link.js';
@@ -17,6 +17,7 @@
 import {type Quarantine} from '../quarantine/quarantine.js';
 import {quarantineKey, type QuarantineRecord} from '../quarantine/quarantine-record.js';
 import {type QuotaLedger, type QuotaPeers} from '../quota-ledger.js';
+import {type StatedLimits} from '../stated-limits.js';
 import {type TopicFollower} from '../topic-follower.js';
 import {type UsageLedger} from '../usage-ledger.js';
 import {fieldsOf, readOwnRecord} from '../own-record.js';
@@ -50,10 +51,10 @@
 /** What was admitted in the window goes with reports to all for this long after one of them asked for it, in milliseconds: three rounds. */
 const usesWantedMs = 750;
 
-/** Suspected requests in one datagram: a hundred bytes each at most. */
-const suspectsPerMessage = 10;
-/** Rounds between two tellings of the requests that are quarantined, for daemons that have just started. */
-const quarantineRounds = 4;
+/** Suspected requests or limits in one datagram: a hundred bytes each at most. */
+const itemsPerMessage = 10;
+/** Rounds between two tellings of all that is in force of these, for daemons that have just started. */
+const repeatRounds = 4;
 
 /** A daemon's record in the store. */
 type WrittenMember = PeerAddress & {failureDomain?: string};
@@ -72,6 +73,7 @@
 	bounds: BoundsRecord;
 	quarantine: Quarantine;
 	quarantineRecord: QuarantineRecord;
+	statedLimits: StatedLimits;
 	/** The followers of the topics that relays tell of. */
 	topics: Record<ToldTopic, TopicFollower>;
 	clock: SteadyClock;
@@ -131,7 +133,7 @@
 		this.round++;
 		this.askedAtMs.set(this.round, nowMs);
 		this.askedAtMs.delete(this.round - keptRounds);
-		this.tellSuspects(role, nowMs);
+		this.tellBackendNews(role, nowMs);
 		if (role === FleetRole.Mesh) {
 			this.link?.send(this.createReport(this.ownDigest(), false, nowMs), fleet.addresses(false, nowMs));
 			return;
@@ -155,11 +157,17 @@
 			return;
 		}
 
-		const {fleet, quarantine, quota, lease, clock} = this.parts;
+		const {fleet, quarantine, statedLimits, quota, lease, clock} = this.parts;
 		const nowMs = clock.now();
+		// Few daemons of a large fleet hear the first teller themselves.
+		const passesOn = fleet.roleAt(nowMs) === FleetRole.Relay;
 		if (message.kind === FleetMessageKind.Suspects) {
-			// Few daemons hear the first teller themselves; in a large fleet the others do through relays.
-			quarantine.hear(message.suspects, fleet.roleAt(nowMs) === FleetRole.Relay, nowMs);
+			quarantine.hear(message.suspects, passesOn, nowMs);
+			return;
+		}
+
+		if (message.kind === FleetMessageKind.Limits) {
+			statedLimits.hear(message.limits, passesOn, nowMs);
 			return;
 		}
 
@@ -228,21 +236,33 @@
 		return {host: this.parts.settings.host, port: this.parts.settings.peerPort};
 	}
 
-	/** Tells of requests that crash backend servers: in a large fleet to the relays, and as one of these also to the daemons that report here. */
-	private tellSuspects(role: FleetRole, nowMs: number): void {
-		const {fleet, quarantine, settings} = this.parts;
-		const news = quarantine.isEmpty ? [] : quarantine.news(this.round % quarantineRounds === 0, nowMs);
-		if (news.length === 0) {
-			return;
+	/** Tells of requests that crash backend servers, and of limits that backend servers state. */
+	private tellBackendNews(role: FleetRole, nowMs: number): void {
+		const {quarantine, statedLimits} = this.parts;
+		const withAll = this.round % repeatRounds === 0;
+		const sender = this.sender(nowMs);
+		const suspects = quarantine.isEmpty ? [] : quarantine.news(withAll, nowMs);
+		const limits = statedLimits.isEmpty ? [] : statedLimits.news(withAll, nowMs);
+		const messages: FleetMessage[] = [
+			...chunk(suspects).map(part => ({kind: FleetMessageKind.Suspects as const, sender, suspects: part})),
+			...chunk(limits).map(part => ({kind: FleetMessageKind.Limits as const, sender, limits: part})),
+		];
+		const receivers = messages.length > 0 ? this.newsReceivers(role, nowMs) : [];
+		for (const message of messages) {
+			this.link?.send(message, receivers);
 		}
+	}
 
-		const domains = role === FleetRole.Relay ? [settings.failureDomain, ...fleet.otherDomains()] : (role === FleetRole.Leaf ? [settings.failureDomain] : []);
-		const relays = domains.flatMap(domain => fleet.relays(domain, nowMs)).filter(({name}) => name !== settings.name).map(({address}) => address);
-		const reporting = role === FleetRole.Leaf ? [] : fleet.addresses(false, nowMs);
-		for (let start = 0; start < news.length; start += suspectsPerMessage) {
-			const message: SuspectList = {kind: FleetMessageKind.Suspects, sender: this.sender(nowMs), suspects: news.slice(start, start + suspectsPerMessage)};
-			this.link?.send(message, [...relays, ...reporting]);
+	/** Whom this daemon tells what all should know at once: in a large fleet the relays, and as one of these also the daemons that report here. */
+	private newsReceivers(role: FleetRole, nowMs: number): PeerAddress[] {
+		const {fleet, settings} = this.parts;
+		if (role === FleetRole.Mesh) {
+			return fleet.addresses(false, nowMs);
 		}
+
+		const domains = role === FleetRole.Relay ? [settings.failureDomain, ...fleet.otherDomains()] : [settings.failureDomain];
+		const relays = domains.flatMap(domain => fleet.relays(domain, nowMs)).filter(({name}) => name !== settings.name).map(({address}) => address);
+		return role === FleetRole.Relay ? [...relays, ...fleet.addresses(false, nowMs)] : relays;
 	}
 
 	/** Asks the relays of a failure domain for a view, and those that fell silent now and then. */
@@ -367,6 +387,11 @@
 	}
 }
 
+/** Cuts a list into parts that fit a datagram. */
+function chunk<T>(items: T[]): T[][] {
+	return Array.from({length: Math.ceil(items.length / itemsPerMessage)}, (_, index) => items.slice(index * itemsPerMessage, (index + 1) * itemsPerMessage));
+}
+
 function encode(value: unknown): Uint8Array {
 	return Buffer.from(JSON.stringify(value));
 }
--- a/src/coordination/fleet/fleet-table.ts
+++ b/src/coordination/fleet/fleet-table.ts
@@ -176,15 +176,16 @@
 
 	/** This daemon's place among those that may take the singleton duties; undefined for one that may not. */
 	rank(nowMs: number): number | undefined {
-		const role = this.roleAt(nowMs);
-		if (role === FleetRole.Leaf) {
-			return undefined;
-		}
+		return this.roleAt(nowMs) === FleetRole.Leaf ? undefined : this.eligible(nowMs).toSorted().indexOf(this.self.name);
+	}
 
-		const names = role === FleetRole.Mesh
+	/** Names of the daemons that may act for all: every one that answers, or the relays of a large fleet, which all daemons know. */
+	eligible(nowMs: number): string[] {
+		const role = this.roleAt(nowMs);
+		const others = role === FleetRole.Mesh
 			? this.rowsWithin(silentMs, nowMs).map(row => row.sender.name)
 			: [...this.relayChoices.values()].flatMap(choice => choice.relays(nowMs).map(({name}) => name)).filter(name => name !== this.self.name);
-		return [...names, this.self.name].toSorted().indexOf(this.self.name);
+		return role === FleetRole.Leaf ? others : [...others, this.self.name];
 	}
 
 	/** Requests that the other daemons have in flight at a backend server, by its key. */
--- a/src/coordination/pool-demand.ts
+++ b/src/coordination/pool-demand.ts
@@ -9,6 +9,7 @@
 import {type FleetTable} from './fleet/fleet-table.js';
 import {type Placement} from './placement.js';
 import {type PoolNeed} from './pool-plan.js';
+import {type StatedLimits} from './stated-limits.js';
 
 /** Most requests in flight that a replica carries within the latency target: an estimate, from an engine's step that takes a quarter longer with 12 requests than with one. */
 const mostPerReplica = 12;
@@ -86,6 +87,7 @@
 		private readonly backends: BackendTable,
 		private readonly placement: Placement,
 		private readonly fleet: FleetTable,
+		private readonly statedLimits: Pick<StatedLimits, 'isLimited'>,
 	) {}
 
 	/** What a service needs now. */
@@ -96,7 +98,9 @@
 		const own = this.placement.inFlight();
 		let busy = 0;
 		for (const {id, slots} of replicas) {
-			busy += ((own[id] ?? 0) + this.fleet.inFlight(backendKey(id), nowMs)) / carriedInFlight(slots);
+			const inUse = ((own[id] ?? 0) + this.fleet.inFlight(backendKey(id), nowMs)) / carriedInFlight(slots);
+			// One that limits what it gets carries no more than it does now; another has to stand in for the rest.
+			busy += this.statedLimits.isLimited(id) ? Math.max(1, inUse) : inUse;
 		}
 
 		demand.note(busy, nowMs);
--- a/src/coordination/serving/dispatcher.ts
+++ b/src/coordination/serving/dispatcher.ts
@@ -15,6 +15,7 @@
 import {type CrashWatch} from '../quarantine/crash-watch.js';
 import {type Quarantine} from '../quarantine/quarantine.js';
 import {type RepeatPurpose, type RetryAllowance} from '../retry-allowance.js';
+import {Permission, type StatedLimits} from '../stated-limits.js';
 import {type Attempt, type ServedRequest, type Successor} from './served-request.js';
 
 const log = createLogger('dispatch');
@@ -91,6 +92,7 @@
 	pool: BackendPool;
 	quarantine: Quarantine;
 	crashes: CrashWatch;
+	statedLimits: StatedLimits;
 	clock: SteadyClock;
 };
 
@@ -104,7 +106,7 @@
 		const {request, service} = served.inputs;
 		const nowMs = clock.now();
 		return placement.choose({
-			candidates: backends.candidates(service, nowMs),
+			candidates: this.permitted(backends.candidates(service, nowMs), nowMs),
 			excluded: runningAt === undefined ? served.excluded : new Set([...served.excluded, runningAt]),
 			promptTokens: request.promptTokens ?? 0,
 			promptParts: request.promptParts,
@@ -163,6 +165,12 @@
 		return successor.choice.backend;
 	}
 
+	/** When a backend server that limits its requests may take one, in milliseconds from now; undefined where none of the request's service does. */
+	limitReturnMs(served: ServedRequest, nowMs: number): number | undefined {
+		const {statedLimits, backends} = this.parts;
+		return statedLimits.isEmpty ? undefined : statedLimits.returnAfterMs(backends.candidates(served.inputs.service, nowMs).map(({id}) => id), nowMs);
+	}
+
 	/** Gives back a place that is not needed. */
 	releaseSuccessor(served: ServedRequest): void {
 		if (served.successor) {
@@ -233,6 +241,18 @@
 		}
 	}
 
+	/** Backend servers whose limits leave room for a request; where one is due to be heard of, that one. */
+	private permitted(candidates: Backend[], nowMs: number): Backend[] {
+		const {statedLimits} = this.parts;
+		if (statedLimits.isEmpty) {
+			return candidates;
+		}
+
+		const permissions = candidates.map(({id}) => statedLimits.permission(id, nowMs));
+		const due = candidates.filter((_, index) => permissions[index] === Permission.Due);
+		return due.length > 0 ? due : candidates.filter((_, index) => permissions[index] !== Permission.Withheld);
+	}
+
 	/** Whether a request that has been sent before may not be sent again. */
 	private isQuarantined(served: ServedRequest): boolean {
 		const {quarantine} = this.parts;
@@ -260,7 +280,8 @@
 	/** Whether a backend server that was chosen earlier may still get a request. */
 	private isUsable(served: ServedRequest, backend: Backend): boolean {
 		const entry = this.parts.backends.get(backend.id);
-		return !served.excluded.has(backend.id) && entry !== undefined && entry.leavingSinceMs === undefined;
+		const {statedLimits, clock} = this.parts;
+		return !served.excluded.has(backend.id) && entry !== undefined && entry.leavingSinceMs === undefined && statedLimits.permission(backend.id, clock.now()) !== Permission.Withheld;
 	}
 
 	private describeAllowance(served: ServedRequest): string {
@@ -275,6 +296,7 @@
 		const {dialect, placement, pool, clock} = this.parts;
 		const {request, account, body, signal} = served.inputs;
 		const sentAtMs = clock.now();
+		this.parts.statedLimits.noteSent(backend.id, sentAtMs);
 		const abort = new AbortController();
 		const giveUp = () => {
 			abort.abort();
@@ -374,6 +396,11 @@
 			placement.noteLoad(backend.id, marks.load, nowMs);
 		}
 
+		const isOwn = marks.requestId === served.inputs.request.id && marks.isSealed && !marks.isEncoded;
+		if (isOwn || (marks.limitPerSecond !== undefined && answer.status !== misdirectedStatus)) {
+			this.parts.statedLimits.noteStated(backend.id, marks.limitPerSecond, nowMs);
+		}
+
 		if (answer.status === misdirectedStatus || marks.isNotRun) {
 			if (answer.status === misdirectedStatus) {
 				backends.replaced(backend.id, nowMs);
@@ -389,7 +416,6 @@
 		served.mayHaveRun = true;
 		// A moved run goes on; it is no second one.
 		served.runs += options.kvSource === undefined ? 1 : 0;
-		const isOwn = marks.requestId === served.inputs.request.id && marks.isSealed && !marks.isEncoded;
 		if (!isOwn) {
 			placement.noteFailure(backend.id, nowMs);
 			answer.destroy();
--- a/src/coordination/serving/forwarder.ts
+++ b/src/coordination/serving/forwarder.ts
@@ -247,7 +247,9 @@
 	}
 
 	private finishRefused(served: ServedRequest, front: FrontRequest, reason: string): void {
-		const retryAfterMs = returnAfterMs(served.remainingMs(this.parts.clock.now()), outageReturnMs);
+		const {dispatcher, clock} = this.parts;
+		const nowMs = clock.now();
+		const retryAfterMs = returnAfterMs(served.remainingMs(nowMs), dispatcher.limitReturnMs(served, nowMs) ?? outageReturnMs);
 		refuse(front.response, 503, reason, retryAfterMs);
 		this.conclude(served, Outcome.Refused, {status: 503, reason});
 	}
--- a/src/protocol/fleet-messages.ts
+++ b/src/protocol/fleet-messages.ts
@@ -15,6 +15,7 @@
 	Report = 'report',
 	View = 'view',
 	Suspects = 'suspects',
+	Limits = 'limits',
 }
 
 /** Which daemons a digest sums up. */
@@ -125,23 +126,45 @@
 /** Requests that a daemon suspects of crashing backend servers. */
 export type SuspectList = {kind: FleetMessageKind.Suspects; sender: Sender; suspects: SuspectNews[]};
 
+/** What a backend server stated of its limit. */
+export type LimitNews = {
+	/** Key of the backend server. */
+	backend: number;
+	/** Requests a second from all daemons together; undefined once it has stopped naming any. */
+	perSecond: number | undefined;
+	/** How long ago it stated that, in milliseconds. */
+	ageMs: number;
+};
+
+/** Limits that backend servers state of themselves. */
+export type LimitList = {kind: FleetMessageKind.Limits; sender: Sender; limits: LimitNews[]};
+
 /** Any message between serving daemons. */
-export type FleetMessage = Report | View | SuspectList;
+export type FleetMessage = Report | View | SuspectList | LimitList;
 
 /** Whether something that came by datagram is a message of a peer; anyone can send a datagram. */
 export function isFleetMessage(value: unknown): value is FleetMessage {
-	const {kind, sender, suspects} = (value ?? {}) as Partial<SuspectList>;
-	const isFromPeer = typeof sender?.name === 'string' && typeof sender.address?.host === 'string';
-	return isFromPeer && Object.values(FleetMessageKind).includes(kind!) && (kind !== FleetMessageKind.Suspects || isSuspectNews(suspects));
+	const {kind, sender, suspects, limits} = (value ?? {}) as {kind?: FleetMessageKind; sender?: Sender; suspects?: unknown; limits?: unknown};
+	if (typeof sender?.name !== 'string' || typeof sender.address?.host !== 'string') {
+		return false;
+	}
+
+	return kind === FleetMessageKind.Report || kind === FleetMessageKind.View
+		|| (kind === FleetMessageKind.Suspects && isSuspectNews(suspects)) || (kind === FleetMessageKind.Limits && isLimitNews(limits));
+}
+
+function isLimitNews(value: unknown): value is LimitNews[] {
+	return Array.isArray(value) && (value as Array<Partial<LimitNews> | undefined>).every(news => Number.isSafeInteger(news?.backend)
+		&& isAmount(news!.ageMs) && (news!.perSecond === undefined || isAmount(news!.perSecond)));
 }
 
 /** Whether something is a list of what is known of suspected requests. */
 export function isSuspectNews(value: unknown): value is SuspectNews[] {
 	return Array.isArray(value) && (value as Array<Partial<SuspectNews> | undefined>).every(news => Number.isSafeInteger(news?.fingerprint)
-		&& Array.isArray(news!.crashes) && news!.crashes.every(([backend, ageMs]) => Number.isSafeInteger(backend) && isAge(ageMs))
-		&& (news!.clearedAgeMs === undefined || isAge(news!.clearedAgeMs)));
+		&& Array.isArray(news!.crashes) && news!.crashes.every(([backend, ageMs]) => Number.isSafeInteger(backend) && isAmount(ageMs))
+		&& (news!.clearedAgeMs === undefined || isAmount(news!.clearedAgeMs)));
 }
 
-function isAge(value: unknown): boolean {
-	return typeof value === 'number' && value >= 0;
+function isAmount(value: unknown): boolean {
+	return typeof value === 'number' && Number.isFinite(value) && value >= 0;
 }
--- a/src/protocol/serving.ts
+++ b/src/protocol/serving.ts
@@ -177,4 +177,6 @@
 	/** Whether the body is encoded, which backend servers never do. */
 	isEncoded: boolean;
 	load: StatedLoad | undefined;
+	/** Requests a second that the backend server takes from all daemons together; undefined when it states no limit. */
+	limitPerSecond: number | undefined;
 };
