Soak a request that crashes replicas and a replica that states a limit

Real daemons under the soak's usual faults, while one client sends a request that ends each replica that runs it, and, once the faults are over, the newest replica states a limit of one request a second. Checked once all daemons are calm: the request reaches no replica, and the limited one gets between one and 11 requests in four seconds.

--- a/soak/clients.ts
+++ b/soak/clients.ts
@@ -1,7 +1,7 @@
 /** Callers of a soak run. They keep their connections, and remember what they sent and what they were told. */
 import {Agent, request as startRequest} from 'node:http';
 import {streamEvents} from '../platform/__tests__/standins.js';
-import {type SoakWorld} from './world.js';
+import {fatalBody, type SoakWorld} from './world.js';
 
 /** One try of a client. */
 export type Try = {
@@ -43,14 +43,37 @@
 	return tries;
 }
 
-async function sendTry(world: SoakWorld, {agent, host, id, kind}: {agent: Agent; host: string; id: string; kind: string}): Promise<Try> {
+/** Pause between two tries of the client whose request crashes replicas, in milliseconds. */
+const fatalPauseMs = 250;
+
+/** Sends the request that crashes replicas, to one daemon after the other, until the signal aborts. */
+export async function runFatalClient(world: SoakWorld, signal: AbortSignal): Promise<void> {
+	const agent = new Agent({keepAlive: true});
+	for (let count = 0; !signal.aborted; count++) {
+		// eslint-disable-next-line no-await-in-loop -- it comes again after each answer.
+		await sendTry(world, {
+			agent, host: world.daemons[count % world.daemons.length].host, id: `fatal-${count}`, kind: 'stream', path: '/stream/fatal', body: fatalBody,
+		});
+		// eslint-disable-next-line no-await-in-loop
+		await new Promise(resolve => {
+			setTimeout(resolve, fatalPauseMs);
+		});
+	}
+
+	agent.destroy();
+}
+
+/** One try: where it goes, and what it asks. */
+type TryInputs = {agent: Agent; host: string; id: string; kind: string; path?: string; body?: string};
+
+async function sendTry(world: SoakWorld, {agent, host, id, kind, path = `/${kind}/${id}`, body = id}: TryInputs): Promise<Try> {
 	const [apiKey] = world.apiKeys;
 	const record: Try = {
 		id, kind, apiKey, sentAtMs: Date.now(), status: undefined, isSealed: false, body: '', isWhole: false,
 	};
 	return new Promise(resolve => {
 		const request = startRequest({
-			agent, host, port: world.callersPort, method: 'POST', path: `/${kind}/${id}`, timeout: patienceMs, headers: {
+			agent, host, port: world.callersPort, method: 'POST', path, timeout: patienceMs, headers: {
 				host: 'h.example', 'X-Sesametally-Attempt-Id': id, 'X-Sesametally-Deadline-Ms': '2000', 'X-Sesametally-Key': apiKey,
 			},
 		}, response => {
@@ -71,7 +94,7 @@
 		request.on('error', () => {
 			resolve(record);
 		});
-		request.end(id);
+		request.end(body);
 	});
 }
 
--- a/soak/soak.ts
+++ b/soak/soak.ts
@@ -8,9 +8,14 @@
 import {uniformInt} from 'pure-rand/distribution/uniformInt';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 import {ReplicaMode} from '../platform/__tests__/standins.js';
-import {judgeAnswer, runClient, type Try} from './clients.js';
+import {
+	judgeAnswer, runClient, runFatalClient, type Try,
+} from './clients.js';
 import {LinkMode} from './faulty-link.js';
-import {SoakWorld} from './world.js';
+import {
+	judgeCrashes, judgeLimit, limitedMs, stateLimit,
+} from './replica-trouble.js';
+import {SoakWorld, type WorldTraits} from './world.js';
 
 /** Clients of one run. */
 const clientCount = 8;
@@ -37,16 +42,20 @@
 /** Daemons of a run unless it says otherwise. */
 const usualDaemons = 3;
 
-/** Plays one run of `faultsMs` of faults, with or without some on the link to the store, and returns what it saw. */
-export async function soak(seed: number, faultsMs: number, daemons = usualDaemons, hasStoreLink = false): Promise<SoakReport> {
+/** Plays one run of `faultsMs` of faults and returns what it saw. */
+export async function soak(seed: number, faultsMs: number, daemons = usualDaemons, traits: WorldTraits = {}): Promise<SoakReport> {
 	const random = xoroshiro128plus(seed);
-	const world = new SoakWorld(daemons, hasStoreLink);
+	const world = new SoakWorld(daemons, traits);
 	const stop = new AbortController();
 	const faults: string[] = [];
 	await world.start();
 	try {
 		const clients = Array.from({length: clientCount}, async (_, index) => runClient(world, 'c'.repeat(index + 1), stop.signal));
 		await delay(calmMs + (daemons * startMs));
+		if (traits.hasReplicaTrouble) {
+			void runFatalClient(world, stop.signal);
+		}
+
 		const endAtMs = Date.now() + faultsMs;
 		const running: Array<Promise<void>> = [];
 		while (Date.now() < endAtMs) {
@@ -58,13 +67,19 @@
 		}
 
 		await Promise.all(running);
-		const calmAtMs = Date.now() + recoverMs;
-		await delay(recoverMs + calmMs);
+		const faultsEndMs = Date.now();
+		const limited = traits.hasReplicaTrouble ? stateLimit(world) : undefined;
+		const calmAtMs = faultsEndMs + recoverMs;
+		await delay(recoverMs + calmMs + (limited ? limitedMs : 0));
 		stop.abort();
 		const records = await Promise.all(clients);
 		const result = report({
 			seed, faults, world, tries: records.flat(), calmAtMs,
 		});
+		if (limited) {
+			result.broken.push(...judgeCrashes(world, faultsEndMs), ...judgeLimit(limited));
+		}
+
 		if (result.broken.length > 0 || result.servedLast < leastServed) {
 			world.saveLogs(path.join('reports', 'soak', `seed-${seed}-of-${daemons}`));
 		}
--- a/soak/world.ts
+++ b/soak/world.ts
@@ -15,6 +15,10 @@
 const oneZoneDaemons = 3;
 /** Time until an ended daemon is started again, in milliseconds. */
 const restartMs = 200;
+/** Time until another replica stands in for one that crashed, in milliseconds. */
+const replaceMs = 400;
+/** Body of the request that crashes every replica, in runs that have one. */
+export const fatalBody = 'fatal';
 /** First port of a run's daemons; each daemon has a loopback address of its own. */
 const callersPort = 18_700;
 /** Bounds that the daemons are held to, in the platform's settings. */
@@ -67,6 +71,14 @@
 	}
 }
 
+/** What a run has beside daemons and replicas. */
+export type WorldTraits = {
+	/** A link to the store that can have faults. */
+	hasStoreLink?: boolean;
+	/** A request that crashes replicas, and replicas that state limits. */
+	hasReplicaTrouble?: boolean;
+};
+
 /** The processes and stand-ins of one run. */
 export class SoakWorld {
 	readonly bounds: typeof usualBounds;
@@ -86,9 +98,10 @@
 	readonly addedAtMs = new Map<string, number>();
 	private version = 1;
 	private replicaIds = 0;
+	private isClosed = false;
 
-	constructor(private readonly daemonCount: number, private readonly hasStoreLink: boolean) {
-		this.bounds = hasStoreLink ? storeLinkBounds : usualBounds;
+	constructor(private readonly daemonCount: number, private readonly traits: WorldTraits) {
+		this.bounds = traits.hasStoreLink ? storeLinkBounds : usualBounds;
 	}
 
 	async start(): Promise<void> {
@@ -99,7 +112,7 @@
 			await this.addReplica();
 		}
 
-		if (this.hasStoreLink) {
+		if (this.traits.hasStoreLink) {
 			this.storeLink = new FaultyLink(this.store.address);
 			await this.storeLink.start();
 		}
@@ -112,6 +125,7 @@
 	}
 
 	stop(): void {
+		this.isClosed = true;
 		for (const daemon of this.daemons) {
 			daemon.close();
 		}
@@ -138,6 +152,12 @@
 		this.replicas.push(replica);
 		this.links.push(link);
 		this.listReplica(replica, link, 'ready');
+		if (this.traits.hasReplicaTrouble) {
+			replica.fatalBody = fatalBody;
+			replica.onCrash = () => {
+				this.replaceCrashed(replica, link);
+			};
+		}
 	}
 
 	/** Lists a replica as leaving. */
@@ -154,6 +174,17 @@
 		this.addedAtMs.set(this.apiKeys[0], Date.now());
 	}
 
+	/** Closes the address of a replica that crashed at once; its entry lapses as another replica comes. */
+	private replaceCrashed(replica: ReplicaStandin, link: FaultyLink): void {
+		link.stop();
+		setTimeout(() => {
+			if (!this.isClosed) {
+				this.store.put('keyed.servers', replica.id, undefined);
+				void this.addReplica();
+			}
+		}, replaceMs);
+	}
+
 	private listReplica(replica: ReplicaStandin, link: FaultyLink, state: string): void {
 		this.store.put('keyed.servers', replica.id, {
 			service: 'svc', address: link.address, zone: zones[0], slots: 8, state, sequence: 1, version: 'v1', cold_left_ms: 0,
