Let daemons that the store turns away go by the word of the others

The store may turn some daemons away and serve the others. In larger fleets relays tell this already.

Now such a daemon asks two others in each round how far they have read the topics that it cannot read. What they say counts as of when it asked, less the age of their own view, as with relays; records that fit a datagram are handed on. A large configuration does not fit: with a newer one in force the daemon's view still ages, and it refuses in time.

--- a/src/coordination/fleet/__tests__/fleet-messenger.test.ts
+++ b/src/coordination/fleet/__tests__/fleet-messenger.test.ts
@@ -8,6 +8,19 @@
 import {roundMs} from '../peer-census.js';
 import {FleetRole} from '../fleet-table.js';
 
+/** Has daemons read the store, one after the other. */
+async function readAll(daemons: TestDaemon[]): Promise<void> {
+	for (const daemon of daemons) {
+		const stop = new AbortController();
+		const runs = Object.values(daemon.topics).map(async topic => topic.run(stop.signal));
+		// eslint-disable-next-line no-await-in-loop -- in order.
+		await delay(10);
+		stop.abort();
+		// eslint-disable-next-line no-await-in-loop
+		await Promise.all(runs);
+	}
+}
+
 describe('a fleet', () => {
 	it.each([
 		{count: 6, domains: 4, roles: {mesh: 6, relay: 0, leaf: 0}},
@@ -71,22 +84,38 @@
 		expect(holder.usage.total(window)).toEqual({x: 86});
 	});
 
+	it.each([
+		{name: 'one daemon', turnedAway: 1, change: false},
+		{name: 'one daemon, while an entry changes', turnedAway: 1, change: true},
+		{name: 'half of the daemons, while an entry changes', turnedAway: 3, change: true},
+	])('goes by the word of the others where the store turns away $name', async ({turnedAway, change}) => {
+		const net = await startNet(6, 3);
+		await readAll(net.daemons);
+		const [away, others] = [net.daemons.slice(0, turnedAway), net.daemons.slice(turnedAway)];
+		net.store.isDown = true;
+		await readAll(away);
+		net.store.isDown = false;
+		if (change) {
+			net.store.put(Topic.Backends, 'i-1', '{}');
+		}
+
+		for (let round = 0; round < 4; round++) {
+			// eslint-disable-next-line no-await-in-loop -- the others read on.
+			await readAll(others);
+			net.run(1000);
+		}
+
+		for (const {beliefs, backendsSeen} of away) {
+			expect(beliefs[Topic.Backends].ageMs(net.nowMs)).toBeLessThan(2500);
+			expect(beliefs[Topic.Config].ageMs(net.nowMs)).toBeLessThan(2500);
+			expect(backendsSeen).toEqual(change ? ['i-1'] : []);
+		}
+	});
+
 	it('of 86 daemons follows the store through its relays', async () => {
 		const net = await startNet(86, 4);
 		const isRelay = (daemon: TestDaemon) => daemon.fleet.roleAt(net.nowMs) === FleetRole.Relay;
 		// Each daemon reads once at its start; later only the relays do, and the records reach the others through them.
-		const readAll = async (daemons: TestDaemon[]) => {
-			for (const daemon of daemons) {
-				const stop = new AbortController();
-				const runs = Object.values(daemon.topics).map(async topic => topic.run(stop.signal));
-				// eslint-disable-next-line no-await-in-loop -- in order.
-				await delay(10);
-				stop.abort();
-				// eslint-disable-next-line no-await-in-loop
-				await Promise.all(runs);
-			}
-		};
-
 		await readAll(net.daemons);
 		net.store.put(Topic.Backends, 'i-1', '{}');
 		net.store.put(Topic.Backends, 'i-2', '{}');
--- a/src/coordination/fleet/fleet-messenger.ts
+++ b/src/coordination/fleet/fleet-messenger.ts
@@ -51,6 +51,8 @@
 /** What was admitted in the window goes with reports to all for this long after one of them asked for it, in milliseconds: three rounds. */
 const usesWantedMs = 750;
 
+/** Daemons of a small fleet that one which the store turns away asks in a round. */
+const askedPeers = 2;
 /** Suspected requests or limits in one datagram: a hundred bytes each at most. */
 const itemsPerMessage = 10;
 /** Rounds between two tellings of all that is in force of these, for daemons that have just started. */
@@ -136,6 +138,7 @@
 		this.tellBackendNews(role, nowMs);
 		if (role === FleetRole.Mesh) {
 			this.link?.send(this.createReport(this.ownDigest(), false, nowMs), fleet.addresses(false, nowMs));
+			this.askPeers(nowMs);
 			return;
 		}
 
@@ -236,6 +239,19 @@
 		return {host: this.parts.settings.host, port: this.parts.settings.peerPort};
 	}
 
+	/** In a small fleet, asks some others for what they have read of the topics that the store does not let this daemon read: it may turn away some daemons and serve the others. */
+	private askPeers(nowMs: number): void {
+		const {fleet, topics} = this.parts;
+		const lost = toldTopics.filter(topic => topics[topic].isLost);
+		const peers = fleet.addresses(false, nowMs);
+		if (lost.length > 0 && peers.length > 0) {
+			// Others in each round, since they may be turned away as well.
+			const asked = Array.from({length: Math.min(askedPeers, peers.length)}, (_, index) => peers[((this.round * askedPeers) + index) % peers.length]);
+			const offsets = Object.fromEntries(lost.map(topic => [topic, topics[topic].nextOffset]));
+			this.link?.send({...this.createReport(this.ownDigest(), true, nowMs), offsets}, asked);
+		}
+	}
+
 	/** Tells of requests that crash backend servers, and of limits that backend servers state. */
 	private tellBackendNews(role: FleetRole, nowMs: number): void {
 		const {quarantine, statedLimits} = this.parts;
@@ -352,7 +368,7 @@
 			digest: isRelay ? this.viewDigest(receiver, wantsUsage, nowMs) : undefined,
 			relays: fleet.relays(settings.failureDomain, nowMs),
 			round,
-			topics: isRelay && isNeighbour ? this.topicNews(offsets, nowMs) : {},
+			topics: isRelay ? (isNeighbour ? this.topicNews(toldTopics, offsets, nowMs) : {}) : this.topicNews(toldTopics.filter(topic => offsets[topic] !== undefined), offsets, nowMs),
 		};
 	}
 
@@ -366,8 +382,8 @@
 		return {...fleet.restDigest(this.ownDigest(), receiver.name, nowMs), usage: wantsUsage ? usage.restOf(receiver.failureDomain, receiver.incarnation) : []};
 	}
 
-	private topicNews(offsets: Report['offsets'], nowMs: number): View['topics'] {
-		return Object.fromEntries(toldTopics.map(topic => [topic, this.parts.topics[topic].newsFor(offsets[topic], nowMs)]));
+	private topicNews(topics: readonly ToldTopic[], offsets: Report['offsets'], nowMs: number): View['topics'] {
+		return Object.fromEntries(topics.map(topic => [topic, this.parts.topics[topic].newsFor(offsets[topic], nowMs)]));
 	}
 
 	private sender(nowMs: number): Sender {
--- a/src/coordination/topic-follower.ts
+++ b/src/coordination/topic-follower.ts
@@ -68,8 +68,9 @@
 
 /** Follows one topic. */
 export class TopicFollower {
+	/** Whether this daemon's own reads fail. */
+	isLost = false;
 	private next: number | undefined;
-	private isLost = false;
 	/** When the topic was first read, or read again after it was lost. */
 	private followedSinceMs: number | undefined;
 	/** As of when a relay last confirmed the view. */
