Try a silent backend server with a limit less and less often

A limited backend server that nobody heard of for three seconds gets the next request that it may, before all others. One that names a limit and then goes dark would have got one after the other, each of which waits in vain. Each trial that brings no word now doubles the time to the next: four in a minute (stated-limits.test.ts) where there would have been 57 at a pace of one a second.

--- a/src/coordination/__tests__/stated-limits.test.ts
+++ b/src/coordination/__tests__/stated-limits.test.ts
@@ -29,6 +29,22 @@
 		expect(limits.permission(id, 4000)).toBe(Permission.Due);
 	});
 
+	it('does not prefer it again and again while it gives no answer', () => {
+		const limits = new StatedLimits(isOnly);
+		limits.noteStated(id, 10, 0);
+		const trials: number[] = [];
+		for (let nowMs = 0; nowMs < 60_000; nowMs += 100) {
+			if (limits.permission(id, nowMs) === Permission.Due) {
+				limits.noteSent(id, nowMs);
+				trials.push(nowMs);
+			}
+		}
+
+		expect(trials).toEqual([3100, 9200, 21_300, 45_400]);
+		limits.noteStated(id, 10, 60_000);
+		expect(limits.permission(id, 63_100)).toBe(Permission.Due);
+	});
+
 	it.each([
 		{name: 'newer than what is known', ageMs: 100, isLimited: true},
 		{name: 'older than what is known', ageMs: 5000, isLimited: false},
--- a/src/coordination/stated-limits.ts
+++ b/src/coordination/stated-limits.ts
@@ -18,7 +18,7 @@
 const usedShare = 0.9;
 /** A stated limit below this is paced as this, in requests a second, so that its end is noticed. */
 const leastPerSecond = 0.1;
-/** A backend server that nobody heard of for this long gets the next request that it may, to learn whether its limit still holds, in milliseconds. */
+/** A backend server that nobody heard of for this long gets the next request that it may, to learn whether its limit still holds, in milliseconds; twice as long after each such trial that brings no word, since it may be dead. */
 const unheardMs = 3000;
 /** A limit that nobody heard restated for this long is forgotten, in milliseconds. */
 const forgottenMs = 5 * 60_000;
@@ -46,6 +46,9 @@
 	changedAtMs: number;
 	/** When this daemon may send the next request. */
 	nextAtMs: number;
+	/** Requests sent to hear of it since it last stated something, and when the last one was. */
+	trials: number;
+	triedAtMs: number;
 	/** Who sends to it, and when that was chosen. */
 	choice: (SenderChoice & {atMs: number}) | undefined;
 };
@@ -87,7 +90,7 @@
 			return Permission.Withheld;
 		}
 
-		return nowMs - statement.statedAtMs > unheardMs ? Permission.Due : Permission.Free;
+		return isDue(statement, nowMs) ? Permission.Due : Permission.Free;
 	}
 
 	/** Notes that a request was sent to a backend server. */
@@ -96,6 +99,11 @@
 		const statement = this.statements.get(key);
 		if (statement?.perSecond !== undefined) {
 			const {senders} = this.choose(key, statement, nowMs);
+			if (isDue(statement, nowMs)) {
+				statement.trials++;
+				statement.triedAtMs = nowMs;
+			}
+
 			statement.nextAtMs = Math.max(nowMs, statement.nextAtMs) + (senders * pauseMs(statement.perSecond));
 		}
 	}
@@ -150,6 +158,8 @@
 			statedAtMs,
 			changedAtMs: known && known.perSecond === perSecond ? known.changedAtMs : toldFromMs,
 			nextAtMs: known?.nextAtMs ?? Number.NEGATIVE_INFINITY,
+			trials: 0,
+			triedAtMs: Number.NEGATIVE_INFINITY,
 			choice: known?.perSecond === perSecond ? known?.choice : undefined,
 		});
 	}
@@ -163,6 +173,11 @@
 	}
 }
 
+/** Whether a limited backend server should get the next request that it may. */
+function isDue({statedAtMs, triedAtMs, trials}: Statement, nowMs: number): boolean {
+	return nowMs - Math.max(statedAtMs, triedAtMs) > unheardMs * (2 ** trials);
+}
+
 /** Time between two requests of all daemons together, in milliseconds. */
 function pauseMs(perSecond: number): number {
 	return 1000 / (Math.max(leastPerSecond, perSecond) * usedShare);
