--- a/src/coordination/serving/call-forwarding.ts
+++ b/src/coordination/serving/call-forwarding.ts
@@ -35,7 +35,7 @@
 	try {
 		return await tryCall(dispatcher, served, onBegun, now);
 	} finally {
-		dispatcher.releaseSuccessor(served);
+		dispatcher.successors.release(served);
 	}
 }
 
--- a/src/coordination/serving/dispatcher.ts
+++ b/src/coordination/serving/dispatcher.ts
@@ -9,14 +9,15 @@
 import {type BackendAnswer, type BackendPool, exchange} from '../../transport/backend-pool.js';
 import {ConnectError} from '../../transport/errors.js';
 import {createLogger} from '../../log.js';
-import {backendKey} from '../fleet/backend-key.js';
 import {type FleetTable} from '../fleet/fleet-table.js';
 import {type Choice, type Placement, type RunningRequest} from '../placement.js';
 import {type CrashWatch} from '../quarantine/crash-watch.js';
 import {type Quarantine} from '../quarantine/quarantine.js';
 import {type RepeatPurpose, type RetryAllowance} from '../retry-allowance.js';
-import {Permission, type StatedLimits} from '../stated-limits.js';
-import {type Attempt, type ServedRequest, type Successor} from './served-request.js';
+import {type StatedLimits} from '../stated-limits.js';
+import {BackendChoice} from './backend-choice.js';
+import {type Attempt, type ServedRequest} from './served-request.js';
+import {Successors} from './successors.js';
 
 const log = createLogger('dispatch');
 
@@ -24,8 +25,6 @@
 const connectMs = 300;
 /** How often it is tried to hold what takes over from a late backend server, in milliseconds. */
 const holdPauseMs = 50;
-/** A run is given up for another one only with this share of the latency target left: engines begin within a third of it on most days. */
-const leastRunShare = 0.25;
 /** Reason of a dispatch whose connection did not open. */
 const unreachedReason = 'unreached';
 /** The status of an answer from another backend server than the one meant. */
@@ -98,106 +97,34 @@
 
 /** Sends requests to backend servers. */
 export class Dispatcher {
-	constructor(private readonly parts: DispatcherParts) {}
+	readonly choice: BackendChoice;
+	readonly successors: Successors;
 
-	/** The backend server that would get a request now, other than the one it runs at. */
-	choose(served: ServedRequest, runningAt?: string): Choice | undefined {
-		const {backends, placement, fleet, quarantine, clock} = this.parts;
-		const {request, service} = served.inputs;
-		const nowMs = clock.now();
-		return placement.choose({
-			candidates: this.permitted(backends.candidates(service, nowMs), nowMs),
-			excluded: runningAt === undefined ? served.excluded : new Set([...served.excluded, runningAt]),
-			promptTokens: request.promptTokens ?? 0,
-			promptParts: request.promptParts,
-			isSuspect: !quarantine.isEmpty && quarantine.isSuspect(served.fingerprint),
-			peersInFlight: id => fleet.inFlight(backendKey(id), nowMs),
-			random: () => Math.random(),
-			nowMs,
-		});
-	}
-
-	/**
-	 * Holds a backend server and a place in the repeat allowance for the next run of a request.
-	 * The daemon ends a run in progress only when this succeeded: otherwise an answer that may
-	 * still come would break off with nothing to follow.
-	 */
-	holdSuccessor(served: ServedRequest, runningAt: string, purpose: RepeatPurpose, nowMs: number): boolean {
-		if (this.isQuarantined(served) || served.remainingMs(nowMs) < served.inputs.route.latencyTargetMs * leastRunShare) {
-			return false;
-		}
-
-		if (served.successor) {
-			return this.heldBackend(served, runningAt) !== undefined;
-		}
-
-		// The place first: it is what lacks under load, and choosing takes most of a millisecond among a hundred engines.
-		if (!this.mayRepeat(served, purpose, nowMs)) {
-			return false;
-		}
-
-		const choice = this.choose(served, runningAt);
-		if (!choice) {
-			this.giveBack(served, nowMs);
-			return false;
-		}
-
-		served.successor = {choice, heldAtMs: nowMs};
-		return true;
-	}
-
-	/** The backend server held for the next run, or another one if that leaves or has failed the request meanwhile. */
-	heldBackend(served: ServedRequest, runningAt?: string): Backend | undefined {
-		const {successor} = served;
-		if (!successor) {
-			return undefined;
-		}
-
-		if (!this.isUsable(served, successor.choice.backend)) {
-			const choice = this.choose(served, runningAt);
-			if (!choice) {
-				return undefined;
-			}
-
-			successor.choice = choice;
-		}
-
-		return successor.choice.backend;
-	}
-
-	/** When a backend server that limits its requests may take one, in milliseconds from now; undefined where none of the request's service does. */
-	limitReturnMs(served: ServedRequest, nowMs: number): number | undefined {
-		const {statedLimits, backends} = this.parts;
-		return statedLimits.isEmpty ? undefined : statedLimits.returnAfterMs(backends.candidates(served.inputs.service, nowMs).map(({id}) => id), nowMs);
-	}
-
-	/** Gives back a place that is not needed. */
-	releaseSuccessor(served: ServedRequest): void {
-		if (served.successor) {
-			this.giveBack(served, served.successor.heldAtMs);
-			served.successor = undefined;
-		}
+	constructor(private readonly parts: DispatcherParts) {
+		this.choice = new BackendChoice(parts);
+		this.successors = new Successors({...parts, choice: this.choice});
 	}
 
 	/** Sends a request once; a connection that does not open is no arrival, so the next backend server is tried. */
 	async send(served: ServedRequest, options: DispatchOptions): Promise<BegunAnswer | FailedDispatch> {
 		await served.crashCheck;
+		const {choice: candidates, successors} = this;
 		let planned = options.target ? {backend: options.target, costMs: 0, copyFrom: undefined} : served.successor?.choice;
 		for (;;) {
-			if (this.isQuarantined(served)) {
+			if (successors.isForbidden(served)) {
 				return {kind: DispatchKind.Quarantined, reason: 'crashes backend servers'};
 			}
 
 			const isFixed = options.target !== undefined;
-			const choice = planned && (isFixed || this.isUsable(served, planned.backend)) ? planned : this.choose(served);
+			const choice = planned && (isFixed || candidates.isUsable(served, planned.backend)) ? planned : candidates.choose(served);
 			planned = undefined;
 			if (!choice) {
 				return {kind: DispatchKind.NoBackend, reason: 'no backend server left'};
 			}
 
 			const nowMs = this.parts.clock.now();
-			if (served.arrivals > 0 && !served.successor && !this.mayRepeat(served, options.purpose, nowMs)) {
-				return {kind: DispatchKind.NoAllowance, reason: `repeat allowance used up (${this.describeAllowance(served)})`};
+			if (served.arrivals > 0 && !served.successor && !successors.takePlace(served, options.purpose, nowMs)) {
+				return {kind: DispatchKind.NoAllowance, reason: `repeat allowance used up (${successors.describeAllowance(served)})`};
 			}
 
 			// A place is used by an arrival, not by a connection that did not open: it stays held for the next choice.
@@ -206,7 +133,7 @@
 				served.successor = undefined;
 			} else {
 				// One that was taken while a connection did not open: a first arrival needs none.
-				this.releaseSuccessor(served);
+				successors.release(served);
 			}
 
 			// eslint-disable-next-line no-await-in-loop -- one backend server after the other.
@@ -215,7 +142,7 @@
 				return result;
 			}
 
-			this.keepPlace(served, place);
+			successors.keepPlace(served, place);
 			if (isFixed || served.inputs.signal.aborted || options.signal?.aborted) {
 				return result;
 			}
@@ -241,56 +168,6 @@
 		}
 	}
 
-	/** Backend servers whose limits leave room for a request; where one is due to be heard of, that one. */
-	private permitted(candidates: Backend[], nowMs: number): Backend[] {
-		const {statedLimits} = this.parts;
-		if (statedLimits.isEmpty) {
-			return candidates;
-		}
-
-		const permissions = candidates.map(({id}) => statedLimits.permission(id, nowMs));
-		const due = candidates.filter((_, index) => permissions[index] === Permission.Due);
-		return due.length > 0 ? due : candidates.filter((_, index) => permissions[index] !== Permission.Withheld);
-	}
-
-	/** Whether a request that has been sent before may not be sent again. */
-	private isQuarantined(served: ServedRequest): boolean {
-		const {quarantine} = this.parts;
-		return served.attempts.length > 0 && !quarantine.isEmpty && quarantine.forbidsRepeat(served.fingerprint);
-	}
-
-	private mayRepeat(served: ServedRequest, purpose: RepeatPurpose, nowMs: number): boolean {
-		const {allowance, fleet} = this.parts;
-		return allowance.take(served.inputs.service, purpose, fleet.daemons(nowMs), nowMs);
-	}
-
-	/** Holds a place that no arrival used, unless another one was taken meanwhile. */
-	private keepPlace(served: ServedRequest, place: Successor | undefined): void {
-		if (place && served.successor) {
-			this.giveBack(served, place.heldAtMs);
-		} else {
-			served.successor ??= place;
-		}
-	}
-
-	private giveBack(served: ServedRequest, takenAtMs: number): void {
-		this.parts.allowance.giveBack(served.inputs.service, takenAtMs);
-	}
-
-	/** Whether a backend server that was chosen earlier may still get a request. */
-	private isUsable(served: ServedRequest, backend: Backend): boolean {
-		const entry = this.parts.backends.get(backend.id);
-		const {statedLimits, clock} = this.parts;
-		return !served.excluded.has(backend.id) && entry !== undefined && entry.leavingSinceMs === undefined && statedLimits.permission(backend.id, clock.now()) !== Permission.Withheld;
-	}
-
-	private describeAllowance(served: ServedRequest): string {
-		const {allowance, fleet, clock} = this.parts;
-		const nowMs = clock.now();
-		const {firsts, repeats} = allowance.used(served.inputs.service, nowMs);
-		return `${repeats} repeats for ${firsts} requests, ${fleet.daemons(nowMs)} daemons`;
-	}
-
 	private async sendTo(served: ServedRequest, choice: Pick<Choice, 'backend' | 'costMs' | 'copyFrom'>, options: DispatchOptions): Promise<BegunAnswer | FailedDispatch> {
 		const {backend, costMs, copyFrom} = choice;
 		const {dialect, placement, pool, clock} = this.parts;
@@ -373,7 +250,7 @@
 		}
 
 		const look = () => {
-			if (this.holdSuccessor(served, backendId, purpose, this.parts.clock.now())) {
+			if (this.successors.hold(served, backendId, purpose, this.parts.clock.now())) {
 				giveUp();
 			} else {
 				timer = setTimeout(look, holdPauseMs);
--- a/src/coordination/serving/forwarder.ts
+++ b/src/coordination/serving/forwarder.ts
@@ -206,7 +206,7 @@
 	private async serveStream(served: ServedRequest, front: FrontRequest): Promise<void> {
 		const {dispatcher, registry, clock} = this.parts;
 		const nowMs = clock.now();
-		const choice = dispatcher.choose(served);
+		const choice = dispatcher.choice.choose(served);
 		if (choice && choice.waitMs > served.remainingMs(nowMs) * hopelessShare) {
 			this.finishRefused(served, front, `would wait ${Math.round(choice.waitMs)} ms`);
 			return;
@@ -249,7 +249,7 @@
 	private finishRefused(served: ServedRequest, front: FrontRequest, reason: string): void {
 		const {dispatcher, clock} = this.parts;
 		const nowMs = clock.now();
-		const retryAfterMs = returnAfterMs(served.remainingMs(nowMs), dispatcher.limitReturnMs(served, nowMs) ?? outageReturnMs);
+		const retryAfterMs = returnAfterMs(served.remainingMs(nowMs), dispatcher.choice.limitReturnMs(served, nowMs) ?? outageReturnMs);
 		refuse(front.response, 503, reason, retryAfterMs);
 		this.conclude(served, Outcome.Refused, {status: 503, reason});
 	}
--- a/src/coordination/serving/stream-forwarding.ts
+++ b/src/coordination/serving/stream-forwarding.ts
@@ -48,7 +48,7 @@
 		clearTimeout(deadline);
 		registry.remove(flight);
 		await flight.dropTakeover();
-		dispatcher.releaseSuccessor(served);
+		dispatcher.successors.release(served);
 	}
 }
 
--- a/src/coordination/serving/stream-registry.ts
+++ b/src/coordination/serving/stream-registry.ts
@@ -137,7 +137,7 @@
 
 	/** Holds what takes over from a run. Without it the run goes on: a stream is not cut while it may still end well. */
 	private hold(flight: Flight, source: Backend, cause: InterruptCause, nowMs: number): boolean {
-		const isHeld = this.parts.dispatcher.holdSuccessor(flight.served, source.id, RepeatPurpose.Move, nowMs);
+		const isHeld = this.parts.dispatcher.successors.hold(flight.served, source.id, RepeatPurpose.Move, nowMs);
 		if (!isHeld && !flight.isKept) {
 			flight.isKept = true;
 			log.info('stream kept, nothing can take it over.', {cause, ...describe(flight, source, nowMs)});
@@ -150,7 +150,7 @@
 	private async move(flight: Flight, source: Backend): Promise<Moved | undefined> {
 		flight.served.excluded.add(source.id);
 		for (let tries = 0; tries < moveTargets; tries++) {
-			const target = this.parts.dispatcher.heldBackend(flight.served);
+			const target = this.parts.dispatcher.successors.heldBackend(flight.served);
 			if (!target) {
 				break;
 			}
@@ -171,7 +171,7 @@
 			flight.served.excluded.add(target.id);
 		}
 
-		this.parts.dispatcher.releaseSuccessor(flight.served);
+		this.parts.dispatcher.successors.release(flight.served);
 		flight.hasMoveFailed = true;
 		flight.moving = undefined;
 		return undefined;
