--- a/src/cli/front-daemon.ts
+++ b/src/cli/front-daemon.ts
@@ -126,7 +126,7 @@
 	/** Says that it is not ready; every answer from now on closes its connection. */
 	beginStop(): void {
 		this.isStopping = true;
-		this.parts.resolve(FleetMessenger).isStopping = true;
+		this.parts.resolve(FleetMessenger).beginStop();
 		this.callers.beginStop();
 	}
 
--- a/src/coordination/fleet/fleet-messenger.ts
+++ b/src/coordination/fleet/fleet-messenger.ts
@@ -21,9 +21,9 @@
 import {type TopicFollower} from '../topic-follower.js';
 import {type UsageLedger} from '../usage-ledger.js';
 import {fieldsOf, readOwnRecord} from '../own-record.js';
-import {backendKey} from './backend-key.js';
+import {BackendNews} from './backend-news.js';
 import {type BoundsRecord, boundsKey} from './bounds-record.js';
-import {packCounts, writeUse} from './digest-sums.js';
+import {DigestSource} from './digest-source.js';
 import {FleetRole, type FleetTable} from './fleet-table.js';
 import {type UseTotals} from './merged-counters.js';
 import {PeerCensus, roundMs} from './peer-census.js';
@@ -53,8 +53,6 @@
 
 /** Daemons of a small fleet that one which the store turns away asks in a round. */
 const askedPeers = 2;
-/** Suspected requests or limits in one datagram: a hundred bytes each at most. */
-const itemsPerMessage = 10;
 /** Rounds between two tellings of all that is in force of these, for daemons that have just started. */
 const repeatRounds = 4;
 
@@ -84,8 +82,6 @@
 
 /** Speaks with the other daemons. */
 export class FleetMessenger {
-	/** Whether this daemon is about to stop. */
-	isStopping = false;
 	private link: MessageLink | undefined;
 	private isAnnounced = false;
 	/** Whether the store's list of daemons was read since the start. */
@@ -95,6 +91,8 @@
 	private toldAtMs: number;
 	private hasMissedNews = false;
 	private readonly census: PeerCensus;
+	private readonly digests: DigestSource;
+	private readonly backendNews: BackendNews;
 	/** When a daemon last asked for what was admitted in the window. */
 	private usesWantedAtMs = Number.NEGATIVE_INFINITY;
 	/** When the reports of the latest rounds were sent. */
@@ -103,9 +101,16 @@
 	constructor(private readonly parts: MessengerParts) {
 		this.toldAtMs = parts.startedAtMs;
 		this.census = new PeerCensus({...parts, quotaWindowMs: parts.settings.bounds.quotaWindowMs});
+		this.digests = new DigestSource({...parts, failureDomain: parts.settings.failureDomain});
+		this.backendNews = new BackendNews(parts);
 		parts.fleet.learn(parts.settings.name, parts.settings.failureDomain, this.address);
 	}
 
+	/** Tells the others from now on that this daemon is about to stop. */
+	beginStop(): void {
+		this.digests.isStopping = true;
+	}
+
 	/** Time until the next reading of the store's list, in milliseconds. */
 	get discoverPauseMs(): number {
 		const {clock, startedAtMs, fleet} = this.parts;
@@ -137,7 +142,7 @@
 		this.askedAtMs.delete(this.round - keptRounds);
 		this.tellBackendNews(role, nowMs);
 		if (role === FleetRole.Mesh) {
-			this.link?.send(this.createReport(this.ownDigest(), false, nowMs), fleet.addresses(false, nowMs));
+			this.link?.send(this.createReport(this.digests.own(), false, nowMs), fleet.addresses(false, nowMs));
 			this.askPeers(nowMs);
 			return;
 		}
@@ -145,9 +150,9 @@
 		this.noteUntold(nowMs);
 		// Keeps track of silence also while no account asks.
 		this.census.count(nowMs);
-		this.ask(settings.failureDomain, this.ownDigest(), nowMs);
+		this.ask(settings.failureDomain, this.digests.own(), nowMs);
 		if (role === FleetRole.Relay) {
-			const digest = this.domainDigest(nowMs);
+			const digest = this.digests.domain(nowMs);
 			for (const failureDomain of fleet.otherDomains()) {
 				this.ask(failureDomain, digest, nowMs);
 			}
@@ -160,17 +165,10 @@
 			return;
 		}
 
-		const {fleet, quarantine, statedLimits, quota, lease, clock} = this.parts;
+		const {fleet, quota, lease, clock} = this.parts;
 		const nowMs = clock.now();
 		// Few daemons of a large fleet hear the first teller themselves.
-		const passesOn = fleet.roleAt(nowMs) === FleetRole.Relay;
-		if (message.kind === FleetMessageKind.Suspects) {
-			quarantine.hear(message.suspects, passesOn, nowMs);
-			return;
-		}
-
-		if (message.kind === FleetMessageKind.Limits) {
-			statedLimits.hear(message.limits, passesOn, nowMs);
+		if (this.backendNews.hear(message, fleet.roleAt(nowMs) === FleetRole.Relay, nowMs)) {
 			return;
 		}
 
@@ -231,7 +229,7 @@
 		const nowMs = clock.now();
 		if (fleet.roleAt(nowMs) === FleetRole.Mesh) {
 			// Relays among them answer, which tells a daemon that started late of a large fleet.
-			this.link?.send(this.createReport(this.ownDigest(), true, nowMs), fleet.addresses(true, nowMs));
+			this.link?.send(this.createReport(this.digests.own(), true, nowMs), fleet.addresses(true, nowMs));
 		}
 	}
 
@@ -248,21 +246,13 @@
 			// Others in each round, since they may be turned away as well.
 			const asked = Array.from({length: Math.min(askedPeers, peers.length)}, (_, index) => peers[((this.round * askedPeers) + index) % peers.length]);
 			const offsets = Object.fromEntries(lost.map(topic => [topic, topics[topic].nextOffset]));
-			this.link?.send({...this.createReport(this.ownDigest(), true, nowMs), offsets}, asked);
+			this.link?.send({...this.createReport(this.digests.own(), true, nowMs), offsets}, asked);
 		}
 	}
 
 	/** Tells of requests that crash backend servers, and of limits that backend servers state. */
 	private tellBackendNews(role: FleetRole, nowMs: number): void {
-		const {quarantine, statedLimits} = this.parts;
-		const withAll = this.round % repeatRounds === 0;
-		const sender = this.sender(nowMs);
-		const suspects = quarantine.isEmpty ? [] : quarantine.news(withAll, nowMs);
-		const limits = statedLimits.isEmpty ? [] : statedLimits.news(withAll, nowMs);
-		const messages: FleetMessage[] = [
-			...chunk(suspects).map(part => ({kind: FleetMessageKind.Suspects as const, sender, suspects: part})),
-			...chunk(limits).map(part => ({kind: FleetMessageKind.Limits as const, sender, limits: part})),
-		];
+		const messages = this.backendNews.messages(this.sender(nowMs), this.round % repeatRounds === 0, nowMs);
 		const receivers = messages.length > 0 ? this.newsReceivers(role, nowMs) : [];
 		for (const message of messages) {
 			this.link?.send(message, receivers);
@@ -327,24 +317,6 @@
 		return message.kind === FleetMessageKind.Report ? fleet.noteReport(message, nowMs) : fleet.noteView(message, nowMs);
 	}
 
-	private ownDigest(): Digest {
-		const {quota, usage, placement} = this.parts;
-		return {
-			scope: DigestScope.Daemon,
-			epoch: '',
-			daemons: this.isStopping ? 0 : 1,
-			silent: 0,
-			use: writeUse(quota.own()),
-			usage: usage.own(),
-			inFlight: packCounts(new Map(Object.entries(placement.inFlight()).map(([id, count]) => [backendKey(id), count]))),
-		};
-	}
-
-	private domainDigest(nowMs: number): Digest {
-		const {fleet, usage, settings} = this.parts;
-		return {...fleet.domainDigest(this.ownDigest(), nowMs), usage: usage.domain(settings.failureDomain)};
-	}
-
 	private createReport(digest: Digest, wantsView: boolean, nowMs: number): Report {
 		return {
 			kind: FleetMessageKind.Report,
@@ -365,23 +337,13 @@
 		return {
 			kind: FleetMessageKind.View,
 			...this.head(wantsUses, nowMs),
-			digest: isRelay ? this.viewDigest(receiver, wantsUsage, nowMs) : undefined,
+			digest: isRelay ? this.digests.view(receiver, wantsUsage, nowMs) : undefined,
 			relays: fleet.relays(settings.failureDomain, nowMs),
 			round,
 			topics: isRelay ? (isNeighbour ? this.topicNews(toldTopics, offsets, nowMs) : {}) : this.topicNews(toldTopics.filter(topic => offsets[topic] !== undefined), offsets, nowMs),
 		};
 	}
 
-	/** What a relay tells: a daemon of its failure domain the sums of all others, a relay of another one those of its own. */
-	private viewDigest(receiver: Sender, wantsUsage: boolean, nowMs: number): Digest {
-		const {fleet, usage, settings} = this.parts;
-		if (receiver.failureDomain !== settings.failureDomain) {
-			return this.domainDigest(nowMs);
-		}
-
-		return {...fleet.restDigest(this.ownDigest(), receiver.name, nowMs), usage: wantsUsage ? usage.restOf(receiver.failureDomain, receiver.incarnation) : []};
-	}
-
 	private topicNews(topics: readonly ToldTopic[], offsets: Report['offsets'], nowMs: number): View['topics'] {
 		return Object.fromEntries(topics.map(topic => [topic, this.parts.topics[topic].newsFor(offsets[topic], nowMs)]));
 	}
@@ -389,7 +351,7 @@
 	private sender(nowMs: number): Sender {
 		const {settings, incarnation, startedAtMs} = this.parts;
 		return {
-			name: settings.name, incarnation, failureDomain: settings.failureDomain, address: this.address, uptimeMs: Math.round(nowMs - startedAtMs), isStopping: this.isStopping,
+			name: settings.name, incarnation, failureDomain: settings.failureDomain, address: this.address, uptimeMs: Math.round(nowMs - startedAtMs), isStopping: this.digests.isStopping,
 		};
 	}
 
@@ -403,11 +365,6 @@
 	}
 }
 
-/** Cuts a list into parts that fit a datagram. */
-function chunk<T>(items: T[]): T[][] {
-	return Array.from({length: Math.ceil(items.length / itemsPerMessage)}, (_, index) => items.slice(index * itemsPerMessage, (index + 1) * itemsPerMessage));
-}
-
 function encode(value: unknown): Uint8Array {
 	return Buffer.from(JSON.stringify(value));
 }
