Find a request's route by its path's segments

Each request looked through the routes of its host, longest prefix first. A property test compares it with a look at every route.

--- a/src/state/__tests__/route-table.test.ts
+++ b/src/state/__tests__/route-table.test.ts
@@ -1,3 +1,4 @@
+import fc from 'fast-check';
 import {describe, expect, it} from 'vitest';
 import {RequestKind, type Route, type ServingConfig} from '../../protocol/serving.js';
 import {RouteTable} from '../route-table.js';
@@ -32,6 +33,19 @@
 		expect(table.match(host, path)?.name).toBe(expected);
 	});
 
+	it('takes the longest prefix of any routes and path, as a look at every route does', () => {
+		const segments = fc.array(fc.constantFrom('a', 'b', ''), {maxLength: 5});
+		const prefix = segments.map(parts => parts.length === 0 ? '/' : `/${parts.join('/')}/`);
+		fc.assert(fc.property(fc.array(prefix, {maxLength: 8}), segments, (prefixes, parts) => {
+			const routes = prefixes.map((pathPrefix, index) => route(`r-${index}`, 'h.example', pathPrefix));
+			const path = `/${parts.join('/')}`;
+			const many = new RouteTable();
+			many.apply(config(1, routes));
+			const expected = routes.filter(({pathPrefix}) => path.startsWith(pathPrefix)).toSorted((a, b) => b.pathPrefix.length - a.pathPrefix.length).at(0);
+			expect(many.match('h.example', `${path}?q=/a/`)?.name).toBe(expected?.name);
+		}), {seed: 31, numRuns: 500});
+	});
+
 	it.each([{version: 7, taken: false}, {version: 6, taken: false}, {version: 9, taken: true}])('version $version after 7: $taken', ({version, taken}) => {
 		const other = new RouteTable();
 		other.apply(config(7, [], ['k1']));
--- a/src/state/route-table.ts
+++ b/src/state/route-table.ts
@@ -6,10 +6,40 @@
 	type Account, type Route, type Service, type ServingConfig,
 } from '../protocol/serving.js';
 
+/** The routes of one host, by prefix: a lookup takes as long as the path has segments, however many routes there are. */
+class HostRoutes {
+	private readonly byPrefix = new Map<string, Route>();
+	private longestPrefix = 0;
+
+	/** Adds a route; of two with one prefix the first counts. */
+	add(route: Route): void {
+		if (!this.byPrefix.has(route.pathPrefix)) {
+			this.byPrefix.set(route.pathPrefix, route);
+			this.longestPrefix = Math.max(this.longestPrefix, route.pathPrefix.length);
+		}
+	}
+
+	/** The route with the longest prefix that begins a path. Prefixes end with a slash, and none longer than the longest is looked for, so that a path of slashes costs little. */
+	match(path: string): Route | undefined {
+		let slash = path.lastIndexOf('/', this.longestPrefix - 1);
+		while (slash >= 0) {
+			const route = this.byPrefix.get(path.slice(0, slash + 1));
+			if (route) {
+				return route;
+			}
+
+			// A search from before the start would find the slash there again.
+			slash = slash === 0 ? -1 : path.lastIndexOf('/', slash - 1);
+		}
+
+		return undefined;
+	}
+}
+
 /** The routes, services and accounts of the newest version seen. */
 export class RouteTable {
 	private config: ServingConfig | undefined;
-	private readonly routesByHost = new Map<string, Route[]>();
+	private readonly routesByHost = new Map<string, HostRoutes>();
 	private readonly accountsByKey = new Map<string, Account>();
 	private readonly servicesByName = new Map<string, Service>();
 
@@ -39,15 +69,11 @@
 		this.config = config;
 		this.routesByHost.clear();
 		for (const route of config.routes) {
-			const routes = this.routesByHost.get(route.host) ?? [];
-			routes.push(route);
+			const routes = this.routesByHost.get(route.host) ?? new HostRoutes();
+			routes.add(route);
 			this.routesByHost.set(route.host, routes);
 		}
 
-		for (const routes of this.routesByHost.values()) {
-			routes.sort((a, b) => b.pathPrefix.length - a.pathPrefix.length);
-		}
-
 		this.accountsByKey.clear();
 		for (const account of config.accounts) {
 			for (const key of account.apiKeys) {
@@ -67,7 +93,7 @@
 	match(host: string, path: string): Route | undefined {
 		const query = path.indexOf('?');
 		const plainPath = query === -1 ? path : path.slice(0, query);
-		return this.routesByHost.get(host)?.find(route => plainPath.startsWith(route.pathPrefix));
+		return this.routesByHost.get(host)?.match(plainPath);
 	}
 
 	/** The account that holds an API key. */
