Count a held run at the limit of its backend server when it is held

A limit was counted as a request was sent. Streams that leave a reclaimed engine hold their next engine first and are sent there up to a second later, after their cache is copied: all of a wave would have held a limited engine, since none was counted yet. Now a run is counted when its backend server is chosen for it, and a held one is not counted again.

backend-choice.test.ts, 20 streams that leave together: 20 held the limited engine before, one after.

--- a/src/coordination/serving/__tests__/backend-choice.test.ts
+++ b/src/coordination/serving/__tests__/backend-choice.test.ts
@@ -7,9 +7,11 @@
 import {FleetTable} from '../../fleet/fleet-table.js';
 import {Placement} from '../../placement.js';
 import {Quarantine} from '../../quarantine/quarantine.js';
+import {RepeatPurpose, RetryAllowance} from '../../retry-allowance.js';
 import {StatedLimits} from '../../stated-limits.js';
 import {BackendChoice} from '../backend-choice.js';
 import {ServedRequest} from '../served-request.js';
+import {Successors} from '../successors.js';
 
 const route: Route = {
 	name: 'r', host: 'h', pathPrefix: '/', kind: RequestKind.Idempotent, timeoutMs: 1000, latencyTargetMs: 100, priority: 0, attempts: 2, isPublic: true, isResumable: false, targets: [],
@@ -31,27 +33,31 @@
 	configVersion: 1,
 });
 
-describe('BackendChoice', () => {
-	/** Two backend servers, of which `limited` stated its limit `statedMsAgo`. */
-	function createChoice(isSender: boolean, statedMsAgo: number): {choice: BackendChoice; limits: StatedLimits} {
-		const nowMs = 100_000;
-		const backends = new BackendTable({drainMs: 2000});
-		backends.upsert(backend('limited'), 0);
-		backends.upsert(backend('free'), 0);
-		const limits = new StatedLimits(() => ({isSender, senders: 1}));
-		limits.noteStated('limited', 1, nowMs - statedMsAgo);
-		const clock = new SteadyClock({monotonicMs: () => nowMs, wallMs: () => nowMs, uptimeMs: () => nowMs});
-		const placement = new Placement('fd-a');
-		// The free one costs more, so that it is chosen only where the other may not be.
-		placement.begin('free', 0, [], nowMs);
-		const fleet = new FleetTable({name: 'd', failureDomain: 'fd-a', startedAtMs: 0});
-		return {
-			choice: new BackendChoice({
-				backends, placement, fleet, quarantine: new Quarantine(() => false), statedLimits: limits, clock,
-			}), limits,
-		};
-	}
+/** Two backend servers, of which `limited` stated its limit `statedMsAgo`. */
+function createChoice(isSender: boolean, statedMsAgo: number): {choice: BackendChoice; limits: StatedLimits; successors: Successors} {
+	const nowMs = 100_000;
+	const backends = new BackendTable({drainMs: 2000});
+	backends.upsert(backend('limited'), 0);
+	backends.upsert(backend('free'), 0);
+	const limits = new StatedLimits(() => ({isSender, senders: 1}));
+	limits.noteStated('limited', 1, nowMs - statedMsAgo);
+	const clock = new SteadyClock({monotonicMs: () => nowMs, wallMs: () => nowMs, uptimeMs: () => nowMs});
+	const placement = new Placement('fd-a');
+	// The free one costs more, so that it is chosen only where the other may not be.
+	placement.begin('free', 0, [], nowMs);
+	const fleet = new FleetTable({name: 'd', failureDomain: 'fd-a', startedAtMs: 0});
+	const quarantine = new Quarantine(() => false);
+	const choice = new BackendChoice({
+		backends, placement, fleet, quarantine, statedLimits: limits, clock,
+	});
+	const allowance = new RetryAllowance({ratio: 0, windowMs: 10_000, slack: 100});
+	const successors = new Successors({
+		choice, allowance, fleet, quarantine, clock,
+	});
+	return {choice, limits, successors};
+}
 
+describe('BackendChoice', () => {
 	it.each([
 		{
 			name: 'the limited one while its limit leaves room', isSender: true, statedMsAgo: 500, excluded: [], expected: 'limited',
@@ -78,8 +84,21 @@
 	it('passes over one that was chosen earlier and has reached its limit since', () => {
 		const {choice, limits} = createChoice(true, 500);
 		const served = createRequest();
-		expect(choice.isUsable(served, backend('limited'))).toBe(true);
+		expect(choice.isUsable(served, backend('limited'), false)).toBe(true);
 		limits.noteSent('limited', 100_000);
-		expect(choice.isUsable(served, backend('limited'))).toBe(false);
+		expect(choice.isUsable(served, backend('limited'), false)).toBe(false);
+		expect(choice.isUsable(served, backend('limited'), true)).toBe(true);
+	});
+});
+
+describe('Successors', () => {
+	it('of streams that leave an engine together pass no limit, though none is sent yet', () => {
+		const {successors} = createChoice(true, 500);
+		const held = Array.from({length: 20}, () => {
+			const served = createRequest();
+			expect(successors.hold(served, 'elsewhere', RepeatPurpose.Move, 0)).toBe(true);
+			return successors.heldBackend(served)!.id;
+		});
+		expect(held.filter(id => id === 'limited')).toHaveLength(1);
 	});
 });
--- a/src/coordination/serving/backend-choice.ts
+++ b/src/coordination/serving/backend-choice.ts
@@ -41,12 +41,24 @@
 		});
 	}
 
-	/** Whether a backend server that was chosen earlier may still get a request. */
-	isUsable(served: ServedRequest, backend: Backend): boolean {
+	/**
+	 * Counts a run at the limit of its backend server, when that is chosen rather than when it is
+	 * sent: a wave of streams that choose their next engines together would pass the limit.
+	 *
+	 * @returns Whether there is a limit.
+	 */
+	claim({id}: Backend): boolean {
+		const {statedLimits, clock} = this.parts;
+		statedLimits.noteSent(id, clock.now());
+		return statedLimits.isLimited(id);
+	}
+
+	/** Whether a backend server that was chosen earlier may still get a request, which `isClaimed` if it is counted at its limit. */
+	isUsable(served: ServedRequest, backend: Backend, isClaimed: boolean): boolean {
 		const {backends, statedLimits, clock} = this.parts;
 		const entry = backends.get(backend.id);
 		const isStaying = entry !== undefined && entry.leavingSinceMs === undefined;
-		return isStaying && !served.excluded.has(backend.id) && statedLimits.permission(backend.id, clock.now()) !== Permission.Withheld;
+		return isStaying && !served.excluded.has(backend.id) && (isClaimed || statedLimits.permission(backend.id, clock.now()) !== Permission.Withheld);
 	}
 
 	/** When a backend server that limits its requests may take one, in milliseconds from now; undefined where none of the request's service does. */
--- a/src/coordination/serving/dispatcher.ts
+++ b/src/coordination/serving/dispatcher.ts
@@ -110,13 +110,16 @@
 		await served.crashCheck;
 		const {choice: candidates, successors} = this;
 		let planned = options.target ? {backend: options.target, costMs: 0, copyFrom: undefined} : served.successor?.choice;
+		let isClaimed = served.successor?.isClaimed ?? false;
 		for (;;) {
 			if (successors.isForbidden(served)) {
 				return {kind: DispatchKind.Quarantined, reason: 'crashes backend servers'};
 			}
 
 			const isFixed = options.target !== undefined;
-			const choice = planned && (isFixed || candidates.isUsable(served, planned.backend)) ? planned : candidates.choose(served);
+			const isPlanUsable = planned !== undefined && (isFixed || candidates.isUsable(served, planned.backend, isClaimed));
+			const choice = isPlanUsable ? planned : candidates.choose(served);
+			isClaimed &&= isPlanUsable;
 			planned = undefined;
 			if (!choice) {
 				return {kind: DispatchKind.NoBackend, reason: 'no backend server left'};
@@ -128,7 +131,7 @@
 			}
 
 			// A place is used by an arrival, not by a connection that did not open: it stays held for the next choice.
-			const place = served.arrivals > 0 ? served.successor ?? {choice, heldAtMs: nowMs} : undefined;
+			const place = served.arrivals > 0 ? served.successor ?? {choice, heldAtMs: nowMs, isClaimed} : undefined;
 			if (place) {
 				served.successor = undefined;
 			} else {
@@ -136,6 +139,11 @@
 				successors.release(served);
 			}
 
+			if (!isClaimed) {
+				candidates.claim(choice.backend);
+			}
+
+			isClaimed = false;
 			// eslint-disable-next-line no-await-in-loop -- one backend server after the other.
 			const result = await this.sendTo(served, choice, options);
 			if (result.kind !== DispatchKind.NotRun || result.reason !== unreachedReason) {
@@ -173,7 +181,6 @@
 		const {dialect, placement, pool, clock} = this.parts;
 		const {request, account, body, signal} = served.inputs;
 		const sentAtMs = clock.now();
-		this.parts.statedLimits.noteSent(backend.id, sentAtMs);
 		const abort = new AbortController();
 		const giveUp = () => {
 			abort.abort();
--- a/src/coordination/serving/served-request.ts
+++ b/src/coordination/serving/served-request.ts
@@ -27,7 +27,12 @@
 };
 
 /** A backend server for a request's next run, and a place in the repeat allowance taken for it. */
-export type Successor = {choice: Pick<Choice, 'backend' | 'costMs' | 'copyFrom'>; heldAtMs: number};
+export type Successor = {
+	choice: Pick<Choice, 'backend' | 'costMs' | 'copyFrom'>;
+	heldAtMs: number;
+	/** Whether the run is counted at the limit of its backend server already. */
+	isClaimed: boolean;
+};
 
 /** A request being served. */
 export class ServedRequest {
--- a/src/coordination/serving/successors.ts
+++ b/src/coordination/serving/successors.ts
@@ -48,7 +48,7 @@
 			return false;
 		}
 
-		served.successor = {choice, heldAtMs: nowMs};
+		served.successor = {choice, heldAtMs: nowMs, isClaimed: this.parts.choice.claim(choice.backend)};
 		return true;
 	}
 
@@ -59,13 +59,14 @@
 			return undefined;
 		}
 
-		if (!this.parts.choice.isUsable(served, successor.choice.backend)) {
+		if (!this.parts.choice.isUsable(served, successor.choice.backend, successor.isClaimed)) {
 			const choice = this.parts.choice.choose(served, runningAt);
 			if (!choice) {
 				return undefined;
 			}
 
 			successor.choice = choice;
+			successor.isClaimed = this.parts.choice.claim(choice.backend);
 		}
 
 		return successor.choice.backend;
