Tell newcomers of crashes and limits when they report, others less often

Every daemon repeated all quarantined requests and limits in force each second. The tests of the news, bounds unchanged, pass.

--- a/src/coordination/fleet/fleet-messenger.ts
+++ b/src/coordination/fleet/fleet-messenger.ts
@@ -53,8 +53,10 @@
 
 /** Daemons of a small fleet that one which the store turns away asks in a round. */
 const askedPeers = 2;
-/** Rounds between two tellings of all that is in force of these, for daemons that have just started. */
-const repeatRounds = 4;
+/** Rounds between two tellings of all suspected requests and limits in force, for daemons that were cut off: two seconds. */
+const repeatRounds = 8;
+/** A daemon that has just started is told all of these with each of its reports for this long, in milliseconds. */
+const newcomerMs = 3000;
 
 /** A daemon's record in the store. */
 type WrittenMember = PeerAddress & {failureDomain?: string};
@@ -172,8 +174,9 @@
 			return;
 		}
 
-		if (message.kind === FleetMessageKind.Report && message.wantsUses) {
-			this.usesWantedAtMs = nowMs;
+		if (message.kind === FleetMessageKind.Report) {
+			this.tellNewcomer(message, nowMs);
+			this.usesWantedAtMs = message.wantsUses ? nowMs : this.usesWantedAtMs;
 		}
 
 		if (message.holder) {
@@ -250,15 +253,31 @@
 		}
 	}
 
-	/** Tells of requests that crash backend servers, and of limits that backend servers state. */
+	/** Tells of requests that crash backend servers, and of limits that backend servers state: what changed, and now and then all. */
 	private tellBackendNews(role: FleetRole, nowMs: number): void {
-		const messages = this.backendNews.messages(this.sender(nowMs), this.round % repeatRounds === 0, nowMs);
+		const withAll = this.round % repeatRounds === 0 && this.speaksForAll(role, nowMs);
+		const messages = this.backendNews.messages(this.sender(nowMs), withAll, nowMs);
 		const receivers = messages.length > 0 ? this.newsReceivers(role, nowMs) : [];
 		for (const message of messages) {
 			this.link?.send(message, receivers);
 		}
 	}
 
+	/** Tells a daemon that has just started all that it has missed. */
+	private tellNewcomer({sender}: Report, nowMs: number): void {
+		if (sender.uptimeMs < newcomerMs) {
+			for (const message of this.backendNews.messages(this.sender(nowMs), true, nowMs)) {
+				this.link?.send(message, [sender.address]);
+			}
+		}
+	}
+
+	/** Whether this daemon repeats what is in force: in a large fleet only the first relay of a failure domain, so that each daemon hears it once. */
+	private speaksForAll(role: FleetRole, nowMs: number): boolean {
+		const {fleet, settings} = this.parts;
+		return role === FleetRole.Mesh || fleet.relays(settings.failureDomain, nowMs).at(0)?.name === settings.name;
+	}
+
 	/** Whom this daemon tells what all should know at once: in a large fleet the relays, and as one of these also the daemons that report here. */
 	private newsReceivers(role: FleetRole, nowMs: number): PeerAddress[] {
 		const {fleet, settings} = this.parts;
