--- a/src/coordination/fleet/fleet-messenger.ts
+++ b/src/coordination/fleet/fleet-messenger.ts
@@ -352,21 +352,19 @@
 	private createView({sender: receiver, wantsUses, wantsUsage, round, offsets}: Report, nowMs: number): View {
 		const {fleet, settings} = this.parts;
 		const isRelay = fleet.roleAt(nowMs) === FleetRole.Relay;
-		const isNeighbour = receiver.failureDomain === settings.failureDomain;
+		const relayed = receiver.failureDomain === settings.failureDomain ? toldTopics : [];
+		// In a small fleet each daemon reads for itself, but those that the store turns away.
+		const topics = isRelay ? relayed : toldTopics.filter(topic => offsets[topic] !== undefined);
 		return {
 			kind: FleetMessageKind.View,
 			...this.head(wantsUses, nowMs),
 			digest: isRelay ? this.digests.view(receiver, wantsUsage, nowMs) : undefined,
 			relays: fleet.relays(settings.failureDomain, nowMs),
 			round,
-			topics: isRelay ? (isNeighbour ? this.topicNews(toldTopics, offsets, nowMs) : {}) : this.topicNews(toldTopics.filter(topic => offsets[topic] !== undefined), offsets, nowMs),
+			topics: Object.fromEntries(topics.map(topic => [topic, this.parts.topics[topic].newsFor(offsets[topic], nowMs)])),
 		};
 	}
 
-	private topicNews(topics: readonly ToldTopic[], offsets: Report['offsets'], nowMs: number): View['topics'] {
-		return Object.fromEntries(topics.map(topic => [topic, this.parts.topics[topic].newsFor(offsets[topic], nowMs)]));
-	}
-
 	private sender(nowMs: number): Sender {
 		const {settings, incarnation, startedAtMs} = this.parts;
 		return {
