Check what daemons tell of crashes with a model

model/quarantine.pml: two daemons, two backend servers, messages that are lost, repeated and late. 139,105 states, 0 errors; counting messages instead of ends, and taking ends from before a completed run again, both fail. With three daemons and three backend servers the check had not ended after some minutes, at 8 GB.

--- a/src/state/__tests__/models.test.ts
+++ b/src/state/__tests__/models.test.ts
@@ -59,6 +59,15 @@
 		{
 			model: 'relayed.pml', name: 'a view that lacks what the relay has read is caught', defines: ['-DIGNORE_MISSING'], errors: 1,
 		},
+		{
+			model: 'quarantine.pml', name: 'an end counts once, and none from before a completed run', defines: [], errors: 0,
+		},
+		{
+			model: 'quarantine.pml', name: 'a count of messages is caught', defines: ['-DCOUNT_MESSAGES'], errors: 1,
+		},
+		{
+			model: 'quarantine.pml', name: 'ends taken again after a completed run are caught', defines: ['-DIGNORE_CLEARED'], errors: 1,
+		},
 		{
 			model: 'duties.pml', name: 'no daemon acts on both sides of another within a lease', defines: [], errors: 0,
 		},
