Do not forward a request whose client left before it was read

Cause: on a VM of 0.12 of a core a relay reads requests up to 1.3 s after they arrived.

After the body is read, the daemon polls its sockets once more and drops the request if its client has left. The test blocks the event loop while another process connects, sends and leaves; it failed before.

--- a/src/transport/__tests__/front-server.test.ts
+++ b/src/transport/__tests__/front-server.test.ts
@@ -1,7 +1,11 @@
+import {spawn} from 'node:child_process';
+import {once} from 'node:events';
 import {connect} from 'node:net';
+import process from 'node:process';
 import {
 	afterAll, beforeAll, describe, expect, it,
 } from 'vitest';
+import {waitUntil} from '../../testing/stack.js';
 import {FrontServer, type FrontRequest} from '../front-server.js';
 
 const port = 18_471;
@@ -39,6 +43,25 @@
 	});
 }
 
+/** Connects a client in a process of its own, which pauses, sends a request, and disconnects after `staysMs`; returns once it is connected. */
+async function connectClient(staysMs: number): Promise<{hasExited: Promise<unknown>}> {
+	const client = spawn(process.execPath, ['-e', `
+		const socket = require('node:net').connect(${port}, '127.0.0.1', () => {
+			setTimeout(() => {
+				socket.write('GET /late HTTP/1.1\\r\\nHost: h\\r\\n\\r\\n');
+				setTimeout(() => socket.destroy(), ${staysMs});
+			}, 100);
+		});
+	`], {stdio: 'ignore'});
+	await waitUntil(() => server.openConnections > 0, 5000);
+	return {hasExited: once(client, 'exit')};
+}
+
+/** Keeps the event loop from running for a while. */
+function blockEventLoop(ms: number): void {
+	Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, ms);
+}
+
 const head = 'POST /a HTTP/1.1\r\nHost: h\r\n';
 
 describe('FrontServer', () => {
@@ -85,4 +108,15 @@
 		silentServer.close();
 		silentServer.destroy();
 	});
+
+	it.each([
+		{name: 'handles a request that it reads late while its client still waits', staysMs: 1000, isHandled: true},
+		{name: 'does not handle a request whose client left before it was read', staysMs: 50, isHandled: false},
+	])('$name', async ({staysMs, isHandled}) => {
+		const before = handledRequests.length;
+		const {hasExited} = await connectClient(staysMs);
+		blockEventLoop(400);
+		await hasExited;
+		expect(handledRequests.length - before).toBe(isHandled ? 1 : 0);
+	});
 });
--- a/src/transport/front-server.ts
+++ b/src/transport/front-server.ts
@@ -9,6 +9,7 @@
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import {type Socket} from 'node:net';
+import {setImmediate as nextCheckPhase} from 'node:timers/promises';
 import {type ClientLimits} from '../protocol/serving.js';
 import {type Listen} from '../protocol/settings.js';
 import {TransportError} from './errors.js';
@@ -82,6 +83,12 @@
 	}
 }
 
+/** Resolves once the event loop has polled all sockets again: the next check phase may belong to the poll in progress, the one after it does not. */
+async function nextPoll(): Promise<void> {
+	await nextCheckPhase();
+	await nextCheckPhase();
+}
+
 /** Writes an error response of the daemon itself, or closes the connection if a response has begun. */
 export function writeErrorResponse(response: ServerResponse, status: number, reason: string, headers: Record<string, string> = {}): void {
 	if (response.headersSent || response.destroyed) {
@@ -217,6 +224,13 @@
 			const body = await this.readBody(request);
 			requestBufferedBytes = body.length;
 			this.bufferedBytes += requestBufferedBytes;
+			// A daemon that is short of processor time reads a request long after it arrived. If its client has left meanwhile, the next poll shows that, and the request must not load a backend server.
+			await nextPoll();
+			if (socket.readableEnded || socket.destroyed) {
+				response.destroy();
+				return;
+			}
+
 			await this.handler({
 				method: request.method ?? 'GET', path: request.url ?? '/', rawHeaders: request.rawHeaders, body, response, signal: clientDisconnect.signal,
 			});
