Let a duty holder that outlived an outage of the store act at once

The holder's first read after the outage was held open for up to 600 ms, so its confirmation came too late.

The holder now renews a lost confirmation by a read that does not wait, and the others leave it a second after the store has answered them again. Without a known holder, claims are not delayed. Claim.seenAtMs was never read and is gone.

--- a/src/cli/front-daemon.ts
+++ b/src/cli/front-daemon.ts
@@ -273,6 +273,11 @@
 
 		const nowMs = this.clock.now();
 		const fleet = this.container.resolve(FleetTable);
-		await this.container.resolve(DutyLease).step({rank: fleet.rank(nowMs), isMajorityResponsive: fleet.isMajorityResponsive(nowMs), startedAtMs: this.startedAtMs}, this.signal);
+		await this.container.resolve(DutyLease).step({
+			rank: fleet.rank(nowMs),
+			isMajorityResponsive: fleet.isMajorityResponsive(nowMs),
+			startedAtMs: this.startedAtMs,
+			storeAnsweringForMs: this.container.resolve(BackendsFollower).followedForMs(nowMs),
+		}, this.signal);
 	}
 }
--- a/src/coordination/__tests__/daemon-record.test.ts
+++ b/src/coordination/__tests__/daemon-record.test.ts
@@ -34,7 +34,9 @@
 		const store = new FakeStore();
 		store.put(Topic.Duties, DutyKey.Claim, text);
 		const lease = new DutyLease(store, 'a', 3000, clock);
-		const inputs = {rank: 0, isMajorityResponsive: true, startedAtMs: 0};
+		const inputs = {
+			rank: 0, isMajorityResponsive: true, startedAtMs: 0, storeAnsweringForMs: 10_000,
+		};
 		await lease.step(inputs, signal);
 		await lease.step(inputs, signal);
 		expect(lease.isConfirmedAt(10_000)).toBe(true);
--- a/src/coordination/__tests__/duty-lease.test.ts
+++ b/src/coordination/__tests__/duty-lease.test.ts
@@ -18,7 +18,9 @@
 	const store = new FakeStore();
 	const {clock, time} = createClock();
 	const daemons = ['a', 'b'].map(name => new DutyLease(store, name, leaseMs, clock));
-	const inputs = {rank: 0, isMajorityResponsive: true, startedAtMs: 0};
+	const inputs = {
+		rank: 0, isMajorityResponsive: true, startedAtMs: 0, storeAnsweringForMs: 10_000,
+	};
 	return {
 		store, time, first: daemons[0], second: daemons[1], inputs,
 	};
@@ -26,7 +28,7 @@
 
 describe('shouldClaim', () => {
 	const base = {
-		rank: 0, isMajorityResponsive: true, holderLastSeenAtMs: 0, startedAtMs: 0,
+		rank: 0, isMajorityResponsive: true, holderLastSeenAtMs: 0, startedAtMs: 0, storeAnsweringForMs: 10_000,
 	};
 	it.each([
 		{
@@ -47,6 +49,15 @@
 		{
 			name: 'true soon after the start if there was never a holder', inputs: {...base, holderLastSeenAtMs: undefined}, nowMs: 400, expected: true,
 		},
+		{
+			name: 'false right after the store returned, when a holder that is alive can confirm its claim again', inputs: {...base, storeAnsweringForMs: 900}, nowMs: 8000, expected: false,
+		},
+		{
+			name: 'true once such a holder has had time to confirm its claim', inputs: {...base, storeAnsweringForMs: 1100}, nowMs: 8000, expected: true,
+		},
+		{
+			name: 'true right after the store first answered if there was never a holder', inputs: {...base, holderLastSeenAtMs: undefined, storeAnsweringForMs: 0}, nowMs: 400, expected: true,
+		},
 	])('$name', ({inputs, nowMs, expected}) => {
 		expect(shouldClaim(inputs, nowMs)).toBe(expected);
 	});
@@ -85,6 +96,34 @@
 		expect(first.createHolderUpdate(time.ms)).toBeDefined();
 	});
 
+	it('lets a holder that outlived an outage of the store act again at once', async () => {
+		const {first, second, store, time, inputs} = createPair();
+		await first.step(inputs, signal);
+		second.applyHolderUpdate(first.createHolderUpdate(time.ms)!, time.ms);
+		store.isDown = true;
+		time.ms += 4000;
+		await expect(first.step(inputs, signal)).rejects.toThrow('store is down');
+		store.isDown = false;
+		await second.step({...inputs, storeAnsweringForMs: 100}, signal);
+		await first.step(inputs, signal);
+		expect(first.tokenAt(time.ms)).toBe(1);
+		time.ms += 1000;
+		second.applyHolderUpdate({token: 1, ageMs: 500}, time.ms);
+		await second.step({...inputs, storeAnsweringForMs: 1100}, signal);
+		expect(store.length(Topic.Duties)).toBe(1);
+	});
+
+	it.each([
+		{name: 'lets the store hold its reads open while its claim is confirmed', silentMs: 500, expected: [600]},
+		{name: 'reads without a wait while its claim lacks a recent confirmation, so that an answer confirms it at once', silentMs: 2000, expected: [0]},
+	])('$name', async ({silentMs, expected}) => {
+		const {first, store, time, inputs} = createPair();
+		await first.step(inputs, signal);
+		time.ms += silentMs;
+		await first.step(inputs, signal);
+		expect(store.readWaitsMs).toEqual(expected);
+	});
+
 	it('lets exactly one of two concurrent claims win', async () => {
 		const {first, second, store, time, inputs} = createPair();
 		await Promise.all([first.step(inputs, signal), second.step(inputs, signal)]);
--- a/src/coordination/duty-lease.ts
+++ b/src/coordination/duty-lease.ts
@@ -11,7 +11,9 @@
  * the whole system makes one read per second.
  */
 import {Buffer} from 'node:buffer';
-import {type RecordBatch, type Store, Topic} from '../protocol/platform.js';
+import {
+	type ReadLimits, type RecordBatch, type Store, Topic,
+} from '../protocol/platform.js';
 import {type SteadyClock} from '../clock.js';
 import {createLogger} from '../log.js';
 import {type HolderUpdate} from '../protocol/fleet-messages.js';
@@ -25,6 +27,8 @@
 const longPollMs = 600;
 /** Time allowed for the answer to a read in addition to its wait, in milliseconds. */
 const answerTimeoutMs = 900;
+/** Time allowed for the answer to a read that renews a lost confirmation, in milliseconds: a read sent just before the store returns must not delay the next one until another daemon claims. */
+const renewalTimeoutMs = 500;
 /** Size of the records of one read, in bytes; enough for hundreds of claims and usage reports. */
 const maxReadBytes = 1024 * 1024;
 /** Delay of a new holder's first action in addition to the lease, in milliseconds. Together with confirmations that are valid for 1.5 s, it prevents a daemon from acting both before and after another one within the time of one lease. */
@@ -36,6 +40,9 @@
 /** Time without word of the holder after which a daemon claims although most of its peers are silent, in milliseconds. */
 const isolatedTimeoutMs = 12_000;
 
+/** Time after the store's return during which only the holder may confirm its claim, in milliseconds: the renewal of its confirmation, and two rounds of messages. A claim in that time would stop the duties for {@link takeoverMarginMs} and a lease although the holder is alive. */
+const holderReturnMs = 1000;
+
 /** Keys of the topic's records. */
 export enum DutyKey {
 	Claim = 'claim',
@@ -46,7 +53,7 @@
 type ClaimRecord = {holder: string};
 
 /** A claim that was read or reported; the fencing token is its offset plus one. */
-type Claim = {holder: string; token: number; seenAtMs: number};
+type Claim = {holder: string; token: number};
 
 function isClaimRecord(value: unknown): value is ClaimRecord {
 	return typeof fieldsOf(value).holder === 'string';
@@ -61,12 +68,15 @@
 	/** When the holder was last known to be alive; undefined if it never was. */
 	holderLastSeenAtMs: number | undefined;
 	startedAtMs: number;
+	/** How long the store has answered this daemon's reads without a failure, in milliseconds. */
+	storeAnsweringForMs: number;
 };
 
 /** Whether this daemon should try to claim the duties. */
 export function shouldClaim(inputs: ClaimInputs, nowMs: number): boolean {
-	const {rank, isMajorityResponsive, holderLastSeenAtMs, startedAtMs} = inputs;
-	if (rank === undefined) {
+	const {rank, isMajorityResponsive, holderLastSeenAtMs, startedAtMs, storeAnsweringForMs} = inputs;
+	const isHolderReturning = holderLastSeenAtMs !== undefined && storeAnsweringForMs < holderReturnMs;
+	if (rank === undefined || isHolderReturning) {
 		return false;
 	}
 
@@ -143,7 +153,7 @@
 
 		if (update.token > (this.newestClaim?.token ?? 0)) {
 			// The holder's id is unknown until this daemon reads the record, which it does before it claims.
-			this.newestClaim = {holder: '', token: update.token, seenAtMs: nowMs};
+			this.newestClaim = {holder: '', token: update.token};
 		}
 
 		this.holderLastSeenAtMs = Math.max(this.holderLastSeenAtMs ?? Number.NEGATIVE_INFINITY, nowMs - update.ageMs);
@@ -152,7 +162,8 @@
 	/** Runs one step of the election: reads the topic to confirm this daemon's claim if it is the newest, otherwise claims if {@link shouldClaim} allows it. */
 	async step(inputs: Omit<ClaimInputs, 'holderLastSeenAtMs'>, signal: AbortSignal): Promise<void> {
 		if (this.isHolder) {
-			await this.readClaims(longPollMs, signal);
+			const isConfirmed = this.isConfirmedAt(this.clock.now());
+			await this.readClaims(isConfirmed ? {waitMs: longPollMs, answerMs: answerTimeoutMs} : {waitMs: 0, answerMs: renewalTimeoutMs}, signal);
 			return;
 		}
 
@@ -161,7 +172,7 @@
 		}
 
 		const tokenBefore = this.newestClaim?.token ?? 0;
-		await this.readClaims(0, signal);
+		await this.readClaims({waitMs: 0, answerMs: answerTimeoutMs}, signal);
 		if (this.newestClaim && this.newestClaim.token > tokenBefore) {
 			// Another daemon claimed in the meantime, or before this one started: its updates are given time to arrive.
 			this.holderLastSeenAtMs = this.clock.now();
@@ -215,14 +226,14 @@
 		log.info('claimed the duties.', {token: this.newestClaim?.token, quietMs: Math.round(this.mayActFromMs - this.clock.now())});
 	}
 
-	private async readClaims(waitMs: number, signal: AbortSignal): Promise<void> {
+	private async readClaims(timing: Pick<ReadLimits, 'waitMs' | 'answerMs'>, signal: AbortSignal): Promise<void> {
 		const sentAtMs = this.clock.now();
 		let batch: RecordBatch | undefined;
 		if (this.nextOffset !== undefined) {
-			batch = await this.store.read(Topic.Duties, this.nextOffset, {waitMs, answerMs: answerTimeoutMs, maxBytes: maxReadBytes}, signal);
+			batch = await this.store.read(Topic.Duties, this.nextOffset, {...timing, maxBytes: maxReadBytes}, signal);
 		}
 
-		batch ??= await this.store.readNewest(Topic.Duties, answerTimeoutMs, signal);
+		batch ??= await this.store.readNewest(Topic.Duties, timing.answerMs, signal);
 		for (const record of batch.records) {
 			if (record.key === String(DutyKey.Claim) && record.value) {
 				const claim = decodeDaemonRecord(record.value, isClaimRecord, 'claim of the duties');
@@ -250,7 +261,7 @@
 			this.holderLastSeenAtMs = nowMs;
 		}
 
-		this.newestClaim = {holder, token, seenAtMs: nowMs};
+		this.newestClaim = {holder, token};
 		// There is no predecessor before the first claim of the topic.
 		this.mayActFromMs = offset === 0 ? nowMs : nowMs + this.leaseMs + takeoverMarginMs;
 	}
--- a/src/testing/fake-store.ts
+++ b/src/testing/fake-store.ts
@@ -1,6 +1,6 @@
 /** An in-memory implementation of the store, with faults that tests can switch on. */
 import {
-	type AppendResult, type KeyedRecord, type RecordBatch, type Store, type Topic,
+	type AppendResult, type KeyedRecord, type ReadLimits, type RecordBatch, type Store, type Topic,
 } from '../protocol/platform.js';
 import {StateError, UnknownAppendError} from '../state/errors.js';
 
@@ -12,6 +12,8 @@
 	shouldLoseAnswers = false;
 	/** The maximum number of records that one `read` returns. */
 	maxRecordsPerRead = Number.POSITIVE_INFINITY;
+	/** How long each answered `read` allowed the store to wait for records, in milliseconds. */
+	readonly readWaitsMs: number[] = [];
 	/** The number of reads that were answered. */
 	answeredReads = 0;
 	/** The number of calls that failed because the store was down. */
@@ -63,9 +65,10 @@
 	 *
 	 * @throws {StateError} When the store is down.
 	 */
-	async read(topic: Topic, from: number): Promise<RecordBatch | undefined> {
+	async read(topic: Topic, from: number, {waitMs}: Pick<ReadLimits, 'waitMs'>): Promise<RecordBatch | undefined> {
 		this.throwIfDown();
 		this.answeredReads++;
+		this.readWaitsMs.push(waitMs);
 		if (from < (this.firstOffsets.get(topic) ?? 0)) {
 			return undefined;
 		}
--- a/src/transport/__tests__/front-server.test.ts
+++ b/src/transport/__tests__/front-server.test.ts
@@ -45,15 +45,15 @@
 
 /** Connects a client in a process of its own, which pauses, sends a request, and disconnects after `staysMs`; returns once it is connected. */
 async function connectClient(staysMs: number): Promise<{hasExited: Promise<unknown>}> {
-	const client = spawn(process.execPath, ['-e', `
+	const client = spawn(process.execPath, ['-e', String.raw`
 		const socket = require('node:net').connect(${port}, '127.0.0.1', () => {
 			setTimeout(() => {
-				socket.write('GET /late HTTP/1.1\\r\\nHost: h\\r\\n\\r\\n');
+				socket.write('GET /late HTTP/1.1\r\nHost: h\r\n\r\n');
 				setTimeout(() => socket.destroy(), ${staysMs});
 			}, 100);
 		});
 	`], {stdio: 'ignore'});
-	await waitUntil(() => server.openConnections > 0, 5000);
+	await waitUntil(async () => server.openConnections > 0, 5000);
 	return {hasExited: once(client, 'exit')};
 }
 
