Roll out versions: bounded exposure, a verdict, a way back and a status

- A version that neither ran when a daemon first read the list nor is part of a committed roll-out receives nothing (rollouts.ts); placement, retries, moves and the pool ask one object.
- Each daemon tests a version with the same share of its own requests per route (canary-traffic.ts): the bound holds over the fleet without any exchange.
- Answers of both versions are compared by failure domain and route with a sequential probability ratio test (version-verdict.ts); counts travel with the totals of the accounts' limits.
- The duty holder commits each phase to the topic of the duties before any daemon acts on it and writes status/rollout/SERVICE by conditional appends (rollout-runner.ts); phases are gossiped like quarantined requests.

Tests: tables for phases, shares, verdicts and unusual orders, the holder's task in virtual time, three real daemons that roll a bad version back and complete a good one under load; model/rollout.pml with two mutants that fail.

--- a/scripts/write-checks.mjs
+++ b/scripts/write-checks.mjs
@@ -11,10 +11,14 @@
 	entryPoints: ['platform/schemas.ts'], bundle: true, format: 'esm', write: false,
 });
 const source = Buffer.from(bundled.outputFiles[0].contents).toString('base64');
-const {settingsSchema, backendSchema, configSchema} = await import(`data:text/javascript;base64,${source}`);
-const schemas = {settings: settingsSchema, backend: backendSchema, config: configSchema};
+const {settingsSchema, backendSchema, configSchema, rolloutSchema} = await import(`data:text/javascript;base64,${source}`);
+const schemas = {
+	settings: settingsSchema, backend: backendSchema, config: configSchema, rollout: rolloutSchema,
+};
 const ajv = new Ajv({
 	allErrors: false, useDefaults: true, strict: true, strictTypes: false, schemas, code: {source: true, esm: true},
 });
-const code = standalone.default(ajv, {checkSettings: 'settings', checkBackend: 'backend', checkConfig: 'config'});
+const code = standalone.default(ajv, {
+	checkSettings: 'settings', checkBackend: 'backend', checkConfig: 'config', checkRollout: 'rollout',
+});
 writeFileSync(process.argv[2] ?? 'platform/generated-checks.js', `// Written by scripts/write-checks.mjs from platform/schemas.ts.\n${code}\n`);
--- a/src/cli/__tests__/leaf-update-delay.test.ts
+++ b/src/cli/__tests__/leaf-update-delay.test.ts
@@ -25,7 +25,7 @@
 const readsInProgressMs = 200;
 
 const bounds: ServiceBounds = {
-	configApplyMs: 2000, drainMs: 2000, graceMs: 8000, revokeMs: 5000, retryRatio: 0.2, retryWindowMs: 10_000, retrySlack: 50, quotaWindowMs: 8000, quotaTolerance: 0.1, quotaSlack: 0, leaseMs: 3000, usageWindowMs: 5000,
+	configApplyMs: 2000, drainMs: 2000, graceMs: 8000, revokeMs: 5000, retryRatio: 0.2, retryWindowMs: 10_000, retrySlack: 50, quotaWindowMs: 8000, quotaTolerance: 0.1, quotaSlack: 0, leaseMs: 3000, usageWindowMs: 5000, canaryShare: 0.1,
 };
 
 /** A leaf daemon whose relays answer every report with a view whose age grows once they cannot read the store. */
--- a/src/cli/front-container.ts
+++ b/src/cli/front-container.ts
@@ -13,6 +13,7 @@
 import {BackendConnectionPool} from '../transport/backend-connection-pool.js';
 import {DutyLease} from '../coordination/duty-lease.js';
 import {DutyRunner} from '../coordination/duty-runner.js';
+import {backendKey} from '../coordination/fleet/backend-key.js';
 import {BoundsRecord} from '../coordination/fleet/bounds-record.js';
 import {FleetMessenger, maxViewIntervalMs} from '../coordination/fleet/fleet-messenger.js';
 import {reportIntervalMs} from '../coordination/fleet/peer-counter.js';
@@ -26,6 +27,8 @@
 import {QuarantineRecord} from '../coordination/quarantine/quarantine-record.js';
 import {QuotaLedger} from '../coordination/quota-ledger.js';
 import {RetryBudget} from '../coordination/retry-budget.js';
+import {Rollouts} from '../coordination/rollout/rollouts.js';
+import {RolloutRunner} from '../coordination/rollout/rollout-runner.js';
 import {Dispatcher} from '../coordination/serving/dispatcher.js';
 import {Forwarder} from '../coordination/serving/forwarder.js';
 import {DeferredMetrics} from '../coordination/serving/request-metrics.js';
@@ -74,7 +77,7 @@
 
 /** Creates the dependency injection container of one serving daemon. */
 export function createFrontContainer({platform, incarnation, signal, createSinks}: FrontContainerOptions): DependencyContainer {
-	const {settings, store, cloud, dialect, engines} = platform;
+	const {settings, store, cloud, dialect, engines, records} = platform;
 	// A reload changes the bounds in place, so components read changeable bounds at each use.
 	const {bounds} = settings;
 	const frontContainer = container.createChildContainer();
@@ -112,6 +115,7 @@
 			return bounds.retrySlack;
 		},
 	}));
+	registerFactory(Rollouts, () => new Rollouts(bounds, Math.random));
 	registerFactory(DutyLease, () => new DutyLease(store, incarnation, bounds.leaseMs, clock));
 	registerFactory(PoolDemands, resolver => new PoolDemands(resolver.resolve(BackendTable), resolver.resolve(Placement), resolver.resolve(FleetTable), resolver.resolve(StatedLimits)));
 	registerFactory(Quarantine, resolver => new Quarantine(nowMs => resolver.resolve(DutyLease).tokenAt(nowMs) !== undefined));
@@ -130,10 +134,11 @@
 		quarantine: resolver.resolve(Quarantine),
 		crashWatch: resolver.resolve(CrashWatch),
 		statedLimits: resolver.resolve(StatedLimits),
+		rollouts: resolver.resolve(Rollouts),
 		clock,
 	}));
 	registerFactory(StreamRegistry, resolver => new StreamRegistry({
-		backends: resolver.resolve(BackendTable), engines, dispatcher: resolver.resolve(Dispatcher), routes: resolver.resolve(RouteTable), signal,
+		backends: resolver.resolve(BackendTable), engines, dispatcher: resolver.resolve(Dispatcher), routes: resolver.resolve(RouteTable), rollouts: resolver.resolve(Rollouts), signal,
 	}));
 	const {configSink, backendsSink} = createSinks(frontContainer);
 	const isRelay = (resolver: DependencyContainer) => resolver.resolve(FleetTable).roleAt(clock.now()) === FleetRole.Relay;
@@ -182,6 +187,7 @@
 		quarantine: resolver.resolve(Quarantine),
 		quarantineRecord: resolver.resolve(QuarantineRecord),
 		statedLimits: resolver.resolve(StatedLimits),
+		rollouts: resolver.resolve(Rollouts),
 		topics: {[Topic.Config]: resolver.resolve(ConfigFollower), [Topic.Backends]: resolver.resolve(BackendsFollower)},
 		clock,
 		startedAtMs,
@@ -197,6 +203,17 @@
 		usageWindowMs: bounds.usageWindowMs,
 		listStability: nowMs => ({followedForMs: resolver.resolve(BackendsFollower).followedForMs(nowMs), unchangedForMs: nowMs - backendsSink.lastAddedAtMs}),
 		poolNeed: service => resolver.resolve(PoolDemands).need(service.name, clock.now()),
+		belongsToPool: backend => resolver.resolve(Rollouts).belongsToPool(backend),
+	}));
+	registerFactory(RolloutRunner, resolver => new RolloutRunner({
+		store,
+		records,
+		lease: resolver.resolve(DutyLease),
+		rollouts: resolver.resolve(Rollouts),
+		backends: resolver.resolve(BackendTable),
+		clock,
+		service: name => resolver.resolve(RouteTable).service(name),
+		inFlight: (backendId, nowMs) => (resolver.resolve(Placement).inFlight()[backendId] ?? 0) + resolver.resolve(FleetTable).inFlight(backendKey(backendId), nowMs),
 	}));
 	registerFactory(Forwarder, resolver => new Forwarder({
 		dialect,
--- a/src/cli/front-daemon.ts
+++ b/src/cli/front-daemon.ts
@@ -23,6 +23,8 @@
 import {Quarantine} from '../coordination/quarantine/quarantine.js';
 import {quarantineCheckIntervalMs, QuarantineRecord} from '../coordination/quarantine/quarantine-record.js';
 import {QuotaLedger} from '../coordination/quota-ledger.js';
+import {Rollouts} from '../coordination/rollout/rollouts.js';
+import {RolloutRunner, rolloutStepIntervalMs} from '../coordination/rollout/rollout-runner.js';
 import {applySettings} from '../coordination/settings-reload.js';
 import {BackendsSink, ConfigSink} from '../coordination/record-sinks.js';
 import {StatedLimits} from '../coordination/stated-limits.js';
@@ -166,6 +168,7 @@
 			limits: Object.fromEntries(this.container.resolve(QuotaLedger).ownTotals()),
 			quarantine: this.container.resolve(Quarantine).toJson(nowMs),
 			statedLimits: this.container.resolve(StatedLimits).toJson(nowMs),
+			rollouts: this.container.resolve(Rollouts).toJson(),
 		};
 	}
 
@@ -185,12 +188,13 @@
 	private createSinks(resolver: DependencyContainer): {configSink: ConfigSink; backendsSink: BackendsSink} {
 		const {records} = this.platform;
 		const routes = resolver.resolve(RouteTable);
-		const configSink = new ConfigSink(records, routes, () => {
+		const configSink = new ConfigSink(records, routes, resolver.resolve(Rollouts), () => {
 			this.server.setLimits(routes.current!.limits);
 			resolver.resolve(QuotaLedger).noteLimits(routes.current!.accounts, this.clock.now());
 			this.admitRequestsOnceLoaded();
 		});
 		this.backendsSink = new BackendsSink(records, resolver.resolve(BackendTable), () => {
+			resolver.resolve(Rollouts).noteBackends(resolver.resolve(BackendTable).listed().map(({backend}) => backend));
 			this.admitRequestsOnceLoaded();
 		});
 		return {configSink, backendsSink: this.backendsSink};
@@ -201,6 +205,7 @@
 		const bounds = this.container.resolve(BoundsRecord);
 		const quarantine = this.container.resolve(QuarantineRecord);
 		const duties = this.container.resolve(DutyRunner);
+		const rollouts = this.container.resolve(RolloutRunner);
 		const registry = this.container.resolve(StreamRegistry);
 		return {
 			reports: {
@@ -220,6 +225,7 @@
 			quarantine: {intervalMs: () => quarantineCheckIntervalMs, step: async () => quarantine.save(this.signal)},
 			lease: {intervalMs: () => leaseStepIntervalMs, step: async () => this.stepLease()},
 			duties: {intervalMs: () => dutyIntervalMs, step: async () => duties.step(this.signal)},
+			rollouts: {intervalMs: () => rolloutStepIntervalMs, step: async () => rollouts.step(this.signal)},
 			settings: {
 				intervalMs: () => settingsCheckIntervalMs,
 				step: () => {
--- a/src/coordination/__tests__/duty-lease.test.ts
+++ b/src/coordination/__tests__/duty-lease.test.ts
@@ -145,7 +145,7 @@
 		const {first, store, inputs} = createPair();
 		await first.step(inputs, signal);
 		store.put(Topic.Duties, DutyKey.Claim, JSON.stringify({holder: 'other'}));
-		expect(await first.recordUsage(new Uint8Array([1]), signal)).toBe(false);
+		expect(await first.commit(DutyKey.Usage, new Uint8Array([1]), signal)).toBe(false);
 	});
 
 	it('is not confirmed by a read that leaves records unread, since another daemon\'s claim may be among them', async () => {
--- a/src/coordination/__tests__/duty-runner.test.ts
+++ b/src/coordination/__tests__/duty-runner.test.ts
@@ -54,11 +54,12 @@
 			demand ??= new PoolDemand(backends.listed().length, time.ms);
 			return demand.need();
 		},
+		belongsToPool: () => true,
 	});
 	const addBackends = (count: number) => {
 		for (let index = 0; index < count; index++) {
 			backends.upsert({
-				id: `b-${index}`, name: `b-${index}`, startedAtMs: undefined, service: 's', host: '10.0.0.1', port: index, failureDomain: index % 2 === 0 ? 'fd-a' : 'fd-b', slots: 16, state: BackendState.Ready, isReclaimable: false, leavesInMs: undefined, coldForMs: 0,
+				id: `b-${index}`, name: `b-${index}`, startedAtMs: undefined, service: 's', version: 'v1', host: '10.0.0.1', port: index, failureDomain: index % 2 === 0 ? 'fd-a' : 'fd-b', slots: 16, state: BackendState.Ready, isReclaimable: false, leavesInMs: undefined, coldForMs: 0,
 			}, time.ms);
 		}
 	};
@@ -88,7 +89,7 @@
 			orderPool: async () => DutyResult.Accepted,
 		};
 		const runner = new DutyRunner({
-			cloud, lease, usage, routes, backends: new BackendTable({drainMs: 2000}), clock, name, usageWindowMs: 5000, listStability: () => ({followedForMs: 0, unchangedForMs: 0}), poolNeed: undefined as never,
+			cloud, lease, usage, routes, backends: new BackendTable({drainMs: 2000}), clock, name, usageWindowMs: 5000, listStability: () => ({followedForMs: 0, unchangedForMs: 0}), poolNeed: undefined as never, belongsToPool: () => true,
 		});
 		return {
 			name, ownStore, lease, usage, runner,
--- a/src/coordination/__tests__/placement.test.ts
+++ b/src/coordination/__tests__/placement.test.ts
@@ -5,7 +5,7 @@
 import {Placement, type PlacementQuery} from '../placement.js';
 
 const backend = (id: string, failureDomain = 'fd-a'): Backend => ({
-	id, name: id, startedAtMs: undefined, service: 's', host: '10.0.0.1', port: 1, failureDomain, slots: 64, state: BackendState.Ready, isReclaimable: false, leavesInMs: undefined, coldForMs: 0,
+	id, name: id, startedAtMs: undefined, service: 's', version: 'v1', host: '10.0.0.1', port: 1, failureDomain, slots: 64, state: BackendState.Ready, isReclaimable: false, leavesInMs: undefined, coldForMs: 0,
 });
 const candidates = ['a', 'b', 'c', 'd'].map(id => backend(id));
 const parts = [{id: 'p1', tokens: 512}, {id: 'p2', tokens: 4870}, {id: 'own', tokens: 600}];
--- a/src/coordination/__tests__/settings-reload.test.ts
+++ b/src/coordination/__tests__/settings-reload.test.ts
@@ -14,7 +14,7 @@
 	storeUrl: 'http://10.0.0.9:1',
 	cloudUrl: 'http://10.0.0.9:2',
 	bounds: {
-		configApplyMs: 2000, drainMs: 2000, graceMs: 8000, revokeMs: 5000, retryRatio: 0.2, retryWindowMs: 10_000, retrySlack: 52, quotaWindowMs: 8000, quotaTolerance: 0.1, quotaSlack: 140_000, leaseMs: 3000, usageWindowMs: 5000, ...bounds,
+		configApplyMs: 2000, drainMs: 2000, graceMs: 8000, revokeMs: 5000, retryRatio: 0.2, retryWindowMs: 10_000, retrySlack: 52, quotaWindowMs: 8000, quotaTolerance: 0.1, quotaSlack: 140_000, leaseMs: 3000, usageWindowMs: 5000, canaryShare: 0.1, ...bounds,
 	},
 	...overrides,
 });
--- a/src/coordination/duty-lease.ts
+++ b/src/coordination/duty-lease.ts
@@ -47,6 +47,7 @@
 export enum DutyKey {
 	Claim = 'claim',
 	Usage = 'usage',
+	Rollouts = 'rollouts',
 }
 
 /** The stored form of a claim. */
@@ -100,7 +101,8 @@
 	/** When this daemon may start to act on its claim. */
 	private mayActFromMs = 0;
 	private wasActing = false;
-	private lastUsageRecord: Uint8Array | undefined;
+	/** The newest committed record of each key. */
+	private readonly committed = new Map<string, Uint8Array>();
 
 	/**
 	 * @param holder An id that is unique to this start of this daemon.
@@ -113,9 +115,9 @@
 		private readonly clock: SteadyClock,
 	) {}
 
-	/** The newest record of a committed usage report. */
-	get usageRecord(): Uint8Array | undefined {
-		return this.lastUsageRecord;
+	/** Returns the newest record that a holder committed under a key. */
+	record(key: Exclude<DutyKey, DutyKey.Claim>): Uint8Array | undefined {
+		return this.committed.get(key);
 	}
 
 	/** Returns the fencing token while this daemon may act, otherwise undefined. */
@@ -183,18 +185,18 @@
 	}
 
 	/**
-	 * Appends a usage report, unless other records were appended since this daemon's last read.
+	 * Appends a decision of the holder, unless other records were appended since this daemon's last read.
 	 *
-	 * @returns Whether the report was appended.
+	 * @returns Whether the record was appended.
 	 */
-	async recordUsage(value: Uint8Array, signal: AbortSignal): Promise<boolean> {
+	async commit(key: Exclude<DutyKey, DutyKey.Claim>, value: Uint8Array, signal: AbortSignal): Promise<boolean> {
 		const at = this.nextOffset;
-		const result = await this.store.append(Topic.Duties, {key: DutyKey.Usage, value}, at, signal);
+		const result = await this.store.append(Topic.Duties, {key, value}, at, signal);
 		if (result.kind === 'conflict') {
 			return false;
 		}
 
-		this.lastUsageRecord = value;
+		this.committed.set(key, value);
 		// A concurrent confirming read may already have read past this record.
 		this.nextOffset = Math.max(this.nextOffset ?? 0, result.offset + 1);
 		return true;
@@ -240,8 +242,8 @@
 				if (claim) {
 					this.applyClaim(claim.holder, record.offset, this.clock.now());
 				}
-			} else if (record.key === String(DutyKey.Usage)) {
-				this.lastUsageRecord = record.value;
+			} else if (record.value) {
+				this.committed.set(record.key, record.value);
 			}
 		}
 
--- a/src/coordination/duty-runner.ts
+++ b/src/coordination/duty-runner.ts
@@ -11,12 +11,12 @@
 	type Cloud, type DutyHolder, DutyResult, type PoolOrder,
 } from '../protocol/platform.js';
 import {type WindowCounts} from '../protocol/fleet-messages.js';
-import {type Service} from '../protocol/serving.js';
+import {type Backend, type Service} from '../protocol/serving.js';
 import {type SteadyClock} from '../clock.js';
 import {type BackendTable} from '../state/backend-table.js';
 import {type RouteTable} from '../state/route-table.js';
 import {createLogger} from '../log.js';
-import {type DutyLease} from './duty-lease.js';
+import {DutyKey, type DutyLease} from './duty-lease.js';
 import {fieldsOf, decodeDaemonRecord} from './daemon-record.js';
 import {type DomainState, planPool, type PoolNeed} from './pool-plan.js';
 import {type UsageLedger} from './usage-ledger.js';
@@ -74,6 +74,8 @@
 	listStability: (nowMs: number) => ListStability;
 	/** Returns the replicas that a service needs now. */
 	poolNeed: (service: Service) => PoolNeed;
+	/** Whether a backend server is part of the pool, rather than one of a version that is being tested or replaced. */
+	belongsToPool: (backend: Backend) => boolean;
 };
 
 /** Performs the duties of the holder. */
@@ -114,7 +116,7 @@
 		}
 
 		const report = {window, counts};
-		if (await lease.recordUsage(Buffer.from(JSON.stringify(report)), signal)) {
+		if (await lease.commit(DutyKey.Usage, Buffer.from(JSON.stringify(report)), signal)) {
 			log.info('usage report of a window committed to the store.', {window, windowMs: usageWindowMs, requests: sumOf(counts)});
 			await this.sendReport(report, signal);
 		}
@@ -136,7 +138,7 @@
 	}
 
 	private committedReport(): CommittedReport | undefined {
-		const record = this.parts.lease.usageRecord;
+		const record = this.parts.lease.record(DutyKey.Usage);
 		return record && decodeDaemonRecord(record, isCommittedReport, 'committed usage report');
 	}
 
@@ -186,7 +188,8 @@
 
 	private countPresent(kind: Omit<PoolOrder, 'count'>): number {
 		return this.parts.backends.listed().filter(({backend, leavingSinceMs}) => leavingSinceMs === undefined
-			&& backend.service === kind.service && backend.failureDomain === kind.failureDomain && backend.isReclaimable === kind.isReclaimable).length;
+			&& backend.service === kind.service && backend.failureDomain === kind.failureDomain && backend.isReclaimable === kind.isReclaimable
+			&& this.parts.belongsToPool(backend)).length;
 	}
 
 	private async orderIfDue(order: PoolOrder, {bootMs, need}: {bootMs: number; need: PoolNeed}, signal: AbortSignal): Promise<void> {
--- a/src/coordination/fleet/__fixtures__/test-net.ts
+++ b/src/coordination/fleet/__fixtures__/test-net.ts
@@ -14,6 +14,7 @@
 import {Quarantine} from '../../quarantine/quarantine.js';
 import {QuarantineRecord} from '../../quarantine/quarantine-record.js';
 import {type QuotaBounds, QuotaLedger} from '../../quota-ledger.js';
+import {Rollouts} from '../../rollout/rollouts.js';
 import {StatedLimits} from '../../stated-limits.js';
 import {TopicFollower} from '../../topic-follower.js';
 import {UsageLedger} from '../../usage-ledger.js';
@@ -44,6 +45,7 @@
 	readonly quarantine: Quarantine;
 	readonly quarantineRecord: QuarantineRecord;
 	readonly statedLimits: StatedLimits;
+	readonly rollouts = new Rollouts({canaryShare: 0.1}, () => 0);
 	readonly topics: Record<GossipedTopic, TopicFollower>;
 	readonly viewAges = {[Topic.Config]: new ViewAge(), [Topic.Backends]: new ViewAge()};
 	readonly backendsSeen: string[] = [];
@@ -88,7 +90,7 @@
 		this.messenger = new FleetMessenger({
 			settings: {
 				name, failureDomain, host, peerPort: 1, bounds: {quotaWindowMs: net.bounds.windowMs},
-			}, incarnation, store: net.store, fleet: this.fleet, quota: this.quota, usage: this.usage, placement: this.placement, lease: this.lease, bounds: this.bounds, quarantine: this.quarantine, quarantineRecord: this.quarantineRecord, statedLimits: this.statedLimits, topics: this.topics, clock, startedAtMs,
+			}, incarnation, store: net.store, fleet: this.fleet, quota: this.quota, usage: this.usage, placement: this.placement, lease: this.lease, bounds: this.bounds, quarantine: this.quarantine, quarantineRecord: this.quarantineRecord, statedLimits: this.statedLimits, rollouts: this.rollouts, topics: this.topics, clock, startedAtMs,
 		});
 		this.messenger.open({
 			send: (message, to) => {
--- a/src/coordination/fleet/backend-updates.ts
+++ b/src/coordination/fleet/backend-updates.ts
@@ -1,37 +1,43 @@
 /**
  * Sends and receives updates on backend servers that must reach all daemons quickly: which
- * backend servers ended while they ran which requests, and which ones state limits. The updates
- * are separate messages, so that a fleet without such events has no extra traffic.
+ * backend servers ended while they ran which requests, which ones state limits, and which
+ * versions are being rolled out. The updates are separate messages, so that a fleet without
+ * such events has no extra traffic.
  */
 import {
-	type FleetMessage, FleetMessageKind, type LimitList, type Sender, type SuspectList,
+	type FleetMessage, FleetMessageKind, type LimitList, type RolloutList, type Sender, type SuspectList,
 } from '../../protocol/fleet-messages.js';
 import {type Quarantine} from '../quarantine/quarantine.js';
+import {type Rollouts} from '../rollout/rollouts.js';
 import {type StatedLimits} from '../stated-limits.js';
 
-/** Largest number of suspected requests or limits in one datagram; each takes up to a hundred bytes. */
+/** Largest number of suspected requests, limits or roll-outs in one datagram; each takes up to a hundred bytes. */
 const itemsPerMessage = 10;
 
 /** The sources and receivers of the updates. */
-export type BackendUpdateParts = {quarantine: Quarantine; statedLimits: StatedLimits};
+export type BackendUpdateParts = {quarantine: Quarantine; statedLimits: StatedLimits; rollouts: Rollouts};
+
+/** The messages that carry the updates. */
+export type BackendUpdateMessage = SuspectList | LimitList | RolloutList;
 
 /** Creates and processes updates on backend servers. */
 export class BackendUpdates {
 	constructor(private readonly parts: BackendUpdateParts) {}
 
 	/** Creates messages with the latest changes, and with `includesAll` also with everything in force, for daemons that have just started. */
-	createMessages(sender: Sender, includesAll: boolean, nowMs: number): Array<SuspectList | LimitList> {
-		const {quarantine, statedLimits} = this.parts;
+	createMessages(sender: Sender, includesAll: boolean, nowMs: number): BackendUpdateMessage[] {
+		const {quarantine, statedLimits, rollouts} = this.parts;
 		const suspects = quarantine.isEmpty ? [] : quarantine.recentUpdates(includesAll, nowMs);
 		const limits = statedLimits.isEmpty ? [] : statedLimits.updates(includesAll, nowMs);
 		return [
 			...chunk(suspects).map(part => ({kind: FleetMessageKind.Suspects as const, sender, suspects: part})),
 			...chunk(limits).map(part => ({kind: FleetMessageKind.Limits as const, sender, limits: part})),
+			...chunk(rollouts.isEmpty ? [] : rollouts.updates(includesAll, nowMs)).map(part => ({kind: FleetMessageKind.Rollouts as const, sender, rollouts: part})),
 		];
 	}
 
 	/** Processes a message of another daemon, whose updates are forwarded with `shouldForward`; returns false if the message is of another kind. */
-	receive(message: FleetMessage, shouldForward: boolean, nowMs: number): message is SuspectList | LimitList {
+	receive(message: FleetMessage, shouldForward: boolean, nowMs: number): message is BackendUpdateMessage {
 		if (message.kind === FleetMessageKind.Suspects) {
 			this.parts.quarantine.applyUpdates(message.suspects, shouldForward, nowMs);
 			return true;
@@ -42,6 +48,12 @@
 			return true;
 		}
 
+		if (message.kind === FleetMessageKind.Rollouts) {
+			// A roll-out that is under way is sent by every daemon in each round, so it needs no forwarding.
+			this.parts.rollouts.applyUpdates(message.rollouts, nowMs);
+			return true;
+		}
+
 		return false;
 	}
 }
--- a/src/coordination/fleet/fleet-messenger.ts
+++ b/src/coordination/fleet/fleet-messenger.ts
@@ -18,6 +18,7 @@
 import {type Quarantine} from '../quarantine/quarantine.js';
 import {quarantineKey, type QuarantineRecord} from '../quarantine/quarantine-record.js';
 import {type QuotaLedger, type QuotaPeers} from '../quota-ledger.js';
+import {type Rollouts} from '../rollout/rollouts.js';
 import {type StatedLimits} from '../stated-limits.js';
 import {type TopicFollower} from '../topic-follower.js';
 import {type UsageLedger} from '../usage-ledger.js';
@@ -79,6 +80,7 @@
 	quarantine: Quarantine;
 	quarantineRecord: QuarantineRecord;
 	statedLimits: StatedLimits;
+	rollouts: Rollouts;
 	/** The followers of the topics that daemons gossip about. */
 	topics: Record<GossipedTopic, TopicFollower>;
 	clock: SteadyClock;
@@ -170,7 +172,7 @@
 			return;
 		}
 
-		const {fleet, quota, lease, clock} = this.parts;
+		const {fleet, quota, lease, rollouts, clock} = this.parts;
 		const nowMs = clock.now();
 		// In a large fleet, only a few daemons receive these updates from their origin, so relays forward them.
 		if (this.backendUpdates.receive(message, fleet.roleAt(nowMs) === FleetRole.Relay, nowMs)) {
@@ -186,8 +188,10 @@
 			lease.applyHolderUpdate(message.holder, nowMs);
 		}
 
-		for (const [account, use] of this.noteDigest(message, nowMs)) {
-			quota.addPeerUse(account, use, nowMs);
+		for (const [key, growth] of this.noteDigest(message, nowMs)) {
+			if (!rollouts.outcomes.addPeerTotals(key, growth)) {
+				quota.addPeerUse(key, growth, nowMs);
+			}
 		}
 
 		// The sums include the counts of the digest, so they are adopted after it.
@@ -256,7 +260,7 @@
 		}
 	}
 
-	/** Sends the requests that crash backend servers and the limits that backend servers state: those that changed, and every {@link fullUpdateRounds} rounds all of them. */
+	/** Sends the requests that crash backend servers, the limits that backend servers state, and the roll-outs: those that changed, and every {@link fullUpdateRounds} rounds all of them. */
 	private sendBackendUpdates(role: FleetRole, nowMs: number): void {
 		const includesAll = this.round % fullUpdateRounds === 0 && this.shouldRepeatAll(role, nowMs);
 		const messages = this.backendUpdates.createMessages(this.sender(nowMs), includesAll, nowMs);
@@ -266,7 +270,7 @@
 		}
 	}
 
-	/** Sends all suspected requests and limits to a daemon that has just started. */
+	/** Sends all suspected requests, limits and roll-outs to a daemon that has just started. */
 	private sendAllToNewDaemon({sender}: Report, nowMs: number): void {
 		if (sender.uptimeMs < newDaemonMs) {
 			for (const message of this.backendUpdates.createMessages(this.sender(nowMs), true, nowMs)) {
--- a/src/coordination/quarantine/__tests__/crash-watch.test.ts
+++ b/src/coordination/quarantine/__tests__/crash-watch.test.ts
@@ -12,7 +12,7 @@
 import {Quarantine} from '../quarantine.js';
 
 const backend = (id: string, overrides: Partial<Backend> = {}): Backend => ({
-	id, name: id, startedAtMs: undefined, service: 's', host: '127.0.0.1', port: 1, failureDomain: 'fd-a', slots: 64, state: BackendState.Ready, isReclaimable: true, leavesInMs: undefined, coldForMs: 0, ...overrides,
+	id, name: id, startedAtMs: undefined, service: 's', version: 'v1', host: '127.0.0.1', port: 1, failureDomain: 'fd-a', slots: 64, state: BackendState.Ready, isReclaimable: true, leavesInMs: undefined, coldForMs: 0, ...overrides,
 });
 const draining = {state: BackendState.Draining, leavesInMs: 1000};
 
--- a/src/coordination/record-sinks.ts
+++ b/src/coordination/record-sinks.ts
@@ -1,8 +1,9 @@
 /** The sinks that apply the records of the followed topics to the daemon's tables. A record that cannot be decoded is logged and skipped. */
-import {type KeyedRecord, type RecordDecoder} from '../protocol/platform.js';
+import {type KeyedRecord, type RecordCodec} from '../protocol/platform.js';
 import {type BackendTable} from '../state/backend-table.js';
 import {type RouteTable} from '../state/route-table.js';
 import {createLogger} from '../log.js';
+import {type Rollouts} from './rollout/rollouts.js';
 import {type RecordSink} from './topic-follower.js';
 
 const log = createLogger('front');
@@ -10,22 +11,31 @@
 /** Number of keys with undecodable entries that are logged at a time. Another writer may fill the topic with such entries, and further ones show nothing new. */
 const maxLoggedKeys = 100;
 
-/** Applies configurations to the route table. */
+/** Applies configurations to the route table, and the operators' roll-out orders. */
 export class ConfigSink implements RecordSink {
 	/** @param onChange Called after each version that takes effect. */
 	constructor(
-		private readonly records: RecordDecoder,
+		private readonly records: RecordCodec,
 		private readonly routes: RouteTable,
+		private readonly rollouts: Rollouts,
 		private readonly onChange: () => void,
 	) {}
 
-	reset(records: KeyedRecord[]): void {
+	reset(records: KeyedRecord[], nowMs: number): void {
 		for (const record of records) {
-			this.apply(record);
+			this.apply(record, nowMs);
 		}
+
+		this.rollouts.retainOrders(new Set(records.map(({key}) => this.records.rolloutServiceOf(key)).filter(service => service !== undefined)));
 	}
 
-	apply(record: KeyedRecord): void {
+	apply(record: KeyedRecord, nowMs: number): void {
+		const service = this.records.rolloutServiceOf(record.key);
+		if (service !== undefined) {
+			this.applyOrder(service, record, nowMs);
+			return;
+		}
+
 		if (!this.records.isConfigKey(record.key) || !record.value) {
 			return;
 		}
@@ -42,6 +52,18 @@
 			log.error('cannot decode the configuration, keeping the last one.', {offset: record.offset, version: this.routes.version, error: String(error)});
 		}
 	}
+
+	/** Records the newest order for a service. One that cannot be decoded replaces the last one, since that is no longer what the operator wants. */
+	private applyOrder(service: string, record: KeyedRecord, nowMs: number): void {
+		try {
+			const order = record.value && this.records.readRolloutOrder(service, record.value);
+			this.rollouts.noteOrder(service, order && {...order, orderId: record.offset, receivedAtMs: nowMs});
+			log.info(order ? 'roll-out order received.' : 'roll-out order removed.', {service, order: record.offset, version: order?.version, durationMs: order?.durationMs});
+		} catch (error) {
+			this.rollouts.noteOrder(service, undefined);
+			log.error('cannot decode the roll-out order, ignoring it.', {service, offset: record.offset, error: String(error)});
+		}
+	}
 }
 
 /** Applies the list of backend servers to the table of backend servers. */
@@ -56,7 +78,7 @@
 
 	/** @param onList Called after each complete list. */
 	constructor(
-		private readonly records: RecordDecoder,
+		private readonly records: RecordCodec,
 		private readonly backends: BackendTable,
 		private readonly onList: () => void,
 	) {}
--- a/src/coordination/serving/__tests__/backend-selector.test.ts
+++ b/src/coordination/serving/__tests__/backend-selector.test.ts
@@ -12,6 +12,7 @@
 import {Placement} from '../../placement.js';
 import {Quarantine} from '../../quarantine/quarantine.js';
 import {RetryPurpose, RetryBudget} from '../../retry-budget.js';
+import {Rollouts} from '../../rollout/rollouts.js';
 import {StatedLimits} from '../../stated-limits.js';
 import {BackendSelector} from '../backend-selector.js';
 import {ServedRequest} from '../served-request.js';
@@ -21,7 +22,7 @@
 	name: 'r', host: 'h', pathPrefix: '/', kind: RequestKind.Idempotent, timeoutMs: 1000, latencyTargetMs: 100, priority: 0, attempts: 2, isPublic: true, isResumable: false, targets: [],
 };
 const backend = (id: string): Backend => ({
-	id, name: id, startedAtMs: undefined, service: 's', host: '10.0.0.1', port: 1, failureDomain: 'fd-a', slots: 8, state: BackendState.Ready, isReclaimable: false, leavesInMs: undefined, coldForMs: 0,
+	id, name: id, startedAtMs: undefined, service: 's', version: 'v1', host: '10.0.0.1', port: 1, failureDomain: 'fd-a', slots: 8, state: BackendState.Ready, isReclaimable: false, leavesInMs: undefined, coldForMs: 0,
 });
 const createRequest = () => new ServedRequest({
 	request: {
@@ -52,7 +53,7 @@
 	const fleet = new FleetTable({name: 'd', failureDomain: 'fd-a', startedAtMs: 0});
 	const quarantine = new Quarantine(() => false);
 	const selector = new BackendSelector({
-		backends, placement, fleet, quarantine, statedLimits: limits, clock,
+		backends, placement, fleet, quarantine, statedLimits: limits, rollouts: new Rollouts({canaryShare: 0.1}, () => 0), clock,
 	});
 	const retryBudget = new RetryBudget({ratio: 0, windowMs: 10_000, slack: 100});
 	const reservations = new RetryReservations({
--- a/src/coordination/serving/__tests__/forwarded-stream.test.ts
+++ b/src/coordination/serving/__tests__/forwarded-stream.test.ts
@@ -42,7 +42,7 @@
 			server.listen(0, '127.0.0.1', resolve);
 		});
 		const backend = {
-			id: 'e', name: 'e', startedAtMs: undefined, service: 's', host: '127.0.0.1', port: (server.address() as AddressInfo).port, failureDomain: 'fd', slots: 1, state: BackendState.Ready, isReclaimable: false, leavesInMs: undefined, coldForMs: 0,
+			id: 'e', name: 'e', startedAtMs: undefined, service: 's', version: 'v1', host: '127.0.0.1', port: (server.address() as AddressInfo).port, failureDomain: 'fd', slots: 1, state: BackendState.Ready, isReclaimable: false, leavesInMs: undefined, coldForMs: 0,
 		};
 		const abort = new AbortController();
 		const pool = new BackendConnectionPool();
--- a/src/coordination/serving/__tests__/stream-registry.test.ts
+++ b/src/coordination/serving/__tests__/stream-registry.test.ts
@@ -8,6 +8,7 @@
 	type Backend, BackendState, RequestKind, type Route,
 } from '../../../protocol/serving.js';
 import {BackendTable} from '../../../state/backend-table.js';
+import {Rollouts} from '../../rollout/rollouts.js';
 import {type StartedAnswer} from '../dispatcher.js';
 import {ForwardedStream} from '../forwarded-stream.js';
 import {ServedRequest} from '../served-request.js';
@@ -66,7 +67,7 @@
 /** Creates an engine that started at `startedAtMs`. */
 function startedEngine(startedAtMs: number): Backend {
 	return {
-		id: `e@${startedAtMs}`, name: 'e', startedAtMs, service: 's', host: '10.0.0.1', port: 1, failureDomain: 'fd', slots: 4, state: BackendState.Ready, isReclaimable: false, leavesInMs: undefined, coldForMs: 0,
+		id: `e@${startedAtMs}`, name: 'e', startedAtMs, service: 's', version: 'v1', host: '10.0.0.1', port: 1, failureDomain: 'fd', slots: 4, state: BackendState.Ready, isReclaimable: false, leavesInMs: undefined, coldForMs: 0,
 	};
 }
 
@@ -78,7 +79,7 @@
 		const backends = new BackendTable({drainMs: 2000});
 		backends.upsert(startedEngine(1), 0);
 		const registry = new StreamRegistry({
-			backends, engines: undefined as never, dispatcher: undefined as never, routes: undefined as never, signal: new AbortController().signal,
+			backends, engines: undefined as never, dispatcher: undefined as never, routes: undefined as never, rollouts: new Rollouts({canaryShare: 0.1}, () => 0), signal: new AbortController().signal,
 		});
 		const stream = createStream(3, 50, 1000);
 		const abort = new AbortController();
--- a/src/coordination/serving/backend-selector.ts
+++ b/src/coordination/serving/backend-selector.ts
@@ -6,6 +6,7 @@
 import {type FleetTable} from '../fleet/fleet-table.js';
 import {type PlacementChoice, type Placement} from '../placement.js';
 import {type Quarantine} from '../quarantine/quarantine.js';
+import {type Rollouts} from '../rollout/rollouts.js';
 import {SendPermission, type StatedLimits} from '../stated-limits.js';
 import {type ServedRequest} from './served-request.js';
 
@@ -16,21 +17,22 @@
 	fleet: FleetTable;
 	quarantine: Quarantine;
 	statedLimits: StatedLimits;
+	rollouts: Rollouts;
 	clock: SteadyClock;
 };
 
-/** Selects backend servers by load, health and stated rate limits. */
+/** Selects backend servers by load, health, stated rate limits and version. */
 export class BackendSelector {
 	constructor(private readonly dependencies: BackendSelectorDependencies) {}
 
 	/** Selects the backend server that a request would be sent to now, other than the one that is running it. */
 	select(served: ServedRequest, currentBackendId?: string): PlacementChoice | undefined {
-		const {backends, placement, fleet, quarantine, clock} = this.dependencies;
+		const {backends, placement, fleet, quarantine, rollouts, clock} = this.dependencies;
 		const {request, service} = served.inputs;
 		const nowMs = clock.now();
 		const excluded = currentBackendId === undefined ? served.excluded : new Set([...served.excluded, currentBackendId]);
 		return placement.choose({
-			candidates: this.filterByRateLimit(backends.candidates(service, nowMs), excluded, nowMs),
+			candidates: this.filterByRateLimit(rollouts.filter(service, backends.candidates(service, nowMs), this.isCanary(served)), excluded, nowMs),
 			excluded,
 			promptTokens: request.promptTokens ?? 0,
 			promptParts: request.promptParts,
@@ -55,10 +57,10 @@
 
 	/** Whether a backend server that was selected earlier may still receive the request; `isRateLimitCharged` tells whether the request is already charged to its rate limit. */
 	isUsable(served: ServedRequest, backend: Backend, isRateLimitCharged: boolean): boolean {
-		const {backends, statedLimits, clock} = this.dependencies;
+		const {backends, statedLimits, rollouts, clock} = this.dependencies;
 		const entry = backends.get(backend.id);
 		const isStaying = entry !== undefined && entry.leavingSinceMs === undefined;
-		return isStaying && !served.excluded.has(backend.id) && (isRateLimitCharged || statedLimits.permission(backend.id, clock.now()) !== SendPermission.Withheld);
+		return isStaying && rollouts.mayReceive(backend) && !served.excluded.has(backend.id) && (isRateLimitCharged || statedLimits.permission(backend.id, clock.now()) !== SendPermission.Withheld);
 	}
 
 	/** Milliseconds until a rate-limited backend server of the request's service may receive a request; undefined when none of them is rate-limited. */
@@ -67,6 +69,17 @@
 		return statedLimits.isEmpty ? undefined : statedLimits.retryAfterMs(backends.candidates(served.inputs.service, nowMs).map(({id}) => id), nowMs);
 	}
 
+	/** Whether a request tests the version that is being rolled out. Only first attempts do: a request that failed must not meet an untested version again. */
+	private isCanary(served: ServedRequest): boolean {
+		if (served.attempts.length > 0) {
+			return false;
+		}
+
+		const {service, route} = served.inputs;
+		served.isCanary ??= this.dependencies.rollouts.drawCanary(service, route.name);
+		return served.isCanary;
+	}
+
 	/** Returns the candidates whose rate limits allow a request now. If the limit of any of them has not been confirmed recently, returns only those, so that this request refreshes it. */
 	private filterByRateLimit(candidates: Backend[], excluded: ReadonlySet<string>, nowMs: number): Backend[] {
 		const {statedLimits} = this.dependencies;
--- a/src/coordination/serving/dispatcher.ts
+++ b/src/coordination/serving/dispatcher.ts
@@ -15,6 +15,7 @@
 import {type CrashWatch} from '../quarantine/crash-watch.js';
 import {type Quarantine} from '../quarantine/quarantine.js';
 import {type RetryPurpose, type RetryBudget} from '../retry-budget.js';
+import {type Rollouts} from '../rollout/rollouts.js';
 import {type StatedLimits} from '../stated-limits.js';
 import {BackendSelector} from './backend-selector.js';
 import {type Attempt, type ServedRequest} from './served-request.js';
@@ -93,6 +94,7 @@
 	quarantine: Quarantine;
 	crashWatch: CrashWatch;
 	statedLimits: StatedLimits;
+	rollouts: Rollouts;
 	clock: SteadyClock;
 };
 
@@ -242,6 +244,8 @@
 
 			if (!abort.signal.aborted) {
 				this.recordBrokenRun(served, backend);
+			} else if (!signal.aborted && !options.signal?.aborted) {
+				this.noteVersionOutcome(served, backend, undefined, options);
 			}
 
 			return fail({kind: DispatchKind.Unknown, reason: signal.aborted ? 'client gone' : (abort.signal.aborted ? 'silent' : 'broken')});
@@ -312,6 +316,16 @@
 			return fail({kind: DispatchKind.Unknown, reason: `not its answer (status ${answer.status})`});
 		}
 
+		this.noteVersionOutcome(served, backend, answer.status, options);
 		return {...started, kind: DispatchKind.Answer, metadata};
 	}
+
+	/** Records how the first attempt of a request turned out, to compare the versions of its service; an undefined status means that there was no answer in time. */
+	private noteVersionOutcome(served: ServedRequest, backend: Backend, status: number | undefined, {lastEventId}: DispatchOptions): void {
+		const {rollouts, clock} = this.dependencies;
+		if (served.attempts.length === 1 && lastEventId === undefined) {
+			const {arrivedAtMs, route} = served.inputs;
+			rollouts.noteAnswer(backend, route.name, status, clock.now() - arrivedAtMs - served.attempts[0].sentAfterMs);
+		}
+	}
 }
--- a/src/coordination/serving/served-request.ts
+++ b/src/coordination/serving/served-request.ts
@@ -49,6 +49,8 @@
 	deliveries = 0;
 	/** The next attempt, reserved before the run in progress is abandoned. */
 	reservation: RetryReservation | undefined;
+	/** Whether its first attempt tests a version that is being rolled out; drawn on first use. */
+	isCanary: boolean | undefined;
 	/** Whether it has been counted for the usage reports. */
 	isUsageCounted = false;
 	/** Resolves once it is known whether the backend server at which its last run broke off has crashed. */
--- a/src/coordination/serving/stream-registry.ts
+++ b/src/coordination/serving/stream-registry.ts
@@ -11,6 +11,7 @@
 import {type RouteTable} from '../../state/route-table.js';
 import {createLogger} from '../../log.js';
 import {RetryPurpose} from '../retry-budget.js';
+import {type Rollouts} from '../rollout/rollouts.js';
 import {type StartedAnswer, type Dispatcher, DispatchKind} from './dispatcher.js';
 import {
 	closeRun, type ForwardedStream, InterruptCause, type MovedStream,
@@ -39,7 +40,7 @@
 	movedCount = 0;
 	private readonly streams = new Set<ForwardedStream>();
 
-	constructor(private readonly dependencies: {backends: BackendTable; engines: EngineClient; dispatcher: Dispatcher; routes: RouteTable; signal: AbortSignal}) {}
+	constructor(private readonly dependencies: {backends: BackendTable; engines: EngineClient; dispatcher: Dispatcher; routes: RouteTable; rollouts: Rollouts; signal: AbortSignal}) {}
 
 	get size(): number {
 		return this.streams.size;
@@ -61,7 +62,8 @@
 				continue;
 			}
 
-			const {leavesAtMs, isEnded} = this.dependencies.backends.get(backend.id) ?? {};
+			const {isEnded} = this.dependencies.backends.get(backend.id) ?? {};
+			const leavesAtMs = this.leavesAtMs(backend);
 			if (isEnded) {
 				// The engine has restarted: its old connection may stay open and silent, and the run is lost, so it can be neither continued nor copied.
 				stream.interrupt(InterruptCause.Restarted);
@@ -75,6 +77,13 @@
 		}
 	}
 
+	/** Returns when an engine is expected to be gone: because it is leaving, or because its version has been replaced. */
+	private leavesAtMs(backend: Backend): number | undefined {
+		const {backends, rollouts} = this.dependencies;
+		const times = [backends.get(backend.id)?.leavesAtMs, rollouts.stopsAtMs(backend)].filter(time => time !== undefined);
+		return times.length === 0 ? undefined : Math.min(...times);
+	}
+
 	private tokensPerEvent(stream: ForwardedStream): number {
 		return this.dependencies.routes.service(stream.served.inputs.service)?.engine?.tokensPerEvent ?? 1;
 	}
--- a/src/protocol/fleet-messages.ts
+++ b/src/protocol/fleet-messages.ts
@@ -16,6 +16,7 @@
 	View = 'view',
 	Suspects = 'suspects',
 	Limits = 'limits',
+	Rollouts = 'rollouts',
 }
 
 /** The daemons that a digest covers. */
@@ -140,18 +141,44 @@
 /** The limits that backend servers state. */
 export type LimitList = {kind: FleetMessageKind.Limits; sender: Sender; limits: LimitUpdate[]};
 
+/** A roll-out in the phase that the duty holder has committed. */
+export type RolloutUpdate = {
+	service: string;
+	/** Offset of the order's record in the store. */
+	orderId: number;
+	version: string;
+	/** The versions that served when the order arrived. */
+	currentVersions: string[];
+	phase: string;
+	/** How long ago the order arrived, in milliseconds. */
+	ageMs: number;
+	durationMs: number;
+};
+
+/** The roll-outs that are under way or have just ended. */
+export type RolloutList = {kind: FleetMessageKind.Rollouts; sender: Sender; rollouts: RolloutUpdate[]};
+
 /** Any message between serving daemons. */
-export type FleetMessage = Report | View | SuspectList | LimitList;
+export type FleetMessage = Report | View | SuspectList | LimitList | RolloutList;
 
 /** Whether the content of a datagram is a message of a daemon; anyone can send a datagram. */
 export function isFleetMessage(value: unknown): value is FleetMessage {
-	const {kind, sender, suspects, limits} = (value ?? {}) as {kind?: FleetMessageKind; sender?: Sender; suspects?: unknown; limits?: unknown};
+	const {kind, sender, suspects, limits, rollouts} = (value ?? {}) as {kind?: FleetMessageKind; sender?: Sender; suspects?: unknown; limits?: unknown; rollouts?: unknown};
 	if (typeof sender?.name !== 'string' || typeof sender.address?.host !== 'string') {
 		return false;
 	}
 
 	return kind === FleetMessageKind.Report || kind === FleetMessageKind.View
-		|| (kind === FleetMessageKind.Suspects && isSuspectUpdates(suspects)) || (kind === FleetMessageKind.Limits && isLimitUpdates(limits));
+		|| (kind === FleetMessageKind.Suspects && isSuspectUpdates(suspects)) || (kind === FleetMessageKind.Limits && isLimitUpdates(limits))
+		|| (kind === FleetMessageKind.Rollouts && isRolloutUpdates(rollouts));
+}
+
+/** Whether a value is a list of roll-outs. */
+export function isRolloutUpdates(value: unknown): value is RolloutUpdate[] {
+	return Array.isArray(value) && (value as Array<Partial<RolloutUpdate> | undefined>).every(update => typeof update?.service === 'string'
+		&& Number.isSafeInteger(update.orderId) && typeof update.version === 'string' && typeof update.phase === 'string'
+		&& Array.isArray(update.currentVersions) && update.currentVersions.every(version => typeof version === 'string')
+		&& isNonNegative(update.ageMs) && isNonNegative(update.durationMs));
 }
 
 function isLimitUpdates(value: unknown): value is LimitUpdate[] {
--- a/src/protocol/platform.ts
+++ b/src/protocol/platform.ts
@@ -4,7 +4,7 @@
  * decisions are made by the daemon.
  */
 import {
-	type AnswerMetadata, type AttemptHeaders, type Backend, type CallerRequest, type ServingConfig,
+	type AnswerMetadata, type AttemptHeaders, type Backend, type CallerRequest, type RolloutOrder, type ServingConfig,
 } from './serving.js';
 import {type Listen} from './settings.js';
 
@@ -56,6 +56,8 @@
 	leaseMs: number;
 	/** The window that one usage report covers. */
 	usageWindowMs: number;
+	/** Share of a service's requests that may reach a version whose roll-out has not been decided, over all daemons. */
+	canaryShare: number;
 };
 
 /** A record of a topic; a record without a value deletes its key. */
@@ -82,8 +84,10 @@
 	Backends = 'backends',
 	/** The addresses of the daemons. */
 	Members = 'members',
-	/** The holder of the singleton duties, and the usage reports that it has decided on. */
+	/** The holder of the singleton duties, and the usage reports and roll-out phases that it has decided on. */
 	Duties = 'duties',
+	/** What operators read of the roll-outs' progress. */
+	Status = 'status',
 }
 
 /** The result of an append. */
@@ -183,8 +187,18 @@
 	release(run: MovedRun, source: Backend, signal: AbortSignal): Promise<void>;
 };
 
-/** Decodes the records of the operators and the platform. */
-export type RecordDecoder = {
+/** The progress of a roll-out as operators see it. */
+export enum RolloutState {
+	Active = 'active',
+	Completed = 'completed',
+	RolledBack = 'rolled-back',
+}
+
+/** The status of a service's newest roll-out. */
+export type RolloutStatus = {service: string; version: string; state: RolloutState};
+
+/** Decodes the records of the operators and the platform, and encodes those that they read. */
+export type RecordCodec = {
 	/**
 	 * Decodes a configuration.
 	 *
@@ -199,6 +213,16 @@
 	readBackend(name: string, value: Uint8Array): Backend;
 	/** Returns whether the record with this key in {@link Topic.Config} holds the configuration. */
 	isConfigKey(key: string): boolean;
+	/** Returns the service whose roll-out order a record with this key in {@link Topic.Config} holds; undefined for other records. */
+	rolloutServiceOf(key: string): string | undefined;
+	/**
+	 * Decodes a roll-out order.
+	 *
+	 * @throws {ProtocolError} When the record is not a valid order for the service.
+	 */
+	readRolloutOrder(service: string, value: Uint8Array): RolloutOrder;
+	/** Encodes a record of {@link Topic.Status}. */
+	encodeRolloutStatus(status: RolloutStatus): {key: string; value: Uint8Array};
 };
 
 /** A platform, with everything that the serving daemon uses of it. */
@@ -208,7 +232,7 @@
 	cloud: Cloud;
 	dialect: Dialect;
 	engines: EngineClient;
-	records: RecordDecoder;
+	records: RecordCodec;
 	/**
 	 * Reads the settings again.
 	 *
--- a/src/protocol/serving.ts
+++ b/src/protocol/serving.ts
@@ -114,6 +114,8 @@
 	/** The start time, in milliseconds since 1970; undefined if the entry does not state it. */
 	startedAtMs: number | undefined;
 	service: string;
+	/** The version of its software; requests may only run on versions that serve or are being rolled out. */
+	version: string;
 	host: string;
 	port: number;
 	failureDomain: string;
@@ -126,6 +128,14 @@
 	coldForMs: number;
 };
 
+/** An operator's order to move a service's traffic to another version of its software. */
+export type RolloutOrder = {
+	service: string;
+	version: string;
+	/** Time within which the order must be carried out or rolled back, in milliseconds. */
+	durationMs: number;
+};
+
 /** A part of a request's prompt. All parts but the last may be shared with other requests. */
 export type PromptPart = {id: string; tokens: number};
 
--- a/src/state/__tests__/backend-table.test.ts
+++ b/src/state/__tests__/backend-table.test.ts
@@ -3,7 +3,7 @@
 import {BackendTable} from '../backend-table.js';
 
 const backend = (id: string, state = BackendState.Ready, leavesInMs?: number): Backend => ({
-	id, name: id, startedAtMs: undefined, service: 's', host: '10.0.0.1', port: 1, failureDomain: 'fd', slots: 4, state, isReclaimable: false, leavesInMs, coldForMs: 0,
+	id, name: id, startedAtMs: undefined, service: 's', version: 'v1', host: '10.0.0.1', port: 1, failureDomain: 'fd', slots: 4, state, isReclaimable: false, leavesInMs, coldForMs: 0,
 });
 const drainMs = 2000;
 const usable = (table: BackendTable, nowMs: number) => table.candidates('s', nowMs).map(({id}) => id);
--- a/src/state/__tests__/models.test.ts
+++ b/src/state/__tests__/models.test.ts
@@ -77,6 +77,15 @@
 		{
 			model: 'duties.pml', name: 'finds a duty holder that acts on an unconfirmed view', defines: ['-DNO_CONFIRM'], errors: 1,
 		},
+		{
+			model: 'rollout.pml', name: 'no order ends in two ways, and no daemon sends requests to a version after learning that it was rolled back', defines: [], errors: 0,
+		},
+		{
+			model: 'rollout.pml', name: 'finds duty holders that commit phases without having read the last one', defines: ['-DNO_CONDITION'], errors: 1,
+		},
+		{
+			model: 'rollout.pml', name: 'finds daemons that return to the phase of a late message', defines: ['-DIGNORE_ORDER'], errors: 1,
+		},
 	])('$model: $name', ({model, defines, errors}) => {
 		expect(verify(model, defines)).toBe(errors);
 	}, 150_000);
--- a/src/transport/__tests__/backend-connection-pool.test.ts
+++ b/src/transport/__tests__/backend-connection-pool.test.ts
@@ -33,7 +33,7 @@
 		server.close();
 	});
 	return {
-		id: 'b-1', name: 'b-1', startedAtMs: undefined, service: 's', host: '127.0.0.1', port: (server.address() as AddressInfo).port, failureDomain: 'fd', slots: 1, state: BackendState.Ready, isReclaimable: false, leavesInMs: undefined, coldForMs: 0,
+		id: 'b-1', name: 'b-1', startedAtMs: undefined, service: 's', version: 'v1', host: '127.0.0.1', port: (server.address() as AddressInfo).port, failureDomain: 'fd', slots: 1, state: BackendState.Ready, isReclaimable: false, leavesInMs: undefined, coldForMs: 0,
 	};
 }
 
