Admit small requests first when an account exceeds its limit

The admitted share now falls with the square of a request's cost against the account's mean (limit-sharing.ts); the sum is controlled as before.

--- a/src/coordination/__tests__/shared-limits.test.ts
+++ b/src/coordination/__tests__/shared-limits.test.ts
@@ -151,31 +151,49 @@
 	/** Delay until all daemons have a report, in milliseconds. */
 	reportDelayMs?: number;
 	seed?: number;
+	/** Costs of its requests, by equal numbers of requests. */
+	costs?: number[];
 };
 
 const hotAccount = {...account, ratePerSecond: 208_854, burst: 208_854};
 const hotBounds = {windowMs: 8000, tolerance: 0.1, slack: 140_000};
 const hotCost = 9000;
 
-/** Sends an account's requests through several daemons that report to each other what they admitted, and returns the most that was admitted in any window, the total admitted and the total offered. */
-function simulateHotAccount(simulation: Simulation): {most: number; total: number; offered: number} {
-	const {daemons, offeredPerSecond, beforePerSecond = 0, reportIntervalMs = 300, reportDelayMs = 0, seed = 1} = simulation;
+function sumOfCosts(requests: Array<{cost: number}>): number {
+	let sum = 0;
+	for (const {cost} of requests) {
+		sum += cost;
+	}
+
+	return sum;
+}
+
+/** Sends an account's requests through several daemons that report to each other what they admitted, and returns the most that was admitted in any window, the total admitted, the total offered, and the share of the requests of each cost that were admitted in the second half of the load. */
+function simulateHotAccount(simulation: Simulation): {most: number; total: number; offered: number; admittedShares: number[]} {
+	const {daemons, offeredPerSecond, beforePerSecond = 0, reportIntervalMs = 300, reportDelayMs = 0, seed = 1, costs = [hotCost]} = simulation;
 	const generator = xoroshiro128plus(seed);
 	const random = () => uniformFloat64(generator);
 	const ledgers = Array.from({length: daemons}, () => new QuotaLedger(hotBounds, 0, true));
 	const reported = ledgers.map(() => ({admitted: 0, refused: 0}));
 	const reports: Array<{atMs: number; from: QuotaLedger; use: AccountUse}> = [];
-	const admitted: number[] = [];
+	const admitted: Array<{atMs: number; cost: number}> = [];
+	const late = costs.map(() => ({offered: 0, admitted: 0}));
 	const peers = {
 		daemons, silentDaemons: 0, reportDelayMs: reportDelayMs + (reportIntervalMs / 2), reportIntervalMs, unreportedDaemons: 0, isIsolated: false,
 	};
 	let due = 0;
 	let offered = 0;
+	let kind = -1;
+	let cost = costs[0];
 	for (let atMs = 0; atMs < 24_000; atMs += 5) {
-		for (due += (atMs < 10_000 ? beforePerSecond : offeredPerSecond) * 0.005; due >= hotCost; due -= hotCost) {
-			offered += hotCost;
-			if (!ledgers[Math.floor(random() * daemons)].admit(hotAccount, hotCost, peers, random(), atMs)) {
-				admitted.push(atMs);
+		for (due += (atMs < 10_000 ? beforePerSecond : offeredPerSecond) * 0.005; due >= 0; due -= cost) {
+			kind = (kind + 1) % costs.length;
+			cost = costs[kind];
+			offered += cost;
+			late[kind].offered += atMs >= 17_000 ? 1 : 0;
+			if (!ledgers[Math.floor(random() * daemons)].admit(hotAccount, cost, peers, random(), atMs)) {
+				admitted.push({atMs, cost});
+				late[kind].admitted += atMs >= 17_000 ? 1 : 0;
 			}
 		}
 
@@ -196,8 +214,10 @@
 		}
 	}
 
-	const most = Math.max(...admitted.map((from, index) => admitted.slice(index).filter(atMs => atMs < from + 8000).length * hotCost));
-	return {most, total: admitted.length * hotCost, offered};
+	const most = Math.max(...admitted.map(({atMs: from}, index) => sumOfCosts(admitted.slice(index).filter(({atMs}) => atMs < from + 8000))));
+	return {
+		most, total: sumOfCosts(admitted), offered, admittedShares: late.map(counts => counts.admitted / counts.offered),
+	};
 }
 
 describe('QuotaLedger with an account that sends many times its usual rate', () => {
@@ -221,6 +241,25 @@
 		expect(Math.min(...admitted)).toBeGreaterThan(allowed * 0.8);
 	});
 
+	it.each([
+		{name: '6 daemons', daemons: 6, offeredPerSecond: 600_000},
+		{
+			name: '86 daemons that report through relays', daemons: 86, reportIntervalMs: 250, reportDelayMs: 300, offeredPerSecond: 600_000,
+		},
+		{
+			name: '86 daemons that report through relays, with six times its limit', daemons: 86, reportIntervalMs: 250, reportDelayMs: 300, offeredPerSecond: 1_250_000,
+		},
+	])('refuses hardly any small requests, and more of the large ones the larger they are, over $name', ({name, ...simulation}) => {
+		const {most, admittedShares} = simulateHotAccount({...simulation, beforePerSecond: 200_000, costs: [200, 1100, 2400, 12_000]});
+		const [small, medium, large, largest] = admittedShares;
+		expect({name, isWithinBound: most < allowed}).toEqual({name, isWithinBound: true});
+		expect(small).toBeGreaterThan(0.95);
+		expect(medium).toBeLessThanOrEqual(small);
+		expect(large).toBeLessThan(medium);
+		expect(largest).toBeLessThan(large);
+		expect(largest).toBeGreaterThan(0);
+	});
+
 	it.each([
 		{name: '86 daemons', daemons: 86, rise: 6},
 		{name: '86 daemons', daemons: 86, rise: 8},
--- a/src/coordination/account-window.ts
+++ b/src/coordination/account-window.ts
@@ -1,6 +1,7 @@
 /** Tracks what was admitted to one client account within the sliding window of its limit. */
 import {CostMeter} from './cost-meter.js';
 import {LimitHistory} from './limit-history.js';
+import {RunningMean} from './running-mean.js';
 
 /** Steps that the window is counted in. */
 const windowSteps = 32;
@@ -28,6 +29,8 @@
 	readonly own: AccountUse = {admitted: 0, refused: 0};
 	/** Rate of the cost requested from this daemon. */
 	readonly ownRequested = new CostMeter();
+	/** Mean cost of the requests that this daemon received. */
+	readonly meanCost = new RunningMean();
 	/** Rate of the cost admitted by peers. */
 	readonly peersAdmitted = new CostMeter();
 	/** Rate of the cost requested from peers. */
--- a/src/coordination/quota-ledger.ts
+++ b/src/coordination/quota-ledger.ts
@@ -6,8 +6,8 @@
  *
  * Peers' reports arrive late. Until they do, peers are assumed to go on admitting at the rate
  * last reported. When less is left of a limit than is requested until the next reports, all
- * daemons admit the same share of their requests, so that they do not together admit several
- * times what is left. In simulations of 86 daemons, an account that requests four to eight
+ * daemons admit the same share of their requests, small ones first (`limit-sharing.ts`), so
+ * that they do not together admit several times what is left. In simulations of 86 daemons, an account that requests four to eight
  * times its limit stays within its bound with this rule and exceeds it without; an account
  * within its limit has less than one request in a hundred refused.
  * A silent peer is assumed to admit its equal share, since it may be partitioned and still
@@ -26,11 +26,10 @@
 import {
 	type AccountUse, AccountWindow, profileParts, sumOfProfile, type UseProfile,
 } from './account-window.js';
+import {shareWithinLimit} from './limit-sharing.js';
 
 /** Share of the operators' slack and tolerance that is granted; the rest covers the error in what peers are assumed to admit. */
 const grantedSlackShare = 0.4;
-/** Time for which the rest of a limit must suffice so that all requests are admitted, as a factor on the delay plus the interval of peers' reports. Below one, every daemon may admit the whole rest before it hears from the others; a higher factor leaves more of the limit unused by an account that requests more than it. */
-const reserveFactor = 1.2;
 /** Time for which a stored bound must hold, in milliseconds: until the next one is written and can be read, including the delay of peers' reports to the writer. */
 const boundLifetimeMs = 2500;
 /** Factor on the cost that an account is expected to request in that time, since its rate may rise. */
@@ -74,19 +73,6 @@
 /** What all daemons admitted to an account in the window, and what they may admit in addition until the next record is written, in cost units. */
 export type WindowBound = {uses: UseProfile; ahead: number};
 
-/** Returns the share of an account's requests to admit: 1 far from its limit, 0 when nothing is left of it. */
-function shareWithinLimit(window: AccountWindow, cost: number, limit: number, peers: QuotaPeers, nowMs: number): number {
-	const unreported = (window.peersAdmitted.ratePerMs(peers.reportIntervalMs, nowMs) * peers.reportDelayMs) + (window.own.admitted * peers.unreportedDaemons);
-	const remaining = limit - window.sum(nowMs) - unreported;
-	if (remaining < cost) {
-		return 0;
-	}
-
-	const requestedPerMs = window.peersRequested.ratePerMs(peers.reportIntervalMs, nowMs) + (window.ownRequested.ratePerMs(peers.reportIntervalMs, nowMs) * peers.unreportedDaemons);
-	const reserve = requestedPerMs * (peers.reportDelayMs + peers.reportIntervalMs) * reserveFactor;
-	return remaining >= reserve ? 1 : remaining / reserve;
-}
-
 /** Tracks what was admitted to all accounts and admits their requests. */
 export class QuotaLedger {
 	private readonly windows = new Map<string, AccountWindow>();
@@ -118,6 +104,7 @@
 
 		const window = this.window(account.name);
 		window.ownRequested.add(cost, nowMs);
+		window.meanCost.add(cost);
 		if (draw >= this.admittedShare(account, cost, peers, nowMs)) {
 			window.own.refused += cost;
 			return {waitMs: Math.ceil(window.nextExpiryMs(nowMs))};
