Order reclaimable VMs at the first start while backend servers are still listed

Cause: the VMs that a system starts with are on demand and are billed from the start.

At the first start of the whole system, orders that only add reclaimable VMs no longer wait; releases do. Where reclaimable VMs run already, nothing is ordered ahead, since an order might release some that are not listed yet.

--- a/src/cli/front-container.ts
+++ b/src/cli/front-container.ts
@@ -202,7 +202,8 @@
 		name: settings.name,
 		usageWindowMs: bounds.usageWindowMs,
 		listStability: nowMs => ({followedForMs: resolver.resolve(BackendsFollower).followedForMs(nowMs), unchangedForMs: nowMs - backendsSink.lastAddedAtMs}),
-		poolNeed: service => resolver.resolve(PoolDemands).need(service.name, clock.now()),
+		isFirstStart: settings.isFirstStart,
+		poolNeed: (service, view) => resolver.resolve(PoolDemands).need(service.name, view, clock.now()),
 		belongsToPool: backend => resolver.resolve(Rollouts).belongsToPool(backend),
 	}));
 	registerFactory(RolloutRunner, resolver => new RolloutRunner({
