Let relays hand on a wave of changes of backend servers

Cause: a daemon that is no relay read the store itself as soon as it lacked more than 8 records, and a relay's answer held four.

An answer now holds a dozen entries, and a daemon waits for up to 40 records. How old a view may get is bounded as before, so a daemon that the relays do not bring up to date in time reads the store. The test failed before.

--- a/src/coordination/__tests__/topic-follower.test.ts
+++ b/src/coordination/__tests__/topic-follower.test.ts
@@ -127,11 +127,11 @@
 	const value = new TextEncoder().encode('v');
 
 	/** Starts a follower that has read two records and whose view a relay then confirms. */
-	async function startRelayConfirmed(): Promise<Following & {store: FakeStore; confirm: (next: number, ageMs?: number) => void}> {
+	async function startRelayConfirmed(maxRelayAgeMs = 300): Promise<Following & {store: FakeStore; confirm: (next: number, ageMs?: number) => void}> {
 		const store = new FakeStore();
 		store.put(Topic.Config, 'a', '1');
 		store.put(Topic.Config, 'b', '1');
-		const following = follow(store, {maxRelayAgeMs: 300});
+		const following = follow(store, {maxRelayAgeMs});
 		const {clock, viewAge, follower} = following;
 		await waitUntil(async () => viewAge.isKnown, 1000);
 		const confirm = (next: number, ageMs = 0) => {
@@ -186,6 +186,31 @@
 		stop.abort();
 	});
 
+	it('does not read the store for a wave of changes that the relays send within a second', async () => {
+		const {store, stop, clock, follower, seen} = await startRelayConfirmed(2000);
+		const relay = follow(store);
+		await waitUntil(async () => relay.viewAge.isKnown, 1000);
+		for (let index = 0; index < 30; index++) {
+			store.put(Topic.Config, `backend server ${index}`, 'x'.repeat(220));
+		}
+
+		await waitUntil(async () => relay.follower.nextOffset === 32, 1000);
+		relay.stop.abort();
+		await delay(50);
+		const readsBefore = store.answeredReads;
+		const before = seen.length;
+		const roundsPerSecond = 4;
+		for (let round = 0; round < roundsPerSecond; round++) {
+			follower.applyRelayUpdate(relay.follower.createUpdateFor(follower.nextOffset, clock.now())!, clock.now(), clock.now());
+			// eslint-disable-next-line no-await-in-loop -- one round after the other; a read would begin within one check of the relays' reports.
+			await delay(120);
+		}
+
+		stop.abort();
+		expect(seen.length - before).toBe(30);
+		expect(store.answeredReads).toBe(readsBefore);
+	});
+
 	it('takes its view to be as old as the relay reports, counted from when the request was sent', async () => {
 		const {stop, clock, viewAge, follower} = await startRelayConfirmed();
 		const nowMs = clock.now();
--- a/src/coordination/recent-records.ts
+++ b/src/coordination/recent-records.ts
@@ -4,8 +4,8 @@
 
 /** Number of records that are kept; enough for several seconds of changes while 30 backend servers are reclaimed. */
 const maxRecords = 128;
-/** Size of the records in one message, in bytes, so that it fits into a datagram; the receiver reads the remaining ones from the store. */
-const maxBytesPerMessage = 900;
+/** Size of the records in one message, in bytes: a dozen entries of backend servers, in two packets. Larger datagrams are lost more often. */
+const maxBytesPerMessage = 2800;
 
 /** The latest records in offset order, without gaps. */
 export class RecentRecords {
--- a/src/coordination/topic-follower.ts
+++ b/src/coordination/topic-follower.ts
@@ -26,8 +26,8 @@
 
 const log = createLogger('store');
 
-/** Number of missing records up to which a daemon waits for a relay to send them instead of reading them; two rounds' worth. */
-const maxAwaitedRecords = 8;
+/** Number of missing records up to which a daemon waits for a relay to send them instead of reading them; four rounds' worth. If every daemon of a large fleet read the store for each wave of reclaims, these reads would be most of its calls. */
+const maxAwaitedRecords = 40;
 
 /** A receiver of the records of a topic. */
 export type RecordSink = {
