End the start-up reads of the list of daemons once relays name each other

Cause: each start of a daemon read the list five times in its first 8 s, 85 starts of the shifted site 425 times. In a large fleet two reads suffice: the first may miss daemons that start at the same time, and after the second relays name the others. A small fleet keeps its interval. The test failed before.

--- a/src/coordination/fleet/__tests__/fleet-messenger.test.ts
+++ b/src/coordination/fleet/__tests__/fleet-messenger.test.ts
@@ -288,6 +288,19 @@
 		expect(restarted.messenger.discoveryIntervalMs).toBe(pauseMs);
 	});
 
+	it.each([
+		{name: 'a large fleet, whose relays name each other', count: 86, pauseMs: 30_000},
+		{name: 'a small fleet, in which daemons that start at the same time find each other through the list', count: 6, pauseMs: 2000},
+	])('reads the list of daemons again after $pauseMs ms once it has read it twice, in $name', async ({count, pauseMs}) => {
+		const net = await startNet(count, 4);
+		const restarted = net.restart(net.daemons[1]);
+		await restarted.messenger.discover(new AbortController().signal);
+		expect(restarted.messenger.discoveryIntervalMs).toBe(2000);
+		net.run(2000);
+		await restarted.messenger.discover(new AbortController().signal);
+		expect(restarted.messenger.discoveryIntervalMs).toBe(pauseMs);
+	});
+
 	it('keeps the traffic of a leaf daemon independent of the size of its failure domain', async () => {
 		const bytes = await Promise.all([{count: 40, domains: 4}, {count: 120, domains: 4}].map(async ({count, domains}) => {
 			const net = await startNet(count, domains);
--- a/src/coordination/fleet/fleet-messenger.ts
+++ b/src/coordination/fleet/fleet-messenger.ts
@@ -48,6 +48,8 @@
 const startupDiscoveryIntervalMs = 2000;
 /** How long the start-up interval applies at least, in milliseconds: daemons that start at the same time write their addresses meanwhile. */
 const startupDiscoveryMs = 8000;
+/** Reads of the list after which a daemon of a large fleet ends the start-up interval: the first may miss daemons that start at the same time, and after the second its relays name the others. */
+const startupReads = 2;
 /** How long after its start a daemon requests the sums of what was admitted in the limits' window, in milliseconds: one window and the time to receive the answer. */
 const windowUsesRequestMs = 10_000;
 /** Time without a digest from a relay after which a daemon has missed admissions and requests the sums of the window, in milliseconds: two answers of the standby relay. */
@@ -91,8 +93,8 @@
 export class FleetMessenger {
 	private link: MessageSender | undefined;
 	private isAddressWritten = false;
-	/** Whether the store's list of daemons has been read since the start. */
-	private isListRead = false;
+	/** Number of times that the store's list of daemons has been read since the start. */
+	private listReads = 0;
 	private round = 0;
 	/** When a view with a digest last arrived from a relay. */
 	private relayHeardAtMs: number;
@@ -122,11 +124,13 @@
 	get discoveryIntervalMs(): number {
 		const {clock, startedAtMs, fleet} = this.parts;
 		const nowMs = clock.now();
-		if (nowMs - startedAtMs < startupDiscoveryMs || !this.isListRead) {
+		const isMesh = fleet.roleAt(nowMs) === FleetRole.Mesh;
+		const isStartingUp = nowMs - startedAtMs < startupDiscoveryMs && (isMesh || this.listReads < startupReads);
+		if (isStartingUp || this.listReads === 0) {
 			return startupDiscoveryIntervalMs;
 		}
 
-		return fleet.roleAt(nowMs) === FleetRole.Mesh ? meshDiscoveryIntervalMs : relayedDiscoveryIntervalMs;
+		return isMesh ? meshDiscoveryIntervalMs : relayedDiscoveryIntervalMs;
 	}
 
 	/** Starts to send messages through a link. */
@@ -235,7 +239,7 @@
 			}
 		}
 
-		this.isListRead = true;
+		this.listReads++;
 		const nowMs = clock.now();
 		if (fleet.roleAt(nowMs) === FleetRole.Mesh) {
 			// Relays answer this report; that is how a daemon that starts later learns that the fleet is large.
