--- a/src/cli/front-container.ts
+++ b/src/cli/front-container.ts
@@ -202,8 +202,7 @@
 		name: settings.name,
 		usageWindowMs: bounds.usageWindowMs,
 		listStability: nowMs => ({followedForMs: resolver.resolve(BackendsFollower).followedForMs(nowMs), unchangedForMs: nowMs - backendsSink.lastAddedAtMs}),
-		isFirstStart: settings.isFirstStart,
-		poolNeed: (service, view) => resolver.resolve(PoolDemands).need(service.name, view, clock.now()),
+		poolNeed: service => resolver.resolve(PoolDemands).need(service.name, clock.now()),
 		belongsToPool: backend => resolver.resolve(Rollouts).belongsToPool(backend),
 	}));
 	registerFactory(RolloutRunner, resolver => new RolloutRunner({
--- a/src/coordination/duty-runner.ts
+++ b/src/coordination/duty-runner.ts
@@ -18,9 +18,7 @@
 import {createLogger} from '../log.js';
 import {DutyKey, type DutyLease} from './duty-lease.js';
 import {fieldsOf, decodeDaemonRecord} from './daemon-record.js';
-import {
-	type DomainState, planPool, type PoolNeed, type PoolView,
-} from './pool-plan.js';
+import {type DomainState, planPool, type PoolNeed} from './pool-plan.js';
 import {type UsageLedger} from './usage-ledger.js';
 
 const log = createLogger('duties');
@@ -74,10 +72,8 @@
 	usageWindowMs: number;
 	/** Returns how stable the list of backend servers is. */
 	listStability: (nowMs: number) => ListStability;
-	/** Whether the whole system is starting for the first time, so that no earlier holder can have ordered VMs. */
-	isFirstStart: boolean;
 	/** Returns the replicas that a service needs now. */
-	poolNeed: (service: Service, view: PoolView) => PoolNeed;
+	poolNeed: (service: Service) => PoolNeed;
 	/** Whether a backend server is part of the pool, rather than one of a version that is being tested or replaced. */
 	belongsToPool: (backend: Backend) => boolean;
 };
@@ -86,8 +82,6 @@
 export class DutyRunner {
 	private readonly lastOrders = new Map<string, OrderState>();
 	private reportedWindow: number | undefined;
-	/** Services for which VMs were ordered before the list of backend servers was complete. */
-	private readonly orderedAhead = new Set<string>();
 
 	constructor(private readonly parts: DutyParts) {}
 
@@ -149,47 +143,34 @@
 	}
 
 	private async orderPools(signal: AbortSignal): Promise<void> {
-		const {clock, listStability, isFirstStart} = this.parts;
-		const isComplete = isListComplete(listStability(clock.now()));
-		if (!isComplete && !isFirstStart) {
+		const {clock, listStability} = this.parts;
+		if (!isListComplete(listStability(clock.now()))) {
 			return;
 		}
 
 		for (const service of this.parts.routes.current?.services ?? []) {
 			if (service.scaling) {
 				// eslint-disable-next-line no-await-in-loop -- the platform accepts few calls per second.
-				await this.orderPool(service, isComplete, signal);
+				await this.orderPool(service, signal);
 			}
 		}
 	}
 
-	private async orderPool(service: Service, isListComplete: boolean, signal: AbortSignal): Promise<void> {
+	private async orderPool(service: Service, signal: AbortSignal): Promise<void> {
 		const scaling = service.scaling!;
-		const need = this.parts.poolNeed(service, {isListComplete, hasOrderedAhead: this.orderedAhead.has(service.name)});
+		const need = this.parts.poolNeed(service);
 		const states = new Map([...scaling.prices.keys()].map(failureDomain => [failureDomain, this.domainState(service.name, failureDomain, scaling.bootMs)]));
 		const wanted = planPool(scaling, need, states).flatMap(pool => [
 			// Reclaimable VMs come first, so that no VM is released before its replacement is ordered.
 			...(scaling.reclaimablePriceRatio === undefined ? [] : [{failureDomain: pool.failureDomain, isReclaimable: true, count: pool.reclaimable}]),
 			{failureDomain: pool.failureDomain, isReclaimable: false, count: pool.onDemand},
 		]);
-		for (const order of wanted.toSorted((a, b) => Number(b.isReclaimable) - Number(a.isReclaimable)).map(pool => ({service: service.name, ...pool}))) {
-			if (isListComplete || this.isAddition(order)) {
-				// eslint-disable-next-line no-await-in-loop
-				await this.orderIfDue(order, {bootMs: scaling.bootMs, need}, signal);
-			}
-		}
-
-		if (!isListComplete && this.lastOrders.size > 0) {
-			this.orderedAhead.add(service.name);
+		for (const order of wanted.toSorted((a, b) => Number(b.isReclaimable) - Number(a.isReclaimable))) {
+			// eslint-disable-next-line no-await-in-loop
+			await this.orderIfDue({service: service.name, ...order}, {bootMs: scaling.bootMs, need}, signal);
 		}
 	}
 
-	/** Whether an order adds reclaimable VMs and cannot release any that are not listed yet. The VMs that a system starts with are on demand; each second until reclaimable ones take their place costs several times as much. */
-	private isAddition(order: PoolOrder): boolean {
-		const last = this.lastOrders.get(orderKey(order));
-		return order.isReclaimable && order.count > (last?.count ?? 0) && (last !== undefined || this.countPresent(order) === 0);
-	}
-
 	/** Returns the VMs that a failure domain has or has been promised. */
 	private domainState(service: string, failureDomain: string, bootMs: number): DomainState {
 		const kind = {service, failureDomain, isReclaimable: true};
--- a/src/coordination/pool-demand.ts
+++ b/src/coordination/pool-demand.ts
@@ -8,7 +8,7 @@
 import {backendKey} from './fleet/backend-key.js';
 import {type FleetTable} from './fleet/fleet-table.js';
 import {type Placement} from './placement.js';
-import {type PoolNeed, type PoolView} from './pool-plan.js';
+import {type PoolNeed} from './pool-plan.js';
 import {type StatedLimits} from './stated-limits.js';
 
 /** Most requests in flight that a replica serves within the latency target: an engine's decoding step takes a quarter longer with 12 requests than with one. */
@@ -93,15 +93,10 @@
 	) {}
 
 	/** Returns what a service needs now. */
-	need(service: string, {isListComplete, hasOrderedAhead}: PoolView, nowMs: number): PoolNeed {
+	need(service: string, nowMs: number): PoolNeed {
 		const replicas = this.backends.listed().filter(({backend}) => backend.service === service).map(({backend}) => backend);
-		// Reclaimable VMs that were ordered ahead take the place of others, so they are no sign of more traffic.
-		const initial = hasOrderedAhead ? replicas.filter(({isReclaimable}) => !isReclaimable) : replicas;
-		const demand = this.demands.get(service) ?? new PoolDemand(initial.length, nowMs);
-		if (isListComplete) {
-			this.demands.set(service, demand);
-		}
-
+		const demand = this.demands.get(service) ?? new PoolDemand(replicas.length, nowMs);
+		this.demands.set(service, demand);
 		const own = this.placement.inFlight();
 		let busyReplicas = 0;
 		for (const {id, slots} of replicas) {
--- a/src/coordination/pool-plan.ts
+++ b/src/coordination/pool-plan.ts
@@ -35,14 +35,6 @@
 	spare: number;
 };
 
-/** What the need of a pool is estimated from. */
-export type PoolView = {
-	/** Whether the list of backend servers can be assumed to be complete. */
-	isListComplete: boolean;
-	/** Whether reclaimable VMs were ordered to take the place of those on demand before the list was complete. */
-	hasOrderedAhead: boolean;
-};
-
 type PlannedDomain = DomainPool & {state: DomainState};
 
 const unknownState: DomainState = {serving: 0, expected: 0, onDemand: 0};
