--- a/src/coordination/__tests__/duty-runner.test.ts
+++ b/src/coordination/__tests__/duty-runner.test.ts
@@ -22,7 +22,9 @@
 	const time = {ms: 100_000};
 	const clock = new SteadyClock({monotonicMs: () => time.ms, wallMs: () => time.ms, uptimeMs: () => time.ms});
 	const lease = new DutyLease(new FakeStore(), 'a', 3000, clock);
-	await lease.step({rank: 0, isMajorityResponsive: true, startedAtMs: 0, storeAnsweringForMs: 10_000}, signal);
+	await lease.step({
+		rank: 0, isMajorityResponsive: true, startedAtMs: 0, storeAnsweringForMs: 10_000,
+	}, signal);
 	const orders: PoolOrder[] = [];
 	const cloud: Cloud = {
 		reportUsage: async () => DutyResult.Accepted,
@@ -146,7 +148,9 @@
 				}
 
 				// eslint-disable-next-line no-await-in-loop -- the steps run in time order.
-				await daemon.lease.step({rank: index, isMajorityResponsive: true, startedAtMs: startMs, storeAnsweringForMs: 10_000}, signal).catch(() => undefined);
+				await daemon.lease.step({
+					rank: index, isMajorityResponsive: true, startedAtMs: startMs, storeAnsweringForMs: 10_000,
+				}, signal).catch(() => undefined);
 				// eslint-disable-next-line no-await-in-loop
 				await daemon.runner.step(signal).catch(() => undefined);
 			}
--- a/src/coordination/fleet/__tests__/fleet-messenger.test.ts
+++ b/src/coordination/fleet/__tests__/fleet-messenger.test.ts
@@ -74,7 +74,9 @@
 	it('reports the usage of all daemons to a duty holder that is not a relay', async () => {
 		const net = await startNet(86, 4);
 		const holder = net.daemons.find(daemon => daemon.fleet.roleAt(net.nowMs) === FleetRole.Leaf)!;
-		await holder.lease.step({rank: 0, isMajorityResponsive: true, startedAtMs: -10_000, storeAnsweringForMs: 10_000}, new AbortController().signal);
+		await holder.lease.step({
+			rank: 0, isMajorityResponsive: true, startedAtMs: -10_000, storeAnsweringForMs: 10_000,
+		}, new AbortController().signal);
 		for (const daemon of net.daemons) {
 			daemon.usage.count('x', net.nowMs);
 		}
--- a/src/coordination/fleet/__tests__/limits-after-kill.test.ts
+++ b/src/coordination/fleet/__tests__/limits-after-kill.test.ts
@@ -49,10 +49,14 @@
 	};
 
 	const holder = net.daemons[0];
-	await holder.lease.step({rank: 0, isMajorityResponsive: true, startedAtMs: -10_000, storeAnsweringForMs: 10_000}, signal);
+	await holder.lease.step({
+		rank: 0, isMajorityResponsive: true, startedAtMs: -10_000, storeAnsweringForMs: 10_000,
+	}, signal);
 	while (net.nowMs < startMs + killAtMs) {
 		net.run(boundsCheckMs, sendRequests);
-		await holder.lease.step({rank: 0, isMajorityResponsive: true, startedAtMs: -10_000, storeAnsweringForMs: 10_000}, signal); // eslint-disable-line no-await-in-loop -- in the order of time.
+		await holder.lease.step({
+			rank: 0, isMajorityResponsive: true, startedAtMs: -10_000, storeAnsweringForMs: 10_000,
+		}, signal);
 		await holder.bounds.save(signal); // eslint-disable-line no-await-in-loop
 	}
 
@@ -159,7 +163,9 @@
 	const runUntil = async (atMs: number) => {
 		while (net.nowMs < startMs + atMs) {
 			net.run(boundsCheckMs, sendRequests);
-			await holder.lease.step({rank: 0, isMajorityResponsive: true, startedAtMs: -10_000, storeAnsweringForMs: 10_000}, signal); // eslint-disable-line no-await-in-loop -- in the order of time.
+			await holder.lease.step({
+				rank: 0, isMajorityResponsive: true, startedAtMs: -10_000, storeAnsweringForMs: 10_000,
+			}, signal);
 			await holder.bounds.save(signal); // eslint-disable-line no-await-in-loop
 		}
 	};
--- a/src/coordination/fleet/__tests__/quarantine-updates.test.ts
+++ b/src/coordination/fleet/__tests__/quarantine-updates.test.ts
@@ -76,9 +76,13 @@
 		const net = await startNet(6, 4);
 		const {signal} = new AbortController();
 		const [holder] = net.daemons;
-		await holder.lease.step({rank: 0, isMajorityResponsive: true, startedAtMs: 0, storeAnsweringForMs: 10_000}, signal);
+		await holder.lease.step({
+			rank: 0, isMajorityResponsive: true, startedAtMs: 0, storeAnsweringForMs: 10_000,
+		}, signal);
 		net.run(5000);
-		await holder.lease.step({rank: 0, isMajorityResponsive: true, startedAtMs: 0, storeAnsweringForMs: 10_000}, signal);
+		await holder.lease.step({
+			rank: 0, isMajorityResponsive: true, startedAtMs: 0, storeAnsweringForMs: 10_000,
+		}, signal);
 		recordCrashes(net.daemons.slice(0, crashesToQuarantine), net);
 		net.run(propagationMs);
 		await holder.quarantineRecord.save(signal);
--- a/src/coordination/record-sinks.ts
+++ b/src/coordination/record-sinks.ts
@@ -58,7 +58,9 @@
 		try {
 			const order = record.value && this.records.readRolloutOrder(service, record.value);
 			this.rollouts.noteOrder(service, order && {...order, orderId: record.offset, receivedAtMs: nowMs});
-			log.info(order ? 'roll-out order received.' : 'roll-out order removed.', {service, order: record.offset, version: order?.version, durationMs: order?.durationMs});
+			log.info(order ? 'roll-out order received.' : 'roll-out order removed.', {
+				service, order: record.offset, version: order?.version, durationMs: order?.durationMs,
+			});
 		} catch (error) {
 			this.rollouts.noteOrder(service, undefined);
 			log.error('cannot decode the roll-out order, ignoring it.', {service, offset: record.offset, error: String(error)});
--- a/src/coordination/rollout/__tests__/rollout-decision.test.ts
+++ b/src/coordination/rollout/__tests__/rollout-decision.test.ts
@@ -15,10 +15,18 @@
 		{name: 'stays in the test without a verdict', progress: canary, expected: undefined},
 		{name: 'stays in the test of a good version while time remains, since it may turn bad', progress: {...canary, verdict: Verdict.Good}, expected: undefined},
 		{name: 'moves traffic to a good version in time', progress: {...canary, verdict: Verdict.Good, elapsedMs: 8000}, expected: RolloutPhase.Shift},
-		{name: 'does not move traffic to too few backend servers', progress: {...canary, verdict: Verdict.Good, elapsedMs: 8000, readyNext: 8}, expected: undefined},
+		{
+			name: 'does not move traffic to too few backend servers', progress: {
+				...canary, verdict: Verdict.Good, elapsedMs: 8000, readyNext: 8,
+			}, expected: undefined,
+		},
 		{name: 'rolls a bad version back at once', progress: {...canary, verdict: Verdict.Bad, elapsedMs: 900}, expected: RolloutPhase.RolledBack},
 		{name: 'rolls an undecided version back before the order is due', progress: {...canary, elapsedMs: 9600}, expected: RolloutPhase.RolledBack},
-		{name: 'rolls a good version back that has too few backend servers for too long', progress: {...canary, verdict: Verdict.Good, elapsedMs: 9600, readyNext: 8}, expected: RolloutPhase.RolledBack},
+		{
+			name: 'rolls a good version back that has too few backend servers for too long', progress: {
+				...canary, verdict: Verdict.Good, elapsedMs: 9600, readyNext: 8,
+			}, expected: RolloutPhase.RolledBack,
+		},
 		{name: 'keeps the old version while requests run on it', progress: shift, expected: undefined},
 		{name: 'completes once no request is left on the old version', progress: {...shift, inFlightCurrent: 0}, expected: RolloutPhase.Completed},
 		{name: 'does not complete before all daemons know that traffic moves', progress: {...shift, inFlightCurrent: 0, inPhaseMs: 500}, expected: undefined},
--- a/src/coordination/rollout/__tests__/rollout-runner.test.ts
+++ b/src/coordination/rollout/__tests__/rollout-runner.test.ts
@@ -27,6 +27,16 @@
 	encodeRolloutStatus: status => ({key: `status/${status.service}`, value: new TextEncoder().encode(JSON.stringify(status))}),
 };
 
+/** Records answers of a quarter second at both versions; one in eleven is of the new one. */
+function noteAnswers(rollouts: Rollouts, status: (answer: number) => number): void {
+	for (let answer = 0; answer < 80; answer++) {
+		rollouts.noteAnswer(backend(answer, 'v1'), 'r', 200, 50);
+		if (answer % 10 === 0) {
+			rollouts.noteAnswer(backend(answer / 10, 'v2'), 'r', status(answer / 10), 50);
+		}
+	}
+}
+
 /** A service with four backend servers of version v1, and daemons that share a store. */
 class Play {
 	readonly time = {ms: 100_000};
@@ -68,11 +78,8 @@
 	/** Lets a daemon act for a while, during which the new version answers as stated. */
 	async run(daemon: ReturnType<Play['start']>, forMs: number, status?: (answer: number) => number): Promise<void> {
 		for (const endMs = this.time.ms + forMs; this.time.ms < endMs; this.time.ms += 250) {
-			for (let answer = 0; status && answer < 80; answer++) {
-				daemon.rollouts.noteAnswer(backend(answer, 'v1'), 'r', 200, 50);
-				if (answer % 10 === 0) {
-					daemon.rollouts.noteAnswer(backend(answer / 10, 'v2'), 'r', status(answer / 10), 50);
-				}
+			if (status) {
+				noteAnswers(daemon.rollouts, status);
 			}
 
 			// eslint-disable-next-line no-await-in-loop -- in the order of time.
@@ -84,10 +91,16 @@
 		}
 	}
 
-	/** The statuses that operators could read, one after the other. */
-	async statuses(): Promise<RolloutStatus[]> {
-		const batch = await this.store.read(Topic.Status, 0, {waitMs: 0});
-		return batch!.records.map(({value}) => JSON.parse(new TextDecoder().decode(value)) as RolloutStatus);
+	/** The versions and states that operators could read, one after the other. */
+	async states(): Promise<string[]> {
+		const statuses = await this.readStatuses();
+		return statuses.map(({version, state}) => `${version} ${state}`);
+	}
+
+	/** The state that operators read now. */
+	async lastState(): Promise<RolloutState | undefined> {
+		const statuses = await this.readStatuses();
+		return statuses.at(-1)?.state;
 	}
 
 	order(daemon: ReturnType<Play['start']>, version: string, orderId: number, ordered = 's'): void {
@@ -95,6 +108,11 @@
 			service: ordered, version, durationMs, orderId, receivedAtMs: this.time.ms,
 		});
 	}
+
+	private async readStatuses(): Promise<RolloutStatus[]> {
+		const batch = await this.store.read(Topic.Status, 0, {waitMs: 0});
+		return batch!.records.map(({value}) => JSON.parse(new TextDecoder().decode(value)) as RolloutStatus);
+	}
 }
 
 const good = () => 200;
@@ -113,8 +131,7 @@
 		expect(daemon.rollouts.get('s')?.phase).toBe(RolloutPhase.Shift);
 		play.inFlightAtOld = 0;
 		await play.run(daemon, 2000, good);
-		const states = await play.statuses();
-		expect(states.map(({version, state}) => `${version} ${state}`)).toEqual([`v2 ${RolloutState.Active}`, `v2 ${RolloutState.Active}`, `v2 ${RolloutState.Completed}`]);
+		expect(await play.states()).toEqual(['v2 active', 'v2 active', 'v2 completed']);
 	});
 
 	it('rolls a bad version back within seconds', async () => {
@@ -124,9 +141,9 @@
 		play.order(daemon, 'v2', 7);
 		daemon.addVersion('v2');
 		await play.run(daemon, 3000, bad);
-		expect((await play.statuses()).at(-1)?.state).toBe(RolloutState.RolledBack);
+		expect(await play.lastState()).toBe(RolloutState.RolledBack);
 		await play.run(daemon, 12_000, good);
-		expect((await play.statuses()).at(-1)?.state).toBe(RolloutState.RolledBack);
+		expect(await play.lastState()).toBe(RolloutState.RolledBack);
 	});
 
 	it.each([
@@ -142,22 +159,30 @@
 		}
 
 		await play.run(daemon, durationMs - 1000, status);
-		expect((await play.statuses()).at(-1)?.state).toBe(RolloutState.RolledBack);
+		expect(await play.lastState()).toBe(RolloutState.RolledBack);
 	});
 
 	it.each([
-		{name: 'rolls back a version whose order was withdrawn', change: (play: Play, daemon: ReturnType<Play['start']>) => {
-			daemon.rollouts.noteOrder('s', undefined);
-		}, expected: ['v2 active', 'v2 rolled-back']},
-		{name: 'starts anew from the proven version when another order follows', change(play: Play, daemon: ReturnType<Play['start']>) {
-			play.order(daemon, 'v3', 9);
-		}, expected: ['v2 active', 'v3 active']},
-		{name: 'ends at once when the order names the version that serves', change(play: Play, daemon: ReturnType<Play['start']>) {
-			play.order(daemon, 'v1', 9);
-		}, expected: ['v2 active', 'v1 completed']},
-		{name: 'ignores an order for an unknown service', change(play: Play, daemon: ReturnType<Play['start']>) {
-			play.order(daemon, 'v9', 9, 'other');
-		}, expected: ['v2 active']},
+		{
+			name: 'rolls back a version whose order was withdrawn', change(play: Play, daemon: ReturnType<Play['start']>) {
+				daemon.rollouts.noteOrder('s', undefined);
+			}, expected: ['v2 active', 'v2 rolled-back'],
+		},
+		{
+			name: 'starts anew from the proven version when another order follows', change(play: Play, daemon: ReturnType<Play['start']>) {
+				play.order(daemon, 'v3', 9);
+			}, expected: ['v2 active', 'v3 active'],
+		},
+		{
+			name: 'ends at once when the order names the version that serves', change(play: Play, daemon: ReturnType<Play['start']>) {
+				play.order(daemon, 'v1', 9);
+			}, expected: ['v2 active', 'v1 completed'],
+		},
+		{
+			name: 'ignores an order for an unknown service', change(play: Play, daemon: ReturnType<Play['start']>) {
+				play.order(daemon, 'v9', 9, 'other');
+			}, expected: ['v2 active'],
+		},
 	])('$name', async ({change, expected}) => {
 		const play = new Play();
 		const daemon = play.start('a');
@@ -167,7 +192,7 @@
 		await play.run(daemon, 1000, good);
 		change(play, daemon);
 		await play.run(daemon, 1000, good);
-		expect((await play.statuses()).map(({version, state}) => `${version} ${state}`)).toEqual(expected);
+		expect(await play.states()).toEqual(expected);
 		expect(daemon.rollouts.get('s')?.currentVersions).toEqual(['v1']);
 	});
 
@@ -185,7 +210,7 @@
 		second.lease.applyHolderUpdate({token: 1, ageMs: 5000}, play.time.ms);
 		await play.run(second, 8000, good);
 		expect(second.rollouts.get('s')?.phase).toBe(RolloutPhase.RolledBack);
-		expect((await play.statuses()).at(-1)?.state).toBe(RolloutState.RolledBack);
+		expect(await play.lastState()).toBe(RolloutState.RolledBack);
 	});
 
 	it('does not let a former holder commit a phase or overwrite a later status', async () => {
@@ -199,7 +224,7 @@
 		play.order(second, 'v2', 7);
 		second.lease.applyHolderUpdate({token: 1, ageMs: 5000}, play.time.ms);
 		await play.run(second, 5000, bad);
-		expect((await play.statuses()).at(-1)?.state).toBe(RolloutState.RolledBack);
+		expect(await play.lastState()).toBe(RolloutState.RolledBack);
 
 		const before = play.store.length(Topic.Status);
 		await first.runner.step(signal).catch(() => undefined);
@@ -215,8 +240,8 @@
 		play.store.isDown = true;
 		await play.run(daemon, 1000, good);
 		play.store.isDown = false;
-		expect(await play.statuses()).toEqual([]);
+		expect(await play.states()).toEqual([]);
 		await play.run(daemon, 1000, good);
-		expect((await play.statuses()).map(({state}) => state)).toEqual([RolloutState.Active]);
+		expect(await play.states()).toEqual(['v2 active']);
 	});
 });
--- a/src/coordination/rollout/__tests__/rollouts.test.ts
+++ b/src/coordination/rollout/__tests__/rollouts.test.ts
@@ -7,7 +7,7 @@
 	id, name: id, startedAtMs: undefined, service: 's', version, host: '10.0.0.1', port: 1, failureDomain, slots: 8, state: BackendState.Ready, isReclaimable: false, leavesInMs: undefined, coldForMs: 0,
 });
 const old = [backend('a', 'v1'), backend('b', 'v1')];
-const new_ = [backend('c', 'v2'), backend('d', 'v2')];
+const updated = [backend('c', 'v2'), backend('d', 'v2')];
 const rollout: Rollout = {
 	service: 's', orderId: 5, version: 'v2', currentVersions: ['v1'], phase: RolloutPhase.Canary, startedAtMs: 0, durationMs: 12_000,
 };
@@ -34,24 +34,40 @@
 		{phase: RolloutPhase.Completed, isCanary: false, expected: 'cd'},
 		{phase: RolloutPhase.RolledBack, isCanary: true, expected: 'ab'},
 	])('lets a request (test of the new version: $isCanary) go to $expected in phase $phase', ({phase, isCanary, expected}) => {
-		const filtered = createRollouts(phase).filter('s', [...old, ...new_], isCanary);
+		const filtered = createRollouts(phase).filter('s', [...old, ...updated], isCanary);
 		expect(idsOf(filtered.toSorted((a, b) => a.id < b.id ? -1 : 1))).toBe(expected);
 	});
 
 	it.each([
-		{name: 'nothing to a version that no roll-out names', phase: undefined, candidates: new_, expected: ''},
-		{name: 'nothing to an untested version, even if no other is left', phase: RolloutPhase.Canary, candidates: new_, expected: ''},
-		{name: 'nothing to a third version during a roll-out', phase: RolloutPhase.Canary, candidates: [...old, backend('e', 'v3')], expected: 'ab'},
-		{name: 'requests to the old version while the new one has no backend server', phase: RolloutPhase.Shift, candidates: old, expected: 'ab'},
-		{name: 'requests to backend servers that replace others of the same version', phase: undefined, candidates: [backend('f', 'v1')], expected: 'f'},
+		{
+			name: 'nothing to a version that no roll-out names', phase: undefined, candidates: updated, expected: '',
+		},
+		{
+			name: 'nothing to an untested version, even if no other is left', phase: RolloutPhase.Canary, candidates: updated, expected: '',
+		},
+		{
+			name: 'nothing to a third version during a roll-out', phase: RolloutPhase.Canary, candidates: [...old, backend('e', 'v3')], expected: 'ab',
+		},
+		{
+			name: 'requests to the old version while the new one has no backend server', phase: RolloutPhase.Shift, candidates: old, expected: 'ab',
+		},
+		{
+			name: 'requests to backend servers that replace others of the same version', phase: undefined, candidates: [backend('f', 'v1')], expected: 'f',
+		},
 	])('sends $name', ({phase, candidates, expected}) => {
 		expect(idsOf(createRollouts(phase).filter('s', candidates, false))).toBe(expected);
 	});
 
 	it.each([
-		{name: 'the only version that runs, whatever was ordered', listed: new_, order: 'v2', expected: 'cd'},
-		{name: 'the version that was not ordered, if two run', listed: [old[0], ...new_], order: 'v2', expected: 'a'},
-		{name: 'the version that most backend servers run, if nothing was ordered', listed: [...old, new_[0]], order: undefined, expected: 'ab'},
+		{
+			name: 'the only version that runs, whatever was ordered', listed: updated, order: 'v2', expected: 'cd',
+		},
+		{
+			name: 'the version that was not ordered, if two run', listed: [old[0], ...updated], order: 'v2', expected: 'a',
+		},
+		{
+			name: 'the version that most backend servers run, if nothing was ordered', listed: [...old, updated[0]], order: undefined, expected: 'ab',
+		},
 	])('uses after a start $name', ({listed, order, expected}) => {
 		const rollouts = new Rollouts({canaryShare: 0.1}, () => 0);
 		if (order) {
@@ -89,7 +105,7 @@
 		{phase: RolloutPhase.RolledBack, pool: 'ab'},
 	])('counts $pool as the pool in phase $phase', ({phase, pool}) => {
 		const rollouts = createRollouts(phase);
-		expect(idsOf([...old, ...new_].filter(each => rollouts.belongsToPool(each)))).toBe(pool);
+		expect(idsOf([...old, ...updated].filter(each => rollouts.belongsToPool(each)))).toBe(pool);
 	});
 
 	it.each([
@@ -97,7 +113,7 @@
 		{phase: RolloutPhase.Shift, expected: [11_500, undefined]},
 	])('states when engines stop in phase $phase', ({phase, expected}) => {
 		const rollouts = createRollouts(phase);
-		expect([old[0], new_[0]].map(each => rollouts.stopsAtMs(each))).toEqual(expected);
+		expect([old[0], updated[0]].map(each => rollouts.stopsAtMs(each))).toEqual(expected);
 	});
 
 	it('compares answers by version, failure domain and route, also those that other daemons counted', () => {
@@ -106,8 +122,8 @@
 			first.noteAnswer(old[0], 'r', 200, 50);
 		}
 
-		second.noteAnswer(new_[0], 'r', 500, 50);
-		second.noteAnswer(new_[0], 'r', undefined, 50);
+		second.noteAnswer(updated[0], 'r', 500, 50);
+		second.noteAnswer(updated[0], 'r', undefined, 50);
 		for (const [key, totals] of second.outcomes.ownTotals()) {
 			first.outcomes.addPeerTotals(key, totals);
 		}
--- a/src/coordination/rollout/rollout-runner.ts
+++ b/src/coordination/rollout/rollout-runner.ts
@@ -233,8 +233,12 @@
 		const {store, records, rollouts, lease, clock} = this.dependencies;
 		for (const service of this.outdatedStatuses) {
 			const {version, phase} = rollouts.get(service)!;
-			// eslint-disable-next-line no-await-in-loop -- each append expects the end that the one before left.
-			this.statusEnd ??= (await store.readNewest(Topic.Status, statusReadTimeoutMs, signal)).end;
+			if (this.statusEnd === undefined) {
+				// eslint-disable-next-line no-await-in-loop -- each append expects the end that the one before left.
+				const newest = await store.readNewest(Topic.Status, statusReadTimeoutMs, signal);
+				this.statusEnd = newest.end;
+			}
+
 			if (lease.tokenAt(clock.now()) === undefined) {
 				return;
 			}
@@ -256,7 +260,9 @@
 	private rejectOnce({orderId, service, version}: ReceivedOrder, reason: string): void {
 		if (!this.rejectedOrders.has(orderId)) {
 			this.rejectedOrders.add(orderId);
-			log.warn('roll-out order cannot be carried out.', {order: orderId, service, version, reason});
+			log.warn('roll-out order cannot be carried out.', {
+				order: orderId, service, version, reason,
+			});
 		}
 	}
 }
--- a/src/coordination/rollout/rollout.ts
+++ b/src/coordination/rollout/rollout.ts
@@ -41,8 +41,8 @@
 
 /** Whether a roll-out replaces what is known of its service: it is a later order, or a later phase of the same one. */
 export function supersedes(rollout: Rollout, known: Rollout | undefined): boolean {
-	if (!known || rollout.orderId !== known.orderId) {
-		return !known || rollout.orderId > known.orderId;
+	if (known?.orderId !== rollout.orderId) {
+		return known === undefined || rollout.orderId > known.orderId;
 	}
 
 	return phaseOrder.indexOf(rollout.phase) > phaseOrder.indexOf(known.phase);
--- a/src/coordination/rollout/rollouts.ts
+++ b/src/coordination/rollout/rollouts.ts
@@ -211,8 +211,12 @@
 	 */
 	private versionsOf(service: string, backends: Backend[]): ReadonlySet<string> {
 		const known = this.servingVersions.get(service);
-		if (known || backends.length === 0) {
-			return known ?? new Set();
+		if (known) {
+			return known;
+		}
+
+		if (backends.length === 0) {
+			return new Set();
 		}
 
 		const counts = new Map<string, number>();
--- a/src/coordination/rollout/version-outcomes.ts
+++ b/src/coordination/rollout/version-outcomes.ts
@@ -4,7 +4,7 @@
  * relays add up.
  */
 import {type AccountUse} from '../account-window.js';
-import {OutcomeMetric, type Stratum} from './version-verdict.js';
+import {type OutcomeMetric, type Stratum} from './version-verdict.js';
 
 /** Multiple of the usual time of a route from which on an answer counts as slow. */
 const slowFactor = 2.5;
