--- a/src/coordination/fleet/__tests__/limits-after-kill.test.ts
+++ b/src/coordination/fleet/__tests__/limits-after-kill.test.ts
@@ -54,6 +54,7 @@
 	}, signal);
 	while (net.nowMs < startMs + killAtMs) {
 		net.run(boundsCheckMs, sendRequests);
+		// eslint-disable-next-line no-await-in-loop -- in the order of time.
 		await holder.lease.step({
 			rank: 0, isMajorityResponsive: true, startedAtMs: -10_000, storeAnsweringForMs: 10_000,
 		}, signal);
@@ -163,6 +164,7 @@
 	const runUntil = async (atMs: number) => {
 		while (net.nowMs < startMs + atMs) {
 			net.run(boundsCheckMs, sendRequests);
+			// eslint-disable-next-line no-await-in-loop -- in the order of time.
 			await holder.lease.step({
 				rank: 0, isMajorityResponsive: true, startedAtMs: -10_000, storeAnsweringForMs: 10_000,
 			}, signal);
