--- a/src/coordination/rollout/canary-traffic.ts
+++ b/src/coordination/rollout/canary-traffic.ts
@@ -9,7 +9,7 @@
 import {createHash} from 'node:crypto';
 import {type Backend} from '../../protocol/serving.js';
 
-/** Share of the operators' bound that is used; the rest covers requests whose daemon never learned their outcome. */
+/** Share of the operators' bound that is used; the rest covers chance, since many daemons draw few requests each. */
 const usedShare = 0.8;
 /** Fewest backend servers that test a version: the fault of a single one must not look like the version's. */
 const minCanaries = 2;
