--- a/src/coordination/__tests__/shared-limits.test.ts
+++ b/src/coordination/__tests__/shared-limits.test.ts
@@ -260,6 +260,16 @@
 		expect(largest).toBeGreaterThan(0);
 	});
 
+	it.each([
+		{name: '6 daemons', daemons: 6, reportIntervalMs: 300, reportDelayMs: 0},
+		{
+			name: '86 daemons', daemons: 86, reportIntervalMs: 250, reportDelayMs: 300,
+		},
+	])('refuses hardly any small requests of an account that was idle before, over $name', ({name, ...simulation}) => {
+		const {admittedShares} = simulateHotAccount({...simulation, offeredPerSecond: 600_000, costs: [200, 1100, 2400, 12_000]});
+		expect(admittedShares[0]).toBeGreaterThan(0.95);
+	});
+
 	it.each([
 		{name: '86 daemons', daemons: 86, rise: 6},
 		{name: '86 daemons', daemons: 86, rise: 8},
--- a/src/coordination/rollout/__tests__/version-verdict.test.ts
+++ b/src/coordination/rollout/__tests__/version-verdict.test.ts
@@ -78,6 +78,11 @@
 		expect(verdicts).toEqual(verdicts.map(() => Verdict.Good));
 	});
 
+	it('finds a version bad that fails one answer in five within 3 s at 300 answers a second, in every play', () => {
+		const plays = Array.from({length: 20}, (_, index) => play(place => place.isNext && place.metric === OutcomeMetric.Failure ? 0.2 : usual(place), {perSecond: 300, seconds: 10, seed: index + 1}));
+		expect(Math.max(...plays.map(({atMs}) => atMs))).toBeLessThanOrEqual(3000);
+	});
+
 	it('gives no verdict on a handful of answers', () => {
 		const stratum: Stratum = {
 			metric: OutcomeMetric.Failure, failureDomain: 'fd-a', route: 'r', current: {answers: 500, bad: 0}, next: {answers: 5, bad: 5},
