--- a/src/coordination/__tests__/shared-limits.test.ts
+++ b/src/coordination/__tests__/shared-limits.test.ts
@@ -261,7 +261,9 @@
 	});
 
 	it.each([
-		{name: '6 daemons', daemons: 6, reportIntervalMs: 300, reportDelayMs: 0},
+		{
+			name: '6 daemons', daemons: 6, reportIntervalMs: 300, reportDelayMs: 0,
+		},
 		{
 			name: '86 daemons', daemons: 86, reportIntervalMs: 250, reportDelayMs: 300,
 		},
