Log what an answer states of its backend server

A request's line said neither that an answer announced the backend server's leaving nor for how long a refusal asked for no requests, so the logs could not tell whether a daemon had been told before it sent more. Each attempt now ends with it: [leaving], [retry after 3000 ms]. The values are read by the adapter; nothing acts on them yet.

--- a/src/coordination/serving/dispatcher.ts
+++ b/src/coordination/serving/dispatcher.ts
@@ -194,7 +194,7 @@
 		const timer = setTimeout(cancel, options.firstByteTimeoutMs);
 		const clearSoftTimeout = this.startSoftTimeout(served, backend.id, options, cancel);
 		const running = placement.begin(backend.id, request.promptTokens ?? 0, request.promptParts, sentAtMs);
-		const attempt = {
+		const attempt: Attempt = {
 			backendId: backend.id, costMs: Math.round(costMs), sentAfterMs: Math.round(sentAtMs - served.inputs.arrivedAtMs), result: 'sent',
 		};
 		served.attempts.push(attempt);
@@ -283,8 +283,9 @@
 		fail: (failure: FailedDispatch) => FailedDispatch,
 	): StartedAnswer | FailedDispatch {
 		const {dialect, backends, placement, clock} = this.dependencies;
-		const {backend, answer} = started;
+		const {backend, answer, attempt} = started;
 		const metadata = dialect.readAnswer(answer.response.headers);
+		attempt.stated = describeStatements(metadata);
 		const nowMs = clock.now();
 		if (metadata.load) {
 			placement.noteLoad(backend.id, metadata.load, nowMs);
@@ -329,3 +330,9 @@
 		}
 	}
 }
+
+/** Describes what an answer states of its backend server, for logs; undefined if it states nothing. */
+function describeStatements({isLeaving, retryAfterMs}: AnswerMetadata): string | undefined {
+	const statements = [isLeaving ? 'leaving' : undefined, retryAfterMs === undefined ? undefined : `retry after ${retryAfterMs} ms`].filter(statement => statement !== undefined);
+	return statements.length > 0 ? statements.join(', ') : undefined;
+}
--- a/src/coordination/serving/forwarder.ts
+++ b/src/coordination/serving/forwarder.ts
@@ -24,7 +24,7 @@
 import {
 	writeBackendAnswer, writeRefusal, chooseRetryAfterMs, addRetryJitter,
 } from './final-answers.js';
-import {ServedRequest} from './served-request.js';
+import {describeAttempt, ServedRequest} from './served-request.js';
 import {forwardStream, type StreamResult} from './stream-forwarding.js';
 import {type StreamRegistry} from './stream-registry.js';
 import {type RequestMetrics} from './request-metrics.js';
@@ -275,7 +275,7 @@
 		metrics.recordRequest(route.name, outcome, (nowMs - arrivedAtMs) / 1000);
 		log.info(`${outcome}.`, {
 			request: request.id, route: route.name, account: account?.name, service, ...details, ms: Math.round(nowMs - arrivedAtMs), configVersion, viewAgeMs: Math.round(configView.ageMs(nowMs)),
-			attempts: served.attempts.map(attempt => `${attempt.backendId} +${attempt.sentAfterMs} cost ${attempt.costMs}: ${attempt.result}`),
+			attempts: served.attempts.map(attempt => describeAttempt(attempt)),
 			fingerprint: served.excluded.size > 0 ? formatFingerprint(served.fingerprint) : undefined,
 		});
 	}
