Send no new requests to a replica whose answer announced its leaving

Callers were sent to replicas about to exit: in the record 2.3 to 7.4 s after the daemon had forwarded an answer with Server-Leaving; one such run ended with a 504. Cause: daemons learnt of a leaving from the store alone. With the store away, its list says ready until it returns.

An answer of any kind and status but 421 (another replica at that address) now marks the replica as leaving for good. The list can't take that back. A new start under the same id is free of it, unless it began before the statement, which then was its own.

--- a/src/coordination/serving/dispatcher.ts
+++ b/src/coordination/serving/dispatcher.ts
@@ -275,7 +275,7 @@
 		};
 	}
 
-	/** Checks that an answer belongs to the request, and applies what its headers state of the run, the load and the rate limit. */
+	/** Checks that an answer belongs to the request, and applies what its headers state of the run and of the backend server. */
 	private classifyAnswer(
 		served: ServedRequest,
 		started: Omit<StartedAnswer, 'kind' | 'metadata'>,
@@ -291,6 +291,10 @@
 			placement.noteLoad(backend.id, metadata.load, nowMs);
 		}
 
+		if (metadata.isLeaving && answer.status !== misdirectedRequestStatus && backends.noteStatedLeaving(backend.id, clock.wallTimeMs(), nowMs)) {
+			log.info('backend server states that it is leaving.', {backend: backend.id, request: served.inputs.request.id});
+		}
+
 		const isValid = metadata.requestId === served.inputs.request.id && metadata.isSealed && !metadata.isEncoded;
 		if (isValid || (metadata.limitPerSecond !== undefined && answer.status !== misdirectedRequestStatus)) {
 			this.dependencies.statedLimits.noteStated(backend.id, metadata.limitPerSecond, nowMs);
--- a/src/state/__tests__/backend-table.test.ts
+++ b/src/state/__tests__/backend-table.test.ts
@@ -6,6 +6,7 @@
 	id, name: id, startedAtMs: undefined, service: 's', version: 'v1', host: '10.0.0.1', port: 1, failureDomain: 'fd', slots: 4, state, isReclaimable: false, leavesInMs, coldForMs: 0,
 });
 const drainMs = 2000;
+const wallTimeMs = 1_000_000;
 const usable = (table: BackendTable, nowMs: number) => table.candidates('s', nowMs).map(({id}) => id);
 
 describe('BackendTable', () => {
@@ -59,6 +60,49 @@
 		expect(usable(table, 1000 + drainMs)).toEqual([]);
 	});
 
+	it.each([
+		{name: 'again', act: (table: BackendTable): unknown => table.upsert(backend('a'), 100)},
+		{
+			name: 'after it was missing', act(table: BackendTable): unknown {
+				table.markRemoved('a', 100);
+				return table.upsert(backend('a'), 200);
+			},
+		},
+		{
+			name: 'after an unreadable entry', act(table: BackendTable): unknown {
+				table.markUnreadable('a', 100);
+				return table.upsert(backend('a'), 200);
+			},
+		},
+	])('gives a backend server that stated that it is leaving no new work when the list shows it as ready $name', ({act}) => {
+		const table = new BackendTable({drainMs});
+		table.upsert(backend('a'), 0);
+		table.upsert(backend('b'), 0);
+		expect(table.noteStatedLeaving('a', wallTimeMs, 50)).toBe(true);
+		act(table);
+		expect(usable(table, 300)).toEqual(['b']);
+		expect(table.noteStatedLeaving('a', wallTimeMs, 300)).toBe(false);
+	});
+
+	it.each([
+		{name: 'the drain time after its statement', listed: undefined, expected: 50 + drainMs},
+		{name: 'the drain time after the list shows it as draining', listed: backend('a', BackendState.Draining), expected: 900 + drainMs},
+		{name: 'when its entry says', listed: backend('a', BackendState.Draining, 700), expected: 900 + 700},
+	])('expects a backend server that stated that it is leaving to leave $name', ({listed, expected}) => {
+		const table = new BackendTable({drainMs});
+		table.upsert(backend('a'), 0);
+		table.noteStatedLeaving('a', wallTimeMs, 50);
+		if (listed) {
+			expect(table.upsert(listed, 900).hasStartedLeaving).toBe(true);
+		}
+
+		expect(table.get('a')?.leavesAtMs).toBe(expected);
+	});
+
+	it('ignores a statement of a backend server that is not known', () => {
+		expect(new BackendTable({drainMs}).noteStatedLeaving('a', wallTimeMs, 0)).toBe(false);
+	});
+
 	it.each([{leavesInMs: undefined, expected: drainMs}, {leavesInMs: 2600, expected: 2600}])('expects it to leave after $expected ms if it says $leavesInMs', ({leavesInMs, expected}) => {
 		const table = new BackendTable({drainMs});
 		expect(table.upsert(backend('a', BackendState.Draining, leavesInMs), 0).entry.leavesAtMs).toBe(expected);
@@ -77,6 +121,27 @@
 				table.upsert(started(2), 100);
 			}, expected: ['a@2'],
 		},
+		{
+			name: 'is usable although the previous start stated that it was leaving', act(table: BackendTable) {
+				table.upsert(started(1), 0);
+				table.noteStatedLeaving('a@1', wallTimeMs, 50);
+				table.upsert(started(wallTimeMs + 1), 100);
+			}, expected: [`a@${wallTimeMs + 1}`],
+		},
+		{
+			name: 'gets no new work if it had stated that it is leaving before its entry was read', act(table: BackendTable) {
+				table.upsert(started(1), 0);
+				table.noteStatedLeaving('a@1', wallTimeMs, 50);
+				table.upsert(started(wallTimeMs - 1), 100);
+			}, expected: [],
+		},
+		{
+			name: 'is usable although a late answer of its previous start states that it was leaving', act(table: BackendTable) {
+				table.upsert(started(1), 0);
+				table.upsert(started(2), 50);
+				table.noteStatedLeaving('a@1', wallTimeMs, 100);
+			}, expected: ['a@2'],
+		},
 		{
 			name: 'is not overwritten by a late entry of its previous start', act(table: BackendTable) {
 				table.upsert(started(2), 0);
--- a/src/state/backend-table.ts
+++ b/src/state/backend-table.ts
@@ -1,7 +1,8 @@
 /**
  * The backend servers that the platform lists. Each start of a process is a backend server of
  * its own: a process that restarts under the same name gets a new entry, which inherits nothing
- * from the old one. A backend server that has begun to leave never becomes usable again. An
+ * from the old one. A backend server that has begun to leave, by the platform's list or by its
+ * own answers, never becomes usable again. An
  * entry that is removed although its backend server was not leaving stays usable as a fallback
  * for a short time, because entries also expire during an outage of the store and reappear
  * after it.
@@ -22,6 +23,10 @@
 	leavesAtMs: number | undefined;
 	/** When its entry was removed or became unreadable. */
 	vanishedAtMs: number | undefined;
+	/** Whether the platform's list has shown it as draining. */
+	isListedAsDraining: boolean;
+	/** When one of its answers first stated that it is leaving, in milliseconds since 1970. */
+	statedLeavingAtMs: number | undefined;
 	/** Whether it has certainly ended, because a later start under its name is listed. */
 	isEnded: boolean;
 };
@@ -29,7 +34,7 @@
 /** The result of adding or updating an entry. */
 export type UpsertResult = {
 	entry: BackendEntry;
-	/** Whether this update was the first to say that it is leaving. */
+	/** Whether this update was the first of the platform's list to say that it is leaving. */
 	hasStartedLeaving: boolean;
 	/** Whether this start was not known before. */
 	isNew: boolean;
@@ -60,9 +65,14 @@
 
 		const entry = isNew ? this.add(backend, nowMs) : latest;
 		this.update(entry, backend);
-		const hasStartedLeaving = backend.state === BackendState.Draining && entry.leavingSinceMs === undefined;
+		if (latest && isNew && hasStatedLeaving(backend, latest)) {
+			this.noteStatedLeaving(backend.id, latest.statedLeavingAtMs!, nowMs);
+		}
+
+		const hasStartedLeaving = backend.state === BackendState.Draining && !entry.isListedAsDraining;
 		if (hasStartedLeaving) {
-			entry.leavingSinceMs = nowMs;
+			entry.isListedAsDraining = true;
+			entry.leavingSinceMs ??= nowMs;
 			entry.leavesAtMs = nowMs + (backend.leavesInMs ?? this.bounds.drainMs);
 		}
 
@@ -89,6 +99,26 @@
 		}
 	}
 
+	/**
+	 * Records that an answer of a backend server stated that it is leaving. The store may not have
+	 * accepted its report, so this holds whatever the platform's list shows.
+	 *
+	 * @param wallTimeMs The time of day, in milliseconds since 1970.
+	 * @returns Whether it was not known to be leaving.
+	 */
+	noteStatedLeaving(id: string, wallTimeMs: number, nowMs: number): boolean {
+		const entry = this.entriesById.get(id);
+		if (!entry) {
+			return false;
+		}
+
+		const isNews = entry.leavingSinceMs === undefined;
+		entry.statedLeavingAtMs ??= wallTimeMs;
+		entry.leavingSinceMs ??= nowMs;
+		entry.leavesAtMs ??= nowMs + this.bounds.drainMs;
+		return isNews;
+	}
+
 	/** Records that another backend server now answers at the address of this one. */
 	markReplaced(id: string, nowMs: number): void {
 		const entry = this.entriesById.get(id);
@@ -144,7 +174,7 @@
 
 	private add(backend: Backend, nowMs: number): BackendEntry {
 		const entry: BackendEntry = {
-			backend, seenAtMs: nowMs, leavingSinceMs: undefined, leavesAtMs: undefined, vanishedAtMs: undefined, isEnded: false,
+			backend, seenAtMs: nowMs, leavingSinceMs: undefined, leavesAtMs: undefined, vanishedAtMs: undefined, isListedAsDraining: false, statedLeavingAtMs: undefined, isEnded: false,
 		};
 		this.entriesById.set(backend.id, entry);
 		this.latestByName.set(backend.name, entry);
@@ -186,6 +216,11 @@
 	}
 }
 
+/** Whether a start had already begun when an answer under its name, taken for the previous start's, stated that it is leaving. */
+function hasStatedLeaving({startedAtMs}: Backend, {statedLeavingAtMs}: BackendEntry): boolean {
+	return startedAtMs !== undefined && statedLeavingAtMs !== undefined && startedAtMs <= statedLeavingAtMs;
+}
+
 /** Returns the time by which starts under one name are ordered; a start without a time comes first. */
 function startTime({startedAtMs}: Backend): number {
 	return startedAtMs ?? Number.NEGATIVE_INFINITY;
