Send no requests to a replica during the time that its Retry-After asks for

Callers' requests were sent into a replica that had asked for rest: four from one daemon within 3 s in the record, the last a repeat that failed there too. Cause: Retry-After of a replica was read by nobody; a refusal only raised its cost by 400 ms for 3 s, so it was chosen again once the others were busy, had failed the request or were excluded.

Every answer with 503 and Retry-After now begins a cooldown of the replica at this daemon. With all replicas of a service cooling down, requests are rejected at once with the time until the first is ready.

--- a/src/cli/front-container.ts
+++ b/src/cli/front-container.ts
@@ -11,6 +11,7 @@
 import {BackendTable} from '../state/backend-table.js';
 import {RouteTable} from '../state/route-table.js';
 import {BackendConnectionPool} from '../transport/backend-connection-pool.js';
+import {Cooldowns} from '../coordination/cooldowns.js';
 import {DutyLease} from '../coordination/duty-lease.js';
 import {DutyRunner} from '../coordination/duty-runner.js';
 import {backendKey} from '../coordination/fleet/backend-key.js';
@@ -123,6 +124,7 @@
 		store, quarantine: resolver.resolve(Quarantine), lease: resolver.resolve(DutyLease), clock,
 	}));
 	registerFactory(StatedLimits, resolver => new StatedLimits((backend, maxSenders, nowMs) => selectSenders(resolver.resolve(FleetTable), settings.name, backend, maxSenders, nowMs)));
+	registerFactory(Cooldowns, () => new Cooldowns());
 	registerFactory(CrashWatch, resolver => new CrashWatch({backends: resolver.resolve(BackendTable), quarantine: resolver.resolve(Quarantine), clock}));
 	registerFactory(Dispatcher, resolver => new Dispatcher({
 		dialect,
@@ -134,6 +136,7 @@
 		quarantine: resolver.resolve(Quarantine),
 		crashWatch: resolver.resolve(CrashWatch),
 		statedLimits: resolver.resolve(StatedLimits),
+		cooldowns: resolver.resolve(Cooldowns),
 		rollouts: resolver.resolve(Rollouts),
 		clock,
 	}));
--- a/src/cli/front-daemon.ts
+++ b/src/cli/front-daemon.ts
@@ -13,6 +13,7 @@
 import {BackendConnectionPool} from '../transport/backend-connection-pool.js';
 import {DatagramLink} from '../transport/datagram-link.js';
 import {FrontServer} from '../transport/front-server.js';
+import {Cooldowns} from '../coordination/cooldowns.js';
 import {DutyLease} from '../coordination/duty-lease.js';
 import {DutyRunner} from '../coordination/duty-runner.js';
 import {BoundsRecord, boundsCheckMs} from '../coordination/fleet/bounds-record.js';
@@ -168,6 +169,7 @@
 			limits: Object.fromEntries(this.container.resolve(QuotaLedger).ownTotals()),
 			quarantine: this.container.resolve(Quarantine).toJson(nowMs),
 			statedLimits: this.container.resolve(StatedLimits).toJson(nowMs),
+			cooldowns: this.container.resolve(Cooldowns).toJson(nowMs),
 			rollouts: this.container.resolve(Rollouts).toJson(),
 		};
 	}
@@ -265,10 +267,12 @@
 		}
 	}
 
-	/** Removes backend servers that have not been listed for a while, and their placement state. */
+	/** Removes backend servers that have not been listed for a while, their placement state, and cooldowns that are over. */
 	private removeOldBackends(): void {
+		const nowMs = this.clock.now();
 		const backends = this.container.resolve(BackendTable);
-		backends.prune(removedBackendRetentionMs, this.clock.now());
+		backends.prune(removedBackendRetentionMs, nowMs);
+		this.container.resolve(Cooldowns).prune(nowMs);
 		this.container.resolve(Placement).retain(new Set(backends.listed().map(entry => entry.backend.id)));
 	}
 
--- a/src/coordination/serving/__tests__/backend-selector.test.ts
+++ b/src/coordination/serving/__tests__/backend-selector.test.ts
@@ -8,6 +8,7 @@
 	type Backend, BackendState, RequestKind, type Route,
 } from '../../../protocol/serving.js';
 import {BackendTable} from '../../../state/backend-table.js';
+import {Cooldowns} from '../../cooldowns.js';
 import {FleetTable} from '../../fleet/fleet-table.js';
 import {Placement} from '../../placement.js';
 import {Quarantine} from '../../quarantine/quarantine.js';
@@ -39,13 +40,14 @@
 });
 
 /** Creates a selector over two backend servers, of which `limited` stated its rate limit `statedMsAgo`. */
-function createSelector(isSender: boolean, statedMsAgo: number): {selector: BackendSelector; limits: StatedLimits; reservations: RetryReservations} {
+function createSelector(isSender: boolean, statedMsAgo: number): {selector: BackendSelector; limits: StatedLimits; cooldowns: Cooldowns; reservations: RetryReservations} {
 	const nowMs = 100_000;
 	const backends = new BackendTable({drainMs: 2000});
 	backends.upsert(backend('limited'), 0);
 	backends.upsert(backend('free'), 0);
 	const limits = new StatedLimits(() => ({isSender, senders: 1}));
 	limits.noteStated('limited', 1, nowMs - statedMsAgo);
+	const cooldowns = new Cooldowns();
 	const clock = new SteadyClock({monotonicMs: () => nowMs, wallMs: () => nowMs, uptimeMs: () => nowMs});
 	const placement = new Placement('fd-a');
 	// The free one is more loaded, so it is selected only when the limited one is not allowed.
@@ -53,13 +55,15 @@
 	const fleet = new FleetTable({name: 'd', failureDomain: 'fd-a', startedAtMs: 0});
 	const quarantine = new Quarantine(() => false);
 	const selector = new BackendSelector({
-		backends, placement, fleet, quarantine, statedLimits: limits, rollouts: new Rollouts({canaryShare: 0.1}, () => 0), clock,
+		backends, placement, fleet, quarantine, statedLimits: limits, cooldowns, rollouts: new Rollouts({canaryShare: 0.1}, () => 0), clock,
 	});
 	const retryBudget = new RetryBudget({ratio: 0, windowMs: 10_000, slack: 100});
 	const reservations = new RetryReservations({
 		selector, retryBudget, fleet, quarantine, clock,
 	});
-	return {selector, limits, reservations};
+	return {
+		selector, limits, cooldowns, reservations,
+	};
 }
 
 describe('BackendSelector', () => {
@@ -96,7 +100,52 @@
 	});
 });
 
+describe('BackendSelector with backend servers that cool down', () => {
+	const nowMs = 100_000;
+
+	it.each<{name: string; cooling: Record<string, number>; excluded: string[]; expected: string | undefined; waitMs: number | undefined}>([
+		{
+			name: 'selects another one', cooling: {free: 500}, excluded: [], expected: 'limited', waitMs: 500,
+		},
+		{
+			name: 'selects none when all of them cool down', cooling: {free: 500, limited: 300}, excluded: [], expected: undefined, waitMs: 300,
+		},
+		{
+			name: 'selects none when the others have failed the request', cooling: {free: 500}, excluded: ['limited'], expected: undefined, waitMs: 500,
+		},
+		{
+			name: 'ignores a cooldown that is over', cooling: {free: 0}, excluded: ['limited'], expected: 'free', waitMs: undefined,
+		},
+	])('$name', ({cooling, excluded, expected, waitMs}) => {
+		const {selector, limits, cooldowns} = createSelector(true, 500);
+		limits.noteStated('limited', undefined, nowMs);
+		const served = createRequest();
+		for (const [id, delayMs] of Object.entries(cooling)) {
+			cooldowns.note(backend(id), delayMs, nowMs, nowMs);
+		}
+
+		for (const id of excluded) {
+			served.excluded.add(id);
+		}
+
+		expect(selector.select(served)?.backend.id).toBe(expected);
+		expect(selector.waitMs(served, nowMs)).toBe(waitMs);
+		expect(selector.isUsable(served, backend('free'), false)).toBe(cooling.free === 0);
+	});
+});
+
 describe('RetryReservations', () => {
+	it('replaces a reserved backend server that has begun to cool down', () => {
+		const {reservations, limits, cooldowns} = createSelector(true, 500);
+		limits.noteStated('limited', undefined, 100_000);
+		const served = createRequest();
+		expect(reservations.reserve(served, 'elsewhere', RetryPurpose.Retry, 0)).toBe(true);
+		expect(reservations.reservedBackend(served)?.id).toBe('limited');
+		cooldowns.note(backend('limited'), 1000, 100_000, 100_000);
+		expect(reservations.isReservationUsable(served)).toBe(false);
+		expect(reservations.reservedBackend(served)?.id).toBe('free');
+	});
+
 	it('reserves no more than its rate limit on a backend server for streams that leave an engine together', () => {
 		const {reservations} = createSelector(true, 500);
 		const reservedIds = Array.from({length: 20}, () => {
--- a/src/coordination/serving/backend-selector.ts
+++ b/src/coordination/serving/backend-selector.ts
@@ -2,6 +2,7 @@
 import {type Backend} from '../../protocol/serving.js';
 import {type BackendTable} from '../../state/backend-table.js';
 import {type SteadyClock} from '../../clock.js';
+import {type Cooldowns} from '../cooldowns.js';
 import {backendKey} from '../fleet/backend-key.js';
 import {type FleetTable} from '../fleet/fleet-table.js';
 import {type PlacementChoice, type Placement} from '../placement.js';
@@ -17,11 +18,12 @@
 	fleet: FleetTable;
 	quarantine: Quarantine;
 	statedLimits: StatedLimits;
+	cooldowns: Cooldowns;
 	rollouts: Rollouts;
 	clock: SteadyClock;
 };
 
-/** Selects backend servers by load, health, stated rate limits and version. */
+/** Selects backend servers by load, health, stated rate limits, cooldowns and version. */
 export class BackendSelector {
 	constructor(private readonly dependencies: BackendSelectorDependencies) {}
 
@@ -32,7 +34,7 @@
 		const nowMs = clock.now();
 		const excluded = currentBackendId === undefined ? served.excluded : new Set([...served.excluded, currentBackendId]);
 		return placement.choose({
-			candidates: this.filterByRateLimit(rollouts.filter(service, backends.candidates(service, nowMs), this.isCanary(served)), excluded, nowMs),
+			candidates: this.filterByRateLimit(this.filterByCooldown(rollouts.filter(service, backends.candidates(service, nowMs), this.isCanary(served)), nowMs), excluded, nowMs),
 			excluded,
 			promptTokens: request.promptTokens ?? 0,
 			promptParts: request.promptParts,
@@ -57,16 +59,29 @@
 
 	/** Whether a backend server that was selected earlier may still receive the request; `isRateLimitCharged` tells whether the request is already charged to its rate limit. */
 	isUsable(served: ServedRequest, backend: Backend, isRateLimitCharged: boolean): boolean {
-		const {backends, statedLimits, rollouts, clock} = this.dependencies;
+		const {backends, statedLimits, cooldowns, rollouts, clock} = this.dependencies;
+		const nowMs = clock.now();
 		const entry = backends.get(backend.id);
 		const isStaying = entry !== undefined && entry.leavingSinceMs === undefined;
-		return isStaying && rollouts.mayReceive(backend) && !served.excluded.has(backend.id) && (isRateLimitCharged || statedLimits.permission(backend.id, clock.now()) !== SendPermission.Withheld);
+		const isWithinLimit = isRateLimitCharged || statedLimits.permission(backend.id, nowMs) !== SendPermission.Withheld;
+		return isStaying && isWithinLimit && !cooldowns.isCoolingDown(backend, nowMs) && rollouts.mayReceive(backend) && !served.excluded.has(backend.id);
 	}
 
-	/** Milliseconds until a rate-limited backend server of the request's service may receive a request; undefined when none of them is rate-limited. */
-	rateLimitWaitMs(served: ServedRequest, nowMs: number): number | undefined {
-		const {statedLimits, backends} = this.dependencies;
-		return statedLimits.isEmpty ? undefined : statedLimits.retryAfterMs(backends.candidates(served.inputs.service, nowMs).map(({id}) => id), nowMs);
+	/** Records a stream that is to continue on the backend server to which its KV cache was moved; returns false if it must not. */
+	tryContinueMoved(target: Backend): boolean {
+		return this.dependencies.cooldowns.tryContinueMoved(target, this.dependencies.clock.now());
+	}
+
+	/** Milliseconds until a backend server of the request's service that now withholds its capacity may receive a request; undefined when none is rate-limited or cools down. */
+	waitMs(served: ServedRequest, nowMs: number): number | undefined {
+		const {statedLimits, cooldowns, backends} = this.dependencies;
+		if (statedLimits.isEmpty && cooldowns.isEmpty) {
+			return undefined;
+		}
+
+		const candidates = backends.candidates(served.inputs.service, nowMs);
+		const waits = [statedLimits.retryAfterMs(candidates.map(({id}) => id), nowMs), cooldowns.retryAfterMs(candidates, nowMs)].filter(wait => wait !== undefined);
+		return waits.length > 0 ? Math.min(...waits) : undefined;
 	}
 
 	/** Whether a request tests the version that is being rolled out. Only first attempts do: a request that failed must not meet an untested version again. */
@@ -80,6 +95,12 @@
 		return served.isCanary;
 	}
 
+	/** Returns the candidates that do not cool down. */
+	private filterByCooldown(candidates: Backend[], nowMs: number): Backend[] {
+		const {cooldowns} = this.dependencies;
+		return cooldowns.isEmpty ? candidates : candidates.filter(backend => !cooldowns.isCoolingDown(backend, nowMs));
+	}
+
 	/** Returns the candidates whose rate limits allow a request now. If the limit of any of them has not been confirmed recently, returns only those, so that this request refreshes it. */
 	private filterByRateLimit(candidates: Backend[], excluded: ReadonlySet<string>, nowMs: number): Backend[] {
 		const {statedLimits} = this.dependencies;
--- a/src/coordination/serving/dispatcher.ts
+++ b/src/coordination/serving/dispatcher.ts
@@ -10,6 +10,7 @@
 import {type BackendResponse, type BackendConnectionPool, sendBackendRequest} from '../../transport/backend-connection-pool.js';
 import {ConnectError} from '../../transport/errors.js';
 import {createLogger} from '../../log.js';
+import {type Cooldowns} from '../cooldowns.js';
 import {type FleetTable} from '../fleet/fleet-table.js';
 import {type PlacementChoice, type Placement, type RunningRequest} from '../placement.js';
 import {type CrashWatch} from '../quarantine/crash-watch.js';
@@ -29,6 +30,8 @@
 const reservationPollMs = 50;
 /** The reason given for a dispatch whose connection did not open. */
 const unreachableReason = 'unreached';
+/** HTTP 503 Service Unavailable. */
+const unavailableStatus = 503;
 /** HTTP 421 Misdirected Request: the address now belongs to a different backend server. */
 const misdirectedRequestStatus = 421;
 
@@ -94,6 +97,7 @@
 	quarantine: Quarantine;
 	crashWatch: CrashWatch;
 	statedLimits: StatedLimits;
+	cooldowns: Cooldowns;
 	rollouts: Rollouts;
 	clock: SteadyClock;
 };
@@ -128,6 +132,11 @@
 				return {kind: DispatchKind.NoBackend, reason: 'no backend server left'};
 			}
 
+			if (hasFixedTarget && !selector.tryContinueMoved(choice.backend)) {
+				reservations.release(served);
+				return {kind: DispatchKind.NotRun, backend: choice.backend, reason: 'its new engine cools down'};
+			}
+
 			const nowMs = this.dependencies.clock.now();
 			if (served.deliveries > 0 && !served.reservation && !reservations.takeFromBudget(served, options.purpose, nowMs)) {
 				return {kind: DispatchKind.NoRetryBudget, reason: `repeat allowance used up (${reservations.describeBudget(served)})`};
@@ -282,7 +291,7 @@
 		options: DispatchOptions,
 		fail: (failure: FailedDispatch) => FailedDispatch,
 	): StartedAnswer | FailedDispatch {
-		const {dialect, backends, placement, clock} = this.dependencies;
+		const {dialect, backends, placement, cooldowns, clock} = this.dependencies;
 		const {backend, answer, attempt} = started;
 		const metadata = dialect.readAnswer(answer.response.headers);
 		attempt.stated = describeStatements(metadata);
@@ -295,6 +304,10 @@
 			log.info('backend server states that it is leaving.', {backend: backend.id, request: served.inputs.request.id});
 		}
 
+		if (metadata.retryAfterMs !== undefined && answer.status === unavailableStatus) {
+			cooldowns.note(backend, metadata.retryAfterMs, clock.wallTimeMs(), nowMs);
+		}
+
 		const isValid = metadata.requestId === served.inputs.request.id && metadata.isSealed && !metadata.isEncoded;
 		if (isValid || (metadata.limitPerSecond !== undefined && answer.status !== misdirectedRequestStatus)) {
 			this.dependencies.statedLimits.noteStated(backend.id, metadata.limitPerSecond, nowMs);
--- a/src/coordination/serving/forwarder.ts
+++ b/src/coordination/serving/forwarder.ts
@@ -254,7 +254,7 @@
 	private refuseServed(served: ServedRequest, front: FrontRequest, reason: string): void {
 		const {dispatcher, clock} = this.dependencies;
 		const nowMs = clock.now();
-		const retryAfterMs = chooseRetryAfterMs(served.remainingMs(nowMs), dispatcher.selector.rateLimitWaitMs(served, nowMs) ?? outageRetryAfterMs);
+		const retryAfterMs = chooseRetryAfterMs(served.remainingMs(nowMs), dispatcher.selector.waitMs(served, nowMs) ?? outageRetryAfterMs);
 		writeRefusal(front.response, 503, reason, retryAfterMs);
 		this.recordOutcome(served, Outcome.Refused, {status: 503, reason});
 	}
--- a/src/coordination/serving/retry-reservations.ts
+++ b/src/coordination/serving/retry-reservations.ts
@@ -52,6 +52,12 @@
 		return true;
 	}
 
+	/** Whether the reserved backend server may still receive the request. */
+	isReservationUsable(served: ServedRequest): boolean {
+		const {reservation} = served;
+		return reservation !== undefined && this.dependencies.selector.isUsable(served, reservation.choice.backend, reservation.isRateLimitCharged);
+	}
+
 	/** Returns the reserved backend server, or a newly selected one if that is leaving or has failed the request meanwhile. */
 	reservedBackend(served: ServedRequest, currentBackendId?: string): Backend | undefined {
 		const {reservation} = served;
@@ -59,7 +65,7 @@
 			return undefined;
 		}
 
-		if (!this.dependencies.selector.isUsable(served, reservation.choice.backend, reservation.isRateLimitCharged)) {
+		if (!this.isReservationUsable(served)) {
 			const choice = this.dependencies.selector.select(served, currentBackendId);
 			if (!choice) {
 				return undefined;
--- a/src/coordination/serving/stream-registry.ts
+++ b/src/coordination/serving/stream-registry.ts
@@ -193,7 +193,7 @@
 		const {engines, signal} = this.dependencies;
 		const {id} = stream.served.inputs.request;
 		const copied = await engines.copy(id, source, target, signal);
-		const moved = copied.run ? await engines.move(id, source, target, signal) : copied;
+		const moved = copied.run ? await this.moveIfUsable(stream, source, target) : copied;
 		log.info('attempt to move the stream to another engine ended.', {
 			request: id, from: source.id, to: target.id, events: stream.events, copied: copied.result, moved: copied.run && moved.result,
 		});
@@ -204,6 +204,12 @@
 		return moved;
 	}
 
+	/** Moves a copied run, unless its target has begun to leave or to cool down during the copy. */
+	private async moveIfUsable(stream: ForwardedStream, source: Backend, target: Backend): Promise<MoveAnswer> {
+		const {engines, dispatcher, signal} = this.dependencies;
+		return dispatcher.reservations.isReservationUsable(stream.served) ? engines.move(stream.served.inputs.request.id, source, target, signal) : {result: MoveResult.Refused};
+	}
+
 	/** Releases an unused copy, so that it does not occupy a slot at its target. */
 	private release(run: MovedRun, source: Backend): void {
 		void this.dependencies.engines.release(run, source, this.dependencies.signal).catch((error: unknown) => {
