Answer 502 when a replica's 503 does not state that the request has not run

A replica's own 503 (or 408, 421, 429) was forwarded, and these statuses tell a client that its request has not run and never will; only X-Sesametally-Not-Executed states that.

--- a/src/coordination/serving/final-answers.ts
+++ b/src/coordination/serving/final-answers.ts
@@ -1,6 +1,6 @@
 /**
- * Writes the final answers to clients. 429 and 503 guarantee that the request has not run and
- * never will; 502 and 504 guarantee nothing.
+ * Writes the final answers to clients. 408, 421, 429 and 503 guarantee that the request has not
+ * run and never will; 502 and 504 guarantee nothing.
  */
 import {type ServerResponse} from 'node:http';
 import {hopByHopHeaders} from '../../transport/hop-by-hop-headers.js';
@@ -12,6 +12,14 @@
 /** Upper bound of Retry-After, as a share of the client's remaining time: clients wait at most a third of it. */
 const retryAfterShare = 0.25;
 
+/** The statuses that guarantee to a client that its request has not run and never will. */
+const notRunStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+
+/** Whether a status guarantees to a client that its request has not run. */
+export function promisesNotRun(status: number): boolean {
+	return notRunStatuses.has(status);
+}
+
 /** Returns the headers of a backend server's answer that are forwarded to the client, as alternating names and values. */
 export function filterForwardedHeaders(rawHeaders: string[]): string[] {
 	const headers: string[] = [];
--- a/src/coordination/serving/forwarder.ts
+++ b/src/coordination/serving/forwarder.ts
@@ -22,7 +22,7 @@
 import {type UnaryResult, forwardUnary} from './unary-forwarding.js';
 import {type Dispatcher} from './dispatcher.js';
 import {
-	writeBackendAnswer, writeRefusal, chooseRetryAfterMs, addRetryJitter,
+	writeBackendAnswer, writeRefusal, chooseRetryAfterMs, addRetryJitter, promisesNotRun,
 } from './final-answers.js';
 import {describeAttempt, ServedRequest} from './served-request.js';
 import {forwardStream, type StreamResult} from './stream-forwarding.js';
@@ -240,17 +240,29 @@
 
 		if (result.kind === 'answer') {
 			const {answer} = result;
+			if (promisesNotRun(answer.status)) {
+				// The backend server may have run the request, so its status must not tell the client that it has not.
+				this.writeUnknownOutcome(served, front, `answered ${answer.status} without stating that it did not run the request`);
+				return;
+			}
+
 			writeBackendAnswer(front.response, answer.status, answer.statusText, answer.rawHeaders, answer.body);
 			this.recordOutcome(served, answer.status < 400 ? Outcome.Served : Outcome.BackendFailure, {status: answer.status});
 		} else if (result.kind === 'not-run') {
 			this.refuseServed(served, front, result.reason);
 		} else {
-			const isLate = served.remainingMs(this.dependencies.clock.now()) <= timerToleranceMs;
-			writeErrorResponse(front.response, isLate ? 504 : 502, result.reason);
-			this.recordOutcome(served, Outcome.Unknown, {status: isLate ? 504 : 502, reason: result.reason});
+			this.writeUnknownOutcome(served, front, result.reason);
 		}
 	}
 
+	/** Answers a request that may have run. */
+	private writeUnknownOutcome(served: ServedRequest, front: FrontRequest, reason: string): void {
+		const isLate = served.remainingMs(this.dependencies.clock.now()) <= timerToleranceMs;
+		const status = isLate ? 504 : 502;
+		writeErrorResponse(front.response, status, reason);
+		this.recordOutcome(served, Outcome.Unknown, {status, reason});
+	}
+
 	private refuseServed(served: ServedRequest, front: FrontRequest, reason: string): void {
 		const {dispatcher, clock} = this.dependencies;
 		const nowMs = clock.now();
