--- a/soak/__tests__/soak.test.ts
+++ b/soak/__tests__/soak.test.ts
@@ -11,6 +11,9 @@
 	{
 		seed: 602, daemons: 3, cause: 'one idle connection to the store after the other was used although all had gone silent', options: {hasStoreLinkFaults: true},
 	},
+	{
+		seed: 801, daemons: 3, cause: 'replicas that announce that they leave or ask for a cooldown', options: {hasReplicaStatements: true},
+	},
 	{
 		seed: 701, daemons: 3, cause: 'a request that crashes replicas, and a replica that states a limit', options: {hasReplicaFaults: true},
 	},
--- a/soak/clients.ts
+++ b/soak/clients.ts
@@ -8,7 +8,11 @@
 	id: string;
 	kind: string;
 	apiKey: string;
+	/** Address of the daemon that it was sent to. */
+	host: string;
 	sentAtMs: number;
+	/** When the answer or the attempt ended, in milliseconds since 1970. */
+	endedAtMs: number;
 	/** HTTP status, undefined when no answer began. */
 	status: number | undefined;
 	/** Whether the answer carries the replica's seal. */
@@ -72,7 +76,7 @@
 async function sendRequest(cluster: SoakCluster, {agent, host, id, kind, path = `/${kind}/${id}`, body = id}: RequestInputs): Promise<RequestRecord> {
 	const [apiKey] = cluster.apiKeys;
 	const record: RequestRecord = {
-		id, kind, apiKey, sentAtMs: Date.now(), status: undefined, hasReplicaSeal: false, body: '', isComplete: false,
+		id, kind, apiKey, host, sentAtMs: Date.now(), endedAtMs: Number.POSITIVE_INFINITY, status: undefined, hasReplicaSeal: false, body: '', isComplete: false,
 	};
 	return new Promise(resolve => {
 		const request = startRequest({
@@ -88,6 +92,7 @@
 			response.on('error', () => undefined);
 			response.once('close', () => {
 				record.isComplete = response.complete;
+				record.endedAtMs = Date.now();
 				resolve(record);
 			});
 		});
--- a/soak/cluster.ts
+++ b/soak/cluster.ts
@@ -36,6 +36,8 @@
 export class SoakDaemon {
 	/** Lines that the daemon wrote to its outputs, over all starts. */
 	readonly log: string[] = [];
+	/** When its process was started or got a signal, in milliseconds since 1970. */
+	readonly disturbedAtMs: number[] = [];
 	private child: ChildProcess | undefined;
 	private isClosed = false;
 	private readonly settingsFile: string;
@@ -49,6 +51,7 @@
 	start(): void {
 		const child = spawn(process.execPath, ['dist/sesametally.cjs', 'front'], {env: {...process.env, SESAMETALLY_BOOT: this.settingsFile, SESAMETALLY_LOG: 'on'}, stdio: ['ignore', 'pipe', 'pipe']});
 		this.child = child;
+		this.disturbedAtMs.push(Date.now());
 		child.once('exit', () => {
 			if (!this.isClosed) {
 				setTimeout(() => {
@@ -72,6 +75,7 @@
 
 	/** Sends a signal to the daemon's current process. */
 	signal(name: NodeJS.Signals): void {
+		this.disturbedAtMs.push(Date.now());
 		this.child?.kill(name);
 	}
 }
@@ -82,6 +86,8 @@
 	hasStoreLinkFaults?: boolean;
 	/** Whether there are a request that crashes replicas and a replica that states a limit. */
 	hasReplicaFaults?: boolean;
+	/** Whether replicas announce in their answers that they leave, or ask for a cooldown; such runs have no faults on the links to replicas. */
+	hasReplicaStatements?: boolean;
 };
 
 /** The daemons, stand-ins and links of one run. */
@@ -108,7 +114,7 @@
 	private lastReplicaNumber = 0;
 	private isClosed = false;
 
-	constructor(private readonly daemonCount: number, private readonly options: ClusterOptions) {
+	constructor(private readonly daemonCount: number, readonly options: ClusterOptions) {
 		this.bounds = options.hasStoreLinkFaults ? storeLinkBounds : defaultBounds;
 	}
 
--- a/soak/replica-faults.ts
+++ b/soak/replica-faults.ts
@@ -1,6 +1,7 @@
-/** Faults of the replicas themselves, and checks of how the daemons handle them: a request that crashes replicas, and a replica that states a rate limit. */
+/** Faults of the replicas themselves, and checks of how the daemons handle them: a request that crashes replicas, and replicas that state a rate limit, announce that they leave, or ask for a cooldown. */
 import {type ReplicaStandin} from '../platform/__tests__/standins.js';
-import {fatalBody, type SoakCluster} from './cluster.js';
+import {type RequestRecord} from './clients.js';
+import {fatalBody, type SoakCluster, type SoakDaemon} from './cluster.js';
 
 /** Crashes under one request after which the daemons must refuse it. */
 const crashesUntilRefused = 3;
@@ -40,3 +41,40 @@
 	const maxInWindow = Math.max(0, ...receivedAtMs.map(startMs => receivedAtMs.filter(atMs => atMs >= startMs && atMs < startMs + windowMs).length));
 	return maxInWindow > maxRequestsInWindow || maxInWindow === 0 ? [`replica ${replica.id} with a limit of ${statedLimitPerSecond} requests per second got ${maxInWindow} requests in ${windowMs} ms`] : [];
 }
+
+/** The cooldown that a replica asks for in its refusals, in milliseconds; the time after which it counts, and the requests that a daemon may send meanwhile, as the operators set them. */
+export const cooldownMs = 1500;
+const cooldownToleranceMs = 500;
+const maxCooldownRequests = 2;
+/** Tolerance for differences between the clocks of processes on one machine, in milliseconds. */
+const clockToleranceMs = 50;
+
+/** Checks that no daemon sends new requests to a replica once it has forwarded an answer that announced its leaving, and few to one that asked it for a cooldown. */
+export function findStatementViolations(cluster: SoakCluster, records: RequestRecord[]): string[] {
+	const recordById = new Map(records.map(record => [record.id, record]));
+	return cluster.replicas.flatMap(replica => cluster.daemons.flatMap(daemon => {
+		const received = replica.received.flatMap(({id, atMs, isLeaving, cooldownMs: askedMs}) => {
+			const record = recordById.get(id);
+			return record?.host === daemon.host
+				? [{
+					record, atMs, isLeaving, askedMs,
+				}]
+				: [];
+		});
+		const toldAtMs = Math.min(...received.filter(({isLeaving, record}) => isLeaving && record.isComplete && record.hasReplicaSeal).map(({record}) => record.endedAtMs));
+		const late = received.filter(({record}) => record.sentAtMs > toldAtMs + cluster.bounds.drain_ms + clockToleranceMs && !isDisturbed(daemon, toldAtMs, record.sentAtMs));
+		const during = received.filter(({askedMs}) => askedMs > 0).map(({atMs: askedAtMs, askedMs}) => {
+			const endMs = askedAtMs + askedMs - clockToleranceMs;
+			return isDisturbed(daemon, askedAtMs, endMs) ? 0 : received.filter(({atMs}) => atMs > askedAtMs + cooldownToleranceMs && atMs < endMs).length;
+		});
+		return [
+			...(late.length > 0 ? [`${daemon.host} sent ${late.length} requests to replica ${replica.id} after it had forwarded that it leaves`] : []),
+			...(Math.max(0, ...during) > maxCooldownRequests ? [`${daemon.host} sent ${Math.max(...during)} requests to replica ${replica.id} in its cooldown`] : []),
+		];
+	}));
+}
+
+/** Whether a daemon was started, or got a signal, in a span of time. */
+function isDisturbed({disturbedAtMs}: SoakDaemon, fromMs: number, toMs: number): boolean {
+	return disturbedAtMs.some(atMs => atMs >= fromMs && atMs <= toMs);
+}
--- a/soak/run.ts
+++ b/soak/run.ts
@@ -1,7 +1,8 @@
 /**
- * `npm run soak -- FIRST COUNT SECONDS DAEMONS [store|replicas]`: runs COUNT seeds from FIRST on, one after the other,
+ * `npm run soak -- FIRST COUNT SECONDS DAEMONS [store|replicas|statements]`: runs COUNT seeds from FIRST on, one after the other,
  * and prints the violations of each. `store` adds faults on the link to the store; `replicas` adds a request that
- * crashes replicas and a replica that states a limit.
+ * crashes replicas and a replica that states a limit; `statements` adds replicas that announce that they leave or ask
+ * for a cooldown, without faults on the links to replicas.
  */
 import process from 'node:process';
 import {minServedShare, runSoak} from './soak.js';
@@ -10,7 +11,7 @@
 let failed = 0;
 for (let seed = Number(first); seed < Number(first) + Number(count); seed++) {
 	// eslint-disable-next-line no-await-in-loop -- all runs use the same ports.
-	const {tries, served, servedLast, lastEnds, faults, broken} = await runSoak(seed, Number(seconds) * 1000, Number(daemons), {hasStoreLinkFaults: extraFaults === 'store', hasReplicaFaults: extraFaults === 'replicas'});
+	const {tries, served, servedLast, lastEnds, faults, broken} = await runSoak(seed, Number(seconds) * 1000, Number(daemons), {hasStoreLinkFaults: extraFaults === 'store', hasReplicaFaults: extraFaults === 'replicas', hasReplicaStatements: extraFaults === 'statements'});
 	failed += broken.length > 0 || servedLast < minServedShare ? 1 : 0;
 	process.stdout.write(`seed ${seed}: ${served} of ${tries} served, ${servedLast.toFixed(2)} after the faults, ${faults.length} faults, ${broken.length} violations\n`);
 	if (servedLast < minServedShare) {
--- a/soak/soak.ts
+++ b/soak/soak.ts
@@ -7,13 +7,13 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {uniformInt} from 'pure-rand/distribution/uniformInt';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
-import {ReplicaMode} from '../platform/__tests__/standins.js';
+import {ReplicaMode, type ReplicaStandin} from '../platform/__tests__/standins.js';
 import {
 	findAnswerViolation, runClient, runFatalClient, type RequestRecord,
 } from './clients.js';
 import {LinkMode} from './faulty-link.js';
 import {
-	findCrashViolations, findLimitViolations, limitCheckMs, startStatingLimit,
+	cooldownMs, findCrashViolations, findLimitViolations, findStatementViolations, limitCheckMs, startStatingLimit,
 } from './replica-faults.js';
 import {SoakCluster, type ClusterOptions} from './cluster.js';
 
@@ -84,6 +84,10 @@
 		const report = createReport({
 			seed, faults, cluster, records: records.flat(), recoveredAtMs,
 		});
+		if (options.hasReplicaStatements) {
+			report.broken.push(...findStatementViolations(cluster, records.flat()));
+		}
+
 		if (limitedReplica) {
 			report.broken.push(...findCrashViolations(cluster, faultsEndMs), ...findLimitViolations(limitedReplica));
 		}
@@ -182,8 +186,9 @@
 			},
 		}),
 		...[ReplicaMode.Fail, ReplicaMode.Shed, ReplicaMode.Reset, ReplicaMode.Cut, ReplicaMode.WrongRequestId].map(mode => () => setMode(mode)),
-		...[LinkMode.Delay, LinkMode.Silence, LinkMode.OneWay].map(mode => () => setLink(mode)),
+		...(cluster.options.hasReplicaStatements ? [] : [LinkMode.Delay, LinkMode.Silence, LinkMode.OneWay]).map(mode => () => setLink(mode)),
 		...storeLinkFaults(cluster),
+		...replicaStatements(cluster, replica),
 	];
 	return choices[drawInteger(random, choices.length) - 1]();
 }
@@ -219,6 +224,32 @@
 	];
 }
 
+/** Returns the statements of a replica, none in other runs, so that their seeds draw the same faults as without this function. */
+function replicaStatements(cluster: SoakCluster, replica: ReplicaStandin): Array<() => Fault> {
+	if (!cluster.options.hasReplicaStatements) {
+		return [];
+	}
+
+	const announceLeaving = () => ({
+		name: `replica ${replica.id} announces its leaving`,
+		begin() {
+			replica.isLeaving = true;
+			void cluster.addReplica();
+		},
+	});
+	const askForCooldown = () => ({
+		name: `replica ${replica.id} asks for a cooldown`,
+		begin() {
+			replica.mode = ReplicaMode.Shed;
+			replica.retryAfter = String(cooldownMs / 1000);
+		},
+		end() {
+			replica.mode = ReplicaMode.Serve;
+		},
+	});
+	return [announceLeaving, askForCooldown, askForCooldown, askForCooldown];
+}
+
 /** Checks every guarantee against the requests that clients and replicas recorded. */
 function createReport({seed, faults, cluster, records, recoveredAtMs}: {seed: number; faults: string[]; cluster: SoakCluster; records: RequestRecord[]; recoveredAtMs: number}): SoakReport {
 	const runCounts = new Map<string, number>();
