Correct two checks of the soak that reported allowed cases

The check of denials now leaves out keys that were revoked by the end of the answer; all others are checked as before.

--- a/soak/__tests__/soak.test.ts
+++ b/soak/__tests__/soak.test.ts
@@ -14,6 +14,12 @@
 	{
 		seed: 801, daemons: 3, cause: 'replicas that announce that they leave or ask for a cooldown', options: {hasReplicaStatements: true},
 	},
+	{
+		seed: 810, daemons: 3, cause: 'the soak took the answer of another replica for that of a leaving one whose run had broken off', options: {hasReplicaStatements: true},
+	},
+	{
+		seed: 816, daemons: 3, cause: 'the soak took the refusal of a key revoked on the way for a wrong one', options: {hasReplicaStatements: true},
+	},
 	{
 		seed: 701, daemons: 3, cause: 'a request that crashes replicas, and a replica that states a limit', options: {hasReplicaFaults: true},
 	},
--- a/soak/clients.ts
+++ b/soak/clients.ts
@@ -15,8 +15,8 @@
 	endedAtMs: number;
 	/** HTTP status, undefined when no answer began. */
 	status: number | undefined;
-	/** Whether the answer carries the replica's seal. */
-	hasReplicaSeal: boolean;
+	/** The seal of the replica that gave the answer, if it carries one. */
+	replicaSeal: string | undefined;
 	body: string;
 	/** Whether the answer arrived to its end. */
 	isComplete: boolean;
@@ -76,7 +76,7 @@
 async function sendRequest(cluster: SoakCluster, {agent, host, id, kind, path = `/${kind}/${id}`, body = id}: RequestInputs): Promise<RequestRecord> {
 	const [apiKey] = cluster.apiKeys;
 	const record: RequestRecord = {
-		id, kind, apiKey, host, sentAtMs: Date.now(), endedAtMs: Number.POSITIVE_INFINITY, status: undefined, hasReplicaSeal: false, body: '', isComplete: false,
+		id, kind, apiKey, host, sentAtMs: Date.now(), endedAtMs: Number.POSITIVE_INFINITY, status: undefined, replicaSeal: undefined, body: '', isComplete: false,
 	};
 	return new Promise(resolve => {
 		const request = startRequest({
@@ -85,7 +85,7 @@
 			},
 		}, response => {
 			record.status = response.statusCode;
-			record.hasReplicaSeal = response.headers['x-sesametally-replica-seal'] !== undefined;
+			record.replicaSeal = response.headers['x-sesametally-replica-seal'] as string | undefined;
 			response.on('data', chunk => {
 				record.body += String(chunk);
 			});
@@ -108,12 +108,12 @@
 
 /** Returns what is wrong with a complete success by itself: a missing seal or a body other than the replica's. */
 export function findAnswerViolation(record: RequestRecord): string | undefined {
-	const {status, isComplete, hasReplicaSeal, body, kind, id} = record;
+	const {status, isComplete, replicaSeal, body, kind, id} = record;
 	if (status === undefined || status >= 300 || !isComplete) {
 		return undefined;
 	}
 
-	if (!hasReplicaSeal) {
+	if (replicaSeal === undefined) {
 		return 'a success without the replica\'s seal';
 	}
 
--- a/soak/replica-faults.ts
+++ b/soak/replica-faults.ts
@@ -61,7 +61,7 @@
 				}]
 				: [];
 		});
-		const toldAtMs = Math.min(...received.filter(({isLeaving, record}) => isLeaving && record.isComplete && record.hasReplicaSeal).map(({record}) => record.endedAtMs));
+		const toldAtMs = Math.min(...received.filter(({isLeaving, record}) => isLeaving && record.isComplete && record.replicaSeal === replica.seal).map(({record}) => record.endedAtMs));
 		const late = received.filter(({record}) => record.sentAtMs > toldAtMs + cluster.bounds.drain_ms + clockToleranceMs && !isDisturbed(daemon, toldAtMs, record.sentAtMs));
 		const during = received.filter(({askedMs}) => askedMs > 0).map(({atMs: askedAtMs, askedMs}) => {
 			const endMs = askedAtMs + askedMs - clockToleranceMs;
--- a/soak/soak.ts
+++ b/soak/soak.ts
@@ -296,10 +296,11 @@
 	return isLate && runCount > 0 ? 'ran with a revoked key' : undefined;
 }
 
-/** Checks that no request is denied whose key has been in the configuration for longer than the bound. */
-function findDenialViolation({apiKey, sentAtMs, status}: RequestRecord, cluster: SoakCluster): string | undefined {
+/** Checks that no request is denied whose key has been in the configuration for longer than the bound, and still was when the answer ended. */
+function findDenialViolation({apiKey, sentAtMs, endedAtMs, status}: RequestRecord, cluster: SoakCluster): string | undefined {
 	const addedAtMs = cluster.addedAtMs.get(apiKey);
-	return status === 401 && addedAtMs !== undefined && sentAtMs > addedAtMs + cluster.bounds.config_apply_ms + clockToleranceMs ? 'denied although its key is in the configuration' : undefined;
+	const isRevoked = (cluster.revokedAtMs.get(apiKey) ?? Number.POSITIVE_INFINITY) <= endedAtMs;
+	return status === 401 && !isRevoked && addedAtMs !== undefined && sentAtMs > addedAtMs + cluster.bounds.config_apply_ms + clockToleranceMs ? 'denied although its key is in the configuration' : undefined;
 }
 
 /** Checks that each fencing token has one holder, and that each usage window is reported with one set of counts. */
