--- a/src/coordination/rollout/rollout-decision.ts
+++ b/src/coordination/rollout/rollout-decision.ts
@@ -6,7 +6,7 @@
 import {RolloutPhase} from './rollout.js';
 import {Verdict} from './version-verdict.js';
 
-/** Time that is kept for moving all traffic, in milliseconds: an update reaches all daemons within a second, and short streams end within three. A version that turns bad meanwhile meets all requests. */
+/** Time that is kept for moving all traffic, in milliseconds: an update reaches all daemons within a second, and streams that last longer are moved. A version that turns bad meanwhile meets all requests. */
 const shiftMs = 2500;
 /** Largest share of an order's time that this may take. */
 const maxShiftShare = 0.6;
