--- a/src/state/backend-table.ts
+++ b/src/state/backend-table.ts
@@ -2,10 +2,9 @@
  * The backend servers that the platform lists. Each start of a process is a backend server of
  * its own: a process that restarts under the same name gets a new entry, which inherits nothing
  * from the old one. A backend server that has begun to leave, by the platform's list or by its
- * own answers, never becomes usable again. An
- * entry that is removed although its backend server was not leaving stays usable as a fallback
- * for a short time, because entries also expire during an outage of the store and reappear
- * after it.
+ * own answers, never becomes usable again. An entry that is removed although its backend server
+ * was not leaving stays usable as a fallback for a short time, because entries also expire
+ * during an outage of the store and reappear after it.
  */
 import {type Backend, BackendState} from '../protocol/serving.js';
 
