--- a/src/coordination/rollout/rollout-decision.ts
+++ b/src/coordination/rollout/rollout-decision.ts
@@ -6,14 +6,13 @@
 import {RolloutPhase} from './rollout.js';
 import {Verdict} from './version-verdict.js';
 
-/** Time that is kept for moving all traffic, in milliseconds: an update reaches all daemons within a second, and streams that last longer are moved. A version that turns bad meanwhile meets all requests. */
-const shiftMs = 2500;
-/** Largest share of an order's time that this may take. */
+/** Share of an order's time that is kept for moving all traffic, and its lower bound in milliseconds: an update reaches all daemons within a second, and short streams end within three. */
+const shiftShare = 0.25;
+const minShiftMs = 4000;
+/** Largest share of an order's time that the lower bound may take. */
 const maxShiftShare = 0.6;
-/** Time before an order is due from which a roll-out may be completed, in milliseconds. Afterwards there is no way back, since the old version is stopped. */
-const completionLeadMs = 1500;
 /** Least time for moving all traffic, in milliseconds; with less, a version is rolled back instead. */
-const leastShiftMs = 1800;
+const leastShiftMs = 2500;
 /** Time after which every daemon sends its requests to the new version, in milliseconds. */
 const propagationMs = 1200;
 /** How long after the order is due streams may keep their old engine from being stopped, in milliseconds. */
@@ -64,7 +63,7 @@
 
 /** Time before an order is due at which traffic starts to move, in milliseconds. */
 export function shiftLeadMs(durationMs: number): number {
-	return Math.min(durationMs * maxShiftShare, shiftMs);
+	return Math.min(durationMs * maxShiftShare, Math.max(minShiftMs, durationMs * shiftShare));
 }
 
 function decideCanary({elapsedMs, durationMs, verdict, readyCurrent, readyNext}: RolloutProgress): PhaseChange | undefined {
@@ -86,7 +85,7 @@
 		return {phase: RolloutPhase.RolledBack, reason: 'no backend server of the new version is left'};
 	}
 
-	const isDrained = inFlightCurrent === 0 && inPhaseMs >= propagationMs && elapsedMs >= durationMs - completionLeadMs;
+	const isDrained = inFlightCurrent === 0 && inPhaseMs >= propagationMs;
 	if (isDrained || elapsedMs >= durationMs + maxOverrunMs) {
 		return {phase: RolloutPhase.Completed, reason: isDrained ? 'no request is left on the current version' : 'streams did not leave the current version in time'};
 	}
--- a/src/coordination/rollout/rollout-runner.ts
+++ b/src/coordination/rollout/rollout-runner.ts
@@ -20,8 +20,7 @@
 } from './rollout.js';
 import {decidePhase} from './rollout-decision.js';
 import {type ReceivedOrder, type Rollouts} from './rollouts.js';
-import {OutcomeHistory} from './outcome-history.js';
-import {type Evidence} from './version-verdict.js';
+import {compareVersions, type Evidence} from './version-verdict.js';
 
 const log = createLogger('rollout');
 
@@ -65,8 +64,6 @@
 	private restoredToken: number | undefined;
 	/** When the present phase of each order was committed or taken over, by order id. */
 	private readonly phaseSinceMs = new Map<number, number>();
-	/** The answers under each order over time, by order id. */
-	private readonly histories = new Map<number, OutcomeHistory>();
 	/** Orders that cannot be carried out, so that each is logged once. */
 	private readonly rejectedOrders = new Set<number>();
 	/** Services whose status record may differ from the committed phase. */
@@ -175,13 +172,12 @@
 	private async advance(rollout: Rollout, signal: AbortSignal): Promise<void> {
 		const {rollouts, clock} = this.dependencies;
 		if (isFinalPhase(rollout.phase)) {
-			this.histories.delete(rollout.orderId);
 			return;
 		}
 
 		const nowMs = clock.now();
 		const order = rollouts.openOrders.get(rollout.service);
-		const evidence = this.historyOf(rollout).compare(rollouts.outcomes.strata(rollout.orderId), nowMs);
+		const evidence = compareVersions(rollouts.outcomes.strata(rollout.orderId));
 		const change = order === undefined
 			? {phase: RolloutPhase.RolledBack, reason: 'the order was withdrawn'}
 			: decidePhase({...this.progressOf(rollout, nowMs), verdict: evidence.verdict});
@@ -192,12 +188,6 @@
 		}
 	}
 
-	private historyOf({orderId}: Rollout): OutcomeHistory {
-		const history = this.histories.get(orderId) ?? new OutcomeHistory();
-		this.histories.set(orderId, history);
-		return history;
-	}
-
 	private progressOf(rollout: Rollout, nowMs: number) {
 		const ready = this.readyBackends(rollout.service);
 		const isCurrent = ({version}: {version: string}) => rollout.currentVersions.includes(version);
@@ -277,8 +267,8 @@
 	}
 }
 
-function toLogContext({verdict, answers, bad, worst, worstRoute, worstMetric, windowMs}: Evidence): Record<string, unknown> {
+function toLogContext({verdict, answers, bad, worst, worstRoute, worstMetric}: Evidence): Record<string, unknown> {
 	return {
-		windowMs, verdict, answers, failures: bad, evidence: Number.isFinite(worst) ? Math.round(worst * 10) / 10 : undefined, evidenceRoute: worstRoute, evidenceMetric: worstMetric,
+		verdict, answers, failures: bad, evidence: Number.isFinite(worst) ? Math.round(worst * 10) / 10 : undefined, evidenceRoute: worstRoute, evidenceMetric: worstMetric,
 	};
 }
--- a/src/coordination/rollout/version-verdict.ts
+++ b/src/coordination/rollout/version-verdict.ts
@@ -16,9 +16,6 @@
 const missRate = 0.01;
 const badThreshold = Math.log((1 - missRate) / falseAlarmRate);
 const goodThreshold = Math.log(missRate / (1 - falseAlarmRate));
-/** Evidence against a version from which on it is suspicious, in all and without the failure domain that contributes most. */
-const suspicionThreshold = 7;
-const confirmedSuspicion = 2;
 /** Evidence against one route from which on a version is not found good. */
 const suspectRouteEvidence = 2;
 /** Answers of the current version in all failure domains that the rate in one of them is blended with. */
@@ -60,18 +57,7 @@
 };
 
 /** The evidence for a verdict, for logs: log likelihood ratios, positive against the version. */
-export type Evidence = {
-	verdict: Verdict;
-	answers: number;
-	bad: number;
-	worst: number;
-	worstRoute: string;
-	worstMetric: OutcomeMetric | undefined;
-	/** Whether the evidence against it, though not sufficient, is too strong to move all traffic to it. */
-	isSuspicious: boolean;
-	/** Length of the window that the evidence covers, in milliseconds; undefined for the whole order. */
-	windowMs?: number;
-};
+export type Evidence = {verdict: Verdict; answers: number; bad: number; worst: number; worstRoute: string; worstMetric: OutcomeMetric | undefined};
 
 type ScoredStratum = Stratum & {score: number};
 
@@ -80,7 +66,7 @@
 	const scored = Object.values(OutcomeMetric).flatMap(metric => scoreStrata(strata.filter(stratum => stratum.metric === metric)));
 	const next = sumCounts(strata.filter(({metric}) => metric === OutcomeMetric.Failure).map(stratum => stratum.next));
 	const evidence: Evidence = {
-		verdict: Verdict.Undecided, ...next, worst: Number.NEGATIVE_INFINITY, worstRoute: '', worstMetric: undefined, isSuspicious: false,
+		verdict: Verdict.Undecided, ...next, worst: Number.NEGATIVE_INFINITY, worstRoute: '', worstMetric: undefined,
 	};
 	let isBad = false;
 	let isGood = true;
@@ -92,9 +78,7 @@
 		for (const route of ['', ...routes]) {
 			const group = route === '' ? ofMetric : ofMetric.filter(stratum => stratum.route === route);
 			const score = sumScores(group);
-			const confirmed = sumWithoutStrongestDomain(group, score);
-			isBad ||= score >= badThreshold && confirmed >= badThreshold;
-			evidence.isSuspicious ||= score >= suspicionThreshold && confirmed >= confirmedSuspicion;
+			isBad ||= isConvincing(group, score);
 			isGood &&= route === '' || score < suspectRouteEvidence;
 			if (score > evidence.worst) {
 				Object.assign(evidence, {worst: score, worstRoute: route, worstMetric: metric});
@@ -109,15 +93,19 @@
 	return evidence;
 }
 
-/** Returns the evidence without the failure domain that contributes most, if there are several. */
-function sumWithoutStrongestDomain(strata: ScoredStratum[], score: number): number {
+/** Whether the evidence suffices to find a version bad, also without the failure domain that contributes most. */
+function isConvincing(strata: ScoredStratum[], score: number): boolean {
+	if (score < badThreshold) {
+		return false;
+	}
+
 	const domains = [...new Set(strata.filter(({next}) => next.answers > 0).map(({failureDomain}) => failureDomain))];
 	if (domains.length < 2) {
-		return score;
+		return domains.length === 1;
 	}
 
 	const mostOfOneDomain = Math.max(...domains.map(domain => sumScores(strata.filter(({failureDomain}) => failureDomain === domain))));
-	return score - mostOfOneDomain;
+	return score - mostOfOneDomain >= badThreshold;
 }
 
 /** Returns the log likelihood ratio of each stratum of one metric. */
