Log the state of the retry budget at each repeat

The line of a request said by how many daemons the budget was divided only where a repeat was refused, so it could not tell a daemon that forgot its repeats from one that counted itself alone.

--- a/src/coordination/serving/forwarder.ts
+++ b/src/coordination/serving/forwarder.ts
@@ -288,6 +288,7 @@
 		log.info(`${outcome}.`, {
 			request: request.id, route: route.name, account: account?.name, service, ...details, ms: Math.round(nowMs - arrivedAtMs), configVersion, viewAgeMs: Math.round(configView.ageMs(nowMs)),
 			attempts: served.attempts.map(attempt => describeAttempt(attempt)),
+			budget: served.budgetStates.length > 0 ? served.budgetStates : undefined,
 			fingerprint: served.excluded.size > 0 ? formatFingerprint(served.fingerprint) : undefined,
 		});
 	}
--- a/src/coordination/serving/retry-reservations.ts
+++ b/src/coordination/serving/retry-reservations.ts
@@ -95,7 +95,12 @@
 	/** Takes a retry from the retry budget; returns whether there was one. */
 	takeFromBudget(served: ServedRequest, purpose: RetryPurpose, nowMs: number): boolean {
 		const {retryBudget, fleet} = this.dependencies;
-		return retryBudget.tryTake(served.inputs.service, purpose, fleet.daemons(nowMs), nowMs);
+		const isTaken = retryBudget.tryTake(served.inputs.service, purpose, fleet.daemons(nowMs), nowMs);
+		if (isTaken) {
+			served.budgetStates.push(this.describeBudget(served));
+		}
+
+		return isTaken;
 	}
 
 	/** Restores a reservation whose attempt was not delivered, unless another one was made meanwhile. */
--- a/src/coordination/serving/served-request.ts
+++ b/src/coordination/serving/served-request.ts
@@ -53,6 +53,8 @@
 	runs = 0;
 	/** Number of attempts that reached a backend server, including refused ones. */
 	deliveries = 0;
+	/** The state of the retry budget at each retry taken from it, for the log line. */
+	readonly budgetStates: string[] = [];
 	/** The next attempt, reserved before the run in progress is abandoned. */
 	reservation: RetryReservation | undefined;
 	/** Whether its first attempt tests a version that is being rolled out; drawn on first use. */
