--- a/src/coordination/fleet/__fixtures__/test-net.ts
+++ b/src/coordination/fleet/__fixtures__/test-net.ts
@@ -14,6 +14,7 @@
 import {Quarantine} from '../../quarantine/quarantine.js';
 import {QuarantineRecord} from '../../quarantine/quarantine-record.js';
 import {type QuotaBounds, QuotaLedger} from '../../quota-ledger.js';
+import {RetryBudget, type RetryPurpose} from '../../retry-budget.js';
 import {Rollouts} from '../../rollout/rollouts.js';
 import {StatedLimits} from '../../stated-limits.js';
 import {TopicFollower} from '../../topic-follower.js';
@@ -27,6 +28,8 @@
 export const account: Account = {
 	name: 'x', apiKeys: [], priority: undefined, ratePerSecond: 1_000_000, burst: 1_000_000, countsTokens: true, defaultTokenCost: 1,
 };
+/** The retry budget over all daemons. */
+export const retryLimits = {ratio: 0.2, windowMs: 10_000, slack: 56};
 /** Step of the simulated time, in milliseconds. */
 export const tickMs = 10;
 
@@ -45,6 +48,7 @@
 	readonly quarantine: Quarantine;
 	readonly quarantineRecord: QuarantineRecord;
 	readonly statedLimits: StatedLimits;
+	readonly retryBudget = new RetryBudget(retryLimits);
 	readonly rollouts = new Rollouts({canaryShare: 0.1}, () => 0);
 	readonly topics: Record<GossipedTopic, TopicFollower>;
 	readonly viewAges = {[Topic.Config]: new ViewAge(), [Topic.Backends]: new ViewAge()};
@@ -103,6 +107,11 @@
 			},
 		});
 	}
+
+	/** Takes a retry from the budget; returns whether there was one. */
+	tryTakeRetry(service: string, purpose: RetryPurpose, nowMs: number): boolean {
+		return this.retryBudget.tryTake(service, purpose, this.fleet.daemons(nowMs), nowMs);
+	}
 }
 
 /** A network of daemons that exchange datagrams in simulated time. */
