Share the retry budget over the fleet, and keep it through restarts

Callers' requests were repeated at failing replicas more often than the budget allows while all daemons were killed: each process kept the budget by itself, started with an empty window and had its share of the fixed part again; one that had just started also counted itself alone. The request lines showed it: the repeats of a second rose at each start, with eight daemons counted in all but three of 204 grants. Now daemons report first and further attempts to each other as they do the use of the accounts' limits: what both share, windows that are taken over from peers or from the stored bounds, is one module. An isolated daemon gets an equal part of what was left when it lost the others, and a restarted one that knows nothing counts it as used.

Ruled out: withholding the fixed part for a window after each start alone.

The test of giving back attempts no longer reads the sums, and checks instead that nothing was free before; the others check as before.

--- a/src/cli/front-container.ts
+++ b/src/cli/front-container.ts
@@ -16,18 +16,19 @@
 import {DutyRunner} from '../coordination/duty-runner.js';
 import {backendKey} from '../coordination/fleet/backend-key.js';
 import {BoundsRecord} from '../coordination/fleet/bounds-record.js';
+import {CombinedUse} from '../coordination/fleet/combined-use.js';
 import {FleetMessenger, maxViewIntervalMs} from '../coordination/fleet/fleet-messenger.js';
 import {reportIntervalMs} from '../coordination/fleet/peer-counter.js';
 import {FleetRole, FleetTable} from '../coordination/fleet/fleet-table.js';
 import {selectSenders} from '../coordination/fleet/sender-selection.js';
 import {computeReadLimits} from '../coordination/topic-read-limits.js';
+import {FleetRetryBudget} from '../coordination/fleet-retry-budget.js';
 import {Placement} from '../coordination/placement.js';
 import {PoolDemands} from '../coordination/pool-demand.js';
 import {CrashWatch} from '../coordination/quarantine/crash-watch.js';
 import {Quarantine} from '../coordination/quarantine/quarantine.js';
 import {QuarantineRecord} from '../coordination/quarantine/quarantine-record.js';
 import {QuotaLedger} from '../coordination/quota-ledger.js';
-import {RetryBudget} from '../coordination/retry-budget.js';
 import {Rollouts} from '../coordination/rollout/rollouts.js';
 import {RolloutRunner} from '../coordination/rollout/rollout-runner.js';
 import {Dispatcher} from '../coordination/serving/dispatcher.js';
@@ -107,15 +108,22 @@
 			return bounds.quotaSlack;
 		},
 	}, startedAtMs, settings.isFirstStart));
-	registerFactory(RetryBudget, () => new RetryBudget({
-		windowMs: bounds.retryWindowMs,
-		get ratio() {
-			return bounds.retryRatio;
-		},
-		get slack() {
-			return bounds.retrySlack;
+	registerFactory(FleetRetryBudget, resolver => new FleetRetryBudget({
+		limits: {
+			windowMs: bounds.retryWindowMs,
+			get ratio() {
+				return bounds.retryRatio;
+			},
+			get slack() {
+				return bounds.retrySlack;
+			},
 		},
+		startedAtMs,
+		isFirstStart: settings.isFirstStart,
+		peers: nowMs => resolver.resolve(FleetMessenger).quotaPeers(nowMs),
+		random: () => Math.random(),
 	}));
+	registerFactory(CombinedUse, resolver => new CombinedUse(resolver.resolve(QuotaLedger), resolver.resolve(FleetRetryBudget)));
 	registerFactory(Rollouts, () => new Rollouts(bounds, Math.random));
 	registerFactory(DutyLease, () => new DutyLease(store, incarnation, bounds.leaseMs, clock));
 	registerFactory(PoolDemands, resolver => new PoolDemands(resolver.resolve(BackendTable), resolver.resolve(Placement), resolver.resolve(FleetTable), resolver.resolve(StatedLimits)));
@@ -131,7 +139,7 @@
 		backends: resolver.resolve(BackendTable),
 		placement: resolver.resolve(Placement),
 		fleet: resolver.resolve(FleetTable),
-		retryBudget: resolver.resolve(RetryBudget),
+		retryBudget: resolver.resolve(FleetRetryBudget),
 		pool: resolver.resolve(BackendConnectionPool),
 		quarantine: resolver.resolve(Quarantine),
 		crashWatch: resolver.resolve(CrashWatch),
@@ -175,14 +183,14 @@
 		maxRelayAgeMs: () => isLeaf(resolver) ? readBackendsLimits().maxReportAgeMs : 0,
 	}));
 	registerFactory(BoundsRecord, resolver => new BoundsRecord({
-		store, quota: resolver.resolve(QuotaLedger), lease: resolver.resolve(DutyLease), clock, reportIntervalMs,
+		store, sharedUse: resolver.resolve(CombinedUse), lease: resolver.resolve(DutyLease), clock, reportIntervalMs,
 	}));
 	registerFactory(FleetMessenger, resolver => new FleetMessenger({
 		settings,
 		incarnation,
 		store,
 		fleet: resolver.resolve(FleetTable),
-		quota: resolver.resolve(QuotaLedger),
+		sharedUse: resolver.resolve(CombinedUse),
 		usage: resolver.resolve(UsageLedger),
 		placement: resolver.resolve(Placement),
 		lease: resolver.resolve(DutyLease),
@@ -232,7 +240,7 @@
 		registry: resolver.resolve(StreamRegistry),
 		quota: resolver.resolve(QuotaLedger),
 		usage: resolver.resolve(UsageLedger),
-		retryBudget: resolver.resolve(RetryBudget),
+		retryBudget: resolver.resolve(FleetRetryBudget),
 		quarantine: resolver.resolve(Quarantine),
 		clock,
 		quotaPeers: nowMs => resolver.resolve(FleetMessenger).quotaPeers(nowMs),
--- a/src/coordination/__tests__/shared-limits.test.ts
+++ b/src/coordination/__tests__/shared-limits.test.ts
@@ -4,7 +4,10 @@
 import {type Account} from '../../protocol/serving.js';
 import {type AccountUse} from '../account-window.js';
 import {QuotaLedger, type QuotaPeers, requestCost} from '../quota-ledger.js';
-import {RetryPurpose, RetryBudget} from '../retry-budget.js';
+import {FleetRetryBudget} from '../fleet-retry-budget.js';
+import {
+	LocalRetryBudget, type RetryBudget, type RetryBudgetLimits, RetryPurpose,
+} from '../retry-budget.js';
 import {UsageLedger} from '../usage-ledger.js';
 
 const account: Account = {
@@ -299,17 +302,26 @@
 
 describe('RetryBudget', () => {
 	const bound = {ratio: 0.2, windowMs: 10_000, slack: 40};
+	const createFleetBudget = (limits: RetryBudgetLimits, peers: QuotaPeers) => new FleetRetryBudget({
+		limits, startedAtMs: 0, isFirstStart: true, peers: () => peers, random: () => 0.5,
+	});
+	const implementations = [
+		{name: 'local', create: (limits: RetryBudgetLimits): RetryBudget => new LocalRetryBudget(limits)},
+		{name: 'fleet-wide', create: (limits: RetryBudgetLimits): RetryBudget => createFleetBudget(limits, noPeers)},
+	];
 
-	/** Returns the retries granted in one window after a number of requests at each daemon, over all daemons. */
+	/** Returns the retries granted in one window after a number of requests at each daemon, over all daemons, of which none hears from the others. */
 	function granted(daemons: number, requests: number): number {
 		let total = 0;
 		for (let daemon = 0; daemon < daemons; daemon++) {
-			const retryBudget = new RetryBudget(bound);
+			const retryBudget = createFleetBudget(bound, {
+				...noPeers, daemons, silentDaemons: daemons - 1, isIsolated: daemons > 1,
+			});
 			for (let index = 0; index < requests; index++) {
 				retryBudget.countRequest('s', 0);
 			}
 
-			while (retryBudget.tryTake('s', RetryPurpose.Retry, daemons, 0)) {
+			while (retryBudget.tryTake('s', RetryPurpose.Retry, 0)) {
 				total++;
 			}
 		}
@@ -322,27 +334,33 @@
 		expect(total).toBeLessThanOrEqual((bound.ratio * daemons * requests) + bound.slack);
 	});
 
-	it('keeps replicas that fail every request from multiplying the load', () => {
-		const retryBudget = new RetryBudget(bound);
+	it.each(implementations)('that is $name keeps replicas that fail every request from multiplying the load', ({create}) => {
+		const retryBudget = create(bound);
 		let retries = 0;
 		for (let nowMs = 0; nowMs < 10_000; nowMs += 10) {
 			retryBudget.countRequest('s', nowMs);
-			retries += retryBudget.tryTake('s', RetryPurpose.Retry, 1, nowMs) ? 1 : 0;
+			retries += retryBudget.tryTake('s', RetryPurpose.Retry, nowMs) ? 1 : 0;
 		}
 
 		expect(retries).toBeLessThanOrEqual((1000 * bound.ratio) + bound.slack);
 	});
 
-	it.each([
-		{name: 'restores it within the window', givenBackAtMs: 5000, isFree: true},
-		{name: 'changes nothing after the window', givenBackAtMs: 12_000, isFree: false},
-	])('giving back an unused attempt $name', ({givenBackAtMs, isFree}) => {
-		const retryBudget = new RetryBudget({ratio: 0, windowMs: 10_000, slack: 2});
-		expect(retryBudget.tryTake('s', RetryPurpose.Move, 1, 0)).toBe(true);
-		const isTakenAgain = givenBackAtMs > 10_000 && retryBudget.tryTake('s', RetryPurpose.Move, 1, givenBackAtMs);
-		retryBudget.giveBack('s', 0);
-		expect(retryBudget.attemptsInWindow('s', givenBackAtMs).extraAttempts).toBe(isTakenAgain ? 1 : 0);
-		expect(retryBudget.tryTake('s', RetryPurpose.Move, 1, givenBackAtMs)).toBe(isFree);
+	it.each(implementations.flatMap(implementation => [
+		{
+			...implementation, effect: 'restores it within the window', givenBackAtMs: 5000, isFree: true,
+		},
+		{
+			...implementation, effect: 'changes nothing after the window', givenBackAtMs: 12_000, isFree: false,
+		},
+	]))('that is $name: giving back an unused attempt $effect', ({create, givenBackAtMs, isFree}) => {
+		// Room for one attempt.
+		const retryBudget = create({ratio: 0, windowMs: 10_000, slack: 2});
+		expect(retryBudget.tryTake('s', RetryPurpose.Move, 0)).toBe(true);
+		expect(retryBudget.tryTake('s', RetryPurpose.Move, Math.min(givenBackAtMs, 5000))).toBe(false);
+		const isTakenAgain = givenBackAtMs > 10_000 && retryBudget.tryTake('s', RetryPurpose.Move, givenBackAtMs);
+		expect(isTakenAgain).toBe(givenBackAtMs > 10_000);
+		retryBudget.giveBack('s', 0, givenBackAtMs);
+		expect(retryBudget.tryTake('s', RetryPurpose.Move, givenBackAtMs)).toBe(isFree);
 	});
 });
 
--- a/src/coordination/account-window.ts
+++ b/src/coordination/account-window.ts
@@ -58,6 +58,19 @@
 		addAt(this.ownUses, cost, this.stepAt(nowMs));
 	}
 
+	/** Takes back what this daemon added at a time, if that is still in the window. */
+	removeOwn(cost: number, addedAtMs: number, nowMs: number): void {
+		this.dropExpired(nowMs);
+		const step = this.stepAt(addedAtMs);
+		const ownUse = this.ownUses.find(use => use.step === step);
+		const use = this.uses.find(other => other.step === step && !other.isEstimate);
+		if (ownUse && use) {
+			ownUse.cost -= cost;
+			use.cost -= cost;
+			this.own.admitted -= cost;
+		}
+	}
+
 	/** Replaces estimates by what another daemon knows of the window beyond what this one does. The added cost leaves the window part by part, according to its age. */
 	adoptProfile(profile: UseProfile, nowMs: number): void {
 		this.uses = this.uses.filter(use => !use.isEstimate);
@@ -93,6 +106,13 @@
 		return costOf(this.ownUses);
 	}
 
+	/** Returns the cost units that this daemon admitted in the window from a time on. */
+	ownSumSince(sinceMs: number, nowMs: number): number {
+		this.dropExpired(nowMs);
+		const step = this.stepAt(sinceMs);
+		return costOf(this.ownUses.filter(use => use.step >= step));
+	}
+
 	/** Returns the time until the oldest entry leaves the window, in milliseconds. */
 	nextExpiryMs(nowMs: number): number {
 		const oldest = this.uses.at(0);
--- a/src/coordination/completions.ts
+++ b/src/coordination/completions.ts
@@ -17,7 +17,7 @@
 import {type LoadTracker} from './load-tracker.js';
 import {ChunkSequencer} from './chunk-sequencer.js';
 import {type CompletionJob, ActiveCompletion} from './active-completion.js';
-import {defaultRetryLimits, RetryPurpose, RetryBudget} from './retry-budget.js';
+import {defaultRetryLimits, LocalRetryBudget, RetryPurpose} from './retry-budget.js';
 import {chooseBackend, defaultAffinitySlack, servesModel} from './router.js';
 import {
 	CoordinationError, NoBackendError, OutcomeUnknownError, StreamBrokenError,
@@ -64,7 +64,7 @@
 	/** Number of streams moved together with their KV cache. */
 	kvMoves = 0;
 	private readonly activeCompletions = new Set<ActiveCompletion>();
-	private readonly retries = new RetryBudget(defaultRetryLimits);
+	private readonly retries = new LocalRetryBudget(defaultRetryLimits);
 
 	constructor(private readonly context: CompletionsContext) {
 		context.directory.onLeaving(entry => {
@@ -241,7 +241,7 @@
 		log.warn('engine failed.', {
 			request: completion.job.requestId, engine: engine.id, delivered: completion.delivered, error: String(error),
 		});
-		const isRetryAllowed = completion.hasDelivered || this.retries.tryTake(completion.job.model, RetryPurpose.Retry, 1, Date.now());
+		const isRetryAllowed = completion.hasDelivered || this.retries.tryTake(completion.job.model, RetryPurpose.Retry, Date.now());
 		if (completion.failures >= maxFailures || !isRetryAllowed) {
 			throw this.createFinalError(completion, error);
 		}
--- a/src/coordination/fleet/__fixtures__/test-net.ts
+++ b/src/coordination/fleet/__fixtures__/test-net.ts
@@ -14,12 +14,13 @@
 import {Quarantine} from '../../quarantine/quarantine.js';
 import {QuarantineRecord} from '../../quarantine/quarantine-record.js';
 import {type QuotaBounds, QuotaLedger} from '../../quota-ledger.js';
-import {RetryBudget, type RetryPurpose} from '../../retry-budget.js';
+import {FleetRetryBudget} from '../../fleet-retry-budget.js';
 import {Rollouts} from '../../rollout/rollouts.js';
 import {StatedLimits} from '../../stated-limits.js';
 import {TopicFollower} from '../../topic-follower.js';
 import {UsageLedger} from '../../usage-ledger.js';
 import {BoundsRecord} from '../bounds-record.js';
+import {CombinedUse} from '../combined-use.js';
 import {FleetMessenger} from '../fleet-messenger.js';
 import {reportIntervalMs} from '../peer-counter.js';
 import {FleetRole, FleetTable} from '../fleet-table.js';
@@ -48,7 +49,7 @@
 	readonly quarantine: Quarantine;
 	readonly quarantineRecord: QuarantineRecord;
 	readonly statedLimits: StatedLimits;
-	readonly retryBudget = new RetryBudget(retryLimits);
+	readonly retryBudget: FleetRetryBudget;
 	readonly rollouts = new Rollouts({canaryShare: 0.1}, () => 0);
 	readonly topics: Record<GossipedTopic, TopicFollower>;
 	readonly viewAges = {[Topic.Config]: new ViewAge(), [Topic.Backends]: new ViewAge()};
@@ -60,6 +61,10 @@
 		const incarnation = `${name}#${startedAtMs}`;
 		this.fleet = new FleetTable({name, failureDomain, startedAtMs});
 		this.quota = new QuotaLedger(net.bounds, startedAtMs, net.isFirstStart);
+		this.retryBudget = new FleetRetryBudget({
+			limits: retryLimits, startedAtMs, isFirstStart: net.isFirstStart, peers: nowMs => this.messenger.quotaPeers(nowMs), random: () => net.random(),
+		});
+		const sharedUse = new CombinedUse(this.quota, this.retryBudget);
 		this.usage = new UsageLedger(failureDomain, incarnation, 5000);
 		this.placement = new Placement(failureDomain);
 		const follow = (topic: GossipedTopic, seen: string[]) => new TopicFollower({
@@ -84,7 +89,7 @@
 		this.topics = {[Topic.Config]: follow(Topic.Config, []), [Topic.Backends]: follow(Topic.Backends, this.backendsSeen)};
 		this.lease = new DutyLease(net.store, incarnation, 3000, clock);
 		this.bounds = new BoundsRecord({
-			store: net.store, quota: this.quota, lease: this.lease, clock, reportIntervalMs,
+			store: net.store, sharedUse, lease: this.lease, clock, reportIntervalMs,
 		});
 		this.quarantine = new Quarantine(nowMs => this.lease.tokenAt(nowMs) !== undefined);
 		this.quarantineRecord = new QuarantineRecord({
@@ -93,8 +98,8 @@
 		this.statedLimits = new StatedLimits((backend, maxSenders, nowMs) => selectSenders(this.fleet, name, backend, maxSenders, nowMs));
 		this.messenger = new FleetMessenger({
 			settings: {
-				name, failureDomain, host, peerPort: 1, bounds: {quotaWindowMs: net.bounds.windowMs},
-			}, incarnation, store: net.store, fleet: this.fleet, quota: this.quota, usage: this.usage, placement: this.placement, lease: this.lease, bounds: this.bounds, quarantine: this.quarantine, quarantineRecord: this.quarantineRecord, statedLimits: this.statedLimits, rollouts: this.rollouts, topics: this.topics, clock, startedAtMs,
+				name, failureDomain, host, peerPort: 1, bounds: {quotaWindowMs: net.bounds.windowMs, retryWindowMs: retryLimits.windowMs},
+			}, incarnation, store: net.store, fleet: this.fleet, sharedUse, usage: this.usage, placement: this.placement, lease: this.lease, bounds: this.bounds, quarantine: this.quarantine, quarantineRecord: this.quarantineRecord, statedLimits: this.statedLimits, rollouts: this.rollouts, topics: this.topics, clock, startedAtMs,
 		});
 		this.messenger.open({
 			send: (message, to) => {
@@ -107,11 +112,6 @@
 			},
 		});
 	}
-
-	/** Takes a retry from the budget; returns whether there was one. */
-	tryTakeRetry(service: string, purpose: RetryPurpose, nowMs: number): boolean {
-		return this.retryBudget.tryTake(service, purpose, this.fleet.daemons(nowMs), nowMs);
-	}
 }
 
 /** A network of daemons that exchange datagrams in simulated time. */
@@ -125,6 +125,7 @@
 	/** Pairs of hosts, `from to`, between which datagrams are dropped. */
 	readonly cuts = new Set<string>();
 	private readonly generator = xoroshiro128plus(7);
+	private readonly retryGenerator = xoroshiro128plus(8);
 	private inTransit: Array<{atMs: number; bytes: Uint8Array; to: PeerAddress}> = [];
 
 	constructor(count: number, domains: number, readonly bounds: QuotaBounds = {windowMs: 8000, tolerance: 0, slack: 0}) {
@@ -140,6 +141,11 @@
 		return daemon;
 	}
 
+	/** Returns a uniform random number from 0 to 1 for the retry budgets. */
+	random(): number {
+		return uniformFloat64(this.retryGenerator);
+	}
+
 	/** Replaces a daemon by a new one with the same name and address. */
 	restart(daemon: TestDaemon): TestDaemon {
 		const replacement = new TestDaemon(daemon.name, daemon.failureDomain, daemon.host, this);
--- a/src/coordination/fleet/__tests__/retry-budget-after-restarts.test.ts
+++ b/src/coordination/fleet/__tests__/retry-budget-after-restarts.test.ts
@@ -61,7 +61,7 @@
 			daemon.retryBudget.countRequest(service, net.nowMs);
 			if (net.nowMs - startMs >= failFromMs && random() < failShare) {
 				failures++;
-				if (daemon.tryTakeRetry(service, RetryPurpose.Retry, net.nowMs)) {
+				if (daemon.retryBudget.tryTake(service, RetryPurpose.Retry, net.nowMs)) {
 					retries.push(net.nowMs);
 				}
 			}
@@ -160,6 +160,31 @@
 				daemons: 8, requestsPerSecond: 27, kills: Array.from({length: 8}, (_, daemon) => ({fromMs: 4000 + (daemon * 1000), untilMs: 4750 + (daemon * 1000), includes: (index: number) => index === daemon})),
 			},
 		},
+		{
+			name: 'all are killed in the first burst', scenario: {
+				daemons: 8, requestsPerSecond: 27, failFromMs: 11_000, kills: [{fromMs: 13_000, untilMs: 13_500, includes: everyone}],
+			},
+		},
+		{
+			name: 'all are killed in a burst of many', scenario: {
+				daemons: 8, requestsPerSecond: 200, failFromMs: 11_000, kills: [{fromMs: 13_000, untilMs: 13_500, includes: everyone}],
+			},
+		},
+		{
+			name: 'one restarts in the first burst', scenario: {
+				daemons: 8, requestsPerSecond: 27, failFromMs: 11_000, kills: [{fromMs: 13_000, untilMs: 13_500, includes: (index: number) => index === 0}],
+			},
+		},
+		{
+			name: 'all are cut off in a burst', scenario: {
+				daemons: 8, requestsPerSecond: 27, failFromMs: 11_000, cuts: [{fromMs: 11_500, untilMs: 23_000, includes: everyone}],
+			},
+		},
+		{
+			name: 'half are cut off in a burst', scenario: {
+				daemons: 8, requestsPerSecond: 27, failFromMs: 11_000, cuts: [{fromMs: 11_500, untilMs: 23_000, includes: (index: number) => index < 4}],
+			},
+		},
 		{
 			name: 'a large fleet is killed twice', scenario: {
 				daemons: 60, requestsPerSecond: 60, forMs: 16_000, kills: [{fromMs: 4000, untilMs: 4500, includes: everyone}, {fromMs: 8000, untilMs: 8500, includes: everyone}],
--- a/src/coordination/fleet/bounds-record.ts
+++ b/src/coordination/fleet/bounds-record.ts
@@ -1,6 +1,6 @@
 /**
- * Stores what was admitted to each account, so that limits also hold when all daemons are lost
- * at once together with their memory. The duty holder writes what was admitted, and a bound on
+ * Stores what was used of the accounts' limits and the retry budgets, so that they also hold
+ * when all daemons are lost at once together with their memory. The duty holder writes what was admitted, and a bound on
  * what may be admitted until its next write: a count alone is exceeded before the next write,
  * and daemons that start from it would grant the difference twice.
  */
@@ -9,7 +9,7 @@
 import {type SteadyClock} from '../../clock.js';
 import {type DutyLease} from '../duty-lease.js';
 import {fieldsOf, decodeDaemonRecord} from '../daemon-record.js';
-import {type QuotaLedger, type WindowBound} from '../quota-ledger.js';
+import {type SharedUse, type WindowBound} from '../shared-windows.js';
 
 /** Key of the record in the topic of the daemons' addresses; no daemon has this name. */
 export const boundsKey = '#limits';
@@ -30,7 +30,7 @@
 export class BoundsRecord {
 	private written: {atMs: number; accounts: Record<string, WindowBound>} | undefined;
 
-	constructor(private readonly parts: {store: Store; quota: QuotaLedger; lease: DutyLease; clock: SteadyClock; reportIntervalMs: number}) {}
+	constructor(private readonly parts: {store: Store; sharedUse: SharedUse; lease: DutyLease; clock: SteadyClock; reportIntervalMs: number}) {}
 
 	/**
 	 * Writes the record if this daemon holds the duties and a write is due.
@@ -38,14 +38,14 @@
 	 * @throws {StateError} When the store does not accept the record.
 	 */
 	async save(signal: AbortSignal): Promise<void> {
-		const {quota, lease, clock, store, reportIntervalMs} = this.parts;
+		const {sharedUse, lease, clock, store, reportIntervalMs} = this.parts;
 		const nowMs = clock.now();
 		if (lease.tokenAt(nowMs) === undefined) {
 			this.written = undefined;
 			return;
 		}
 
-		const accounts = this.isDue(nowMs) ? quota.boundsToStore(reportIntervalMs, nowMs) : undefined;
+		const accounts = this.isDue(nowMs) ? sharedUse.boundsToStore(reportIntervalMs, nowMs) : undefined;
 		if (accounts) {
 			const record: WrittenBounds = {atMs: clock.wallTimeMs(), accounts};
 			await store.append(Topic.Members, {key: boundsKey, value: Buffer.from(JSON.stringify(record))}, undefined, signal);
@@ -55,15 +55,15 @@
 
 	/** Adopts a record that was written shortly before this daemon started; an older one is ignored. */
 	restore(value: Uint8Array): void {
-		const {quota, clock} = this.parts;
+		const {sharedUse, clock} = this.parts;
 		const record = decodeDaemonRecord(value, isWrittenBounds, 'bounds of the limits');
 		if (record && Math.abs(clock.wallTimeMs() - record.atMs) <= maxAgeMs) {
-			quota.adoptStoredBounds(record.accounts, clock.now());
+			sharedUse.adoptStoredBounds(record.accounts, clock.now());
 		}
 	}
 
 	private isDue(nowMs: number): boolean {
-		return !this.written || nowMs - this.written.atMs >= writeIntervalMs || this.parts.quota.exceedsBounds(this.written.accounts, nowMs);
+		return !this.written || nowMs - this.written.atMs >= writeIntervalMs || this.parts.sharedUse.exceedsBounds(this.written.accounts, nowMs);
 	}
 }
 
--- a/src/coordination/fleet/digest-builder.ts
+++ b/src/coordination/fleet/digest-builder.ts
@@ -1,15 +1,15 @@
 /** Builds the digests that a daemon sends: of itself, of its failure domain, and of all daemons except the receiver. */
 import {type Digest, DigestScope, type Sender} from '../../protocol/fleet-messages.js';
 import {type Placement} from '../placement.js';
-import {type QuotaLedger} from '../quota-ledger.js';
 import {type Rollouts} from '../rollout/rollouts.js';
+import {type SharedUse} from '../shared-windows.js';
 import {type UsageLedger} from '../usage-ledger.js';
 import {backendKey} from './backend-key.js';
 import {packCounts, writeUse} from './digest-codec.js';
 import {type FleetTable} from './fleet-table.js';
 
 /** The dependencies of a digest builder. */
-export type DigestParts = {failureDomain: string; fleet: FleetTable; quota: QuotaLedger; usage: UsageLedger; placement: Placement; rollouts: Rollouts};
+export type DigestParts = {failureDomain: string; fleet: FleetTable; sharedUse: SharedUse; usage: UsageLedger; placement: Placement; rollouts: Rollouts};
 
 /** Builds the digests of one daemon. */
 export class DigestBuilder {
@@ -20,13 +20,13 @@
 
 	/** Returns the digest of this daemon alone. */
 	own(): Digest {
-		const {quota, usage, placement, rollouts} = this.parts;
+		const {sharedUse, usage, placement, rollouts} = this.parts;
 		return {
 			scope: DigestScope.Daemon,
 			epoch: '',
 			daemons: this.isStopping ? 0 : 1,
 			silent: 0,
-			use: writeUse(new Map([...quota.ownTotals(), ...rollouts.outcomes.ownTotals()])),
+			use: writeUse(new Map([...sharedUse.ownTotals(), ...rollouts.outcomes.ownTotals()])),
 			usage: usage.ownCounts(),
 			inFlight: packCounts(new Map(Object.entries(placement.inFlight()).map(([id, count]) => [backendKey(id), count]))),
 		};
--- a/src/coordination/fleet/fleet-messenger.ts
+++ b/src/coordination/fleet/fleet-messenger.ts
@@ -17,8 +17,9 @@
 import {type Placement} from '../placement.js';
 import {type Quarantine} from '../quarantine/quarantine.js';
 import {quarantineKey, type QuarantineRecord} from '../quarantine/quarantine-record.js';
-import {type QuotaLedger, type QuotaPeers} from '../quota-ledger.js';
+import {type QuotaPeers} from '../quota-ledger.js';
 import {type Rollouts} from '../rollout/rollouts.js';
+import {type SharedUse} from '../shared-windows.js';
 import {type StatedLimits} from '../stated-limits.js';
 import {type TopicFollower} from '../topic-follower.js';
 import {type UsageLedger} from '../usage-ledger.js';
@@ -69,12 +70,13 @@
 
 /** The dependencies of a messenger. */
 export type MessengerParts = {
-	settings: Pick<FrontSettings, 'name' | 'failureDomain' | 'host' | 'peerPort'> & {bounds: Pick<ServiceBounds, 'quotaWindowMs'>};
+	settings: Pick<FrontSettings, 'name' | 'failureDomain' | 'host' | 'peerPort'> & {bounds: Pick<ServiceBounds, 'quotaWindowMs' | 'retryWindowMs'>};
 	/** Differs for each start of the daemon. */
 	incarnation: string;
 	store: Store;
 	fleet: FleetTable;
-	quota: QuotaLedger;
+	/** What is limited over all daemons. */
+	sharedUse: SharedUse;
 	usage: UsageLedger;
 	placement: Placement;
 	lease: DutyLease;
@@ -109,7 +111,7 @@
 
 	constructor(private readonly parts: MessengerParts) {
 		this.relayHeardAtMs = parts.startedAtMs;
-		this.peerCounter = new PeerCounter({...parts, quotaWindowMs: parts.settings.bounds.quotaWindowMs});
+		this.peerCounter = new PeerCounter({...parts, windowMs: Math.max(parts.settings.bounds.quotaWindowMs, parts.settings.bounds.retryWindowMs)});
 		this.digests = new DigestBuilder({...parts, failureDomain: parts.settings.failureDomain});
 		this.backendUpdates = new BackendUpdates(parts);
 		parts.fleet.addAddress(parts.settings.name, parts.settings.failureDomain, this.address);
@@ -176,7 +178,7 @@
 			return;
 		}
 
-		const {fleet, quota, lease, rollouts, clock} = this.parts;
+		const {fleet, sharedUse, lease, rollouts, clock} = this.parts;
 		const nowMs = clock.now();
 		// In a large fleet, only a few daemons receive these updates from their origin, so relays forward them.
 		if (this.backendUpdates.receive(message, fleet.roleAt(nowMs) === FleetRole.Relay, nowMs)) {
@@ -194,13 +196,13 @@
 
 		for (const [key, growth] of this.noteDigest(message, nowMs)) {
 			if (!rollouts.outcomes.addPeerTotals(key, growth)) {
-				quota.addPeerUse(key, growth, nowMs);
+				sharedUse.addPeerUse(key, growth, nowMs);
 			}
 		}
 
 		// The sums include the counts of the digest, so they are adopted after it.
 		if (message.windowUses) {
-			quota.adoptProfiles(message.windowUses, nowMs);
+			sharedUse.adoptProfiles(message.windowUses, nowMs);
 			this.hasMissedUpdates = false;
 		}
 
@@ -327,7 +329,7 @@
 	private checkMissedUpdates(nowMs: number): void {
 		if (!this.hasMissedUpdates && nowMs - this.relayHeardAtMs > missedUpdatesMs) {
 			this.hasMissedUpdates = true;
-			this.parts.quota.noteMissedReports();
+			this.parts.sharedUse.noteMissedReports();
 		}
 	}
 
@@ -353,7 +355,7 @@
 			...this.createHead(!wantsView && nowMs - this.windowUsesRequestedAtMs < windowUsesSendMs, nowMs),
 			digest,
 			wantsView,
-			wantsUses: this.hasMissedUpdates || (this.parts.quota.isMissingProfiles && nowMs - this.parts.startedAtMs < windowUsesRequestMs),
+			wantsUses: this.hasMissedUpdates || (this.parts.sharedUse.isMissingProfiles && nowMs - this.parts.startedAtMs < windowUsesRequestMs),
 			wantsUsage: this.parts.lease.isConfirmedAt(nowMs),
 			round: this.round,
 			offsets: wantsView ? Object.fromEntries(gossipedTopics.map(topic => [topic, this.parts.topics[topic].nextOffset])) : {},
@@ -384,11 +386,11 @@
 	}
 
 	private createHead(includesUses: boolean, nowMs: number): Pick<Report, 'sender' | 'holder' | 'windowUses'> {
-		const {lease, quota} = this.parts;
+		const {lease, sharedUse} = this.parts;
 		return {
 			sender: this.sender(nowMs),
 			holder: lease.createHolderUpdate(nowMs),
-			windowUses: includesUses ? quota.profiles(nowMs) : undefined,
+			windowUses: includesUses ? sharedUse.profiles(nowMs) : undefined,
 		};
 	}
 }
--- a/src/coordination/fleet/peer-counter.ts
+++ b/src/coordination/fleet/peer-counter.ts
@@ -21,8 +21,8 @@
 	fleet: FleetTable;
 	clock: SteadyClock;
 	startedAtMs: number;
-	/** Length of the limits' window, in milliseconds. */
-	quotaWindowMs: number;
+	/** Length of the longest window of a limit, in milliseconds. */
+	windowMs: number;
 };
 
 /** Counts the other daemons for the sharing of limits. */
@@ -61,8 +61,8 @@
 
 	/** Whether this daemon is cut off from most others, or in a large fleet was so within the window: new relays do not report what was admitted while there was no relay, whereas daemons of a full mesh report it themselves. */
 	private isIsolated(isNow: boolean, nowMs: number): boolean {
-		const {fleet, quotaWindowMs} = this.parts;
+		const {fleet, windowMs} = this.parts;
 		this.isolatedAtMs = isNow ? nowMs : this.isolatedAtMs;
-		return isNow || (fleet.roleAt(nowMs) !== FleetRole.Mesh && nowMs - this.isolatedAtMs < quotaWindowMs);
+		return isNow || (fleet.roleAt(nowMs) !== FleetRole.Mesh && nowMs - this.isolatedAtMs < windowMs);
 	}
 }
--- a/src/coordination/quota-ledger.ts
+++ b/src/coordination/quota-ledger.ts
@@ -23,17 +23,12 @@
  * in proportion to the part of the window that it has seen itself.
  */
 import {type Account} from '../protocol/serving.js';
-import {
-	type AccountUse, AccountWindow, profileParts, sumOfProfile, type UseProfile,
-} from './account-window.js';
+import {type AccountUse, type AccountWindow, type UseProfile} from './account-window.js';
 import {shareWithinLimit} from './limit-sharing.js';
+import {type SharedUse, SharedWindows, type WindowBound} from './shared-windows.js';
 
 /** Share of the operators' slack and tolerance that is granted; the rest covers the error in what peers are assumed to admit. */
 const grantedSlackShare = 0.4;
-/** Time for which a stored bound must hold, in milliseconds: until the next one is written and can be read, including the delay of peers' reports to the writer. */
-const boundLifetimeMs = 2500;
-/** Factor on the cost that an account is expected to request in that time, since its rate may rise. */
-const expectedCostFactor = 1.5;
 
 /** The bounds that operators set on how far an account's use may exceed its limit. */
 export type QuotaBounds = {
@@ -70,25 +65,21 @@
 	isIsolated: boolean;
 };
 
-/** What all daemons admitted to an account in the window, and what they may admit in addition until the next record is written, in cost units. */
-export type WindowBound = {uses: UseProfile; ahead: number};
-
 /** Tracks what was admitted to all accounts and admits their requests. */
-export class QuotaLedger {
-	private readonly windows = new Map<string, AccountWindow>();
-	/** Whether the history of the window is known: from a peer, from the store, or because the whole system starts for the first time. */
-	private isHistoryKnown: boolean;
-	/** Whether the next profiles that a peer sends are taken over. */
-	private needsProfiles: boolean;
+export class QuotaLedger implements SharedUse {
+	private readonly windows: SharedWindows;
 
 	/** @param isFirstStart Whether the whole system starts for the first time, so that nothing was admitted before. */
 	constructor(
 		private readonly bounds: QuotaBounds,
-		private readonly startedAtMs: number,
-		private readonly isFirstStart: boolean,
+		startedAtMs: number,
+		isFirstStart: boolean,
 	) {
-		this.isHistoryKnown = isFirstStart;
-		this.needsProfiles = !isFirstStart;
+		this.windows = new SharedWindows({windowMs: bounds.windowMs, startedAtMs, isFirstStart});
+	}
+
+	get isMissingProfiles(): boolean {
+		return this.windows.isMissingProfiles;
 	}
 
 	/**
@@ -130,93 +121,37 @@
 		}
 	}
 
-	/** Adds what peers admitted and refused since their last report. */
 	addPeerUse(accountName: string, use: AccountUse, nowMs: number): void {
-		if (use.admitted === 0 && use.refused === 0) {
-			return;
-		}
-
-		const window = this.window(accountName);
-		window.add(use.admitted, nowMs);
-		window.peersAdmitted.add(use.admitted, nowMs);
-		window.peersRequested.add(use.admitted + use.refused, nowMs);
+		this.windows.addPeerUse(accountName, use, nowMs);
 	}
 
-	/** Records that peers may have admitted requests whose reports were lost; the next profiles that a peer sends make up for them. */
 	noteMissedReports(): void {
-		this.needsProfiles = true;
+		this.windows.noteMissedReports();
 	}
 
-	/** Whether this daemon still needs the profiles of a peer. */
-	get isMissingProfiles(): boolean {
-		return this.needsProfiles;
-	}
-
-	/** Takes over the window as a peer knows it, once after a start or after reports may have been lost; what is admitted later comes with the peers' reports. */
 	adoptProfiles(profiles: Record<string, UseProfile>, nowMs: number): void {
-		if (!this.needsProfiles) {
-			return;
-		}
-
-		this.needsProfiles = false;
-		this.isHistoryKnown = true;
-		for (const account of new Set([...this.windows.keys(), ...Object.keys(profiles)])) {
-			this.window(account).adoptProfile(profiles[account] ?? [], nowMs);
-		}
+		this.windows.adoptProfiles(profiles, nowMs);
 	}
 
-	/** Takes over the bounds stored before this daemon started, as if written just now, since the time for which all daemons were down is unknown. The profiles of a peer replace them. */
 	adoptStoredBounds(bounds: Record<string, WindowBound>, nowMs: number): void {
-		if (!this.needsProfiles || this.isHistoryKnown) {
-			return;
-		}
-
-		this.isHistoryKnown = true;
-		for (const [account, {uses, ahead}] of Object.entries(bounds)) {
-			const [newest = 0, ...older] = uses;
-			this.window(account).adoptEstimate([newest + ahead, ...older], nowMs);
-		}
+		this.windows.adoptStoredBounds(bounds, nowMs);
 	}
 
-	/** Returns everything that this daemon admitted and refused since its start, by account. */
 	ownTotals(): Map<string, AccountUse> {
-		return new Map([...this.windows].map(([name, window]) => [name, {...window.own}]));
+		return this.windows.ownTotals();
 	}
 
-	/** Returns what all daemons admitted in the window, by account, for peers that have just started; undefined while this daemon does not know the whole window. */
 	profiles(nowMs: number): Record<string, UseProfile> | undefined {
-		return this.isHistoryCompleteAt(nowMs) ? Object.fromEntries([...this.windows].map(([name, window]) => [name, window.profile(nowMs).map(cost => Math.round(cost))])) : undefined;
+		return this.windows.profiles(nowMs);
 	}
 
-	/** Returns the bounds to store for the case that all daemons are lost at once: what they admitted in the window and may admit until the next write; undefined while this daemon does not know the whole window. */
 	boundsToStore(reportIntervalMs: number, nowMs: number): Record<string, WindowBound> | undefined {
-		const profiles = this.profiles(nowMs);
-		return profiles && Object.fromEntries(Object.entries(profiles).map(([name, uses]) => [name, {uses, ahead: this.expectedUntilNextWrite(name, uses, reportIntervalMs, nowMs)}]));
+		const limitOf = (_: string, {limits}: AccountWindow) => limits.current && this.withGrantedSlack(limits.grantedInWindow(limits.current, nowMs));
+		return this.windows.boundsToStore(limitOf, reportIntervalMs, nowMs);
 	}
 
-	/** Returns whether more was admitted to an account than its bound covers, so that a daemon that started from the bound would grant too much. */
 	exceedsBounds(bounds: Record<string, WindowBound>, nowMs: number): boolean {
-		return [...this.windows].some(([name, window]) => {
-			const bound = bounds[name];
-			return window.sum(nowMs) > (bound ? sumOfProfile(bound.uses) + bound.ahead : 0);
-		});
-	}
-
-	private isHistoryCompleteAt(nowMs: number): boolean {
-		return this.isHistoryKnown || nowMs - this.startedAtMs > this.bounds.windowMs;
-	}
-
-	/** Returns the cost units that an account may be admitted while a stored bound must hold: what it is expected to request, as far as its limit allows. */
-	private expectedUntilNextWrite(accountName: string, uses: UseProfile, reportIntervalMs: number, nowMs: number): number {
-		const window = this.window(accountName);
-		const {current} = window.limits;
-		const expected = (window.peersRequested.ratePerMs(reportIntervalMs, nowMs) + window.ownRequested.ratePerMs(reportIntervalMs, nowMs)) * boundLifetimeMs * expectedCostFactor;
-		if (!current) {
-			return Math.round(expected);
-		}
-
-		const costStillInWindow = sumOfProfile(uses.slice(0, Math.floor(profileParts * (1 - (boundLifetimeMs / this.bounds.windowMs)))));
-		return Math.round(Math.max(0, Math.min(expected, this.withGrantedSlack(window.limits.grantedInWindow(current, nowMs)) - costStillInWindow)));
+		return this.windows.exceedsBounds(bounds, nowMs);
 	}
 
 	/** Returns the share of an account's requests to admit now. */
@@ -232,9 +167,8 @@
 
 	/** Returns the limit less the shares of silent peers, and scaled down while the window's history is unknown. */
 	private effectiveLimit(account: Account, peers: QuotaPeers, nowMs: number): number {
-		const {windowMs} = this.bounds;
 		const heardShare = 1 - (Math.min(peers.silentDaemons, peers.daemons - 1) / Math.max(1, peers.daemons));
-		const knownShare = this.isHistoryKnown ? 1 : Math.min(1, (nowMs - this.startedAtMs) / windowMs) / 2;
+		const knownShare = this.windows.isHistoryKnown ? 1 : this.windows.seenShare(nowMs) / 2;
 		return this.withGrantedSlack(this.granted(account, nowMs)) * heardShare * knownShare;
 	}
 
@@ -244,8 +178,7 @@
 	 * daemon gets half, since it may have admitted the other half before.
 	 */
 	private equalShare(account: Account, {daemons, unreportedDaemons}: QuotaPeers, nowMs: number): number {
-		const hasRestarted = !this.isFirstStart && nowMs - this.startedAtMs < this.bounds.windowMs;
-		return this.granted(account, nowMs) / (daemons + unreportedDaemons) / (hasRestarted ? 2 : 1);
+		return this.granted(account, nowMs) / (daemons + unreportedDaemons) / (this.windows.isRestarted(nowMs) ? 2 : 1);
 	}
 
 	private granted(account: Account, nowMs: number): number {
@@ -259,12 +192,6 @@
 	}
 
 	private window(accountName: string): AccountWindow {
-		let window = this.windows.get(accountName);
-		if (!window) {
-			window = new AccountWindow(this.bounds.windowMs);
-			this.windows.set(accountName, window);
-		}
-
-		return window;
+		return this.windows.get(accountName);
 	}
 }
--- a/src/coordination/retry-budget.ts
+++ b/src/coordination/retry-budget.ts
@@ -1,10 +1,7 @@
 /**
- * The retry budget of a service over all daemons: it bounds the attempts beyond the first of
- * each request. Without it, when several replicas fail together, every daemon would retry
- * every failed request and multiply the load of the remaining replicas.
- *
- * Each daemon uses its own share without coordination: the proportional part follows its own
- * requests, and the fixed part is divided by the number of daemons.
+ * The retry budget of a service: it bounds the attempts beyond the first of each request.
+ * Without it, when several replicas fail together, every failed request would be retried and
+ * would multiply the load of the remaining replicas.
  */
 
 /** The purpose of a further attempt. Moves of running streams may use a part of the budget that retries may not. */
@@ -13,12 +10,12 @@
 	Move = 'move',
 }
 
-/** Share of the budget up to which each purpose may use it; the rest covers daemons that are not known yet. */
-const usableShares: Record<RetryPurpose, number> = {[RetryPurpose.Retry]: 0.75, [RetryPurpose.Move]: 0.9};
+/** Share of the budget up to which each purpose may use it; the rest covers the attempts of which this daemon has not heard yet. */
+export const usableShares: Record<RetryPurpose, number> = {[RetryPurpose.Retry]: 0.75, [RetryPurpose.Move]: 0.9};
 /** Steps that the window is counted in. */
 const windowSteps = 10;
 
-/** The retry budget over all daemons: in each window, further attempts up to `ratio` times the requests plus `slack`. */
+/** The limits of a retry budget: in each window, further attempts up to `ratio` times the requests plus `slack`. */
 export type RetryBudgetLimits = {ratio: number; windowMs: number; slack: number};
 
 /** The retry budget of a gateway, which has no setting for it: one retry for five requests, and some for a short outage of one engine. */
@@ -74,23 +71,33 @@
 	}
 }
 
-/** This daemon's share of the retry budgets of all services. */
-export class RetryBudget {
+/** The retry budgets of all services. */
+export type RetryBudget = {
+	/** Counts the first attempt of a request. */
+	countRequest(service: string, nowMs: number): void;
+	/** Takes one further attempt from the budget; returns whether it allows one. */
+	tryTake(service: string, purpose: RetryPurpose, nowMs: number): boolean;
+	/** Returns an attempt that was taken and not used to the budget. */
+	giveBack(service: string, takenAtMs: number, nowMs: number): void;
+	/** Describes how much of the budget is used, for refusal reasons and logs. */
+	describe(service: string, nowMs: number): string;
+};
+
+/** The retry budgets of a process that shares them with no other. */
+export class LocalRetryBudget implements RetryBudget {
 	private readonly windows = new Map<string, ServiceWindow>();
 
-	constructor(private readonly bound: RetryBudgetLimits) {}
+	constructor(private readonly limits: RetryBudgetLimits) {}
 
-	/** Counts the first attempt of a request. */
 	countRequest(service: string, nowMs: number): void {
 		this.window(service).currentCounts(nowMs).firstAttempts++;
 	}
 
-	/** Takes one further attempt from the budget if this daemon's share allows it; `daemons` is the number of daemons that share the budget. */
-	tryTake(service: string, purpose: RetryPurpose, daemons: number, nowMs: number): boolean {
+	tryTake(service: string, purpose: RetryPurpose, nowMs: number): boolean {
 		const window = this.window(service);
 		const {firstAttempts, extraAttempts} = window.sum(nowMs);
-		const share = (this.bound.ratio * firstAttempts) + (this.bound.slack / Math.max(1, daemons));
-		if (extraAttempts + 1 > share * usableShares[purpose]) {
+		const budget = (this.limits.ratio * firstAttempts) + this.limits.slack;
+		if (extraAttempts + 1 > budget * usableShares[purpose]) {
 			return false;
 		}
 
@@ -98,7 +105,6 @@
 		return true;
 	}
 
-	/** Returns an attempt that was taken and not used to the budget. */
 	giveBack(service: string, takenAtMs: number): void {
 		const counts = this.window(service).countsAt(takenAtMs);
 		if (counts) {
@@ -111,10 +117,15 @@
 		return this.window(service).sum(nowMs);
 	}
 
+	describe(service: string, nowMs: number): string {
+		const {firstAttempts, extraAttempts} = this.attemptsInWindow(service, nowMs);
+		return `${extraAttempts} repeats for ${firstAttempts} requests`;
+	}
+
 	private window(service: string): ServiceWindow {
 		let window = this.windows.get(service);
 		if (!window) {
-			window = new ServiceWindow(this.bound.windowMs / windowSteps);
+			window = new ServiceWindow(this.limits.windowMs / windowSteps);
 			this.windows.set(service, window);
 		}
 
--- a/src/coordination/service-calls.ts
+++ b/src/coordination/service-calls.ts
@@ -10,7 +10,7 @@
 import {createLogger} from '../log.js';
 import {type BackendDirectory} from './backend-directory.js';
 import {ClaimOutcome, type Journal} from './journal.js';
-import {defaultRetryLimits, RetryPurpose, RetryBudget} from './retry-budget.js';
+import {defaultRetryLimits, LocalRetryBudget, RetryPurpose} from './retry-budget.js';
 import {NoBackendError, OutcomeUnknownError} from './errors.js';
 
 const log = createLogger('services');
@@ -41,7 +41,7 @@
 export class ServiceCalls {
 	private nextTargetIndex = 0;
 	private readonly avoidedUntilMs = new Map<string, number>();
-	private readonly retries = new RetryBudget(defaultRetryLimits);
+	private readonly retries = new LocalRetryBudget(defaultRetryLimits);
 
 	constructor(
 		private readonly directory: BackendDirectory,
@@ -100,7 +100,7 @@
 				this.avoidedUntilMs.set(target.id, Date.now() + avoidAfterFailureMs);
 				log.warn('backend server failed.', {service: call.service, backend: target.id, error: String(error)});
 				const wasNeverSent = error instanceof ConnectError;
-				if (!wasNeverSent && !(call.isIdempotent && tried.size < maxAttempts && this.retries.tryTake(call.service, RetryPurpose.Retry, 1, Date.now()))) {
+				if (!wasNeverSent && !(call.isIdempotent && tried.size < maxAttempts && this.retries.tryTake(call.service, RetryPurpose.Retry, Date.now()))) {
 					throw new OutcomeUnknownError(`call to ${target.id} may have run`, {cause: error});
 				}
 			}
--- a/src/coordination/serving/__tests__/backend-selector.test.ts
+++ b/src/coordination/serving/__tests__/backend-selector.test.ts
@@ -12,7 +12,7 @@
 import {FleetTable} from '../../fleet/fleet-table.js';
 import {Placement} from '../../placement.js';
 import {Quarantine} from '../../quarantine/quarantine.js';
-import {RetryPurpose, RetryBudget} from '../../retry-budget.js';
+import {RetryPurpose, LocalRetryBudget} from '../../retry-budget.js';
 import {Rollouts} from '../../rollout/rollouts.js';
 import {StatedLimits} from '../../stated-limits.js';
 import {BackendSelector} from '../backend-selector.js';
@@ -57,9 +57,9 @@
 	const selector = new BackendSelector({
 		backends, placement, fleet, quarantine, statedLimits: limits, cooldowns, rollouts: new Rollouts({canaryShare: 0.1}, () => 0), clock,
 	});
-	const retryBudget = new RetryBudget({ratio: 0, windowMs: 10_000, slack: 100});
+	const retryBudget = new LocalRetryBudget({ratio: 0, windowMs: 10_000, slack: 100});
 	const reservations = new RetryReservations({
-		selector, retryBudget, fleet, quarantine, clock,
+		selector, retryBudget, quarantine, clock,
 	});
 	return {
 		selector, limits, cooldowns, reservations,
--- a/src/coordination/serving/retry-reservations.ts
+++ b/src/coordination/serving/retry-reservations.ts
@@ -5,7 +5,6 @@
  */
 import {type Backend} from '../../protocol/serving.js';
 import {type SteadyClock} from '../../clock.js';
-import {type FleetTable} from '../fleet/fleet-table.js';
 import {type Quarantine} from '../quarantine/quarantine.js';
 import {type RetryPurpose, type RetryBudget} from '../retry-budget.js';
 import {type BackendSelector} from './backend-selector.js';
@@ -18,7 +17,6 @@
 export type RetryReservationsDependencies = {
 	selector: BackendSelector;
 	retryBudget: RetryBudget;
-	fleet: FleetTable;
 	quarantine: Quarantine;
 	clock: SteadyClock;
 };
@@ -94,8 +92,7 @@
 
 	/** Takes a retry from the retry budget; returns whether there was one. */
 	takeFromBudget(served: ServedRequest, purpose: RetryPurpose, nowMs: number): boolean {
-		const {retryBudget, fleet} = this.dependencies;
-		const isTaken = retryBudget.tryTake(served.inputs.service, purpose, fleet.daemons(nowMs), nowMs);
+		const isTaken = this.dependencies.retryBudget.tryTake(served.inputs.service, purpose, nowMs);
 		if (isTaken) {
 			served.budgetStates.push(this.describeBudget(served));
 		}
@@ -114,13 +111,12 @@
 
 	/** Describes how much of the retry budget is used, for refusal reasons and logs. */
 	describeBudget(served: ServedRequest): string {
-		const {retryBudget, fleet, clock} = this.dependencies;
-		const nowMs = clock.now();
-		const {firstAttempts, extraAttempts} = retryBudget.attemptsInWindow(served.inputs.service, nowMs);
-		return `${extraAttempts} repeats for ${firstAttempts} requests, ${fleet.daemons(nowMs)} daemons`;
+		const {retryBudget, clock} = this.dependencies;
+		return retryBudget.describe(served.inputs.service, clock.now());
 	}
 
 	private returnToBudget(served: ServedRequest, takenAtMs: number): void {
-		this.dependencies.retryBudget.giveBack(served.inputs.service, takenAtMs);
+		const {retryBudget, clock} = this.dependencies;
+		retryBudget.giveBack(served.inputs.service, takenAtMs, clock.now());
 	}
 }
