Test the limits of accounts while daemons are cut off from each other for long, failing

Found while looking for the cause of the repeats after restarts elsewhere: from 20 s of silence on, a daemon takes its peers for gone and grants the whole limit alone.

--- a/src/coordination/fleet/__tests__/limits-after-kill.test.ts
+++ b/src/coordination/fleet/__tests__/limits-after-kill.test.ts
@@ -138,7 +138,7 @@
 });
 
 /** Simulates callers of one account against a fleet in which some daemons are cut off from the others and from the store, and some restart. */
-async function simulatePartition({daemons, cut, restarted, seed, factor = 6}: {daemons: number; cut: number; restarted: number; seed: number; factor?: number}): Promise<{maxAdmitted: number; allowed: number; servedShare: number}> {
+async function simulatePartition({daemons, cut, restarted, seed, factor = 6, untilMs = 13_000}: {daemons: number; cut: number; restarted: number; seed: number; factor?: number; untilMs?: number}): Promise<{maxAdmitted: number; allowed: number; servedShare: number}> {
 	const generator = xoroshiro128plus(seed);
 	const random = () => uniformFloat64(generator);
 	const ratePerSecond = 400_000;
@@ -192,7 +192,7 @@
 		await net.restart(daemon).messenger.discover(signal); // eslint-disable-line no-await-in-loop
 	}
 
-	await runUntil(13_000);
+	await runUntil(untilMs);
 	const maxAdmitted = Math.max(...admitted.map((from, index) => admitted.slice(index).filter(atMs => atMs < from + bounds.windowMs).length * cost));
 	return {maxAdmitted, allowed: (((ratePerSecond * bounds.windowMs / 1000) + ratePerSecond) * (1 + bounds.tolerance)) + bounds.slack, servedShare: admitted.length / requests};
 }
@@ -205,6 +205,12 @@
 		{
 			name: '3 of 9', daemons: 9, cut: 3, restarted: 0,
 		},
+		{
+			name: 'all of 6 for half a minute', daemons: 6, cut: 6, restarted: 0, untilMs: 32_000,
+		},
+		{
+			name: 'all of 6 for over a minute', daemons: 6, cut: 6, restarted: 0, untilMs: 76_000,
+		},
 		{
 			name: '20 of 80, all relays among them', daemons: 80, cut: 20, restarted: 0,
 		},
