Keep sharing limits while a daemon hears from few of the others

A daemon that was cut off from its peers for 20 s, while all went on serving, took them for gone and granted the whole limit of an account alone; for the retry budget it did so after a minute. The counts are also kept while no requests arrive in a small fleet.

--- a/src/coordination/fleet/__tests__/relay-sums.test.ts
+++ b/src/coordination/fleet/__tests__/relay-sums.test.ts
@@ -24,12 +24,16 @@
 
 describe('LoadCache', () => {
 	const daemons = new Map<string, DaemonLoad>([
-		['a', {daemons: 1, silent: 0, inFlight: [7, 2, 8, 3]}],
-		['b', {daemons: 1, silent: 1, inFlight: [7, 4]}],
+		['a', {
+			daemons: 1, silent: 0, responsive: 1, inFlight: [7, 2, 8, 3],
+		}],
+		['b', {
+			daemons: 1, silent: 1, responsive: 0, inFlight: [7, 4],
+		}],
 	]);
 	const sources = {
 		daemons: () => daemons,
-		otherDomains: () => [{count: () => ({daemons: 30, silent: 2}), inFlight: () => [[8, 40]]}],
+		otherDomains: () => [{count: () => ({daemons: 30, silent: 2, responsive: 28}), inFlight: () => [[8, 40]]}],
 	};
 
 	it.each([
@@ -52,7 +56,11 @@
 	it('subtracts the load that the receiver had when the sums were computed, not its current load', () => {
 		const cache = new LoadCache();
 		let inFlight = [7, 2];
-		const changing = {daemons: () => new Map([['a', {daemons: 1, silent: 0, inFlight}]]), otherDomains: () => []};
+		const changing = {
+			daemons: () => new Map([['a', {
+				daemons: 1, silent: 0, responsive: 1, inFlight,
+			}]]), otherDomains: () => [],
+		};
 		expect(cache.rest(own, 'a', changing, 0).inFlight).toEqual([7, 1]);
 		inFlight = [7, 9];
 		expect(cache.rest(own, 'a', changing, 20).inFlight).toEqual([7, 1]);
--- a/src/coordination/fleet/fleet-messenger.ts
+++ b/src/coordination/fleet/fleet-messenger.ts
@@ -153,6 +153,8 @@
 		this.round++;
 		this.reportSentAtMs.set(this.round, nowMs);
 		this.reportSentAtMs.delete(this.round - rememberedRounds);
+		// The counter must track silent daemons also while no requests arrive.
+		this.peerCounter.count(nowMs);
 		this.sendBackendUpdates(role, nowMs);
 		if (role === FleetRole.Mesh) {
 			this.link?.send(this.createReport(this.digests.own(), false, nowMs), fleet.addresses(false, nowMs));
@@ -161,8 +163,6 @@
 		}
 
 		this.checkMissedUpdates(nowMs);
-		// The counter must track silent daemons also while no requests arrive.
-		this.peerCounter.count(nowMs);
 		this.requestViews(settings.failureDomain, this.digests.own(), nowMs);
 		if (role === FleetRole.Relay) {
 			const digest = this.digests.domain(nowMs);
--- a/src/coordination/fleet/fleet-table.ts
+++ b/src/coordination/fleet/fleet-table.ts
@@ -171,6 +171,11 @@
 		return this.daemonCounts(nowMs).silent;
 	}
 
+	/** Number of daemons that were heard from of late, including this one. */
+	responsive(nowMs: number): number {
+		return 1 + this.daemonCounts(nowMs).responsive;
+	}
+
 	/** Whether at most half of the other daemons are silent; true if there are no others. */
 	isMajorityResponsive(nowMs: number): boolean {
 		const {daemons, silent} = this.daemonCounts(nowMs);
@@ -388,6 +393,7 @@
 	return {
 		daemons: ageMs <= countedForMs && !sender.isStopping ? 1 : 0,
 		silent: ageMs > silentAfterMs && ageMs <= goneAfterMs ? 1 : 0,
+		responsive: ageMs <= silentAfterMs && !sender.isStopping ? 1 : 0,
 		inFlight: ageMs <= loadExpiryMs ? digest.inFlight : [],
 	};
 }
--- a/src/coordination/fleet/reported-group.ts
+++ b/src/coordination/fleet/reported-group.ts
@@ -14,18 +14,19 @@
 /** How long a daemon still counts when limits are shared after it was last heard from, in milliseconds. */
 export const countedForMs = 60_000;
 
-/** Number of daemons in a part of the fleet, and how many of them are silent. */
-export type DaemonCounts = {daemons: number; silent: number};
+/** Number of daemons in a part of the fleet, how many of them are silent, and how many were heard from of late. */
+export type DaemonCounts = {daemons: number; silent: number; responsive: number};
 
 /** A part of the fleet: its daemon counts, and the packed counts of its requests in flight. */
 export type FleetPart = {count: () => DaemonCounts; inFlight: () => number[][]};
 
 /** Adds up daemon counts. */
 export function sumDaemonCounts(counts: DaemonCounts[]): DaemonCounts {
-	const sum: DaemonCounts = {daemons: 0, silent: 0};
-	for (const {daemons, silent} of counts) {
+	const sum: DaemonCounts = {daemons: 0, silent: 0, responsive: 0};
+	for (const {daemons, silent, responsive} of counts) {
 		sum.daemons += daemons;
 		sum.silent += silent;
+		sum.responsive += responsive;
 	}
 
 	return sum;
@@ -67,7 +68,8 @@
 export function reportedPart({digest, heardAtMs}: GroupReport, nowMs: number): FleetPart {
 	const ageMs = nowMs - heardAtMs;
 	const silent = ageMs <= silentAfterMs ? digest.silent : (ageMs <= goneAfterMs ? digest.daemons : 0);
-	return {count: () => ({daemons: digest.daemons, silent}), inFlight: () => ageMs <= loadExpiryMs ? [digest.inFlight] : []};
+	const responsive = ageMs <= silentAfterMs ? responsiveDaemons(digest) : 0;
+	return {count: () => ({daemons: digest.daemons, silent, responsive}), inFlight: () => ageMs <= loadExpiryMs ? [digest.inFlight] : []};
 }
 
 function responsiveDaemons(digest: Digest): number {
