Serve requests by way of another daemon while no backend server is reached

Callers of a daemon that had lost its links to all replicas were refused, or waited for 300 ms a replica until they left, for as long as it lasted: nothing sent a request by way of another daemon. Now a daemon learns from connections that don't open, and from probes once requests stay unanswered, that it is cut off from a service; it then sends the service's requests to a daemon that reaches it, which admits them and answers. A request goes on only while it is certain that no other daemon will serve it; if none does it is refused at once. Also a single request that meets several replicas that accept no connection goes by way of another daemon.

Ruled out: refusing sooner.

--- a/src/cli/front-container.ts
+++ b/src/cli/front-container.ts
@@ -29,10 +29,12 @@
 import {Quarantine} from '../coordination/quarantine/quarantine.js';
 import {QuarantineRecord} from '../coordination/quarantine/quarantine-record.js';
 import {QuotaLedger} from '../coordination/quota-ledger.js';
+import {Reachability} from '../coordination/reachability.js';
 import {Rollouts} from '../coordination/rollout/rollouts.js';
 import {RolloutRunner} from '../coordination/rollout/rollout-runner.js';
 import {Dispatcher} from '../coordination/serving/dispatcher.js';
 import {Forwarder} from '../coordination/serving/forwarder.js';
+import {PeerProxy} from '../coordination/serving/peer-proxy.js';
 import {DeferredMetrics} from '../coordination/serving/request-metrics.js';
 import {StreamRegistry} from '../coordination/serving/stream-registry.js';
 import {type BackendsSink} from '../coordination/record-sinks.js';
@@ -60,6 +62,9 @@
 /** Delay after a read that returned changes of the backend servers, in milliseconds, so that the next read returns several changes at once. Without it, most of the 14,776 calls that 86 daemons made to the store and the cloud in 24 s returned a single record. */
 const backendsBatchDelayMs = 100;
 
+/** The keep-alive connections to other daemons. */
+export class PeerConnectionPool extends BackendConnectionPool {}
+
 /** Follows the configuration topic of the store. */
 export class ConfigFollower extends TopicFollower {}
 
@@ -133,6 +138,15 @@
 	}));
 	registerFactory(StatedLimits, resolver => new StatedLimits((backend, maxSenders, nowMs) => selectSenders(resolver.resolve(FleetTable), settings.name, backend, maxSenders, nowMs)));
 	registerFactory(Cooldowns, () => new Cooldowns());
+	registerFactory(Reachability, () => new Reachability(() => Math.random()));
+	registerFactory(PeerConnectionPool, () => new PeerConnectionPool());
+	registerFactory(PeerProxy, resolver => new PeerProxy({
+		fleet: resolver.resolve(FleetTable),
+		reachability: resolver.resolve(Reachability),
+		pool: resolver.resolve(PeerConnectionPool),
+		clock,
+		random: () => Math.random(),
+	}));
 	registerFactory(CrashWatch, resolver => new CrashWatch({backends: resolver.resolve(BackendTable), quarantine: resolver.resolve(Quarantine), clock}));
 	registerFactory(Dispatcher, resolver => new Dispatcher({
 		dialect,
@@ -146,6 +160,8 @@
 		statedLimits: resolver.resolve(StatedLimits),
 		cooldowns: resolver.resolve(Cooldowns),
 		rollouts: resolver.resolve(Rollouts),
+		reachability: resolver.resolve(Reachability),
+		peerProxy: resolver.resolve(PeerProxy),
 		clock,
 	}));
 	registerFactory(StreamRegistry, resolver => new StreamRegistry({
@@ -199,6 +215,7 @@
 		quarantineRecord: resolver.resolve(QuarantineRecord),
 		statedLimits: resolver.resolve(StatedLimits),
 		rollouts: resolver.resolve(Rollouts),
+		reachability: resolver.resolve(Reachability),
 		topics: {[Topic.Config]: resolver.resolve(ConfigFollower), [Topic.Backends]: resolver.resolve(BackendsFollower)},
 		clock,
 		startedAtMs,
@@ -237,6 +254,7 @@
 			return Math.min(bounds.configApplyMs, bounds.revokeMs * maxViewAgeShare);
 		},
 		dispatcher: resolver.resolve(Dispatcher),
+		peerProxy: resolver.resolve(PeerProxy),
 		registry: resolver.resolve(StreamRegistry),
 		quota: resolver.resolve(QuotaLedger),
 		usage: resolver.resolve(UsageLedger),
--- a/src/cli/front-daemon.ts
+++ b/src/cli/front-daemon.ts
@@ -2,8 +2,11 @@
 import {setMaxListeners} from 'node:events';
 import {setTimeout as delay} from 'node:timers/promises';
 import {type DependencyContainer} from 'tsyringe';
+import {unpack} from 'msgpackr';
 import {type GossipedTopic} from '../protocol/fleet-messages.js';
 import {type Platform, Topic} from '../protocol/platform.js';
+import {isProxiedRequest} from '../protocol/proxied-requests.js';
+import {type Backend} from '../protocol/serving.js';
 import {SteadyClock} from '../clock.js';
 import {Latch} from '../latch.js';
 import {createLogger} from '../log.js';
@@ -12,7 +15,8 @@
 import {RouteTable} from '../state/route-table.js';
 import {BackendConnectionPool} from '../transport/backend-connection-pool.js';
 import {DatagramLink} from '../transport/datagram-link.js';
-import {FrontServer} from '../transport/front-server.js';
+import {FrontServer, type FrontRequest, writeErrorResponse} from '../transport/front-server.js';
+import {isConnectionAccepted} from '../transport/port-probe.js';
 import {Cooldowns} from '../coordination/cooldowns.js';
 import {DutyLease} from '../coordination/duty-lease.js';
 import {DutyRunner} from '../coordination/duty-runner.js';
@@ -26,6 +30,7 @@
 import {QuotaLedger} from '../coordination/quota-ledger.js';
 import {Rollouts} from '../coordination/rollout/rollouts.js';
 import {RolloutRunner, rolloutStepIntervalMs} from '../coordination/rollout/rollout-runner.js';
+import {Reachability} from '../coordination/reachability.js';
 import {applySettings} from '../coordination/settings-reload.js';
 import {BackendsSink, ConfigSink} from '../coordination/record-sinks.js';
 import {StatedLimits} from '../coordination/stated-limits.js';
@@ -33,7 +38,9 @@
 import {Forwarder} from '../coordination/serving/forwarder.js';
 import {DeferredMetrics, type RequestMetrics} from '../coordination/serving/request-metrics.js';
 import {StreamRegistry, sweepIntervalMs} from '../coordination/serving/stream-registry.js';
-import {BackendsFollower, ConfigFollower, createFrontContainer} from './front-container.js';
+import {
+	BackendsFollower, ConfigFollower, createFrontContainer, PeerConnectionPool,
+} from './front-container.js';
 
 const log = createLogger('front');
 
@@ -48,6 +55,13 @@
 /** Time after which backend servers that are no longer listed are removed from the table, in milliseconds. */
 const removedBackendRetentionMs = 60_000;
 
+/** Interval at which it is checked whether backend servers should be probed, in milliseconds. */
+const reachabilityCheckIntervalMs = 100;
+/** Longest wait for the connection of a probe, in milliseconds. */
+const probeTimeoutMs = 300;
+/** What a proxied request adds to the size of its body and headers, in bytes. */
+const proxyOverheadBytes = 16 * 1024;
+
 /** A task that runs repeatedly until the daemon stops. */
 type PeriodicTask = {
 	/** Pause between the end of one run and the next, in milliseconds. */
@@ -61,6 +75,8 @@
 	private readonly clock: SteadyClock;
 	private readonly startedAtMs: number;
 	private readonly server: FrontServer;
+	/** Receives the requests that other daemons can't send to backend servers. */
+	private readonly peerServer: FrontServer;
 	private backendsSink: BackendsSink | undefined;
 	private isStopping = false;
 	/** Names of the changed settings that need a restart, as of the last reload. */
@@ -79,6 +95,7 @@
 		this.startedAtMs = this.clock.now();
 		const forwarder = this.container.resolve(Forwarder);
 		this.server = new FrontServer(async request => forwarder.handle(request));
+		this.peerServer = new FrontServer(async request => serveProxiedRequest(forwarder, request));
 	}
 
 	/** Whether the load balancer should send new connections to this daemon. */
@@ -89,7 +106,7 @@
 
 	/** Number of requests whose response has not ended yet. */
 	get openRequests(): number {
-		return this.server.openRequests;
+		return this.server.openRequests + this.peerServer.openRequests;
 	}
 
 	/**
@@ -99,7 +116,9 @@
 	 */
 	async start(): Promise<void> {
 		await this.openPeerLink();
-		await this.server.listen(this.platform.settings.callers);
+		const {callers, host, peerPort} = this.platform.settings;
+		await this.peerServer.listen({host, port: peerPort});
+		await this.server.listen(callers);
 		void this.container.resolve(ConfigFollower).run(this.signal);
 		void this.container.resolve(BackendsFollower).run(this.signal);
 		for (const [name, task] of Object.entries(this.createPeriodicTasks())) {
@@ -132,17 +151,21 @@
 		this.isStopping = true;
 		this.container.resolve(FleetMessenger).beginStop();
 		this.server.beginStop();
+		this.peerServer.beginStop();
 	}
 
 	/** Stops accepting connections and requests. */
 	closeServer(): void {
 		this.server.close();
+		this.peerServer.close();
 	}
 
 	/** Closes all connections of clients and to backend servers. */
 	destroyConnections(): void {
 		this.server.destroy();
+		this.peerServer.destroy();
 		this.container.resolve(BackendConnectionPool).destroy();
+		this.container.resolve(PeerConnectionPool).destroy();
 	}
 
 	/** State and age of the views of the store's topics. */
@@ -171,6 +194,7 @@
 			statedLimits: this.container.resolve(StatedLimits).toJson(nowMs),
 			cooldowns: this.container.resolve(Cooldowns).toJson(nowMs),
 			rollouts: this.container.resolve(Rollouts).toJson(),
+			reachability: this.container.resolve(Reachability).toJson(nowMs),
 		};
 	}
 
@@ -191,7 +215,9 @@
 		const {records} = this.platform;
 		const routes = resolver.resolve(RouteTable);
 		const configSink = new ConfigSink(records, routes, resolver.resolve(Rollouts), () => {
-			this.server.setLimits(routes.current!.limits);
+			const {limits} = routes.current!;
+			this.server.setLimits(limits);
+			this.peerServer.setLimits({...limits, bodyBytes: limits.bodyBytes + limits.headerBytes + proxyOverheadBytes});
 			resolver.resolve(QuotaLedger).noteLimits(routes.current!.accounts, this.clock.now());
 			this.admitRequestsOnceLoaded();
 		});
@@ -234,6 +260,11 @@
 					this.reload(false);
 				},
 			},
+			reachability: {
+				intervalMs: () => reachabilityCheckIntervalMs, step: () => {
+					this.probeBackends();
+				},
+			},
 			sweep: {
 				intervalMs: () => sweepIntervalMs,
 				step: () => {
@@ -243,6 +274,28 @@
 		};
 	}
 
+	/** Opens connections to backend servers that this daemon may be cut off from. */
+	private probeBackends(): void {
+		const reachability = this.container.resolve(Reachability);
+		const backends = this.container.resolve(BackendTable);
+		const candidatesOf = (service: string) => backends.candidates(service, this.clock.now());
+		for (const backend of reachability.takeDueProbes(candidatesOf, this.clock.now())) {
+			void this.probeBackend(backend, candidatesOf(backend.service));
+		}
+	}
+
+	private async probeBackend(backend: Backend, candidates: Backend[]): Promise<void> {
+		const reachability = this.container.resolve(Reachability);
+		if (await isConnectionAccepted(backend, probeTimeoutMs)) {
+			reachability.noteConnected(backend, this.clock.now());
+			return;
+		}
+
+		reachability.noteUnreached(backend, candidates, this.clock.now());
+		// Idle connections may be dead as well, and would leave it unknown whether a request ran.
+		this.container.resolve(BackendConnectionPool).closeIdle(backend);
+	}
+
 	/** Repeats a step until the daemon stops; a failed step is logged and tried again at the next interval. */
 	private async runPeriodically(name: string, {intervalMs, step}: PeriodicTask): Promise<void> {
 		while (!this.signal.aborted) {
@@ -291,3 +344,19 @@
 		}, this.signal);
 	}
 }
+
+/** Decodes a request that another daemon sends, and serves it. */
+async function serveProxiedRequest(forwarder: Forwarder, request: FrontRequest): Promise<void> {
+	let proxied: unknown;
+	try {
+		proxied = unpack(request.body);
+	} catch (error) {
+		log.info('cannot decode a proxied request.', {error: String(error)});
+	}
+
+	if (isProxiedRequest(proxied)) {
+		await forwarder.handleProxied(request, proxied);
+	} else {
+		writeErrorResponse(request.response, 400, 'not a proxied request');
+	}
+}
--- a/src/coordination/fleet/__fixtures__/test-net.ts
+++ b/src/coordination/fleet/__fixtures__/test-net.ts
@@ -15,6 +15,7 @@
 import {QuarantineRecord} from '../../quarantine/quarantine-record.js';
 import {type QuotaBounds, QuotaLedger} from '../../quota-ledger.js';
 import {FleetRetryBudget} from '../../fleet-retry-budget.js';
+import {Reachability} from '../../reachability.js';
 import {Rollouts} from '../../rollout/rollouts.js';
 import {StatedLimits} from '../../stated-limits.js';
 import {TopicFollower} from '../../topic-follower.js';
@@ -50,6 +51,7 @@
 	readonly quarantineRecord: QuarantineRecord;
 	readonly statedLimits: StatedLimits;
 	readonly retryBudget: FleetRetryBudget;
+	readonly reachability = new Reachability(() => 0);
 	readonly rollouts = new Rollouts({canaryShare: 0.1}, () => 0);
 	readonly topics: Record<GossipedTopic, TopicFollower>;
 	readonly viewAges = {[Topic.Config]: new ViewAge(), [Topic.Backends]: new ViewAge()};
@@ -99,7 +101,7 @@
 		this.messenger = new FleetMessenger({
 			settings: {
 				name, failureDomain, host, peerPort: 1, bounds: {quotaWindowMs: net.bounds.windowMs, retryWindowMs: retryLimits.windowMs},
-			}, incarnation, store: net.store, fleet: this.fleet, sharedUse, usage: this.usage, placement: this.placement, lease: this.lease, bounds: this.bounds, quarantine: this.quarantine, quarantineRecord: this.quarantineRecord, statedLimits: this.statedLimits, rollouts: this.rollouts, topics: this.topics, clock, startedAtMs,
+			}, incarnation, store: net.store, fleet: this.fleet, sharedUse, usage: this.usage, placement: this.placement, lease: this.lease, bounds: this.bounds, quarantine: this.quarantine, quarantineRecord: this.quarantineRecord, statedLimits: this.statedLimits, rollouts: this.rollouts, reachability: this.reachability, topics: this.topics, clock, startedAtMs,
 		});
 		this.messenger.open({
 			send: (message, to) => {
--- a/src/coordination/fleet/fleet-messenger.ts
+++ b/src/coordination/fleet/fleet-messenger.ts
@@ -18,6 +18,7 @@
 import {type Quarantine} from '../quarantine/quarantine.js';
 import {quarantineKey, type QuarantineRecord} from '../quarantine/quarantine-record.js';
 import {type QuotaPeers} from '../quota-ledger.js';
+import {type Reachability} from '../reachability.js';
 import {type Rollouts} from '../rollout/rollouts.js';
 import {type SharedUse} from '../shared-windows.js';
 import {type StatedLimits} from '../stated-limits.js';
@@ -85,6 +86,7 @@
 	quarantineRecord: QuarantineRecord;
 	statedLimits: StatedLimits;
 	rollouts: Rollouts;
+	reachability: Reachability;
 	/** The followers of the topics that daemons gossip about. */
 	topics: Record<GossipedTopic, TopicFollower>;
 	clock: SteadyClock;
@@ -379,9 +381,11 @@
 	}
 
 	private sender(nowMs: number): Sender {
-		const {settings, incarnation, startedAtMs} = this.parts;
+		const {settings, incarnation, startedAtMs, reachability} = this.parts;
+		const {cutOffServices} = reachability;
 		return {
 			name: settings.name, incarnation, failureDomain: settings.failureDomain, address: this.address, uptimeMs: Math.round(nowMs - startedAtMs), isStopping: this.digests.isStopping,
+			cutOffServices: cutOffServices.length > 0 ? cutOffServices : undefined,
 		};
 	}
 
--- a/src/coordination/fleet/fleet-table.ts
+++ b/src/coordination/fleet/fleet-table.ts
@@ -52,6 +52,9 @@
 /** The daemon that owns the table. */
 export type LocalDaemon = {name: string; failureDomain: string; startedAtMs: number};
 
+/** A daemon that may serve requests in place of this one, and whether it was heard from of late. */
+export type ProxyCandidate = NamedAddress & {isResponsive: boolean};
+
 /** Tracks the other daemons of the fleet for one daemon. */
 export class FleetTable {
 	private role = FleetRole.Mesh;
@@ -151,6 +154,19 @@
 		return [...this.relaySelections.values()].flatMap(selection => selection.all()).filter(({name}) => name !== this.local.name).map(({address}) => address);
 	}
 
+	/** The daemons that may serve requests of a service in place of this one: those that were heard from of late and are not cut off from it, and in a large fleet also all that do not report to this one. */
+	proxyCandidates(service: string, nowMs: number): ProxyCandidate[] {
+		const responsive = this.peersHeardWithin(silentAfterMs, nowMs).map(({sender}) => sender);
+		const suitable = responsive.filter(({isStopping, cutOffServices}) => !isStopping && !cutOffServices?.includes(service)).map(({name, address}) => ({name, address, isResponsive: true}));
+		if (this.role === FleetRole.Mesh) {
+			return suitable;
+		}
+
+		const reporting = new Set([this.local.name, ...responsive.map(({name}) => name)]);
+		const others = [...this.relaySelections.values()].flatMap(selection => selection.all()).filter(({name}) => !reporting.has(name));
+		return [...suitable, ...others.map(other => ({...other, isResponsive: false}))];
+	}
+
 	/** Number of daemons whose addresses are known, including those that are gone. */
 	get known(): number {
 		let known = 0;
--- a/src/coordination/serving/backend-selector.ts
+++ b/src/coordination/serving/backend-selector.ts
@@ -45,6 +45,12 @@
 		});
 	}
 
+	/** Whether a service has backend servers that accept work. */
+	hasCandidates(service: string): boolean {
+		const {backends, clock} = this.dependencies;
+		return backends.candidates(service, clock.now()).length > 0;
+	}
+
 	/**
 	 * Charges a run to the rate limit of its backend server. This happens on selection, not on
 	 * sending: many streams that select their next engines at once would exceed the limit.
--- a/src/coordination/serving/dispatcher.ts
+++ b/src/coordination/serving/dispatcher.ts
@@ -16,9 +16,11 @@
 import {type CrashWatch} from '../quarantine/crash-watch.js';
 import {type Quarantine} from '../quarantine/quarantine.js';
 import {type RetryPurpose, type RetryBudget} from '../retry-budget.js';
+import {isSpread, type Reachability} from '../reachability.js';
 import {type Rollouts} from '../rollout/rollouts.js';
 import {type StatedLimits} from '../stated-limits.js';
 import {BackendSelector} from './backend-selector.js';
+import {type PeerProxy} from './peer-proxy.js';
 import {type Attempt, type ServedRequest} from './served-request.js';
 import {RetryReservations} from './retry-reservations.js';
 
@@ -47,13 +49,15 @@
 	Unknown = 'unknown',
 	/** The retry budget is used up. */
 	NoRetryBudget = 'no-allowance',
+	/** Several backend servers accepted no connection, and another daemon may reach them. */
+	Unreachable = 'unreachable',
 	/** The request is quarantined, since too many backend servers crashed while running it. */
 	Quarantined = 'quarantined',
 }
 
 /** Whether a dispatch with this outcome rules out any further attempt. */
 export function isFinal(kind: DispatchKind): boolean {
-	return kind === DispatchKind.NoBackend || kind === DispatchKind.NoRetryBudget || kind === DispatchKind.Quarantined;
+	return kind === DispatchKind.NoBackend || kind === DispatchKind.NoRetryBudget || kind === DispatchKind.Quarantined || kind === DispatchKind.Unreachable;
 }
 
 /** An answer whose head has arrived and whose body is still to be read. */
@@ -99,6 +103,8 @@
 	statedLimits: StatedLimits;
 	cooldowns: Cooldowns;
 	rollouts: Rollouts;
+	reachability: Reachability;
+	peerProxy: PeerProxy;
 	clock: SteadyClock;
 };
 
@@ -166,6 +172,11 @@
 			if (hasFixedTarget || served.inputs.signal.aborted || options.signal?.aborted) {
 				return result;
 			}
+
+			if (this.isUnreachable(served)) {
+				served.isUnreachable = true;
+				return {kind: DispatchKind.Unreachable, reason: 'no backend server accepts connections'};
+			}
 		}
 	}
 
@@ -188,9 +199,18 @@
 		}
 	}
 
+	/** Whether a request that was not delivered yet should be served by another daemon. */
+	private isUnreachable({deliveries, unreachedDomains, inputs}: ServedRequest): boolean {
+		const {backends, peerProxy, clock} = this.dependencies;
+		const nowMs = clock.now();
+		return deliveries === 0 && !inputs.isProxied && isSpread(unreachedDomains, backends.candidates(inputs.service, nowMs)) && peerProxy.isAvailable(inputs.service, nowMs);
+	}
+
 	private async sendTo(served: ServedRequest, choice: Pick<PlacementChoice, 'backend' | 'costMs' | 'copyFrom'>, options: DispatchOptions): Promise<StartedAnswer | FailedDispatch> {
 		const {backend, costMs, copyFrom} = choice;
-		const {dialect, placement, pool, clock} = this.dependencies;
+		const {
+			dialect, backends, placement, pool, reachability, clock,
+		} = this.dependencies;
 		const {request, account, body, signal} = served.inputs;
 		const sentAtMs = clock.now();
 		const abort = new AbortController();
@@ -202,6 +222,7 @@
 		options.signal?.addEventListener('abort', cancel, {once: true});
 		const timer = setTimeout(cancel, options.firstByteTimeoutMs);
 		const clearSoftTimeout = this.startSoftTimeout(served, backend.id, options, cancel);
+		const endWaiting = reachability.noteSent(backend, sentAtMs);
 		const running = placement.begin(backend.id, request.promptTokens ?? 0, request.promptParts, sentAtMs);
 		const attempt: Attempt = {
 			backendId: backend.id, costMs: Math.round(costMs), sentAfterMs: Math.round(sentAtMs - served.inputs.arrivedAtMs), result: 'sent',
@@ -231,15 +252,26 @@
 				body,
 				isRetryable: served.isRetryable,
 				connectTimeoutMs: Math.min(connectTimeoutMs, options.firstByteTimeoutMs),
+				onConnect() {
+					reachability.noteConnected(backend, clock.now());
+				},
 				signal: abort.signal,
 			});
+			endWaiting(true, clock.now());
 			served.deliveries++;
 			return this.classifyAnswer(served, {
 				backend, answer, running, attempt, abort,
 			}, options, fail);
 		} catch (error) {
+			const endedAtMs = clock.now();
+			endWaiting(false, endedAtMs);
 			if (error instanceof ConnectError) {
-				placement.noteFailure(backend.id, clock.now());
+				placement.noteFailure(backend.id, endedAtMs);
+				if (!abort.signal.aborted) {
+					served.unreachedDomains.push(backend.failureDomain);
+					reachability.noteUnreached(backend, backends.candidates(backend.service, endedAtMs), endedAtMs);
+				}
+
 				log.debug('connection to the backend server failed.', {backend: backend.id, error: String(error)});
 				return fail({kind: DispatchKind.NotRun, reason: unreachableReason});
 			}
--- a/src/coordination/serving/forwarder.ts
+++ b/src/coordination/serving/forwarder.ts
@@ -5,6 +5,7 @@
  * it was based on.
  */
 import {type Dialect} from '../../protocol/platform.js';
+import {declinedHeader, type ProxiedRequest} from '../../protocol/proxied-requests.js';
 import {
 	type Account, type CallerRequest, RequestKind, type Route,
 } from '../../protocol/serving.js';
@@ -21,6 +22,7 @@
 import {type UsageLedger} from '../usage-ledger.js';
 import {type UnaryResult, forwardUnary} from './unary-forwarding.js';
 import {type Dispatcher} from './dispatcher.js';
+import {type PeerProxy} from './peer-proxy.js';
 import {
 	writeBackendAnswer, writeRefusal, chooseRetryAfterMs, addRetryJitter, promisesNotRun,
 } from './final-answers.js';
@@ -43,6 +45,8 @@
 	/** A stream broke off after events were delivered. */
 	Broken = 'broken',
 	ClientGone = 'client-gone',
+	/** Another daemon answered in place of this one. */
+	Proxied = 'proxied',
 	/** The request was not admitted, and no backend server was selected. */
 	Rejected = 'rejected',
 }
@@ -57,6 +61,7 @@
 	/** Age of the view in milliseconds beyond which it may lack an added route or key: an unknown one is then answered with 503 instead of 404 or 401. */
 	maxDenialViewAgeMs: number;
 	dispatcher: Dispatcher;
+	peerProxy: PeerProxy;
 	registry: StreamRegistry;
 	quota: QuotaLedger;
 	usage: UsageLedger;
@@ -77,18 +82,24 @@
 
 /** How long a request waits for a daemon that has just started to read its configuration, in milliseconds. The read takes 70 ms; a refusal would use up the client's only retry. */
 const initialViewWaitMs = 400;
+/** Most requests of other daemons that are served at once; further ones would take what this daemon's own clients need. */
+const maxProxiedRequests = 400;
 /** Timers may fire up to this many milliseconds early. */
 const timerToleranceMs = 5;
 
-type Admission = {route: Route; account: Account | undefined; service: string; cost: number; fingerprint: number | undefined};
+type Destination = {route: Route; account: Account | undefined; service: string};
+type Admission = Destination & {cost: number; fingerprint: number | undefined};
 type Rejection = {status: number; reason: string; retryAfterMs?: number};
 
-function isRejection(value: Admission | Rejection): value is Rejection {
+function isRejection(value: Destination | Rejection): value is Rejection {
 	return 'status' in value;
 }
 
 /** Serves client requests. */
 export class Forwarder {
+	/** Requests of other daemons that are being served. */
+	private proxiedRequests = 0;
+
 	constructor(private readonly dependencies: ForwarderDependencies) {}
 
 	async handle(front: FrontRequest): Promise<void> {
@@ -101,32 +112,92 @@
 		}
 
 		await initialView.wait(initialViewWaitMs);
-		const admission = this.admit(request, front.body, arrivedAtMs);
+		const destination = this.findDestination(request, arrivedAtMs);
+		if (!isRejection(destination) && this.dependencies.peerProxy.isNeeded(destination.service)) {
+			const unsent = new ServedRequest({
+				...destination, request, body: front.body, response: front.response, signal: front.signal, arrivedAtMs, configVersion: routes.version!,
+			});
+			await this.serveByPeer(unsent, front);
+			return;
+		}
+
+		const admission = isRejection(destination) ? destination : this.admit(destination, request, front.body, arrivedAtMs);
 		if (isRejection(admission)) {
 			this.reject(front, request.id, admission, arrivedAtMs);
 			return;
 		}
 
-		const {
-			route, account, service, cost, fingerprint,
-		} = admission;
+		await this.serve(admission, request, front, {arrivedAtMs, isProxied: false});
+	}
+
+	/** Serves a request for another daemon that reaches no backend server of its service; declines it if this one can't either, or can't tell whether it is allowed. */
+	async handleProxied(front: FrontRequest, {request, body, account: accountName, configVersion, elapsedMs, isCounted}: ProxiedRequest): Promise<void> {
+		const {routes, peerProxy, dispatcher, clock} = this.dependencies;
+		const nowMs = clock.now();
+		const account = accountName === undefined ? undefined : routes.accountNamed(accountName);
+		const isKnown = routes.version !== undefined && routes.version >= configVersion && (accountName === undefined || account !== undefined);
+		const destination = isKnown ? this.findRoute(request, account, nowMs) : undefined;
+		if (!destination || isRejection(destination) || peerProxy.isNeeded(destination.service) || !dispatcher.selector.hasCandidates(destination.service) || this.proxiedRequests >= maxProxiedRequests) {
+			writeErrorResponse(front.response, 503, 'declined', {[declinedHeader]: '1'});
+			return;
+		}
+
+		const admission = this.admit(destination, request, body, nowMs, isCounted);
+		if (isRejection(admission)) {
+			this.reject(front, request.id, admission, nowMs);
+			return;
+		}
+
+		this.proxiedRequests++;
+		try {
+			await this.serve(admission, request, {...front, body}, {arrivedAtMs: nowMs - elapsedMs, isProxied: true});
+		} finally {
+			this.proxiedRequests--;
+		}
+	}
+
+	/** Serves an admitted request. */
+	private async serve({route, account, service, cost, fingerprint}: Admission, request: CallerRequest, front: FrontRequest, {arrivedAtMs, isProxied}: {arrivedAtMs: number; isProxied: boolean}): Promise<void> {
+		const {routes, quota, clock} = this.dependencies;
 		const served = new ServedRequest({
-			request, route, service, account, body: front.body, response: front.response, signal: front.signal, arrivedAtMs, configVersion: routes.version!, fingerprint,
+			request, route, service, account, body: front.body, response: front.response, signal: front.signal, arrivedAtMs, configVersion: routes.version!, isProxied, fingerprint,
 		});
 		try {
 			await (route.kind === RequestKind.Streaming ? this.serveStream(served, front) : this.serveUnary(served, front));
 		} finally {
 			if (!served.mayHaveRun && account) {
-				this.dependencies.quota.refund(account, cost, clock.now());
+				quota.refund(account, cost, clock.now());
 			}
 		}
 	}
 
-	/** Finds the route and the account of a request and charges its cost to the account's limit. */
-	private admit(request: CallerRequest, body: Uint8Array, nowMs: number): Admission | Rejection {
-		const {
-			routes, configView, maxViewAgeMs, maxDenialViewAgeMs, quota, quotaPeers, retryBudget, quarantine,
-		} = this.dependencies;
+	/** Lets another daemon serve a request that no backend server has received, and refuses it if none does. */
+	private async serveByPeer(served: ServedRequest, front: FrontRequest): Promise<void> {
+		const {peerProxy, clock} = this.dependencies;
+		const {request, account, service, configVersion, arrivedAtMs} = served.inputs;
+		const result = await peerProxy.serve(front, {
+			request: {...request, apiKey: undefined}, body: front.body, account: account?.name, configVersion, elapsedMs: clock.now() - arrivedAtMs, isCounted: served.isUnreachable,
+		}, service, served.deadlineAtMs);
+		if (front.signal.aborted) {
+			this.recordOutcome(served, Outcome.ClientGone, {});
+		} else if (result.kind === 'answered') {
+			this.recordOutcome(served, Outcome.Proxied, {status: result.status, reason: result.isComplete ? result.peer : `${result.peer} broke off`});
+		} else if (result.kind === 'not-run') {
+			this.refuseServed(served, front, result.reason);
+		} else {
+			this.writeUnknownOutcome(served, front, result.reason);
+		}
+	}
+
+	/** Finds the route and the account of a client's request. */
+	private findDestination(request: CallerRequest, nowMs: number): Destination | Rejection {
+		const {routes} = this.dependencies;
+		return this.findRoute(request, request.apiKey === undefined ? undefined : routes.accountOf(request.apiKey), nowMs);
+	}
+
+	/** Finds the route of a request of an account, and checks that the account may use it. */
+	private findRoute(request: CallerRequest, sender: Account | undefined, nowMs: number): Destination | Rejection {
+		const {routes, configView, maxViewAgeMs, maxDenialViewAgeMs} = this.dependencies;
 		if (!routes.current) {
 			return {status: 503, reason: 'configuration not known yet', retryAfterMs: outageRetryAfterMs};
 		}
@@ -140,7 +211,7 @@
 
 		let account: Account | undefined;
 		if (!route.isPublic && routes.requiresApiKeys) {
-			account = request.apiKey === undefined ? undefined : routes.accountOf(request.apiKey);
+			account = sender;
 			if (viewAgeMs > (account ? maxViewAgeMs : maxDenialViewAgeMs)) {
 				return outdated;
 			}
@@ -155,6 +226,15 @@
 			return {status: 503, reason: 'route without a service', retryAfterMs: outageRetryAfterMs};
 		}
 
+		return {route, account, service};
+	}
+
+	/** Checks that a request is not quarantined and charges its cost to the account's limit. */
+	private admit(destination: Destination, request: CallerRequest, body: Uint8Array, nowMs: number, isCounted = false): Admission | Rejection { // eslint-disable-line max-params
+		const {
+			quota, quotaPeers, retryBudget, quarantine,
+		} = this.dependencies;
+		const {account, service} = destination;
 		const fingerprint = this.fingerprintIfSuspected(request, body, account);
 		const quarantined = fingerprint === undefined ? undefined : quarantine.admit(fingerprint, nowMs);
 		if (quarantined) {
@@ -165,13 +245,14 @@
 		const peers = quotaPeers(nowMs);
 		const refusal = account && quota.admit(account, cost, peers, Math.random(), nowMs);
 		if (refusal) {
-			return {status: 429, reason: `over the limit of ${account!.name}: cost ${cost}, ${refusal.waitMs} ms short, ${peers.silentDaemons} of ${peers.daemons} daemons silent`, retryAfterMs: refusal.waitMs};
+			return {status: 429, reason: `over the limit of ${account.name}: cost ${cost}, ${refusal.waitMs} ms short, ${peers.silentDaemons} of ${peers.daemons} daemons silent`, retryAfterMs: refusal.waitMs};
 		}
 
-		retryBudget.countRequest(service, nowMs);
-		return {
-			route, account, service, cost, fingerprint,
-		};
+		if (!isCounted) {
+			retryBudget.countRequest(service, nowMs);
+		}
+
+		return {...destination, cost, fingerprint};
 	}
 
 	/** Returns the request's fingerprint while any request is suspected of crashing backend servers; otherwise undefined, which saves the hashing. */
@@ -205,7 +286,16 @@
 		const result = await forwardUnary(dispatcher, served, () => {
 			this.countUsage(served);
 		}, () => clock.now());
-		this.writeFinalAnswer(served, front, result);
+		await this.finish(served, front, result);
+	}
+
+	/** Writes the final answer, or lets another daemon serve a request for which no backend server accepted a connection. */
+	private async finish(served: ServedRequest, front: FrontRequest, result: UnaryResult | Exclude<StreamResult, {kind: 'complete' | 'broken'}>): Promise<void> {
+		if (served.isUnreachable && result.kind === 'not-run' && !front.signal.aborted) {
+			await this.serveByPeer(served, front);
+		} else {
+			this.writeFinalAnswer(served, front, result);
+		}
 	}
 
 	private async serveStream(served: ServedRequest, front: FrontRequest): Promise<void> {
@@ -227,7 +317,7 @@
 			front.response.destroy();
 			this.recordOutcome(served, front.signal.aborted ? Outcome.ClientGone : Outcome.Broken, {events: result.events, reason: result.reason});
 		} else {
-			this.writeFinalAnswer(served, front, result);
+			await this.finish(served, front, result);
 		}
 	}
 
--- a/src/coordination/serving/served-request.ts
+++ b/src/coordination/serving/served-request.ts
@@ -22,6 +22,8 @@
 	signal: AbortSignal;
 	arrivedAtMs: number;
 	configVersion: number;
+	/** Whether another daemon sent it to this one, in whose place this one serves it. */
+	isProxied?: boolean;
 	/** The fingerprint that the client's retries share, if it has been computed already. */
 	fingerprint?: number;
 };
@@ -59,6 +61,10 @@
 	reservation: RetryReservation | undefined;
 	/** Whether its first attempt tests a version that is being rolled out; drawn on first use. */
 	isCanary: boolean | undefined;
+	/** Failure domains of the backend servers that accepted no connection for it. */
+	readonly unreachedDomains: string[] = [];
+	/** Whether it was given up because too many accepted none. */
+	isUnreachable = false;
 	/** Whether it has been counted for the usage reports. */
 	isUsageCounted = false;
 	/** Resolves once it is known whether the backend server at which its last run broke off has crashed. */
--- a/src/protocol/fleet-messages.ts
+++ b/src/protocol/fleet-messages.ts
@@ -60,6 +60,8 @@
 	uptimeMs: number;
 	/** Whether it is about to stop. */
 	isStopping: boolean;
+	/** The services from whose backend servers it is cut off; undefined if there are none. */
+	cutOffServices?: string[];
 };
 
 /** The fencing token of the known duty holder, and how long ago that was confirmed. */
--- a/src/state/route-table.ts
+++ b/src/state/route-table.ts
@@ -103,6 +103,11 @@
 		return this.accountsByKey.get(apiKey);
 	}
 
+	/** Returns the client account with a name. */
+	accountNamed(name: string): Account | undefined {
+		return this.config?.accounts.find(account => account.name === name);
+	}
+
 	/** Returns the service with a name. */
 	service(name: string): Service | undefined {
 		return this.servicesByName.get(name);
--- a/src/transport/backend-connection-pool.ts
+++ b/src/transport/backend-connection-pool.ts
@@ -57,7 +57,7 @@
 	}
 
 	/** Selects the agent for a request: this pool, or one that opens a new connection if the request is not retryable and reuse is restricted. */
-	selectAgent(backend: Backend, isRetryable: boolean, nowMs: number): Agent {
+	selectAgent(backend: Pick<Backend, 'host' | 'port'>, isRetryable: boolean, nowMs: number): Agent {
 		if (isRetryable || nowMs >= this.reuseRestrictedUntilMs) {
 			return this;
 		}
@@ -68,6 +68,13 @@
 		return canReuse ? this : this.singleUseAgent;
 	}
 
+	/** Closes the idle connections to a backend server. */
+	closeIdle(backend: Pick<Backend, 'host' | 'port'>): void {
+		for (const socket of this.freeSockets[this.getName({host: backend.host, port: backend.port})] ?? []) {
+			socket.destroy();
+		}
+	}
+
 	override destroy(): void {
 		this.singleUseAgent.destroy();
 		super.destroy();
@@ -109,7 +116,7 @@
 
 /** One request to one backend server. */
 export type BackendRequest = {
-	backend: Backend;
+	backend: Pick<Backend, 'id' | 'host' | 'port'>;
 	method: string;
 	path: string;
 	/** Alternating names and values. */
@@ -119,6 +126,8 @@
 	isRetryable: boolean;
 	/** Connect timeout, in milliseconds. */
 	connectTimeoutMs: number;
+	/** Called when a new connection has been opened for the request. */
+	onConnect?: () => void;
 	/** Closes the connection when it aborts. */
 	signal: AbortSignal;
 };
@@ -207,7 +216,7 @@
  */
 export async function sendBackendRequest(pool: BackendConnectionPool, options: BackendRequest): Promise<BackendResponse> {
 	const {
-		backend, method, path, headers, body, isRetryable, connectTimeoutMs, signal,
+		backend, method, path, headers, body, isRetryable, connectTimeoutMs, onConnect, signal,
 	} = options;
 	signal.throwIfAborted();
 	const hasBody = body !== undefined && (body.length > 0 || (method !== 'GET' && method !== 'HEAD'));
@@ -236,6 +245,7 @@
 		socket.once('connect', () => {
 			isConnected = true;
 			clearTimeout(timer);
+			onConnect?.();
 		});
 		socket.once('close', () => {
 			clearTimeout(timer);
--- a/src/transport/port-probe.ts
+++ b/src/transport/port-probe.ts
@@ -1,4 +1,4 @@
-/** Checks whether a process listens at an address, without sending a request. */
+/** Checks whether connections to an address are refused or accepted, without sending a request. */
 import {connect} from 'node:net';
 
 /**
@@ -26,3 +26,27 @@
 		});
 	});
 }
+
+/**
+ * Returns whether an address accepts a connection in time.
+ *
+ * @param timeoutMs Longest wait for the connection, in milliseconds.
+ */
+export async function isConnectionAccepted(address: {host: string; port: number}, timeoutMs: number): Promise<boolean> {
+	return new Promise(resolve => {
+		const socket = connect(address);
+		const finish = (isAccepted: boolean) => {
+			clearTimeout(timer);
+			socket.destroy();
+			resolve(isAccepted);
+		};
+
+		const timer = setTimeout(finish, timeoutMs, false);
+		socket.once('connect', () => {
+			finish(true);
+		});
+		socket.once('error', () => {
+			finish(false);
+		});
+	});
+}
