--- a/src/coordination/fleet/__tests__/fleet-messenger.test.ts
+++ b/src/coordination/fleet/__tests__/fleet-messenger.test.ts
@@ -1,6 +1,7 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {describe, expect, it} from 'vitest';
 import {Topic} from '../../../protocol/platform.js';
+import {type Backend, BackendState} from '../../../protocol/serving.js';
 import {
 	account, startNet, type TestDaemon, tickMs,
 } from '../__fixtures__/test-net.js';
@@ -174,6 +175,25 @@
 		expect(Math.max(...net.countedAdmissions())).toBeLessThan(admitted * 1.35);
 	});
 
+	it.each([{daemons: 8, known: 6}, {daemons: 40, known: 38}])('of $daemons daemons names only those as proxies that reach a service', async ({daemons, known}) => {
+		const net = await startNet(daemons, 4);
+		const [cutOff, asking] = net.daemons;
+		const backends = Array.from({length: 4}, (_, index): Backend => ({
+			id: `i-${index}`, name: `i-${index}`, startedAtMs: undefined, service: 's', version: 'v1', host: 'h', port: 1, failureDomain: `fd-${index}`, slots: 1, state: BackendState.Ready, isReclaimable: false, leavesInMs: undefined, coldForMs: 0,
+		}));
+		for (const backend of backends) {
+			cutOff.reachability.noteUnreached(backend, backends, net.nowMs);
+		}
+
+		net.run(600);
+		const names = (service: string) => asking.fleet.proxyCandidates(service, net.nowMs).map(({name}) => name);
+		expect(names('s')).not.toContain(asking.name);
+		expect(names('other')).toContain(cutOff.name);
+		// In a large fleet, a daemon does not hear from most of the others.
+		expect(names('s').length).toBeGreaterThanOrEqual(known);
+		expect(names('s').includes(cutOff.name)).toBe(daemons > 12 && !asking.fleet.proxyCandidates('other', net.nowMs).some(({name, isResponsive}) => name === cutOff.name && isResponsive));
+	});
+
 	it('detects that a daemon hears from nobody', async () => {
 		const net = await startNet(86, 4);
 		const isolated = net.daemons.at(-1)!;
