Protect backend servers that state that they fail under overload

Replicas may state how many requests a second they can refuse for want of room before they crash. Nobody read it: each daemon found out by trying, so together the daemons refused far more at a full replica. Now daemons gossip the statement and each refusal, divide the slots of such a replica among themselves, and pause and reduce their shares after a refusal by anyone.

--- a/src/cli/front-container.ts
+++ b/src/cli/front-container.ts
@@ -23,6 +23,7 @@
 import {selectSenders} from '../coordination/fleet/sender-selection.js';
 import {computeReadLimits} from '../coordination/topic-read-limits.js';
 import {FleetRetryBudget} from '../coordination/fleet-retry-budget.js';
+import {OverloadTolerances} from '../coordination/overload-tolerances.js';
 import {Placement} from '../coordination/placement.js';
 import {PoolDemands} from '../coordination/pool-demand.js';
 import {CrashWatch} from '../coordination/quarantine/crash-watch.js';
@@ -138,6 +139,7 @@
 	}));
 	registerFactory(StatedLimits, resolver => new StatedLimits((backend, maxSenders, nowMs) => selectSenders(resolver.resolve(FleetTable), settings.name, backend, maxSenders, nowMs)));
 	registerFactory(Cooldowns, () => new Cooldowns());
+	registerFactory(OverloadTolerances, resolver => new OverloadTolerances(settings.name, nowMs => resolver.resolve(FleetTable).daemons(nowMs)));
 	registerFactory(Reachability, () => new Reachability(() => Math.random()));
 	registerFactory(PeerConnectionPool, () => new PeerConnectionPool());
 	registerFactory(PeerProxy, resolver => new PeerProxy({
@@ -159,6 +161,7 @@
 		crashWatch: resolver.resolve(CrashWatch),
 		statedLimits: resolver.resolve(StatedLimits),
 		cooldowns: resolver.resolve(Cooldowns),
+		tolerances: resolver.resolve(OverloadTolerances),
 		rollouts: resolver.resolve(Rollouts),
 		reachability: resolver.resolve(Reachability),
 		peerProxy: resolver.resolve(PeerProxy),
@@ -214,6 +217,7 @@
 		quarantine: resolver.resolve(Quarantine),
 		quarantineRecord: resolver.resolve(QuarantineRecord),
 		statedLimits: resolver.resolve(StatedLimits),
+		tolerances: resolver.resolve(OverloadTolerances),
 		rollouts: resolver.resolve(Rollouts),
 		reachability: resolver.resolve(Reachability),
 		topics: {[Topic.Config]: resolver.resolve(ConfigFollower), [Topic.Backends]: resolver.resolve(BackendsFollower)},
--- a/src/cli/front-daemon.ts
+++ b/src/cli/front-daemon.ts
@@ -24,6 +24,7 @@
 import {FleetMessenger} from '../coordination/fleet/fleet-messenger.js';
 import {reportIntervalMs} from '../coordination/fleet/peer-counter.js';
 import {FleetTable} from '../coordination/fleet/fleet-table.js';
+import {OverloadTolerances} from '../coordination/overload-tolerances.js';
 import {Placement} from '../coordination/placement.js';
 import {Quarantine} from '../coordination/quarantine/quarantine.js';
 import {quarantineCheckIntervalMs, QuarantineRecord} from '../coordination/quarantine/quarantine-record.js';
@@ -193,6 +194,7 @@
 			quarantine: this.container.resolve(Quarantine).toJson(nowMs),
 			statedLimits: this.container.resolve(StatedLimits).toJson(nowMs),
 			cooldowns: this.container.resolve(Cooldowns).toJson(nowMs),
+			overloadTolerances: this.container.resolve(OverloadTolerances).toJson(nowMs),
 			rollouts: this.container.resolve(Rollouts).toJson(),
 			reachability: this.container.resolve(Reachability).toJson(nowMs),
 		};
--- a/src/coordination/fleet/__fixtures__/test-net.ts
+++ b/src/coordination/fleet/__fixtures__/test-net.ts
@@ -10,6 +10,7 @@
 import {FakeStore} from '../../../testing/fake-store.js';
 import {sumOfProfile} from '../../account-window.js';
 import {DutyLease} from '../../duty-lease.js';
+import {OverloadTolerances} from '../../overload-tolerances.js';
 import {Placement} from '../../placement.js';
 import {Quarantine} from '../../quarantine/quarantine.js';
 import {QuarantineRecord} from '../../quarantine/quarantine-record.js';
@@ -50,6 +51,7 @@
 	readonly quarantine: Quarantine;
 	readonly quarantineRecord: QuarantineRecord;
 	readonly statedLimits: StatedLimits;
+	readonly tolerances: OverloadTolerances;
 	readonly retryBudget: FleetRetryBudget;
 	readonly reachability = new Reachability(() => 0);
 	readonly rollouts = new Rollouts({canaryShare: 0.1}, () => 0);
@@ -98,10 +100,11 @@
 			store: net.store, quarantine: this.quarantine, lease: this.lease, clock,
 		});
 		this.statedLimits = new StatedLimits((backend, maxSenders, nowMs) => selectSenders(this.fleet, name, backend, maxSenders, nowMs));
+		this.tolerances = new OverloadTolerances(name, nowMs => this.fleet.daemons(nowMs));
 		this.messenger = new FleetMessenger({
 			settings: {
 				name, failureDomain, host, peerPort: 1, bounds: {quotaWindowMs: net.bounds.windowMs, retryWindowMs: retryLimits.windowMs},
-			}, incarnation, store: net.store, fleet: this.fleet, sharedUse, usage: this.usage, placement: this.placement, lease: this.lease, bounds: this.bounds, quarantine: this.quarantine, quarantineRecord: this.quarantineRecord, statedLimits: this.statedLimits, rollouts: this.rollouts, reachability: this.reachability, topics: this.topics, clock, startedAtMs,
+			}, incarnation, store: net.store, fleet: this.fleet, sharedUse, usage: this.usage, placement: this.placement, lease: this.lease, bounds: this.bounds, quarantine: this.quarantine, quarantineRecord: this.quarantineRecord, statedLimits: this.statedLimits, tolerances: this.tolerances, rollouts: this.rollouts, reachability: this.reachability, topics: this.topics, clock, startedAtMs,
 		});
 		this.messenger.open({
 			send: (message, to) => {
--- a/src/coordination/fleet/backend-updates.ts
+++ b/src/coordination/fleet/backend-updates.ts
@@ -1,12 +1,14 @@
 /**
  * Sends and receives updates on backend servers that must reach all daemons quickly: which
- * backend servers ended while they ran which requests, which ones state limits, and which
+ * backend servers ended while they ran which requests, which ones state limits or that they
+ * fail under overload, and which
  * versions are being rolled out. The updates are separate messages, so that a fleet without
  * such events has no extra traffic.
  */
 import {
-	type FleetMessage, FleetMessageKind, type LimitList, type RolloutList, type Sender, type SuspectList,
+	type FleetMessage, FleetMessageKind, type LimitList, type RolloutList, type Sender, type SuspectList, type ToleranceList,
 } from '../../protocol/fleet-messages.js';
+import {type OverloadTolerances} from '../overload-tolerances.js';
 import {type Quarantine} from '../quarantine/quarantine.js';
 import {type Rollouts} from '../rollout/rollouts.js';
 import {type StatedLimits} from '../stated-limits.js';
@@ -15,10 +17,10 @@
 const itemsPerMessage = 10;
 
 /** The sources and receivers of the updates. */
-export type BackendUpdateParts = {quarantine: Quarantine; statedLimits: StatedLimits; rollouts: Rollouts};
+export type BackendUpdateParts = {quarantine: Quarantine; statedLimits: StatedLimits; tolerances: OverloadTolerances; rollouts: Rollouts};
 
 /** The messages that carry the updates. */
-export type BackendUpdateMessage = SuspectList | LimitList | RolloutList;
+export type BackendUpdateMessage = SuspectList | LimitList | ToleranceList | RolloutList;
 
 /** Creates and processes updates on backend servers. */
 export class BackendUpdates {
@@ -26,12 +28,13 @@
 
 	/** Creates messages with the latest changes, and with `includesAll` also with everything in force, for daemons that have just started. */
 	createMessages(sender: Sender, includesAll: boolean, nowMs: number): BackendUpdateMessage[] {
-		const {quarantine, statedLimits, rollouts} = this.parts;
+		const {quarantine, statedLimits, tolerances, rollouts} = this.parts;
 		const suspects = quarantine.isEmpty ? [] : quarantine.recentUpdates(includesAll, nowMs);
 		const limits = statedLimits.isEmpty ? [] : statedLimits.updates(includesAll, nowMs);
 		return [
 			...chunk(suspects).map(part => ({kind: FleetMessageKind.Suspects as const, sender, suspects: part})),
 			...chunk(limits).map(part => ({kind: FleetMessageKind.Limits as const, sender, limits: part})),
+			...chunk(tolerances.isEmpty ? [] : tolerances.updates(includesAll, nowMs)).map(part => ({kind: FleetMessageKind.Tolerances as const, sender, tolerances: part})),
 			...chunk(rollouts.isEmpty ? [] : rollouts.updates(includesAll, nowMs)).map(part => ({kind: FleetMessageKind.Rollouts as const, sender, rollouts: part})),
 		];
 	}
@@ -48,6 +51,11 @@
 			return true;
 		}
 
+		if (message.kind === FleetMessageKind.Tolerances) {
+			this.parts.tolerances.applyUpdates(message.tolerances, shouldForward, nowMs);
+			return true;
+		}
+
 		if (message.kind === FleetMessageKind.Rollouts) {
 			// A roll-out that is under way is sent by every daemon in each round, so it needs no forwarding.
 			this.parts.rollouts.applyUpdates(message.rollouts, nowMs);
--- a/src/coordination/fleet/fleet-messenger.ts
+++ b/src/coordination/fleet/fleet-messenger.ts
@@ -14,6 +14,7 @@
 import {type SteadyClock} from '../../clock.js';
 import {type MessageSender} from '../../transport/datagram-link.js';
 import {type DutyLease} from '../duty-lease.js';
+import {type OverloadTolerances} from '../overload-tolerances.js';
 import {type Placement} from '../placement.js';
 import {type Quarantine} from '../quarantine/quarantine.js';
 import {quarantineKey, type QuarantineRecord} from '../quarantine/quarantine-record.js';
@@ -85,6 +86,7 @@
 	quarantine: Quarantine;
 	quarantineRecord: QuarantineRecord;
 	statedLimits: StatedLimits;
+	tolerances: OverloadTolerances;
 	rollouts: Rollouts;
 	reachability: Reachability;
 	/** The followers of the topics that daemons gossip about. */
--- a/src/coordination/placement.ts
+++ b/src/coordination/placement.ts
@@ -145,6 +145,13 @@
 		this.statsOf(backendId).failures.push(nowMs);
 	}
 
+	/** Returns the requests that this daemon and all daemons have in flight at a backend server, and those that it recently reported to be waiting. */
+	expectedLoad(backendId: string, peersInFlight: number, nowMs: number): {ownInFlight: number; inFlight: number; waiting: number} {
+		const {inFlight, reportedLoad, reportedAtMs} = this.statsOf(backendId);
+		const reported = reportedLoad && nowMs - reportedAtMs <= reportedLoadMaxAgeMs ? reportedLoad : undefined;
+		return {ownInFlight: inFlight, inFlight: Math.max(inFlight + peersInFlight, reported?.running ?? 0), waiting: reported?.waiting ?? 0};
+	}
+
 	/** Returns this daemon's requests in flight, by id of the backend server. */
 	inFlight(): Record<string, number> {
 		return Object.fromEntries([...this.statsByBackend].filter(([, stats]) => stats.inFlight > 0).map(([id, stats]) => [id, stats.inFlight]));
--- a/src/coordination/serving/__tests__/backend-selector.test.ts
+++ b/src/coordination/serving/__tests__/backend-selector.test.ts
@@ -10,6 +10,7 @@
 import {BackendTable} from '../../../state/backend-table.js';
 import {Cooldowns} from '../../cooldowns.js';
 import {FleetTable} from '../../fleet/fleet-table.js';
+import {OverloadTolerances} from '../../overload-tolerances.js';
 import {Placement} from '../../placement.js';
 import {Quarantine} from '../../quarantine/quarantine.js';
 import {RetryPurpose, LocalRetryBudget} from '../../retry-budget.js';
@@ -55,7 +56,7 @@
 	const fleet = new FleetTable({name: 'd', failureDomain: 'fd-a', startedAtMs: 0});
 	const quarantine = new Quarantine(() => false);
 	const selector = new BackendSelector({
-		backends, placement, fleet, quarantine, statedLimits: limits, cooldowns, rollouts: new Rollouts({canaryShare: 0.1}, () => 0), clock,
+		backends, placement, fleet, quarantine, statedLimits: limits, cooldowns, tolerances: new OverloadTolerances('d', () => 1), rollouts: new Rollouts({canaryShare: 0.1}, () => 0), clock,
 	});
 	const retryBudget = new LocalRetryBudget({ratio: 0, windowMs: 10_000, slack: 100});
 	const reservations = new RetryReservations({
--- a/src/coordination/serving/backend-selector.ts
+++ b/src/coordination/serving/backend-selector.ts
@@ -5,6 +5,7 @@
 import {type Cooldowns} from '../cooldowns.js';
 import {backendKey} from '../fleet/backend-key.js';
 import {type FleetTable} from '../fleet/fleet-table.js';
+import {type OverloadTolerances} from '../overload-tolerances.js';
 import {type PlacementChoice, type Placement} from '../placement.js';
 import {type Quarantine} from '../quarantine/quarantine.js';
 import {type Rollouts} from '../rollout/rollouts.js';
@@ -19,6 +20,7 @@
 	quarantine: Quarantine;
 	statedLimits: StatedLimits;
 	cooldowns: Cooldowns;
+	tolerances: OverloadTolerances;
 	rollouts: Rollouts;
 	clock: SteadyClock;
 };
@@ -34,7 +36,7 @@
 		const nowMs = clock.now();
 		const excluded = currentBackendId === undefined ? served.excluded : new Set([...served.excluded, currentBackendId]);
 		return placement.choose({
-			candidates: this.filterByRateLimit(this.filterByCooldown(rollouts.filter(service, backends.candidates(service, nowMs), this.isCanary(served)), nowMs), excluded, nowMs),
+			candidates: this.filterByRateLimit(this.filterByRoom(this.filterByCooldown(rollouts.filter(service, backends.candidates(service, nowMs), this.isCanary(served)), nowMs), nowMs), excluded, nowMs),
 			excluded,
 			promptTokens: request.promptTokens ?? 0,
 			promptParts: request.promptParts,
@@ -70,7 +72,7 @@
 		const entry = backends.get(backend.id);
 		const isStaying = entry !== undefined && entry.leavingSinceMs === undefined;
 		const isWithinLimit = isRateLimitCharged || statedLimits.permission(backend.id, nowMs) !== SendPermission.Withheld;
-		return isStaying && isWithinLimit && !cooldowns.isCoolingDown(backend, nowMs) && rollouts.mayReceive(backend) && !served.excluded.has(backend.id);
+		return isStaying && isWithinLimit && !cooldowns.isCoolingDown(backend, nowMs) && this.hasRoom(backend, nowMs) && rollouts.mayReceive(backend) && !served.excluded.has(backend.id);
 	}
 
 	/** Records a stream that is to continue on the backend server to which its KV cache was moved; returns false if it must not. */
@@ -80,13 +82,14 @@
 
 	/** Milliseconds until a backend server of the request's service that now withholds its capacity may receive a request; undefined when none is rate-limited or cools down. */
 	waitMs(served: ServedRequest, nowMs: number): number | undefined {
-		const {statedLimits, cooldowns, backends} = this.dependencies;
-		if (statedLimits.isEmpty && cooldowns.isEmpty) {
+		const {statedLimits, cooldowns, tolerances, backends} = this.dependencies;
+		if (statedLimits.isEmpty && cooldowns.isEmpty && tolerances.isEmpty) {
 			return undefined;
 		}
 
 		const candidates = backends.candidates(served.inputs.service, nowMs);
-		const waits = [statedLimits.retryAfterMs(candidates.map(({id}) => id), nowMs), cooldowns.retryAfterMs(candidates, nowMs)].filter(wait => wait !== undefined);
+		const ids = candidates.map(({id}) => id);
+		const waits = [statedLimits.retryAfterMs(ids, nowMs), tolerances.retryAfterMs(ids, nowMs), cooldowns.retryAfterMs(candidates, nowMs)].filter(wait => wait !== undefined);
 		return waits.length > 0 ? Math.min(...waits) : undefined;
 	}
 
@@ -107,6 +110,16 @@
 		return cooldowns.isEmpty ? candidates : candidates.filter(backend => !cooldowns.isCoolingDown(backend, nowMs));
 	}
 
+	/** Returns the candidates that should have room for a request, or don't fail for want of it. */
+	private filterByRoom(candidates: Backend[], nowMs: number): Backend[] {
+		return this.dependencies.tolerances.isEmpty ? candidates : candidates.filter(backend => this.hasRoom(backend, nowMs));
+	}
+
+	private hasRoom({id, slots}: Backend, nowMs: number): boolean {
+		const {placement, fleet, tolerances} = this.dependencies;
+		return tolerances.mayReceive(id, () => ({...placement.expectedLoad(id, fleet.inFlight(backendKey(id), nowMs), nowMs), slots}), nowMs);
+	}
+
 	/** Returns the candidates whose rate limits allow a request now. If the limit of any of them has not been confirmed recently, returns only those, so that this request refreshes it. */
 	private filterByRateLimit(candidates: Backend[], excluded: ReadonlySet<string>, nowMs: number): Backend[] {
 		const {statedLimits} = this.dependencies;
--- a/src/coordination/serving/dispatcher.ts
+++ b/src/coordination/serving/dispatcher.ts
@@ -12,6 +12,7 @@
 import {createLogger} from '../../log.js';
 import {type Cooldowns} from '../cooldowns.js';
 import {type FleetTable} from '../fleet/fleet-table.js';
+import {type OverloadTolerances} from '../overload-tolerances.js';
 import {type PlacementChoice, type Placement, type RunningRequest} from '../placement.js';
 import {type CrashWatch} from '../quarantine/crash-watch.js';
 import {type Quarantine} from '../quarantine/quarantine.js';
@@ -102,6 +103,7 @@
 	crashWatch: CrashWatch;
 	statedLimits: StatedLimits;
 	cooldowns: Cooldowns;
+	tolerances: OverloadTolerances;
 	rollouts: Rollouts;
 	reachability: Reachability;
 	peerProxy: PeerProxy;
@@ -340,6 +342,10 @@
 			cooldowns.note(backend, metadata.retryAfterMs, clock.wallTimeMs(), nowMs);
 		}
 
+		if (answer.status !== misdirectedRequestStatus) {
+			this.dependencies.tolerances.noteAnswer(backend.id, metadata.refusalsPerSecond, answer.status === unavailableStatus && metadata.isNotRun, nowMs);
+		}
+
 		const isValid = metadata.requestId === served.inputs.request.id && metadata.isSealed && !metadata.isEncoded;
 		if (isValid || (metadata.limitPerSecond !== undefined && answer.status !== misdirectedRequestStatus)) {
 			this.dependencies.statedLimits.noteStated(backend.id, metadata.limitPerSecond, nowMs);
@@ -381,7 +387,7 @@
 }
 
 /** Describes what an answer states of its backend server, for logs; undefined if it states nothing. */
-function describeStatements({isLeaving, retryAfterMs}: AnswerMetadata): string | undefined {
-	const statements = [isLeaving ? 'leaving' : undefined, retryAfterMs === undefined ? undefined : `retry after ${retryAfterMs} ms`].filter(statement => statement !== undefined);
+function describeStatements({isLeaving, retryAfterMs, refusalsPerSecond}: AnswerMetadata): string | undefined {
+	const statements = [isLeaving ? 'leaving' : undefined, retryAfterMs === undefined ? undefined : `retry after ${retryAfterMs} ms`, refusalsPerSecond === undefined ? undefined : `tolerates ${refusalsPerSecond} refusals/s`].filter(statement => statement !== undefined);
 	return statements.length > 0 ? statements.join(', ') : undefined;
 }
--- a/src/protocol/fleet-messages.ts
+++ b/src/protocol/fleet-messages.ts
@@ -17,6 +17,7 @@
 	Suspects = 'suspects',
 	Limits = 'limits',
 	Rollouts = 'rollouts',
+	Tolerances = 'tolerances',
 }
 
 /** The daemons that a digest covers. */
@@ -143,6 +144,21 @@
 /** The limits that backend servers state. */
 export type LimitList = {kind: FleetMessageKind.Limits; sender: Sender; limits: LimitUpdate[]};
 
+/** The overload that a backend server tolerates. */
+export type ToleranceUpdate = {
+	/** Key of the backend server. */
+	backend: number;
+	/** Requests a second that it can refuse without failing; undefined once it no longer states this. */
+	refusalsPerSecond: number | undefined;
+	/** How long ago it stated this, in milliseconds. */
+	ageMs: number;
+	/** How long ago it last refused a request, in milliseconds; undefined if it has not. */
+	refusedAgeMs: number | undefined;
+};
+
+/** The backend servers that fail under overload. */
+export type ToleranceList = {kind: FleetMessageKind.Tolerances; sender: Sender; tolerances: ToleranceUpdate[]};
+
 /** A roll-out in the phase that the duty holder has committed. */
 export type RolloutUpdate = {
 	service: string;
@@ -161,17 +177,18 @@
 export type RolloutList = {kind: FleetMessageKind.Rollouts; sender: Sender; rollouts: RolloutUpdate[]};
 
 /** Any message between serving daemons. */
-export type FleetMessage = Report | View | SuspectList | LimitList | RolloutList;
+export type FleetMessage = Report | View | SuspectList | LimitList | ToleranceList | RolloutList;
 
 /** Whether the content of a datagram is a message of a daemon; anyone can send a datagram. */
 export function isFleetMessage(value: unknown): value is FleetMessage {
-	const {kind, sender, suspects, limits, rollouts} = (value ?? {}) as {kind?: FleetMessageKind; sender?: Sender; suspects?: unknown; limits?: unknown; rollouts?: unknown};
+	const {kind, sender, suspects, limits, tolerances, rollouts} = (value ?? {}) as {kind?: FleetMessageKind; sender?: Sender; suspects?: unknown; limits?: unknown; tolerances?: unknown; rollouts?: unknown};
 	if (typeof sender?.name !== 'string' || typeof sender.address?.host !== 'string') {
 		return false;
 	}
 
 	return kind === FleetMessageKind.Report || kind === FleetMessageKind.View
 		|| (kind === FleetMessageKind.Suspects && isSuspectUpdates(suspects)) || (kind === FleetMessageKind.Limits && isLimitUpdates(limits))
+		|| (kind === FleetMessageKind.Tolerances && isToleranceUpdates(tolerances))
 		|| (kind === FleetMessageKind.Rollouts && isRolloutUpdates(rollouts));
 }
 
@@ -188,6 +205,11 @@
 		&& isNonNegative(update!.ageMs) && (update!.perSecond === undefined || isNonNegative(update!.perSecond)));
 }
 
+function isToleranceUpdates(value: unknown): value is ToleranceUpdate[] {
+	return Array.isArray(value) && (value as Array<Partial<ToleranceUpdate> | undefined>).every(update => Number.isSafeInteger(update?.backend) && isNonNegative(update!.ageMs)
+		&& (update!.refusalsPerSecond === undefined || isNonNegative(update!.refusalsPerSecond)) && (update!.refusedAgeMs === undefined || isNonNegative(update!.refusedAgeMs)));
+}
+
 /** Whether a value is a list of the states of suspected requests. */
 export function isSuspectUpdates(value: unknown): value is SuspectUpdate[] {
 	return Array.isArray(value) && (value as Array<Partial<SuspectUpdate> | undefined>).every(update => Number.isSafeInteger(update?.fingerprint)
--- a/src/protocol/serving.ts
+++ b/src/protocol/serving.ts
@@ -190,6 +190,8 @@
 	load: ReportedLoad | undefined;
 	/** The number of requests per second that the backend server accepts from all daemons together; undefined if it states no limit. */
 	limitPerSecond: number | undefined;
+	/** The number of requests per second that the backend server can refuse for want of room without failing; undefined if it states none. */
+	refusalsPerSecond: number | undefined;
 	/** Whether the backend server states that it is leaving. */
 	isLeaving: boolean;
 	/** The delay that the answer's Retry-After states, in milliseconds; undefined if it states none. */
