Don't take backend servers for crashed while no other of the service accepts connections

A daemon that lost its links to all replicas with a reset found that each refused connections, took them for crashed under the requests that had been running, and so had these quarantined at all daemons: other daemons answered innocent requests with 503 for a minute. Found while looking for what else a daemon that reaches no replica does. Now a refused connection counts only if another backend server of the service accepts one.

Cost: up to six connections for each backend server that refuses one after a run broke off, once a second.

--- a/src/coordination/quarantine/__tests__/crash-watch.test.ts
+++ b/src/coordination/quarantine/__tests__/crash-watch.test.ts
@@ -40,6 +40,22 @@
 		expect(quarantine.isEmpty).toBe(!isEvidence);
 	});
 
+	it.each([
+		{name: 'one of two others accepts connections', others: {'i-2': false, 'i-3': true}, isEvidence: true},
+		{name: 'no other accepts connections: the daemon may be cut off', others: {'i-2': false, 'i-3': false}, isEvidence: false},
+	])('is evidence: $isEvidence, when $name', async ({others, isEvidence}) => {
+		const backends = new BackendTable({drainMs: 2000});
+		for (const id of ['i-1', ...Object.keys(others)]) {
+			backends.upsert(backend(id, {host: id}), 0);
+		}
+
+		const quarantine = new Quarantine(() => false);
+		await new CrashWatch({
+			backends, quarantine, clock: new SteadyClock(), refuses: async () => true, accepts: async ({host}) => (others as Record<string, boolean>)[host],
+		}).recordBrokenRun(77, backend('i-1', {host: 'i-1'}));
+		expect(quarantine.isEmpty).toBe(!isEvidence);
+	});
+
 	it('causes one check for all runs that broke off there together', async () => {
 		const backends = new BackendTable({drainMs: 2000});
 		backends.upsert(backend('i-1'), 0);
--- a/src/coordination/quarantine/crash-watch.ts
+++ b/src/coordination/quarantine/crash-watch.ts
@@ -2,12 +2,13 @@
  * Finds out whether a backend server crashed when a run on it broke off. An overloaded backend
  * server, or one behind a faulty link, breaks connections without crashing; one that is
  * draining or being reclaimed ends for that reason. Neither says anything about the requests
- * that were running.
+ * that were running. Nor does one that refuses connections while all others of its service do:
+ * then this daemon may be cut off from them.
  */
 import {type Backend} from '../../protocol/serving.js';
 import {type BackendTable} from '../../state/backend-table.js';
 import {type SteadyClock} from '../../clock.js';
-import {isConnectionRefused} from '../../transport/port-probe.js';
+import {isConnectionAccepted, isConnectionRefused} from '../../transport/port-probe.js';
 import {createLogger} from '../../log.js';
 import {backendKey} from '../fleet/backend-key.js';
 import {type Quarantine} from './quarantine.js';
@@ -17,6 +18,9 @@
 
 /** Time for a backend server to refuse a connection, in milliseconds: ten round trips between failure domains. A retry waits for it. */
 const refusalTimeoutMs = 50;
+/** Time for another backend server to accept a connection, in milliseconds, and how many others are tried at most. */
+const acceptanceTimeoutMs = 150;
+const maxOthers = 6;
 /** Runs that break off at a backend server within this many milliseconds share one check. */
 const checkReuseMs = 1000;
 
@@ -27,6 +31,8 @@
 	clock: SteadyClock;
 	/** Returns whether an address refuses connections. */
 	refuses?: typeof isConnectionRefused;
+	/** Returns whether an address accepts connections. */
+	accepts?: typeof isConnectionAccepted;
 };
 
 /** Turns broken runs into evidence against the requests that were running. */
@@ -62,8 +68,19 @@
 			}
 		}
 
-		const check = this.checks.get(backend.id) ?? {atMs: nowMs, hasEnded: refuses(backend, refusalTimeoutMs)};
+		const check = this.checks.get(backend.id) ?? {atMs: nowMs, hasEnded: refuses(backend, refusalTimeoutMs).then(async isRefused => isRefused && this.reachesAnother(backend, nowMs))};
 		this.checks.set(backend.id, check);
 		return check.hasEnded;
 	}
+
+	/** Whether another backend server of the service accepts connections; true if there is no other. */
+	private async reachesAnother({id, service, failureDomain}: Backend, nowMs: number): Promise<boolean> {
+		const {backends, accepts = isConnectionAccepted} = this.dependencies;
+		const others = backends.candidates(service, nowMs).filter(other => other.id !== id);
+		// Those at which runs broke off as well may have crashed too, and those of one failure domain may be reclaimed together.
+		const doubt = (other: Backend) => (this.checks.has(other.id) ? 2 : 0) + (other.failureDomain === failureDomain ? 1 : 0);
+		const probed = others.toSorted((a, b) => doubt(a) - doubt(b)).slice(0, maxOthers);
+		const accepted = await Promise.all(probed.map(async other => accepts(other, acceptanceTimeoutMs)));
+		return probed.length === 0 || accepted.includes(true);
+	}
 }
