--- a/src/coordination/__tests__/reachability.test.ts
+++ b/src/coordination/__tests__/reachability.test.ts
@@ -24,6 +24,9 @@
 		{
 			name: 'four of twelve do', count: 12, unreached: [0, 1, 2, 3], isCutOff: true,
 		},
+		{
+			name: 'four of a hundred do', count: 100, unreached: [0, 1, 2, 3], isCutOff: false,
+		},
 		{
 			name: 'all of one failure domain do', count: 16, unreached: [0, 4, 8, 12], isCutOff: false,
 		},
