Log which attempt and event a request takes up, and the versions that ran it

The incident's record could not tell a client's resumption from a takeover or move: the lines of requests named neither the event after which they go on nor the software versions of their replicas.

--- a/src/coordination/serving/__tests__/backend-selector.test.ts
+++ b/src/coordination/serving/__tests__/backend-selector.test.ts
@@ -28,7 +28,7 @@
 });
 const createRequest = () => new ServedRequest({
 	request: {
-		id: 'q', host: 'h', path: '/', method: 'GET', apiKey: undefined, deadlineMs: 1000, promptTokens: undefined, maxOutputTokens: undefined, expectedOutputTokens: undefined, promptParts: [], lastEventId: undefined, forwardedHeaders: [],
+		id: 'q', host: 'h', path: '/', method: 'GET', apiKey: undefined, deadlineMs: 1000, promptTokens: undefined, maxOutputTokens: undefined, expectedOutputTokens: undefined, promptParts: [], lastEventId: undefined, resumedRequestId: undefined, forwardedHeaders: [],
 	},
 	route,
 	service: 's',
--- a/src/coordination/serving/__tests__/peer-proxy.test.ts
+++ b/src/coordination/serving/__tests__/peer-proxy.test.ts
@@ -19,7 +19,7 @@
 
 const proxied: ProxiedRequest = {
 	request: {
-		id: 'r1', host: 'h', path: '/p/x?q=1', method: 'POST', apiKey: undefined, deadlineMs: 2000, promptTokens: undefined, maxOutputTokens: undefined, expectedOutputTokens: undefined, promptParts: [], lastEventId: '7', forwardedHeaders: ['X-Own', 'kept'],
+		id: 'r1', host: 'h', path: '/p/x?q=1', method: 'POST', apiKey: undefined, deadlineMs: 2000, promptTokens: undefined, maxOutputTokens: undefined, expectedOutputTokens: undefined, promptParts: [], lastEventId: '7', resumedRequestId: undefined, forwardedHeaders: ['X-Own', 'kept'],
 	},
 	body: new Uint8Array([1, 2, 3]),
 	account: 'team',
--- a/src/coordination/serving/__tests__/stream-registry.test.ts
+++ b/src/coordination/serving/__tests__/stream-registry.test.ts
@@ -22,7 +22,7 @@
 function createStream(events: number, msPerEvent: number, expectedTokens: number | undefined): ForwardedStream {
 	const served = new ServedRequest({
 		request: {
-			id: 'q', host: 'h', path: '/', method: 'POST', apiKey: undefined, deadlineMs: 15_000, promptTokens: 100, maxOutputTokens: undefined, expectedOutputTokens: expectedTokens, promptParts: [], lastEventId: undefined, forwardedHeaders: [],
+			id: 'q', host: 'h', path: '/', method: 'POST', apiKey: undefined, deadlineMs: 15_000, promptTokens: 100, maxOutputTokens: undefined, expectedOutputTokens: expectedTokens, promptParts: [], lastEventId: undefined, resumedRequestId: undefined, forwardedHeaders: [],
 		},
 		route,
 		service: 's',
--- a/src/coordination/serving/dispatcher.ts
+++ b/src/coordination/serving/dispatcher.ts
@@ -227,7 +227,7 @@
 		const endWaiting = reachability.noteSent(backend, sentAtMs);
 		const running = placement.begin(backend.id, request.promptTokens ?? 0, request.promptParts, sentAtMs);
 		const attempt: Attempt = {
-			backendId: backend.id, costMs: Math.round(costMs), sentAfterMs: Math.round(sentAtMs - served.inputs.arrivedAtMs), result: 'sent',
+			backendId: backend.id, version: backend.version, costMs: Math.round(costMs), sentAfterMs: Math.round(sentAtMs - served.inputs.arrivedAtMs), result: 'sent',
 		};
 		served.attempts.push(attempt);
 		const fail = (failure: FailedDispatch): FailedDispatch => {
--- a/src/coordination/serving/forwarder.ts
+++ b/src/coordination/serving/forwarder.ts
@@ -378,6 +378,7 @@
 		log.info(`${outcome}.`, {
 			request: request.id, route: route.name, account: account?.name, service, ...details, ms: Math.round(nowMs - arrivedAtMs), configVersion, viewAgeMs: Math.round(configView.ageMs(nowMs)),
 			attempts: served.attempts.map(attempt => describeAttempt(attempt)),
+			resumes: request.lastEventId === undefined ? undefined : `${request.resumedRequestId ?? 'an unnamed attempt'} after event ${request.lastEventId}`,
 			budget: served.budgetStates.length > 0 ? served.budgetStates : undefined,
 			fingerprint: served.excluded.size > 0 ? formatFingerprint(served.fingerprint) : undefined,
 		});
--- a/src/coordination/serving/served-request.ts
+++ b/src/coordination/serving/served-request.ts
@@ -7,7 +7,7 @@
 import {computeFingerprint} from '../quarantine/request-fingerprint.js';
 
 /** One attempt: the request sent to one backend server. `sentAfterMs` counts from the request's arrival; `stated` is what the head of the answer stated of the backend server. */
-export type Attempt = {backendId: string; costMs: number; sentAfterMs: number; result: string; stated?: string};
+export type Attempt = {backendId: string; version: string; costMs: number; sentAfterMs: number; result: string; stated?: string};
 
 /** What is known of a request when serving begins. */
 export type ServedRequestInputs = {
@@ -37,9 +37,9 @@
 };
 
 /** Describes an attempt for logs. */
-export function describeAttempt({backendId, costMs, sentAfterMs, result, stated}: Attempt): string {
+export function describeAttempt({backendId, version, costMs, sentAfterMs, result, stated}: Attempt): string {
 	const suffix = stated === undefined ? '' : ` [${stated}]`;
-	return `${backendId} +${sentAfterMs} cost ${costMs}: ${result}${suffix}`;
+	return `${backendId} ${version} +${sentAfterMs} cost ${costMs}: ${result}${suffix}`;
 }
 
 /** A request being served. */
--- a/src/protocol/serving.ts
+++ b/src/protocol/serving.ts
@@ -156,6 +156,8 @@
 	promptParts: PromptPart[];
 	/** The id of the last event that the client received in an earlier attempt. */
 	lastEventId: string | undefined;
+	/** The id of the client's attempt that received the first event of the stream that this one continues. */
+	resumedRequestId: string | undefined;
 	/** The headers that are forwarded to the backend server, as alternating names and values. */
 	forwardedHeaders: string[];
 };
