Continue streams only at the software version that began them

Cause: nothing tied a stream to a version. A client that takes a stream up was placed like a new one, and takeovers, reserved engines, moves and the runs after them chose a backend server by load alone.

A stream is bound to the version of its first delivered event, in one place (the selector), for all ways by which it goes on; a run of another version is closed unread. While several versions serve a service, each daemon tells the others (in a large fleet the relays) where its resumable streams began, 20 ms after the first event, and the duty holder keeps this and the versions that serve in the store, so that it outlives a restart of all daemons. A daemon that takes up a stream looks in its memory, then at whether only one version has served, then asks others, then reads the store; a stream that nobody knows is refused at once, and has not run. While one version serves nothing is sent or written but one record of the versions.

Ruled out: versions computed from the attempt's id, which must refuse every stream that began near a change of the shares, and cannot lend a version's streams to another.

--- a/src/cli/front-container.ts
+++ b/src/cli/front-container.ts
@@ -37,9 +37,15 @@
 import {Forwarder} from '../coordination/serving/forwarder.js';
 import {PeerProxy} from '../coordination/serving/peer-proxy.js';
 import {DeferredMetrics} from '../coordination/serving/request-metrics.js';
+import {StreamOriginSharing} from '../coordination/serving/stream-origin-sharing.js';
 import {StreamRegistry} from '../coordination/serving/stream-registry.js';
 import {type BackendsSink} from '../coordination/record-sinks.js';
 import {StatedLimits} from '../coordination/stated-limits.js';
+import {ServiceVersions} from '../coordination/stream-origins/service-versions.js';
+import {StreamOriginExchange} from '../coordination/stream-origins/stream-origin-exchange.js';
+import {StreamOriginLookup} from '../coordination/stream-origins/stream-origin-lookup.js';
+import {StreamOriginRecord} from '../coordination/stream-origins/stream-origin-record.js';
+import {StreamOrigins} from '../coordination/stream-origins/stream-origins.js';
 import {type RecordSink, TopicFollower} from '../coordination/topic-follower.js';
 import {UsageLedger} from '../coordination/usage-ledger.js';
 
@@ -63,6 +69,11 @@
 /** Delay after a read that returned changes of the backend servers, in milliseconds, so that the next read returns several changes at once. Without it, most of the 14,776 calls that 86 daemons made to the store and the cloud in 24 s returned a single record. */
 const backendsBatchDelayMs = 100;
 
+/** How long the origin of a stream is remembered, as a multiple of the longest timeout of a route: the stream, and its clients' retries. */
+const streamRetentionTimeouts = 2;
+/** The shortest time for which it is remembered, in milliseconds. */
+const minStreamRetentionMs = 30_000;
+
 /** The keep-alive connections to other daemons. */
 export class PeerConnectionPool extends BackendConnectionPool {}
 
@@ -167,8 +178,33 @@
 		peerProxy: resolver.resolve(PeerProxy),
 		clock,
 	}));
+	registerFactory(ServiceVersions, resolver => new ServiceVersions({
+		backends: resolver.resolve(BackendTable), viewAgeMs: nowMs => resolver.resolve(BackendsFollower).stateAt(nowMs).ageMs, startedAtMs, isFirstStart: settings.isFirstStart,
+	}));
+	registerFactory(StreamOrigins, resolver => new StreamOrigins(() => Math.max(minStreamRetentionMs, resolver.resolve(RouteTable).longestTimeoutMs * streamRetentionTimeouts)));
+	registerFactory(StreamOriginRecord, resolver => new StreamOriginRecord({
+		store, origins: resolver.resolve(StreamOrigins), versions: resolver.resolve(ServiceVersions), lease: resolver.resolve(DutyLease), clock, signal,
+	}));
+	registerFactory(StreamOriginExchange, resolver => new StreamOriginExchange({
+		origins: resolver.resolve(StreamOrigins),
+		versions: resolver.resolve(ServiceVersions),
+		fleet: resolver.resolve(FleetTable),
+		clock,
+		failureDomain: settings.failureDomain,
+		createSender: nowMs => resolver.resolve(FleetMessenger).sender(nowMs),
+		restore: async () => resolver.resolve(StreamOriginRecord).restoreStreams(),
+	}));
+	registerFactory(StreamOriginSharing, resolver => new StreamOriginSharing({versions: resolver.resolve(ServiceVersions), exchange: resolver.resolve(StreamOriginExchange)}));
+	registerFactory(StreamOriginLookup, resolver => new StreamOriginLookup({
+		origins: resolver.resolve(StreamOrigins),
+		versions: resolver.resolve(ServiceVersions),
+		exchange: resolver.resolve(StreamOriginExchange),
+		record: resolver.resolve(StreamOriginRecord),
+		clock,
+		isAlone: nowMs => resolver.resolve(FleetTable).daemons(nowMs) === 1,
+	}));
 	registerFactory(StreamRegistry, resolver => new StreamRegistry({
-		backends: resolver.resolve(BackendTable), engines, dispatcher: resolver.resolve(Dispatcher), routes: resolver.resolve(RouteTable), rollouts: resolver.resolve(Rollouts), signal,
+		backends: resolver.resolve(BackendTable), engines, dispatcher: resolver.resolve(Dispatcher), routes: resolver.resolve(RouteTable), rollouts: resolver.resolve(Rollouts), sharing: resolver.resolve(StreamOriginSharing), signal,
 	}));
 	const {configSink, backendsSink} = createSinks(frontContainer);
 	const isRelay = (resolver: DependencyContainer) => resolver.resolve(FleetTable).roleAt(clock.now()) === FleetRole.Relay;
@@ -220,6 +256,8 @@
 		tolerances: resolver.resolve(OverloadTolerances),
 		rollouts: resolver.resolve(Rollouts),
 		reachability: resolver.resolve(Reachability),
+		streamOrigins: resolver.resolve(StreamOriginExchange),
+		streamOriginRecord: resolver.resolve(StreamOriginRecord),
 		topics: {[Topic.Config]: resolver.resolve(ConfigFollower), [Topic.Backends]: resolver.resolve(BackendsFollower)},
 		clock,
 		startedAtMs,
@@ -264,6 +302,8 @@
 		usage: resolver.resolve(UsageLedger),
 		retryBudget: resolver.resolve(FleetRetryBudget),
 		quarantine: resolver.resolve(Quarantine),
+		originLookup: resolver.resolve(StreamOriginLookup),
+		originSharing: resolver.resolve(StreamOriginSharing),
 		clock,
 		quotaPeers: nowMs => resolver.resolve(FleetMessenger).quotaPeers(nowMs),
 		initialView: resolver.resolve(Latch),
--- a/src/cli/front-daemon.ts
+++ b/src/cli/front-daemon.ts
@@ -35,6 +35,9 @@
 import {applySettings} from '../coordination/settings-reload.js';
 import {BackendsSink, ConfigSink} from '../coordination/record-sinks.js';
 import {StatedLimits} from '../coordination/stated-limits.js';
+import {ServiceVersions} from '../coordination/stream-origins/service-versions.js';
+import {streamOriginCheckMs, StreamOriginRecord} from '../coordination/stream-origins/stream-origin-record.js';
+import {StreamOrigins} from '../coordination/stream-origins/stream-origins.js';
 import {type ViewState} from '../coordination/topic-follower.js';
 import {Forwarder} from '../coordination/serving/forwarder.js';
 import {DeferredMetrics, type RequestMetrics} from '../coordination/serving/request-metrics.js';
@@ -188,7 +191,8 @@
 			fleet: this.container.resolve(FleetTable).toJson(nowMs),
 			holder: this.container.resolve(DutyLease).createHolderUpdate(nowMs),
 			inFlight: this.container.resolve(Placement).inFlight(),
-			streams: {running: registry.size, moved: registry.movedCount},
+			streams: {running: registry.size, moved: registry.movedCount, rememberedOrigins: this.container.resolve(StreamOrigins).size},
+			versions: this.container.resolve(ServiceVersions).all(nowMs),
 			connections: this.server.openConnections,
 			limits: Object.fromEntries(this.container.resolve(QuotaLedger).ownTotals()),
 			quarantine: this.container.resolve(Quarantine).toJson(nowMs),
@@ -253,6 +257,7 @@
 			},
 			limits: {intervalMs: () => boundsCheckMs, step: async () => bounds.save(this.signal)},
 			quarantine: {intervalMs: () => quarantineCheckIntervalMs, step: async () => quarantine.save(this.signal)},
+			streamOrigins: {intervalMs: () => streamOriginCheckMs, step: async () => this.container.resolve(StreamOriginRecord).save(this.signal)},
 			lease: {intervalMs: () => leaseStepIntervalMs, step: async () => this.stepLease()},
 			duties: {intervalMs: () => dutyIntervalMs, step: async () => duties.step(this.signal)},
 			rollouts: {intervalMs: () => rolloutStepIntervalMs, step: async () => rollouts.step(this.signal)},
--- a/src/coordination/fleet/__fixtures__/test-net.ts
+++ b/src/coordination/fleet/__fixtures__/test-net.ts
@@ -6,6 +6,7 @@
 import {type Account} from '../../../protocol/serving.js';
 import {type PeerAddress, type GossipedTopic} from '../../../protocol/fleet-messages.js';
 import {Topic} from '../../../protocol/platform.js';
+import {BackendTable} from '../../../state/backend-table.js';
 import {ViewAge} from '../../../state/view-age.js';
 import {FakeStore} from '../../../testing/fake-store.js';
 import {sumOfProfile} from '../../account-window.js';
@@ -19,6 +20,10 @@
 import {Reachability} from '../../reachability.js';
 import {Rollouts} from '../../rollout/rollouts.js';
 import {StatedLimits} from '../../stated-limits.js';
+import {ServiceVersions} from '../../stream-origins/service-versions.js';
+import {StreamOriginExchange} from '../../stream-origins/stream-origin-exchange.js';
+import {StreamOriginRecord} from '../../stream-origins/stream-origin-record.js';
+import {StreamOrigins} from '../../stream-origins/stream-origins.js';
 import {TopicFollower} from '../../topic-follower.js';
 import {UsageLedger} from '../../usage-ledger.js';
 import {BoundsRecord} from '../bounds-record.js';
@@ -54,6 +59,11 @@
 	readonly tolerances: OverloadTolerances;
 	readonly retryBudget: FleetRetryBudget;
 	readonly reachability = new Reachability(() => 0);
+	readonly backends = new BackendTable({drainMs: 2000});
+	readonly origins = new StreamOrigins(() => 30_000);
+	readonly versions: ServiceVersions;
+	readonly originExchange: StreamOriginExchange;
+	readonly originRecord: StreamOriginRecord;
 	readonly rollouts = new Rollouts({canaryShare: 0.1}, () => 0);
 	readonly topics: Record<GossipedTopic, TopicFollower>;
 	readonly viewAges = {[Topic.Config]: new ViewAge(), [Topic.Backends]: new ViewAge()};
@@ -101,10 +111,19 @@
 		});
 		this.statedLimits = new StatedLimits((backend, maxSenders, nowMs) => selectSenders(this.fleet, name, backend, maxSenders, nowMs));
 		this.tolerances = new OverloadTolerances(name, nowMs => this.fleet.daemons(nowMs));
+		this.versions = new ServiceVersions({
+			backends: this.backends, viewAgeMs: () => 0, startedAtMs, isFirstStart: net.isFirstStart,
+		});
+		this.originRecord = new StreamOriginRecord({
+			store: net.store, origins: this.origins, versions: this.versions, lease: this.lease, clock, signal: new AbortController().signal,
+		});
+		this.originExchange = new StreamOriginExchange({
+			origins: this.origins, versions: this.versions, fleet: this.fleet, clock, failureDomain, createSender: nowMs => this.messenger.sender(nowMs), restore: async () => this.originRecord.restoreStreams(),
+		});
 		this.messenger = new FleetMessenger({
 			settings: {
 				name, failureDomain, host, peerPort: 1, bounds: {quotaWindowMs: net.bounds.windowMs, retryWindowMs: retryLimits.windowMs},
-			}, incarnation, store: net.store, fleet: this.fleet, sharedUse, usage: this.usage, placement: this.placement, lease: this.lease, bounds: this.bounds, quarantine: this.quarantine, quarantineRecord: this.quarantineRecord, statedLimits: this.statedLimits, tolerances: this.tolerances, rollouts: this.rollouts, reachability: this.reachability, topics: this.topics, clock, startedAtMs,
+			}, incarnation, store: net.store, fleet: this.fleet, sharedUse, usage: this.usage, placement: this.placement, lease: this.lease, bounds: this.bounds, quarantine: this.quarantine, quarantineRecord: this.quarantineRecord, statedLimits: this.statedLimits, tolerances: this.tolerances, rollouts: this.rollouts, reachability: this.reachability, streamOrigins: this.originExchange, streamOriginRecord: this.originRecord, topics: this.topics, clock, startedAtMs,
 		});
 		this.messenger.open({
 			send: (message, to) => {
--- a/src/coordination/fleet/fleet-messenger.ts
+++ b/src/coordination/fleet/fleet-messenger.ts
@@ -23,6 +23,8 @@
 import {type Rollouts} from '../rollout/rollouts.js';
 import {type SharedUse} from '../shared-windows.js';
 import {type StatedLimits} from '../stated-limits.js';
+import {type StreamOriginExchange} from '../stream-origins/stream-origin-exchange.js';
+import {type StreamOriginRecord, versionsKey} from '../stream-origins/stream-origin-record.js';
 import {type TopicFollower} from '../topic-follower.js';
 import {type UsageLedger} from '../usage-ledger.js';
 import {fieldsOf, decodeDaemonRecord} from '../daemon-record.js';
@@ -89,6 +91,8 @@
 	tolerances: OverloadTolerances;
 	rollouts: Rollouts;
 	reachability: Reachability;
+	streamOrigins: Pick<StreamOriginExchange, 'open' | 'receive'>;
+	streamOriginRecord: Pick<StreamOriginRecord, 'applyVersions'>;
 	/** The followers of the topics that daemons gossip about. */
 	topics: Record<GossipedTopic, TopicFollower>;
 	clock: SteadyClock;
@@ -142,6 +146,7 @@
 	/** Starts to send messages through a link. */
 	open(link: MessageSender): void {
 		this.link = link;
+		this.parts.streamOrigins.open(link);
 	}
 
 	/** The counts of daemons by which limits are shared. */
@@ -185,7 +190,7 @@
 		const {fleet, sharedUse, lease, rollouts, clock} = this.parts;
 		const nowMs = clock.now();
 		// In a large fleet, only a few daemons receive these updates from their origin, so relays forward them.
-		if (this.backendUpdates.receive(message, fleet.roleAt(nowMs) === FleetRole.Relay, nowMs)) {
+		if (this.backendUpdates.receive(message, fleet.roleAt(nowMs) === FleetRole.Relay, nowMs) || this.parts.streamOrigins.receive(message, nowMs)) {
 			return;
 		}
 
@@ -235,6 +240,9 @@
 		for (const {key, value} of batch.records) {
 			if (key === boundsKey && value) {
 				this.parts.bounds.restore(value);
+			} else if (key === versionsKey) {
+				// It is applied after the addresses, also if there is none.
+				continue;
 			} else if (key === quarantineKey && value) {
 				this.parts.quarantineRecord.apply(value);
 			} else if (value) {
@@ -245,6 +253,7 @@
 			}
 		}
 
+		this.parts.streamOriginRecord.applyVersions(batch.records.find(({key}) => key === versionsKey)?.value);
 		this.listReads++;
 		const nowMs = clock.now();
 		if (fleet.roleAt(nowMs) === FleetRole.Mesh) {
@@ -253,6 +262,16 @@
 		}
 	}
 
+	/** Describes this daemon as the sender of a message. */
+	sender(nowMs: number): Sender {
+		const {settings, incarnation, startedAtMs, reachability} = this.parts;
+		const {cutOffServices} = reachability;
+		return {
+			name: settings.name, incarnation, failureDomain: settings.failureDomain, address: this.address, uptimeMs: Math.round(nowMs - startedAtMs), isStopping: this.digests.isStopping,
+			cutOffServices: cutOffServices.length > 0 ? cutOffServices : undefined,
+		};
+	}
+
 	private get address(): PeerAddress {
 		return {host: this.parts.settings.host, port: this.parts.settings.peerPort};
 	}
@@ -303,7 +322,7 @@
 		}
 
 		const domains = role === FleetRole.Relay ? [settings.failureDomain, ...fleet.otherDomains()] : [settings.failureDomain];
-		const relays = domains.flatMap(domain => fleet.relays(domain, nowMs)).filter(({name}) => name !== settings.name).map(({address}) => address);
+		const relays = fleet.relayAddresses(domains, nowMs);
 		return role === FleetRole.Relay ? [...relays, ...fleet.addresses(false, nowMs)] : relays;
 	}
 
@@ -382,15 +401,6 @@
 		};
 	}
 
-	private sender(nowMs: number): Sender {
-		const {settings, incarnation, startedAtMs, reachability} = this.parts;
-		const {cutOffServices} = reachability;
-		return {
-			name: settings.name, incarnation, failureDomain: settings.failureDomain, address: this.address, uptimeMs: Math.round(nowMs - startedAtMs), isStopping: this.digests.isStopping,
-			cutOffServices: cutOffServices.length > 0 ? cutOffServices : undefined,
-		};
-	}
-
 	private createHead(includesUses: boolean, nowMs: number): Pick<Report, 'sender' | 'holder' | 'windowUses'> {
 		const {lease, sharedUse} = this.parts;
 		return {
--- a/src/coordination/fleet/fleet-table.ts
+++ b/src/coordination/fleet/fleet-table.ts
@@ -135,6 +135,11 @@
 		return this.relaySelection(failureDomain).relays(nowMs);
 	}
 
+	/** Addresses of the relays of several failure domains, other than this daemon. */
+	relayAddresses(failureDomains: string[], nowMs: number): PeerAddress[] {
+		return failureDomains.flatMap(domain => this.relays(domain, nowMs)).filter(({name}) => name !== this.local.name).map(({address}) => address);
+	}
+
 	/** Unresponsive daemons of a failure domain that would be relays if they answered, and that are due to be asked again. */
 	probes(failureDomain: string, nowMs: number): NamedAddress[] {
 		return this.relaySelection(failureDomain).probes(nowMs);
--- a/src/coordination/serving/__tests__/forwarded-stream.test.ts
+++ b/src/coordination/serving/__tests__/forwarded-stream.test.ts
@@ -7,11 +7,12 @@
 import {type AddressInfo} from 'node:net';
 import {setTimeout as delay} from 'node:timers/promises';
 import {describe, expect, it} from 'vitest';
-import {BackendState} from '../../../protocol/serving.js';
+import {BackendState, RequestKind} from '../../../protocol/serving.js';
 import {BackendConnectionPool, sendBackendRequest} from '../../../transport/backend-connection-pool.js';
 import {Placement} from '../../placement.js';
 import {DispatchKind} from '../dispatcher.js';
 import {ForwardedStream, InterruptCause, RunEnd} from '../forwarded-stream.js';
+import {ServedRequest} from '../served-request.js';
 
 /** A client that accepts one event and then stops reading. */
 class StalledResponse extends Writable {
@@ -30,6 +31,25 @@
 	}
 }
 
+/** Creates the request of a stream. */
+function servedRequest(): ServedRequest {
+	return new ServedRequest({
+		request: {
+			id: 'q', host: 'h', path: '/', method: 'POST', apiKey: undefined, deadlineMs: undefined, promptTokens: undefined, maxOutputTokens: undefined, expectedOutputTokens: undefined, promptParts: [], lastEventId: undefined, resumedRequestId: undefined, forwardedHeaders: [],
+		},
+		route: {
+			name: 'r', host: 'h', pathPrefix: '/', kind: RequestKind.Streaming, timeoutMs: 1000, latencyTargetMs: 100, priority: 0, attempts: 2, isPublic: true, isResumable: true, targets: [],
+		},
+		service: 's',
+		account: undefined,
+		body: new Uint8Array(),
+		response: undefined as never,
+		signal: new AbortController().signal,
+		arrivedAtMs: 0,
+		configVersion: 1,
+	});
+}
+
 describe('a stream paused by a slow client', () => {
 	it('does not count as complete when its run is closed with events unread', async () => {
 		const server = createServer((_, response) => {
@@ -49,7 +69,7 @@
 		const answer = await sendBackendRequest(pool, {
 			backend, method: 'GET', path: '/', headers: ['Host', 'x'], body: undefined, isRetryable: true, connectTimeoutMs: 1000, signal: abort.signal,
 		});
-		const stream = new ForwardedStream(undefined as never, new StalledResponse() as unknown as ServerResponse, () => undefined, () => 0);
+		const stream = new ForwardedStream(servedRequest(), new StalledResponse() as unknown as ServerResponse, () => undefined, () => 0);
 		const ended = stream.forwardRun({
 			kind: DispatchKind.Answer, backend, answer, abort, metadata: undefined as never, running: new Placement('fd').begin('e', 0, [], 0), attempt: undefined as never,
 		});
--- a/src/coordination/serving/__tests__/stream-registry.test.ts
+++ b/src/coordination/serving/__tests__/stream-registry.test.ts
@@ -12,6 +12,7 @@
 import {type StartedAnswer} from '../dispatcher.js';
 import {ForwardedStream} from '../forwarded-stream.js';
 import {ServedRequest} from '../served-request.js';
+import {StreamOriginSharing} from '../stream-origin-sharing.js';
 import {shouldMove, StreamRegistry} from '../stream-registry.js';
 
 const route: Route = {
@@ -79,7 +80,7 @@
 		const backends = new BackendTable({drainMs: 2000});
 		backends.upsert(startedEngine(1), 0);
 		const registry = new StreamRegistry({
-			backends, engines: undefined as never, dispatcher: undefined as never, routes: undefined as never, rollouts: new Rollouts({canaryShare: 0.1}, () => 0), signal: new AbortController().signal,
+			backends, engines: undefined as never, dispatcher: undefined as never, routes: undefined as never, rollouts: new Rollouts({canaryShare: 0.1}, () => 0), sharing: new StreamOriginSharing({versions: {isMixed: () => false}, exchange: {note: () => undefined}}), signal: new AbortController().signal,
 		});
 		const stream = createStream(3, 50, 1000);
 		const abort = new AbortController();
--- a/src/coordination/serving/backend-selector.ts
+++ b/src/coordination/serving/backend-selector.ts
@@ -31,12 +31,12 @@
 
 	/** Selects the backend server that a request would be sent to now, other than the one that is running it. */
 	select(served: ServedRequest, currentBackendId?: string): PlacementChoice | undefined {
-		const {backends, placement, fleet, quarantine, rollouts, clock} = this.dependencies;
-		const {request, service} = served.inputs;
+		const {placement, fleet, quarantine, clock} = this.dependencies;
+		const {request} = served.inputs;
 		const nowMs = clock.now();
 		const excluded = currentBackendId === undefined ? served.excluded : new Set([...served.excluded, currentBackendId]);
 		return placement.choose({
-			candidates: this.filterByRateLimit(this.filterByRoom(this.filterByCooldown(rollouts.filter(service, backends.candidates(service, nowMs), this.isCanary(served)), nowMs), nowMs), excluded, nowMs),
+			candidates: this.filterByRateLimit(this.filterByRoom(this.filterByCooldown(this.filterByVersion(served, nowMs), nowMs), nowMs), excluded, nowMs),
 			excluded,
 			promptTokens: request.promptTokens ?? 0,
 			promptParts: request.promptParts,
@@ -72,7 +72,7 @@
 		const entry = backends.get(backend.id);
 		const isStaying = entry !== undefined && entry.leavingSinceMs === undefined;
 		const isWithinLimit = isRateLimitCharged || statedLimits.permission(backend.id, nowMs) !== SendPermission.Withheld;
-		return isStaying && isWithinLimit && !cooldowns.isCoolingDown(backend, nowMs) && this.hasRoom(backend, nowMs) && rollouts.mayReceive(backend) && !served.excluded.has(backend.id);
+		return isStaying && isWithinLimit && !cooldowns.isCoolingDown(backend, nowMs) && this.hasRoom(backend, nowMs) && (served.version === undefined ? rollouts.mayReceive(backend) : served.fitsVersion(backend)) && !served.excluded.has(backend.id);
 	}
 
 	/** Records a stream that is to continue on the backend server to which its KV cache was moved; returns false if it must not. */
@@ -87,7 +87,7 @@
 			return undefined;
 		}
 
-		const candidates = backends.candidates(served.inputs.service, nowMs);
+		const candidates = backends.candidates(served.inputs.service, nowMs).filter(backend => served.fitsVersion(backend));
 		const ids = candidates.map(({id}) => id);
 		const waits = [statedLimits.retryAfterMs(ids, nowMs), tolerances.retryAfterMs(ids, nowMs), cooldowns.retryAfterMs(candidates, nowMs)].filter(wait => wait !== undefined);
 		return waits.length > 0 ? Math.min(...waits) : undefined;
@@ -104,6 +104,14 @@
 		return served.isCanary;
 	}
 
+	/** Returns the backend servers of the version at which the request's stream began; for any other request, those whose versions may receive it. */
+	private filterByVersion(served: ServedRequest, nowMs: number): Backend[] {
+		const {backends, rollouts} = this.dependencies;
+		const {service} = served.inputs;
+		const candidates = backends.candidates(service, nowMs);
+		return served.version === undefined ? rollouts.filter(service, candidates, this.isCanary(served)) : candidates.filter(backend => served.fitsVersion(backend));
+	}
+
 	/** Returns the candidates that do not cool down. */
 	private filterByCooldown(candidates: Backend[], nowMs: number): Backend[] {
 		const {cooldowns} = this.dependencies;
--- a/src/coordination/serving/dispatcher.ts
+++ b/src/coordination/serving/dispatcher.ts
@@ -137,7 +137,7 @@
 			isRateLimitCharged &&= isPreselectedUsable;
 			preselected = undefined;
 			if (!choice) {
-				return {kind: DispatchKind.NoBackend, reason: 'no backend server left'};
+				return {kind: DispatchKind.NoBackend, reason: served.version === undefined ? 'no backend server left' : `no backend server of version ${served.version} left`};
 			}
 
 			if (hasFixedTarget && !selector.tryContinueMoved(choice.backend)) {
@@ -202,10 +202,14 @@
 	}
 
 	/** Whether a request that was not delivered yet should be served by another daemon. */
-	private isUnreachable({deliveries, unreachedDomains, inputs}: ServedRequest): boolean {
+	private isUnreachable(served: ServedRequest): boolean {
+		const {deliveries, unreachedDomains, inputs, version} = served;
 		const {backends, peerProxy, clock} = this.dependencies;
 		const nowMs = clock.now();
-		return deliveries === 0 && !inputs.isProxied && isSpread(unreachedDomains, backends.candidates(inputs.service, nowMs)) && peerProxy.isAvailable(inputs.service, nowMs);
+		const candidates = backends.candidates(inputs.service, nowMs).filter(backend => served.fitsVersion(backend));
+		// Few backend servers may have the version of a stream; then all of them are evidence enough.
+		const hasTriedAll = version !== undefined && unreachedDomains.length >= candidates.length;
+		return deliveries === 0 && !inputs.isProxied && (hasTriedAll || isSpread(unreachedDomains, candidates)) && peerProxy.isAvailable(inputs.service, nowMs);
 	}
 
 	private async sendTo(served: ServedRequest, choice: Pick<PlacementChoice, 'backend' | 'costMs' | 'copyFrom'>, options: DispatchOptions): Promise<StartedAnswer | FailedDispatch> {
--- a/src/coordination/serving/forwarded-stream.ts
+++ b/src/coordination/serving/forwarded-stream.ts
@@ -13,6 +13,8 @@
 	Broken = 'broken',
 	/** Events are missing between the last one delivered and the one received. */
 	Gap = 'gap',
+	/** The run is of another software version than the events delivered so far. */
+	OtherVersion = 'other version',
 	/** The daemon closed the run itself. */
 	Interrupted = 'interrupted',
 }
@@ -158,6 +160,11 @@
 					});
 				}
 			});
+			if (!this.served.fitsVersion(run.backend)) {
+				end(RunEnd.OtherVersion);
+				return;
+			}
+
 			const endAsBroken = () => {
 				end(this.interruptCause === undefined ? RunEnd.Broken : RunEnd.Interrupted);
 			};
@@ -205,6 +212,7 @@
 			}
 		}
 
+		this.served.version ??= run.backend.version;
 		if (this.events === 0) {
 			this.firstEventAtMs = this.lastProgressAtMs;
 			this.onFirstEvent();
--- a/src/coordination/serving/forwarder.ts
+++ b/src/coordination/serving/forwarder.ts
@@ -19,6 +19,7 @@
 import {formatFingerprint, computeFingerprint} from '../quarantine/request-fingerprint.js';
 import {type QuotaLedger, type QuotaPeers, requestCost} from '../quota-ledger.js';
 import {type RetryBudget} from '../retry-budget.js';
+import {OriginSource, type StreamOriginLookup} from '../stream-origins/stream-origin-lookup.js';
 import {type UsageLedger} from '../usage-ledger.js';
 import {type UnaryResult, forwardUnary} from './unary-forwarding.js';
 import {type Dispatcher} from './dispatcher.js';
@@ -28,6 +29,7 @@
 } from './final-answers.js';
 import {describeAttempt, ServedRequest} from './served-request.js';
 import {forwardStream, type StreamResult} from './stream-forwarding.js';
+import {type StreamOriginSharing} from './stream-origin-sharing.js';
 import {type StreamRegistry} from './stream-registry.js';
 import {type RequestMetrics} from './request-metrics.js';
 
@@ -67,6 +69,8 @@
 	usage: UsageLedger;
 	retryBudget: RetryBudget;
 	quarantine: Quarantine;
+	originLookup: StreamOriginLookup;
+	originSharing: StreamOriginSharing;
 	clock: SteadyClock;
 	/** Returns what is known of the other daemons that share the limits. */
 	quotaPeers: (nowMs: number) => QuotaPeers;
@@ -159,11 +163,21 @@
 	/** Serves an admitted request. */
 	private async serve({route, account, service, cost, fingerprint}: Admission, request: CallerRequest, front: FrontRequest, {arrivedAtMs, isProxied}: {arrivedAtMs: number; isProxied: boolean}): Promise<void> {
 		const {routes, quota, clock} = this.dependencies;
+		const isResumption = route.kind === RequestKind.Streaming && request.lastEventId !== undefined;
+		const found = isResumption ? await this.dependencies.originLookup.find({account: account?.name, service, requestId: request.resumedRequestId}) : undefined;
+		// The route may have several services; one that the route has left since cannot continue the stream.
+		const origin = route.targets.some(target => target.service === found?.origin?.service) ? found?.origin : undefined;
 		const served = new ServedRequest({
-			request, route, service, account, body: front.body, response: front.response, signal: front.signal, arrivedAtMs, configVersion: routes.version!, isProxied, fingerprint,
+			request, route, service: origin?.service ?? service, account, body: front.body, response: front.response, signal: front.signal, arrivedAtMs, configVersion: routes.version!, isProxied, fingerprint,
 		});
+		served.version = origin?.version;
+		served.originSource = found?.source;
 		try {
-			await (route.kind === RequestKind.Streaming ? this.serveStream(served, front) : this.serveUnary(served, front));
+			if (found?.source === OriginSource.Unknown) {
+				this.refuseServed(served, front, 'version of the stream unknown');
+			} else {
+				await (route.kind === RequestKind.Streaming ? this.serveStream(served, front) : this.serveUnary(served, front));
+			}
 		} finally {
 			if (!served.mayHaveRun && account) {
 				quota.refund(account, cost, clock.now());
@@ -309,6 +323,7 @@
 
 		const result = await forwardStream({dispatcher, registry, now: () => clock.now()}, served, front.response, () => {
 			this.countUsage(served);
+			this.dependencies.originSharing.share(served, clock.now());
 		});
 		if (result.kind === 'complete') {
 			front.response.end();
@@ -375,10 +390,15 @@
 		const {request, route, account, service, configVersion, arrivedAtMs} = served.inputs;
 		const nowMs = clock.now();
 		metrics.recordRequest(route.name, outcome, (nowMs - arrivedAtMs) / 1000);
+		if (route.kind === RequestKind.Streaming) {
+			metrics.recordStream(served.isResumption ? (served.originSource ?? OriginSource.Unknown) : 'new', served.version !== undefined && (details.events ?? 0) > 0);
+		}
+
 		log.info(`${outcome}.`, {
 			request: request.id, route: route.name, account: account?.name, service, ...details, ms: Math.round(nowMs - arrivedAtMs), configVersion, viewAgeMs: Math.round(configView.ageMs(nowMs)),
 			attempts: served.attempts.map(attempt => describeAttempt(attempt)),
 			resumes: request.lastEventId === undefined ? undefined : `${request.resumedRequestId ?? 'an unnamed attempt'} after event ${request.lastEventId}`,
+			originSource: served.originSource,
 			budget: served.budgetStates.length > 0 ? served.budgetStates : undefined,
 			fingerprint: served.excluded.size > 0 ? formatFingerprint(served.fingerprint) : undefined,
 		});
--- a/src/coordination/serving/request-metrics.ts
+++ b/src/coordination/serving/request-metrics.ts
@@ -4,6 +4,8 @@
 export type RequestMetrics = {
 	/** Counts a finished request and the time that it took. */
 	recordRequest(route: string, outcome: string, seconds: number): void;
+	/** Counts a finished stream: `start` is `new`, or how the version became known of one that a client took up. */
+	recordStream(start: string, hasEvents: boolean): void;
 };
 
 /** Forwards counts to metrics that are loaded after the first requests; requests before that appear in the log only. */
@@ -13,4 +15,8 @@
 	recordRequest(route: string, outcome: string, seconds: number): void {
 		this.target?.recordRequest(route, outcome, seconds);
 	}
+
+	recordStream(start: string, hasEvents: boolean): void {
+		this.target?.recordStream(start, hasEvents);
+	}
 }
--- a/src/coordination/serving/served-request.ts
+++ b/src/coordination/serving/served-request.ts
@@ -1,10 +1,11 @@
 /** One client request while it is being served, with the state that its log line reports. */
 import {type ServerResponse} from 'node:http';
 import {
-	type Account, type CallerRequest, RequestKind, type Route,
+	type Account, type Backend, type CallerRequest, RequestKind, type Route,
 } from '../../protocol/serving.js';
 import {type PlacementChoice} from '../placement.js';
 import {computeFingerprint} from '../quarantine/request-fingerprint.js';
+import {type OriginSource} from '../stream-origins/stream-origin-lookup.js';
 
 /** One attempt: the request sent to one backend server. `sentAfterMs` counts from the request's arrival; `stated` is what the head of the answer stated of the backend server. */
 export type Attempt = {backendId: string; version: string; costMs: number; sentAfterMs: number; result: string; stated?: string};
@@ -65,6 +66,12 @@
 	readonly unreachedDomains: string[] = [];
 	/** Whether it was given up because too many accepted none. */
 	isUnreachable = false;
+	/** The software version at which its stream began, once an event has been delivered; only backend servers of this version may continue it. */
+	version: string | undefined;
+	/** How this version became known, if a client takes the stream up. */
+	originSource: OriginSource | undefined;
+	/** Whether other daemons know this version. */
+	isOriginShared = false;
 	/** Whether it has been counted for the usage reports. */
 	isUsageCounted = false;
 	/** Resolves once it is known whether the backend server at which its last run broke off has crashed. */
@@ -96,6 +103,22 @@
 		return this.cachedFingerprint;
 	}
 
+	/** Whether a client takes up a stream of which it has received events. */
+	get isResumption(): boolean {
+		return this.inputs.request.lastEventId !== undefined;
+	}
+
+	/** The id of the client's attempt that received the first event of the stream; undefined if the client does not name it. */
+	get originalRequestId(): string | undefined {
+		const {id, resumedRequestId} = this.inputs.request;
+		return this.isResumption ? resumedRequestId : id;
+	}
+
+	/** Whether a backend server may run it, as far as the version of its stream decides that. */
+	fitsVersion({version}: Backend): boolean {
+		return this.version === undefined || version === this.version;
+	}
+
 	get priority(): number {
 		return this.inputs.account?.priority ?? this.inputs.route.priority;
 	}
--- a/src/coordination/serving/serving-metrics.ts
+++ b/src/coordination/serving/serving-metrics.ts
@@ -19,6 +19,7 @@
 export class ServingMetrics implements RequestMetrics {
 	private readonly finished: Counter;
 	private readonly latency: Histogram;
+	private readonly streams: Counter;
 
 	constructor(registry: Registry, state: ServingState) {
 		this.finished = new Counter({
@@ -27,6 +28,9 @@
 		this.latency = new Histogram({
 			name: 'sesametally_request_seconds', help: 'Time from a request\'s arrival to the end of its answer.', labelNames: ['route'], buckets: latencyBucketsSeconds, registers: [registry],
 		});
+		this.streams = new Counter({
+			name: 'sesametally_streams_total', help: 'Streams by how they started (new, or the source of the version of one that a client took up) and whether the daemon delivered events of them.', labelNames: ['start', 'events'], registers: [registry],
+		});
 		const open = new Gauge({
 			name: 'sesametally_requests_open',
 			help: 'Requests being served.',
@@ -64,4 +68,8 @@
 		this.finished.inc({route, outcome});
 		this.latency.observe({route}, seconds);
 	}
+
+	recordStream(start: string, hasEvents: boolean): void {
+		this.streams.inc({start, events: String(hasEvents)});
+	}
 }
--- a/src/coordination/serving/stream-registry.ts
+++ b/src/coordination/serving/stream-registry.ts
@@ -16,6 +16,7 @@
 import {
 	closeRun, type ForwardedStream, InterruptCause, type MovedStream,
 } from './forwarded-stream.js';
+import {type StreamOriginSharing} from './stream-origin-sharing.js';
 
 const log = createLogger('streams');
 
@@ -40,7 +41,7 @@
 	movedCount = 0;
 	private readonly streams = new Set<ForwardedStream>();
 
-	constructor(private readonly dependencies: {backends: BackendTable; engines: EngineClient; dispatcher: Dispatcher; routes: RouteTable; rollouts: Rollouts; signal: AbortSignal}) {}
+	constructor(private readonly dependencies: {backends: BackendTable; engines: EngineClient; dispatcher: Dispatcher; routes: RouteTable; rollouts: Rollouts; sharing: StreamOriginSharing; signal: AbortSignal}) {}
 
 	get size(): number {
 		return this.streams.size;
@@ -56,6 +57,7 @@
 
 	/** Checks every stream once, and starts the moves and takeovers that are due. */
 	sweep(nowMs: number): void {
+		this.dependencies.sharing.shareAll([...this.streams].map(({served}) => served), nowMs);
 		for (const stream of this.streams) {
 			const backend = stream.currentRun?.backend;
 			if (!backend || stream.pendingMove) {
@@ -63,7 +65,7 @@
 			}
 
 			const {isEnded} = this.dependencies.backends.get(backend.id) ?? {};
-			const leavesAtMs = this.leavesAtMs(backend);
+			const leavesAtMs = this.leavesAtMs(stream, backend);
 			if (isEnded) {
 				// The engine has restarted: its old connection may stay open and silent, and the run is lost, so it can be neither continued nor copied.
 				stream.interrupt(InterruptCause.Restarted);
@@ -77,10 +79,10 @@
 		}
 	}
 
-	/** Returns when an engine is expected to be gone: because it is leaving, or because its version has been replaced. */
-	private leavesAtMs(backend: Backend): number | undefined {
+	/** Returns when an engine is expected to be gone for a stream: because it is leaving, or because its version has been replaced, which only a stream without events can still leave. */
+	private leavesAtMs({served}: ForwardedStream, backend: Backend): number | undefined {
 		const {backends, rollouts} = this.dependencies;
-		const times = [backends.get(backend.id)?.leavesAtMs, rollouts.stopsAtMs(backend)].filter(time => time !== undefined);
+		const times = [backends.get(backend.id)?.leavesAtMs, served.version === undefined ? rollouts.stopsAtMs(backend) : undefined].filter(time => time !== undefined);
 		return times.length === 0 ? undefined : Math.min(...times);
 	}
 
@@ -129,7 +131,8 @@
 			purpose: RetryPurpose.Move, firstByteTimeoutMs: served.remainingMs(startedAtMs), lastEventId: stream.lastEventId, signal,
 		});
 		clearTimeout(overlapTimer);
-		if (dispatched.kind === DispatchKind.Answer && isSuccess(dispatched) && !signal.aborted) {
+		// The current run may have delivered the first event meanwhile, of another version.
+		if (dispatched.kind === DispatchKind.Answer && isSuccess(dispatched) && !signal.aborted && served.fitsVersion(dispatched.backend)) {
 			stream.interrupt(cause);
 			return dispatched;
 		}
--- /dev/null
+++ b/src/coordination/stream-origins/stream-origin-record.ts
@@ -0,0 +1,141 @@
+/**
+ * Keeps the origins of streams in the platform's store, so that clients can take their streams
+ * up again after all daemons have restarted. The duty holder writes which versions serve when
+ * that changes and, while several serve, the origins of the running streams.
+ */
+import {Buffer} from 'node:buffer';
+import {pack, unpack} from 'msgpackr';
+import {isPackedStreamOrigins, type PackedStreamOrigins} from '../../protocol/fleet-messages.js';
+import {type Store, Topic} from '../../protocol/platform.js';
+import {type SteadyClock} from '../../clock.js';
+import {Latch} from '../../latch.js';
+import {createLogger} from '../../log.js';
+import {decodeDaemonRecord, fieldsOf} from '../daemon-record.js';
+import {type DutyLease} from '../duty-lease.js';
+import {type ServiceVersions} from './service-versions.js';
+import {packOrigins, unpackOrigins} from './stream-origin-codec.js';
+import {type StreamOrigins} from './stream-origins.js';
+
+const log = createLogger('versions');
+
+/** Key of the record of the versions among the daemons' records; no daemon has this name. */
+export const versionsKey = '#versions';
+/** Interval between checks whether a record must be written, in milliseconds. */
+export const streamOriginCheckMs = 500;
+/** Number of streams in one record; a record of that many takes some 100 KB. */
+const streamsPerRecord = 10_000;
+/** How long a read of the records may go without an answer, in milliseconds. */
+const readTimeoutMs = 300;
+/** Time after a failed read until the next one, in milliseconds. */
+const readRetryMs = 500;
+
+/** What a {@link StreamOriginRecord} depends on. */
+export type StreamOriginRecordDependencies = {store: Store; origins: StreamOrigins; versions: ServiceVersions; lease: DutyLease; clock: SteadyClock; signal: AbortSignal};
+
+/** Writes and reads the records of versions and of streams. */
+export class StreamOriginRecord {
+	/** Opens once the record of the versions was read, or was found not to exist. */
+	readonly isVersionsRead = new Latch();
+	private storedVersions = '';
+	/** {@link StreamOrigins.added} at the last write. */
+	private storedAdded = 0;
+	private reading: Promise<void> | undefined;
+	private hasReadStreams = false;
+	private readFailedAtMs = Number.NEGATIVE_INFINITY;
+
+	constructor(private readonly dependencies: StreamOriginRecordDependencies) {}
+
+	/**
+	 * Writes what has changed if this daemon holds the lease of the singleton duties.
+	 *
+	 * @throws {StateError} When the store does not accept a record.
+	 */
+	async save(signal: AbortSignal): Promise<void> {
+		const {store, origins, versions, lease, clock} = this.dependencies;
+		const nowMs = clock.now();
+		// A daemon that has not read the records would replace them by less than they hold.
+		if (lease.tokenAt(nowMs) === undefined || !versions.hasHistory(nowMs)) {
+			return;
+		}
+
+		const known = JSON.stringify(versions.all(nowMs));
+		if (known !== this.storedVersions) {
+			await store.append(Topic.Members, {key: versionsKey, value: Buffer.from(known)}, undefined, signal);
+			this.storedVersions = known;
+		}
+
+		const {added} = origins;
+		if (added === this.storedAdded) {
+			return;
+		}
+
+		await this.restoreStreams();
+		if (this.hasReadStreams) {
+			const entries = origins.all(clock.now());
+			for (let index = 0; index < entries.length; index += streamsPerRecord) {
+				const value = pack(packOrigins(entries.slice(index, index + streamsPerRecord)));
+				// eslint-disable-next-line no-await-in-loop -- one record after the other.
+				await store.append(Topic.Streams, {key: String(index / streamsPerRecord), value}, undefined, signal);
+			}
+
+			this.storedAdded = added;
+		}
+	}
+
+	/** Applies the record of the versions; an undefined value means that there is none. */
+	applyVersions(value: Uint8Array | undefined): void {
+		const versions = value && decodeDaemonRecord(value, isVersionsByService, 'versions that serve');
+		if (versions) {
+			this.dependencies.versions.restore(versions);
+			this.storedVersions = JSON.stringify(versions);
+		}
+
+		this.isVersionsRead.open();
+	}
+
+	/** Reads the origins that the store keeps, once; resolves without them if the store does not answer. */
+	async restoreStreams(): Promise<void> {
+		const isRetryDue = this.dependencies.clock.now() - this.readFailedAtMs >= readRetryMs;
+		if (!this.hasReadStreams && isRetryDue) {
+			this.reading ??= this.readStreams();
+			await this.reading;
+		}
+	}
+
+	private async readStreams(): Promise<void> {
+		const {store, origins, clock, signal} = this.dependencies;
+		try {
+			const {records} = await store.readNewest(Topic.Streams, readTimeoutMs, signal);
+			for (const {key, value} of records) {
+				const packed = value && decodeStreams(key, value);
+				if (packed) {
+					origins.learn(unpackOrigins(packed), false, clock.now());
+				}
+			}
+
+			this.hasReadStreams = true;
+			log.info('origins of streams read from the store.', {streams: origins.size});
+		} catch (error) {
+			this.readFailedAtMs = clock.now();
+			log.warn('origins of streams cannot be read from the store.', {error: String(error)});
+		} finally {
+			this.reading = undefined;
+		}
+	}
+}
+
+function decodeStreams(key: string, value: Uint8Array): PackedStreamOrigins | undefined {
+	let decoded: unknown;
+	try {
+		decoded = unpack(value);
+	} catch (error) {
+		log.error('cannot decode the origins of streams, skipping the record.', {key, error: String(error)});
+		return undefined;
+	}
+
+	return isPackedStreamOrigins(decoded) ? decoded : undefined;
+}
+
+function isVersionsByService(value: unknown): value is Record<string, string[]> {
+	return Object.values(fieldsOf(value)).every(versions => Array.isArray(versions) && versions.every(version => typeof version === 'string'));
+}
--- a/src/protocol/fleet-messages.ts
+++ b/src/protocol/fleet-messages.ts
@@ -18,6 +18,9 @@
 	Limits = 'limits',
 	Rollouts = 'rollouts',
 	Tolerances = 'tolerances',
+	StreamOrigins = 'stream-origins',
+	StreamOriginQuery = 'stream-origin-query',
+	StreamOriginAnswer = 'stream-origin-answer',
 }
 
 /** The daemons that a digest covers. */
@@ -176,12 +179,43 @@
 /** The roll-outs that are under way or have just ended. */
 export type RolloutList = {kind: FleetMessageKind.Rollouts; sender: Sender; rollouts: RolloutUpdate[]};
 
+/** Where a stream began: it can go on only at backend servers of this service and software version. */
+export type StreamOrigin = {service: string; version: string};
+
+/** The key of a stream, and where it began. */
+export type StreamOriginEntry = [key: number, origin: StreamOrigin];
+
+/** The origins of many streams. */
+export type PackedStreamOrigins = {
+	origins: Array<[service: string, version: string]>;
+	/** Keys of streams and indexes of their origins alternate. */
+	streams: number[];
+};
+
+/** Streams that the sender serves or has learned of. */
+export type StreamOriginList = PackedStreamOrigins & {kind: FleetMessageKind.StreamOrigins; sender: Sender};
+
+/** Asks where a stream began that a client takes up. */
+export type StreamOriginQuery = {kind: FleetMessageKind.StreamOriginQuery; sender: Sender; stream: number; service: string};
+
+/** What a daemon knows of the versions at which running streams of a service may have begun. */
+export type VersionKnowledge = {
+	versions: string[];
+	/** Whether it knows those from before its start. */
+	hasHistory: boolean;
+	/** Whether its list of backend servers is recent. */
+	isFresh: boolean;
+};
+
+/** Answers a query; the origin is undefined if the sender does not know the stream. */
+export type StreamOriginAnswer = {kind: FleetMessageKind.StreamOriginAnswer; sender: Sender; stream: number; origin: StreamOrigin | undefined; knowledge: VersionKnowledge};
+
 /** Any message between serving daemons. */
-export type FleetMessage = Report | View | SuspectList | LimitList | ToleranceList | RolloutList;
+export type FleetMessage = Report | View | SuspectList | LimitList | ToleranceList | RolloutList | StreamOriginList | StreamOriginQuery | StreamOriginAnswer;
 
 /** Whether the content of a datagram is a message of a daemon; anyone can send a datagram. */
 export function isFleetMessage(value: unknown): value is FleetMessage {
-	const {kind, sender, suspects, limits, tolerances, rollouts} = (value ?? {}) as {kind?: FleetMessageKind; sender?: Sender; suspects?: unknown; limits?: unknown; tolerances?: unknown; rollouts?: unknown};
+	const {kind, sender, suspects, limits, tolerances, rollouts, stream, service, origin, knowledge} = (value ?? {}) as {kind?: FleetMessageKind; sender?: Sender; suspects?: unknown; limits?: unknown; tolerances?: unknown; rollouts?: unknown; stream?: unknown; service?: unknown; origin?: unknown; knowledge?: unknown};
 	if (typeof sender?.name !== 'string' || typeof sender.address?.host !== 'string') {
 		return false;
 	}
@@ -189,7 +223,28 @@
 	return kind === FleetMessageKind.Report || kind === FleetMessageKind.View
 		|| (kind === FleetMessageKind.Suspects && isSuspectUpdates(suspects)) || (kind === FleetMessageKind.Limits && isLimitUpdates(limits))
 		|| (kind === FleetMessageKind.Tolerances && isToleranceUpdates(tolerances))
-		|| (kind === FleetMessageKind.Rollouts && isRolloutUpdates(rollouts));
+		|| (kind === FleetMessageKind.Rollouts && isRolloutUpdates(rollouts))
+		|| (kind === FleetMessageKind.StreamOrigins && isPackedStreamOrigins(value))
+		|| (kind === FleetMessageKind.StreamOriginQuery && Number.isSafeInteger(stream) && typeof service === 'string')
+		|| (kind === FleetMessageKind.StreamOriginAnswer && Number.isSafeInteger(stream) && (origin === undefined || isStreamOrigin(origin)) && isVersionKnowledge(knowledge));
+}
+
+/** Whether a value holds the origins of streams. */
+export function isPackedStreamOrigins(value: unknown): value is PackedStreamOrigins {
+	const {origins, streams} = (value ?? {}) as Partial<PackedStreamOrigins>;
+	return Array.isArray(origins) && origins.every(origin => Array.isArray(origin) && origin.length === 2 && origin.every(part => typeof part === 'string'))
+		&& Array.isArray(streams) && streams.length % 2 === 0
+		&& streams.every((number, position) => Number.isSafeInteger(number) && number >= 0 && (position % 2 === 0 || number < origins.length));
+}
+
+function isStreamOrigin(value: unknown): value is StreamOrigin {
+	const {service, version} = (value ?? {}) as Partial<StreamOrigin>;
+	return typeof service === 'string' && typeof version === 'string';
+}
+
+function isVersionKnowledge(value: unknown): value is VersionKnowledge {
+	const {versions, hasHistory, isFresh} = (value ?? {}) as Partial<VersionKnowledge>;
+	return Array.isArray(versions) && versions.every(version => typeof version === 'string') && typeof hasHistory === 'boolean' && typeof isFresh === 'boolean';
 }
 
 /** Whether a value is a list of roll-outs. */
--- a/src/protocol/platform.ts
+++ b/src/protocol/platform.ts
@@ -88,6 +88,8 @@
 	Duties = 'duties',
 	/** What operators read of the roll-outs' progress. */
 	Status = 'status',
+	/** The software versions at which running streams began. */
+	Streams = 'streams',
 }
 
 /** The result of an append. */
--- a/src/state/backend-table.ts
+++ b/src/state/backend-table.ts
@@ -148,6 +148,16 @@
 		return usable.map(entry => entry.backend);
 	}
 
+	/** Returns the services that have entries, also those that are not listed any more. */
+	services(): string[] {
+		return [...this.byService].filter(([, entries]) => entries.length > 0).map(([service]) => service);
+	}
+
+	/** Returns the versions of a service's backend servers, including those that were removed from the platform's list and not deleted yet. */
+	versionsOf(service: string): ReadonlySet<string> {
+		return new Set((this.byService.get(service) ?? []).map(({backend}) => backend.version));
+	}
+
 	/** Returns the backend servers that the platform lists, including leaving ones. */
 	listed(): BackendEntry[] {
 		return [...this.entriesById.values()].filter(entry => entry.vanishedAtMs === undefined);
--- a/src/state/route-table.ts
+++ b/src/state/route-table.ts
@@ -53,6 +53,11 @@
 		return this.config;
 	}
 
+	/** The longest timeout of a route, in milliseconds; 0 before the first configuration. */
+	get longestTimeoutMs(): number {
+		return Math.max(0, ...this.config?.routes.map(({timeoutMs}) => timeoutMs) ?? []);
+	}
+
 	/** Whether requests on routes that are not public need an API key. */
 	get requiresApiKeys(): boolean {
 		return (this.config?.accounts.length ?? 0) > 0;
