Use all versions of a service that no order names

Callers met a service that had lost the capacity of all but one version, and 503 from every daemon once that version's replicas were gone.

All listed versions serve now. One that appears waits until the view of the orders is current as of a second later, and is not used if an order names it; versions listed before a restart are used again at once. Versions of earlier orders that were not completed are kept with the committed roll-out, so they don't come back as unordered ones.

The five cases of side-by-side-versions.test.ts failed before: replicas of one version idle, two daemons with different versions, 503 for all calls after the first version's replicas were gone.

--- a/src/cli/front-container.ts
+++ b/src/cli/front-container.ts
@@ -141,7 +141,11 @@
 		random: () => Math.random(),
 	}));
 	registerFactory(CombinedUse, resolver => new CombinedUse(resolver.resolve(QuotaLedger), resolver.resolve(FleetRetryBudget)));
-	registerFactory(Rollouts, () => new Rollouts(bounds, Math.random));
+	registerFactory(Rollouts, resolver => new Rollouts(bounds, Math.random, {
+		ordersViewAgeMs: nowMs => resolver.resolve(ViewAge).ageMs(nowMs),
+		appearedAtMs: (service, version) => resolver.resolve(BackendTable).versionSeenAtMs(service, version),
+		wasListedBefore: (service, version) => resolver.resolve(ServiceVersions).wasListedBefore(service, version),
+	}));
 	registerFactory(DutyLease, () => new DutyLease(store, incarnation, bounds.leaseMs, clock));
 	registerFactory(PoolDemands, resolver => new PoolDemands(resolver.resolve(BackendTable), resolver.resolve(Placement), resolver.resolve(FleetTable), resolver.resolve(StatedLimits)));
 	registerFactory(Quarantine, resolver => new Quarantine(nowMs => resolver.resolve(DutyLease).tokenAt(nowMs) !== undefined));
--- a/src/cli/front-daemon.ts
+++ b/src/cli/front-daemon.ts
@@ -228,7 +228,7 @@
 			this.admitRequestsOnceLoaded();
 		});
 		this.backendsSink = new BackendsSink(records, resolver.resolve(BackendTable), () => {
-			resolver.resolve(Rollouts).noteBackends(resolver.resolve(BackendTable).listed().map(({backend}) => backend));
+			resolver.resolve(Rollouts).noteBackends(resolver.resolve(BackendTable).listed().map(({backend}) => backend), this.clock.now());
 			this.admitRequestsOnceLoaded();
 		});
 		return {configSink, backendsSink: this.backendsSink};
--- a/src/coordination/fleet/__fixtures__/test-net.ts
+++ b/src/coordination/fleet/__fixtures__/test-net.ts
@@ -32,6 +32,7 @@
 import {reportIntervalMs} from '../peer-counter.js';
 import {FleetRole, FleetTable} from '../fleet-table.js';
 import {selectSenders} from '../sender-selection.js';
+import {noEvidence} from '../../rollout/__fixtures__/no-evidence.js';
 
 export const account: Account = {
 	name: 'x', apiKeys: [], priority: undefined, ratePerSecond: 1_000_000, burst: 1_000_000, countsTokens: true, defaultTokenCost: 1,
@@ -64,7 +65,7 @@
 	readonly versions: ServiceVersions;
 	readonly originExchange: StreamOriginExchange;
 	readonly originRecord: StreamOriginRecord;
-	readonly rollouts = new Rollouts({canaryShare: 0.1}, () => 0);
+	readonly rollouts = new Rollouts({canaryShare: 0.1}, () => 0, noEvidence);
 	readonly topics: Record<GossipedTopic, TopicFollower>;
 	readonly viewAges = {[Topic.Config]: new ViewAge(), [Topic.Backends]: new ViewAge()};
 	readonly backendsSeen: string[] = [];
--- a/src/coordination/rollout/rollout-runner.ts
+++ b/src/coordination/rollout/rollout-runner.ts
@@ -145,6 +145,7 @@
 			orderId: order.orderId,
 			version: order.version,
 			currentVersions,
+			rejectedVersions: rejectedBefore(order, previous),
 			phase: isServingAlready ? RolloutPhase.Completed : RolloutPhase.Canary,
 			startedAtMs: order.receivedAtMs,
 			durationMs: order.durationMs,
@@ -267,6 +268,13 @@
 	}
 }
 
+/** Returns the versions that must not serve after a new order: those of earlier orders that were not completed. */
+function rejectedBefore(order: ReceivedOrder, previous: Rollout | undefined): string[] | undefined {
+	const unfinished = previous && previous.phase !== RolloutPhase.Completed ? [previous.version] : [];
+	const rejected = [...previous?.rejectedVersions ?? [], ...unfinished].filter(version => version !== order.version);
+	return rejected.length > 0 ? [...new Set(rejected)] : undefined;
+}
+
 function toLogContext({verdict, answers, bad, worst, worstRoute, worstMetric}: Evidence): Record<string, unknown> {
 	return {
 		verdict, answers, failures: bad, evidence: Number.isFinite(worst) ? Math.round(worst * 10) / 10 : undefined, evidenceRoute: worstRoute, evidenceMetric: worstMetric,
--- a/src/coordination/rollout/rollout.ts
+++ b/src/coordination/rollout/rollout.ts
@@ -27,6 +27,8 @@
 	version: string;
 	/** The versions that served when the order arrived. */
 	currentVersions: string[];
+	/** The versions of earlier orders that were not completed; they must not serve. */
+	rejectedVersions?: string[];
 	phase: RolloutPhase;
 	/** When the order arrived. */
 	startedAtMs: number;
--- a/src/coordination/rollout/rollouts.ts
+++ b/src/coordination/rollout/rollouts.ts
@@ -1,11 +1,7 @@
 /**
  * Which versions of a service may receive requests. It decides from the roll-outs that the duty
- * holder has committed and from the versions that ran when this daemon first read the list of
- * backend servers. Placement, retries, moves and the pool ask here, and know nothing of phases,
- * shares or verdicts.
- *
- * A version that neither ran before nor is part of a roll-out receives nothing: a daemon that
- * has not learned of an order yet must not send requests to an untested version.
+ * holder has committed, the operators' orders and the versions that are listed. Placement,
+ * retries, moves and the pool ask here, and know nothing of phases, shares or verdicts.
  */
 import {type RolloutUpdate} from '../../protocol/fleet-messages.js';
 import {type ServiceBounds} from '../../protocol/platform.js';
@@ -15,6 +11,7 @@
 import {
 	fromUpdate, isFinalPhase, type Rollout, RolloutPhase, supersedes, toUpdate,
 } from './rollout.js';
+import {ServingVersions, type VersionEvidence} from './serving-versions.js';
 import {UsualTimes, VersionOutcomes} from './version-outcomes.js';
 import {OutcomeMetric} from './version-verdict.js';
 
@@ -27,6 +24,8 @@
 /** A request that got no answer in time counts as slower than any other, in milliseconds. */
 const noAnswerMs = Number.POSITIVE_INFINITY;
 
+const noVersions: ReadonlySet<string> = new Set();
+
 /** An order as it was read from the store. */
 export type ReceivedOrder = RolloutOrder & {orderId: number; receivedAtMs: number};
 
@@ -38,14 +37,17 @@
 	private readonly usualTimes = new UsualTimes();
 	private readonly known = new Map<string, KnownRollout>();
 	private readonly orders = new Map<string, ReceivedOrder>();
-	/** The versions that may serve without a roll-out, by service. */
-	private readonly servingVersions = new Map<string, ReadonlySet<string>>();
+	/** The versions that may serve without a roll-out. */
+	private readonly servingVersions: ServingVersions;
 
 	/** @param random Returns a uniform random number from 0 to 1. */
 	constructor(
 		private readonly bounds: Pick<ServiceBounds, 'canaryShare'>,
 		private readonly random: () => number,
-	) {}
+		evidence: VersionEvidence,
+	) {
+		this.servingVersions = new ServingVersions(evidence);
+	}
 
 	/** Records the operator's newest order for a service; undefined when there is none any more, or none that can be read. */
 	noteOrder(service: string, order: ReceivedOrder | undefined): void {
@@ -70,10 +72,10 @@
 		return this.orders;
 	}
 
-	/** Learns the serving versions from the first full list of backend servers. */
-	noteBackends(backends: Backend[]): void {
+	/** Learns the versions from a full list of backend servers. */
+	noteBackends(backends: Backend[], nowMs: number): void {
 		for (const service of new Set(backends.map(backend => backend.service))) {
-			this.versionsOf(service, backends.filter(backend => backend.service === service));
+			this.versionsOf(service, backends.filter(backend => backend.service === service), nowMs);
 		}
 	}
 
@@ -96,7 +98,7 @@
 
 		const isSameOrder = previous?.rollout.orderId === rollout.orderId;
 		this.known.set(rollout.service, {rollout, changedAtMs: nowMs, traffic: isSameOrder ? previous.traffic : new CanaryTraffic(this.random)});
-		this.servingVersions.set(rollout.service, new Set(rollout.phase === RolloutPhase.Completed ? [rollout.version] : rollout.currentVersions));
+		this.servingVersions.replace(rollout.service, rollout.phase === RolloutPhase.Completed ? [rollout.version] : rollout.currentVersions);
 		this.outcomes.retain(new Set(this.all().filter(({phase}) => !isFinalPhase(phase)).map(({orderId}) => orderId)));
 		log.info('roll-out phase applied.', {
 			service: rollout.service, order: rollout.orderId, version: rollout.version, currentVersions: rollout.currentVersions.join(','), phase: rollout.phase, ageMs: Math.round(nowMs - rollout.startedAtMs),
@@ -133,7 +135,7 @@
 	}
 
 	/** Returns the backend servers of a service that may receive a request, among those that accept work. */
-	filter(service: string, candidates: Backend[], isCanary: boolean): Backend[] {
+	filter(service: string, candidates: Backend[], isCanary: boolean, nowMs: number): Backend[] {
 		const rollout = this.get(service);
 		const next = rollout && !isFinalPhase(rollout.phase) ? candidates.filter(({version}) => version === rollout.version) : [];
 		if (rollout && next.length > 0 && rollout.phase === RolloutPhase.Shift) {
@@ -144,15 +146,15 @@
 			return selectCanaries(rollout.orderId, next, this.bounds.canaryShare);
 		}
 
-		const versions = this.versionsOf(service, candidates);
+		const versions = this.versionsOf(service, candidates, nowMs);
 		return candidates.every(({version}) => versions.has(version)) ? candidates : candidates.filter(({version}) => versions.has(version));
 	}
 
 	/** Whether a backend server that was selected before may still receive a request. */
-	mayReceive(backend: Backend): boolean {
+	mayReceive(backend: Backend, nowMs: number): boolean {
 		const rollout = this.get(backend.service);
 		const isNext = rollout !== undefined && !isFinalPhase(rollout.phase) && backend.version === rollout.version;
-		return isNext || this.versionsOf(backend.service, [backend]).has(backend.version);
+		return isNext || this.versionsOf(backend.service, [backend], nowMs).has(backend.version);
 	}
 
 	/** Whether a backend server is part of the pool that serves the traffic, rather than being tested or replaced. */
@@ -162,7 +164,7 @@
 			return version === rollout.version;
 		}
 
-		return this.servingVersions.get(service)?.has(version) ?? true;
+		return !this.servingVersions.isWithheld(service, version, this.withheldVersions(service));
 	}
 
 	/** When a backend server stops because its version has been replaced; undefined if it does not. */
@@ -200,39 +202,28 @@
 		return {
 			rollouts: this.all(),
 			orders: [...this.orders.values()],
-			servingVersions: Object.fromEntries([...this.servingVersions].map(([service, versions]) => [service, [...versions]])),
+			servingVersions: this.servingVersions.toJson(),
 		};
 	}
 
-	/**
-	 * Returns the versions that may serve a service without a roll-out. Where several run and
-	 * nothing is known, an ordered version is not yet one of them, and of the others it is the
-	 * one that most backend servers run.
-	 */
-	private versionsOf(service: string, backends: Backend[]): ReadonlySet<string> {
-		const known = this.servingVersions.get(service);
-		if (known) {
-			return known;
-		}
-
-		if (backends.length === 0) {
-			return new Set();
-		}
-
-		const counts = new Map<string, number>();
-		for (const {version} of backends) {
-			counts.set(version, (counts.get(version) ?? 0) + 1);
-		}
+	/** Returns the versions that may serve a service without a roll-out. */
+	private versionsOf(service: string, backends: Backend[], nowMs: number): ReadonlySet<string> {
+		// An order whose roll-out is not known yet may have been preceded by others, whose versions must not serve.
+		const mayAdd = this.orders.has(service) ? this.known.has(service) : true;
+		return this.servingVersions.update(service, backends, {withheld: this.withheldVersions(service), mayAdd}, nowMs);
+	}
 
-		const ordered = this.orders.get(service)?.version;
-		const untested = counts.size > 1 ? ordered : undefined;
-		const [version] = [...counts].filter(([candidate]) => candidate !== untested).toSorted((a, b) => b[1] - a[1] || (a[0] < b[0] ? -1 : 1))[0];
-		const versions = new Set([version]);
-		this.servingVersions.set(service, versions);
-		if (counts.size > 1) {
-			log.warn('several versions of a service run, only one of them is used.', {service, used: version, found: [...counts.keys()].join(',')});
+	/** Returns the versions that must not serve: those that are or were ordered and are not proven, and those that a completed roll-out has replaced. */
+	private withheldVersions(service: string): ReadonlySet<string> {
+		const rollout = this.get(service);
+		const order = this.orders.get(service);
+		if (!rollout && !order) {
+			return noVersions;
 		}
 
-		return versions;
+		const isCompleted = rollout?.phase === RolloutPhase.Completed;
+		const replaced = isCompleted ? rollout.currentVersions.filter(version => version !== rollout.version) : [];
+		const ordered = [isCompleted ? undefined : rollout?.version, order?.version].filter(version => version !== undefined && !(isCompleted && version === rollout.version));
+		return new Set([...replaced, ...rollout?.rejectedVersions ?? [], ...ordered as string[]]);
 	}
 }
--- a/src/coordination/serving/backend-selector.ts
+++ b/src/coordination/serving/backend-selector.ts
@@ -72,7 +72,7 @@
 		const entry = backends.get(backend.id);
 		const isStaying = entry !== undefined && entry.leavingSinceMs === undefined;
 		const isWithinLimit = isRateLimitCharged || statedLimits.permission(backend.id, nowMs) !== SendPermission.Withheld;
-		return isStaying && isWithinLimit && !cooldowns.isCoolingDown(backend, nowMs) && this.hasRoom(backend, nowMs) && (served.version === undefined ? rollouts.mayReceive(backend) : served.fitsVersion(backend)) && !served.excluded.has(backend.id);
+		return isStaying && isWithinLimit && !cooldowns.isCoolingDown(backend, nowMs) && this.hasRoom(backend, nowMs) && (served.version === undefined ? rollouts.mayReceive(backend, nowMs) : served.fitsVersion(backend)) && !served.excluded.has(backend.id);
 	}
 
 	/** Records a stream that is to continue on the backend server to which its KV cache was moved; returns false if it must not. */
@@ -109,7 +109,7 @@
 		const {backends, rollouts} = this.dependencies;
 		const {service} = served.inputs;
 		const candidates = backends.candidates(service, nowMs);
-		return served.version === undefined ? rollouts.filter(service, candidates, this.isCanary(served)) : candidates.filter(backend => served.fitsVersion(backend));
+		return served.version === undefined ? rollouts.filter(service, candidates, this.isCanary(served), nowMs) : candidates.filter(backend => served.fitsVersion(backend));
 	}
 
 	/** Returns the candidates that do not cool down. */
--- a/src/coordination/stream-origins/service-versions.ts
+++ b/src/coordination/stream-origins/service-versions.ts
@@ -38,6 +38,11 @@
 		this.earlier = new Map(Object.entries(versions));
 	}
 
+	/** Whether a version of a service was listed before this daemon started. */
+	wasListedBefore(service: string, version: string): boolean {
+		return this.earlier?.get(service)?.includes(version) === true;
+	}
+
 	/** Returns the versions at which running streams of a service may have begun. */
 	known(service: string, nowMs: number): ReadonlySet<string> {
 		const listed = this.dependencies.backends.versionsOf(service);
--- a/src/coordination/stream-origins/stream-origin-record.ts
+++ b/src/coordination/stream-origins/stream-origin-record.ts
@@ -37,6 +37,7 @@
 	/** Opens once the record of the versions was read, or was found not to exist. */
 	readonly isVersionsRead = new Latch();
 	private storedVersions = '';
+	private hasAppliedVersions = false;
 	/** {@link StreamOrigins.added} at the last write. */
 	private storedAdded = 0;
 	private reading: Promise<void> | undefined;
@@ -82,14 +83,15 @@
 		}
 	}
 
-	/** Applies the record of the versions; an undefined value means that there is none. */
+	/** Applies the record of the versions; an undefined value means that there is none. Only the first one that is read tells what served before this daemon started. */
 	applyVersions(value: Uint8Array | undefined): void {
 		const versions = value && decodeDaemonRecord(value, isVersionsByService, 'versions that serve');
-		if (versions) {
+		if (versions && !this.hasAppliedVersions) {
 			this.dependencies.versions.restore(versions);
-			this.storedVersions = JSON.stringify(versions);
 		}
 
+		this.storedVersions = versions ? JSON.stringify(versions) : this.storedVersions;
+		this.hasAppliedVersions = true;
 		this.isVersionsRead.open();
 	}
 
--- a/src/protocol/fleet-messages.ts
+++ b/src/protocol/fleet-messages.ts
@@ -170,6 +170,8 @@
 	version: string;
 	/** The versions that served when the order arrived. */
 	currentVersions: string[];
+	/** The versions of earlier orders that were not completed; undefined if there are none. */
+	rejectedVersions?: string[];
 	phase: string;
 	/** How long ago the order arrived, in milliseconds. */
 	ageMs: number;
@@ -244,17 +246,21 @@
 
 function isVersionKnowledge(value: unknown): value is VersionKnowledge {
 	const {versions, hasHistory, isFresh} = (value ?? {}) as Partial<VersionKnowledge>;
-	return Array.isArray(versions) && versions.every(version => typeof version === 'string') && typeof hasHistory === 'boolean' && typeof isFresh === 'boolean';
+	return isStringList(versions) && typeof hasHistory === 'boolean' && typeof isFresh === 'boolean';
 }
 
 /** Whether a value is a list of roll-outs. */
 export function isRolloutUpdates(value: unknown): value is RolloutUpdate[] {
 	return Array.isArray(value) && (value as Array<Partial<RolloutUpdate> | undefined>).every(update => typeof update?.service === 'string'
 		&& Number.isSafeInteger(update.orderId) && typeof update.version === 'string' && typeof update.phase === 'string'
-		&& Array.isArray(update.currentVersions) && update.currentVersions.every(version => typeof version === 'string')
+		&& isStringList(update.currentVersions) && (update.rejectedVersions === undefined || isStringList(update.rejectedVersions))
 		&& isNonNegative(update.ageMs) && isNonNegative(update.durationMs));
 }
 
+function isStringList(value: unknown): value is string[] {
+	return Array.isArray(value) && value.every(item => typeof item === 'string');
+}
+
 function isLimitUpdates(value: unknown): value is LimitUpdate[] {
 	return Array.isArray(value) && (value as Array<Partial<LimitUpdate> | undefined>).every(update => Number.isSafeInteger(update?.backend)
 		&& isNonNegative(update!.ageMs) && (update!.perSecond === undefined || isNonNegative(update!.perSecond)));
--- a/src/state/backend-table.ts
+++ b/src/state/backend-table.ts
@@ -158,6 +158,12 @@
 		return new Set((this.byService.get(service) ?? []).map(({backend}) => backend.version));
 	}
 
+	/** Returns when the first of a service's known backend servers of a version was listed; undefined if none is known. */
+	versionSeenAtMs(service: string, version: string): number | undefined {
+		const seen = (this.byService.get(service) ?? []).filter(({backend}) => backend.version === version).map(({seenAtMs}) => seenAtMs);
+		return seen.length > 0 ? Math.min(...seen) : undefined;
+	}
+
 	/** Returns the backend servers that the platform lists, including leaving ones. */
 	listed(): BackendEntry[] {
 		return [...this.entriesById.values()].filter(entry => entry.vanishedAtMs === undefined);
