Don't take a daemon for cut off when a few of many replicas crash

Four connections that did not open were enough evidence, however large the service.

The evidence grows with the square root of the service's size now, four up to sixteen replicas as before. A third, as for small services, would not be gathered in the two seconds for which a failure counts; the square root is, by probes alone, whose number grows with it. Ruled out: the trial without a cap, which three quarters of a large service must confirm.

--- a/src/coordination/__tests__/reachability.test.ts
+++ b/src/coordination/__tests__/reachability.test.ts
@@ -121,6 +121,20 @@
 		expect(reachability.takeDueProbes(() => backends, 1100)).toEqual([]);
 	});
 
+	it.each([{count: 55}, {count: 100}, {count: 216}])('finds out by probes within two seconds that all of $count backend servers accept no connection', ({count}) => {
+		const backends = createBackends(count);
+		const reachability = new Reachability(() => 0);
+		reachability.noteUnreached(backends[0], backends, 0);
+		reachability.noteUnreached(backends[1], backends, 0);
+		for (let nowMs = 100; nowMs < 2000; nowMs += 100) {
+			for (const probed of reachability.takeDueProbes(() => backends, nowMs)) {
+				reachability.noteUnreached(probed, backends, nowMs);
+			}
+		}
+
+		expect(reachability.isCutOff('s')).toBe(true);
+	});
+
 	it('probes while it is cut off, and not after', () => {
 		const backends = createBackends(4);
 		const reachability = new Reachability(() => 0);
--- a/src/coordination/reachability.ts
+++ b/src/coordination/reachability.ts
@@ -16,17 +16,19 @@
 /** Fewest backend servers that must accept no connection for a suspicion, and fewest failure domains that they must be in if the service has as many. */
 const minUnreached = 2;
 const minDomains = 2;
-/** Share of a service's backend servers that must accept no connection for the daemon to be cut off, up to a number: a few may have crashed together. */
+/** Share of a service's backend servers that must accept no connection for the daemon to be cut off: a few may have crashed together. */
 const cutOffShare = 0.75;
-const maxCutOffEvidence = 4;
+/** Number of them that is enough for a service of up to sixteen; for a larger one it is the square root of its size, which probes alone reach before the first failures are too old. */
+const minCutOffEvidence = 4;
 /** Time for which a connection that did not open counts, in milliseconds. */
 const failureMaxAgeMs = 2000;
 /** Time without any answer after which requests that wait for one raise a suspicion, in milliseconds. */
 const suspiciousSilenceMs = 800;
 /** Shortest time between two rounds of probes, in milliseconds. */
 const probeIntervalMs = 500;
-/** Backend servers probed in a round. */
-const probesPerRound = 3;
+/** Fewest backend servers probed in a round, and number of rounds in which the probes of a large service must suffice as evidence: those that fit before the first failures are too old. */
+const minProbesPerRound = 3;
+const evidenceRounds = 4;
 
 /** A connection that did not open. */
 type Failure = {failureDomain: string; atMs: number};
@@ -90,7 +92,7 @@
 		const state = this.state(service);
 		state.failures.set(id, {failureDomain, atMs: nowMs});
 		dropOldFailures(state, nowMs);
-		const isEnough = state.failures.size >= Math.min(maxCutOffEvidence, Math.ceil(candidates.length * cutOffShare));
+		const isEnough = state.failures.size >= neededEvidence(candidates.length);
 		if (!state.isCutOff && isEnough && isSpread(domainsOf(state), candidates)) {
 			state.isCutOff = true;
 			log.warn('no backend server of a service accepts connections.', {
@@ -131,10 +133,11 @@
 
 	/** Selects backend servers at random, in different failure domains if there are several, and first those of which there is no evidence yet. */
 	private selectProbes(candidates: Backend[], {failures}: ServiceState): Backend[] {
+		const count = Math.max(minProbesPerRound, Math.ceil(neededEvidence(candidates.length) / evidenceRounds));
 		const selected: Backend[] = [];
 		const unknown = candidates.filter(({id}) => !failures.has(id));
 		let remaining = unknown.length > 0 ? unknown : [...candidates];
-		while (selected.length < probesPerRound && remaining.length > 0) {
+		while (selected.length < count && remaining.length > 0) {
 			const backend = remaining[Math.floor(this.random() * remaining.length)];
 			selected.push(backend);
 			const others = remaining.filter(other => other !== backend);
@@ -164,6 +167,11 @@
 	return failureDomains.length >= minUnreached && new Set(failureDomains).size >= Math.min(minDomains, knownDomains);
 }
 
+/** Returns how many backend servers of a service must accept no connection for the daemon to be cut off. */
+function neededEvidence(candidates: number): number {
+	return Math.min(Math.ceil(candidates * cutOffShare), Math.max(minCutOffEvidence, Math.ceil(Math.sqrt(candidates))));
+}
+
 function domainsOf({failures}: ServiceState): string[] {
 	return [...failures.values()].map(({failureDomain}) => failureDomain);
 }
