Copy cached prompt parts only between engines of one software version

An engine was told to fetch parts of a prompt from whichever engine had them cached, also one of another software version, and what two versions write does not fit together. The test failed before.

--- a/src/coordination/__tests__/placement.test.ts
+++ b/src/coordination/__tests__/placement.test.ts
@@ -71,6 +71,16 @@
 		expect(placement.choose(query())!.copyFrom).toBeUndefined();
 	});
 
+	it('does not copy prompt parts from an engine of another software version', () => {
+		const placement = new Placement('fd-a');
+		const preferred = placement.choose(query())!.backend.id;
+		placement.begin(preferred, 6000, parts, 900).end();
+		const mixed = candidates.map(each => each.id === preferred ? {...each, version: 'v2'} : each);
+		const choice = placement.choose(query({candidates: mixed, excluded: new Set([preferred])}))!;
+		expect(choice.backend.version).toBe('v1');
+		expect(choice.copyFrom).toBeUndefined();
+	});
+
 	it('spreads a burst of equal requests over all engines', () => {
 		const placement = new Placement('fd-a');
 		const counts = new Map<string, number>();
--- a/src/coordination/placement.ts
+++ b/src/coordination/placement.ts
@@ -226,11 +226,11 @@
 	}
 }
 
-/** Returns the engine that should have the most of the prompt cached, if that is enough more than the chosen one has. */
+/** Returns the engine of the same software version that should have the most of the prompt cached, if that is enough more than the chosen one has. */
 function findCacheSource(chosen: PlacementChoice, choices: PlacementChoice[]): Backend | undefined {
 	let source: PlacementChoice | undefined;
 	for (const choice of choices) {
-		if (choice.cachedTokens > (source ?? chosen).cachedTokens) {
+		if (choice.backend.version === chosen.backend.version && choice.cachedTokens > (source ?? chosen).cachedTokens) {
 			source = choice;
 		}
 	}
