Check that a replica has not restarted before it continues a stream

A replica may start again under its id, as another version, and its entry shows that some hundred milliseconds later, or seconds later while the store is away. A stream sent there went on at the other version.

While several versions serve, a stream that has delivered events is sent only after the engine has stated the start time that the list shows, which takes a call. An engine that states none is trusted. New streams and services of one version pay nothing.

--- a/src/cli/front-container.ts
+++ b/src/cli/front-container.ts
@@ -180,6 +180,8 @@
 		rollouts: resolver.resolve(Rollouts),
 		reachability: resolver.resolve(Reachability),
 		peerProxy: resolver.resolve(PeerProxy),
+		versions: resolver.resolve(ServiceVersions),
+		engines,
 		clock,
 	}));
 	registerFactory(ServiceVersions, resolver => new ServiceVersions({
--- a/src/coordination/serving/dispatcher.ts
+++ b/src/coordination/serving/dispatcher.ts
@@ -3,7 +3,7 @@
  * exchange, checks that the answer belongs to the request, and reports whether the request
  * may have run.
  */
-import {type Dialect} from '../../protocol/platform.js';
+import {type Dialect, type EngineClient} from '../../protocol/platform.js';
 import {type AnswerMetadata, type Backend} from '../../protocol/serving.js';
 import {type BackendTable} from '../../state/backend-table.js';
 import {type SteadyClock} from '../../clock.js';
@@ -20,6 +20,7 @@
 import {isSpread, type Reachability} from '../reachability.js';
 import {type Rollouts} from '../rollout/rollouts.js';
 import {type StatedLimits} from '../stated-limits.js';
+import {type ServiceVersions} from '../stream-origins/service-versions.js';
 import {BackendSelector} from './backend-selector.js';
 import {type PeerProxy} from './peer-proxy.js';
 import {type Attempt, type ServedRequest} from './served-request.js';
@@ -33,6 +34,8 @@
 const reservationPollMs = 50;
 /** The reason given for a dispatch whose connection did not open. */
 const unreachableReason = 'unreached';
+/** The reason given for a dispatch that was not sent, since the backend server has restarted and may be of another version now. */
+const restartedReason = 'restarted';
 /** HTTP 503 Service Unavailable. */
 const unavailableStatus = 503;
 /** HTTP 421 Misdirected Request: the address now belongs to a different backend server. */
@@ -107,6 +110,8 @@
 	rollouts: Rollouts;
 	reachability: Reachability;
 	peerProxy: PeerProxy;
+	versions: Pick<ServiceVersions, 'isMixed'>;
+	engines: Pick<EngineClient, 'readStartTime'>;
 	clock: SteadyClock;
 };
 
@@ -166,7 +171,7 @@
 			isRateLimitCharged = false;
 			// eslint-disable-next-line no-await-in-loop -- one backend server after the other.
 			const result = await this.sendTo(served, choice, options);
-			if (result.kind !== DispatchKind.NotRun || result.reason !== unreachableReason) {
+			if (result.kind !== DispatchKind.NotRun || (result.reason !== unreachableReason && result.reason !== restartedReason)) {
 				return result;
 			}
 
@@ -218,6 +223,11 @@
 			dialect, backends, placement, pool, reachability, clock,
 		} = this.dependencies;
 		const {request, account, body, signal} = served.inputs;
+		if (await this.hasRestarted(served, backend)) {
+			served.excluded.add(backend.id);
+			return {kind: DispatchKind.NotRun, backend, reason: restartedReason};
+		}
+
 		const sentAtMs = clock.now();
 		const abort = new AbortController();
 		const cancel = () => {
@@ -302,6 +312,23 @@
 		}
 	}
 
+	/** Whether a backend server that is to continue a stream has restarted since it was listed: it may have another version now, and the list shows that later. */
+	private async hasRestarted(served: ServedRequest, backend: Backend): Promise<boolean> {
+		const {versions, engines, backends, clock} = this.dependencies;
+		if (served.version === undefined || backend.startedAtMs === undefined || !versions.isMixed(backend.service, clock.now())) {
+			return false;
+		}
+
+		const startedAtMs = await engines.readStartTime(backend, served.inputs.signal);
+		const hasRestarted = startedAtMs !== undefined && startedAtMs !== backend.startedAtMs;
+		if (hasRestarted) {
+			backends.markReplaced(backend.id, clock.now());
+			log.info('backend server has restarted and does not continue the stream.', {backend: backend.id, request: served.inputs.request.id});
+		}
+
+		return hasRestarted;
+	}
+
 	/** After the soft timeout, cancels an attempt as soon as a retry is reserved for its request; returns a function that stops the timer. */
 	private startSoftTimeout(served: ServedRequest, backendId: string, {softTimeoutMs, purpose}: DispatchOptions, cancel: () => void): () => void {
 		if (softTimeoutMs === undefined) {
--- a/src/protocol/platform.ts
+++ b/src/protocol/platform.ts
@@ -185,6 +185,8 @@
 	copy(requestId: string, source: Backend, target: Backend, signal: AbortSignal): Promise<MoveAnswer>;
 	/** Stops a run and copies the part of its KV cache that was not yet copied; the run is stopped even if the target then refuses. */
 	move(requestId: string, source: Backend, target: Backend, signal: AbortSignal): Promise<MoveAnswer>;
+	/** Returns when the engine that answers at an address started, in milliseconds since 1970; undefined if it does not say. */
+	readStartTime(engine: Backend, signal: AbortSignal): Promise<number | undefined>;
 	/** Releases what a copy occupies on both engines. */
 	release(run: MovedRun, source: Backend, signal: AbortSignal): Promise<void>;
 };
