Write the origins of streams as the first daemon, and soak several versions in one service

The soak has replicas of three versions side by side, which also restart as another one, clients that take up streams that break off, and kills of all daemons; it checks that no stream holds events of two versions and that enough of those taken up go on. The first daemon by name writes them now, under keys of its own; the record of the versions stays with the holder.

--- a/soak/__tests__/soak.test.ts
+++ b/soak/__tests__/soak.test.ts
@@ -20,6 +20,12 @@
 	{
 		seed: 816, daemons: 3, cause: 'the soak took the refusal of a key revoked on the way for a wrong one', options: {hasReplicaStatements: true},
 	},
+	{
+		seed: 901, daemons: 3, cause: 'replicas of three versions side by side', options: {hasVersions: true},
+	},
+	{
+		seed: 903, daemons: 16, cause: 'the same with daemons that ask relays where a stream began', options: {hasVersions: true},
+	},
 	{
 		seed: 701, daemons: 3, cause: 'a request that crashes replicas, and a replica that states a limit', options: {hasReplicaFaults: true},
 	},
--- a/soak/clients.ts
+++ b/soak/clients.ts
@@ -1,5 +1,6 @@
 /** Clients of a soak run. Each keeps its connections open and records every request that it sent and the answer that it got. */
 import {Agent, request as startRequest} from 'node:http';
+import {eventIds} from '../platform/__tests__/front-program.js';
 import {streamEvents} from '../platform/__tests__/standins.js';
 import {fatalBody, type SoakCluster} from './cluster.js';
 
@@ -18,12 +19,18 @@
 	/** The seal of the replica that gave the answer, if it carries one. */
 	replicaSeal: string | undefined;
 	body: string;
+	/** The id of the attempt that began the stream which this one takes up, and the last event that the client had. */
+	resumedId?: string;
+	lastEventId?: number;
 	/** Whether the answer arrived to its end. */
 	isComplete: boolean;
 };
 
 /** The kinds of request; each is the first segment of the path and has a route of its own. */
 const requestKinds = ['call', 'pay', 'stream', 'once'];
+/** The kinds in runs with several versions. */
+const streamHeavyKinds = ['stream', 'stream', 'call', 'stream', 'once'];
+const resumesHeader = 'Resumes';
 /** Pause between two requests of a client, in milliseconds. */
 const requestPauseMs = 15;
 /** Time after which a client cancels a request, in milliseconds. */
@@ -35,10 +42,19 @@
 	const agent = new Agent({keepAlive: true});
 	for (let count = 0; !signal.aborted; count++) {
 		const daemon = cluster.daemons[(count + name.length) % cluster.daemons.length];
+		const kinds = cluster.options.hasVersions ? streamHeavyKinds : requestKinds;
+		const inputs: RequestInputs = {
+			agent, host: daemon.host, id: `${name}-${count}`, kind: kinds[count % kinds.length],
+		};
 		// eslint-disable-next-line no-await-in-loop -- a client waits for its answer before the next request.
-		records.push(await sendRequest(cluster, {
-			agent, host: daemon.host, id: `${name}-${count}`, kind: requestKinds[count % requestKinds.length],
-		}));
+		const record = await sendRequest(cluster, inputs);
+		records.push(record);
+		const received = eventIds(record.body).at(-1);
+		if (cluster.options.hasVersions && record.kind === 'stream' && record.status === 200 && !record.isComplete && received !== undefined) {
+			// eslint-disable-next-line no-await-in-loop
+			records.push(...await takeUp(cluster, inputs, received));
+		}
+
 		// eslint-disable-next-line no-await-in-loop
 		await new Promise(resolve => {
 			setTimeout(resolve, requestPauseMs);
@@ -49,6 +65,28 @@
 	return records;
 }
 
+/** Attempts to take a stream up, and the pause before each, in milliseconds. */
+const maxTakeUps = 6;
+const takeUpPauseMs = 700;
+
+/** Takes a stream up that broke off, at one daemon after the other, until it goes on. */
+async function takeUp(cluster: SoakCluster, begun: RequestInputs, lastEventId: number): Promise<RequestRecord[]> {
+	const attempts: RequestRecord[] = [];
+	const first = cluster.daemons.findIndex(({host}) => host === begun.host);
+	for (let attempt = 1; attempt <= maxTakeUps && attempts.at(-1)?.status !== 200; attempt++) {
+		// eslint-disable-next-line no-await-in-loop -- one after the other.
+		await new Promise(resolve => {
+			setTimeout(resolve, takeUpPauseMs);
+		});
+		// eslint-disable-next-line no-await-in-loop
+		attempts.push(await sendRequest(cluster, {
+			...begun, host: cluster.daemons[(first + attempt) % cluster.daemons.length].host, id: `${begun.id}-r${attempt}`, resumedId: begun.id, lastEventId, path: `/stream/${begun.id}`, body: begun.id,
+		}));
+	}
+
+	return attempts;
+}
+
 /** Pause between two requests of the client whose request crashes replicas, in milliseconds. */
 const fatalRequestPauseMs = 250;
 
@@ -70,18 +108,18 @@
 }
 
 /** Destination and content of one request. */
-type RequestInputs = {agent: Agent; host: string; id: string; kind: string; path?: string; body?: string};
+type RequestInputs = {agent: Agent; host: string; id: string; kind: string; path?: string; body?: string; resumedId?: string; lastEventId?: number};
 
 /** Sends one request and waits for the end of its answer, an error or the time limit. */
-async function sendRequest(cluster: SoakCluster, {agent, host, id, kind, path = `/${kind}/${id}`, body = id}: RequestInputs): Promise<RequestRecord> {
+async function sendRequest(cluster: SoakCluster, {agent, host, id, kind, path = `/${kind}/${id}`, body = id, resumedId, lastEventId}: RequestInputs): Promise<RequestRecord> {
 	const [apiKey] = cluster.apiKeys;
 	const record: RequestRecord = {
-		id, kind, apiKey, host, sentAtMs: Date.now(), endedAtMs: Number.POSITIVE_INFINITY, status: undefined, replicaSeal: undefined, body: '', isComplete: false,
+		id, kind, apiKey, host, sentAtMs: Date.now(), endedAtMs: Number.POSITIVE_INFINITY, status: undefined, replicaSeal: undefined, body: '', resumedId, lastEventId, isComplete: false,
 	};
 	return new Promise(resolve => {
 		const request = startRequest({
 			agent, host, port: cluster.clientPort, method: 'POST', path, timeout: requestTimeoutMs, headers: {
-				host: 'h.example', 'X-Sesametally-Attempt-Id': id, 'X-Sesametally-Deadline-Ms': '2000', 'X-Sesametally-Key': apiKey,
+				host: 'h.example', 'X-Sesametally-Attempt-Id': id, 'X-Sesametally-Deadline-Ms': '2000', 'X-Sesametally-Key': apiKey, ...(resumedId !== undefined && {'Last-Event-Id': String(lastEventId), [resumesHeader]: resumedId}),
 			},
 		}, response => {
 			record.status = response.statusCode;
@@ -108,7 +146,7 @@
 
 /** Returns what is wrong with a complete success by itself: a missing seal or a body other than the replica's. */
 export function findAnswerViolation(record: RequestRecord): string | undefined {
-	const {status, isComplete, replicaSeal, body, kind, id} = record;
+	const {status, isComplete, replicaSeal, body, kind, id, lastEventId = 0} = record;
 	if (status === undefined || status >= 300 || !isComplete) {
 		return undefined;
 	}
@@ -118,7 +156,7 @@
 	}
 
 	const isStream = kind === 'stream' || kind === 'once';
-	const expected = isStream ? Array.from({length: streamEvents}, (_, index) => `id: ${index + 1}`).join(' ') : `POST /${kind}/${id} ${id}`;
+	const expected = isStream ? Array.from({length: streamEvents - lastEventId}, (_, index) => `id: ${index + 1 + lastEventId}`).join(' ') : `POST /${kind}/${id} ${id}`;
 	const received = isStream ? (body.match(/^id: \d+$/gmv) ?? []).join(' ') : body;
 	return received === expected ? undefined : `a success with the wrong body: ${received}`;
 }
--- a/soak/cluster.ts
+++ b/soak/cluster.ts
@@ -6,6 +6,7 @@
 import process from 'node:process';
 import {CloudStandin, ReplicaStandin, StoreStandin} from '../platform/__tests__/standins.js';
 import {FaultyLink} from './faulty-link.js';
+import {eventPauseMs, versions} from './version-faults.js';
 
 /** Number of replicas of one run. */
 const replicaCount = 4;
@@ -17,6 +18,8 @@
 const restartDelayMs = 200;
 /** Time after a replica's crash until another one replaces it, in milliseconds. */
 const replacementDelayMs = 400;
+/** Time after a replica's restart until its entry shows it, in milliseconds. */
+const republishDelayMs = 300;
 /** Body of the request that crashes every replica that runs it, in runs with replica faults. */
 export const fatalBody = 'fatal';
 /** Port of every daemon for clients; its other ports follow. Each daemon has a loopback address of its own. */
@@ -88,6 +91,8 @@
 	hasReplicaFaults?: boolean;
 	/** Whether replicas announce in their answers that they leave, or ask for a cooldown; such runs have no faults on the links to replicas. */
 	hasReplicaStatements?: boolean;
+	/** Whether replicas of several versions serve side by side, and clients take up streams that break off. */
+	hasVersions?: boolean;
 };
 
 /** The daemons, stand-ins and links of one run. */
@@ -110,6 +115,8 @@
 	readonly revokedAtMs = new Map<string, number>();
 	/** Time when the store took the configuration with a new key, in milliseconds since 1970. */
 	readonly addedAtMs = new Map<string, number>();
+	/** When the store became unavailable or available again, in milliseconds since 1970. */
+	readonly storeDisturbedAtMs: number[] = [];
 	private version = 1;
 	private lastReplicaNumber = 0;
 	private isClosed = false;
@@ -162,6 +169,12 @@
 	/** Starts a replica behind its own link and publishes it as ready. */
 	async addReplica(): Promise<void> {
 		const replica = new ReplicaStandin(`i-${++this.lastReplicaNumber}`);
+		if (this.options.hasVersions) {
+			replica.version = versions[this.lastReplicaNumber % versions.length];
+			replica.eventPauseMs = eventPauseMs;
+			replica.startedAtMs = Date.now();
+		}
+
 		await replica.start();
 		const link = new FaultyLink(replica.address);
 		await link.start();
@@ -176,6 +189,22 @@
 		}
 	}
 
+	/** Makes the store unavailable, or available again. */
+	setStoreDown(isDown: boolean): void {
+		this.store.isDown = isDown;
+		this.storeDisturbedAtMs.push(Date.now());
+	}
+
+	/** Restarts a replica as another version; its entry shows that later. */
+	restartReplica(index: number): void {
+		const replica = this.replicas[index];
+		replica.restart(versions[(versions.indexOf(replica.version) + 1) % versions.length]);
+		this.links[index].reset();
+		setTimeout(() => {
+			this.publishReplica(replica, this.links[index], 'ready');
+		}, republishDelayMs);
+	}
+
 	/** Publishes a replica as draining. */
 	drainReplica(index: number): void {
 		this.publishReplica(this.replicas[index], this.links[index], 'draining');
@@ -204,7 +233,7 @@
 	/** Writes a replica's record to the store. */
 	private publishReplica(replica: ReplicaStandin, link: FaultyLink, state: string): void {
 		this.store.put('keyed.servers', replica.id, {
-			service: 'svc', address: link.address, zone: failureDomains[0], slots: 8, state, sequence: 1, version: 'v1', cold_left_ms: 0,
+			service: 'svc', address: link.address, zone: failureDomains[0], slots: 8, state, sequence: 1, version: replica.version, cold_left_ms: 0, born: replica.startedAtMs,
 		});
 	}
 
--- a/soak/soak.ts
+++ b/soak/soak.ts
@@ -16,6 +16,7 @@
 	cooldownMs, findCrashViolations, findLimitViolations, findStatementViolations, limitCheckMs, startStatingLimit,
 } from './replica-faults.js';
 import {SoakCluster, type ClusterOptions} from './cluster.js';
+import {countTakenUp, findVersionViolations, versionFaults} from './version-faults.js';
 
 /** Number of clients of one run. */
 const clientCount = 8;
@@ -38,9 +39,9 @@
  * The result of a run: the number of requests (`tries`), of those with a complete answer of status 200 (`served`), the
  * share answered with 200 of the requests sent after the recovery from the last fault (`servedLast`), the number of
  * these by kind and status (`lastEnds`), the names of the injected faults in order (`faults`), and one text for each
- * violation of a guarantee (`broken`).
+ * violation of a guarantee (`broken`); in runs with several versions also the streams taken up (`streams`).
  */
-export type SoakReport = {seed: number; tries: number; served: number; servedLast: number; lastEnds: Record<string, number>; faults: string[]; broken: string[]};
+export type SoakReport = {seed: number; tries: number; served: number; servedLast: number; lastEnds: Record<string, number>; faults: string[]; broken: string[]; streams?: ReturnType<typeof countTakenUp>};
 
 /** A fault: `begin` injects it, `end` removes it if it doesn't end by itself. */
 type Fault = {name: string; begin: () => void; end?: () => void};
@@ -88,6 +89,11 @@
 			report.broken.push(...findStatementViolations(cluster, records.flat()));
 		}
 
+		if (options.hasVersions) {
+			report.broken.push(...findVersionViolations(cluster, records.flat()));
+			report.streams = countTakenUp(records.flat(), cluster);
+		}
+
 		if (limitedReplica) {
 			report.broken.push(...findCrashViolations(cluster, faultsEndMs), ...findLimitViolations(limitedReplica));
 		}
@@ -160,10 +166,10 @@
 		() => ({
 			name: 'store down',
 			begin() {
-				cluster.store.isDown = true;
+				cluster.setStoreDown(true);
 			},
 			end() {
-				cluster.store.isDown = false;
+				cluster.setStoreDown(false);
 			},
 		}),
 		() => ({
@@ -189,6 +195,7 @@
 		...(cluster.options.hasReplicaStatements ? [] : [LinkMode.Delay, LinkMode.Silence, LinkMode.OneWay]).map(mode => () => setLink(mode)),
 		...storeLinkFaults(cluster),
 		...replicaStatements(cluster, replica),
+		...versionFaults(cluster, index),
 	];
 	return choices[drawInteger(random, choices.length) - 1]();
 }
--- a/src/cli/front-container.ts
+++ b/src/cli/front-container.ts
@@ -189,7 +189,7 @@
 	}));
 	registerFactory(StreamOrigins, resolver => new StreamOrigins(() => Math.max(minStreamRetentionMs, resolver.resolve(RouteTable).longestTimeoutMs * streamRetentionTimeouts)));
 	registerFactory(StreamOriginRecord, resolver => new StreamOriginRecord({
-		store, origins: resolver.resolve(StreamOrigins), versions: resolver.resolve(ServiceVersions), lease: resolver.resolve(DutyLease), clock, signal,
+		store, origins: resolver.resolve(StreamOrigins), versions: resolver.resolve(ServiceVersions), lease: resolver.resolve(DutyLease), isFirstDaemon: nowMs => resolver.resolve(FleetTable).rank(nowMs) === 0, name: settings.name, clock, signal,
 	}));
 	registerFactory(StreamOriginExchange, resolver => new StreamOriginExchange({
 		origins: resolver.resolve(StreamOrigins),
--- a/src/coordination/fleet/__fixtures__/test-net.ts
+++ b/src/coordination/fleet/__fixtures__/test-net.ts
@@ -116,7 +116,7 @@
 			backends: this.backends, viewAgeMs: () => 0, startedAtMs, isFirstStart: net.isFirstStart,
 		});
 		this.originRecord = new StreamOriginRecord({
-			store: net.store, origins: this.origins, versions: this.versions, lease: this.lease, clock, signal: new AbortController().signal,
+			store: net.store, origins: this.origins, versions: this.versions, lease: this.lease, isFirstDaemon: nowMs => this.fleet.rank(nowMs) === 0, name, clock, signal: new AbortController().signal,
 		});
 		this.originExchange = new StreamOriginExchange({
 			origins: this.origins, versions: this.versions, fleet: this.fleet, clock, failureDomain, createSender: nowMs => this.messenger.sender(nowMs), restore: async () => this.originRecord.restoreStreams(),
--- a/src/coordination/stream-origins/stream-origin-record.ts
+++ b/src/coordination/stream-origins/stream-origin-record.ts
@@ -1,7 +1,7 @@
 /**
  * Keeps the origins of streams in the platform's store, so that clients can take their streams
- * up again after all daemons have restarted. The duty holder writes which versions serve when
- * that changes and, while several serve, the origins of the running streams.
+ * up again after all daemons have restarted: which versions serve when that changes and, while
+ * several serve, the origins of the running streams.
  */
 import {Buffer} from 'node:buffer';
 import {pack, unpack} from 'msgpackr';
@@ -30,7 +30,18 @@
 const readRetryMs = 500;
 
 /** What a {@link StreamOriginRecord} depends on. */
-export type StreamOriginRecordDependencies = {store: Store; origins: StreamOrigins; versions: ServiceVersions; lease: DutyLease; clock: SteadyClock; signal: AbortSignal};
+export type StreamOriginRecordDependencies = {
+	store: Store;
+	origins: StreamOrigins;
+	versions: ServiceVersions;
+	lease: DutyLease;
+	/** Whether this daemon is the first of those that know all streams. */
+	isFirstDaemon: (nowMs: number) => boolean;
+	/** This daemon's name. */
+	name: string;
+	clock: SteadyClock;
+	signal: AbortSignal;
+};
 
 /** Writes and reads the records of versions and of streams. */
 export class StreamOriginRecord {
@@ -47,39 +58,25 @@
 	constructor(private readonly dependencies: StreamOriginRecordDependencies) {}
 
 	/**
-	 * Writes what has changed if this daemon holds the lease of the singleton duties.
+	 * Writes what has changed: the versions as the duty holder, and the origins as the first of the daemons, which are
+	 * back sooner than a holder after all of them have restarted.
 	 *
 	 * @throws {StateError} When the store does not accept a record.
 	 */
 	async save(signal: AbortSignal): Promise<void> {
-		const {store, origins, versions, lease, clock} = this.dependencies;
+		const {versions, lease, isFirstDaemon, clock} = this.dependencies;
 		const nowMs = clock.now();
 		// A daemon that has not read the records would replace them by less than they hold.
-		if (lease.tokenAt(nowMs) === undefined || !versions.hasHistory(nowMs)) {
+		if (!versions.hasHistory(nowMs)) {
 			return;
 		}
 
-		const known = JSON.stringify(versions.all(nowMs));
-		if (known !== this.storedVersions) {
-			await store.append(Topic.Members, {key: versionsKey, value: Buffer.from(known)}, undefined, signal);
-			this.storedVersions = known;
-		}
-
-		const {added} = origins;
-		if (added === this.storedAdded) {
-			return;
+		if (lease.tokenAt(nowMs) !== undefined) {
+			await this.saveVersions(nowMs, signal);
 		}
 
-		await this.restoreStreams();
-		if (this.hasReadStreams) {
-			const entries = origins.all(clock.now());
-			for (let index = 0; index < entries.length; index += streamsPerRecord) {
-				const value = pack(packOrigins(entries.slice(index, index + streamsPerRecord)));
-				// eslint-disable-next-line no-await-in-loop -- one record after the other.
-				await store.append(Topic.Streams, {key: String(index / streamsPerRecord), value}, undefined, signal);
-			}
-
-			this.storedAdded = added;
+		if (isFirstDaemon(nowMs)) {
+			await this.saveStreams(signal);
 		}
 	}
 
@@ -104,6 +101,38 @@
 		}
 	}
 
+	private async saveVersions(nowMs: number, signal: AbortSignal): Promise<void> {
+		const {store, versions} = this.dependencies;
+		const known = JSON.stringify(versions.all(nowMs));
+		if (known !== this.storedVersions) {
+			await store.append(Topic.Members, {key: versionsKey, value: Buffer.from(known)}, undefined, signal);
+			this.storedVersions = known;
+		}
+	}
+
+	/** Writes all origins under keys of this daemon, so that two that take themselves for the first one don't replace each other's. */
+	private async saveStreams(signal: AbortSignal): Promise<void> {
+		const {store, origins, name, clock} = this.dependencies;
+		const {added} = origins;
+		if (added === this.storedAdded) {
+			return;
+		}
+
+		await this.restoreStreams();
+		if (!this.hasReadStreams) {
+			return;
+		}
+
+		const entries = origins.all(clock.now());
+		for (let index = 0; index < entries.length; index += streamsPerRecord) {
+			const value = pack(packOrigins(entries.slice(index, index + streamsPerRecord)));
+			// eslint-disable-next-line no-await-in-loop -- one record after the other.
+			await store.append(Topic.Streams, {key: `${name}/${index / streamsPerRecord}`, value}, undefined, signal);
+		}
+
+		this.storedAdded = added;
+	}
+
 	private async readStreams(): Promise<void> {
 		const {store, origins, clock, signal} = this.dependencies;
 		try {
