--- a/src/coordination/stream-origins/stream-origin-lookup.ts
+++ b/src/coordination/stream-origins/stream-origin-lookup.ts
@@ -27,13 +27,18 @@
 export type FoundOrigin = {origin: StreamOrigin; source: Exclude<OriginSource, OriginSource.Unknown>} | {origin: undefined; source: OriginSource.Unknown};
 
 /** A stream that a client takes up. */
-export type ResumedStream = {account: string | undefined; service: string; /** The client's attempt that began it; undefined if the client does not name it. */ requestId: string | undefined};
+export type ResumedStream = {
+	account: string | undefined;
+	service: string;
+	/** The client's attempt that began it; undefined if the client does not name it. */
+	requestId: string | undefined;
+};
 
 /** What a {@link StreamOriginLookup} depends on. */
 export type StreamOriginLookupDependencies = {
 	origins: StreamOrigins;
 	versions: ServiceVersions;
-	exchange: StreamOriginExchange;
+	exchange: Pick<StreamOriginExchange, 'ask'>;
 	record: StreamOriginRecord;
 	clock: SteadyClock;
 	/** Whether no other daemon is known that could have begun a stream. */
