Tell others where a stream began only if its replica has not restarted

The engine states its start time after the first event, while several versions serve; if it is not the listed one nothing continues the stream, and a client that takes it up is refused. The stream itself waits for nothing.

--- a/src/cli/front-container.ts
+++ b/src/cli/front-container.ts
@@ -200,7 +200,9 @@
 		createSender: nowMs => resolver.resolve(FleetMessenger).sender(nowMs),
 		restore: async () => resolver.resolve(StreamOriginRecord).restoreStreams(),
 	}));
-	registerFactory(StreamOriginSharing, resolver => new StreamOriginSharing({versions: resolver.resolve(ServiceVersions), exchange: resolver.resolve(StreamOriginExchange)}));
+	registerFactory(StreamOriginSharing, resolver => new StreamOriginSharing({
+		versions: resolver.resolve(ServiceVersions), exchange: resolver.resolve(StreamOriginExchange), engines, signal,
+	}));
 	registerFactory(StreamOriginLookup, resolver => new StreamOriginLookup({
 		origins: resolver.resolve(StreamOrigins),
 		versions: resolver.resolve(ServiceVersions),
--- a/src/coordination/serving/__tests__/stream-registry.test.ts
+++ b/src/coordination/serving/__tests__/stream-registry.test.ts
@@ -81,7 +81,9 @@
 		const backends = new BackendTable({drainMs: 2000});
 		backends.upsert(startedEngine(1), 0);
 		const registry = new StreamRegistry({
-			backends, engines: undefined as never, dispatcher: undefined as never, routes: undefined as never, rollouts: new Rollouts({canaryShare: 0.1}, () => 0, noEvidence), sharing: new StreamOriginSharing({versions: {isMixed: () => false}, exchange: {note: () => undefined}}), signal: new AbortController().signal,
+			backends, engines: undefined as never, dispatcher: undefined as never, routes: undefined as never, rollouts: new Rollouts({canaryShare: 0.1}, () => 0, noEvidence), sharing: new StreamOriginSharing({
+				versions: {isMixed: () => false}, exchange: {note: () => undefined}, engines: {readStartTime: async () => undefined}, signal: new AbortController().signal,
+			}), signal: new AbortController().signal,
 		});
 		const stream = createStream(3, 50, 1000);
 		const abort = new AbortController();
--- a/src/coordination/serving/dispatcher.ts
+++ b/src/coordination/serving/dispatcher.ts
@@ -23,6 +23,7 @@
 import {type ServiceVersions} from '../stream-origins/service-versions.js';
 import {BackendSelector} from './backend-selector.js';
 import {type PeerProxy} from './peer-proxy.js';
+import {hasRestarted} from './restart-check.js';
 import {type Attempt, type ServedRequest} from './served-request.js';
 import {RetryReservations} from './retry-reservations.js';
 
@@ -223,7 +224,7 @@
 			dialect, backends, placement, pool, reachability, clock,
 		} = this.dependencies;
 		const {request, account, body, signal} = served.inputs;
-		if (await this.hasRestarted(served, backend)) {
+		if (await this.isReplaced(served, backend)) {
 			served.excluded.add(backend.id);
 			return {kind: DispatchKind.NotRun, backend, reason: restartedReason};
 		}
@@ -312,21 +313,17 @@
 		}
 	}
 
-	/** Whether a backend server that is to continue a stream has restarted since it was listed: it may have another version now, and the list shows that later. */
-	private async hasRestarted(served: ServedRequest, backend: Backend): Promise<boolean> {
+	/** Whether a backend server that is to continue a stream has restarted, so that it may be of another version than the list shows. */
+	private async isReplaced(served: ServedRequest, backend: Backend): Promise<boolean> {
 		const {versions, engines, backends, clock} = this.dependencies;
-		if (served.version === undefined || backend.startedAtMs === undefined || !versions.isMixed(backend.service, clock.now())) {
+		const isInDoubt = served.version !== undefined && versions.isMixed(backend.service, clock.now());
+		if (!isInDoubt || !await hasRestarted(engines, backend, served.inputs.signal)) {
 			return false;
 		}
 
-		const startedAtMs = await engines.readStartTime(backend, served.inputs.signal);
-		const hasRestarted = startedAtMs !== undefined && startedAtMs !== backend.startedAtMs;
-		if (hasRestarted) {
-			backends.markReplaced(backend.id, clock.now());
-			log.info('backend server has restarted and does not continue the stream.', {backend: backend.id, request: served.inputs.request.id});
-		}
-
-		return hasRestarted;
+		backends.markReplaced(backend.id, clock.now());
+		log.info('backend server has restarted and does not continue the stream.', {backend: backend.id, request: served.inputs.request.id});
+		return true;
 	}
 
 	/** After the soft timeout, cancels an attempt as soon as a retry is reserved for its request; returns a function that stops the timer. */
--- a/src/coordination/serving/forwarded-stream.ts
+++ b/src/coordination/serving/forwarded-stream.ts
@@ -212,7 +212,7 @@
 			}
 		}
 
-		this.served.version ??= run.backend.version;
+		this.served.noteDelivery(run.backend);
 		if (this.events === 0) {
 			this.firstEventAtMs = this.lastProgressAtMs;
 			this.onFirstEvent();
--- a/src/coordination/serving/served-request.ts
+++ b/src/coordination/serving/served-request.ts
@@ -43,6 +43,9 @@
 	return `${backendId} ${version} +${sentAfterMs} cost ${costMs}: ${result}${suffix}`;
 }
 
+/** The version of a stream that nothing may continue; no backend server has it. */
+const unknownVersion = '(unknown)';
+
 /** A request being served. */
 export class ServedRequest {
 	readonly attempts: Attempt[] = [];
@@ -68,6 +71,8 @@
 	isUnreachable = false;
 	/** The software version at which its stream began, once an event has been delivered; only backend servers of this version may continue it. */
 	version: string | undefined;
+	/** The backend server that delivered the first event, unless a client has taken the stream up. */
+	beganAt: Backend | undefined;
 	/** How this version became known, if a client takes the stream up. */
 	originSource: OriginSource | undefined;
 	/** Whether other daemons know this version. */
@@ -103,6 +108,19 @@
 		return this.cachedFingerprint;
 	}
 
+	/** Records the backend server whose event is delivered; the first one decides at which version the stream may go on. */
+	noteDelivery(backend: Backend): void {
+		if (this.version === undefined) {
+			this.version = backend.version;
+			this.beganAt = backend;
+		}
+	}
+
+	/** Records that the backend server at which the stream began is not of the version that the list showed: no other may continue it. */
+	noteUnknownVersion(): void {
+		this.version = unknownVersion;
+	}
+
 	/** Whether a client takes up a stream of which it has received events. */
 	get isResumption(): boolean {
 		return this.inputs.request.lastEventId !== undefined;
--- a/src/coordination/serving/stream-origin-sharing.ts
+++ b/src/coordination/serving/stream-origin-sharing.ts
@@ -1,21 +1,35 @@
-/** Tells other daemons at which version a stream began, as soon as replicas of another version could continue it by mistake. */
+/**
+ * Tells other daemons at which version a stream began, as soon as replicas of another version
+ * could continue it by mistake. The list may show a backend server that has restarted since, as
+ * another version, so its start time is asked first; the stream goes on meanwhile.
+ */
+import {type EngineClient} from '../../protocol/platform.js';
+import {createLogger} from '../../log.js';
 import {type ServiceVersions} from '../stream-origins/service-versions.js';
 import {type StreamOriginExchange} from '../stream-origins/stream-origin-exchange.js';
 import {computeStreamKey} from '../stream-origins/stream-origins.js';
+import {hasRestarted} from './restart-check.js';
 import {type ServedRequest} from './served-request.js';
 
+const log = createLogger('versions');
+
 /** What a {@link StreamOriginSharing} depends on. */
-export type StreamOriginSharingDependencies = {versions: Pick<ServiceVersions, 'isMixed'>; exchange: Pick<StreamOriginExchange, 'note'>};
+export type StreamOriginSharingDependencies = {
+	versions: Pick<ServiceVersions, 'isMixed'>;
+	exchange: Pick<StreamOriginExchange, 'note'>;
+	engines: Pick<EngineClient, 'readStartTime'>;
+	signal: AbortSignal;
+};
 
 /** Shares the origins of the streams that this daemon serves. */
 export class StreamOriginSharing {
 	constructor(private readonly dependencies: StreamOriginSharingDependencies) {}
 
-	/** Shares the origin of a stream that has delivered its first event. */
+	/** Shares the origin of a stream that has delivered its first event, if its service has several versions. */
 	share(served: ServedRequest, nowMs: number): void {
 		const {service} = served.inputs;
 		if (needsSharing(served) && this.dependencies.versions.isMixed(service, nowMs)) {
-			this.note(served);
+			void this.shareOrigin(served);
 		}
 	}
 
@@ -29,15 +43,23 @@
 			}
 
 			if (isMixed.get(service) && needsSharing(served)) {
-				this.note(served);
+				void this.shareOrigin(served);
 			}
 		}
 	}
 
-	private note(served: ServedRequest): void {
-		const {account, service} = served.inputs;
-		this.dependencies.exchange.note(computeStreamKey(account?.name, served.originalRequestId!), {service, version: served.version!});
+	private async shareOrigin(served: ServedRequest): Promise<void> {
+		const {exchange, engines, signal} = this.dependencies;
+		const {account, service, request} = served.inputs;
 		served.isOriginShared = true;
+		// It has not restarted since the stream began either, if it states the listed start time.
+		if (served.beganAt && await hasRestarted(engines, served.beganAt, signal)) {
+			served.noteUnknownVersion();
+			log.info('stream began at a backend server that had restarted, no other continues it.', {request: request.id, backend: served.beganAt.id});
+			return;
+		}
+
+		exchange.note(computeStreamKey(account?.name, served.originalRequestId!), {service, version: served.version!});
 	}
 }
 
