Log the prompt parts of requests whose backend server crashed, and how far their answers were

The logs of the incident show that the requests which had just begun to write differ at each crash, but not what they share. A line now names the parts of the prompt, whether the answer had begun, and for how long it had been written.

--- a/src/coordination/quarantine/__tests__/crash-watch.test.ts
+++ b/src/coordination/quarantine/__tests__/crash-watch.test.ts
@@ -8,12 +8,15 @@
 import {type Backend, BackendState} from '../../../protocol/serving.js';
 import {BackendTable} from '../../../state/backend-table.js';
 import {isConnectionRefused} from '../../../transport/port-probe.js';
-import {CrashWatch} from '../crash-watch.js';
+import {type BrokenRun, CrashWatch} from '../crash-watch.js';
 import {Quarantine} from '../quarantine.js';
 
 const backend = (id: string, overrides: Partial<Backend> = {}): Backend => ({
 	id, name: id, startedAtMs: undefined, service: 's', version: 'v1', host: '127.0.0.1', port: 1, failureDomain: 'fd-a', slots: 64, state: BackendState.Ready, isReclaimable: true, leavesInMs: undefined, coldForMs: 0, ...overrides,
 });
+const brokenRun = (on: Backend, fingerprint = 77): BrokenRun => ({
+	backend: on, fingerprint, promptParts: [], hasAnswered: true, writingMs: undefined,
+});
 const draining = {state: BackendState.Draining, leavesInMs: 1000};
 
 describe('a run that breaks off', () => {
@@ -36,7 +39,7 @@
 		const quarantine = new Quarantine(() => false);
 		await new CrashWatch({
 			backends, quarantine, clock: new SteadyClock(), refuses: async () => isRefused,
-		}).recordBrokenRun(77, backend('i-1'));
+		}).recordBrokenRun(brokenRun(backend('i-1')));
 		expect(quarantine.isEmpty).toBe(!isEvidence);
 	});
 
@@ -52,7 +55,7 @@
 		const quarantine = new Quarantine(() => false);
 		await new CrashWatch({
 			backends, quarantine, clock: new SteadyClock(), refuses: async () => true, accepts: async ({host}) => (others as Record<string, boolean>)[host],
-		}).recordBrokenRun(77, backend('i-1', {host: 'i-1'}));
+		}).recordBrokenRun(brokenRun(backend('i-1', {host: 'i-1'})));
 		expect(quarantine.isEmpty).toBe(!isEvidence);
 	});
 
@@ -66,7 +69,7 @@
 				return true;
 			},
 		});
-		await Promise.all(Array.from({length: 64}, async (_, index) => crashWatch.recordBrokenRun(index, backend('i-1'))));
+		await Promise.all(Array.from({length: 64}, async (_, index) => crashWatch.recordBrokenRun(brokenRun(backend('i-1'), index))));
 		expect(checks).toBe(1);
 	});
 });
--- a/src/coordination/quarantine/crash-watch.ts
+++ b/src/coordination/quarantine/crash-watch.ts
@@ -5,7 +5,7 @@
  * that were running. Nor does one that refuses connections while all others of its service do:
  * then this daemon may be cut off from them.
  */
-import {type Backend} from '../../protocol/serving.js';
+import {type Backend, type PromptPart} from '../../protocol/serving.js';
 import {type BackendTable} from '../../state/backend-table.js';
 import {type SteadyClock} from '../../clock.js';
 import {isConnectionAccepted, isConnectionRefused} from '../../transport/port-probe.js';
@@ -24,6 +24,18 @@
 /** Runs that break off at a backend server within this many milliseconds share one check. */
 const checkReuseMs = 1000;
 
+/** A run that broke off. */
+export type BrokenRun = {
+	backend: Backend;
+	/** The fingerprint of its request. */
+	fingerprint: number;
+	promptParts: PromptPart[];
+	/** Whether the head of its answer had arrived. */
+	hasAnswered: boolean;
+	/** How long it had been writing when it broke off, in milliseconds; undefined if nothing of the answer's body had arrived. */
+	writingMs: number | undefined;
+};
+
 /** What a {@link CrashWatch} depends on. */
 export type CrashWatchDependencies = {
 	backends: BackendTable;
@@ -42,11 +54,13 @@
 	constructor(private readonly dependencies: CrashWatchDependencies) {}
 
 	/** Records a run that broke off; resolves once it is known whether its backend server has crashed. */
-	async recordBrokenRun(fingerprint: number, backend: Backend): Promise<void> {
+	async recordBrokenRun({backend, fingerprint, promptParts, hasAnswered, writingMs}: BrokenRun): Promise<void> {
 		const {quarantine, clock} = this.dependencies;
 		if (!this.isLeaving(backend) && await this.checkEnded(backend, clock.now())) {
 			quarantine.recordCrash(fingerprint, backendKey(backend.id), clock.now());
-			log.info('backend server crashed while running a request.', {backend: backend.id, fingerprint: formatFingerprint(fingerprint)});
+			log.info('backend server crashed while running a request.', {
+				backend: backend.id, fingerprint: formatFingerprint(fingerprint), promptParts: promptParts.map(({id}) => id).join(','), hasAnswered, writingMs,
+			});
 		}
 	}
 
--- a/src/coordination/serving/dispatcher.ts
+++ b/src/coordination/serving/dispatcher.ts
@@ -195,8 +195,15 @@
 	}
 
 	/** Records that a run broke off; the next attempt waits until it is known whether the backend server has crashed. */
-	recordBrokenRun(served: ServedRequest, backend: Backend): void {
-		served.crashCheck = this.dependencies.crashWatch.recordBrokenRun(served.fingerprint, backend);
+	recordBrokenRun(served: ServedRequest, backend: Backend, {answeredAtMs, writingSinceMs}: Attempt): void {
+		const {crashWatch, clock} = this.dependencies;
+		served.crashCheck = crashWatch.recordBrokenRun({
+			backend,
+			fingerprint: served.fingerprint,
+			promptParts: served.inputs.request.promptParts,
+			hasAnswered: answeredAtMs !== undefined,
+			writingMs: writingSinceMs === undefined ? undefined : Math.round(clock.now() - writingSinceMs),
+		});
 	}
 
 	/** Records that a backend server answered a request completely. */
@@ -301,7 +308,7 @@
 			}
 
 			if (!abort.signal.aborted) {
-				this.recordBrokenRun(served, backend);
+				this.recordBrokenRun(served, backend, attempt);
 			} else if (!signal.aborted && !options.signal?.aborted) {
 				this.noteVersionOutcome(served, backend, undefined, options);
 			}
@@ -358,6 +365,7 @@
 		const metadata = dialect.readAnswer(answer.response.headers);
 		attempt.stated = describeStatements(metadata);
 		const nowMs = clock.now();
+		attempt.answeredAtMs = nowMs;
 		if (metadata.load) {
 			placement.noteLoad(backend.id, metadata.load, nowMs);
 		}
--- a/src/coordination/serving/forwarded-stream.ts
+++ b/src/coordination/serving/forwarded-stream.ts
@@ -201,6 +201,7 @@
 	/** Writes one event to the client, skipping those already delivered; returns false when an earlier event is missing. */
 	private deliver(event: RawEvent, run: StartedAnswer): boolean {
 		this.lastProgressAtMs = this.now();
+		run.attempt.writingSinceMs ??= this.lastProgressAtMs;
 		if (event.id !== undefined && this.lastEventId !== undefined) {
 			const expected = Number(this.lastEventId) + 1;
 			if (Number(event.id) < expected) {
--- a/src/coordination/serving/served-request.ts
+++ b/src/coordination/serving/served-request.ts
@@ -7,8 +7,21 @@
 import {computeFingerprint} from '../quarantine/request-fingerprint.js';
 import {type OriginSource} from '../stream-origins/stream-origin-lookup.js';
 
-/** One attempt: the request sent to one backend server. `sentAfterMs` counts from the request's arrival; `stated` is what the head of the answer stated of the backend server. */
-export type Attempt = {backendId: string; version: string; costMs: number; sentAfterMs: number; result: string; stated?: string};
+/** One attempt: the request sent to one backend server. */
+export type Attempt = {
+	backendId: string;
+	version: string;
+	costMs: number;
+	/** When it was sent, in milliseconds after the request's arrival. */
+	sentAfterMs: number;
+	result: string;
+	/** What the head of the answer stated of the backend server. */
+	stated?: string;
+	/** When the head of the answer arrived. */
+	answeredAtMs?: number;
+	/** When the first part of the answer's body arrived. */
+	writingSinceMs?: number;
+};
 
 /** What is known of a request when serving begins. */
 export type ServedRequestInputs = {
--- a/src/coordination/serving/stream-forwarding.ts
+++ b/src/coordination/serving/stream-forwarding.ts
@@ -79,7 +79,7 @@
 			}
 
 			if (end.kind === 'ended' && end.isBroken) {
-				dispatcher.recordBrokenRun(served, dispatched.backend);
+				dispatcher.recordBrokenRun(served, dispatched.backend, dispatched.attempt);
 			}
 
 			errorAnswer = end.kind === 'answer' ? end.answer : errorAnswer;
--- a/src/coordination/serving/unary-forwarding.ts
+++ b/src/coordination/serving/unary-forwarding.ts
@@ -80,9 +80,9 @@
 }
 
 /** Records how a run ended, unless this daemon closed it itself. */
-function recordRunEnd(dispatcher: Dispatcher, served: ServedRequest, {backend, abort}: StartedAnswer, answer: BufferedAnswer | undefined): void {
+function recordRunEnd(dispatcher: Dispatcher, served: ServedRequest, {backend, attempt, abort}: StartedAnswer, answer: BufferedAnswer | undefined): void {
 	if (!answer && !abort.signal.aborted) {
-		dispatcher.recordBrokenRun(served, backend);
+		dispatcher.recordBrokenRun(served, backend, attempt);
 	} else if (answer && answer.status < 500) {
 		dispatcher.recordCompletedRun(served);
 	}
