Quarantine parts of prompts that crash backend servers

What callers saw: requests of one route failed with 502 and took the streams beside them with them, one backend server after the other, for half a minute.

Cause: the quarantine knew whole requests only. The class: harm that travels with something that requests share, remembered by too narrow a key. Ruled out: lost crashes (no fingerprint of a beginning run stands at two ends) and another reason of the ends (each has one run that had just begun).

The quarantine now tests groups: a crash accuses the request and the parts of the prompts on which answers were about to begin; an answer that goes on for half a second clears its parts, one that completes clears its request too. Three crashes convict a part (five if it has been sound before) unless something else was at all of them that the request lacks, and once reports of sound runs had time to arrive; in doubt one request a second runs. Clears travel as crashes do, and each round lowers the rank of what was sent, so that no suspect is crowded out. A short answer speaks for its request only if the backend server stays up.

--- a/src/cli/front-container.ts
+++ b/src/cli/front-container.ts
@@ -212,7 +212,7 @@
 		isAlone: nowMs => resolver.resolve(FleetTable).daemons(nowMs) === 1,
 	}));
 	registerFactory(StreamRegistry, resolver => new StreamRegistry({
-		backends: resolver.resolve(BackendTable), engines, dispatcher: resolver.resolve(Dispatcher), routes: resolver.resolve(RouteTable), rollouts: resolver.resolve(Rollouts), sharing: resolver.resolve(StreamOriginSharing), signal,
+		backends: resolver.resolve(BackendTable), engines, dispatcher: resolver.resolve(Dispatcher), routes: resolver.resolve(RouteTable), rollouts: resolver.resolve(Rollouts), sharing: resolver.resolve(StreamOriginSharing), quarantine: resolver.resolve(Quarantine), signal,
 	}));
 	const {configSink, backendsSink} = createSinks(frontContainer);
 	const isRelay = (resolver: DependencyContainer) => resolver.resolve(FleetTable).roleAt(clock.now()) === FleetRole.Relay;
--- a/src/coordination/fleet/__tests__/quarantine-updates.test.ts
+++ b/src/coordination/fleet/__tests__/quarantine-updates.test.ts
@@ -3,19 +3,19 @@
 import {crashesToQuarantine} from '../../quarantine/quarantine.js';
 import {type TestDaemon, type TestNet, startNet} from '../__fixtures__/test-net.js';
 
-const fingerprint = 77;
+const request = {request: 77, parts: []};
 /** Time within which the crashes that three daemons saw must be known to all daemons, in milliseconds: less than half of what the operators allow. */
 const propagationMs = 1250;
 
 /** Records a crash of a different backend server at each of the daemons. */
 function recordCrashes(daemons: TestDaemon[], net: TestNet): void {
 	for (const [index, daemon] of daemons.entries()) {
-		daemon.quarantine.recordCrash(fingerprint, index + 1, net.nowMs);
+		daemon.quarantine.recordCrash([request.request], index + 1, net.nowMs);
 	}
 }
 
 /** Names of the running daemons that would still send the request. */
-const unawareDaemons = (net: TestNet) => net.runningDaemons().filter(({quarantine}) => !quarantine.forbidsRetry(fingerprint)).map(({name}) => name);
+const unawareDaemons = (net: TestNet) => net.runningDaemons().filter(({quarantine}) => !quarantine.forbidsRetry(request, net.nowMs)).map(({name}) => name);
 
 describe('a request that crashed one backend server at each of three daemons', () => {
 	it.each([
@@ -69,7 +69,7 @@
 		const restarted = net.restart(net.daemons.at(-1)!);
 		await restarted.messenger.discover(new AbortController().signal);
 		net.run(propagationMs);
-		expect(restarted.quarantine.forbidsRetry(fingerprint)).toBe(true);
+		expect(restarted.quarantine.forbidsRetry(request, net.nowMs)).toBe(true);
 	}, 60_000);
 
 	it('is still known after all daemons restart at once', async () => {
@@ -105,3 +105,48 @@
 		expect(idle).toEqual(idle.map(() => 4 * 5));
 	});
 });
+
+describe('a part of a prompt that crashed one backend server at each of five daemons, beside a wave of ordinary crashes', () => {
+	const harmful = 1;
+	const common = 2;
+	const sound = 3;
+	/** Time after the fifth crash from which few requests with the part may be sent, in milliseconds. */
+	const contactMs = 3000;
+	/** Backend servers lost in the wave, and how many requests with prompts of their own break off at each daemon that loses some. */
+	const waveCrashes = 10;
+	const brokenRuns = 8;
+
+	it.each([
+		{daemons: 6, domains: 4},
+		{daemons: 86, domains: 4},
+		{daemons: 195, domains: 6},
+		{daemons: 370, domains: 8},
+	])('is refused by all of $daemons daemons, and sound requests are not', async ({daemons, domains}) => {
+		const net = await startNet(daemons, domains);
+		let request = 1000;
+		for (let wave = 0; wave < waveCrashes; wave++) {
+			for (let run = 0; run < brokenRuns; run++) {
+				const daemon = net.daemons[(request * 7) % daemons];
+				request++;
+				daemon.quarantine.recordCrash([request, common, 100_000 + request, 200_000 + request, 300_000 + request], 100 + wave, net.nowMs);
+			}
+		}
+
+		for (let crash = 0; crash < 5; crash++) {
+			net.daemons[(crash * 11) % daemons].quarantine.recordCrash([++request, common, harmful], crash, net.nowMs);
+		}
+
+		for (let elapsedMs = 0; elapsedMs < contactMs; elapsedMs += 250) {
+			net.run(250);
+			// Sound requests go on at some daemons only.
+			for (const daemon of net.daemons.slice(0, Math.ceil(daemons / 3))) {
+				daemon.quarantine.recordProgress({request: 0, parts: [common, sound]}, net.nowMs);
+			}
+		}
+
+		net.run(250);
+		const admits = (parts: number[]) => net.daemons.filter(({quarantine}) => quarantine.admit({request: ++request, parts}, net.nowMs) === undefined).length;
+		expect(admits([common, harmful])).toBe(0);
+		expect(admits([common, sound])).toBe(daemons);
+	}, 120_000);
+});
--- a/src/coordination/fleet/backend-updates.ts
+++ b/src/coordination/fleet/backend-updates.ts
@@ -6,7 +6,7 @@
  * such events has no extra traffic.
  */
 import {
-	type FleetMessage, FleetMessageKind, type LimitList, type RolloutList, type Sender, type SuspectList, type ToleranceList,
+	type FleetMessage, FleetMessageKind, type LimitList, type RolloutList, type Sender, type SuspectList, type SuspectUpdate, type ToleranceList,
 } from '../../protocol/fleet-messages.js';
 import {type OverloadTolerances} from '../overload-tolerances.js';
 import {type Quarantine} from '../quarantine/quarantine.js';
@@ -26,17 +26,16 @@
 export class BackendUpdates {
 	constructor(private readonly parts: BackendUpdateParts) {}
 
-	/** Creates messages with the latest changes, and with `includesAll` also with everything in force, for daemons that have just started. */
-	createMessages(sender: Sender, includesAll: boolean, nowMs: number): BackendUpdateMessage[] {
-		const {quarantine, statedLimits, tolerances, rollouts} = this.parts;
-		const suspects = quarantine.isEmpty ? [] : quarantine.recentUpdates(includesAll, nowMs);
-		const limits = statedLimits.isEmpty ? [] : statedLimits.updates(includesAll, nowMs);
-		return [
-			...chunk(suspects).map(part => ({kind: FleetMessageKind.Suspects as const, sender, suspects: part})),
-			...chunk(limits).map(part => ({kind: FleetMessageKind.Limits as const, sender, limits: part})),
-			...chunk(tolerances.isEmpty ? [] : tolerances.updates(includesAll, nowMs)).map(part => ({kind: FleetMessageKind.Tolerances as const, sender, tolerances: part})),
-			...chunk(rollouts.isEmpty ? [] : rollouts.updates(includesAll, nowMs)).map(part => ({kind: FleetMessageKind.Rollouts as const, sender, rollouts: part})),
-		];
+	/** Creates the messages of a round, with the latest changes, and with `includesAll` also with everything in force. */
+	createRoundMessages(sender: Sender, includesAll: boolean, nowMs: number): BackendUpdateMessage[] {
+		const {quarantine} = this.parts;
+		return this.createMessages(sender, quarantine.isEmpty ? [] : quarantine.takeRoundUpdates(includesAll, nowMs), includesAll, nowMs);
+	}
+
+	/** Creates messages with everything in force, for a daemon that has just started. */
+	createFullMessages(sender: Sender, nowMs: number): BackendUpdateMessage[] {
+		const {quarantine} = this.parts;
+		return this.createMessages(sender, quarantine.isEmpty ? [] : quarantine.recentUpdates(true, nowMs), true, nowMs);
 	}
 
 	/** Processes a message of another daemon, whose updates are forwarded with `shouldForward`; returns false if the message is of another kind. */
@@ -64,6 +63,17 @@
 
 		return false;
 	}
+
+	private createMessages(sender: Sender, suspects: SuspectUpdate[], includesAll: boolean, nowMs: number): BackendUpdateMessage[] {
+		const {statedLimits, tolerances, rollouts} = this.parts;
+		const limits = statedLimits.isEmpty ? [] : statedLimits.updates(includesAll, nowMs);
+		return [
+			...chunk(suspects).map(part => ({kind: FleetMessageKind.Suspects as const, sender, suspects: part})),
+			...chunk(limits).map(part => ({kind: FleetMessageKind.Limits as const, sender, limits: part})),
+			...chunk(tolerances.isEmpty ? [] : tolerances.updates(includesAll, nowMs)).map(part => ({kind: FleetMessageKind.Tolerances as const, sender, tolerances: part})),
+			...chunk(rollouts.isEmpty ? [] : rollouts.updates(includesAll, nowMs)).map(part => ({kind: FleetMessageKind.Rollouts as const, sender, rollouts: part})),
+		];
+	}
 }
 
 /** Splits a list into parts that fit into a datagram each. */
--- a/src/coordination/fleet/fleet-messenger.ts
+++ b/src/coordination/fleet/fleet-messenger.ts
@@ -292,7 +292,7 @@
 	/** Sends the requests that crash backend servers, the limits that backend servers state, and the roll-outs: those that changed, and every {@link fullUpdateRounds} rounds all of them. */
 	private sendBackendUpdates(role: FleetRole, nowMs: number): void {
 		const includesAll = this.round % fullUpdateRounds === 0 && this.shouldRepeatAll(role, nowMs);
-		const messages = this.backendUpdates.createMessages(this.sender(nowMs), includesAll, nowMs);
+		const messages = this.backendUpdates.createRoundMessages(this.sender(nowMs), includesAll, nowMs);
 		const receivers = messages.length > 0 ? this.updateReceivers(role, nowMs) : [];
 		for (const message of messages) {
 			this.link?.send(message, receivers);
@@ -302,7 +302,7 @@
 	/** Sends all suspected requests, limits and roll-outs to a daemon that has just started. */
 	private sendAllToNewDaemon({sender}: Report, nowMs: number): void {
 		if (sender.uptimeMs < newDaemonMs) {
-			for (const message of this.backendUpdates.createMessages(this.sender(nowMs), true, nowMs)) {
+			for (const message of this.backendUpdates.createFullMessages(this.sender(nowMs), nowMs)) {
 				this.link?.send(message, [sender.address]);
 			}
 		}
--- a/src/coordination/quarantine/__tests__/crash-watch.test.ts
+++ b/src/coordination/quarantine/__tests__/crash-watch.test.ts
@@ -8,15 +8,14 @@
 import {type Backend, BackendState} from '../../../protocol/serving.js';
 import {BackendTable} from '../../../state/backend-table.js';
 import {isConnectionRefused} from '../../../transport/port-probe.js';
-import {type BrokenRun, CrashWatch} from '../crash-watch.js';
+import {CrashWatch, type EndedRun, soundWritingMs} from '../crash-watch.js';
 import {Quarantine} from '../quarantine.js';
+import {listFingerprints} from '../request-fingerprint.js';
 
 const backend = (id: string, overrides: Partial<Backend> = {}): Backend => ({
 	id, name: id, startedAtMs: undefined, service: 's', version: 'v1', host: '127.0.0.1', port: 1, failureDomain: 'fd-a', slots: 64, state: BackendState.Ready, isReclaimable: true, leavesInMs: undefined, coldForMs: 0, ...overrides,
 });
-const brokenRun = (on: Backend, fingerprint = 77): BrokenRun => ({
-	backend: on, fingerprint, promptParts: [], hasAnswered: true, writingMs: undefined,
-});
+const brokenRun = (on: Backend, request = 77): EndedRun => ({backend: on, fingerprints: {request, parts: []}, writingMs: undefined});
 const draining = {state: BackendState.Draining, leavesInMs: 1000};
 
 describe('a run that breaks off', () => {
@@ -74,6 +73,51 @@
 	});
 });
 
+describe('the end of a run', () => {
+	const part = 5;
+	const fingerprints = {request: 77, parts: [part]};
+
+	/** Creates a watch over one backend server that refuses connections or not. */
+	function watchBackend(isRefused: boolean): {crashWatch: CrashWatch; quarantine: Quarantine} {
+		const backends = new BackendTable({drainMs: 2000});
+		backends.upsert(backend('i-1'), 0);
+		const quarantine = new Quarantine(() => false);
+		return {
+			quarantine, crashWatch: new CrashWatch({
+				backends, quarantine, clock: new SteadyClock(), refuses: async () => isRefused,
+			}),
+		};
+	}
+
+	it.each([
+		{name: 'before its answer began', writingMs: undefined, accusesPart: true},
+		{name: 'just after its answer began', writingMs: soundWritingMs - 1, accusesPart: true},
+		{name: 'long after its answer began', writingMs: soundWritingMs, accusesPart: false},
+	])('in a crash $name accuses the parts of its prompt: $accusesPart', async ({writingMs, accusesPart}) => {
+		const {crashWatch, quarantine} = watchBackend(true);
+		await crashWatch.recordBrokenRun({backend: backend('i-1'), fingerprints, writingMs});
+		expect(quarantine.isAccused({request: 0, parts: [part]})).toBe(accusesPart);
+		expect(quarantine.isAccused({request: 77, parts: []})).toBe(true);
+	});
+
+	it.each([
+		{
+			name: 'a short answer clears its request if the backend server stays up', writingMs: 5, isRefused: false, isAccused: false,
+		},
+		{
+			name: 'a short answer does not clear its request if the backend server then crashes', writingMs: 5, isRefused: true, isAccused: true,
+		},
+		{
+			name: 'a long answer clears its request at once', writingMs: soundWritingMs, isRefused: true, isAccused: false,
+		},
+	])('$name', async ({writingMs, isRefused, isAccused}) => {
+		const {crashWatch, quarantine} = watchBackend(isRefused);
+		quarantine.recordCrash(listFingerprints(fingerprints), 1, 0);
+		await crashWatch.recordCompletedRun({backend: backend('i-1'), fingerprints, writingMs});
+		expect(quarantine.isAccused(fingerprints)).toBe(isAccused);
+	});
+});
+
 describe('isConnectionRefused', () => {
 	it('is false for a listening port and true after it is closed', async () => {
 		const server = createServer().listen(0, '127.0.0.1');
--- a/src/coordination/quarantine/crash-watch.ts
+++ b/src/coordination/quarantine/crash-watch.ts
@@ -1,18 +1,20 @@
 /**
- * Finds out whether a backend server crashed when a run on it broke off. An overloaded backend
+ * Finds out whether a backend server crashed when a run on it broke off, and what its runs say
+ * for and against the requests. An overloaded backend
  * server, or one behind a faulty link, breaks connections without crashing; one that is
  * draining or being reclaimed ends for that reason. Neither says anything about the requests
  * that were running. Nor does one that refuses connections while all others of its service do:
  * then this daemon may be cut off from them.
  */
-import {type Backend, type PromptPart} from '../../protocol/serving.js';
+import {setTimeout as delay} from 'node:timers/promises';
+import {type Backend} from '../../protocol/serving.js';
 import {type BackendTable} from '../../state/backend-table.js';
 import {type SteadyClock} from '../../clock.js';
 import {isConnectionAccepted, isConnectionRefused} from '../../transport/port-probe.js';
 import {createLogger} from '../../log.js';
 import {backendKey} from '../fleet/backend-key.js';
 import {type Quarantine} from './quarantine.js';
-import {formatFingerprint} from './request-fingerprint.js';
+import {formatFingerprint, listFingerprints, type RequestFingerprints} from './request-fingerprint.js';
 
 const log = createLogger('quarantine');
 
@@ -24,15 +26,14 @@
 /** Runs that break off at a backend server within this many milliseconds share one check. */
 const checkReuseMs = 1000;
 
-/** A run that broke off. */
-export type BrokenRun = {
+/** Time for which an answer must have been written until its run speaks for the parts of its prompt, in milliseconds: a part that crashes backend servers does so as the answer begins. */
+export const soundWritingMs = 500;
+
+/** A run that has ended. */
+export type EndedRun = {
 	backend: Backend;
-	/** The fingerprint of its request. */
-	fingerprint: number;
-	promptParts: PromptPart[];
-	/** Whether the head of its answer had arrived. */
-	hasAnswered: boolean;
-	/** How long it had been writing when it broke off, in milliseconds; undefined if nothing of the answer's body had arrived. */
+	fingerprints: RequestFingerprints;
+	/** How long its answer had been written when it ended, in milliseconds; undefined if nothing of the answer's body had arrived. */
 	writingMs: number | undefined;
 };
 
@@ -54,16 +55,43 @@
 	constructor(private readonly dependencies: CrashWatchDependencies) {}
 
 	/** Records a run that broke off; resolves once it is known whether its backend server has crashed. */
-	async recordBrokenRun({backend, fingerprint, promptParts, hasAnswered, writingMs}: BrokenRun): Promise<void> {
+	async recordBrokenRun({backend, fingerprints, writingMs}: EndedRun): Promise<void> {
 		const {quarantine, clock} = this.dependencies;
 		if (!this.isLeaving(backend) && await this.checkEnded(backend, clock.now())) {
-			quarantine.recordCrash(fingerprint, backendKey(backend.id), clock.now());
+			const hasGoneOn = writingMs !== undefined && writingMs >= soundWritingMs;
+			quarantine.recordCrash(hasGoneOn ? [fingerprints.request] : listFingerprints(fingerprints), backendKey(backend.id), clock.now());
 			log.info('backend server crashed while running a request.', {
-				backend: backend.id, fingerprint: formatFingerprint(fingerprint), promptParts: promptParts.map(({id}) => id).join(','), hasAnswered, writingMs,
+				backend: backend.id, fingerprint: formatFingerprint(fingerprints.request), parts: fingerprints.parts.map(part => formatFingerprint(part)).join(','), writingMs,
 			});
 		}
 	}
 
+	/**
+	 * Records a run that completed. A backend server may crash just after a short answer, so such
+	 * a run speaks for its request only if the backend server stays up. Resolves once that is known.
+	 */
+	async recordCompletedRun({backend, fingerprints, writingMs = 0}: EndedRun): Promise<void> {
+		const {quarantine, clock} = this.dependencies;
+		const completedAtMs = clock.now();
+		if (!quarantine.isAccused(fingerprints)) {
+			return;
+		}
+
+		if (writingMs < soundWritingMs) {
+			await delay(soundWritingMs, undefined, {ref: false});
+			if (this.isLeaving(backend)) {
+				return;
+			}
+
+			if (await this.checkEnded(backend, clock.now())) {
+				quarantine.recordCrash(listFingerprints(fingerprints), backendKey(backend.id), clock.now());
+				return;
+			}
+		}
+
+		quarantine.recordCompletedRun(fingerprints, completedAtMs, clock.now());
+	}
+
 	private isLeaving({id}: Backend): boolean {
 		const entry = this.dependencies.backends.get(id);
 		return !entry || (!entry.isEnded && (entry.leavingSinceMs !== undefined || entry.vanishedAtMs !== undefined));
--- a/src/coordination/quarantine/quarantine.ts
+++ b/src/coordination/quarantine/quarantine.ts
@@ -1,18 +1,35 @@
 /**
  * Quarantines requests that crash backend servers (queries of death), to protect the remaining
- * backend servers. Clients retry such a request after each crash, at any daemon, and each run
- * also ends the other requests on its backend server. It differs from those in that runs of its
- * fingerprint were in progress on several backend servers when they crashed, and none completed.
- * Daemons gossip which backend server crashed while running which fingerprint, so a crash counts
- * once however often it is reported.
+ * backend servers: a request that its client retries after each crash, and all requests whose
+ * prompts share a part that crashes whatever runs it. Each run also ends the other requests on
+ * its backend server.
+ *
+ * This is group testing. A crash accuses all requests that were running and all parts of the
+ * prompts on which answers were about to begin; a run that goes on clears its parts, and one
+ * that completes its request as well. A part that many requests share is at many crashes, so
+ * the number of crashes alone does not convict it: not while something else was at all of them
+ * that a request lacks, and not before a run that went on elsewhere would be known here. In
+ * such doubt single requests run, away from others, and their ends decide.
+ *
+ * A part keeps its fingerprint in all services and for all accounts, since a route may change
+ * its service and other accounts may share the part; only crashes under it can have it refused.
  */
 import {type SuspectUpdate} from '../../protocol/fleet-messages.js';
-import {formatFingerprint} from './request-fingerprint.js';
+import {formatFingerprint, listFingerprints, type RequestFingerprints} from './request-fingerprint.js';
+import {
+	crashesToQuarantine, lastCrashAtMs, type Suspect, Suspects,
+} from './suspects.js';
 
-/** Number of backend servers that must have crashed while running a request before it is quarantined. Two are not enough: in a wave of crashes, a harmless request that is retried at once may meet two. */
-export const crashesToQuarantine = 3;
+export {crashesToQuarantine} from './suspects.js';
+
+/** Number of crashes that quarantine a part with which a run has gone on before. */
+const crashesAfterSoundRun = 5;
 /** Number of backend servers that must have crashed while running a request before its next run is placed where the fewest other requests run. */
 const isolationCrashes = 2;
+/** Time after the crash that would quarantine a part for which others may still report runs with it that went on, in milliseconds. */
+const settlingMs = 1000;
+/** Interval between two trials of a suspect in doubt, in milliseconds: longer than a run needs to begin and to go on. */
+const trialIntervalMs = 1000;
 /** How long a request is refused after the crash that quarantined it, in milliseconds; each further crash doubles the time. */
 export const initialQuarantineMs = 60_000;
 /** Longest quarantine, in milliseconds. */
@@ -21,129 +38,106 @@
 const probeIntervalMs = 30_000;
 /** Retry-After for a request whose quarantine is over but which only another daemon may probe, in milliseconds. */
 const nonProberRetryAfterMs = 10_000;
-/** A quarantined request is forgotten this many milliseconds after its last crash or completed run. */
-const quarantineMemoryMs = 60 * 60_000;
-/** A suspect that is not quarantined is forgotten this many milliseconds after its last crash or completed run. */
-const suspicionMemoryMs = 10 * 60_000;
-/** Number of suspects that are remembered: a wave of crashes of ten engines leaves about five hundred. */
-const maxSuspects = 2000;
-/** A change is gossiped for this many milliseconds: eight rounds, since some datagrams may be lost. */
-const gossipMs = 2000;
-/** Completions whose times differ by no more than this many milliseconds are the same one: each daemon that relays an age adds the latency of a message. */
-const sameEventToleranceMs = 1000;
-/** Interval between two prunings, in milliseconds, and the number of suspects beyond {@link maxSuspects} that are allowed in between. */
-const pruneIntervalMs = 1000;
-const maxUnprunedSuspects = 500;
-/** Number of suspects gossiped in one round, the most suspect first: as many as one daemon may have in progress at a full engine. */
-const maxGossipedSuspects = 64;
-/** Number of crashes gossiped for one suspect, the latest ones: more than are needed for a quarantine. */
-const maxGossipedCrashes = 6;
-
-/** What is known of one suspected request. */
-type Suspect = {
-	/** When each backend server crashed while running it, by the backend server's key. */
-	crashes: Map<number, number>;
-	/** When a run of it last completed; earlier crashes do not count. */
-	clearedAtMs: number;
-	/** When this daemon last learned something of it. */
-	changedAtMs: number;
-	/** When this daemon last admitted a probe. */
-	probedAtMs: number;
-};
-
-/** The refusal of a quarantined request: the number of crashes that count against it, and its Retry-After. */
-export type QuarantineRefusal = {crashes: number; retryAfterMs: number};
-
-/** The suspected and quarantined requests that one daemon knows of. */
+
+/** The refusal of a quarantined request: what it is refused for, the number of crashes that count against that, and its Retry-After. */
+export type QuarantineRefusal = {fingerprint: number; crashes: number; retryAfterMs: number};
+
+/** How certain it is that a suspect crashes backend servers. */
+enum Suspicion {
+	Doubt = 'doubt',
+	Conviction = 'conviction',
+}
+
+/** A suspect among the fingerprints of a request. */
+type Charge = {fingerprint: number; suspect: Suspect; neededCrashes: number; suspicion: Suspicion};
+
+/** The suspected and quarantined requests and parts of prompts that one daemon knows of. */
 export class Quarantine {
-	private readonly suspects = new Map<number, Suspect>();
-	private prunedAtMs = Number.NEGATIVE_INFINITY;
+	private readonly suspects = new Suspects();
 
 	/** @param canProbe Returns whether this daemon is the one that may probe requests whose quarantine is over. */
 	constructor(private readonly canProbe: (nowMs: number) => boolean) {}
 
-	/** Whether nothing is suspected, so that no request needs a fingerprint. */
+	/** Whether nothing is suspected, so that no request needs fingerprints. */
 	get isEmpty(): boolean {
-		return this.suspects.size === 0;
+		return this.suspects.isEmpty;
 	}
 
-	/** Records that a backend server crashed while running a request. */
-	recordCrash(fingerprint: number, backendKey: number, nowMs: number): void {
-		const suspect = this.findOrAddSuspect(fingerprint);
-		if (!suspect.crashes.has(backendKey)) {
-			suspect.crashes.set(backendKey, nowMs);
-			suspect.changedAtMs = nowMs;
-		}
-
-		this.prune(nowMs);
+	/** Records that a backend server crashed while running what has these fingerprints. */
+	recordCrash(fingerprints: readonly number[], backendKey: number, nowMs: number): void {
+		this.suspects.recordCrash(fingerprints, backendKey, nowMs);
 	}
 
-	/** Records that a run of a request completed, which clears the request of its earlier crashes. */
-	recordCompletedRun(fingerprint: number, nowMs: number): void {
-		const suspect = this.suspects.get(fingerprint);
-		if (suspect && suspect.crashes.size > 0) {
-			this.clear(suspect, nowMs);
-			suspect.changedAtMs = nowMs;
-		}
+	/** Records that a run of a request completed at a time, which clears the request and the parts of its prompt. */
+	recordCompletedRun(fingerprints: RequestFingerprints, completedAtMs: number, nowMs: number): void {
+		this.suspects.recordSoundRun(listFingerprints(fingerprints), completedAtMs, nowMs);
 	}
 
-	/** Decides whether a request may run; undefined when it may. After its quarantine it may run as a probe, at one daemon only and once per {@link probeIntervalMs}. */
-	admit(fingerprint: number, nowMs: number): QuarantineRefusal | undefined {
-		const suspect = this.suspects.get(fingerprint);
-		if (!suspect || suspect.crashes.size < crashesToQuarantine) {
-			return undefined;
-		}
+	/** Whether a crash counts against a request or a part of its prompt. */
+	isAccused(fingerprints: RequestFingerprints): boolean {
+		return this.suspects.isAnyAccused(listFingerprints(fingerprints));
+	}
 
-		const remainingMs = quarantineEndsAtMs(suspect) - nowMs;
-		if (remainingMs > 0) {
-			return {crashes: suspect.crashes.size, retryAfterMs: remainingMs};
-		}
+	/** Records that an answer went on after it had begun, which clears the parts of its prompt; its request may still crash the backend server later. */
+	recordProgress({parts}: RequestFingerprints, nowMs: number): void {
+		this.suspects.recordSoundRun(parts, nowMs, nowMs);
+	}
 
-		if (!this.canProbe(nowMs)) {
-			return {crashes: suspect.crashes.size, retryAfterMs: nonProberRetryAfterMs};
+	/**
+	 * Decides whether a request may run; undefined when it may. In doubt, one request may run per
+	 * {@link trialIntervalMs}. After a quarantine one may run as a probe, at one daemon only and
+	 * once per {@link probeIntervalMs}.
+	 */
+	admit(fingerprints: RequestFingerprints, nowMs: number): QuarantineRefusal | undefined {
+		const charges = this.findCharges(fingerprints, nowMs);
+		const refusals = charges.map(charge => this.refuse(charge, nowMs)).filter(refusal => refusal !== undefined);
+		if (refusals.length > 0) {
+			return refusals.toSorted((a, b) => b.retryAfterMs - a.retryAfterMs)[0];
 		}
 
-		const msUntilProbe = suspect.probedAtMs + probeIntervalMs - nowMs;
-		if (msUntilProbe > 0) {
-			return {crashes: suspect.crashes.size, retryAfterMs: msUntilProbe};
+		for (const {suspect, suspicion} of charges) {
+			if (suspicion === Suspicion.Conviction) {
+				suspect.probedAtMs = nowMs;
+			} else {
+				suspect.triedAtMs = nowMs;
+			}
 		}
 
-		suspect.probedAtMs = nowMs;
 		return undefined;
 	}
 
 	/** Whether a request that is being served must not be sent again. */
-	forbidsRetry(fingerprint: number): boolean {
-		return (this.suspects.get(fingerprint)?.crashes.size ?? 0) >= crashesToQuarantine;
+	forbidsRetry(fingerprints: RequestFingerprints, nowMs: number): boolean {
+		return this.findCharges(fingerprints, nowMs).some(({suspicion}) => suspicion === Suspicion.Conviction);
 	}
 
 	/** Whether the next run of a request is likely to crash its backend server. */
-	isSuspect(fingerprint: number): boolean {
-		return (this.suspects.get(fingerprint)?.crashes.size ?? 0) >= isolationCrashes;
+	isSuspect(fingerprints: RequestFingerprints): boolean {
+		const own = new Set(listFingerprints(fingerprints));
+		return [...own].some(fingerprint => {
+			const suspect = this.suspects.get(fingerprint);
+			return suspect !== undefined && suspect.crashes.size >= isolationCrashes && !this.suspects.hasOtherExplanation(suspect, own);
+		});
+	}
+
+	/** Returns the updates that this daemon sends to others in one round. */
+	takeRoundUpdates(withQuarantined: boolean, nowMs: number): SuspectUpdate[] {
+		return this.suspects.takeRoundUpdates(withQuarantined, nowMs);
 	}
 
-	/** Returns the updates for other daemons: recent changes, and with `withQuarantined` all quarantined requests, for daemons that have just started. */
+	/** Returns the updates for other daemons: recent changes, and with `withQuarantined` all that are quarantined, for daemons that have just started. */
 	recentUpdates(withQuarantined: boolean, nowMs: number): SuspectUpdate[] {
-		this.prune(nowMs);
-		const reported = [...this.suspects].filter(([, suspect]) => (withQuarantined && isQuarantined(suspect)) || nowMs - suspect.changedAtMs <= gossipMs);
-		return reported.toSorted(([, a], [, b]) => compareSuspicion(a, b)).slice(0, maxGossipedSuspects).map(entry => toUpdate(entry, nowMs));
+		return this.suspects.recentUpdates(withQuarantined, nowMs);
 	}
 
-	/** Returns the quarantined requests, to be stored in case all daemons are lost at once. */
+	/** Returns what is quarantined, to be stored in case all daemons are lost at once. */
 	quarantinedUpdates(nowMs: number): SuspectUpdate[] {
-		return [...this.suspects].filter(([, suspect]) => isQuarantined(suspect)).map(entry => toUpdate(entry, nowMs));
+		return this.suspects.quarantinedUpdates(nowMs);
 	}
 
 	/** Applies updates received from another daemon or read from the store; known ones change nothing. New ones are gossiped further if `shouldForward`. */
-	applyUpdates(updates: SuspectUpdate[], shouldForward: boolean, nowMs: number): void {
-		for (const update of updates) {
-			const suspect = this.findOrAddSuspect(update.fingerprint);
-			if (this.mergeUpdate(suspect, update, nowMs) && shouldForward) {
-				suspect.changedAtMs = nowMs;
-			}
-		}
-
-		this.prune(nowMs);
+	applyUpdates(updates: readonly SuspectUpdate[], shouldForward: boolean, nowMs: number): void {
+		this.suspects.applyUpdates(updates, shouldForward, nowMs);
 	}
 
 	/** Returns the suspects for the state dump. */
@@ -151,92 +145,58 @@
 		return this.recentUpdates(true, nowMs).map(({fingerprint, ...rest}) => ({fingerprint: formatFingerprint(fingerprint), ...rest}));
 	}
 
-	/** Merges an update into what is known of a suspect; returns whether anything in it was new. */
-	private mergeUpdate(suspect: Suspect, {crashes, clearedAgeMs}: SuspectUpdate, nowMs: number): boolean {
-		let isNew = false;
-		const clearedAtMs = clearedAgeMs === undefined ? Number.NEGATIVE_INFINITY : nowMs - clearedAgeMs;
-		if (clearedAtMs - suspect.clearedAtMs > sameEventToleranceMs) {
-			this.clear(suspect, clearedAtMs);
-			isNew = true;
-		}
-
-		for (const [backendKey, ageMs] of crashes) {
-			const atMs = nowMs - ageMs;
-			if (atMs > suspect.clearedAtMs && !suspect.crashes.has(backendKey)) {
-				suspect.crashes.set(backendKey, atMs);
-				isNew = true;
+	/** Returns what speaks against running a request. */
+	private findCharges(fingerprints: RequestFingerprints, nowMs: number): Charge[] {
+		const own = new Set(listFingerprints(fingerprints));
+		const charges: Charge[] = [];
+		for (const fingerprint of own) {
+			const suspect = this.suspects.get(fingerprint);
+			const isPart = fingerprint !== fingerprints.request;
+			const wasSound = isPart && suspect !== undefined && suspect.clearedAtMs > Number.NEGATIVE_INFINITY;
+			const neededCrashes = wasSound ? crashesAfterSoundRun : crashesToQuarantine;
+			if (!suspect || suspect.crashes.size < neededCrashes) {
+				continue;
 			}
-		}
-
-		return isNew;
-	}
 
-	/** Drops the crashes up to the time at which a run completed. */
-	private clear(suspect: Suspect, atMs: number): void {
-		suspect.clearedAtMs = atMs;
-		for (const [backendKey, crashedAtMs] of suspect.crashes) {
-			if (crashedAtMs <= atMs) {
-				suspect.crashes.delete(backendKey);
+			const isExplained = this.suspects.hasOtherExplanation(suspect, own);
+			const isInDoubt = isExplained || (isPart && nowMs - crashTimeMs(suspect, neededCrashes) < settlingMs);
+			if (!isExplained || !wasSound) {
+				charges.push({
+					fingerprint, suspect, neededCrashes, suspicion: isInDoubt ? Suspicion.Doubt : Suspicion.Conviction,
+				});
 			}
 		}
-	}
-
-	private findOrAddSuspect(fingerprint: number): Suspect {
-		let suspect = this.suspects.get(fingerprint);
-		if (!suspect) {
-			suspect = {
-				crashes: new Map(), clearedAtMs: Number.NEGATIVE_INFINITY, changedAtMs: Number.NEGATIVE_INFINITY, probedAtMs: Number.NEGATIVE_INFINITY,
-			};
-			this.suspects.set(fingerprint, suspect);
-		}
 
-		return suspect;
+		return charges;
 	}
 
-	/** Removes expired suspects, and the least suspect ones beyond {@link maxSuspects}. */
-	private prune(nowMs: number): void {
-		if (nowMs - this.prunedAtMs < pruneIntervalMs && this.suspects.size <= maxSuspects + maxUnprunedSuspects) {
-			return;
+	private refuse({fingerprint, suspect, neededCrashes, suspicion}: Charge, nowMs: number): QuarantineRefusal | undefined {
+		const crashes = suspect.crashes.size;
+		if (suspicion === Suspicion.Doubt) {
+			const retryAfterMs = suspect.triedAtMs + trialIntervalMs - nowMs;
+			return retryAfterMs > 0 ? {fingerprint, crashes, retryAfterMs} : undefined;
 		}
 
-		this.prunedAtMs = nowMs;
-		for (const [fingerprint, suspect] of this.suspects) {
-			const memoryMs = isQuarantined(suspect) ? quarantineMemoryMs : suspicionMemoryMs;
-			if (nowMs - Math.max(lastCrashAtMs(suspect), suspect.clearedAtMs) > memoryMs) {
-				this.suspects.delete(fingerprint);
-			}
+		const remainingMs = quarantineEndsAtMs(suspect, neededCrashes) - nowMs;
+		if (remainingMs > 0) {
+			return {fingerprint, crashes, retryAfterMs: remainingMs};
 		}
 
-		if (this.suspects.size > maxSuspects) {
-			const ranked = [...this.suspects].toSorted(([, a], [, b]) => compareSuspicion(a, b));
-			for (const [fingerprint] of ranked.slice(maxSuspects)) {
-				this.suspects.delete(fingerprint);
-			}
+		if (!this.canProbe(nowMs)) {
+			return {fingerprint, crashes, retryAfterMs: nonProberRetryAfterMs};
 		}
-	}
-}
 
-function isQuarantined({crashes}: Suspect): boolean {
-	return crashes.size >= crashesToQuarantine;
+		const msUntilProbe = suspect.probedAtMs + probeIntervalMs - nowMs;
+		return msUntilProbe > 0 ? {fingerprint, crashes, retryAfterMs: msUntilProbe} : undefined;
+	}
 }
 
-function lastCrashAtMs({crashes}: Suspect): number {
-	return Math.max(Number.NEGATIVE_INFINITY, ...crashes.values());
+/** Returns when the crash of a given number happened, the earliest being the first. */
+function crashTimeMs({crashes}: Suspect, count: number): number {
+	return [...crashes.values()].toSorted((a, b) => a - b)[count - 1];
 }
 
-function quarantineEndsAtMs(suspect: Suspect): number {
-	const furtherCrashes = suspect.crashes.size - crashesToQuarantine;
+function quarantineEndsAtMs(suspect: Suspect, neededCrashes: number): number {
+	const furtherCrashes = suspect.crashes.size - neededCrashes;
 	return lastCrashAtMs(suspect) + Math.min(maxQuarantineMs, initialQuarantineMs * (2 ** furtherCrashes));
 }
-
-function compareSuspicion(a: Suspect, b: Suspect): number {
-	return b.crashes.size - a.crashes.size || b.changedAtMs - a.changedAtMs;
-}
-
-function toUpdate([fingerprint, {crashes, clearedAtMs}]: [number, Suspect], nowMs: number): SuspectUpdate {
-	return {
-		fingerprint,
-		crashes: [...crashes].toSorted(([, a], [, b]) => b - a).slice(0, maxGossipedCrashes).map(([backendKey, atMs]) => [backendKey, Math.round(nowMs - atMs)]),
-		clearedAgeMs: clearedAtMs === Number.NEGATIVE_INFINITY ? undefined : Math.round(nowMs - clearedAtMs),
-	};
-}
--- a/src/coordination/serving/__tests__/stream-registry.test.ts
+++ b/src/coordination/serving/__tests__/stream-registry.test.ts
@@ -8,6 +8,7 @@
 	type Backend, BackendState, RequestKind, type Route,
 } from '../../../protocol/serving.js';
 import {BackendTable} from '../../../state/backend-table.js';
+import {Quarantine} from '../../quarantine/quarantine.js';
 import {Rollouts} from '../../rollout/rollouts.js';
 import {type StartedAnswer} from '../dispatcher.js';
 import {ForwardedStream} from '../forwarded-stream.js';
@@ -83,7 +84,7 @@
 		const registry = new StreamRegistry({
 			backends, engines: undefined as never, dispatcher: undefined as never, routes: undefined as never, rollouts: new Rollouts({canaryShare: 0.1}, () => 0, noEvidence), sharing: new StreamOriginSharing({
 				versions: {isMixed: () => false}, exchange: {note: () => undefined}, engines: {readStartTime: async () => undefined}, signal: new AbortController().signal,
-			}), signal: new AbortController().signal,
+			}), quarantine: new Quarantine(() => false), signal: new AbortController().signal,
 		});
 		const stream = createStream(3, 50, 1000);
 		const abort = new AbortController();
--- a/src/coordination/serving/backend-selector.ts
+++ b/src/coordination/serving/backend-selector.ts
@@ -40,7 +40,7 @@
 			excluded,
 			promptTokens: request.promptTokens ?? 0,
 			promptParts: request.promptParts,
-			isSuspect: !quarantine.isEmpty && quarantine.isSuspect(served.fingerprint),
+			isSuspect: !quarantine.isEmpty && quarantine.isSuspect(served.fingerprints),
 			peersInFlight: id => fleet.inFlight(backendKey(id), nowMs),
 			random: () => Math.random(),
 			nowMs,
--- a/src/coordination/serving/dispatcher.ts
+++ b/src/coordination/serving/dispatcher.ts
@@ -14,7 +14,7 @@
 import {type FleetTable} from '../fleet/fleet-table.js';
 import {type OverloadTolerances} from '../overload-tolerances.js';
 import {type PlacementChoice, type Placement, type RunningRequest} from '../placement.js';
-import {type CrashWatch} from '../quarantine/crash-watch.js';
+import {type CrashWatch, type EndedRun} from '../quarantine/crash-watch.js';
 import {type Quarantine} from '../quarantine/quarantine.js';
 import {type RetryPurpose, type RetryBudget} from '../retry-budget.js';
 import {isSpread, type Reachability} from '../reachability.js';
@@ -195,25 +195,22 @@
 	}
 
 	/** Records that a run broke off; the next attempt waits until it is known whether the backend server has crashed. */
-	recordBrokenRun(served: ServedRequest, backend: Backend, {answeredAtMs, writingSinceMs}: Attempt): void {
-		const {crashWatch, clock} = this.dependencies;
-		served.crashCheck = crashWatch.recordBrokenRun({
-			backend,
-			fingerprint: served.fingerprint,
-			promptParts: served.inputs.request.promptParts,
-			hasAnswered: answeredAtMs !== undefined,
-			writingMs: writingSinceMs === undefined ? undefined : Math.round(clock.now() - writingSinceMs),
-		});
+	recordBrokenRun(served: ServedRequest, backend: Backend, attempt: Attempt): void {
+		served.crashCheck = this.dependencies.crashWatch.recordBrokenRun(this.describeEnd(served, backend, attempt));
 	}
 
 	/** Records that a backend server answered a request completely. */
-	recordCompletedRun(served: ServedRequest): void {
-		const {quarantine, clock} = this.dependencies;
+	recordCompletedRun(served: ServedRequest, backend: Backend, attempt: Attempt): void {
+		const {quarantine, crashWatch} = this.dependencies;
 		if (!quarantine.isEmpty) {
-			quarantine.recordCompletedRun(served.fingerprint, clock.now());
+			void crashWatch.recordCompletedRun(this.describeEnd(served, backend, attempt));
 		}
 	}
 
+	private describeEnd({fingerprints}: ServedRequest, backend: Backend, {writingSinceMs}: Attempt): EndedRun {
+		return {backend, fingerprints, writingMs: writingSinceMs === undefined ? undefined : this.dependencies.clock.now() - writingSinceMs};
+	}
+
 	/** Whether a request that was not delivered yet should be served by another daemon. */
 	private isUnreachable(served: ServedRequest): boolean {
 		const {deliveries, unreachedDomains, inputs, version} = served;
@@ -365,7 +362,6 @@
 		const metadata = dialect.readAnswer(answer.response.headers);
 		attempt.stated = describeStatements(metadata);
 		const nowMs = clock.now();
-		attempt.answeredAtMs = nowMs;
 		if (metadata.load) {
 			placement.noteLoad(backend.id, metadata.load, nowMs);
 		}
--- a/src/coordination/serving/forwarder.ts
+++ b/src/coordination/serving/forwarder.ts
@@ -15,8 +15,8 @@
 import {type RouteTable} from '../../state/route-table.js';
 import {type FrontRequest, writeErrorResponse} from '../../transport/front-server.js';
 import {createLogger} from '../../log.js';
-import {type Quarantine} from '../quarantine/quarantine.js';
-import {formatFingerprint, computeFingerprint} from '../quarantine/request-fingerprint.js';
+import {type Quarantine, type QuarantineRefusal} from '../quarantine/quarantine.js';
+import {computeFingerprints, formatFingerprint, type RequestFingerprints} from '../quarantine/request-fingerprint.js';
 import {type QuotaLedger, type QuotaPeers, requestCost} from '../quota-ledger.js';
 import {type RetryBudget} from '../retry-budget.js';
 import {OriginSource, type StreamOriginLookup} from '../stream-origins/stream-origin-lookup.js';
@@ -92,7 +92,7 @@
 const timerToleranceMs = 5;
 
 type Destination = {route: Route; account: Account | undefined; service: string};
-type Admission = Destination & {cost: number; fingerprint: number | undefined};
+type Admission = Destination & {cost: number; fingerprints: RequestFingerprints | undefined};
 type Rejection = {status: number; reason: string; retryAfterMs?: number};
 
 function isRejection(value: Destination | Rejection): value is Rejection {
@@ -161,14 +161,14 @@
 	}
 
 	/** Serves an admitted request. */
-	private async serve({route, account, service, cost, fingerprint}: Admission, request: CallerRequest, front: FrontRequest, {arrivedAtMs, isProxied}: {arrivedAtMs: number; isProxied: boolean}): Promise<void> {
+	private async serve({route, account, service, cost, fingerprints}: Admission, request: CallerRequest, front: FrontRequest, {arrivedAtMs, isProxied}: {arrivedAtMs: number; isProxied: boolean}): Promise<void> {
 		const {routes, quota, clock} = this.dependencies;
 		const isResumption = route.kind === RequestKind.Streaming && request.lastEventId !== undefined;
 		const found = isResumption ? await this.dependencies.originLookup.find({account: account?.name, service, requestId: request.resumedRequestId}) : undefined;
 		// The route may have several services; one that the route has left since cannot continue the stream.
 		const origin = route.targets.some(target => target.service === found?.origin?.service) ? found?.origin : undefined;
 		const served = new ServedRequest({
-			request, route, service: origin?.service ?? service, account, body: front.body, response: front.response, signal: front.signal, arrivedAtMs, configVersion: routes.version!, isProxied, fingerprint,
+			request, route, service: origin?.service ?? service, account, body: front.body, response: front.response, signal: front.signal, arrivedAtMs, configVersion: routes.version!, isProxied, fingerprints,
 		});
 		served.version = origin?.version;
 		served.originSource = found?.source;
@@ -249,10 +249,11 @@
 			quota, quotaPeers, retryBudget, quarantine,
 		} = this.dependencies;
 		const {account, service} = destination;
-		const fingerprint = this.fingerprintIfSuspected(request, body, account);
-		const quarantined = fingerprint === undefined ? undefined : quarantine.admit(fingerprint, nowMs);
+		const fingerprints = quarantine.isEmpty ? undefined : computeFingerprints({...request, account: account?.name, body});
+		const quarantined = fingerprints && this.findQuarantine(fingerprints, nowMs);
 		if (quarantined) {
-			return {status: 503, reason: `${quarantined.crashes} backend servers crashed under request ${formatFingerprint(fingerprint!)}`, retryAfterMs: quarantined.retryAfterMs};
+			const {crashes, fingerprint, retryAfterMs} = quarantined;
+			return {status: 503, reason: `${crashes} backend servers crashed under ${fingerprint === fingerprints.request ? 'request' : 'part'} ${formatFingerprint(fingerprint)}`, retryAfterMs};
 		}
 
 		const cost = account ? requestCost(account, request.promptTokens, request.maxOutputTokens) : 0;
@@ -266,18 +267,18 @@
 			retryBudget.countRequest(service, nowMs);
 		}
 
-		return {...destination, cost, fingerprint};
+		return {...destination, cost, fingerprints};
 	}
 
-	/** Returns the request's fingerprint while any request is suspected of crashing backend servers; otherwise undefined, which saves the hashing. */
-	private fingerprintIfSuspected({host, method, path}: CallerRequest, body: Uint8Array, account: Account | undefined): number | undefined {
-		if (this.dependencies.quarantine.isEmpty) {
+	/** Returns why a request must not run now; answers that are going on may clear it first. */
+	private findQuarantine(fingerprints: RequestFingerprints, nowMs: number): QuarantineRefusal | undefined {
+		const {quarantine, registry} = this.dependencies;
+		if (!quarantine.admit(fingerprints, nowMs)) {
 			return undefined;
 		}
 
-		return computeFingerprint({
-			account: account?.name, host, method, path, body,
-		});
+		registry.recordProgress(nowMs);
+		return quarantine.admit(fingerprints, nowMs);
 	}
 
 	private reject(front: FrontRequest, id: string, rejection: Rejection, nowMs: number): void {
@@ -400,7 +401,7 @@
 			resumes: request.lastEventId === undefined ? undefined : `${request.resumedRequestId ?? 'an unnamed attempt'} after event ${request.lastEventId}`,
 			originSource: served.originSource,
 			budget: served.budgetStates.length > 0 ? served.budgetStates : undefined,
-			fingerprint: served.excluded.size > 0 ? formatFingerprint(served.fingerprint) : undefined,
+			fingerprint: served.excluded.size > 0 ? formatFingerprint(served.fingerprints.request) : undefined,
 		});
 	}
 }
--- a/src/coordination/serving/retry-reservations.ts
+++ b/src/coordination/serving/retry-reservations.ts
@@ -86,8 +86,8 @@
 
 	/** Whether a request that has been sent before is quarantined and must not be sent again. */
 	isRetryForbidden(served: ServedRequest): boolean {
-		const {quarantine} = this.dependencies;
-		return served.attempts.length > 0 && !quarantine.isEmpty && quarantine.forbidsRetry(served.fingerprint);
+		const {quarantine, clock} = this.dependencies;
+		return served.attempts.length > 0 && !quarantine.isEmpty && quarantine.forbidsRetry(served.fingerprints, clock.now());
 	}
 
 	/** Takes a retry from the retry budget; returns whether there was one. */
--- a/src/coordination/serving/served-request.ts
+++ b/src/coordination/serving/served-request.ts
@@ -4,7 +4,7 @@
 	type Account, type Backend, type CallerRequest, RequestKind, type Route,
 } from '../../protocol/serving.js';
 import {type PlacementChoice} from '../placement.js';
-import {computeFingerprint} from '../quarantine/request-fingerprint.js';
+import {computeFingerprints, type RequestFingerprints} from '../quarantine/request-fingerprint.js';
 import {type OriginSource} from '../stream-origins/stream-origin-lookup.js';
 
 /** One attempt: the request sent to one backend server. */
@@ -17,9 +17,7 @@
 	result: string;
 	/** What the head of the answer stated of the backend server. */
 	stated?: string;
-	/** When the head of the answer arrived. */
-	answeredAtMs?: number;
-	/** When the first part of the answer's body arrived. */
+	/** When its answer began: with the first event of a stream, or the head of any other answer. */
 	writingSinceMs?: number;
 };
 
@@ -38,8 +36,8 @@
 	configVersion: number;
 	/** Whether another daemon sent it to this one, in whose place this one serves it. */
 	isProxied?: boolean;
-	/** The fingerprint that the client's retries share, if it has been computed already. */
-	fingerprint?: number;
+	/** Its fingerprints, if they have been computed already. */
+	fingerprints?: RequestFingerprints;
 };
 
 /** A backend server reserved for a request's next attempt, and a retry taken from the retry budget for it. */
@@ -94,7 +92,7 @@
 	isUsageCounted = false;
 	/** Resolves once it is known whether the backend server at which its last run broke off has crashed. */
 	crashCheck: Promise<void> | undefined;
-	private cachedFingerprint: number | undefined;
+	private cachedFingerprints: RequestFingerprints | undefined;
 
 	constructor(readonly inputs: ServedRequestInputs) {
 		const {request, route, arrivedAtMs} = inputs;
@@ -112,13 +110,14 @@
 		return this.isRetryable && this.runs < this.inputs.route.attempts;
 	}
 
-	/** The fingerprint that the client's retries share; computed on first use, since it is needed for few requests. */
-	get fingerprint(): number {
+	/** The fingerprints of the request and of its prompt; computed on first use, since they are needed for few requests. */
+	get fingerprints(): RequestFingerprints {
 		const {account, request, body} = this.inputs;
-		this.cachedFingerprint ??= this.inputs.fingerprint ?? computeFingerprint({
-			account: account?.name, host: request.host, method: request.method, path: request.path, body,
+		const {host, method, path, promptParts} = request;
+		this.cachedFingerprints ??= this.inputs.fingerprints ?? computeFingerprints({
+			account: account?.name, host, method, path, body, promptParts,
 		});
-		return this.cachedFingerprint;
+		return this.cachedFingerprints;
 	}
 
 	/** Records the backend server whose event is delivered; the first one decides at which version the stream may go on. */
--- a/src/coordination/serving/stream-forwarding.ts
+++ b/src/coordination/serving/stream-forwarding.ts
@@ -74,7 +74,7 @@
 			// eslint-disable-next-line no-await-in-loop
 			const end = await forwardAnswer(dispatched, stream);
 			if (end.kind === 'complete') {
-				dispatcher.recordCompletedRun(served);
+				dispatcher.recordCompletedRun(served, dispatched.backend, dispatched.attempt);
 				return end;
 			}
 
--- a/src/coordination/serving/stream-registry.ts
+++ b/src/coordination/serving/stream-registry.ts
@@ -10,6 +10,8 @@
 import {type BackendTable} from '../../state/backend-table.js';
 import {type RouteTable} from '../../state/route-table.js';
 import {createLogger} from '../../log.js';
+import {soundWritingMs} from '../quarantine/crash-watch.js';
+import {type Quarantine} from '../quarantine/quarantine.js';
 import {RetryPurpose} from '../retry-budget.js';
 import {type Rollouts} from '../rollout/rollouts.js';
 import {type StartedAnswer, type Dispatcher, DispatchKind} from './dispatcher.js';
@@ -41,7 +43,7 @@
 	movedCount = 0;
 	private readonly streams = new Set<ForwardedStream>();
 
-	constructor(private readonly dependencies: {backends: BackendTable; engines: EngineClient; dispatcher: Dispatcher; routes: RouteTable; rollouts: Rollouts; sharing: StreamOriginSharing; signal: AbortSignal}) {}
+	constructor(private readonly dependencies: {backends: BackendTable; engines: EngineClient; dispatcher: Dispatcher; routes: RouteTable; rollouts: Rollouts; sharing: StreamOriginSharing; quarantine: Quarantine; signal: AbortSignal}) {}
 
 	get size(): number {
 		return this.streams.size;
@@ -55,8 +57,20 @@
 		this.streams.delete(stream);
 	}
 
+	/** Records the answers that have been written for long enough to clear the parts of their prompts. */
+	recordProgress(nowMs: number): void {
+		const {quarantine} = this.dependencies;
+		for (const {currentRun, served} of quarantine.isEmpty ? [] : this.streams) {
+			const {writingSinceMs} = currentRun?.attempt ?? {};
+			if (writingSinceMs !== undefined && nowMs - writingSinceMs >= soundWritingMs) {
+				quarantine.recordProgress(served.fingerprints, nowMs);
+			}
+		}
+	}
+
 	/** Checks every stream once, and starts the moves and takeovers that are due. */
 	sweep(nowMs: number): void {
+		this.recordProgress(nowMs);
 		this.dependencies.sharing.shareAll([...this.streams].map(({served}) => served), nowMs);
 		for (const stream of this.streams) {
 			const backend = stream.currentRun?.backend;
--- a/src/coordination/serving/unary-forwarding.ts
+++ b/src/coordination/serving/unary-forwarding.ts
@@ -53,6 +53,7 @@
 		}
 
 		if (dispatched.kind === DispatchKind.Answer) {
+			dispatched.attempt.writingSinceMs = now();
 			// eslint-disable-next-line no-await-in-loop
 			const answer = await bufferAnswer(dispatched, served.remainingMs(now()));
 			recordRunEnd(dispatcher, served, dispatched, answer);
@@ -84,7 +85,7 @@
 	if (!answer && !abort.signal.aborted) {
 		dispatcher.recordBrokenRun(served, backend, attempt);
 	} else if (answer && answer.status < 500) {
-		dispatcher.recordCompletedRun(served);
+		dispatcher.recordCompletedRun(served, backend, attempt);
 	}
 }
 
