Don't take a daemon for cut off because backend servers crashed

Backend servers that crashed by the reports of any daemon say nothing about the way to the others now, neither for the daemon nor for one request. reachability.test.ts: the new case failed before.

--- a/src/cli/front-daemon.ts
+++ b/src/cli/front-daemon.ts
@@ -26,6 +26,7 @@
 import {FleetTable} from '../coordination/fleet/fleet-table.js';
 import {OverloadTolerances} from '../coordination/overload-tolerances.js';
 import {Placement} from '../coordination/placement.js';
+import {CrashWatch} from '../coordination/quarantine/crash-watch.js';
 import {Quarantine} from '../coordination/quarantine/quarantine.js';
 import {quarantineCheckIntervalMs, QuarantineRecord} from '../coordination/quarantine/quarantine-record.js';
 import {QuotaLedger} from '../coordination/quota-ledger.js';
@@ -284,8 +285,8 @@
 	/** Opens connections to backend servers that this daemon may be cut off from. */
 	private probeBackends(): void {
 		const reachability = this.container.resolve(Reachability);
-		const backends = this.container.resolve(BackendTable);
-		const candidatesOf = (service: string) => backends.candidates(service, this.clock.now());
+		const crashWatch = this.container.resolve(CrashWatch);
+		const candidatesOf = (service: string) => crashWatch.runningBackends(service, this.clock.now());
 		for (const backend of reachability.takeDueProbes(candidatesOf, this.clock.now())) {
 			void this.probeBackend(backend, candidatesOf(backend.service));
 		}
--- a/src/coordination/__tests__/reachability.test.ts
+++ b/src/coordination/__tests__/reachability.test.ts
@@ -50,6 +50,17 @@
 		expect(reachability.isCutOff('other')).toBe(false);
 	});
 
+	it('does not count the failures of backend servers that are known to have crashed since', () => {
+		const backends = createBackends(7);
+		const reachability = new Reachability(() => 0);
+		for (const index of [0, 1, 2]) {
+			reachability.noteUnreached(backends[index], backends, 100);
+		}
+
+		reachability.noteUnreached(backends[3], backends.slice(3), 200);
+		expect(reachability.isCutOff('s')).toBe(false);
+	});
+
 	it('does not add up failures of different times', () => {
 		const backends = createBackends(4);
 		const reachability = new Reachability(() => 0);
--- a/src/coordination/quarantine/__tests__/crash-watch.test.ts
+++ b/src/coordination/quarantine/__tests__/crash-watch.test.ts
@@ -58,6 +58,25 @@
 		expect(quarantine.isEmpty).toBe(!isEvidence);
 	});
 
+	it('takes its backend server out of those that should accept connections, also at daemons that were told', async () => {
+		const backends = new BackendTable({drainMs: 2000});
+		for (const id of ['i-1', 'i-2']) {
+			backends.upsert(backend(id), 0);
+		}
+
+		const [quarantine, other] = [new Quarantine(() => false), new Quarantine(() => false)];
+		const clock = new SteadyClock();
+		const crashWatch = new CrashWatch({
+			backends, quarantine, clock, refuses: async () => true, accepts: async () => true,
+		});
+		await crashWatch.recordBrokenRun(brokenRun(backend('i-1')));
+		other.applyUpdates(quarantine.recentUpdates(false, clock.now()), false, clock.now());
+		const otherWatch = new CrashWatch({backends, quarantine: other, clock});
+		for (const watch of [crashWatch, otherWatch]) {
+			expect(watch.runningBackends('s', clock.now()).map(({id}) => id)).toEqual(['i-2']);
+		}
+	});
+
 	it('causes one check for all runs that broke off there together', async () => {
 		const backends = new BackendTable({drainMs: 2000});
 		backends.upsert(backend('i-1'), 0);
--- a/src/coordination/quarantine/crash-watch.ts
+++ b/src/coordination/quarantine/crash-watch.ts
@@ -92,6 +92,12 @@
 		quarantine.recordCompletedRun(fingerprints, completedAtMs, clock.now());
 	}
 
+	/** Returns the backend servers of a service that accept work, as far as crashes are known: one that crashed says nothing about the way to the others. */
+	runningBackends(service: string, nowMs: number): Backend[] {
+		const {backends, quarantine} = this.dependencies;
+		return backends.candidates(service, nowMs).filter(({id}) => !quarantine.hasCrashed(backendKey(id), nowMs));
+	}
+
 	private isLeaving({id}: Backend): boolean {
 		const entry = this.dependencies.backends.get(id);
 		return !entry || (!entry.isEnded && (entry.leavingSinceMs !== undefined || entry.vanishedAtMs !== undefined));
--- a/src/coordination/quarantine/quarantine.ts
+++ b/src/coordination/quarantine/quarantine.ts
@@ -73,6 +73,11 @@
 		this.suspects.recordSoundRun(listFingerprints(fingerprints), completedAtMs, nowMs);
 	}
 
+	/** Whether a backend server is known to have crashed of late. */
+	hasCrashed(backendKey: number, nowMs: number): boolean {
+		return this.suspects.hasCrashed(backendKey, nowMs);
+	}
+
 	/** Whether a crash counts against a request or a part of its prompt. */
 	isAccused(fingerprints: RequestFingerprints): boolean {
 		return this.suspects.isAnyAccused(listFingerprints(fingerprints));
--- a/src/coordination/quarantine/suspects.ts
+++ b/src/coordination/quarantine/suspects.ts
@@ -14,6 +14,8 @@
 /** A change is gossiped for this many milliseconds, and in this many rounds, since some datagrams may be lost. */
 const gossipMs = 2000;
 const gossipRounds = 4;
+/** Time for which a crash explains that the backend server accepts no connection, in milliseconds: until it is listed as gone or started again. */
+const recentCrashMs = 10_000;
 /** Sound runs whose times differ by no more than this many milliseconds are the same one: each daemon that relays an age adds the latency of a message. */
 const sameEventToleranceMs = 1000;
 /** Interval between two prunings, in milliseconds, and the number of suspects beyond {@link maxSuspects} that are allowed in between. */
@@ -46,6 +48,8 @@
 /** The suspects that one daemon knows of, by fingerprint. */
 export class Suspects {
 	private readonly suspects = new Map<number, Suspect>();
+	/** When backend servers crashed of late, by their keys. */
+	private readonly recentCrashes = new Map<number, number>();
 	private prunedAtMs = Number.NEGATIVE_INFINITY;
 
 	get isEmpty(): boolean {
@@ -58,6 +62,7 @@
 
 	/** Records that a backend server crashed while running requests with these fingerprints. */
 	recordCrash(fingerprints: readonly number[], backendKey: number, nowMs: number): void {
+		this.recentCrashes.set(backendKey, nowMs);
 		for (const fingerprint of fingerprints) {
 			const suspect = this.findOrAdd(fingerprint);
 			if (!suspect.crashes.has(backendKey)) {
@@ -79,6 +84,11 @@
 		}
 	}
 
+	/** Whether a backend server is known to have crashed of late. */
+	hasCrashed(backendKey: number, nowMs: number): boolean {
+		return nowMs - (this.recentCrashes.get(backendKey) ?? Number.NEGATIVE_INFINITY) < recentCrashMs;
+	}
+
 	/** Whether a crash counts against any of these fingerprints. */
 	isAnyAccused(fingerprints: readonly number[]): boolean {
 		return fingerprints.some(fingerprint => (this.suspects.get(fingerprint)?.crashes.size ?? 0) > 0);
@@ -118,6 +128,10 @@
 	/** Applies updates received from another daemon or read from the store; known ones change nothing. New ones are gossiped further if `shouldForward`. */
 	applyUpdates(updates: readonly SuspectUpdate[], shouldForward: boolean, nowMs: number): void {
 		for (const update of updates) {
+			for (const [backendKey, ageMs] of update.crashes) {
+				this.recentCrashes.set(backendKey, Math.max(nowMs - ageMs, this.recentCrashes.get(backendKey) ?? Number.NEGATIVE_INFINITY));
+			}
+
 			const suspect = this.findOrAdd(update.fingerprint);
 			if (mergeUpdate(suspect, update, nowMs) && shouldForward) {
 				noteChange(suspect, nowMs);
@@ -160,6 +174,12 @@
 			}
 		}
 
+		for (const [backendKey, crashedAtMs] of this.recentCrashes) {
+			if (nowMs - crashedAtMs >= recentCrashMs) {
+				this.recentCrashes.delete(backendKey);
+			}
+		}
+
 		if (this.suspects.size > maxSuspects) {
 			const ranked = [...this.suspects].toSorted(([, a], [, b]) => b.crashes.size - a.crashes.size || b.changedAtMs - a.changedAtMs);
 			for (const [fingerprint] of ranked.slice(maxSuspects)) {
--- a/src/coordination/reachability.ts
+++ b/src/coordination/reachability.ts
@@ -86,14 +86,14 @@
 	/**
 	 * Records a connection that a backend server did not accept.
 	 *
-	 * @param candidates The backend servers of its service.
+	 * @param candidates The backend servers of its service that should accept one.
 	 */
 	noteUnreached({service, id, failureDomain}: Backend, candidates: Backend[], nowMs: number): void {
 		const state = this.state(service);
 		state.failures.set(id, {failureDomain, atMs: nowMs});
 		dropOldFailures(state, nowMs);
-		const isEnough = state.failures.size >= neededEvidence(candidates.length);
-		if (!state.isCutOff && isEnough && isSpread(domainsOf(state), candidates)) {
+		const domains = failedDomains(state, candidates);
+		if (!state.isCutOff && domains.length >= neededEvidence(candidates.length) && isSpread(domains, candidates)) {
 			state.isCutOff = true;
 			log.warn('no backend server of a service accepts connections.', {
 				service, unreached: [...state.failures.keys()].join(','), known: candidates.length, silentMs: Math.round(nowMs - state.heardAtMs), waiting: state.waiting.size,
@@ -115,7 +115,7 @@
 
 			const candidates = candidatesOf(service);
 			dropOldFailures(state, nowMs);
-			if (state.isCutOff || isSilent(state, nowMs) || isSpread(domainsOf(state), candidates)) {
+			if (state.isCutOff || isSilent(state, nowMs) || isSpread(failedDomains(state, candidates), candidates)) {
 				state.probedAtMs = nowMs;
 				due.push(...this.selectProbes(candidates, state));
 			}
@@ -172,8 +172,9 @@
 	return Math.min(Math.ceil(candidates * cutOffShare), Math.max(minCutOffEvidence, Math.ceil(Math.sqrt(candidates))));
 }
 
-function domainsOf({failures}: ServiceState): string[] {
-	return [...failures.values()].map(({failureDomain}) => failureDomain);
+/** Returns the failure domains of those candidates that accepted no connection, one for each. */
+function failedDomains({failures}: ServiceState, candidates: Backend[]): string[] {
+	return candidates.filter(({id}) => failures.has(id)).map(({failureDomain}) => failureDomain);
 }
 
 function dropOldFailures({failures}: ServiceState, nowMs: number): void {
--- a/src/coordination/serving/dispatcher.ts
+++ b/src/coordination/serving/dispatcher.ts
@@ -213,19 +213,20 @@
 
 	/** Whether a request that was not delivered yet should be served by another daemon. */
 	private isUnreachable(served: ServedRequest): boolean {
-		const {deliveries, unreachedDomains, inputs, version} = served;
-		const {backends, peerProxy, clock} = this.dependencies;
+		const {deliveries, unreached, inputs, version} = served;
+		const {crashWatch, peerProxy, clock} = this.dependencies;
 		const nowMs = clock.now();
-		const candidates = backends.candidates(inputs.service, nowMs).filter(backend => served.fitsVersion(backend));
+		const candidates = crashWatch.runningBackends(inputs.service, nowMs).filter(backend => served.fitsVersion(backend));
+		const unreachedDomains = unreached.filter(({id}) => candidates.some(candidate => candidate.id === id)).map(({failureDomain}) => failureDomain);
 		// Few backend servers may have the version of a stream; then all of them are evidence enough.
-		const hasTriedAll = version !== undefined && unreachedDomains.length >= candidates.length;
+		const hasTriedAll = version !== undefined && candidates.length > 0 && unreachedDomains.length >= candidates.length;
 		return deliveries === 0 && !inputs.isProxied && (hasTriedAll || isSpread(unreachedDomains, candidates)) && peerProxy.isAvailable(inputs.service, nowMs);
 	}
 
 	private async sendTo(served: ServedRequest, choice: Pick<PlacementChoice, 'backend' | 'costMs' | 'copyFrom'>, options: DispatchOptions): Promise<StartedAnswer | FailedDispatch> {
 		const {backend, costMs, copyFrom} = choice;
 		const {
-			dialect, backends, placement, pool, reachability, clock,
+			dialect, placement, pool, reachability, crashWatch, clock,
 		} = this.dependencies;
 		const {request, account, body, signal} = served.inputs;
 		if (await this.isReplaced(served, backend)) {
@@ -289,8 +290,8 @@
 			if (error instanceof ConnectError) {
 				placement.noteFailure(backend.id, endedAtMs);
 				if (!abort.signal.aborted) {
-					served.unreachedDomains.push(backend.failureDomain);
-					reachability.noteUnreached(backend, backends.candidates(backend.service, endedAtMs), endedAtMs);
+					served.unreached.push(backend);
+					reachability.noteUnreached(backend, crashWatch.runningBackends(backend.service, endedAtMs), endedAtMs);
 				}
 
 				log.debug('connection to the backend server failed.', {backend: backend.id, error: String(error)});
--- a/src/coordination/serving/served-request.ts
+++ b/src/coordination/serving/served-request.ts
@@ -76,8 +76,8 @@
 	reservation: RetryReservation | undefined;
 	/** Whether its first attempt tests a version that is being rolled out; drawn on first use. */
 	isCanary: boolean | undefined;
-	/** Failure domains of the backend servers that accepted no connection for it. */
-	readonly unreachedDomains: string[] = [];
+	/** The backend servers that accepted no connection for it. */
+	readonly unreached: Backend[] = [];
 	/** Whether it was given up because too many accepted none. */
 	isUnreachable = false;
 	/** The software version at which its stream began, once an event has been delivered; only backend servers of this version may continue it. */
