Cancel runs that have not begun when their request becomes known to crash engines

What waits at an engine when a part of its prompt is convicted would crash that engine too, with all that runs there.

--- a/src/coordination/fleet/__tests__/quarantine-updates.test.ts
+++ b/src/coordination/fleet/__tests__/quarantine-updates.test.ts
@@ -15,7 +15,7 @@
 }
 
 /** Names of the running daemons that would still send the request. */
-const unawareDaemons = (net: TestNet) => net.runningDaemons().filter(({quarantine}) => !quarantine.forbidsRetry(request, net.nowMs)).map(({name}) => name);
+const unawareDaemons = (net: TestNet) => net.runningDaemons().filter(({quarantine}) => !quarantine.forbidsRun(request, net.nowMs)).map(({name}) => name);
 
 describe('a request that crashed one backend server at each of three daemons', () => {
 	it.each([
@@ -69,7 +69,7 @@
 		const restarted = net.restart(net.daemons.at(-1)!);
 		await restarted.messenger.discover(new AbortController().signal);
 		net.run(propagationMs);
-		expect(restarted.quarantine.forbidsRetry(request, net.nowMs)).toBe(true);
+		expect(restarted.quarantine.forbidsRun(request, net.nowMs)).toBe(true);
 	}, 60_000);
 
 	it('is still known after all daemons restart at once', async () => {
--- a/src/coordination/quarantine/__tests__/quarantine.test.ts
+++ b/src/coordination/quarantine/__tests__/quarantine.test.ts
@@ -40,7 +40,7 @@
 		const quarantine = afterCrashes(crashes);
 		expect(quarantine.isSuspect(requestOf(fingerprint))).toBe(isSuspect);
 		expect(quarantine.admit(requestOf(fingerprint), startMs) !== undefined).toBe(isRefused);
-		expect(quarantine.forbidsRetry(requestOf(fingerprint), startMs)).toBe(isRefused);
+		expect(quarantine.forbidsRun(requestOf(fingerprint), startMs)).toBe(isRefused);
 		expect(quarantine.admit(requestOf(fingerprint + 1), startMs)).toBeUndefined();
 	});
 
@@ -52,7 +52,7 @@
 			quarantine.applyUpdates(other.recentUpdates(true, startMs + round), true, startMs + round);
 		}
 
-		expect(quarantine.forbidsRetry(requestOf(fingerprint), startMs)).toBe(false);
+		expect(quarantine.forbidsRun(requestOf(fingerprint), startMs)).toBe(false);
 	});
 
 	it('adds up crashes that several daemons observed once each', () => {
@@ -67,7 +67,7 @@
 			}
 		}
 
-		expect(daemons.map(daemon => daemon.forbidsRetry(requestOf(fingerprint), startMs))).toEqual([true, true, true]);
+		expect(daemons.map(daemon => daemon.forbidsRun(requestOf(fingerprint), startMs))).toEqual([true, true, true]);
 	});
 
 	it.each([
@@ -104,7 +104,7 @@
 		other.applyUpdates(quarantine.recentUpdates(true, startMs + 600), false, startMs + 600);
 		for (const daemon of [quarantine, other]) {
 			daemon.applyUpdates(stale.map(update => ({...update, crashes: update.crashes.map(([backend, ageMs]): [number, number] => [backend, ageMs + 700])})), false, startMs + 700);
-			expect(daemon.forbidsRetry(requestOf(fingerprint), startMs)).toBe(false);
+			expect(daemon.forbidsRun(requestOf(fingerprint), startMs)).toBe(false);
 		}
 	});
 
@@ -127,7 +127,7 @@
 			quarantine.recordCrash([fingerprint], crash, startMs + (crash * 600));
 		}
 
-		const refused = [fingerprint, ...Array.from({length: 192}, (_, index) => 1000 + index)].filter(suspect => quarantine.forbidsRetry(requestOf(suspect), startMs));
+		const refused = [fingerprint, ...Array.from({length: 192}, (_, index) => 1000 + index)].filter(suspect => quarantine.forbidsRun(requestOf(suspect), startMs));
 		expect(refused).toEqual([fingerprint]);
 		// Of the 193 suspects, the updates list the worst first.
 		expect(quarantine.recentUpdates(false, startMs + 1200)[0].fingerprint).toBe(fingerprint);
@@ -140,13 +140,13 @@
 		}
 
 		expect((quarantine.toJson(startMs + 5000) as unknown[]).length).toBeLessThanOrEqual(64);
-		expect(quarantine.forbidsRetry(requestOf(fingerprint), startMs)).toBe(true);
+		expect(quarantine.forbidsRun(requestOf(fingerprint), startMs)).toBe(true);
 	});
 
 	it('forgets a request long after its last crash', () => {
 		const quarantine = afterCrashes(crashesToQuarantine);
 		const laterMs = startMs + (2 * 60 * 60_000);
 		quarantine.recordCrash([fingerprint + 1], 1, laterMs);
-		expect(quarantine.forbidsRetry(requestOf(fingerprint), startMs)).toBe(false);
+		expect(quarantine.forbidsRun(requestOf(fingerprint), startMs)).toBe(false);
 	});
 });
--- a/src/coordination/quarantine/__tests__/shared-parts.test.ts
+++ b/src/coordination/quarantine/__tests__/shared-parts.test.ts
@@ -70,14 +70,15 @@
 		const nowMs = startMs + settledMs;
 		expect(Array.from({length: 3}, () => isRefused(quarantine, newRequest(common, sound), nowMs))).toEqual([false, true, true]);
 		quarantine.recordProgress(newRequest(common, sound), nowMs + 600);
-		expect(Array.from({length: 3}, () => isRefused(quarantine, newRequest(common, sound), nowMs + 601))).toEqual([false, false, false]);
+		const refusals = Array.from({length: 3}, () => isRefused(quarantine, newRequest(common, sound), nowMs + 601));
+		expect(refusals).toEqual([false, false, false]);
 	});
 
 	it.each([
 		{name: 'harmful and its companion', parts: [common, harmful, companion], refused: true},
 		{name: 'the companion alone', parts: [common, companion], refused: false},
 		{name: 'the harmful one alone', parts: [common, harmful], refused: false},
-	])('that always came with a companion: a request with $name is refused: $refused', ({parts, refused}) => {
+	])('that always came with a companion, is refused ($refused) in a request with $name', ({parts, refused}) => {
 		const quarantine = afterCrashes(4, [common, harmful, companion]);
 		quarantine.recordProgress(newRequest(common), startMs + 500);
 		expect(isRefused(quarantine, newRequest(...parts), startMs + settledMs)).toBe(refused);
@@ -99,7 +100,7 @@
 			quarantine.recordCrash(listFingerprints(repeated), backend, startMs);
 		}
 
-		expect(quarantine.forbidsRetry(repeated, startMs + settledMs)).toBe(false);
+		expect(quarantine.forbidsRun(repeated, startMs + settledMs)).toBe(false);
 	});
 
 	it('stays refused whatever other parts a client adds', () => {
--- a/src/coordination/quarantine/quarantine.ts
+++ b/src/coordination/quarantine/quarantine.ts
@@ -111,9 +111,9 @@
 		return undefined;
 	}
 
-	/** Whether a request that is being served must not be sent again. */
-	forbidsRetry(fingerprints: RequestFingerprints, nowMs: number): boolean {
-		return this.findCharges(fingerprints, nowMs).some(({suspicion}) => suspicion === Suspicion.Conviction);
+	/** Whether a request that is being served must not be sent again, nor begin to run. */
+	forbidsRun(fingerprints: RequestFingerprints, nowMs: number): boolean {
+		return this.findCharges(fingerprints, nowMs).some(({suspect, suspicion}) => suspicion === Suspicion.Conviction && !isProbeRunning(suspect, nowMs));
 	}
 
 	/** Whether the next run of a request is likely to crash its backend server. */
@@ -196,6 +196,11 @@
 	}
 }
 
+/** Whether this daemon has admitted a probe whose end is not known yet. */
+function isProbeRunning(suspect: Suspect, nowMs: number): boolean {
+	return suspect.probedAtMs > lastCrashAtMs(suspect) && nowMs - suspect.probedAtMs < probeIntervalMs;
+}
+
 /** Returns when the crash of a given number happened, the earliest being the first. */
 function crashTimeMs({crashes}: Suspect, count: number): number {
 	return [...crashes.values()].toSorted((a, b) => a - b)[count - 1];
--- a/src/coordination/serving/__tests__/stream-registry.test.ts
+++ b/src/coordination/serving/__tests__/stream-registry.test.ts
@@ -8,7 +8,7 @@
 	type Backend, BackendState, RequestKind, type Route,
 } from '../../../protocol/serving.js';
 import {BackendTable} from '../../../state/backend-table.js';
-import {Quarantine} from '../../quarantine/quarantine.js';
+import {crashesToQuarantine, initialQuarantineMs, Quarantine} from '../../quarantine/quarantine.js';
 import {Rollouts} from '../../rollout/rollouts.js';
 import {type StartedAnswer} from '../dispatcher.js';
 import {ForwardedStream} from '../forwarded-stream.js';
@@ -74,6 +74,15 @@
 	};
 }
 
+/** Creates a registry of streams on the listed backend servers. */
+function createRegistry(backends: BackendTable, quarantine = new Quarantine(() => false)): StreamRegistry {
+	return new StreamRegistry({
+		backends, engines: undefined as never, dispatcher: undefined as never, routes: undefined as never, rollouts: new Rollouts({canaryShare: 0.1}, () => 0, noEvidence), sharing: new StreamOriginSharing({
+			versions: {isMixed: () => false}, exchange: {note: () => undefined}, engines: {readStartTime: async () => undefined}, signal: new AbortController().signal,
+		}), quarantine, signal: new AbortController().signal,
+	});
+}
+
 describe('StreamRegistry', () => {
 	it.each([
 		{name: 'continues while its engine runs', listed: startedEngine(1), isEnded: false},
@@ -81,11 +90,7 @@
 	])('a stream $name', ({listed, isEnded}) => {
 		const backends = new BackendTable({drainMs: 2000});
 		backends.upsert(startedEngine(1), 0);
-		const registry = new StreamRegistry({
-			backends, engines: undefined as never, dispatcher: undefined as never, routes: undefined as never, rollouts: new Rollouts({canaryShare: 0.1}, () => 0, noEvidence), sharing: new StreamOriginSharing({
-				versions: {isMixed: () => false}, exchange: {note: () => undefined}, engines: {readStartTime: async () => undefined}, signal: new AbortController().signal,
-			}), quarantine: new Quarantine(() => false), signal: new AbortController().signal,
-		});
+		const registry = createRegistry(backends);
 		const stream = createStream(3, 50, 1000);
 		const abort = new AbortController();
 		const run: Partial<StartedAnswer> = {backend: startedEngine(1), abort};
@@ -95,4 +100,45 @@
 		registry.sweep(200);
 		expect(abort.signal.aborted).toBe(isEnded);
 	});
+
+	it.each([
+		{
+			name: 'is cancelled while it waits for its answer', hasHead: false, writingSinceMs: undefined, isProbe: false, isCancelled: true,
+		},
+		{
+			name: 'is cancelled after the head of its answer', hasHead: true, writingSinceMs: undefined, isProbe: false, isCancelled: true,
+		},
+		{
+			name: 'goes on once its answer has begun', hasHead: true, writingSinceMs: 100, isProbe: false, isCancelled: false,
+		},
+		{
+			name: 'goes on as the probe after a quarantine', hasHead: true, writingSinceMs: undefined, isProbe: true, isCancelled: false,
+		},
+	])('a stream whose request becomes known to crash engines $name', ({hasHead, writingSinceMs, isProbe, isCancelled}) => {
+		const backends = new BackendTable({drainMs: 2000});
+		backends.upsert(startedEngine(1), 0);
+		const quarantine = new Quarantine(() => true);
+		const stream = createStream(0, 50, 1000);
+		const attempt = stream.createAttemptSignal();
+		const abort = new AbortController();
+		if (hasHead) {
+			const run: Partial<StartedAnswer> = {
+				backend: startedEngine(1), abort, attempt: {
+					backendId: 'e', version: 'v1', costMs: 0, sentAfterMs: 0, result: 'sent', writingSinceMs,
+				},
+			};
+			stream.currentRun = run as StartedAnswer;
+		}
+
+		for (let crash = 0; crash < crashesToQuarantine; crash++) {
+			quarantine.recordCrash([stream.served.fingerprints.request], crash, 100);
+		}
+
+		const nowMs = isProbe ? 100 + initialQuarantineMs : 200;
+		expect(quarantine.admit(stream.served.fingerprints, nowMs) === undefined).toBe(isProbe);
+		const registry = createRegistry(backends, quarantine);
+		registry.add(stream);
+		registry.sweep(nowMs);
+		expect(hasHead ? abort.signal.aborted : attempt.aborted).toBe(isCancelled);
+	});
 });
--- a/src/coordination/serving/dispatcher.ts
+++ b/src/coordination/serving/dispatcher.ts
@@ -311,7 +311,7 @@
 				this.noteVersionOutcome(served, backend, undefined, options);
 			}
 
-			return fail({kind: DispatchKind.Unknown, reason: signal.aborted ? 'client gone' : (abort.signal.aborted ? 'silent' : 'broken')});
+			return fail({kind: DispatchKind.Unknown, reason: describeMissingAnswer(signal, options.signal, abort.signal)});
 		} finally {
 			clearTimeout(timer);
 			clearSoftTimeout();
@@ -424,3 +424,16 @@
 	const statements = [isLeaving ? 'leaving' : undefined, retryAfterMs === undefined ? undefined : `retry after ${retryAfterMs} ms`, refusalsPerSecond === undefined ? undefined : `tolerates ${refusalsPerSecond} refusals/s`].filter(statement => statement !== undefined);
 	return statements.length > 0 ? statements.join(', ') : undefined;
 }
+
+/** Describes why there was no answer, for logs. */
+function describeMissingAnswer(client: AbortSignal, caller: AbortSignal | undefined, attempt: AbortSignal): string {
+	if (client.aborted) {
+		return 'client gone';
+	}
+
+	if (caller?.aborted) {
+		return 'cancelled';
+	}
+
+	return attempt.aborted ? 'silent' : 'broken';
+}
--- a/src/coordination/serving/forwarded-stream.ts
+++ b/src/coordination/serving/forwarded-stream.ts
@@ -29,6 +29,8 @@
 	Restarted = 'engine restarted',
 	/** The request's deadline has passed. */
 	Deadline = 'deadline',
+	/** The request has become known to crash engines, and its answer has not begun. */
+	Quarantined = 'quarantined',
 }
 
 /** A stream whose KV cache was moved to the target engine. */
@@ -57,6 +59,8 @@
 	/** Whether it has been logged that no takeover is possible, so that this is logged once only. */
 	hasLoggedNoTakeover = false;
 	private interruptCause: InterruptCause | undefined;
+	/** Cancels the attempt that waits for its answer. */
+	private waitingAttempt = new AbortController();
 
 	constructor(
 		readonly served: ServedRequest,
@@ -86,6 +90,11 @@
 		return Math.max(0, (tokens / tokensPerEvent) - this.events) * msPerEvent;
 	}
 
+	/** Whether the last run was closed for what its request does to engines, so that its engine is not to blame. */
+	get isQuarantined(): boolean {
+		return this.interruptCause === InterruptCause.Quarantined;
+	}
+
 	/** Whether the last run was closed because its engine had restarted. */
 	get hasEngineRestarted(): boolean {
 		return this.interruptCause === InterruptCause.Restarted;
@@ -99,6 +108,20 @@
 		}
 	}
 
+	/** Returns the signal that cancels the next attempt until its answer begins. */
+	createAttemptSignal(): AbortSignal {
+		this.waitingAttempt = new AbortController();
+		return this.waitingAttempt.signal;
+	}
+
+	/** Cancels the run in progress unless its answer has begun, since it would crash its engine. */
+	cancelBeginning(): void {
+		this.waitingAttempt.abort();
+		if (this.currentRun?.attempt.writingSinceMs === undefined) {
+			this.interrupt(InterruptCause.Quarantined);
+		}
+	}
+
 	/** Waits for the takeover in progress; returns the run that another engine has started, if any. */
 	async awaitTakeover(): Promise<StartedAnswer | undefined> {
 		const run = await this.takeover?.run;
--- a/src/coordination/serving/retry-reservations.ts
+++ b/src/coordination/serving/retry-reservations.ts
@@ -87,7 +87,7 @@
 	/** Whether a request that has been sent before is quarantined and must not be sent again. */
 	isRetryForbidden(served: ServedRequest): boolean {
 		const {quarantine, clock} = this.dependencies;
-		return served.attempts.length > 0 && !quarantine.isEmpty && quarantine.forbidsRetry(served.fingerprints, clock.now());
+		return served.attempts.length > 0 && !quarantine.isEmpty && quarantine.forbidsRun(served.fingerprints, clock.now());
 	}
 
 	/** Takes a retry from the retry budget; returns whether there was one. */
--- a/src/coordination/serving/stream-forwarding.ts
+++ b/src/coordination/serving/stream-forwarding.ts
@@ -62,7 +62,7 @@
 	while (served.remainingMs(now()) > minRemainingMs && !served.inputs.signal.aborted) {
 		// eslint-disable-next-line no-await-in-loop -- one engine after the other.
 		const dispatched: StartedAnswer | FailedDispatch = takenOver ?? await dispatcher.send(served, {
-			purpose: RetryPurpose.Retry, firstByteTimeoutMs: served.remainingMs(now()), softTimeoutMs: calculateSoftTimeoutMs(served, stream), lastEventId: stream.lastEventId, ...next,
+			purpose: RetryPurpose.Retry, firstByteTimeoutMs: served.remainingMs(now()), softTimeoutMs: calculateSoftTimeoutMs(served, stream), lastEventId: stream.lastEventId, signal: stream.createAttemptSignal(), ...next,
 		});
 		takenOver = undefined;
 		if (dispatched.kind !== DispatchKind.Answer && isFinal(dispatched.kind)) {
@@ -84,7 +84,9 @@
 
 			errorAnswer = end.kind === 'answer' ? end.answer : errorAnswer;
 			reason = end.kind === 'answer' ? `failed with ${end.answer.status}` : end.reason;
-			dispatcher.recordFailure(served, dispatched.backend.id);
+			if (!stream.isQuarantined) {
+				dispatcher.recordFailure(served, dispatched.backend.id);
+			}
 		} else {
 			({reason} = dispatched);
 		}
--- a/src/coordination/serving/stream-registry.ts
+++ b/src/coordination/serving/stream-registry.ts
@@ -71,6 +71,7 @@
 	/** Checks every stream once, and starts the moves and takeovers that are due. */
 	sweep(nowMs: number): void {
 		this.recordProgress(nowMs);
+		this.cancelQuarantined(nowMs);
 		this.dependencies.sharing.shareAll([...this.streams].map(({served}) => served), nowMs);
 		for (const stream of this.streams) {
 			const backend = stream.currentRun?.backend;
@@ -93,6 +94,16 @@
 		}
 	}
 
+	/** Cancels the runs that would crash their engines, as has become known since they were sent. */
+	private cancelQuarantined(nowMs: number): void {
+		const {quarantine} = this.dependencies;
+		for (const stream of quarantine.isEmpty ? [] : this.streams) {
+			if (stream.currentRun?.attempt.writingSinceMs === undefined && quarantine.forbidsRun(stream.served.fingerprints, nowMs)) {
+				stream.cancelBeginning();
+			}
+		}
+	}
+
 	/** Returns when an engine is expected to be gone for a stream: because it is leaving, or because its version has been replaced, which only a stream without events can still leave. */
 	private leavesAtMs({served}: ForwardedStream, backend: Backend): number | undefined {
 		const {backends, rollouts} = this.dependencies;
