Don't pass on half an answer as whole when its backend server crashed

A client got half an answer as a complete one if the answer had neither a length nor chunks and its backend server crashed: the kernel then ends the connection as after a whole answer. An answer that only the end of its connection ends now counts as whole if its backend server still accepts connections, or is leaving. Such a crash before the first event also cleared the prompt that caused it.

--- a/src/coordination/quarantine/crash-watch.ts
+++ b/src/coordination/quarantine/crash-watch.ts
@@ -92,6 +92,12 @@
 		quarantine.recordCompletedRun(fingerprints, completedAtMs, clock.now());
 	}
 
+	/** Whether a backend server seems to have crashed just now, so that its kernel ended its connections. One that is leaving stops accepting connections before its last answers end. */
+	async hasJustCrashed(backend: Backend): Promise<boolean> {
+		const {refuses = isConnectionRefused} = this.dependencies;
+		return !this.isLeaving(backend) && refuses(backend, refusalTimeoutMs);
+	}
+
 	/** Returns the backend servers of a service that accept work, as far as crashes are known: one that crashed says nothing about the way to the others. */
 	runningBackends(service: string, nowMs: number): Backend[] {
 		const {backends, quarantine} = this.dependencies;
--- a/src/coordination/serving/dispatcher.ts
+++ b/src/coordination/serving/dispatcher.ts
@@ -188,6 +188,11 @@
 		}
 	}
 
+	/** Whether an answer that has ended is whole: one without length and chunks also ends so if its backend server crashes. */
+	async isWhole({answer, backend}: StartedAnswer): Promise<boolean> {
+		return !answer.isEndedByClose || !await this.dependencies.crashWatch.hasJustCrashed(backend);
+	}
+
 	/** Records that a backend server failed a request after the head of its answer had arrived. */
 	recordFailure(served: ServedRequest, backendId: string): void {
 		served.excluded.add(backendId);
--- a/src/coordination/serving/forwarded-stream.ts
+++ b/src/coordination/serving/forwarded-stream.ts
@@ -144,6 +144,14 @@
 		return `${by}, after ${this.events} events and ${Math.round(this.now() - this.lastProgressAtMs)} ms of silence`;
 	}
 
+	/** Writes the head of the engine's answer once: a stream that continues at another engine keeps the first head. */
+	writeHead(run: StartedAnswer): void {
+		if (!this.response.headersSent) {
+			const {response: head} = run.answer;
+			this.response.writeHead(run.answer.status, head.statusMessage ?? '', filterForwardedHeaders(head.rawHeaders));
+		}
+	}
+
 	/** Forwards the events of one run until it ends. */
 	async forwardRun(run: StartedAnswer): Promise<RunEnd> {
 		const {answer} = run;
@@ -200,8 +208,6 @@
 					return;
 				}
 
-				// A resumed stream may have no events left, and its answer is complete all the same.
-				this.writeHead(run);
 				end(RunEnd.Complete);
 			});
 			source.once('error', endAsBroken);
@@ -213,14 +219,6 @@
 		});
 	}
 
-	/** Writes the head of the engine's answer once: a stream that continues at another engine keeps the first head. */
-	private writeHead(run: StartedAnswer): void {
-		if (!this.response.headersSent) {
-			const {response: head} = run.answer;
-			this.response.writeHead(run.answer.status, head.statusMessage ?? '', filterForwardedHeaders(head.rawHeaders));
-		}
-	}
-
 	/** Writes one event to the client, skipping those already delivered; returns false when an earlier event is missing. */
 	private deliver(event: RawEvent, run: StartedAnswer): boolean {
 		this.lastProgressAtMs = this.now();
--- a/src/coordination/serving/stream-forwarding.ts
+++ b/src/coordination/serving/stream-forwarding.ts
@@ -72,7 +72,7 @@
 
 		if (dispatched.kind === DispatchKind.Answer) {
 			// eslint-disable-next-line no-await-in-loop
-			const end = await forwardAnswer(dispatched, stream);
+			const end = await forwardAnswer(dispatcher, dispatched, stream);
 			if (end.kind === 'complete') {
 				dispatcher.recordCompletedRun(served, dispatched.backend, dispatched.attempt);
 				return end;
@@ -128,16 +128,23 @@
 type RunResult = Extract<StreamResult, {kind: 'complete' | 'answer'}> | {kind: 'ended'; reason: string; isBroken: boolean};
 
 /** Forwards the events of one run, or reads its error answer. */
-async function forwardAnswer(started: StartedAnswer, stream: ForwardedStream): Promise<RunResult> {
+async function forwardAnswer(dispatcher: Dispatcher, started: StartedAnswer, stream: ForwardedStream): Promise<RunResult> {
 	const {attempt} = started;
 	const {status} = started.answer;
 	if (status >= 200 && status < 300) {
-		const end = await stream.forwardRun(started);
+		const lastEnd = await stream.forwardRun(started);
+		const end = lastEnd === RunEnd.Complete && !await dispatcher.isWhole(started) ? RunEnd.Broken : lastEnd;
 		attempt.result = stream.describeEnd(end);
-		return end === RunEnd.Complete ? {kind: 'complete', events: stream.events} : {kind: 'ended', reason: attempt.result, isBroken: end === RunEnd.Broken || stream.hasEngineRestarted};
+		if (end === RunEnd.Complete) {
+			// A resumed stream may have no events left, and its answer is complete all the same.
+			stream.writeHead(started);
+			return {kind: 'complete', events: stream.events};
+		}
+
+		return {kind: 'ended', reason: attempt.result, isBroken: end === RunEnd.Broken || stream.hasEngineRestarted};
 	}
 
-	const answer = await readErrorAnswer(started);
+	const answer = await readErrorAnswer(dispatcher, started);
 	attempt.result = String(status);
 	return answer ? {kind: 'answer', answer} : {kind: 'ended', reason: `failed with ${status}`, isBroken: !started.abort.signal.aborted};
 }
@@ -156,10 +163,14 @@
 	return moved;
 }
 
-async function readErrorAnswer(started: StartedAnswer): Promise<BufferedAnswer | undefined> {
+async function readErrorAnswer(dispatcher: Dispatcher, started: StartedAnswer): Promise<BufferedAnswer | undefined> {
 	const {answer, running, backend} = started;
 	try {
 		const body = await answer.read(maxAnswerBytes);
+		if (!await dispatcher.isWhole(started)) {
+			return undefined;
+		}
+
 		return {
 			status: answer.status, statusText: answer.response.statusMessage ?? '', rawHeaders: answer.response.rawHeaders, body, backendId: backend.id,
 		};
--- a/src/coordination/serving/unary-forwarding.ts
+++ b/src/coordination/serving/unary-forwarding.ts
@@ -55,7 +55,7 @@
 		if (dispatched.kind === DispatchKind.Answer) {
 			dispatched.attempt.writingSinceMs = now();
 			// eslint-disable-next-line no-await-in-loop
-			const answer = await bufferAnswer(dispatched, served.remainingMs(now()));
+			const answer = await bufferAnswer(dispatcher, dispatched, served.remainingMs(now()));
 			recordRunEnd(dispatcher, served, dispatched, answer);
 			if (answer && (answer.status < 500 || softTimeoutMs === undefined)) {
 				return {kind: 'answer', answer};
@@ -111,7 +111,7 @@
 	return served.runs < route.attempts && served.deliveries <= route.attempts;
 }
 
-async function bufferAnswer(started: StartedAnswer, remainingMs: number): Promise<BufferedAnswer | undefined> {
+async function bufferAnswer(dispatcher: Dispatcher, started: StartedAnswer, remainingMs: number): Promise<BufferedAnswer | undefined> {
 	const {
 		answer, running, attempt, abort, backend,
 	} = started;
@@ -120,6 +120,11 @@
 	}, Math.max(0, remainingMs));
 	try {
 		const body = await answer.read(maxAnswerBytes);
+		if (!await dispatcher.isWhole(started)) {
+			attempt.result = 'broken';
+			return undefined;
+		}
+
 		attempt.result = String(answer.status);
 		return {
 			status: answer.status, statusText: answer.response.statusMessage ?? '', rawHeaders: answer.response.rawHeaders, body, backendId: backend.id,
--- a/src/transport/backend-connection-pool.ts
+++ b/src/transport/backend-connection-pool.ts
@@ -174,6 +174,12 @@
 		return this.response.complete && !resetSockets.has(this.response.socket);
 	}
 
+	/** Whether only the end of its connection ends the body. */
+	get isEndedByClose(): boolean {
+		const {headers} = this.response;
+		return headers['content-length'] === undefined && headers['transfer-encoding'] === undefined;
+	}
+
 	/** Closes the connection. */
 	destroy(): void {
 		this.request.destroy();
