Divide what backend servers allow among daemons by demand

The shares follow the first attempts that daemons report to each other anyway. Ruled out: a request without a share passed to another daemon, since under a plain overload each refusal would cost several hops.

--- a/src/cli/front-container.ts
+++ b/src/cli/front-container.ts
@@ -22,6 +22,7 @@
 import {FleetRole, FleetTable} from '../coordination/fleet/fleet-table.js';
 import {selectSenders} from '../coordination/fleet/sender-selection.js';
 import {computeReadLimits} from '../coordination/topic-read-limits.js';
+import {DemandShare} from '../coordination/demand-share.js';
 import {FleetRetryBudget} from '../coordination/fleet-retry-budget.js';
 import {OverloadTolerances} from '../coordination/overload-tolerances.js';
 import {Placement} from '../coordination/placement.js';
@@ -152,9 +153,10 @@
 	registerFactory(QuarantineRecord, resolver => new QuarantineRecord({
 		store, quarantine: resolver.resolve(Quarantine), lease: resolver.resolve(DutyLease), clock,
 	}));
-	registerFactory(StatedLimits, resolver => new StatedLimits((backend, maxSenders, nowMs) => selectSenders(resolver.resolve(FleetTable), settings.name, backend, maxSenders, nowMs)));
+	registerFactory(StatedLimits, resolver => new StatedLimits((query, nowMs) => selectSenders(resolver.resolve(FleetTable), settings.name, atMs => resolver.resolve(DemandShare).usable(atMs), query, nowMs)));
+	registerFactory(DemandShare, resolver => new DemandShare(nowMs => resolver.resolve(FleetRetryBudget).demand(nowMs)));
 	registerFactory(Cooldowns, () => new Cooldowns());
-	registerFactory(OverloadTolerances, resolver => new OverloadTolerances(settings.name, nowMs => resolver.resolve(FleetTable).daemons(nowMs)));
+	registerFactory(OverloadTolerances, resolver => new OverloadTolerances(settings.name, nowMs => resolver.resolve(DemandShare).usable(nowMs)));
 	registerFactory(Reachability, () => new Reachability(() => Math.random()));
 	registerFactory(PeerConnectionPool, () => new PeerConnectionPool());
 	registerFactory(PeerProxy, resolver => new PeerProxy({
--- a/src/coordination/__tests__/stated-limits.test.ts
+++ b/src/coordination/__tests__/stated-limits.test.ts
@@ -2,7 +2,7 @@
 import {SendPermission, StatedLimits} from '../stated-limits.js';
 
 const id = 'i-1';
-const onlySender = () => ({isSender: true, senders: 1});
+const onlySender = () => ({isSender: true, share: 1});
 
 describe('StatedLimits', () => {
 	it('does not limit backend servers that state no limit', () => {
--- a/src/coordination/fleet-retry-budget.ts
+++ b/src/coordination/fleet-retry-budget.ts
@@ -9,6 +9,8 @@
  * daemon cannot know counts as used.
  */
 import {type AccountUse, type AccountWindow, type UseProfile} from './account-window.js';
+import {CostMeter} from './cost-meter.js';
+import {type Demand} from './demand-share.js';
 import {shareWithinLimit} from './limit-sharing.js';
 import {silentAfterMs} from './fleet/reported-group.js';
 import {type QuotaPeers} from './quota-ledger.js';
@@ -41,6 +43,9 @@
 /** This daemon's view of the retry budgets of all services. */
 export class FleetRetryBudget implements RetryBudget, SharedUse {
 	private readonly windows: SharedWindows;
+	/** First attempts of this daemon's requests, and of all others. */
+	private readonly ownRequests = new CostMeter();
+	private readonly otherRequests = new CostMeter();
 	/** Since when this daemon has heard from few of the others. */
 	private isolatedSinceMs: number | undefined;
 
@@ -55,6 +60,7 @@
 
 	countRequest(service: string, nowMs: number): void {
 		this.window(service, AttemptKind.First).addOwn(1, nowMs);
+		this.ownRequests.add(1, nowMs);
 	}
 
 	tryTake(service: string, purpose: RetryPurpose, nowMs: number): boolean {
@@ -83,6 +89,15 @@
 
 	addPeerUse(key: string, use: AccountUse, nowMs: number): void {
 		this.windows.addPeerUse(key, use, nowMs);
+		if (readKey(key)[0] === AttemptKind.First) {
+			this.otherRequests.add(use.admitted, nowMs);
+		}
+	}
+
+	/** Returns the requests that this daemon and the others receive, of all services. */
+	demand(nowMs: number): Demand {
+		const {daemons, reportIntervalMs} = this.parts.peers(nowMs);
+		return {ownPerSecond: this.ownRequests.ratePerMs(reportIntervalMs, nowMs) * 1000, othersPerSecond: this.otherRequests.ratePerMs(reportIntervalMs, nowMs) * 1000, daemons};
 	}
 
 	noteMissedReports(): void {
--- a/src/coordination/fleet/__fixtures__/test-net.ts
+++ b/src/coordination/fleet/__fixtures__/test-net.ts
@@ -10,6 +10,7 @@
 import {ViewAge} from '../../../state/view-age.js';
 import {FakeStore} from '../../../testing/fake-store.js';
 import {sumOfProfile} from '../../account-window.js';
+import {DemandShare} from '../../demand-share.js';
 import {DutyLease} from '../../duty-lease.js';
 import {OverloadTolerances} from '../../overload-tolerances.js';
 import {Placement} from '../../placement.js';
@@ -59,6 +60,7 @@
 	readonly statedLimits: StatedLimits;
 	readonly tolerances: OverloadTolerances;
 	readonly retryBudget: FleetRetryBudget;
+	readonly demandShare: DemandShare;
 	readonly reachability = new Reachability(() => 0);
 	readonly backends = new BackendTable({drainMs: 2000});
 	readonly origins = new StreamOrigins(() => 30_000);
@@ -79,6 +81,7 @@
 		this.retryBudget = new FleetRetryBudget({
 			limits: retryLimits, startedAtMs, isFirstStart: net.isFirstStart, peers: nowMs => this.messenger.quotaPeers(nowMs), random: () => net.random(),
 		});
+		this.demandShare = new DemandShare(nowMs => this.retryBudget.demand(nowMs));
 		const sharedUse = new CombinedUse(this.quota, this.retryBudget);
 		this.usage = new UsageLedger(failureDomain, incarnation, 5000);
 		this.placement = new Placement(failureDomain);
@@ -110,8 +113,8 @@
 		this.quarantineRecord = new QuarantineRecord({
 			store: net.store, quarantine: this.quarantine, lease: this.lease, clock,
 		});
-		this.statedLimits = new StatedLimits((backend, maxSenders, nowMs) => selectSenders(this.fleet, name, backend, maxSenders, nowMs));
-		this.tolerances = new OverloadTolerances(name, nowMs => this.fleet.daemons(nowMs));
+		this.statedLimits = new StatedLimits((query, nowMs) => selectSenders(this.fleet, name, atMs => this.demandShare.usable(atMs), query, nowMs));
+		this.tolerances = new OverloadTolerances(name, nowMs => this.demandShare.usable(nowMs));
 		this.versions = new ServiceVersions({
 			backends: this.backends, viewAgeMs: () => 0, startedAtMs, isFirstStart: net.isFirstStart,
 		});
--- a/src/coordination/fleet/sender-selection.ts
+++ b/src/coordination/fleet/sender-selection.ts
@@ -3,27 +3,32 @@
 import {type SenderSelection} from '../stated-limits.js';
 import {type FleetTable} from './fleet-table.js';
 
+/** A limited backend server, and the most daemons that may send to it. */
+export type SenderQuery = {backend: number; maxSenders: number};
+
 /**
  * Selects at most `maxSenders` daemons by rendezvous hashing, so that all daemons agree without
  * exchanging messages, and the failure of one changes few selections. In a large fleet only
  * relays are selected, since every daemon knows those.
  *
  * @param localName This daemon's name.
+ * @param usableShare Returns the part of the limit that this daemon may use where all daemons are senders.
  */
-export function selectSenders(fleet: FleetTable, localName: string, backend: number, maxSenders: number, nowMs: number): SenderSelection {
+export function selectSenders(fleet: FleetTable, localName: string, usableShare: (nowMs: number) => number, query: SenderQuery, nowMs: number): SenderSelection {
+	const {backend, maxSenders} = query;
 	// A daemon that hears from few of the others would select itself in place of daemons that still send.
 	if (!fleet.isMajorityResponsive(nowMs)) {
-		return {isSender: false, senders: 1};
+		return {isSender: false, share: 1};
 	}
 
 	const daemons = fleet.daemons(nowMs);
 	if (daemons <= maxSenders) {
-		return {isSender: true, senders: daemons};
+		return {isSender: true, share: usableShare(nowMs)};
 	}
 
 	const ranked = fleet.dutyCandidates(nowMs).map(name => ({name, score: rendezvousScore(backend, name)})).toSorted((a, b) => b.score - a.score);
 	const senders = ranked.slice(0, maxSenders);
-	return {isSender: senders.some(({name}) => name === localName), senders: Math.max(1, senders.length)};
+	return {isSender: senders.some(({name}) => name === localName), share: 1 / Math.max(1, senders.length)};
 }
 
 function rendezvousScore(backend: number, name: string): number {
--- a/src/coordination/overload-tolerances.ts
+++ b/src/coordination/overload-tolerances.ts
@@ -60,11 +60,11 @@
 
 	/**
 	 * @param name The name of this daemon.
-	 * @param countDaemons Returns the number of daemons that send to the backend servers.
+	 * @param usableShare Returns the part of a backend server's slots that this daemon may use.
 	 */
 	constructor(
 		private readonly name: string,
-		private readonly countDaemons: (nowMs: number) => number,
+		private readonly usableShare: (nowMs: number) => number,
 	) {}
 
 	/** Whether no backend server has stated a tolerance of late. */
@@ -161,9 +161,9 @@
 
 	/** Returns this daemon's share of slots: a hash decides which daemons get one more where they don't divide evenly. */
 	private share(key: number, slots: number, nowMs: number): number {
-		const even = slots / Math.max(1, this.countDaemons(nowMs));
+		const exact = slots * this.usableShare(nowMs);
 		const draw = createHash('md5').update(`${key} ${this.name}`).digest().readUInt32BE(0) / (2 ** 32);
-		return Math.floor(even) + (draw < even % 1 ? 1 : 0);
+		return Math.floor(exact) + (draw < exact % 1 ? 1 : 0);
 	}
 }
 
--- a/src/coordination/serving/__tests__/backend-selector.test.ts
+++ b/src/coordination/serving/__tests__/backend-selector.test.ts
@@ -47,7 +47,7 @@
 	const backends = new BackendTable({drainMs: 2000});
 	backends.upsert(backend('limited'), 0);
 	backends.upsert(backend('free'), 0);
-	const limits = new StatedLimits(() => ({isSender, senders: 1}));
+	const limits = new StatedLimits(() => ({isSender, share: 1}));
 	limits.noteStated('limited', 1, nowMs - statedMsAgo);
 	const cooldowns = new Cooldowns();
 	const clock = new SteadyClock({monotonicMs: () => nowMs, wallMs: () => nowMs, uptimeMs: () => nowMs});
--- a/src/coordination/stated-limits.ts
+++ b/src/coordination/stated-limits.ts
@@ -27,8 +27,8 @@
 /** Time for which a change is gossiped, in milliseconds: eight rounds, since datagrams may be lost. */
 const gossipAfterChangeMs = 2000;
 
-/** Whether this daemon may send to a limited backend server, and how many daemons may. */
-export type SenderSelection = {isSender: boolean; senders: number};
+/** Whether this daemon may send to a limited backend server, and the share of the limit that it may use. */
+export type SenderSelection = {isSender: boolean; share: number};
 
 /** Whether this daemon may send a request to a backend server now. */
 export enum SendPermission {
@@ -48,8 +48,8 @@
 	statedAtMs: number;
 	/** When the limit last changed, if this daemon gossips the change. */
 	changedAtMs: number;
-	/** When this daemon may send the next request. */
-	nextAtMs: number;
+	/** From when on the wait until this daemon's next request counts. */
+	pacedFromMs: number;
 	/** Number of probes since the last statement. */
 	probes: number;
 	/** When the last probe was sent. */
@@ -63,8 +63,8 @@
 	/** Entries by the numeric key of the backend server. */
 	private readonly entries = new Map<number, LimitEntry>();
 
-	/** @param selectSenders Selects at most `maxSenders` daemons that send to a backend server. */
-	constructor(private readonly selectSenders: (backend: number, maxSenders: number, nowMs: number) => SenderSelection) {}
+	/** @param selectSenders Selects at most `maxSenders` daemons that send to a backend server, given its key. */
+	constructor(private readonly selectSenders: (query: {backend: number; maxSenders: number}, nowMs: number) => SenderSelection) {}
 
 	/** Whether no backend server has stated a limit of late. */
 	get isEmpty(): boolean {
@@ -91,7 +91,7 @@
 			return SendPermission.Allowed;
 		}
 
-		if (nowMs < entry.nextAtMs || !this.senderSelection(key, entry, nowMs).isSender) {
+		if (nowMs < this.nextAtMs(key, entry, nowMs) || !this.senderSelection(key, entry, nowMs).isSender) {
 			return SendPermission.Withheld;
 		}
 
@@ -103,19 +103,25 @@
 		const key = backendKey(backendId);
 		const entry = this.entries.get(key);
 		if (entry?.perSecond !== undefined) {
-			const {senders} = this.senderSelection(key, entry, nowMs);
 			if (isProbeDue(entry, nowMs)) {
 				entry.probes++;
 				entry.probedAtMs = nowMs;
 			}
 
-			entry.nextAtMs = Math.max(nowMs, entry.nextAtMs) + (senders * requestIntervalMs(entry.perSecond));
+			entry.pacedFromMs = Math.max(nowMs, this.nextAtMs(key, entry, nowMs));
 		}
 	}
 
 	/** Returns the time until any daemon may send a request to one of these backend servers, in milliseconds; undefined when none is limited. */
 	retryAfterMs(backendIds: string[], nowMs: number): number | undefined {
-		const waits = backendIds.map(id => this.entries.get(backendKey(id))).filter(entry => entry?.perSecond !== undefined).map(entry => Math.max(requestIntervalMs(entry!.perSecond!), entry!.nextAtMs - nowMs));
+		const waits: number[] = [];
+		for (const key of backendIds.map(id => backendKey(id))) {
+			const entry = this.entries.get(key);
+			if (entry?.perSecond !== undefined) {
+				waits.push(Math.max(requestIntervalMs(entry.perSecond), this.nextAtMs(key, entry, nowMs) - nowMs));
+			}
+		}
+
 		return waits.length > 0 ? Math.min(...waits) : undefined;
 	}
 
@@ -151,8 +157,8 @@
 
 	/** Returns a plain copy for state dumps. */
 	toJson(nowMs: number): unknown {
-		return [...this.entries].map(([backend, {perSecond, statedAtMs, nextAtMs}]) => ({
-			backend, perSecond, statedMsAgo: Math.round(nowMs - statedAtMs), nextInMs: Math.round(nextAtMs - nowMs),
+		return [...this.entries].map(([backend, entry]) => ({
+			backend, perSecond: entry.perSecond, statedMsAgo: Math.round(nowMs - entry.statedAtMs), nextInMs: Math.round(this.nextAtMs(backend, entry, nowMs) - nowMs),
 		}));
 	}
 
@@ -162,16 +168,21 @@
 			perSecond,
 			statedAtMs,
 			changedAtMs: known && known.perSecond === perSecond ? known.changedAtMs : newChangedAtMs,
-			nextAtMs: known?.nextAtMs ?? Number.NEGATIVE_INFINITY,
+			pacedFromMs: known?.pacedFromMs ?? Number.NEGATIVE_INFINITY,
 			probes: 0,
 			probedAtMs: Number.NEGATIVE_INFINITY,
 			selection: known?.perSecond === perSecond ? known?.selection : undefined,
 		});
 	}
 
+	/** Returns when this daemon may send the next request: sooner if its share of the limit has grown since the last one. */
+	private nextAtMs(backend: number, entry: LimitEntry, nowMs: number): number {
+		return entry.perSecond === undefined ? Number.NEGATIVE_INFINITY : entry.pacedFromMs + (requestIntervalMs(entry.perSecond) / this.senderSelection(backend, entry, nowMs).share);
+	}
+
 	private senderSelection(backend: number, entry: LimitEntry, nowMs: number): SenderSelection {
 		if (!entry.selection || nowMs - entry.selection.atMs > senderSelectionMaxAgeMs) {
-			entry.selection = {...this.selectSenders(backend, Math.floor(entry.perSecond ?? 0) + extraSenders, nowMs), atMs: nowMs};
+			entry.selection = {...this.selectSenders({backend, maxSenders: Math.floor(entry.perSecond ?? 0) + extraSenders}, nowMs), atMs: nowMs};
 		}
 
 		return entry.selection;
