Close new connections unread while a flood of them overloads one daemon

A load balancer that hands most new connections to one daemon makes it read more than its processor can serve, and most answers come too late. While its event loop is behind and it receives clearly more than the others, the daemon closes new connections before it reads anything, so that a retry meets another daemon.

Nothing is closed while it keeps up, single turns are late, the others receive as much, or the daemon has just started.

--- a/src/cli/front-container.ts
+++ b/src/cli/front-container.ts
@@ -11,6 +11,7 @@
 import {BackendTable} from '../state/backend-table.js';
 import {RouteTable} from '../state/route-table.js';
 import {BackendConnectionPool} from '../transport/backend-connection-pool.js';
+import {EventLoopDelay} from '../transport/event-loop-delay.js';
 import {Cooldowns} from '../coordination/cooldowns.js';
 import {DutyLease} from '../coordination/duty-lease.js';
 import {DutyRunner} from '../coordination/duty-runner.js';
@@ -22,6 +23,7 @@
 import {FleetRole, FleetTable} from '../coordination/fleet/fleet-table.js';
 import {selectSenders} from '../coordination/fleet/sender-selection.js';
 import {computeReadLimits} from '../coordination/topic-read-limits.js';
+import {ConnectionShedding} from '../coordination/connection-shedding.js';
 import {DemandShare} from '../coordination/demand-share.js';
 import {FleetRetryBudget} from '../coordination/fleet-retry-budget.js';
 import {OverloadTolerances} from '../coordination/overload-tolerances.js';
@@ -154,6 +156,8 @@
 		store, quarantine: resolver.resolve(Quarantine), lease: resolver.resolve(DutyLease), clock,
 	}));
 	registerFactory(StatedLimits, resolver => new StatedLimits((query, nowMs) => selectSenders(resolver.resolve(FleetTable), settings.name, atMs => resolver.resolve(DemandShare).usable(atMs), query, nowMs)));
+	registerFactory(EventLoopDelay, () => new EventLoopDelay(() => clock.now()));
+	registerFactory(ConnectionShedding, resolver => new ConnectionShedding(resolver.resolve(EventLoopDelay), resolver.resolve(DemandShare), startedAtMs));
 	registerFactory(DemandShare, resolver => new DemandShare(nowMs => resolver.resolve(FleetRetryBudget).demand(nowMs)));
 	registerFactory(Cooldowns, () => new Cooldowns());
 	registerFactory(OverloadTolerances, resolver => new OverloadTolerances(settings.name, nowMs => resolver.resolve(DemandShare).usable(nowMs)));
--- a/src/cli/front-daemon.ts
+++ b/src/cli/front-daemon.ts
@@ -15,8 +15,10 @@
 import {RouteTable} from '../state/route-table.js';
 import {BackendConnectionPool} from '../transport/backend-connection-pool.js';
 import {DatagramLink} from '../transport/datagram-link.js';
+import {EventLoopDelay} from '../transport/event-loop-delay.js';
 import {FrontServer, type FrontRequest, writeErrorResponse} from '../transport/front-server.js';
 import {isConnectionAccepted} from '../transport/port-probe.js';
+import {ConnectionShedding} from '../coordination/connection-shedding.js';
 import {Cooldowns} from '../coordination/cooldowns.js';
 import {DutyLease} from '../coordination/duty-lease.js';
 import {DutyRunner} from '../coordination/duty-runner.js';
@@ -99,7 +101,8 @@
 		this.clock = this.container.resolve(SteadyClock);
 		this.startedAtMs = this.clock.now();
 		const forwarder = this.container.resolve(Forwarder);
-		this.server = new FrontServer(async request => forwarder.handle(request));
+		const shedding = this.container.resolve(ConnectionShedding);
+		this.server = new FrontServer(async request => forwarder.handle(request), () => shedding.accepts(this.clock.now()));
 		this.peerServer = new FrontServer(async request => serveProxiedRequest(forwarder, request));
 	}
 
@@ -121,6 +124,7 @@
 	 */
 	async start(): Promise<void> {
 		await this.openPeerLink();
+		this.container.resolve(EventLoopDelay).start(this.signal);
 		const {callers, host, peerPort} = this.platform.settings;
 		await this.peerServer.listen({host, port: peerPort});
 		await this.server.listen(callers);
@@ -195,6 +199,7 @@
 			streams: {running: registry.size, moved: registry.movedCount, rememberedOrigins: this.container.resolve(StreamOrigins).size},
 			versions: this.container.resolve(ServiceVersions).all(nowMs),
 			connections: this.server.openConnections,
+			connectionsClosedUnread: this.container.resolve(ConnectionShedding).closedCount,
 			limits: Object.fromEntries(this.container.resolve(QuotaLedger).ownTotals()),
 			quarantine: this.container.resolve(Quarantine).toJson(nowMs),
 			statedLimits: this.container.resolve(StatedLimits).toJson(nowMs),
--- a/src/transport/__tests__/front-server.test.ts
+++ b/src/transport/__tests__/front-server.test.ts
@@ -27,9 +27,9 @@
 });
 
 /** Sends bytes on a new connection and returns the data received within `waitMs`. */
-async function send(bytes: string, waitMs = 150): Promise<string> {
+async function send(bytes: string, waitMs = 150, toPort = port): Promise<string> {
 	return new Promise(resolve => {
-		const socket = connect(port, '127.0.0.1');
+		const socket = connect(toPort, '127.0.0.1');
 		let text = '';
 		socket.on('data', chunk => {
 			text += chunk.toString();
@@ -120,3 +120,23 @@
 		expect(handledRequests.length - before).toBe(isHandled ? 1 : 0);
 	});
 });
+
+describe('a connection that is not accepted', () => {
+	it('is closed with its request unread, and the next one is served', async () => {
+		let isAccepting = false;
+		let handled = 0;
+		const shedding = new FrontServer(async ({response}) => {
+			handled++;
+			response.end('ok');
+		}, () => isAccepting);
+		await shedding.listen({host: '127.0.0.1', port: port + 1});
+		const get = async () => send('GET / HTTP/1.1\r\nHost: h\r\n\r\n', 150, port + 1);
+		expect(await get()).toBe('');
+		expect(handled).toBe(0);
+		expect(shedding.openConnections).toBe(0);
+		isAccepting = true;
+		expect(await get()).toContain('200 OK');
+		shedding.close();
+		shedding.destroy();
+	});
+});
--- a/src/transport/front-server.ts
+++ b/src/transport/front-server.ts
@@ -111,13 +111,23 @@
 	private isStopping = false;
 	private isClosed = false;
 
-	constructor(private readonly handler: FrontHandler) {
+	/** @param accepts Returns whether a connection that has just been opened is accepted; otherwise it is closed with nothing read. */
+	constructor(private readonly handler: FrontHandler, accepts: () => boolean = () => true) {
 		this.server = createServer({
 			maxHeaderSize: maxParsedHeaderBytes, connectionsCheckingInterval: timeoutCheckIntervalMs, noDelay: true, requireHostHeader: false,
 		}, (request, response) => {
 			void this.handleRequest(request, response);
 		});
-		this.server.on('connection', socket => {
+		this.server.prependListener('connection', (socket: Socket) => {
+			if (!accepts()) {
+				socket.destroy();
+			}
+		});
+		this.server.on('connection', (socket: Socket) => {
+			if (socket.destroyed) {
+				return;
+			}
+
 			this.openRequestsBySocket.set(socket, 0);
 			socket.once('close', () => {
 				this.openRequestsBySocket.delete(socket);
