Soak a part of prompts that crashes replicas, answers without length, and floods of one daemon

The new runs check that at most three requests with the part reach replicas from daemons in contact later than 3 s after its fifth crash, and that sound requests with the same first part are not refused for it.

- A part that had been sound, and was at five crashes within a second, was refused for a minute, and with it all requests that could have cleared it.
Such a part is probed after five seconds now (doubled with each crash).

--- a/soak/__tests__/soak.test.ts
+++ b/soak/__tests__/soak.test.ts
@@ -26,6 +26,12 @@
 	{
 		seed: 903, daemons: 16, cause: 'the same with daemons that ask relays where a stream began', options: {hasVersions: true},
 	},
+	{
+		seed: 1001, daemons: 3, cause: 'a part of prompts that crashes replicas, answers without length, daemons that receive most requests', options: {hasPrompts: true},
+	},
+	{
+		seed: 1002, daemons: 16, cause: 'the same with daemons that hear of the crashes from relays', options: {hasPrompts: true},
+	},
 	{
 		seed: 701, daemons: 3, cause: 'a request that crashes replicas, and a replica that states a limit', options: {hasReplicaFaults: true},
 	},
--- a/soak/clients.ts
+++ b/soak/clients.ts
@@ -3,6 +3,7 @@
 import {eventIds} from '../platform/__tests__/front-program.js';
 import {streamEvents} from '../platform/__tests__/standins.js';
 import {fatalBody, type SoakCluster} from './cluster.js';
+import {fatalPart, firstPart} from './prompt-faults.js';
 
 /** A request of a client, and the answer to it. */
 export type RequestRecord = {
@@ -33,6 +34,11 @@
 const resumesHeader = 'Resumes';
 /** Pause between two requests of a client, in milliseconds. */
 const requestPauseMs = 15;
+/** Of so many requests, the number that go to a daemon that receives most of them. */
+const requestsPerFloodStep = 5;
+const floodedRequests = 4;
+/** The second part of the prompts of sound requests. */
+const soundPart = 'cc01';
 /** Time after which a client cancels a request, in milliseconds. */
 const requestTimeoutMs = 2500;
 
@@ -41,10 +47,11 @@
 	const records: RequestRecord[] = [];
 	const agent = new Agent({keepAlive: true});
 	for (let count = 0; !signal.aborted; count++) {
-		const daemon = cluster.daemons[(count + name.length) % cluster.daemons.length];
+		const isFlooding = cluster.floodedDaemon !== undefined && count % requestsPerFloodStep < floodedRequests;
+		const daemon = isFlooding ? cluster.floodedDaemon! : cluster.daemons[(count + name.length) % cluster.daemons.length];
 		const kinds = cluster.options.hasVersions ? streamHeavyKinds : requestKinds;
 		const inputs: RequestInputs = {
-			agent, host: daemon.host, id: `${name}-${count}`, kind: kinds[count % kinds.length],
+			agent, host: daemon.host, id: `${name}-${count}`, kind: kinds[count % kinds.length], sharedParts: cluster.options.hasPrompts ? [firstPart, soundPart] : undefined,
 		};
 		// eslint-disable-next-line no-await-in-loop -- a client waits for its answer before the next request.
 		const record = await sendRequest(cluster, inputs);
@@ -107,11 +114,31 @@
 	agent.destroy();
 }
 
-/** Destination and content of one request. */
-type RequestInputs = {agent: Agent; host: string; id: string; kind: string; path?: string; body?: string; resumedId?: string; lastEventId?: number};
+/** Sends requests whose prompts have a part that crashes replicas to each daemon in turn, until the signal aborts; no two are alike. */
+export async function runFatalPromptClient(cluster: SoakCluster, signal: AbortSignal): Promise<RequestRecord[]> {
+	const records: RequestRecord[] = [];
+	const agent = new Agent({keepAlive: true});
+	const kinds = ['stream', 'once', 'call'];
+	for (let count = 0; !signal.aborted; count++) {
+		// eslint-disable-next-line no-await-in-loop -- one request after the other.
+		records.push(await sendRequest(cluster, {
+			agent, host: cluster.daemons[count % cluster.daemons.length].host, id: `fatal-prompt-${count}`, kind: kinds[count % kinds.length], sharedParts: [firstPart, fatalPart],
+		}));
+		// eslint-disable-next-line no-await-in-loop
+		await new Promise(resolve => {
+			setTimeout(resolve, fatalRequestPauseMs);
+		});
+	}
+
+	agent.destroy();
+	return records;
+}
+
+/** Destination and content of one request; `sharedParts` are all parts of its prompt but the last. */
+type RequestInputs = {agent: Agent; host: string; id: string; kind: string; path?: string; body?: string; resumedId?: string; lastEventId?: number; sharedParts?: string[]};
 
 /** Sends one request and waits for the end of its answer, an error or the time limit. */
-async function sendRequest(cluster: SoakCluster, {agent, host, id, kind, path = `/${kind}/${id}`, body = id, resumedId, lastEventId}: RequestInputs): Promise<RequestRecord> {
+async function sendRequest(cluster: SoakCluster, {agent, host, id, kind, path = `/${kind}/${id}`, body = id, resumedId, lastEventId, sharedParts}: RequestInputs): Promise<RequestRecord> {
 	const [apiKey] = cluster.apiKeys;
 	const record: RequestRecord = {
 		id, kind, apiKey, host, sentAtMs: Date.now(), endedAtMs: Number.POSITIVE_INFINITY, status: undefined, replicaSeal: undefined, body: '', resumedId, lastEventId, isComplete: false,
@@ -120,6 +147,7 @@
 		const request = startRequest({
 			agent, host, port: cluster.clientPort, method: 'POST', path, timeout: requestTimeoutMs, headers: {
 				host: 'h.example', 'X-Sesametally-Attempt-Id': id, 'X-Sesametally-Deadline-Ms': '2000', 'X-Sesametally-Key': apiKey, ...(resumedId !== undefined && {'Last-Event-Id': String(lastEventId), [resumesHeader]: resumedId}),
+				...(sharedParts && {'X-Sesametally-Prompt-Prefix': [...sharedParts, 'ffff'].map(part => `${part}:50`).join(',')}),
 			},
 		}, response => {
 			record.status = response.statusCode;
--- a/soak/cluster.ts
+++ b/soak/cluster.ts
@@ -6,6 +6,7 @@
 import process from 'node:process';
 import {CloudStandin, ReplicaStandin, StoreStandin} from '../platform/__tests__/standins.js';
 import {FaultyLink} from './faulty-link.js';
+import {fatalPart} from './prompt-faults.js';
 import {eventPauseMs, versions} from './version-faults.js';
 
 /** Number of replicas of one run. */
@@ -93,6 +94,8 @@
 	hasReplicaStatements?: boolean;
 	/** Whether replicas of several versions serve side by side, and clients take up streams that break off. */
 	hasVersions?: boolean;
+	/** Whether prompts have parts, one of which crashes replicas; replicas answer without length, and single daemons receive most requests. */
+	hasPrompts?: boolean;
 };
 
 /** The daemons, stand-ins and links of one run. */
@@ -108,6 +111,8 @@
 	/** The link to the store, in runs with faults on it. */
 	storeLink: FaultyLink | undefined;
 	daemons: SoakDaemon[] = [];
+	/** The daemon that receives most requests, if there is one. */
+	floodedDaemon: SoakDaemon | undefined;
 	readonly clientPort = clientPort;
 	/** API keys in the current configuration. */
 	apiKeys = ['key-0'];
@@ -181,8 +186,9 @@
 		this.replicas.push(replica);
 		this.links.push(link);
 		this.publishReplica(replica, link, 'ready');
-		if (this.options.hasReplicaFaults) {
-			replica.fatalBody = fatalBody;
+		if ([this.options.hasReplicaFaults, this.options.hasPrompts].includes(true)) {
+			replica.fatalBody = this.options.hasReplicaFaults ? fatalBody : undefined;
+			replica.fatalPart = this.options.hasPrompts ? fatalPart : undefined;
 			replica.onCrash = () => {
 				this.replaceCrashed(replica, link);
 			};
--- a/soak/faulty-link.ts
+++ b/soak/faulty-link.ts
@@ -87,9 +87,9 @@
 
 	/** Copies bytes and the end of the stream in one direction, subject to the mode. */
 	private pipe(from: Socket, to: Socket, isResponse: boolean): void {
+		const isDropping = () => this.silencedSockets.has(from) || this.mode === LinkMode.Silence || (this.mode === LinkMode.OneWay && isResponse);
 		from.on('data', bytes => {
-			const isDropped = this.silencedSockets.has(from) || this.mode === LinkMode.Silence || (this.mode === LinkMode.OneWay && isResponse);
-			if (isDropped) {
+			if (isDropping()) {
 				return;
 			}
 
@@ -98,6 +98,11 @@
 			}, this.mode === LinkMode.Delay ? delayMs : 0);
 		});
 		from.on('end', () => {
+			// The end must not overtake bytes that were dropped: the receiver would take what it has for the whole.
+			if (isDropping()) {
+				return;
+			}
+
 			setTimeout(() => {
 				to.end();
 			}, this.mode === LinkMode.Delay ? delayMs : 0);
--- a/soak/run.ts
+++ b/soak/run.ts
@@ -1,9 +1,10 @@
 /**
- * `npm run soak -- FIRST COUNT SECONDS DAEMONS [store|replicas|statements|versions]`: runs COUNT seeds from FIRST on, one after the other,
+ * `npm run soak -- FIRST COUNT SECONDS DAEMONS [store|replicas|statements|versions|prompts]`: runs COUNT seeds from FIRST on, one after the other,
  * and prints the violations of each. `store` adds faults on the link to the store; `replicas` adds a request that
  * crashes replicas and a replica that states a limit; `statements` adds replicas that announce that they leave or ask
  * for a cooldown, without faults on the links to replicas; `versions` adds replicas of several versions side by side, and
- * clients that take up streams that break off.
+ * clients that take up streams that break off; `prompts` adds a part of prompts that crashes replicas, answers without
+ * length, and daemons that receive most requests.
  */
 import process from 'node:process';
 import {minServedShare, runSoak} from './soak.js';
@@ -12,11 +13,11 @@
 let failed = 0;
 for (let seed = Number(first); seed < Number(first) + Number(count); seed++) {
 	// eslint-disable-next-line no-await-in-loop -- all runs use the same ports.
-	const {tries, served, servedLast, lastEnds, faults, broken, streams} = await runSoak(seed, Number(seconds) * 1000, Number(daemons), {
-		hasStoreLinkFaults: extraFaults === 'store', hasReplicaFaults: extraFaults === 'replicas', hasReplicaStatements: extraFaults === 'statements', hasVersions: extraFaults === 'versions',
+	const {tries, served, servedLast, lastEnds, faults, broken, streams, quarantined} = await runSoak(seed, Number(seconds) * 1000, Number(daemons), {
+		hasStoreLinkFaults: extraFaults === 'store', hasReplicaFaults: extraFaults === 'replicas', hasReplicaStatements: extraFaults === 'statements', hasVersions: extraFaults === 'versions', hasPrompts: extraFaults === 'prompts',
 	});
 	failed += broken.length > 0 || servedLast < minServedShare ? 1 : 0;
-	process.stdout.write(`seed ${seed}: ${served} of ${tries} served, ${servedLast.toFixed(2)} after the faults, ${faults.length} faults, ${broken.length} violations${streams ? `, ${streams.wentOn} of ${streams.takenUp} streams taken up went on` : ''}\n`);
+	process.stdout.write(`seed ${seed}: ${served} of ${tries} served, ${servedLast.toFixed(2)} after the faults, ${faults.length} faults, ${broken.length} violations${streams ? `, ${streams.wentOn} of ${streams.takenUp} streams taken up went on` : ''}${quarantined === undefined ? '' : `, ${quarantined} sound requests quarantined`}\n`);
 	if (servedLast < minServedShare) {
 		process.stdout.write(`  after the faults: ${JSON.stringify(lastEnds)}\n  faults: ${faults.join(', ')}\n`);
 	}
--- a/soak/soak.ts
+++ b/soak/soak.ts
@@ -9,13 +9,14 @@
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 import {ReplicaMode, type ReplicaStandin} from '../platform/__tests__/standins.js';
 import {
-	findAnswerViolation, runClient, runFatalClient, type RequestRecord,
+	findAnswerViolation, runClient, runFatalClient, runFatalPromptClient, type RequestRecord,
 } from './clients.js';
 import {LinkMode} from './faulty-link.js';
 import {
 	cooldownMs, findCrashViolations, findLimitViolations, findStatementViolations, limitCheckMs, startStatingLimit,
 } from './replica-faults.js';
 import {SoakCluster, type ClusterOptions} from './cluster.js';
+import {findPromptViolations, isQuarantined, promptFaults} from './prompt-faults.js';
 import {countTakenUp, findVersionViolations, versionFaults} from './version-faults.js';
 
 /** Number of clients of one run. */
@@ -39,9 +40,10 @@
  * The result of a run: the number of requests (`tries`), of those with a complete answer of status 200 (`served`), the
  * share answered with 200 of the requests sent after the recovery from the last fault (`servedLast`), the number of
  * these by kind and status (`lastEnds`), the names of the injected faults in order (`faults`), and one text for each
- * violation of a guarantee (`broken`); in runs with several versions also the streams taken up (`streams`).
+ * violation of a guarantee (`broken`); in runs with several versions also the streams taken up (`streams`), in runs with prompts the sound
+ * requests that were refused for crashes (`quarantined`).
  */
-export type SoakReport = {seed: number; tries: number; served: number; servedLast: number; lastEnds: Record<string, number>; faults: string[]; broken: string[]; streams?: ReturnType<typeof countTakenUp>};
+export type SoakReport = {seed: number; tries: number; served: number; servedLast: number; lastEnds: Record<string, number>; faults: string[]; broken: string[]; streams?: ReturnType<typeof countTakenUp>; quarantined?: number};
 
 /** A fault: `begin` injects it, `end` removes it if it doesn't end by itself. */
 type Fault = {name: string; begin: () => void; end?: () => void};
@@ -65,6 +67,7 @@
 			void runFatalClient(cluster, stop.signal);
 		}
 
+		const fatalPrompts = options.hasPrompts ? runFatalPromptClient(cluster, stop.signal) : undefined;
 		const endAtMs = Date.now() + faultsMs;
 		const activeFaults: Array<Promise<void>> = [];
 		while (Date.now() < endAtMs) {
@@ -94,6 +97,11 @@
 			report.streams = countTakenUp(records.flat(), cluster);
 		}
 
+		if (fatalPrompts) {
+			report.broken.push(...findPromptViolations(cluster, await fatalPrompts, records.flat()));
+			report.quarantined = records.flat().filter(record => isQuarantined(record)).length;
+		}
+
 		if (limitedReplica) {
 			report.broken.push(...findCrashViolations(cluster, faultsEndMs), ...findLimitViolations(limitedReplica));
 		}
@@ -196,6 +204,7 @@
 		...storeLinkFaults(cluster),
 		...replicaStatements(cluster, replica),
 		...versionFaults(cluster, index),
+		...promptFaults(cluster, replica, daemon),
 	];
 	return choices[drawInteger(random, choices.length) - 1]();
 }
--- a/src/coordination/quarantine/__tests__/shared-parts.test.ts
+++ b/src/coordination/quarantine/__tests__/shared-parts.test.ts
@@ -122,6 +122,23 @@
 	});
 });
 
+describe('a part that was sound before and is refused', () => {
+	it('is probed soon, since many sound requests may share it, and served again after a sound run', () => {
+		const quarantine = new Quarantine(() => true);
+		quarantine.recordCrash(listFingerprints(newRequest(common)), 1, startMs - 1000);
+		quarantine.recordProgress(newRequest(common), startMs - 500);
+		for (let backend = 10; backend < 15; backend++) {
+			quarantine.recordCrash(listFingerprints(newRequest(common)), backend, startMs);
+		}
+
+		const probeAtMs = startMs + 5001;
+		const refusals = [startMs + settledMs, probeAtMs - 10, probeAtMs, probeAtMs + 10].map(nowMs => isRefused(quarantine, newRequest(common, sound), nowMs));
+		expect(refusals).toEqual([true, true, false, true]);
+		quarantine.recordProgress(newRequest(common, sound), probeAtMs + 600);
+		expect(isRefused(quarantine, newRequest(common, sound), probeAtMs + 601)).toBe(false);
+	});
+});
+
 describe('the updates of one daemon', () => {
 	it('tell others of every suspect of a wave within the time in which changes are gossiped', () => {
 		const quarantine = new Quarantine(() => false);
--- a/src/coordination/quarantine/quarantine.ts
+++ b/src/coordination/quarantine/quarantine.ts
@@ -32,6 +32,8 @@
 const trialIntervalMs = 1000;
 /** How long a request is refused after the crash that quarantined it, in milliseconds; each further crash doubles the time. */
 export const initialQuarantineMs = 60_000;
+/** The same for a part with which a run has gone on before, in milliseconds: many sound requests may share it. */
+const initialSoundPartQuarantineMs = 5000;
 /** Longest quarantine, in milliseconds. */
 const maxQuarantineMs = 15 * 60_000;
 /** Interval between two probes of a request whose quarantine is over, in milliseconds: longer than a run may take. */
@@ -49,7 +51,12 @@
 }
 
 /** A suspect among the fingerprints of a request. */
-type Charge = {fingerprint: number; suspect: Suspect; neededCrashes: number; suspicion: Suspicion};
+type Charge = {
+	fingerprint: number;
+	suspect: Suspect;
+	suspicion: Suspicion;
+	quarantineEndsAtMs: number;
+};
 
 /** The suspected and quarantined requests and parts of prompts that one daemon knows of. */
 export class Quarantine {
@@ -167,7 +174,10 @@
 			const isInDoubt = isExplained || (isPart && nowMs - crashTimeMs(suspect, neededCrashes) < settlingMs);
 			if (!isExplained || !wasSound) {
 				charges.push({
-					fingerprint, suspect, neededCrashes, suspicion: isInDoubt ? Suspicion.Doubt : Suspicion.Conviction,
+					fingerprint,
+					suspect,
+					suspicion: isInDoubt ? Suspicion.Doubt : Suspicion.Conviction,
+					quarantineEndsAtMs: quarantineEndsAtMs(suspect, neededCrashes, wasSound ? initialSoundPartQuarantineMs : initialQuarantineMs),
 				});
 			}
 		}
@@ -175,14 +185,14 @@
 		return charges;
 	}
 
-	private refuse({fingerprint, suspect, neededCrashes, suspicion}: Charge, nowMs: number): QuarantineRefusal | undefined {
+	private refuse({fingerprint, suspect, suspicion, quarantineEndsAtMs: endsAtMs}: Charge, nowMs: number): QuarantineRefusal | undefined {
 		const crashes = suspect.crashes.size;
 		if (suspicion === Suspicion.Doubt) {
 			const retryAfterMs = suspect.triedAtMs + trialIntervalMs - nowMs;
 			return retryAfterMs > 0 ? {fingerprint, crashes, retryAfterMs} : undefined;
 		}
 
-		const remainingMs = quarantineEndsAtMs(suspect, neededCrashes) - nowMs;
+		const remainingMs = endsAtMs - nowMs;
 		if (remainingMs > 0) {
 			return {fingerprint, crashes, retryAfterMs: remainingMs};
 		}
@@ -206,7 +216,7 @@
 	return [...crashes.values()].toSorted((a, b) => a - b)[count - 1];
 }
 
-function quarantineEndsAtMs(suspect: Suspect, neededCrashes: number): number {
+function quarantineEndsAtMs(suspect: Suspect, neededCrashes: number, initialMs: number): number {
 	const furtherCrashes = suspect.crashes.size - neededCrashes;
-	return lastCrashAtMs(suspect) + Math.min(maxQuarantineMs, initialQuarantineMs * (2 ** furtherCrashes));
+	return lastCrashAtMs(suspect) + Math.min(maxQuarantineMs, initialMs * (2 ** furtherCrashes));
 }
