Measure the event loop's delay under load only, and divide equally while daemons are silent

The timer that measures the delay woke up idle daemons 40 times a second; it runs only while connections come now. A daemon that others do not report to would have taken nearly all of what a backend server allows for its own share; while any daemon is silent the shares are equal, as before. A short run whose request has been cleared meanwhile needs no probe of its backend server.

--- a/src/cli/front-daemon.ts
+++ b/src/cli/front-daemon.ts
@@ -15,7 +15,6 @@
 import {RouteTable} from '../state/route-table.js';
 import {BackendConnectionPool} from '../transport/backend-connection-pool.js';
 import {DatagramLink} from '../transport/datagram-link.js';
-import {EventLoopDelay} from '../transport/event-loop-delay.js';
 import {FrontServer, type FrontRequest, writeErrorResponse} from '../transport/front-server.js';
 import {isConnectionAccepted} from '../transport/port-probe.js';
 import {ConnectionShedding} from '../coordination/connection-shedding.js';
@@ -124,7 +123,6 @@
 	 */
 	async start(): Promise<void> {
 		await this.openPeerLink();
-		this.container.resolve(EventLoopDelay).start(this.signal);
 		const {callers, host, peerPort} = this.platform.settings;
 		await this.peerServer.listen({host, port: peerPort});
 		await this.server.listen(callers);
--- a/src/coordination/__tests__/connection-shedding.test.ts
+++ b/src/coordination/__tests__/connection-shedding.test.ts
@@ -1,6 +1,6 @@
 /** Guards against a daemon that reads all of a flood of new connections and answers most of them too late, while the other daemons have room. */
 import {describe, expect, it} from 'vitest';
-import {EventLoopDelay} from '../../transport/event-loop-delay.js';
+import {EventLoopDelay, turnIntervalMs} from '../../transport/event-loop-delay.js';
 import {ConnectionShedding} from '../connection-shedding.js';
 
 /** Processor time to read and serve a request, and to close a connection unread, in milliseconds. */
@@ -28,14 +28,13 @@
 	let nowMs = 0;
 	const delay = new EventLoopDelay(() => nowMs);
 	const shedding = new ConnectionShedding(delay, {multipleOfMean: () => multipleOfMean}, startedAtMs);
-	delay.start(AbortSignal.abort());
 	const counts = {read: 0, inTime: 0, closed: 0};
 	let arrived = 0;
-	let timerDueMs = 25;
+	let timerDueMs = turnIntervalMs;
 	while (nowMs < floodMs) {
 		if (nowMs >= timerDueMs) {
 			delay.noteTurn(nowMs);
-			timerDueMs = nowMs + 25;
+			timerDueMs = nowMs + turnIntervalMs;
 		}
 
 		const newestArrival = Math.floor(nowMs / 1000 * perSecond);
--- a/src/coordination/connection-shedding.ts
+++ b/src/coordination/connection-shedding.ts
@@ -25,6 +25,8 @@
 
 /** Measures how late the event loop runs. */
 export type DelayMeter = {
+	/** Records that there is load, so that the delay is measured for a while. */
+	noteLoad(nowMs: number): void;
 	/** Returns the delay of the turn in progress, or of the last one, in milliseconds. */
 	turnDelayMs(nowMs: number): number;
 	/** Returns the delay that has persisted of late, in milliseconds. */
@@ -45,6 +47,7 @@
 
 	/** Whether a connection that has just been opened is accepted. */
 	accepts(nowMs: number): boolean {
+		this.delay.noteLoad(nowMs);
 		const isAlert = nowMs - this.closedAtMs < alertMs;
 		const delayMs = isAlert ? this.delay.turnDelayMs(nowMs) : this.delay.standingDelayMs(nowMs);
 		if (delayMs < overloadDelayMs || nowMs - this.startedAtMs < warmUpMs || this.demand.multipleOfMean(nowMs) < unevenMultiple) {
--- a/src/coordination/demand-share.ts
+++ b/src/coordination/demand-share.ts
@@ -5,7 +5,8 @@
  * leave unused.
  *
  * A share that rises counts only after the other daemons have heard of the rise and given up
- * theirs; one that falls counts at once. Part of the whole is always divided equally, so that a
+ * theirs; one that falls counts at once. While other daemons are silent, their requests are not
+ * known, and the shares are equal. Part of the whole is always divided equally, so that a
  * daemon that had no requests can serve its first ones.
  */
 
@@ -23,6 +24,8 @@
 	othersPerSecond: number;
 	/** Number of daemons, including this one. */
 	daemons: number;
+	/** Whether all of the others report what they receive. */
+	isComplete: boolean;
 };
 
 /** This daemon's share of the requests. */
@@ -50,8 +53,8 @@
 	}
 }
 
-function shareOf({ownPerSecond, othersPerSecond, daemons}: Demand): number {
+function shareOf({ownPerSecond, othersPerSecond, daemons, isComplete}: Demand): number {
 	const total = ownPerSecond + othersPerSecond;
 	const equal = 1 / Math.max(1, daemons);
-	return total === 0 ? equal : (equalPart * equal) + ((1 - equalPart) * ownPerSecond / total);
+	return total === 0 || !isComplete ? equal : (equalPart * equal) + ((1 - equalPart) * ownPerSecond / total);
 }
--- a/src/coordination/fleet-retry-budget.ts
+++ b/src/coordination/fleet-retry-budget.ts
@@ -96,8 +96,13 @@
 
 	/** Returns the requests that this daemon and the others receive, of all services. */
 	demand(nowMs: number): Demand {
-		const {daemons, reportIntervalMs} = this.parts.peers(nowMs);
-		return {ownPerSecond: this.ownRequests.ratePerMs(reportIntervalMs, nowMs) * 1000, othersPerSecond: this.otherRequests.ratePerMs(reportIntervalMs, nowMs) * 1000, daemons};
+		const {daemons, reportIntervalMs, silentDaemons, unreportedDaemons, isIsolated} = this.parts.peers(nowMs);
+		return {
+			ownPerSecond: this.ownRequests.ratePerMs(reportIntervalMs, nowMs) * 1000,
+			othersPerSecond: this.otherRequests.ratePerMs(reportIntervalMs, nowMs) * 1000,
+			daemons,
+			isComplete: silentDaemons === 0 && unreportedDaemons === 0 && !isIsolated,
+		};
 	}
 
 	noteMissedReports(): void {
--- a/src/coordination/quarantine/crash-watch.ts
+++ b/src/coordination/quarantine/crash-watch.ts
@@ -79,7 +79,7 @@
 
 		if (writingMs < soundWritingMs) {
 			await delay(soundWritingMs, undefined, {ref: false});
-			if (this.isLeaving(backend)) {
+			if (this.isLeaving(backend) || !quarantine.isAccused(fingerprints)) {
 				return;
 			}
 
