--- a/soak/run.ts
+++ b/soak/run.ts
@@ -17,7 +17,7 @@
 		hasStoreLinkFaults: extraFaults === 'store', hasReplicaFaults: extraFaults === 'replicas', hasReplicaStatements: extraFaults === 'statements', hasVersions: extraFaults === 'versions', hasPrompts: extraFaults === 'prompts',
 	});
 	failed += broken.length > 0 || servedLast < minServedShare ? 1 : 0;
-	process.stdout.write(`seed ${seed}: ${served} of ${tries} served, ${servedLast.toFixed(2)} after the faults, ${faults.length} faults, ${broken.length} violations${streams ? `, ${streams.wentOn} of ${streams.takenUp} streams taken up went on` : ''}${quarantined === undefined ? '' : `, ${quarantined} sound requests quarantined`}\n`);
+	process.stdout.write(`seed ${seed}: ${served} of ${tries} served, ${servedLast.toFixed(2)} after the faults, ${faults.length} faults, ${broken.length} violations${streams ? `, ${streams.wentOn} of ${streams.takenUp} streams taken up in contact went on, ${streams.streamsWentOn} of ${streams.streams} at any time` : ''}${quarantined === undefined ? '' : `, ${quarantined} sound requests quarantined`}\n`);
 	if (servedLast < minServedShare) {
 		process.stdout.write(`  after the faults: ${JSON.stringify(lastEnds)}\n  faults: ${faults.join(', ')}\n`);
 	}
--- a/soak/version-faults.ts
+++ b/soak/version-faults.ts
@@ -59,10 +59,15 @@
 	return disturbances.every(atMs => atMs > sentAtMs || sentAtMs - atMs > contactMs);
 }
 
-/** How many streams were taken up in contact, and how many of them went on. */
-export function countTakenUp(records: RequestRecord[], cluster: SoakCluster): {takenUp: number; wentOn: number} {
-	const takenUp = records.filter(record => record.resumedId !== undefined && wasInContact(record, cluster));
-	return {takenUp: takenUp.length, wentOn: takenUp.filter(({status}) => status === 200).length};
+/** How many attempts in contact took streams up, and how many of them went on; and how many streams were taken up at any time, and how many of these went on in the end. */
+export function countTakenUp(records: RequestRecord[], cluster: SoakCluster): {takenUp: number; wentOn: number; streams: number; streamsWentOn: number} {
+	const attempts = records.filter(record => record.resumedId !== undefined);
+	const takenUp = attempts.filter(record => wasInContact(record, cluster));
+	const wentOn = (of: RequestRecord[]) => of.filter(({status}) => status === 200);
+	const countStreams = (of: RequestRecord[]) => new Set(of.map(({resumedId}) => resumedId)).size;
+	return {
+		takenUp: takenUp.length, wentOn: wentOn(takenUp).length, streams: countStreams(attempts), streamsWentOn: countStreams(wentOn(attempts)),
+	};
 }
 
 /** Checks that no stream holds events of two versions, and that streams that are taken up go on at least half as often as new ones begin. */
