--- a/src/coordination/quarantine/__tests__/crash-watch.test.ts
+++ b/src/coordination/quarantine/__tests__/crash-watch.test.ts
@@ -115,25 +115,25 @@
 	])('in a crash $name accuses the parts of its prompt: $accusesPart', async ({writingMs, accusesPart}) => {
 		const {crashWatch, quarantine} = watchBackend(true);
 		await crashWatch.recordBrokenRun({backend: backend('i-1'), fingerprints, writingMs});
-		expect(quarantine.isAccused({request: 0, parts: [part]})).toBe(accusesPart);
-		expect(quarantine.isAccused({request: 77, parts: []})).toBe(true);
+		expect(quarantine.isSuspected({request: 0, parts: [part]})).toBe(accusesPart);
+		expect(quarantine.isSuspected({request: 77, parts: []})).toBe(true);
 	});
 
 	it.each([
 		{
-			name: 'a short answer clears its request if the backend server stays up', writingMs: 5, isRefused: false, isAccused: false,
+			name: 'a short answer clears its request if the backend server stays up', writingMs: 5, isRefused: false, isSuspected: false,
 		},
 		{
-			name: 'a short answer does not clear its request if the backend server then crashes', writingMs: 5, isRefused: true, isAccused: true,
+			name: 'a short answer does not clear its request if the backend server then crashes', writingMs: 5, isRefused: true, isSuspected: true,
 		},
 		{
-			name: 'a long answer clears its request at once', writingMs: soundWritingMs, isRefused: true, isAccused: false,
+			name: 'a long answer clears its request at once', writingMs: soundWritingMs, isRefused: true, isSuspected: false,
 		},
-	])('$name', async ({writingMs, isRefused, isAccused}) => {
+	])('$name', async ({writingMs, isRefused, isSuspected}) => {
 		const {crashWatch, quarantine} = watchBackend(isRefused);
 		quarantine.recordCrash(listFingerprints(fingerprints), 1, 0);
 		await crashWatch.recordCompletedRun({backend: backend('i-1'), fingerprints, writingMs});
-		expect(quarantine.isAccused(fingerprints)).toBe(isAccused);
+		expect(quarantine.isSuspected(fingerprints)).toBe(isSuspected);
 	});
 });
 
--- a/src/coordination/quarantine/crash-watch.ts
+++ b/src/coordination/quarantine/crash-watch.ts
@@ -73,13 +73,13 @@
 	async recordCompletedRun({backend, fingerprints, writingMs = 0}: EndedRun): Promise<void> {
 		const {quarantine, clock} = this.dependencies;
 		const completedAtMs = clock.now();
-		if (!quarantine.isAccused(fingerprints)) {
+		if (!quarantine.isSuspected(fingerprints)) {
 			return;
 		}
 
 		if (writingMs < soundWritingMs) {
 			await delay(soundWritingMs, undefined, {ref: false});
-			if (this.isLeaving(backend) || !quarantine.isAccused(fingerprints)) {
+			if (this.isLeaving(backend) || !quarantine.isSuspected(fingerprints)) {
 				return;
 			}
 
--- a/src/coordination/quarantine/quarantine.ts
+++ b/src/coordination/quarantine/quarantine.ts
@@ -4,12 +4,12 @@
  * prompts share a part that crashes whatever runs it. Each run also ends the other requests on
  * its backend server.
  *
- * This is group testing. A crash accuses all requests that were running and all parts of the
- * prompts on which answers were about to begin; a run that goes on clears its parts, and one
- * that completes its request as well. A part that many requests share is at many crashes, so
- * the number of crashes alone does not convict it: not while something else was at all of them
- * that a request lacks, and not before a run that went on elsewhere would be known here. In
- * such doubt single requests run, away from others, and their ends decide.
+ * This is group testing. A crash counts against all requests that were running and all parts of
+ * the prompts on which answers were about to begin; a run that goes on clears its parts, and one
+ * that completes clears its request as well. Many requests share a part, so it is at many
+ * crashes, and their number alone does not get it refused: not while another suspect, which a
+ * request lacks, was at all of them, and not before a run that went on elsewhere would be known
+ * here. Until that is certain single requests run, away from others, and their ends decide.
  *
  * A part keeps its fingerprint in all services and for all accounts, since a route may change
  * its service and other accounts may share the part; only crashes under it can have it refused.
@@ -28,7 +28,7 @@
 const isolationCrashes = 2;
 /** Time after the crash that would quarantine a part for which others may still report runs with it that went on, in milliseconds. */
 const settlingMs = 1000;
-/** Interval between two trials of a suspect in doubt, in milliseconds: longer than a run needs to begin and to go on. */
+/** Interval between two trial runs of an uncertain suspect, in milliseconds: longer than a run needs to begin and to go on. */
 const trialIntervalMs = 1000;
 /** How long a request is refused after the crash that quarantined it, in milliseconds; each further crash doubles the time. */
 export const initialQuarantineMs = 60_000;
@@ -45,16 +45,17 @@
 export type QuarantineRefusal = {fingerprint: number; crashes: number; retryAfterMs: number};
 
 /** How certain it is that a suspect crashes backend servers. */
-enum Suspicion {
-	Doubt = 'doubt',
-	Conviction = 'conviction',
+enum Certainty {
+	/** Something else may have caused the crashes; single requests run and decide. */
+	Uncertain = 'uncertain',
+	Certain = 'certain',
 }
 
-/** A suspect among the fingerprints of a request. */
-type Charge = {
+/** A suspect, with enough crashes for a quarantine, among the fingerprints of a request. */
+type SuspectMatch = {
 	fingerprint: number;
 	suspect: Suspect;
-	suspicion: Suspicion;
+	certainty: Certainty;
 	quarantineEndsAtMs: number;
 };
 
@@ -86,8 +87,8 @@
 	}
 
 	/** Whether a crash counts against a request or a part of its prompt. */
-	isAccused(fingerprints: RequestFingerprints): boolean {
-		return this.suspects.isAnyAccused(listFingerprints(fingerprints));
+	isSuspected(fingerprints: RequestFingerprints): boolean {
+		return this.suspects.isAnySuspected(listFingerprints(fingerprints));
 	}
 
 	/** Records that an answer went on after it had begun, which clears the parts of its prompt; its request may still crash the backend server later. */
@@ -96,19 +97,19 @@
 	}
 
 	/**
-	 * Decides whether a request may run; undefined when it may. In doubt, one request may run per
-	 * {@link trialIntervalMs}. After a quarantine one may run as a probe, at one daemon only and
+	 * Decides whether a request may run; undefined when it may. While the evidence is uncertain,
+	 * one request may run per {@link trialIntervalMs}. After a quarantine one may run as a probe, at one daemon only and
 	 * once per {@link probeIntervalMs}.
 	 */
 	admit(fingerprints: RequestFingerprints, nowMs: number): QuarantineRefusal | undefined {
-		const charges = this.findCharges(fingerprints, nowMs);
-		const refusals = charges.map(charge => this.refuse(charge, nowMs)).filter(refusal => refusal !== undefined);
+		const matches = this.findMatches(fingerprints, nowMs);
+		const refusals = matches.map(match => this.refuse(match, nowMs)).filter(refusal => refusal !== undefined);
 		if (refusals.length > 0) {
 			return refusals.toSorted((a, b) => b.retryAfterMs - a.retryAfterMs)[0];
 		}
 
-		for (const {suspect, suspicion} of charges) {
-			if (suspicion === Suspicion.Conviction) {
+		for (const {suspect, certainty} of matches) {
+			if (certainty === Certainty.Certain) {
 				suspect.probedAtMs = nowMs;
 			} else {
 				suspect.triedAtMs = nowMs;
@@ -120,7 +121,7 @@
 
 	/** Whether a request that is being served must not be sent again, nor begin to run. */
 	forbidsRun(fingerprints: RequestFingerprints, nowMs: number): boolean {
-		return this.findCharges(fingerprints, nowMs).some(({suspect, suspicion}) => suspicion === Suspicion.Conviction && !isProbeRunning(suspect, nowMs));
+		return this.findMatches(fingerprints, nowMs).some(({suspect, certainty}) => certainty === Certainty.Certain && !isProbeRunning(suspect, nowMs));
 	}
 
 	/** Whether the next run of a request is likely to crash its backend server. */
@@ -158,9 +159,9 @@
 	}
 
 	/** Returns what speaks against running a request. */
-	private findCharges(fingerprints: RequestFingerprints, nowMs: number): Charge[] {
+	private findMatches(fingerprints: RequestFingerprints, nowMs: number): SuspectMatch[] {
 		const own = new Set(listFingerprints(fingerprints));
-		const charges: Charge[] = [];
+		const matches: SuspectMatch[] = [];
 		for (const fingerprint of own) {
 			const suspect = this.suspects.get(fingerprint);
 			const isPart = fingerprint !== fingerprints.request;
@@ -171,23 +172,23 @@
 			}
 
 			const isExplained = this.suspects.hasOtherExplanation(suspect, own);
-			const isInDoubt = isExplained || (isPart && nowMs - crashTimeMs(suspect, neededCrashes) < settlingMs);
+			const isUncertain = isExplained || (isPart && nowMs - crashTimeMs(suspect, neededCrashes) < settlingMs);
 			if (!isExplained || !wasSound) {
-				charges.push({
+				matches.push({
 					fingerprint,
 					suspect,
-					suspicion: isInDoubt ? Suspicion.Doubt : Suspicion.Conviction,
+					certainty: isUncertain ? Certainty.Uncertain : Certainty.Certain,
 					quarantineEndsAtMs: quarantineEndsAtMs(suspect, neededCrashes, wasSound ? initialSoundPartQuarantineMs : initialQuarantineMs),
 				});
 			}
 		}
 
-		return charges;
+		return matches;
 	}
 
-	private refuse({fingerprint, suspect, suspicion, quarantineEndsAtMs: endsAtMs}: Charge, nowMs: number): QuarantineRefusal | undefined {
+	private refuse({fingerprint, suspect, certainty, quarantineEndsAtMs: endsAtMs}: SuspectMatch, nowMs: number): QuarantineRefusal | undefined {
 		const crashes = suspect.crashes.size;
-		if (suspicion === Suspicion.Doubt) {
+		if (certainty === Certainty.Uncertain) {
 			const retryAfterMs = suspect.triedAtMs + trialIntervalMs - nowMs;
 			return retryAfterMs > 0 ? {fingerprint, crashes, retryAfterMs} : undefined;
 		}
--- a/src/coordination/quarantine/suspects.ts
+++ b/src/coordination/quarantine/suspects.ts
@@ -26,7 +26,7 @@
 /** Number of crashes gossiped for one suspect, the latest ones: more than are needed for a quarantine. */
 const maxGossipedCrashes = 6;
 
-/** Number of crashes that make a suspect worth remembering for long, and worth storing. */
+/** Number of backend servers that must have crashed under a suspect before it is quarantined. Two are not enough: in a wave of crashes, a harmless request that is retried at once may meet two. */
 export const crashesToQuarantine = 3;
 
 /** What is known of one suspected request or part of a prompt. */
@@ -41,7 +41,7 @@
 	sentRounds: number;
 	/** When this daemon last admitted a probe after the quarantine. */
 	probedAtMs: number;
-	/** When this daemon last admitted a trial while the evidence was in doubt. */
+	/** When this daemon last admitted a trial run while the evidence was uncertain. */
 	triedAtMs: number;
 };
 
@@ -90,7 +90,7 @@
 	}
 
 	/** Whether a crash counts against any of these fingerprints. */
-	isAnyAccused(fingerprints: readonly number[]): boolean {
+	isAnySuspected(fingerprints: readonly number[]): boolean {
 		return fingerprints.some(fingerprint => (this.suspects.get(fingerprint)?.crashes.size ?? 0) > 0);
 	}
 
--- a/src/coordination/serving/dispatcher.ts
+++ b/src/coordination/serving/dispatcher.ts
@@ -201,18 +201,18 @@
 
 	/** Records that a run broke off; the next attempt waits until it is known whether the backend server has crashed. */
 	recordBrokenRun(served: ServedRequest, backend: Backend, attempt: Attempt): void {
-		served.crashCheck = this.dependencies.crashWatch.recordBrokenRun(this.describeEnd(served, backend, attempt));
+		served.crashCheck = this.dependencies.crashWatch.recordBrokenRun(this.toEndedRun(served, backend, attempt));
 	}
 
 	/** Records that a backend server answered a request completely. */
 	recordCompletedRun(served: ServedRequest, backend: Backend, attempt: Attempt): void {
 		const {quarantine, crashWatch} = this.dependencies;
 		if (!quarantine.isEmpty) {
-			void crashWatch.recordCompletedRun(this.describeEnd(served, backend, attempt));
+			void crashWatch.recordCompletedRun(this.toEndedRun(served, backend, attempt));
 		}
 	}
 
-	private describeEnd({fingerprints}: ServedRequest, backend: Backend, {writingSinceMs}: Attempt): EndedRun {
+	private toEndedRun({fingerprints}: ServedRequest, backend: Backend, {writingSinceMs}: Attempt): EndedRun {
 		return {backend, fingerprints, writingMs: writingSinceMs === undefined ? undefined : this.dependencies.clock.now() - writingSinceMs};
 	}
 
