Move traffic to a version whose good verdict comes with the last answers in time

The last decision before the limit of 5,500 ms had too few answers, and the next one looked at the limit first. A version with a verdict is not rolled back for want of one now, if the verdict is late by two decisions at most.

rollout-decision.test.ts: the new case of a late verdict failed before.

--- a/src/coordination/rollout/__tests__/rollout-decision.test.ts
+++ b/src/coordination/rollout/__tests__/rollout-decision.test.ts
@@ -22,6 +22,8 @@
 		},
 		{name: 'rolls a bad version back at once', progress: {...canary, verdict: Verdict.Bad, elapsedMs: 900}, expected: RolloutPhase.RolledBack},
 		{name: 'rolls an undecided version back before the order is due', progress: {...canary, elapsedMs: 9600}, expected: RolloutPhase.RolledBack},
+		{name: 'moves traffic to a version whose verdict came with the last answers in time', progress: {...canary, verdict: Verdict.Good, elapsedMs: 9700}, expected: RolloutPhase.Shift},
+		{name: 'rolls a good version back whose verdict came too late to move traffic', progress: {...canary, verdict: Verdict.Good, elapsedMs: 10_200}, expected: RolloutPhase.RolledBack},
 		{
 			name: 'rolls a good version back that has too few backend servers for too long', progress: {
 				...canary, verdict: Verdict.Good, elapsedMs: 9600, readyNext: 8,
--- a/src/coordination/rollout/rollout-decision.ts
+++ b/src/coordination/rollout/rollout-decision.ts
@@ -13,6 +13,10 @@
 const maxShiftShare = 0.6;
 /** Least time for moving all traffic, in milliseconds; with less, a version is rolled back instead. */
 const leastShiftMs = 2500;
+/** Interval between two decisions, in milliseconds: a verdict waits no longer than a round of reports. */
+export const rolloutStepIntervalMs = 250;
+/** Decisions by which a verdict may be late, since the last answers are counted with the next decision. */
+const lateDecisions = 2;
 /** Time after which every daemon sends its requests to the new version, in milliseconds. */
 const propagationMs = 1200;
 /** How long after the order is due streams may keep their old engine from being stopped, in milliseconds. */
@@ -68,16 +72,13 @@
 
 function decideCanary({elapsedMs, durationMs, verdict, readyCurrent, readyNext}: RolloutProgress): PhaseChange | undefined {
 	const remainingMs = durationMs - elapsedMs;
-	if (remainingMs < Math.min(leastShiftMs, durationMs * maxShiftShare)) {
-		return {phase: RolloutPhase.RolledBack, reason: 'no verdict in time'};
-	}
-
 	const hasCapacity = readyNext > 0 && readyNext >= readyCurrent * minCapacityShare;
-	if (remainingMs <= shiftLeadMs(durationMs) && verdict === Verdict.Good && hasCapacity) {
+	const canShiftInTime = remainingMs >= Math.min(leastShiftMs - (lateDecisions * rolloutStepIntervalMs), durationMs * maxShiftShare);
+	if (canShiftInTime && remainingMs <= shiftLeadMs(durationMs) && verdict === Verdict.Good && hasCapacity) {
 		return {phase: RolloutPhase.Shift, reason: 'the new version answers as well as the current one'};
 	}
 
-	return undefined;
+	return remainingMs < Math.min(leastShiftMs, durationMs * maxShiftShare) ? {phase: RolloutPhase.RolledBack, reason: 'no verdict in time'} : undefined;
 }
 
 function decideShift({elapsedMs, inPhaseMs, durationMs, inFlightCurrent, readyNext}: RolloutProgress): PhaseChange | undefined {
--- a/src/coordination/rollout/rollout-runner.ts
+++ b/src/coordination/rollout/rollout-runner.ts
@@ -24,8 +24,6 @@
 
 const log = createLogger('rollout');
 
-/** Interval between two steps, in milliseconds: a verdict waits no longer than a round of reports. */
-export const rolloutStepIntervalMs = 250;
 /** Time allowed for reading the status records, in milliseconds. */
 const statusReadTimeoutMs = 900;
 
