--- a/src/coordination/fleet/__fixtures__/test-net.ts
+++ b/src/coordination/fleet/__fixtures__/test-net.ts
@@ -40,7 +40,7 @@
 };
 /** The retry budget over all daemons. */
 export const retryLimits = {ratio: 0.2, windowMs: 10_000, slack: 56};
-/** Step of the simulated time, in milliseconds. */
+/** Default step of the simulated time, in milliseconds. */
 export const tickMs = 10;
 
 /** The modules of a daemon that take part in the fleet, without network ports. */
@@ -145,6 +145,8 @@
 /** A network of daemons that exchange datagrams in simulated time. */
 export class TestNet {
 	nowMs = 0;
+	/** Step of the simulated time, in milliseconds; a message takes two milliseconds, rounded up to the next step. */
+	stepMs = tickMs;
 	lossShare = 0;
 	/** Whether daemons are started as part of a system that is set up for the first time. */
 	isFirstStart = true;
@@ -200,7 +202,7 @@
 
 	/** Advances the simulated time; every daemon reports once per round, each with its own offset. `onStep` is called at each step. */
 	run(forMs: number, onStep: () => void = () => undefined): void {
-		for (const endMs = this.nowMs + forMs; this.nowMs < endMs; this.nowMs += tickMs) {
+		for (const endMs = this.nowMs + forMs; this.nowMs < endMs; this.nowMs += this.stepMs) {
 			const due = this.inTransit.filter(({atMs}) => atMs <= this.nowMs);
 			this.inTransit = this.inTransit.filter(({atMs}) => atMs > this.nowMs);
 			for (const {bytes, to} of due) {
@@ -209,7 +211,7 @@
 			}
 
 			for (const [index, daemon] of this.daemons.entries()) {
-				if (daemon.isRunning && (this.nowMs + (index * 30)) % reportIntervalMs < tickMs) {
+				if (daemon.isRunning && (this.nowMs + (index * 30)) % reportIntervalMs < this.stepMs) {
 					daemon.messenger.sendReports();
 				}
 			}
