Follow the topics of a store that was restored from a copy

Cause: offsets were compared across two histories. Nothing read Store-Era: a follower went on at the offset that it had reached in the history that was lost, refused a topic that ends before it, and took a relay's word by the bare offset. A position now is an era and an offset; in another era a follower reads the newest records and merges them: an entry that the copy lacks may be listed again for two seconds, one that had left or was removed stays so until it writes a later entry, the newer configuration stays. A relay's update of another era confirms nothing; word of a later one makes the daemons read within 0.3 s, not all at once.

--- a/src/cli/__tests__/leaf-update-delay.test.ts
+++ b/src/cli/__tests__/leaf-update-delay.test.ts
@@ -94,6 +94,7 @@
 }
 
 function createView({name, address}: NamedAddress, round: number, ageMs: number): View {
+	const next = {era: 0, offset: 1};
 	return {
 		kind: FleetMessageKind.View,
 		sender: {
@@ -106,7 +107,7 @@
 		},
 		relays,
 		round,
-		topics: {[Topic.Config]: {next: 1, ageMs, records: []}, [Topic.Backends]: {next: 1, ageMs, records: []}},
+		topics: {[Topic.Config]: {next, ageMs, records: []}, [Topic.Backends]: {next, ageMs, records: []}},
 	};
 }
 
--- a/src/cli/front-container.ts
+++ b/src/cli/front-container.ts
@@ -7,6 +7,7 @@
 import {type Platform, Topic} from '../protocol/platform.js';
 import {SteadyClock} from '../clock.js';
 import {Latch} from '../latch.js';
+import {StoreEra} from '../state/store-era.js';
 import {ViewAge} from '../state/view-age.js';
 import {BackendTable} from '../state/backend-table.js';
 import {RouteTable} from '../state/route-table.js';
@@ -113,6 +114,7 @@
 	frontContainer.registerInstance(SteadyClock, clock);
 	registerFactory(Latch, () => new Latch());
 	registerFactory(ViewAge, () => new ViewAge());
+	registerFactory(StoreEra, () => new StoreEra());
 	registerFactory(RouteTable, () => new RouteTable());
 	registerFactory(BackendTable, () => new BackendTable(bounds));
 	registerFactory(BackendConnectionPool, () => new BackendConnectionPool());
@@ -237,6 +239,7 @@
 		topic: Topic.Config,
 		sink: configSink,
 		viewAge: resolver.resolve(ViewAge),
+		storeEra: resolver.resolve(StoreEra),
 		clock,
 		waitMs: () => isRelay(resolver) ? readConfigLimits().relayWaitMs : readConfigLimits().waitMs,
 		maxBytes: maxConfigBytes,
@@ -249,6 +252,7 @@
 		topic: Topic.Backends,
 		sink: backendsSink,
 		viewAge: new ViewAge(),
+		storeEra: resolver.resolve(StoreEra),
 		clock,
 		waitMs: () => isRelay(resolver) ? readBackendsLimits().relayWaitMs : readBackendsLimits().waitMs,
 		maxBytes: maxBackendsBytes,
--- a/src/cli/front-daemon.ts
+++ b/src/cli/front-daemon.ts
@@ -62,6 +62,8 @@
 const leaseStepIntervalMs = 100;
 /** Time after which backend servers that are no longer listed are removed from the table, in milliseconds. */
 const removedBackendRetentionMs = 60_000;
+/** Time in which a backend server that serves is listed again after a restore of the store, in milliseconds. */
+const relistingMs = 2000;
 
 /** Interval at which it is checked whether backend servers should be probed, in milliseconds. */
 const reachabilityCheckIntervalMs = 100;
@@ -293,6 +295,10 @@
 		const reachability = this.container.resolve(Reachability);
 		const crashWatch = this.container.resolve(CrashWatch);
 		const candidatesOf = (service: string) => crashWatch.runningBackends(service, this.clock.now());
+		for (const backend of this.container.resolve(BackendTable).removeMissing(relistingMs, this.clock.now())) {
+			log.info('backend server is not listed again after the restore of the store.', {backend});
+		}
+
 		for (const backend of reachability.takeDueProbes(candidatesOf, this.clock.now())) {
 			void this.probeBackend(backend, candidatesOf(backend.service));
 		}
--- /dev/null
+++ b/src/coordination/__tests__/restored-records.test.ts
@@ -0,0 +1,51 @@
+/** Guards against daemons that take the entries of a copy of the store for the latest ones. */
+import {describe, expect, it} from 'vitest';
+import {type KeyedRecord, type RecordCodec} from '../../protocol/platform.js';
+import {type Backend, BackendState} from '../../protocol/serving.js';
+import {BackendTable} from '../../state/backend-table.js';
+import {BackendsSink} from '../record-sinks.js';
+
+const relistingMs = 2000;
+/** An entry, as the codec of the test reads it: how often it was written, and its state. */
+const entry = (key: string, updates: number, state = BackendState.Ready): KeyedRecord => ({key, value: new TextEncoder().encode(`${updates} ${state}`), offset: 0});
+const removal = (key: string): KeyedRecord => ({key, value: undefined, offset: 0});
+
+const codec = {
+	readBackend(name: string, value: Uint8Array): Backend {
+		const [updates, state] = new TextDecoder().decode(value).split(' ');
+		return {
+			id: name, name, startedAtMs: undefined, service: 's', version: 'v1', host: '10.0.0.1', port: 1, failureDomain: 'fd', slots: 4, state: state as BackendState, isReclaimable: false, leavesInMs: undefined, coldForMs: 0, updates: Number(updates),
+		};
+	},
+};
+
+describe('entries of backend servers after a restore of the store', () => {
+	it.each([
+		{
+			name: 'uses one that the copy lacks until it should be listed again', later: [], copy: [entry('b', 1)], atMs: relistingMs - 1, expected: ['a', 'b'],
+		},
+		{
+			name: 'does not use one any more that is not listed again in time', later: [], copy: [entry('b', 1)], atMs: relistingMs, expected: ['b'],
+		},
+		{
+			name: 'does not use one again that was leaving', later: [entry('a', 2, BackendState.Draining)], copy: [entry('a', 1), entry('b', 1)], atMs: 0, expected: ['b'],
+		},
+		{
+			name: 'does not use one again that was removed', later: [removal('a')], copy: [entry('a', 1), entry('b', 1)], atMs: 0, expected: ['b'],
+		},
+		{
+			name: 'uses one that has written its entry again', later: [removal('a')], copy: [entry('a', 5), entry('b', 1)], atMs: 0, expected: ['a', 'b'],
+		},
+	])('$name', ({later, copy, atMs, expected}) => {
+		const table = new BackendTable({drainMs: 2000});
+		const sink = new BackendsSink(codec as Partial<RecordCodec> as RecordCodec, table, () => undefined);
+		sink.reset([entry('a', 1), entry('b', 1)], 1, 0);
+		for (const record of later) {
+			sink.apply(record, 1, 0);
+		}
+
+		sink.reset(copy, 2, 1000);
+		table.removeMissing(relistingMs, 1000 + atMs);
+		expect(table.candidates('s', 1000 + atMs).map(({id}) => id)).toEqual(expected);
+	});
+});
--- a/src/coordination/__tests__/topic-follower.test.ts
+++ b/src/coordination/__tests__/topic-follower.test.ts
@@ -2,11 +2,15 @@
 import {describe, expect, it} from 'vitest';
 import {SteadyClock} from '../../clock.js';
 import {Topic} from '../../protocol/platform.js';
+import {StoreEra} from '../../state/store-era.js';
 import {ViewAge} from '../../state/view-age.js';
 import {FakeStore} from '../../testing/fake-store.js';
 import {waitUntil} from '../../testing/stack.js';
 import {TopicFollower} from '../topic-follower.js';
 
+/** A position in a store that was never restored. */
+const at = (offset: number) => ({era: 0, offset});
+
 type Following = {seen: string[]; viewAge: ViewAge; stop: AbortController; clock: SteadyClock; follower: TopicFollower};
 
 function follow(store: FakeStore, {maxRelayAgeMs = 0, canSkipToNewest = false} = {}): Following {
@@ -18,6 +22,7 @@
 		store,
 		topic: Topic.Config,
 		viewAge,
+		storeEra: new StoreEra(),
 		clock,
 		waitMs: () => 5,
 		maxRelayAgeMs: () => maxRelayAgeMs,
@@ -117,7 +122,7 @@
 			store.put(Topic.Config, 'a', String(index));
 		}
 
-		await waitUntil(async () => follower.nextOffset === 20, 2000);
+		await waitUntil(async () => follower.position?.offset === 20, 2000);
 		stop.abort();
 		expect(seen).toHaveLength(applied);
 	});
@@ -135,7 +140,7 @@
 		const {clock, viewAge, follower} = following;
 		await waitUntil(async () => viewAge.isKnown, 1000);
 		const confirm = (next: number, ageMs = 0) => {
-			follower.applyRelayUpdate({next, ageMs, records: []}, clock.now(), clock.now());
+			follower.applyRelayUpdate({next: at(next), ageMs, records: []}, clock.now(), clock.now());
 		};
 
 		confirm(2);
@@ -177,12 +182,12 @@
 		const before = seen.length;
 		const first = [2, 'c', value] as [number, string, Uint8Array];
 		const second = [3, 'd', value] as [number, string, Uint8Array];
-		follower.applyRelayUpdate({next: 4, ageMs: 0, records: [first]}, clock.now(), clock.now());
-		follower.applyRelayUpdate({next: 4, ageMs: 0, records: [first, second]}, clock.now(), clock.now());
-		follower.applyRelayUpdate({next: 3, ageMs: 0, records: [first]}, clock.now(), clock.now());
+		follower.applyRelayUpdate({next: at(4), ageMs: 0, records: [first]}, clock.now(), clock.now());
+		follower.applyRelayUpdate({next: at(4), ageMs: 0, records: [first, second]}, clock.now(), clock.now());
+		follower.applyRelayUpdate({next: at(3), ageMs: 0, records: [first]}, clock.now(), clock.now());
 		expect(seen.slice(before)).toEqual(['c', 'd']);
-		expect(follower.nextOffset).toBe(4);
-		expect(follower.createUpdateFor(3, clock.now())?.records).toEqual([second]);
+		expect(follower.position).toEqual(at(4));
+		expect(follower.createUpdateFor(at(3), clock.now())?.records).toEqual([second]);
 		stop.abort();
 	});
 
@@ -194,14 +199,14 @@
 			store.put(Topic.Config, `backend server ${index}`, 'x'.repeat(220));
 		}
 
-		await waitUntil(async () => relay.follower.nextOffset === 32, 1000);
+		await waitUntil(async () => relay.follower.position?.offset === 32, 1000);
 		relay.stop.abort();
 		await delay(50);
 		const readsBefore = store.answeredReads;
 		const before = seen.length;
 		const roundsPerSecond = 4;
 		for (let round = 0; round < roundsPerSecond; round++) {
-			follower.applyRelayUpdate(relay.follower.createUpdateFor(follower.nextOffset, clock.now())!, clock.now(), clock.now());
+			follower.applyRelayUpdate(relay.follower.createUpdateFor(follower.position, clock.now())!, clock.now(), clock.now());
 			// eslint-disable-next-line no-await-in-loop -- one round after the other; a read would begin within one check of the relays' reports.
 			await delay(120);
 		}
@@ -214,8 +219,59 @@
 	it('takes its view to be as old as the relay reports, counted from when the request was sent', async () => {
 		const {stop, clock, viewAge, follower} = await startRelayConfirmed();
 		const nowMs = clock.now();
-		follower.applyRelayUpdate({next: 2, ageMs: 100, records: []}, nowMs + 1000, nowMs + 1200);
+		follower.applyRelayUpdate({next: at(2), ageMs: 100, records: []}, nowMs + 1000, nowMs + 1200);
 		expect(viewAge.ageMs(nowMs + 1200)).toBeCloseTo(300, 0);
 		stop.abort();
 	});
 });
+
+describe('a follower of a store that is restored from a copy', () => {
+	it.each([
+		{name: 'before what was read', writtenAgain: 1},
+		{name: 'just at it', writtenAgain: 3},
+		{name: 'past it', writtenAgain: 5},
+	])('reads what was written again while the topic ends $name', async ({writtenAgain}) => {
+		const store = new FakeStore();
+		for (const key of ['a', 'b', 'c', 'd']) {
+			store.put(Topic.Config, key, '1');
+		}
+
+		const {seen, viewAge, stop, follower, clock} = follow(store);
+		await waitUntil(async () => viewAge.isKnown, 1000);
+		store.isDown = true;
+		store.restore(Topic.Config, 3);
+		for (let count = 0; count < writtenAgain; count++) {
+			store.put(Topic.Config, `again ${count}`, '1');
+		}
+
+		const restoredAtMs = clock.now();
+		store.isDown = false;
+		await waitUntil(async () => follower.position?.era === 1, 1000);
+		stop.abort();
+		expect(seen.at(-1)).toContain('again 0');
+		expect(follower.position).toEqual({era: 1, offset: 1 + writtenAgain});
+		expect(viewAge.ageMs(clock.now())).toBeLessThan(clock.now() - restoredAtMs);
+	});
+
+	it.each([
+		{name: 'an earlier era', era: 0, readsNow: false},
+		{name: 'a later era', era: 2, readsNow: true},
+	])('is not confirmed by a relay whose view is of $name', async ({era, readsNow}) => {
+		const store = new FakeStore();
+		store.era = 1;
+		store.put(Topic.Config, 'a', '1');
+		const {viewAge, stop, clock, follower} = follow(store, {maxRelayAgeMs: 60_000});
+		await waitUntil(async () => viewAge.isKnown, 1000);
+		follower.applyRelayUpdate({next: {era: 1, offset: 1}, ageMs: 0, records: []}, clock.now(), clock.now());
+		await delay(150);
+		const readsBefore = store.answeredReads;
+		const nowMs = clock.now();
+		const value = new TextEncoder().encode('1');
+		follower.applyRelayUpdate({next: {era, offset: 1}, ageMs: 0, records: [[1, 'b', value]]}, nowMs + 5000, nowMs);
+		expect(viewAge.ageMs(nowMs)).toBeGreaterThan(0);
+		expect(follower.position).toEqual({era: 1, offset: 1});
+		await delay(600);
+		stop.abort();
+		expect(store.answeredReads > readsBefore).toBe(readsNow);
+	});
+});
--- a/src/coordination/fleet/__fixtures__/test-net.ts
+++ b/src/coordination/fleet/__fixtures__/test-net.ts
@@ -7,6 +7,7 @@
 import {type PeerAddress, type GossipedTopic} from '../../../protocol/fleet-messages.js';
 import {Topic} from '../../../protocol/platform.js';
 import {BackendTable} from '../../../state/backend-table.js';
+import {StoreEra} from '../../../state/store-era.js';
 import {ViewAge} from '../../../state/view-age.js';
 import {FakeStore} from '../../../testing/fake-store.js';
 import {sumOfProfile} from '../../account-window.js';
@@ -73,6 +74,7 @@
 	readonly topics: Record<GossipedTopic, TopicFollower>;
 	readonly viewAges = {[Topic.Config]: new ViewAge(), [Topic.Backends]: new ViewAge()};
 	readonly backendsSeen: string[] = [];
+	readonly storeEra = new StoreEra();
 
 	constructor(readonly name: string, readonly failureDomain: string, readonly host: string, net: TestNet) {
 		const clock = new SteadyClock({monotonicMs: () => net.nowMs, wallMs: () => net.nowMs, uptimeMs: () => net.nowMs});
@@ -99,6 +101,7 @@
 				},
 			},
 			viewAge: this.viewAges[topic],
+			storeEra: this.storeEra,
 			clock,
 			waitMs: () => 0,
 			maxBytes: 1024,
--- a/src/coordination/fleet/__tests__/fleet-table.test.ts
+++ b/src/coordination/fleet/__tests__/fleet-table.test.ts
@@ -23,7 +23,7 @@
 		wantsUses: false,
 		wantsUsage: false,
 		round: 1,
-		offsets: {},
+		positions: {},
 	};
 };
 
--- a/src/coordination/fleet/fleet-messenger.ts
+++ b/src/coordination/fleet/fleet-messenger.ts
@@ -288,8 +288,8 @@
 		if (failingTopics.length > 0 && peers.length > 0) {
 			// The peers change with each round, since the reads of those queried may be rejected as well.
 			const receivers = Array.from({length: Math.min(queriedPeers, peers.length)}, (_, index) => peers[((this.round * queriedPeers) + index) % peers.length]);
-			const offsets = Object.fromEntries(failingTopics.map(topic => [topic, topics[topic].nextOffset]));
-			this.link?.send({...this.createReport(this.digests.own(), true, nowMs), offsets}, receivers);
+			const positions = Object.fromEntries(failingTopics.map(topic => [topic, topics[topic].position]));
+			this.link?.send({...this.createReport(this.digests.own(), true, nowMs), positions}, receivers);
 		}
 	}
 
@@ -385,23 +385,23 @@
 			wantsUses: this.hasMissedUpdates || (this.parts.sharedUse.isMissingProfiles && nowMs - this.parts.startedAtMs < windowUsesRequestMs),
 			wantsUsage: this.parts.lease.isConfirmedAt(nowMs),
 			round: this.round,
-			offsets: wantsView ? Object.fromEntries(gossipedTopics.map(topic => [topic, this.parts.topics[topic].nextOffset])) : {},
+			positions: wantsView ? Object.fromEntries(gossipedTopics.map(topic => [topic, this.parts.topics[topic].position])) : {},
 		};
 	}
 
-	private createView({sender: receiver, wantsUses, wantsUsage, round, offsets}: Report, nowMs: number): View {
+	private createView({sender: receiver, wantsUses, wantsUsage, round, positions}: Report, nowMs: number): View {
 		const {fleet, settings} = this.parts;
 		const isRelay = fleet.roleAt(nowMs) === FleetRole.Relay;
 		const domainTopics = receiver.failureDomain === settings.failureDomain ? gossipedTopics : [];
-		// In a full mesh, every daemon reads the store itself, except one whose reads the store rejects: it names the topics that it lacks by their offsets.
-		const topics = isRelay ? domainTopics : gossipedTopics.filter(topic => offsets[topic] !== undefined);
+		// In a full mesh, every daemon reads the store itself, except one whose reads the store rejects: it names the topics that it lacks by its positions in them.
+		const topics = isRelay ? domainTopics : gossipedTopics.filter(topic => positions[topic] !== undefined);
 		return {
 			kind: FleetMessageKind.View,
 			...this.createHead(wantsUses, nowMs),
 			digest: isRelay ? this.digests.view(receiver, wantsUsage, nowMs) : undefined,
 			relays: fleet.relays(settings.failureDomain, nowMs),
 			round,
-			topics: Object.fromEntries(topics.map(topic => [topic, this.parts.topics[topic].createUpdateFor(offsets[topic], nowMs)])),
+			topics: Object.fromEntries(topics.map(topic => [topic, this.parts.topics[topic].createUpdateFor(positions[topic], nowMs)])),
 		};
 	}
 
--- a/src/coordination/record-sinks.ts
+++ b/src/coordination/record-sinks.ts
@@ -1,4 +1,5 @@
 /** The sinks that apply the records of the followed topics to the daemon's tables. A record that cannot be decoded is logged and skipped. */
+import {toSequenceNumber} from '../protocol/log-position.js';
 import {type KeyedRecord, type RecordCodec} from '../protocol/platform.js';
 import {type BackendTable} from '../state/backend-table.js';
 import {type RouteTable} from '../state/route-table.js';
@@ -13,6 +14,9 @@
 
 /** Applies configurations to the route table, and the operators' roll-out orders. */
 export class ConfigSink implements RecordSink {
+	/** The era of the last record. */
+	private era: number | undefined;
+
 	/** @param onChange Called after each version that takes effect. */
 	constructor(
 		private readonly records: RecordCodec,
@@ -21,18 +25,25 @@
 		private readonly onChange: () => void,
 	) {}
 
-	reset(records: KeyedRecord[], nowMs: number): void {
+	reset(records: KeyedRecord[], era: number, nowMs: number): void {
+		const isRestored = this.era !== undefined && era > this.era;
 		for (const record of records) {
-			this.apply(record, nowMs);
+			this.apply(record, era, nowMs);
+		}
+
+		// What a copy lacks, the operator writes again.
+		if (isRestored) {
+			return;
 		}
 
 		this.rollouts.retainOrders(new Set(records.map(({key}) => this.records.rolloutServiceOf(key)).filter(service => service !== undefined)));
 	}
 
-	apply(record: KeyedRecord, nowMs: number): void {
+	apply(record: KeyedRecord, era: number, nowMs: number): void {
+		this.era = era;
 		const service = this.records.rolloutServiceOf(record.key);
 		if (service !== undefined) {
-			this.applyOrder(service, record, nowMs);
+			this.applyOrder(service, record, era, nowMs);
 			return;
 		}
 
@@ -54,10 +65,10 @@
 	}
 
 	/** Records the newest order for a service. One that cannot be decoded replaces the last one, since that is no longer what the operator wants. */
-	private applyOrder(service: string, record: KeyedRecord, nowMs: number): void {
+	private applyOrder(service: string, record: KeyedRecord, era: number, nowMs: number): void { // eslint-disable-line max-params
 		try {
 			const order = record.value && this.records.readRolloutOrder(service, record.value);
-			this.rollouts.noteOrder(service, order && {...order, orderId: record.offset, receivedAtMs: nowMs});
+			this.rollouts.noteOrder(service, order && {...order, orderId: toSequenceNumber({era, offset: record.offset}), receivedAtMs: nowMs});
 			log.info(order ? 'roll-out order received.' : 'roll-out order removed.', {
 				service, order: record.offset, version: order?.version, durationMs: order?.durationMs,
 			});
@@ -75,6 +86,8 @@
 	/** When a backend server was last added to the list. */
 	lastAddedAtMs = Number.NEGATIVE_INFINITY;
 
+	/** The era of the last record. */
+	private era: number | undefined;
 	/** Keys whose entries could not be decoded; each is logged once. */
 	private readonly unreadableKeys = new Set<string>();
 
@@ -85,17 +98,28 @@
 		private readonly onList: () => void,
 	) {}
 
-	reset(records: KeyedRecord[], nowMs: number): void {
+	reset(records: KeyedRecord[], era: number, nowMs: number): void {
+		const isRestored = this.era !== undefined && era > this.era;
+		this.era = era;
 		for (const record of records) {
-			this.apply(record, nowMs);
+			if (!isRestored || this.isNews(record)) {
+				this.apply(record, era, nowMs);
+			}
+		}
+
+		const names = new Set(records.map(record => record.key));
+		if (isRestored) {
+			this.backends.noteMissing(names, nowMs);
+		} else {
+			this.backends.retain(names, nowMs);
 		}
 
-		this.backends.retain(new Set(records.map(record => record.key)), nowMs);
 		this.isLoaded = true;
 		this.onList();
 	}
 
-	apply(record: KeyedRecord, nowMs: number): void {
+	apply(record: KeyedRecord, era: number, nowMs: number): void {
+		this.era = era;
 		if (!record.value) {
 			this.unreadableKeys.delete(record.key);
 			const entry = this.backends.markRemoved(record.key, nowMs);
@@ -124,6 +148,22 @@
 		}
 	}
 
+	/** Whether an entry of a copy of the store may be later than what is known of its backend server: one whose entry was removed writes a later one if it still serves. */
+	private isNews({key, value}: KeyedRecord): boolean {
+		const known = this.backends.latest(key);
+		if (known?.vanishedAtMs === undefined || !value) {
+			return true;
+		}
+
+		try {
+			const backend = this.records.readBackend(key, value);
+			return backend.id !== known.backend.id || (backend.updates ?? 0) > (known.backend.updates ?? 0);
+		} catch {
+			// An entry that cannot be decoded is reported where it is applied.
+			return true;
+		}
+	}
+
 	/** Withholds work from a backend server whose entry cannot be decoded. This is logged once until a valid entry follows, since other writers may repeat the entry. */
 	private withholdWork(record: KeyedRecord, nowMs: number, error: unknown): void {
 		this.backends.markUnreadable(record.key, nowMs);
--- a/src/coordination/topic-follower.ts
+++ b/src/coordination/topic-follower.ts
@@ -9,12 +9,18 @@
  * its request to the relay. A daemon reads the store itself while no relay confirms its
  * view, or while a relay reports records that it doesn't include. If each of 86 daemons
  * read for itself, they would make 350 calls per second.
+ *
+ * A store that is restored from a copy begins a new era, in which offsets are given out again.
+ * What was read in one era can't be continued or confirmed in another, so a follower then reads
+ * the newest records, and its sink merges them with what it knows.
  */
 import {setTimeout as delay} from 'node:timers/promises';
 import {type TopicUpdate} from '../protocol/fleet-messages.js';
+import {type LogPosition} from '../protocol/log-position.js';
 import {
 	type KeyedRecord, type RecordBatch, type Store, type Topic,
 } from '../protocol/platform.js';
+import {type StoreEra} from '../state/store-era.js';
 import {type ViewAge} from '../state/view-age.js';
 import {StateError} from '../state/errors.js';
 import {type SteadyClock} from '../clock.js';
@@ -29,12 +35,15 @@
 /** Number of missing records up to which a daemon waits for a relay to send them instead of reading them; four rounds' worth. If every daemon of a large fleet read the store for each wave of reclaims, these reads would be most of its calls. */
 const maxAwaitedRecords = 40;
 
+/** Time over which the daemons of a large fleet spread their reads of a restored store, in milliseconds. */
+const eraReadSpreadMs = 300;
+
 /** A receiver of the records of a topic. */
 export type RecordSink = {
-	/** Replaces the state by the newest record of every key; keys that are missing were deleted. */
-	reset(records: KeyedRecord[], nowMs: number): void;
+	/** Replaces the state by the newest record of every key of an era; keys that are missing were deleted, unless the era is later than that of the last record. */
+	reset(records: KeyedRecord[], era: number, nowMs: number): void;
 	/** Applies one later record. */
-	apply(record: KeyedRecord, nowMs: number): void;
+	apply(record: KeyedRecord, era: number, nowMs: number): void;
 };
 
 /** Options of a {@link TopicFollower}. */
@@ -43,6 +52,7 @@
 	topic: Topic;
 	sink: RecordSink;
 	viewAge: ViewAge;
+	storeEra: StoreEra;
 	clock: SteadyClock;
 	/** How long one read waits for records, in milliseconds; bounds the view's age while all reads are answered. */
 	waitMs: () => number;
@@ -59,8 +69,8 @@
 /** How current a view is, and what confirms it. */
 export type ViewState = {
 	ageMs: number;
-	/** Offset of the first record that is not in the view. */
-	next: number | undefined;
+	/** Position of the first record that is not in the view. */
+	next: LogPosition | undefined;
 	/** Whether relays confirm the view, so that the daemon doesn't read the store. */
 	isCarried: boolean;
 	/** Number of this daemon's own reads since its start. */
@@ -71,13 +81,15 @@
 export class TopicFollower {
 	/** Whether this daemon's own reads are failing. */
 	isReadFailing = false;
-	private next: number | undefined;
+	private next: LogPosition | undefined;
 	/** When the topic was first read, or read again after failures. */
 	private followedSinceMs: number | undefined;
 	/** The latest time as of which a relay confirmed the view. */
 	private relayConfirmedAtMs = Number.NEGATIVE_INFINITY;
 	/** Whether a relay reported records that it did not include. */
 	private isMissingRecords = false;
+	/** Until when this daemon does not read for itself, although a relay has reported a later era. */
+	private readsFromMs = Number.NEGATIVE_INFINITY;
 	/** Whether the next read doesn't wait for records, because the view's age is uncertain. */
 	private shouldReadImmediately = false;
 	/** Whether relays confirmed the view in the previous step; undefined before the first step. */
@@ -88,8 +100,8 @@
 
 	constructor(private readonly options: FollowerOptions) {}
 
-	/** Offset of the first record that is not in the view; undefined before the first read. */
-	get nextOffset(): number | undefined {
+	/** Position of the first record that is not in the view; undefined before the first read. */
+	get position(): LogPosition | undefined {
 		return this.next;
 	}
 
@@ -137,9 +149,14 @@
 		}
 	}
 
-	/** Creates the update for a daemon whose view reaches up to an offset; undefined before the first read. */
-	createUpdateFor(offset: number | undefined, nowMs: number): TopicUpdate | undefined {
-		return this.next === undefined ? undefined : {next: this.next, ageMs: Math.ceil(this.options.viewAge.ageMs(nowMs)), records: this.recentRecords.startingAt(offset)};
+	/** Creates the update for a daemon whose view reaches up to a position; undefined before the first read. */
+	createUpdateFor(position: LogPosition | undefined, nowMs: number): TopicUpdate | undefined {
+		if (this.next === undefined) {
+			return undefined;
+		}
+
+		const records = position?.era === this.next.era ? this.recentRecords.startingAt(position.offset) : [];
+		return {next: this.next, ageMs: Math.ceil(this.options.viewAge.ageMs(nowMs)), records};
 	}
 
 	/**
@@ -152,16 +169,22 @@
 			return;
 		}
 
-		const nextBefore = this.next;
+		if (update.next.era !== this.next.era) {
+			this.noteOtherEra(update.next.era, nowMs);
+			return;
+		}
+
+		const offsetBefore = this.next.offset;
 		for (const [offset, key, value] of update.records) {
-			if (offset === this.next) {
+			if (offset === this.next.offset) {
 				this.applyRecord({offset, key, value}, nowMs);
 			}
 		}
 
-		if (update.next > this.next) {
+		const missing = update.next.offset - this.next.offset;
+		if (missing > 0) {
 			// The relay's next answer may include the rest.
-			this.isMissingRecords = this.next === nextBefore || update.next - this.next > maxAwaitedRecords;
+			this.isMissingRecords = this.next.offset === offsetBefore || missing > maxAwaitedRecords;
 			return;
 		}
 
@@ -170,34 +193,49 @@
 		this.options.viewAge.confirm(confirmedAtMs);
 	}
 
+	/** Records that a relay's view is of another era: a later one means that this daemon must read the store itself, at a random moment, since all others of a large fleet hear of it too. */
+	private noteOtherEra(era: number, nowMs: number): void {
+		if (era > this.next!.era && !this.isMissingRecords) {
+			this.isMissingRecords = true;
+			this.readsFromMs = nowMs + (Math.random() * eraReadSpreadMs);
+		}
+	}
+
 	private get isRelayConfirmed(): boolean {
+		if (this.options.clock.now() < this.readsFromMs) {
+			return true;
+		}
+
 		const maxRelayAgeMs = this.options.maxRelayAgeMs();
 		return maxRelayAgeMs > 0 && !this.isMissingRecords && this.options.clock.now() - this.relayConfirmedAtMs <= maxRelayAgeMs;
 	}
 
 	/** Makes one read; returns whether it brought any records and reached the end of the topic. */
 	private async read(signal: AbortSignal): Promise<boolean> {
-		const {topic, viewAge, clock, canSkipToNewest} = this.options;
+		const {topic, viewAge, storeEra, clock, canSkipToNewest} = this.options;
 		const sentAtMs = clock.now();
 		this.isMissingRecords = false;
-		const batch = this.next === undefined ? undefined : await this.readFrom(this.next, signal);
-		if (!batch && this.next !== undefined) {
-			log.info('records expired, reading the newest of each key.', {topic});
+		const batch = this.next === undefined ? undefined : await this.readFrom(this.next.offset, signal);
+		if (batch) {
+			storeEra.note(batch.era);
+		} else if (this.next !== undefined) {
+			log.info('records expired or lost, reading the newest of each key.', {topic, next: this.next.offset, era: this.next.era});
 		}
 
-		if (!batch || (canSkipToNewest && batch.next < batch.end)) {
+		const isSameHistory = batch !== undefined && batch.era === this.next!.era;
+		if (!batch || !isSameHistory || (canSkipToNewest && batch.next < batch.end)) {
 			await this.readNewest(signal);
 			return false;
 		}
 
 		for (const record of batch.records) {
 			// A relay may have sent the record in the meantime.
-			if (record.offset >= this.next!) {
+			if (record.offset >= this.next!.offset) {
 				this.applyRecord(record, clock.now());
 			}
 		}
 
-		const isAtEnd = this.next! >= batch.end;
+		const isAtEnd = this.next!.offset >= batch.end;
 		if (isAtEnd) {
 			viewAge.confirm(sentAtMs);
 		}
@@ -213,15 +251,23 @@
 	}
 
 	private async readNewest(signal: AbortSignal): Promise<void> {
-		const {store, topic, sink, viewAge, clock} = this.options;
+		const {store, topic, sink, viewAge, storeEra, clock} = this.options;
 		const sentAtMs = clock.now();
 		const newest = await store.readNewest(topic, this.answerTimeoutMs, signal);
-		if (newest.next < (this.next ?? 0)) {
-			throw new StateError(`the store's newest records of ${topic} end at ${newest.next}, before ${this.next}`);
+		storeEra.note(newest.era);
+		const known = this.next ?? {era: newest.era, offset: 0};
+		if (newest.era < known.era || (newest.era === known.era && newest.next < known.offset)) {
+			throw new StateError(`the store's newest records of ${topic} end at ${newest.next} of era ${newest.era}, before ${known.offset} of era ${known.era}`);
+		}
+
+		if (newest.era > known.era) {
+			log.warn('store was restored from a copy, merging its records with what is known.', {
+				topic, era: newest.era, end: newest.end, knownEra: known.era, knownEnd: known.offset, records: newest.records.length,
+			});
 		}
 
-		sink.reset(newest.records, clock.now());
-		this.next = newest.next;
+		sink.reset(newest.records, newest.era, clock.now());
+		this.next = {era: newest.era, offset: newest.next};
 		this.recentRecords.clear();
 		viewAge.confirm(sentAtMs);
 	}
@@ -232,8 +278,9 @@
 	}
 
 	private applyRecord(record: KeyedRecord, nowMs: number): void {
-		this.options.sink.apply(record, nowMs);
-		this.next = record.offset + 1;
+		const {era} = this.next!;
+		this.options.sink.apply(record, era, nowMs);
+		this.next = {era, offset: record.offset + 1};
 		this.recentRecords.add(record);
 	}
 
@@ -246,7 +293,7 @@
 		const {topic, viewAge, clock} = this.options;
 		if (isRelayConfirmed || this.wasRelayConfirmed !== undefined) {
 			log.info(isRelayConfirmed ? 'relays confirm the view, not reading the store.' : 'relay confirmation too old, reading the store.', {
-				topic, next: this.next, viewAgeMs: Math.round(viewAge.ageMs(clock.now())),
+				topic, next: this.next?.offset, era: this.next?.era, viewAgeMs: Math.round(viewAge.ageMs(clock.now())),
 			});
 		}
 
@@ -262,7 +309,7 @@
 		if (this.isReadFailing) {
 			this.isReadFailing = false;
 			this.followedSinceMs = this.options.clock.now();
-			log.info('store answers again.', {topic: this.options.topic, next: this.next});
+			log.info('store answers again.', {topic: this.options.topic, next: this.next?.offset, era: this.next?.era});
 		}
 	}
 
--- a/src/protocol/fleet-messages.ts
+++ b/src/protocol/fleet-messages.ts
@@ -5,6 +5,7 @@
  * no resending.
  */
 
+import {type LogPosition} from './log-position.js';
 import {type Topic} from './platform.js';
 
 /** The address at which a daemon receives datagrams. */
@@ -82,11 +83,11 @@
 
 /** The sender's view of a topic of the store. */
 export type TopicUpdate = {
-	/** Offset of the first record that it has not read. */
-	next: number;
+	/** Position of the first record that it has not read. */
+	next: LogPosition;
 	/** How long ago the view was known to be current, in milliseconds. */
 	ageMs: number;
-	/** Records from the offset that the receiver named on, in order; an undefined value deletes its key. */
+	/** Records from the position that the receiver named on, in order; an undefined value deletes its key. */
 	records: Array<[offset: number, key: string, value: Uint8Array | undefined]>;
 };
 
@@ -105,8 +106,8 @@
 	wantsUsage: boolean;
 	/** Number of the sender's reporting round; the view repeats it. */
 	round: number;
-	/** Offsets of the first records that the sender's views of the store's topics lack. */
-	offsets: Partial<Record<GossipedTopic, number>>;
+	/** Positions of the first records that the sender's views of the store's topics lack. */
+	positions: Partial<Record<GossipedTopic, LogPosition>>;
 };
 
 /** The name and address of a daemon. */
--- a/src/protocol/platform.ts
+++ b/src/protocol/platform.ts
@@ -63,8 +63,8 @@
 /** A record of a topic; a record without a value deletes its key. */
 export type KeyedRecord = {key: string; value: Uint8Array | undefined; offset: number};
 
-/** Records that were read, the offset to continue from (`next`), and the end of the topic at the time of the read (`end`). */
-export type RecordBatch = {records: KeyedRecord[]; next: number; end: number};
+/** Records that were read, the offset to continue from (`next`), the end of the topic at the time of the read (`end`), and the era of all these offsets. */
+export type RecordBatch = {records: KeyedRecord[]; next: number; end: number; era: number};
 
 /** The limits of one read. */
 export type ReadLimits = {
@@ -94,11 +94,11 @@
 
 /** The result of an append. */
 export type AppendResult
-	= | {kind: 'appended'; offset: number}
+	= | {kind: 'appended'; offset: number; era: number}
 	/** The topic did not end at the offset that the append expected. */
 		| {kind: 'conflict'; end: number};
 
-/** The platform's store: an append-only log with topics. */
+/** The platform's store: an append-only log with topics. It may be restored from a copy, which begins a new era of its offsets. */
 export type Store = {
 	/**
 	 * Reads the newest record of each key.
--- a/src/protocol/serving.ts
+++ b/src/protocol/serving.ts
@@ -126,6 +126,8 @@
 	leavesInMs: number | undefined;
 	/** Time for which it remains slow after its start (cold start), in milliseconds after its entry was written. */
 	coldForMs: number;
+	/** Number of times that its entry was written; undefined if the platform does not tell. */
+	updates?: number;
 };
 
 /** An operator's order to move a service's traffic to another version of its software. */
--- a/src/state/backend-table.ts
+++ b/src/state/backend-table.ts
@@ -20,6 +20,8 @@
 	leavingSinceMs: number | undefined;
 	/** When it is expected to be gone. */
 	leavesAtMs: number | undefined;
+	/** Since when its entry is missing in the platform's store, which was restored from a copy. */
+	missingSinceMs: number | undefined;
 	/** When its entry was removed or became unreadable. */
 	vanishedAtMs: number | undefined;
 	/** Whether the platform's list has shown it as draining. */
@@ -135,6 +137,30 @@
 		}
 	}
 
+	/** Records a full list from a copy of the store: entries whose names are not on it may be written again in a moment. */
+	noteMissing(names: ReadonlySet<string>, nowMs: number): void {
+		for (const [name, entry] of this.latestByName) {
+			if (!names.has(name)) {
+				entry.missingSinceMs ??= nowMs;
+			}
+		}
+	}
+
+	/** Counts entries as removed that have been missing for a time; returns their names. */
+	removeMissing(forMs: number, nowMs: number): string[] {
+		const missing = [...this.latestByName].filter(([, {missingSinceMs, vanishedAtMs}]) => missingSinceMs !== undefined && vanishedAtMs === undefined && nowMs - missingSinceMs >= forMs).map(([name]) => name);
+		for (const name of missing) {
+			this.markRemoved(name, nowMs);
+		}
+
+		return missing;
+	}
+
+	/** Returns the latest start under a name. */
+	latest(name: string): BackendEntry | undefined {
+		return this.latestByName.get(name);
+	}
+
 	/** Returns the entry of a start of a backend server, by its id. */
 	get(id: string): BackendEntry | undefined {
 		return this.entriesById.get(id);
@@ -189,7 +215,7 @@
 
 	private add(backend: Backend, nowMs: number): BackendEntry {
 		const entry: BackendEntry = {
-			backend, seenAtMs: nowMs, leavingSinceMs: undefined, leavesAtMs: undefined, vanishedAtMs: undefined, isListedAsDraining: false, statedLeavingAtMs: undefined, isEnded: false,
+			backend, seenAtMs: nowMs, leavingSinceMs: undefined, leavesAtMs: undefined, missingSinceMs: undefined, vanishedAtMs: undefined, isListedAsDraining: false, statedLeavingAtMs: undefined, isEnded: false,
 		};
 		this.entriesById.set(backend.id, entry);
 		this.latestByName.set(backend.name, entry);
@@ -206,6 +232,7 @@
 		}
 
 		entry.backend = backend;
+		entry.missingSinceMs = undefined;
 		if (entry.vanishedAtMs !== undefined) {
 			entry.vanishedAtMs = undefined;
 			entry.leavesAtMs = entry.leavingSinceMs === undefined ? undefined : entry.leavesAtMs;
--- a/src/testing/fake-store.ts
+++ b/src/testing/fake-store.ts
@@ -6,6 +6,8 @@
 
 /** A store that keeps each topic as an array of records in memory. */
 export class FakeStore implements Store {
+	/** How often it was restored from a copy. */
+	era = 0;
 	/** Whether calls fail without any effect. */
 	isDown = false;
 	/** Whether appends take effect but then throw {@link UnknownAppendError}, as if the answer had been lost. */
@@ -29,6 +31,13 @@
 		return records.length - 1;
 	}
 
+	/** Restores a topic from a copy that lacks its last records. */
+	restore(topic: Topic, lostRecords: number): void {
+		this.era++;
+		const records = this.getRecords(topic);
+		records.splice(Math.max(0, records.length - lostRecords));
+	}
+
 	/** Makes `read` refuse offsets before the current end, as after a compaction; the newest record of each key stays available. */
 	compact(topic: Topic): void {
 		this.firstOffsets.set(topic, this.getRecords(topic).length);
@@ -57,7 +66,9 @@
 		}
 
 		const end = this.getRecords(topic).length;
-		return {records: [...newest.values()], next: end, end};
+		return {
+			records: [...newest.values()], next: end, end, era: this.era,
+		};
 	}
 
 	/**
@@ -69,7 +80,7 @@
 		this.throwIfDown();
 		this.answeredReads++;
 		this.readWaitsMs.push(waitMs);
-		if (from < (this.firstOffsets.get(topic) ?? 0)) {
+		if (from < (this.firstOffsets.get(topic) ?? 0) || from > this.getRecords(topic).length) {
 			return undefined;
 		}
 
@@ -78,7 +89,9 @@
 		});
 		const end = this.getRecords(topic).length;
 		const records = this.getRecords(topic).slice(from, from + Math.min(this.maxRecordsPerRead, end));
-		return {records, next: from + records.length, end};
+		return {
+			records, next: from + records.length, end, era: this.era,
+		};
 	}
 
 	/**
@@ -99,7 +112,7 @@
 			throw new UnknownAppendError('answer lost');
 		}
 
-		return {kind: 'appended', offset: records.length - 1};
+		return {kind: 'appended', offset: records.length - 1, era: this.era};
 	}
 
 	private throwIfDown(): void {
--- a/src/transport/raw-client.ts
+++ b/src/transport/raw-client.ts
@@ -4,7 +4,7 @@
  * connections, so that no unresponsive connection is reused.
  */
 import {Buffer} from 'node:buffer';
-import {Agent} from 'node:http';
+import {Agent, type IncomingHttpHeaders} from 'node:http';
 import {performance} from 'node:perf_hooks';
 import Wreck from '@hapi/wreck';
 import {TransportError} from './errors.js';
@@ -22,7 +22,7 @@
 };
 
 /** A response of any status. */
-export type RawResponse = {statusCode: number; body: Uint8Array};
+export type RawResponse = {statusCode: number; headers: IncomingHttpHeaders; body: Uint8Array};
 
 /** Maximum number of idle connections that one client keeps open. */
 const maxIdleConnections = 4;
@@ -65,7 +65,7 @@
 				timer.refresh();
 			});
 			const responseBody = await Wreck.read(response, {});
-			return {statusCode: response.statusCode ?? 0, body: responseBody};
+			return {statusCode: response.statusCode ?? 0, headers: response.headers, body: responseBody};
 		} catch (error) {
 			this.closeIdleConnections();
 			const connection = pending.req.reusedSocket ? 'a reused connection' : 'a new connection';
