Hold the singleton duties over a restore of the store

Claims count only in the era in which they were made, so the duties are claimed anew, by the former holder first, and nobody acts for a lease and its margin; tokens rise over eras; an append that lands in another era than the one read is no claim and no commit; the former holder writes again what it had committed; windows that had ended when a holder took over after a restore are not reported unless the committed record is of that era.

Tests: four in duty-lease.test.ts (three failed before), four plays in duty-runner.test.ts, of which the one with a lost report failed before: one window reported with two different counts.

--- a/src/coordination/duty-lease.ts
+++ b/src/coordination/duty-lease.ts
@@ -9,6 +9,10 @@
  * Only the holder polls the topic. The other daemons learn from their peers' messages that
  * the holder is alive, and read the topic when it becomes unresponsive. In the steady state
  * the whole system makes one read per second.
+ *
+ * A store that is restored from a copy may have lost a claim and show an older one as the
+ * newest. So claims count only in the era in which they were made: after a restore the duties
+ * are claimed again, and the new holder waits as after any other claim.
  */
 import {Buffer} from 'node:buffer';
 import {
@@ -17,6 +21,7 @@
 import {type SteadyClock} from '../clock.js';
 import {createLogger} from '../log.js';
 import {type HolderUpdate} from '../protocol/fleet-messages.js';
+import {type LogPosition, toSequenceNumber} from '../protocol/log-position.js';
 import {fieldsOf, decodeDaemonRecord} from './daemon-record.js';
 
 const log = createLogger('lease');
@@ -50,14 +55,15 @@
 	Rollouts = 'rollouts',
 }
 
-/** The stored form of a claim. */
-type ClaimRecord = {holder: string};
+/** The stored form of a claim, with the era whose end the claiming daemon had read; without one it is of the first. */
+type ClaimRecord = {holder: string; era?: number};
 
-/** A claim that was read or reported; the fencing token is its offset plus one. */
+/** A claim that was read or reported; the fencing token follows from its position, and rises over eras. */
 type Claim = {holder: string; token: number};
 
 function isClaimRecord(value: unknown): value is ClaimRecord {
-	return typeof fieldsOf(value).holder === 'string';
+	const {holder, era} = fieldsOf(value);
+	return typeof holder === 'string' && (era === undefined || Number.isSafeInteger(era));
 }
 
 /** The inputs of the decision whether to claim the duties. */
@@ -93,7 +99,8 @@
 
 /** This daemon's participation in the election. */
 export class DutyLease {
-	private nextOffset: number | undefined;
+	/** Position of the first record that was not read. */
+	private next: LogPosition | undefined;
 	private newestClaim: Claim | undefined;
 	/** When the request that last confirmed the newest claim was sent. */
 	private confirmedAtMs = Number.NEGATIVE_INFINITY;
@@ -102,7 +109,11 @@
 	private mayActFromMs = 0;
 	private wasActing = false;
 	/** The newest committed record of each key. */
-	private readonly committed = new Map<string, Uint8Array>();
+	private committed = new Map<string, Uint8Array>();
+	/** Whether this daemon held the duties until the store was restored: it knows best what was committed, and claims first. */
+	private isFormerHolder = false;
+	/** Whether what it had committed must be written again. */
+	private isRewriteDue = false;
 
 	/**
 	 * @param holder An id that is unique to this start of this daemon.
@@ -120,6 +131,11 @@
 		return this.committed.get(key);
 	}
 
+	/** The era of the store that this daemon last read; undefined before its first read. */
+	get era(): number | undefined {
+		return this.next?.era;
+	}
+
 	/** Returns the fencing token while this daemon may act, otherwise undefined. */
 	tokenAt(nowMs: number): number | undefined {
 		const isActing = this.isConfirmedAt(nowMs) && nowMs >= this.mayActFromMs;
@@ -156,6 +172,7 @@
 		if (update.token > (this.newestClaim?.token ?? 0)) {
 			// The holder's id is unknown until this daemon reads the record, which it does before it claims.
 			this.newestClaim = {holder: '', token: update.token};
+			this.isFormerHolder = false;
 		}
 
 		this.holderLastSeenAtMs = Math.max(this.holderLastSeenAtMs ?? Number.NEGATIVE_INFINITY, nowMs - update.ageMs);
@@ -166,10 +183,11 @@
 		if (this.isHolder) {
 			const isConfirmed = this.isConfirmedAt(this.clock.now());
 			await this.readClaims(isConfirmed ? {waitMs: longPollMs, answerMs: answerTimeoutMs} : {waitMs: 0, answerMs: renewalTimeoutMs}, signal);
+			await this.rewriteCommitted(signal);
 			return;
 		}
 
-		if (!shouldClaim({...inputs, holderLastSeenAtMs: this.holderLastSeenAtMs}, this.clock.now())) {
+		if (!this.isFormerHolder && !shouldClaim({...inputs, holderLastSeenAtMs: this.holderLastSeenAtMs}, this.clock.now())) {
 			return;
 		}
 
@@ -190,15 +208,15 @@
 	 * @returns Whether the record was appended.
 	 */
 	async commit(key: Exclude<DutyKey, DutyKey.Claim>, value: Uint8Array, signal: AbortSignal): Promise<boolean> {
-		const at = this.nextOffset;
-		const result = await this.store.append(Topic.Duties, {key, value}, at, signal);
-		if (result.kind === 'conflict') {
+		const at = this.next;
+		const result = await this.store.append(Topic.Duties, {key, value}, at?.offset, signal);
+		if (result.kind === 'conflict' || result.era !== this.next?.era || result.era !== at?.era) {
 			return false;
 		}
 
 		this.committed.set(key, value);
 		// A concurrent confirming read may already have read past this record.
-		this.nextOffset = Math.max(this.nextOffset ?? 0, result.offset + 1);
+		this.next = {era: result.era, offset: Math.max(this.next.offset, result.offset + 1)};
 		return true;
 	}
 
@@ -213,17 +231,18 @@
 
 	private async claim(signal: AbortSignal): Promise<void> {
 		const sentAtMs = this.clock.now();
-		const claimRecord: ClaimRecord = {holder: this.holder};
+		const {era, offset} = this.next!;
+		const claimRecord: ClaimRecord = {holder: this.holder, era};
 		const value = Buffer.from(JSON.stringify(claimRecord));
-		const result = await this.store.append(Topic.Duties, {key: DutyKey.Claim, value}, this.nextOffset, signal);
-		if (result.kind === 'conflict') {
-			log.info('claim rejected, the topic has newer records.', {at: this.nextOffset, end: result.end});
+		const result = await this.store.append(Topic.Duties, {key: DutyKey.Claim, value}, offset, signal);
+		if (result.kind === 'conflict' || result.era !== era) {
+			log.info('claim rejected, the topic has newer records.', {at: offset, era, storeEra: result.kind === 'appended' ? result.era : undefined});
 			this.holderLastSeenAtMs = this.clock.now();
 			return;
 		}
 
-		this.applyClaim(this.holder, result.offset, this.clock.now());
-		this.nextOffset = result.offset + 1;
+		this.applyClaim(this.holder, {era, offset: result.offset}, this.clock.now());
+		this.next = {era, offset: result.offset + 1};
 		this.confirmedAtMs = sentAtMs;
 		log.info('claimed the duties.', {token: this.newestClaim?.token, quietMs: Math.round(this.mayActFromMs - this.clock.now())});
 	}
@@ -231,29 +250,73 @@
 	private async readClaims(timing: Pick<ReadLimits, 'waitMs' | 'answerMs'>, signal: AbortSignal): Promise<void> {
 		const sentAtMs = this.clock.now();
 		let batch: RecordBatch | undefined;
-		if (this.nextOffset !== undefined) {
-			batch = await this.store.read(Topic.Duties, this.nextOffset, {...timing, maxBytes: maxReadBytes}, signal);
+		if (this.next !== undefined) {
+			batch = await this.store.read(Topic.Duties, this.next.offset, {...timing, maxBytes: maxReadBytes}, signal);
+		}
+
+		if (batch?.era !== this.next?.era || !batch) {
+			batch = await this.store.readNewest(Topic.Duties, timing.answerMs, signal);
+		}
+
+		if (this.next && batch.era < this.next.era) {
+			return;
+		}
+
+		if (batch.era !== this.next?.era) {
+			this.beginEra(batch.era);
 		}
 
-		batch ??= await this.store.readNewest(Topic.Duties, timing.answerMs, signal);
 		for (const record of batch.records) {
 			if (record.key === String(DutyKey.Claim) && record.value) {
 				const claim = decodeDaemonRecord(record.value, isClaimRecord, 'claim of the duties');
-				if (claim) {
-					this.applyClaim(claim.holder, record.offset, this.clock.now());
+				if (claim && (claim.era ?? 0) === batch.era) {
+					this.isFormerHolder = false;
+					this.applyClaim(claim.holder, {era: batch.era, offset: record.offset}, this.clock.now());
 				}
-			} else if (record.value) {
+			} else if (record.value && !(this.isFormerHolder && this.committed.has(record.key))) {
 				this.committed.set(record.key, record.value);
 			}
 		}
 
-		this.nextOffset = Math.max(this.nextOffset ?? 0, batch.next);
+		this.next = {era: batch.era, offset: Math.max(this.next?.era === batch.era ? this.next.offset : 0, batch.next)};
 		// A read that leaves records unread confirms nothing, because another claim may be among them.
 		this.confirmedAtMs = batch.next < batch.end ? this.confirmedAtMs : sentAtMs;
 	}
 
-	private applyClaim(holder: string, offset: number, nowMs: number): void {
-		const token = offset + 1;
+	/** Begins to follow another era: the claims of before are void. Whoever held the duties keeps what it has committed, since the copy may lack it. */
+	private beginEra(era: number): void {
+		if (this.next) {
+			log.warn('store was restored from a copy, the duties must be claimed again.', {
+				era, before: this.next.era, token: this.newestClaim?.token, wasHolder: this.isHolder,
+			});
+		}
+
+		this.isFormerHolder = this.next !== undefined && this.isHolder;
+		this.isRewriteDue = this.isFormerHolder;
+		this.committed = this.isFormerHolder ? this.committed : new Map<string, Uint8Array>();
+		this.newestClaim = undefined;
+		this.confirmedAtMs = Number.NEGATIVE_INFINITY;
+		this.next = {era, offset: 0};
+	}
+
+	/** Writes again what this daemon had committed before the store was restored. */
+	private async rewriteCommitted(signal: AbortSignal): Promise<void> {
+		if (!this.isRewriteDue || !this.isConfirmedAt(this.clock.now())) {
+			return;
+		}
+
+		for (const [key, value] of this.committed) {
+			// eslint-disable-next-line no-await-in-loop -- each append expects the end that the one before left.
+			if (!await this.commit(key as Exclude<DutyKey, DutyKey.Claim>, value, signal)) {
+				return;
+			}
+		}
+
+		this.isRewriteDue = false;
+	}
+
+	private applyClaim(holder: string, position: LogPosition, nowMs: number): void {
+		const token = toSequenceNumber(position) + 1;
 		if (token < (this.newestClaim?.token ?? 0) || (token === this.newestClaim?.token && holder === this.newestClaim.holder)) {
 			return;
 		}
@@ -264,7 +327,7 @@
 		}
 
 		this.newestClaim = {holder, token};
-		// There is no predecessor before the first claim of the topic.
-		this.mayActFromMs = offset === 0 ? nowMs : nowMs + this.leaseMs + takeoverMarginMs;
+		// There is no predecessor before the first claim of a topic that no restore has shortened.
+		this.mayActFromMs = position.era === 0 && position.offset === 0 ? nowMs : nowMs + this.leaseMs + takeoverMarginMs;
 	}
 }
--- a/src/coordination/duty-runner.ts
+++ b/src/coordination/duty-runner.ts
@@ -46,12 +46,12 @@
 /** Pause before an order without an answer is repeated, in milliseconds; it may still be carried out. */
 const unansweredRetryMs = 3000;
 
-/** A committed usage report. */
-type CommittedReport = {window: number; counts: WindowCounts};
+/** A committed usage report, and the era of the store in which it was committed. */
+type CommittedReport = {window: number; counts: WindowCounts; era?: number};
 
 function isCommittedReport(value: unknown): value is CommittedReport {
-	const {window, counts} = fieldsOf(value);
-	return Number.isInteger(window) && Object.values(fieldsOf(counts)).every(count => typeof count === 'number') && typeof counts === 'object';
+	const {window, counts, era} = fieldsOf(value);
+	return Number.isInteger(window) && (era === undefined || Number.isInteger(era)) && Object.values(fieldsOf(counts)).every(count => typeof count === 'number') && typeof counts === 'object';
 }
 
 /** How long the list of backend servers has been followed without interruption, and how long it has had no additions, in milliseconds. */
@@ -82,6 +82,8 @@
 export class DutyRunner {
 	private readonly lastOrders = new Map<string, OrderState>();
 	private reportedWindow: number | undefined;
+	/** The window in which this daemon began to report after a restore of the store, by its era. */
+	private firstCertain: {era: number; window: number} | undefined;
 
 	constructor(private readonly parts: DutyParts) {}
 
@@ -109,19 +111,35 @@
 			return;
 		}
 
-		const window = committed ? Math.max(committed.window + 1, newestWindow - lookbackWindows) : newestWindow;
+		const nextWindow = committed ? Math.max(committed.window + 1, newestWindow - lookbackWindows) : newestWindow;
+		const window = Math.max(nextWindow, this.firstCertainWindow(committed));
 		const counts = window <= newestWindow ? usage.total(window) : undefined;
 		if (!counts) {
 			return;
 		}
 
-		const report = {window, counts};
+		const report: CommittedReport = {window, counts, era: lease.era};
 		if (await lease.commit(DutyKey.Usage, Buffer.from(JSON.stringify(report)), signal)) {
 			log.info('usage report of a window committed to the store.', {window, windowMs: usageWindowMs, requests: sumOf(counts)});
 			await this.sendReport(report, signal);
 		}
 	}
 
+	/** Returns the first window of which no report can have been committed and lost by a restore of the store: one that had not ended when this daemon took over. */
+	private firstCertainWindow(committed: CommittedReport | undefined): number {
+		const {lease, usage, clock} = this.parts;
+		const era = lease.era ?? 0;
+		if ((committed?.era ?? 0) >= era) {
+			return Number.NEGATIVE_INFINITY;
+		}
+
+		if (this.firstCertain?.era !== era) {
+			this.firstCertain = {era, window: usage.windowAt(clock.wallTimeMs())};
+		}
+
+		return this.firstCertain.window;
+	}
+
 	private async sendReport(report: CommittedReport, signal: AbortSignal): Promise<void> {
 		const holder = this.currentHolder();
 		if (!holder) {
--- a/src/coordination/topic-follower.ts
+++ b/src/coordination/topic-follower.ts
@@ -222,8 +222,7 @@
 			log.info('records expired or lost, reading the newest of each key.', {topic, next: this.next.offset, era: this.next.era});
 		}
 
-		const isSameHistory = batch !== undefined && batch.era === this.next!.era;
-		if (!batch || !isSameHistory || (canSkipToNewest && batch.next < batch.end)) {
+		if (batch?.era !== this.next?.era || !batch || (canSkipToNewest && batch.next < batch.end)) {
 			await this.readNewest(signal);
 			return false;
 		}
