Write again what a restore of the store has lost

Addresses of daemons, the quarantine, the versions that serve and the origins of streams were written once and, after a restore from a copy, never again; a daemon that started then adopted bounds of the limits that were too low.

Each of these records now is written again in a later era by whoever holds it, spread by the daemons' own intervals, and nothing is written while the era stays. A daemon that starts does not adopt bounds of an earlier era than the store's, and so takes the history of the limits for unknown.

--- a/src/cli/front-container.ts
+++ b/src/cli/front-container.ts
@@ -156,7 +156,7 @@
 	registerFactory(PoolDemands, resolver => new PoolDemands(resolver.resolve(BackendTable), resolver.resolve(Placement), resolver.resolve(FleetTable), resolver.resolve(StatedLimits)));
 	registerFactory(Quarantine, resolver => new Quarantine(nowMs => resolver.resolve(DutyLease).tokenAt(nowMs) !== undefined));
 	registerFactory(QuarantineRecord, resolver => new QuarantineRecord({
-		store, quarantine: resolver.resolve(Quarantine), lease: resolver.resolve(DutyLease), clock,
+		store, storeEra: resolver.resolve(StoreEra), quarantine: resolver.resolve(Quarantine), lease: resolver.resolve(DutyLease), clock,
 	}));
 	registerFactory(StatedLimits, resolver => new StatedLimits((query, nowMs) => selectSenders(resolver.resolve(FleetTable), settings.name, atMs => resolver.resolve(DemandShare).usable(atMs), query, nowMs)));
 	registerFactory(EventLoopDelay, () => new EventLoopDelay(() => clock.now()));
@@ -202,7 +202,7 @@
 	}));
 	registerFactory(StreamOrigins, resolver => new StreamOrigins(() => Math.max(minStreamRetentionMs, resolver.resolve(RouteTable).longestTimeoutMs * streamRetentionTimeouts)));
 	registerFactory(StreamOriginRecord, resolver => new StreamOriginRecord({
-		store, origins: resolver.resolve(StreamOrigins), versions: resolver.resolve(ServiceVersions), lease: resolver.resolve(DutyLease), isFirstDaemon: nowMs => resolver.resolve(FleetTable).rank(nowMs) === 0, name: settings.name, clock, signal,
+		store, storeEra: resolver.resolve(StoreEra), origins: resolver.resolve(StreamOrigins), versions: resolver.resolve(ServiceVersions), lease: resolver.resolve(DutyLease), isFirstDaemon: nowMs => resolver.resolve(FleetTable).rank(nowMs) === 0, name: settings.name, clock, signal,
 	}));
 	registerFactory(StreamOriginExchange, resolver => new StreamOriginExchange({
 		origins: resolver.resolve(StreamOrigins),
@@ -261,12 +261,13 @@
 		maxRelayAgeMs: () => isLeaf(resolver) ? readBackendsLimits().maxReportAgeMs : 0,
 	}));
 	registerFactory(BoundsRecord, resolver => new BoundsRecord({
-		store, sharedUse: resolver.resolve(CombinedUse), lease: resolver.resolve(DutyLease), clock, reportIntervalMs,
+		store, storeEra: resolver.resolve(StoreEra), sharedUse: resolver.resolve(CombinedUse), lease: resolver.resolve(DutyLease), clock, reportIntervalMs,
 	}));
 	registerFactory(FleetMessenger, resolver => new FleetMessenger({
 		settings,
 		incarnation,
 		store,
+		storeEra: resolver.resolve(StoreEra),
 		fleet: resolver.resolve(FleetTable),
 		sharedUse: resolver.resolve(CombinedUse),
 		usage: resolver.resolve(UsageLedger),
--- a/src/cli/front-daemon.ts
+++ b/src/cli/front-daemon.ts
@@ -62,6 +62,8 @@
 const leaseStepIntervalMs = 100;
 /** Time after which backend servers that are no longer listed are removed from the table, in milliseconds. */
 const removedBackendRetentionMs = 60_000;
+/** Interval between checks whether this daemon's address must be written again, in milliseconds. */
+const addressCheckMs = 2000;
 /** Time in which a backend server that serves is listed again after a restore of the store, in milliseconds. */
 const relistingMs = 2000;
 
@@ -264,6 +266,7 @@
 					await messenger.discover(this.signal);
 				},
 			},
+			address: {intervalMs: () => addressCheckMs, step: async () => messenger.writeAddress(this.signal)},
 			limits: {intervalMs: () => boundsCheckMs, step: async () => bounds.save(this.signal)},
 			quarantine: {intervalMs: () => quarantineCheckIntervalMs, step: async () => quarantine.save(this.signal)},
 			streamOrigins: {intervalMs: () => streamOriginCheckMs, step: async () => this.container.resolve(StreamOriginRecord).save(this.signal)},
--- a/src/coordination/fleet/__fixtures__/test-net.ts
+++ b/src/coordination/fleet/__fixtures__/test-net.ts
@@ -112,11 +112,11 @@
 		this.topics = {[Topic.Config]: follow(Topic.Config, []), [Topic.Backends]: follow(Topic.Backends, this.backendsSeen)};
 		this.lease = new DutyLease(net.store, incarnation, 3000, clock);
 		this.bounds = new BoundsRecord({
-			store: net.store, sharedUse, lease: this.lease, clock, reportIntervalMs,
+			store: net.store, storeEra: this.storeEra, sharedUse, lease: this.lease, clock, reportIntervalMs,
 		});
 		this.quarantine = new Quarantine(nowMs => this.lease.tokenAt(nowMs) !== undefined);
 		this.quarantineRecord = new QuarantineRecord({
-			store: net.store, quarantine: this.quarantine, lease: this.lease, clock,
+			store: net.store, storeEra: this.storeEra, quarantine: this.quarantine, lease: this.lease, clock,
 		});
 		this.statedLimits = new StatedLimits((query, nowMs) => selectSenders(this.fleet, name, atMs => this.demandShare.usable(atMs), query, nowMs));
 		this.slots = new SlotExchange({
@@ -126,7 +126,7 @@
 			backends: this.backends, viewAgeMs: () => 0, startedAtMs, isFirstStart: net.isFirstStart,
 		});
 		this.originRecord = new StreamOriginRecord({
-			store: net.store, origins: this.origins, versions: this.versions, lease: this.lease, isFirstDaemon: nowMs => this.fleet.rank(nowMs) === 0, name, clock, signal: new AbortController().signal,
+			store: net.store, storeEra: this.storeEra, origins: this.origins, versions: this.versions, lease: this.lease, isFirstDaemon: nowMs => this.fleet.rank(nowMs) === 0, name, clock, signal: new AbortController().signal,
 		});
 		this.originExchange = new StreamOriginExchange({
 			origins: this.origins, versions: this.versions, fleet: this.fleet, clock, failureDomain, createSender: nowMs => this.messenger.sender(nowMs), restore: async () => this.originRecord.restoreStreams(),
@@ -134,7 +134,7 @@
 		this.messenger = new FleetMessenger({
 			settings: {
 				name, failureDomain, host, peerPort: 1, bounds: {quotaWindowMs: net.bounds.windowMs, retryWindowMs: retryLimits.windowMs},
-			}, incarnation, store: net.store, fleet: this.fleet, sharedUse, usage: this.usage, placement: this.placement, lease: this.lease, bounds: this.bounds, quarantine: this.quarantine, quarantineRecord: this.quarantineRecord, statedLimits: this.statedLimits, tolerances: this.tolerances, slots: this.slots, rollouts: this.rollouts, reachability: this.reachability, streamOrigins: this.originExchange, streamOriginRecord: this.originRecord, topics: this.topics, clock, startedAtMs,
+			}, incarnation, store: net.store, storeEra: this.storeEra, fleet: this.fleet, sharedUse, usage: this.usage, placement: this.placement, lease: this.lease, bounds: this.bounds, quarantine: this.quarantine, quarantineRecord: this.quarantineRecord, statedLimits: this.statedLimits, tolerances: this.tolerances, slots: this.slots, rollouts: this.rollouts, reachability: this.reachability, streamOrigins: this.originExchange, streamOriginRecord: this.originRecord, topics: this.topics, clock, startedAtMs,
 		});
 		this.messenger.open({
 			send: (message, to) => {
--- a/src/coordination/fleet/bounds-record.ts
+++ b/src/coordination/fleet/bounds-record.ts
@@ -7,6 +7,7 @@
 import {Buffer} from 'node:buffer';
 import {type Store, Topic} from '../../protocol/platform.js';
 import {type SteadyClock} from '../../clock.js';
+import {type StoreEra} from '../../state/store-era.js';
 import {type DutyLease} from '../duty-lease.js';
 import {fieldsOf, decodeDaemonRecord} from '../daemon-record.js';
 import {type SharedUse, type WindowBound} from '../shared-windows.js';
@@ -23,6 +24,8 @@
 type WrittenBounds = {
 	/** When it was written, in milliseconds since 1970. */
 	atMs: number;
+	/** The era of the store in which it was written. */
+	era?: number;
 	accounts: Record<string, WindowBound>;
 };
 
@@ -30,7 +33,7 @@
 export class BoundsRecord {
 	private written: {atMs: number; accounts: Record<string, WindowBound>} | undefined;
 
-	constructor(private readonly parts: {store: Store; sharedUse: SharedUse; lease: DutyLease; clock: SteadyClock; reportIntervalMs: number}) {}
+	constructor(private readonly parts: {store: Store; storeEra: StoreEra; sharedUse: SharedUse; lease: DutyLease; clock: SteadyClock; reportIntervalMs: number}) {}
 
 	/**
 	 * Writes the record if this daemon holds the duties and a write is due.
@@ -38,7 +41,7 @@
 	 * @throws {StateError} When the store does not accept the record.
 	 */
 	async save(signal: AbortSignal): Promise<void> {
-		const {sharedUse, lease, clock, store, reportIntervalMs} = this.parts;
+		const {sharedUse, lease, clock, store, storeEra, reportIntervalMs} = this.parts;
 		const nowMs = clock.now();
 		if (lease.tokenAt(nowMs) === undefined) {
 			this.written = undefined;
@@ -47,17 +50,20 @@
 
 		const accounts = this.isDue(nowMs) ? sharedUse.boundsToStore(reportIntervalMs, nowMs) : undefined;
 		if (accounts) {
-			const record: WrittenBounds = {atMs: clock.wallTimeMs(), accounts};
+			const record: WrittenBounds = {atMs: clock.wallTimeMs(), era: storeEra.current, accounts};
 			await store.append(Topic.Members, {key: boundsKey, value: Buffer.from(JSON.stringify(record))}, undefined, signal);
 			this.written = {atMs: nowMs, accounts};
 		}
 	}
 
-	/** Adopts a record that was written shortly before this daemon started; an older one is ignored. */
-	restore(value: Uint8Array): void {
+	/**
+	 * Adopts a record that was written shortly before this daemon started; an older one is ignored.
+	 * So is one of an earlier era than that of the store: a later one of that era may be lost.
+	 */
+	restore(value: Uint8Array, storeEra: number): void {
 		const {sharedUse, clock} = this.parts;
 		const record = decodeDaemonRecord(value, isWrittenBounds, 'bounds of the limits');
-		if (record && Math.abs(clock.wallTimeMs() - record.atMs) <= maxAgeMs) {
+		if (record && (record.era ?? 0) >= storeEra && Math.abs(clock.wallTimeMs() - record.atMs) <= maxAgeMs) {
 			sharedUse.adoptStoredBounds(record.accounts, clock.now());
 		}
 	}
--- a/src/coordination/fleet/fleet-messenger.ts
+++ b/src/coordination/fleet/fleet-messenger.ts
@@ -12,6 +12,7 @@
 	type Digest, DigestScope, type FleetMessage, FleetMessageKind, isFleetMessage, type NamedAddress, type PeerAddress, type Report, type Sender, type GossipedTopic, type View,
 } from '../../protocol/fleet-messages.js';
 import {type SteadyClock} from '../../clock.js';
+import {type StoreEra} from '../../state/store-era.js';
 import {type MessageSender} from '../../transport/datagram-link.js';
 import {type DutyLease} from '../duty-lease.js';
 import {type OverloadTolerances} from '../overload-tolerances.js';
@@ -79,6 +80,7 @@
 	/** Differs for each start of the daemon. */
 	incarnation: string;
 	store: Store;
+	storeEra: StoreEra;
 	fleet: FleetTable;
 	/** What is limited over all daemons. */
 	sharedUse: SharedUse;
@@ -104,7 +106,8 @@
 /** Exchanges messages with the other daemons. */
 export class FleetMessenger {
 	private link: MessageSender | undefined;
-	private isAddressWritten = false;
+	/** The era of the store in which this daemon's address was last written. */
+	private addressEra: number | undefined;
 	/** Number of times that the store's list of daemons has been read since the start. */
 	private listReads = 0;
 	private round = 0;
@@ -228,27 +231,39 @@
 	}
 
 	/**
-	 * Writes this daemon's address to the store once, and reads the addresses of the others.
+	 * Writes this daemon's address to the store, unless it is there already.
 	 *
 	 * @throws {StateError} When the store does not answer.
 	 */
-	async discover(signal: AbortSignal): Promise<void> {
-		const {settings, store, fleet, clock} = this.parts;
-		if (!this.isAddressWritten) {
-			const written: MemberRecord = {...this.address, failureDomain: settings.failureDomain};
-			await store.append(Topic.Members, {key: settings.name, value: encode(written)}, undefined, signal);
-			this.isAddressWritten = true;
+	async writeAddress(signal: AbortSignal): Promise<void> {
+		const {settings, store, storeEra} = this.parts;
+		if (this.addressEra !== undefined && !storeEra.isOutdated(this.addressEra)) {
+			return;
 		}
 
+		const written: MemberRecord = {...this.address, failureDomain: settings.failureDomain};
+		const result = await store.append(Topic.Members, {key: settings.name, value: encode(written)}, undefined, signal);
+		this.addressEra = result.kind === 'appended' ? result.era : undefined;
+	}
+
+	/**
+	 * Writes this daemon's address to the store once in each era, and reads the addresses of the others.
+	 *
+	 * @throws {StateError} When the store does not answer.
+	 */
+	async discover(signal: AbortSignal): Promise<void> {
+		const {settings, store, storeEra, fleet, clock} = this.parts;
+		await this.writeAddress(signal);
 		const batch = await store.readNewest(Topic.Members, memberReadTimeoutMs, signal);
+		storeEra.note(batch.era);
 		for (const {key, value} of batch.records) {
 			if (key === boundsKey && value) {
-				this.parts.bounds.restore(value);
+				this.parts.bounds.restore(value, batch.era);
 			} else if (key === versionsKey) {
 				// It is applied after the addresses, also if there is none.
 				continue;
 			} else if (key === quarantineKey && value) {
-				this.parts.quarantineRecord.apply(value);
+				this.parts.quarantineRecord.apply(value, batch.era);
 			} else if (value) {
 				const member = decodeDaemonRecord(value, isMemberRecord, `address of ${key}`);
 				if (member) {
@@ -257,7 +272,7 @@
 			}
 		}
 
-		this.parts.streamOriginRecord.applyVersions(batch.records.find(({key}) => key === versionsKey)?.value);
+		this.parts.streamOriginRecord.applyVersions(batch.records.find(({key}) => key === versionsKey)?.value, batch.era);
 		this.listReads++;
 		const nowMs = clock.now();
 		if (fleet.roleAt(nowMs) === FleetRole.Mesh) {
--- a/src/coordination/quarantine/quarantine-record.ts
+++ b/src/coordination/quarantine/quarantine-record.ts
@@ -7,6 +7,7 @@
 import {isSuspectUpdates, type SuspectUpdate} from '../../protocol/fleet-messages.js';
 import {type Store, Topic} from '../../protocol/platform.js';
 import {type SteadyClock} from '../../clock.js';
+import {type StoreEra} from '../../state/store-era.js';
 import {type DutyLease} from '../duty-lease.js';
 import {fieldsOf, decodeDaemonRecord} from '../daemon-record.js';
 import {type Quarantine} from './quarantine.js';
@@ -23,8 +24,10 @@
 export class QuarantineRecord {
 	/** Summary of the record, without ages, as this daemon last wrote or read it. */
 	private storedSummary = '';
+	/** The era of the store in which that was. */
+	private storedEra = 0;
 
-	constructor(private readonly dependencies: {store: Store; quarantine: Quarantine; lease: DutyLease; clock: SteadyClock}) {}
+	constructor(private readonly dependencies: {store: Store; storeEra: StoreEra; quarantine: Quarantine; lease: DutyLease; clock: SteadyClock}) {}
 
 	/**
 	 * Writes the record if this daemon holds the lease of the singleton duties and the quarantined requests have changed.
@@ -32,21 +35,23 @@
 	 * @throws {StateError} When the store does not accept the record.
 	 */
 	async save(signal: AbortSignal): Promise<void> {
-		const {quarantine, lease, clock, store} = this.dependencies;
+		const {quarantine, lease, clock, store, storeEra} = this.dependencies;
 		const nowMs = clock.now();
 		const suspects = quarantine.quarantinedUpdates(nowMs);
 		const content = summarize(suspects);
-		if (content === this.storedSummary || lease.tokenAt(nowMs) === undefined) {
+		const isStored = content === this.storedSummary && (content === '' || !storeEra.isOutdated(this.storedEra));
+		if (isStored || lease.tokenAt(nowMs) === undefined) {
 			return;
 		}
 
 		const record: StoredQuarantine = {atMs: clock.wallTimeMs(), suspects};
-		await store.append(Topic.Members, {key: quarantineKey, value: Buffer.from(JSON.stringify(record))}, undefined, signal);
+		const result = await store.append(Topic.Members, {key: quarantineKey, value: Buffer.from(JSON.stringify(record))}, undefined, signal);
 		this.storedSummary = content;
+		this.storedEra = result.kind === 'appended' ? result.era : this.storedEra;
 	}
 
 	/** Applies a record that another daemon wrote, or that was written before this daemon started. */
-	apply(value: Uint8Array): void {
+	apply(value: Uint8Array, era: number): void {
 		const {quarantine, clock} = this.dependencies;
 		const record = decodeDaemonRecord(value, isStoredQuarantine, 'quarantined requests');
 		if (record) {
@@ -57,6 +62,7 @@
 			}));
 			quarantine.applyUpdates(suspects, false, clock.now());
 			this.storedSummary = summarize(record.suspects);
+			this.storedEra = era;
 		}
 	}
 }
--- a/src/coordination/stream-origins/__tests__/stream-origin-lookup.test.ts
+++ b/src/coordination/stream-origins/__tests__/stream-origin-lookup.test.ts
@@ -3,6 +3,7 @@
 import {type StreamOriginAnswer, type VersionKnowledge} from '../../../protocol/fleet-messages.js';
 import {Topic} from '../../../protocol/platform.js';
 import {SteadyClock} from '../../../clock.js';
+import {StoreEra} from '../../../state/store-era.js';
 import {FakeStore} from '../../../testing/fake-store.js';
 import {type DutyLease} from '../../duty-lease.js';
 import {type ServiceVersions} from '../service-versions.js';
@@ -24,9 +25,9 @@
 	};
 	const lease: Partial<DutyLease> = {tokenAt: () => name === 'holder' ? 1 : undefined};
 	const record = new StreamOriginRecord({
-		store, origins, versions: versions as ServiceVersions, lease: lease as DutyLease, isFirstDaemon: () => true, name, clock, signal: new AbortController().signal,
+		store, storeEra: new StoreEra(), origins, versions: versions as ServiceVersions, lease: lease as DutyLease, isFirstDaemon: () => true, name, clock, signal: new AbortController().signal,
 	});
-	record.applyVersions(undefined);
+	record.applyVersions(undefined, 0);
 	const lookup = new StreamOriginLookup({
 		origins, versions: versions as ServiceVersions, exchange: {ask: async () => answers as StreamOriginAnswer[]}, record, clock, isAlone: () => false,
 	});
--- a/src/coordination/stream-origins/stream-origin-record.ts
+++ b/src/coordination/stream-origins/stream-origin-record.ts
@@ -8,6 +8,7 @@
 import {isPackedStreamOrigins, type PackedStreamOrigins} from '../../protocol/fleet-messages.js';
 import {type Store, Topic} from '../../protocol/platform.js';
 import {type SteadyClock} from '../../clock.js';
+import {type StoreEra} from '../../state/store-era.js';
 import {Latch} from '../../latch.js';
 import {createLogger} from '../../log.js';
 import {decodeDaemonRecord, fieldsOf} from '../daemon-record.js';
@@ -32,6 +33,7 @@
 /** What a {@link StreamOriginRecord} depends on. */
 export type StreamOriginRecordDependencies = {
 	store: Store;
+	storeEra: StoreEra;
 	origins: StreamOrigins;
 	versions: ServiceVersions;
 	lease: DutyLease;
@@ -48,9 +50,13 @@
 	/** Opens once the record of the versions was read, or was found not to exist. */
 	readonly isVersionsRead = new Latch();
 	private storedVersions = '';
+	/** The era of the store in which that was written or read. */
+	private versionsEra = 0;
 	private hasAppliedVersions = false;
 	/** {@link StreamOrigins.added} at the last write. */
 	private storedAdded = 0;
+	/** The era of the store in which that was. */
+	private streamsEra = 0;
 	private reading: Promise<void> | undefined;
 	private hasReadStreams = false;
 	private readFailedAtMs = Number.NEGATIVE_INFINITY;
@@ -81,13 +87,14 @@
 	}
 
 	/** Applies the record of the versions; an undefined value means that there is none. Only the first one that is read tells what served before this daemon started. */
-	applyVersions(value: Uint8Array | undefined): void {
+	applyVersions(value: Uint8Array | undefined, era: number): void {
 		const versions = value && decodeDaemonRecord(value, isVersionsByService, 'versions that serve');
 		if (versions && !this.hasAppliedVersions) {
 			this.dependencies.versions.restore(versions);
 		}
 
 		this.storedVersions = versions ? JSON.stringify(versions) : this.storedVersions;
+		this.versionsEra = era;
 		this.hasAppliedVersions = true;
 		this.isVersionsRead.open();
 	}
@@ -102,19 +109,21 @@
 	}
 
 	private async saveVersions(nowMs: number, signal: AbortSignal): Promise<void> {
-		const {store, versions} = this.dependencies;
+		const {store, storeEra, versions} = this.dependencies;
 		const known = JSON.stringify(versions.all(nowMs));
-		if (known !== this.storedVersions) {
-			await store.append(Topic.Members, {key: versionsKey, value: Buffer.from(known)}, undefined, signal);
+		if (known !== this.storedVersions || storeEra.isOutdated(this.versionsEra)) {
+			const result = await store.append(Topic.Members, {key: versionsKey, value: Buffer.from(known)}, undefined, signal);
 			this.storedVersions = known;
+			this.versionsEra = result.kind === 'appended' ? result.era : this.versionsEra;
 		}
 	}
 
 	/** Writes all origins under keys of this daemon, so that two that take themselves for the first one don't replace each other's. */
 	private async saveStreams(signal: AbortSignal): Promise<void> {
-		const {store, origins, name, clock} = this.dependencies;
+		const {store, storeEra, origins, name, clock} = this.dependencies;
 		const {added} = origins;
-		if (added === this.storedAdded) {
+		const {current: era = 0} = storeEra;
+		if (added === this.storedAdded && (added === 0 || !storeEra.isOutdated(this.streamsEra))) {
 			return;
 		}
 
@@ -131,6 +140,7 @@
 		}
 
 		this.storedAdded = added;
+		this.streamsEra = era;
 	}
 
 	private async readStreams(): Promise<void> {
