Recognize roll-out orders that are written again after a restore of the store

The id of an order was its offset, so after a restore another order could take the verdict and the phase of a lost one, and one that the operator writes again at another offset would have been rolled out a second time. Ids now rise over eras, and an order that was received before in an earlier era is not a new one.

restored-records.test.ts has four cases.

--- a/src/coordination/__tests__/restored-records.test.ts
+++ b/src/coordination/__tests__/restored-records.test.ts
@@ -3,7 +3,10 @@
 import {type KeyedRecord, type RecordCodec} from '../../protocol/platform.js';
 import {type Backend, BackendState} from '../../protocol/serving.js';
 import {BackendTable} from '../../state/backend-table.js';
-import {BackendsSink} from '../record-sinks.js';
+import {RouteTable} from '../../state/route-table.js';
+import {BackendsSink, ConfigSink} from '../record-sinks.js';
+import {noEvidence} from '../rollout/__fixtures__/no-evidence.js';
+import {Rollouts} from '../rollout/rollouts.js';
 
 const relistingMs = 2000;
 /** An entry, as the codec of the test reads it: how often it was written, and its state. */
@@ -49,3 +52,41 @@
 		expect(table.candidates('s', 1000 + atMs).map(({id}) => id)).toEqual(expected);
 	});
 });
+
+describe('roll-out orders after a restore of the store', () => {
+	const order = (version: string, offset: number): KeyedRecord => ({key: 's', value: new TextEncoder().encode(version), offset});
+	const orderCodec = {
+		rolloutServiceOf: (key: string) => key,
+		readRolloutOrder: (service: string, value: Uint8Array) => ({service, version: new TextDecoder().decode(value), durationMs: 12_000}),
+	};
+
+	it.each([
+		{
+			name: 'keeps an order that is written again at another offset', copy: [], later: [order('v2', 0)], expected: {version: 'v2', isSame: true},
+		},
+		{
+			name: 'keeps an order while the copy shows the one before', copy: [order('v1', 3)], later: [], expected: {version: 'v2', isSame: true},
+		},
+		{
+			name: 'takes a new order at an offset that was given out before', copy: [], later: [order('v3', 4)], expected: {version: 'v3', isSame: false},
+		},
+		{
+			name: 'takes an order that is given again in the same era', copy: [order('v2', 4)], later: [order('v2', 5)], expected: {version: 'v2', isSame: false},
+		},
+	])('$name', ({copy, later, expected}) => {
+		const rollouts = new Rollouts({canaryShare: 0.1}, () => 0, noEvidence);
+		const sink = new ConfigSink(orderCodec as Partial<RecordCodec> as RecordCodec, new RouteTable(), rollouts, () => undefined);
+		sink.reset([order('v1', 3)], 1, 0);
+		sink.apply(order('v2', 4), 1, 0);
+		const before = rollouts.openOrders.get('s')!;
+		sink.reset(copy, 2, 1000);
+		for (const record of later) {
+			sink.apply(record, 2, 1000);
+		}
+
+		const known = rollouts.openOrders.get('s')!;
+		expect(known.version).toBe(expected.version);
+		expect(known.orderId === before.orderId).toBe(expected.isSame);
+		expect(known.orderId).toBeGreaterThanOrEqual(before.orderId);
+	});
+});
--- a/src/coordination/record-sinks.ts
+++ b/src/coordination/record-sinks.ts
@@ -1,6 +1,7 @@
 /** The sinks that apply the records of the followed topics to the daemon's tables. A record that cannot be decoded is logged and skipped. */
 import {toSequenceNumber} from '../protocol/log-position.js';
 import {type KeyedRecord, type RecordCodec} from '../protocol/platform.js';
+import {type RolloutOrder} from '../protocol/serving.js';
 import {type BackendTable} from '../state/backend-table.js';
 import {type RouteTable} from '../state/route-table.js';
 import {createLogger} from '../log.js';
@@ -16,6 +17,8 @@
 export class ConfigSink implements RecordSink {
 	/** The era of the last record. */
 	private era: number | undefined;
+	/** The orders received for each service, and the era in which each was last read. */
+	private readonly receivedOrders = new Map<string, Array<Pick<RolloutOrder, 'version' | 'durationMs'> & {era: number}>>();
 
 	/** @param onChange Called after each version that takes effect. */
 	constructor(
@@ -64,10 +67,23 @@
 		}
 	}
 
+	/** Whether an order was received before in an earlier era, and is only written again after a restore of the store. */
+	private isWrittenAgain({service, version, durationMs}: RolloutOrder, era: number): boolean {
+		const received = this.receivedOrders.get(service) ?? [];
+		const known = received.find(order => order.version === version && order.durationMs === durationMs);
+		const isAgain = known !== undefined && known.era < era;
+		this.receivedOrders.set(service, [...received.filter(order => order !== known), {version, durationMs, era}]);
+		return isAgain;
+	}
+
 	/** Records the newest order for a service. One that cannot be decoded replaces the last one, since that is no longer what the operator wants. */
 	private applyOrder(service: string, record: KeyedRecord, era: number, nowMs: number): void { // eslint-disable-line max-params
 		try {
 			const order = record.value && this.records.readRolloutOrder(service, record.value);
+			if (order && this.isWrittenAgain(order, era)) {
+				return;
+			}
+
 			this.rollouts.noteOrder(service, order && {...order, orderId: toSequenceNumber({era, offset: record.offset}), receivedAtMs: nowMs});
 			log.info(order ? 'roll-out order received.' : 'roll-out order removed.', {
 				service, order: record.offset, version: order?.version, durationMs: order?.durationMs,
