--- a/src/coordination/fleet/__fixtures__/test-net.ts
+++ b/src/coordination/fleet/__fixtures__/test-net.ts
@@ -210,11 +210,11 @@
 	/** Advances the simulated time; every daemon reports once per round, each with its own offset. `onStep` is called at each step. */
 	run(forMs: number, onStep: () => void = () => undefined): void {
 		for (const endMs = this.nowMs + forMs; this.nowMs < endMs; this.nowMs += this.stepMs) {
+			const running = new Map(this.runningDaemons().map(daemon => [daemon.host, daemon]));
 			const due = this.inTransit.filter(({atMs}) => atMs <= this.nowMs);
 			this.inTransit = this.inTransit.filter(({atMs}) => atMs > this.nowMs);
 			for (const {bytes, to} of due) {
-				const receiver = this.daemons.find(daemon => daemon.host === to.host && daemon.isRunning);
-				receiver?.messenger.receive(unpack(bytes));
+				running.get(to.host)?.messenger.receive(unpack(bytes));
 			}
 
 			for (const [index, daemon] of this.daemons.entries()) {
