Use a backend server again that a restored store goes on listing

An entry that had been removed before the restore, and that the copy shows as it was, was ignored until its backend server writes a later one. One that lives may have nothing else to write, as the copy lists it already; the store removes one that doesn't. It is used if it is still listed after two seconds.

The soak can restore its store (restores), with other faults.

--- a/soak/cluster.ts
+++ b/soak/cluster.ts
@@ -88,6 +88,8 @@
 export type ClusterOptions = {
 	/** Whether the daemons reach the store through a {@link FaultyLink}. */
 	hasStoreLinkFaults?: boolean;
+	/** Whether the store is restored from copies. */
+	hasStoreRestores?: boolean;
 	/** Whether there are a request that crashes replicas and a replica that states a limit. */
 	hasReplicaFaults?: boolean;
 	/** Whether replicas announce in their answers that they leave, or ask for a cooldown; such runs have no faults on the links to replicas. */
@@ -122,6 +124,8 @@
 	readonly addedAtMs = new Map<string, number>();
 	/** When the store became unavailable or available again, in milliseconds since 1970. */
 	readonly storeDisturbedAtMs: number[] = [];
+	/** What the replicas have written to the store. */
+	private readonly entries = new Map<ReplicaStandin, {link: FaultyLink; state: string}>();
 	private version = 1;
 	private lastReplicaNumber = 0;
 	private isClosed = false;
@@ -201,6 +205,15 @@
 		this.storeDisturbedAtMs.push(Date.now());
 	}
 
+	/** Restores the store from a copy; what the operator and the replicas wrote since is written again. */
+	restoreStore(lostRecords: number): void {
+		this.store.restore(new Map(this.store.topicNames.map(topic => [topic, lostRecords])));
+		this.putConfig();
+		for (const [replica, entry] of this.entries) {
+			this.publishReplica(replica, entry.link, entry.state);
+		}
+	}
+
 	/** Restarts a replica as another version; its entry shows that later. */
 	restartReplica(index: number): void {
 		const replica = this.replicas[index];
@@ -230,6 +243,7 @@
 		link.stop();
 		setTimeout(() => {
 			if (!this.isClosed) {
+				this.entries.delete(replica);
 				this.store.put('keyed.servers', replica.id, undefined);
 				void this.addReplica();
 			}
@@ -238,6 +252,7 @@
 
 	/** Writes a replica's record to the store. */
 	private publishReplica(replica: ReplicaStandin, link: FaultyLink, state: string): void {
+		this.entries.set(replica, {link, state});
 		this.store.put('keyed.servers', replica.id, {
 			service: 'svc', address: link.address, zone: failureDomains[0], slots: 8, state, sequence: 1, version: replica.version, cold_left_ms: 0, born: replica.startedAtMs,
 		});
--- a/soak/soak.ts
+++ b/soak/soak.ts
@@ -31,6 +31,8 @@
 const maxPauseMs = 500;
 /** Longest duration of a fault, in milliseconds. */
 const maxFaultMs = 1800;
+/** Most records of each topic that a copy of the store lacks. */
+const maxLostRecords = 12;
 /** Tolerance for differences between the clocks of processes on one machine, added to the bounds of key changes, in milliseconds. */
 const clockToleranceMs = 50;
 
@@ -202,6 +204,7 @@
 		...[ReplicaMode.Fail, ReplicaMode.Shed, ReplicaMode.Reset, ReplicaMode.Cut, ReplicaMode.WrongRequestId].map(mode => () => setMode(mode)),
 		...(cluster.options.hasReplicaStatements ? [] : [LinkMode.Delay, LinkMode.Silence, LinkMode.OneWay]).map(mode => () => setLink(mode)),
 		...storeLinkFaults(cluster),
+		...storeRestores(cluster, random),
 		...replicaStatements(cluster, replica),
 		...versionFaults(cluster, index),
 		...promptFaults(cluster, replica, daemon),
@@ -209,6 +212,25 @@
 	return choices[drawInteger(random, choices.length) - 1]();
 }
 
+/** Returns restores of the store from a copy, none in other runs, so that their seeds draw the same faults as without this function. */
+function storeRestores(cluster: SoakCluster, random: RandomGenerator): Array<() => Fault> {
+	const restore = (): Fault => {
+		const lostRecords = drawInteger(random, maxLostRecords);
+		return {
+			name: `store restored without ${lostRecords} records of each topic`,
+			begin() {
+				cluster.setStoreDown(true);
+			},
+			end() {
+				cluster.restoreStore(lostRecords);
+				cluster.setStoreDown(false);
+			},
+		};
+	};
+
+	return cluster.options.hasStoreRestores ? [restore, restore, restore] : [];
+}
+
 /** Returns the faults on the link to the store, none in runs without that link, so that their seeds draw the same faults as without this function. */
 function storeLinkFaults({storeLink}: SoakCluster): Array<() => Fault> {
 	if (!storeLink) {
--- a/src/cli/front-daemon.ts
+++ b/src/cli/front-daemon.ts
@@ -64,8 +64,10 @@
 const removedBackendRetentionMs = 60_000;
 /** Interval between checks whether this daemon's address must be written again, in milliseconds. */
 const addressCheckMs = 2000;
-/** Time in which a backend server that serves is listed again after a restore of the store, in milliseconds. */
+/** Time after a restore of the store in which a backend server that serves is listed again, and one that doesn't is removed, in milliseconds. */
 const relistingMs = 2000;
+/** Interval between checks for these, in milliseconds. */
+const relistingCheckMs = 200;
 
 /** Interval at which it is checked whether backend servers should be probed, in milliseconds. */
 const reachabilityCheckIntervalMs = 100;
@@ -284,6 +286,11 @@
 					this.probeBackends();
 				},
 			},
+			restores: {
+				intervalMs: () => relistingCheckMs, step: () => {
+					this.backendsSink?.settleRestored(relistingMs, this.clock.now());
+				},
+			},
 			sweep: {
 				intervalMs: () => sweepIntervalMs,
 				step: () => {
@@ -298,10 +305,6 @@
 		const reachability = this.container.resolve(Reachability);
 		const crashWatch = this.container.resolve(CrashWatch);
 		const candidatesOf = (service: string) => crashWatch.runningBackends(service, this.clock.now());
-		for (const backend of this.container.resolve(BackendTable).removeMissing(relistingMs, this.clock.now())) {
-			log.info('backend server is not listed again after the restore of the store.', {backend});
-		}
-
 		for (const backend of reachability.takeDueProbes(candidatesOf, this.clock.now())) {
 			void this.probeBackend(backend, candidatesOf(backend.service));
 		}
--- a/src/coordination/__tests__/restored-records.test.ts
+++ b/src/coordination/__tests__/restored-records.test.ts
@@ -36,6 +36,9 @@
 		{
 			name: 'does not use one again that was removed', later: [removal('a')], copy: [entry('a', 1), entry('b', 1)], atMs: 0, expected: ['b'],
 		},
+		{
+			name: 'uses one that was removed if the store lists it for longer', later: [removal('a')], copy: [entry('a', 1), entry('b', 1)], atMs: relistingMs, expected: ['a', 'b'],
+		},
 		{
 			name: 'uses one that has written its entry again', later: [removal('a')], copy: [entry('a', 5), entry('b', 1)], atMs: 0, expected: ['a', 'b'],
 		},
@@ -48,7 +51,7 @@
 		}
 
 		sink.reset(copy, 2, 1000);
-		table.removeMissing(relistingMs, 1000 + atMs);
+		sink.settleRestored(relistingMs, 1000 + atMs);
 		expect(table.candidates('s', 1000 + atMs).map(({id}) => id)).toEqual(expected);
 	});
 });
--- a/src/coordination/record-sinks.ts
+++ b/src/coordination/record-sinks.ts
@@ -104,6 +104,8 @@
 
 	/** The era of the last record. */
 	private era: number | undefined;
+	/** Entries of a copy of the store whose backend servers had been removed from the list before. */
+	private readonly doubtful = new Map<string, {record: KeyedRecord; readAtMs: number}>();
 	/** Keys whose entries could not be decoded; each is logged once. */
 	private readonly unreadableKeys = new Set<string>();
 
@@ -120,6 +122,8 @@
 		for (const record of records) {
 			if (!isRestored || this.isNews(record)) {
 				this.apply(record, era, nowMs);
+			} else {
+				this.doubtful.set(record.key, {record, readAtMs: nowMs});
 			}
 		}
 
@@ -136,6 +140,7 @@
 
 	apply(record: KeyedRecord, era: number, nowMs: number): void {
 		this.era = era;
+		this.doubtful.delete(record.key);
 		if (!record.value) {
 			this.unreadableKeys.delete(record.key);
 			const entry = this.backends.markRemoved(record.key, nowMs);
@@ -164,6 +169,22 @@
 		}
 	}
 
+	/**
+	 * Completes the merge with a copy of the store a time after it was read: what is still missing
+	 * counts as removed, and what is still listed as serving.
+	 */
+	settleRestored(afterMs: number, nowMs: number): void {
+		for (const backend of this.backends.removeMissing(afterMs, nowMs)) {
+			log.info('backend server is not listed again after the restore of the store.', {backend});
+		}
+
+		for (const {record, readAtMs} of this.doubtful.values()) {
+			if (nowMs - readAtMs >= afterMs) {
+				this.apply(record, this.era!, nowMs);
+			}
+		}
+	}
+
 	/** Whether an entry of a copy of the store may be later than what is known of its backend server: one whose entry was removed writes a later one if it still serves. */
 	private isNews({key, value}: KeyedRecord): boolean {
 		const known = this.backends.latest(key);
