Decide on each request for a slot in time, and drop what a silent daemon's deadlines have ended

A timer that fires a millisecond early left a request for a slot undecided until the next one; a daemon that died kept its slots for five seconds where its deadlines were shorter. Both by reading; slot-ledger.test.ts has a case of the second.

--- a/src/coordination/slots/__tests__/slot-ledger.test.ts
+++ b/src/coordination/slots/__tests__/slot-ledger.test.ts
@@ -34,12 +34,15 @@
 		{name: 'as many as there are slots', claims: [claim({pending: [1, 2, 3, 4, 5, 6, 7, 8]})], granted: 6},
 		{name: 'those that others do not use', claims: [claim({sender: {...claim({}).sender, name: 'b'}, running: 4}), claim({pending: [1, 2, 3]})], granted: 2},
 		{name: 'none that a request given up a moment ago may occupy', claims: [claim({sender: {...claim({}).sender, name: 'b'}, lingeringMs: [300, 300, 300, 300, 300]}), claim({pending: [1, 2]})], granted: 1},
+		{
+			name: 'those of a silent daemon whose requests must have ended', claims: [claim({sender: {...claim({}).sender, name: 'b'}, running: 6, untilMs: 0}), claim({pending: [1, 2]})], granted: 2, waitMs: 300,
+		},
 		{name: 'none that an earlier start of a daemon may occupy', claims: [claim({running: 6, untilMs: 9000}), claim({sender: {...claim({}).sender, incarnation: 'a2'}, pending: [1]})], granted: 0},
 		{name: 'none on an older claim than the last one', claims: [claim({sequence: 5, running: 6}), claim({sequence: 4, pending: [1]})], granted: 0},
 		{name: 'none after a refusal', claims: [claim({sequence: 1}), claim({sequence: 2, refusals: 1, pending: [1]})], granted: 0},
-	])('leases $name', ({claims, granted}) => {
+	])('leases $name', ({claims, granted, waitMs = 0}) => {
 		const ledger = createLedger();
-		expect(claims.map(message => ledger.receive(message, true, 1000)).at(-1)!.granted).toHaveLength(granted);
+		expect(claims.map((message, index) => ledger.receive(message, true, 1000 + (index * waitMs))).at(-1)!.granted).toHaveLength(granted);
 	});
 
 	it.each([
--- a/src/coordination/slots/slot-exchange.ts
+++ b/src/coordination/slots/slot-exchange.ts
@@ -23,6 +23,9 @@
 /** Age at which the choice of the coordinators is made anew, in milliseconds: it changes when daemons join or leave. */
 const rankingMaxAgeMs = 100;
 
+/** Timers may fire up to this many milliseconds early. */
+const timerToleranceMs = 5;
+
 /** What a {@link SlotExchange} depends on. */
 export type SlotExchangeDependencies = {
 	tolerances: OverloadTolerances;
@@ -74,6 +77,7 @@
 
 	/** Sends the claims of a round to the coordinators and their standbys. */
 	sendRound(nowMs: number): void {
+		this.leases.expire(nowMs);
 		this.dropOldRankings(nowMs);
 		this.ledger.update(this.dependencies.tolerances.stated(nowMs).filter(backend => this.isCoordinator(backend, nowMs)), nowMs);
 		for (const claim of this.leases.createRoundClaims(nowMs)) {
@@ -113,7 +117,7 @@
 		return new Promise(resolve => {
 			const timer = setTimeout(() => {
 				this.leases.expire(this.dependencies.clock.now());
-			}, decisionTimeoutMs);
+			}, decisionTimeoutMs + timerToleranceMs);
 			listen(lease => {
 				clearTimeout(timer);
 				resolve(lease);
--- a/src/coordination/slots/slot-leases.ts
+++ b/src/coordination/slots/slot-leases.ts
@@ -14,6 +14,8 @@
 export const decisionTimeoutMs = 100;
 /** Time for which a backend server is passed over whose coordinator did not decide, in milliseconds. */
 const unansweredPauseMs = 500;
+/** Time for which a backend server is passed over while as many slots are asked for as it has, in milliseconds: some round trips between failure domains. */
+const busyPauseMs = 20;
 /** Longest time for which a request counts that was given up, in milliseconds: until the backend server has noticed that its connection closed. It is shorter where requests usually end sooner. */
 const maxLingerMs = 500;
 /** The same for a request that was given up long after it should have been answered: the backend server may be silent for a second or so, and has not read it yet. */
@@ -116,7 +118,7 @@
 	 *
 	 * @param remainingMs Time after which the backend server stops work on the request.
 	 */
-	request({id, service, slots}: Pick<Backend, 'id' | 'service' | 'slots'>, remainingMs: number, nowMs: number, onDecision: PendingRequest['onDecision']): void { // eslint-disable-line max-params
+	request({id, service, slots}: Pick<Backend, 'id' | 'service' | 'slots'>, remainingMs: number, nowMs: number, onDecision: PendingRequest['onDecision']): void {
 		const use = this.useOf({id, service, slots});
 		const deadlineAtMs = nowMs + Math.min(remainingMs, maxLeaseMs);
 		if (!this.tolerances.isBinding(id, nowMs)) {
@@ -124,8 +126,12 @@
 			return;
 		}
 
-		// More than all of its slots are not asked for.
-		if (nowMs < use.pausedUntilMs || use.pending.size >= slots) {
+		// More than all of its slots are not asked for at a time.
+		if (use.pending.size >= slots) {
+			use.pausedUntilMs = Math.max(use.pausedUntilMs, nowMs + busyPauseMs);
+		}
+
+		if (nowMs < use.pausedUntilMs) {
 			onDecision(undefined);
 			return;
 		}
--- a/src/coordination/slots/slot-ledger.ts
+++ b/src/coordination/slots/slot-ledger.ts
@@ -23,9 +23,9 @@
 const recoveryMs = 10_000;
 /** Time for which requests of a daemon that has restarted may still run, in milliseconds: backend servers drop them when their connections close. */
 const restartLingerMs = 500;
-/** Time beyond the deadlines of a silent daemon's requests after which its claim is dropped, in milliseconds. */
-const expiryMarginMs = 250;
-/** Time for which the claim of a daemon without requests is kept, in milliseconds, so that an older one that arrives late is recognized. */
+/** Time beyond the deadlines of a silent daemon's requests after which they must have ended, in milliseconds. */
+const endMarginMs = 250;
+/** Time for which a claim is kept at least, in milliseconds. */
 const idleClaimMs = 5000;
 /** Time over which grants, denials and the loads that a backend server reports are compared, in milliseconds. */
 const observationMs = 1000;
@@ -45,6 +45,9 @@
 	/** Requests for slots that were granted and that its latest claim lists as undecided. */
 	granted: Set<number>;
 	refusals: number;
+	/** When what it runs and was granted must have ended, unless it claims again. */
+	endsAtMs: number;
+	/** When it is dropped, so that an older claim that arrives late is recognized until then. */
 	expiresAtMs: number;
 };
 
@@ -142,7 +145,7 @@
 		const {sender: {name, incarnation}, sequence, running, lingeringMs, untilMs, pending, refusals, load} = claim;
 		let known = entry.uses.get(name);
 		if (known && known.incarnation !== incarnation) {
-			entry.uses.set(`${name} ${known.incarnation}`, {...known, expiresAtMs: Math.min(known.expiresAtMs, nowMs + restartLingerMs)});
+			entry.uses.set(`${name} ${known.incarnation}`, {...known, endsAtMs: Math.min(known.endsAtMs, nowMs + restartLingerMs), expiresAtMs: nowMs + restartLingerMs});
 			known = undefined;
 		}
 
@@ -151,7 +154,7 @@
 		}
 
 		const use: Use = {
-			incarnation, sequence, running, lingering: lingeringMs.map(ms => nowMs + ms), refusals, granted: new Set(pending.filter(id => known?.granted.has(id))), expiresAtMs: nowMs + Math.max(untilMs + expiryMarginMs, idleClaimMs),
+			incarnation, sequence, running, lingering: lingeringMs.map(ms => nowMs + ms), refusals, granted: new Set(pending.filter(id => known?.granted.has(id))), endsAtMs: nowMs + untilMs + endMarginMs, expiresAtMs: nowMs + Math.max(untilMs + endMarginMs, idleClaimMs),
 		};
 		entry.uses.set(name, use);
 		if (refusals > (known?.refusals ?? 0)) {
@@ -206,8 +209,8 @@
 /** Counts the slots that daemons use or have been granted. */
 function leasedSlots({uses}: LedgerEntry, nowMs: number): number {
 	let leased = 0;
-	for (const {running, lingering, granted} of uses.values()) {
-		leased += running + granted.size + lingering.filter(untilMs => untilMs > nowMs).length;
+	for (const {running, lingering, granted, endsAtMs} of uses.values()) {
+		leased += (nowMs < endsAtMs ? running + granted.size : 0) + lingering.filter(untilMs => untilMs > nowMs).length;
 	}
 
 	return leased;
