Keep to the latest copy and the latest holder when the store is restored again

An entry that the first copy still listed was used after the second one lacked it; restored-records.test.ts failed before. And a former holder that comes back after another daemon has held the duties does not write its own records over that one's: by reading, its test passed before too.

--- a/src/coordination/__tests__/duty-lease.test.ts
+++ b/src/coordination/__tests__/duty-lease.test.ts
@@ -218,4 +218,20 @@
 		const {records} = await store.readNewest(Topic.Duties);
 		expect(records.find(({key}) => key === String(DutyKey.Usage))?.value).toEqual(new Uint8Array([7]));
 	});
+
+	it('does not write again over what a later holder has committed', async () => {
+		const {first, second, store, time, inputs} = createPair();
+		await hold({lease: first, time, inputs}, 500);
+		await first.commit(DutyKey.Usage, new Uint8Array([7]), signal);
+		store.restore(Topic.Duties, 1);
+		second.applyHolderUpdate({token: 1, ageMs: 5000}, time.ms);
+		await hold({lease: second, time, inputs}, leaseMs + 1000);
+		await second.commit(DutyKey.Usage, new Uint8Array([8]), signal);
+		await first.step(inputs, signal);
+		time.ms += 5000;
+		first.applyHolderUpdate({token: second.createHolderUpdate(time.ms)?.token ?? 0, ageMs: 5000}, time.ms);
+		await hold({lease: first, time, inputs}, 2000);
+		const {records} = await store.readNewest(Topic.Duties);
+		expect(records.find(({key}) => key === String(DutyKey.Usage))?.value).toEqual(new Uint8Array([8]));
+	});
 });
--- a/src/coordination/__tests__/restored-records.test.ts
+++ b/src/coordination/__tests__/restored-records.test.ts
@@ -56,6 +56,19 @@
 	});
 });
 
+describe('entries of backend servers after two restores of the store', () => {
+	it('does not use one that the second copy lacks', () => {
+		const table = new BackendTable({drainMs: 2000});
+		const sink = new BackendsSink(codec as Partial<RecordCodec> as RecordCodec, table, () => undefined);
+		sink.reset([entry('a', 1), entry('b', 1)], 1, 0);
+		sink.apply(removal('a'), 1, 0);
+		sink.reset([entry('a', 1), entry('b', 1)], 2, 1000);
+		sink.reset([entry('b', 1)], 3, 1500);
+		sink.settleRestored(relistingMs, 1500 + relistingMs);
+		expect(table.candidates('s', 1500 + relistingMs).map(({id}) => id)).toEqual(['b']);
+	});
+});
+
 describe('roll-out orders after a restore of the store', () => {
 	const order = (version: string, offset: number): KeyedRecord => ({key: 's', value: new TextEncoder().encode(version), offset});
 	const orderCodec = {
--- a/src/coordination/duty-lease.ts
+++ b/src/coordination/duty-lease.ts
@@ -173,6 +173,7 @@
 			// The holder's id is unknown until this daemon reads the record, which it does before it claims.
 			this.newestClaim = {holder: '', token: update.token};
 			this.isFormerHolder = false;
+			this.isRewriteDue = false;
 		}
 
 		this.holderLastSeenAtMs = Math.max(this.holderLastSeenAtMs ?? Number.NEGATIVE_INFINITY, nowMs - update.ageMs);
@@ -271,6 +272,7 @@
 				const claim = decodeDaemonRecord(record.value, isClaimRecord, 'claim of the duties');
 				if (claim && (claim.era ?? 0) === batch.era) {
 					this.isFormerHolder = false;
+					this.isRewriteDue &&= claim.holder === this.holder;
 					this.applyClaim(claim.holder, {era: batch.era, offset: record.offset}, this.clock.now());
 				}
 			} else if (record.value && !(this.isFormerHolder && this.committed.has(record.key))) {
--- a/src/coordination/record-sinks.ts
+++ b/src/coordination/record-sinks.ts
@@ -128,6 +128,12 @@
 		}
 
 		const names = new Set(records.map(record => record.key));
+		for (const key of this.doubtful.keys()) {
+			if (!names.has(key)) {
+				this.doubtful.delete(key);
+			}
+		}
+
 		if (isRestored) {
 			this.backends.noteMissing(names, nowMs);
 		} else {
