--- a/src/cli/front-container.ts
+++ b/src/cli/front-container.ts
@@ -7,7 +7,7 @@
 import {type Platform, Topic} from '../protocol/platform.js';
 import {SteadyClock} from '../clock.js';
 import {Latch} from '../latch.js';
-import {StoreEra} from '../state/store-era.js';
+import {LogEra} from '../state/log-era.js';
 import {ViewAge} from '../state/view-age.js';
 import {BackendTable} from '../state/backend-table.js';
 import {RouteTable} from '../state/route-table.js';
@@ -114,7 +114,7 @@
 	frontContainer.registerInstance(SteadyClock, clock);
 	registerFactory(Latch, () => new Latch());
 	registerFactory(ViewAge, () => new ViewAge());
-	registerFactory(StoreEra, () => new StoreEra());
+	registerFactory(LogEra, () => new LogEra());
 	registerFactory(RouteTable, () => new RouteTable());
 	registerFactory(BackendTable, () => new BackendTable(bounds));
 	registerFactory(BackendConnectionPool, () => new BackendConnectionPool());
@@ -156,7 +156,7 @@
 	registerFactory(PoolDemands, resolver => new PoolDemands(resolver.resolve(BackendTable), resolver.resolve(Placement), resolver.resolve(FleetTable), resolver.resolve(StatedLimits)));
 	registerFactory(Quarantine, resolver => new Quarantine(nowMs => resolver.resolve(DutyLease).tokenAt(nowMs) !== undefined));
 	registerFactory(QuarantineRecord, resolver => new QuarantineRecord({
-		store, storeEra: resolver.resolve(StoreEra), quarantine: resolver.resolve(Quarantine), lease: resolver.resolve(DutyLease), clock,
+		store, logEra: resolver.resolve(LogEra), quarantine: resolver.resolve(Quarantine), lease: resolver.resolve(DutyLease), clock,
 	}));
 	registerFactory(StatedLimits, resolver => new StatedLimits((query, nowMs) => selectSenders(resolver.resolve(FleetTable), settings.name, atMs => resolver.resolve(DemandShare).usable(atMs), query, nowMs)));
 	registerFactory(EventLoopDelay, () => new EventLoopDelay(() => clock.now()));
@@ -202,7 +202,7 @@
 	}));
 	registerFactory(StreamOrigins, resolver => new StreamOrigins(() => Math.max(minStreamRetentionMs, resolver.resolve(RouteTable).longestTimeoutMs * streamRetentionTimeouts)));
 	registerFactory(StreamOriginRecord, resolver => new StreamOriginRecord({
-		store, storeEra: resolver.resolve(StoreEra), origins: resolver.resolve(StreamOrigins), versions: resolver.resolve(ServiceVersions), lease: resolver.resolve(DutyLease), isFirstDaemon: nowMs => resolver.resolve(FleetTable).rank(nowMs) === 0, name: settings.name, clock, signal,
+		store, logEra: resolver.resolve(LogEra), origins: resolver.resolve(StreamOrigins), versions: resolver.resolve(ServiceVersions), lease: resolver.resolve(DutyLease), isFirstDaemon: nowMs => resolver.resolve(FleetTable).rank(nowMs) === 0, name: settings.name, clock, signal,
 	}));
 	registerFactory(StreamOriginExchange, resolver => new StreamOriginExchange({
 		origins: resolver.resolve(StreamOrigins),
@@ -239,7 +239,7 @@
 		topic: Topic.Config,
 		sink: configSink,
 		viewAge: resolver.resolve(ViewAge),
-		storeEra: resolver.resolve(StoreEra),
+		logEra: resolver.resolve(LogEra),
 		clock,
 		waitMs: () => isRelay(resolver) ? readConfigLimits().relayWaitMs : readConfigLimits().waitMs,
 		maxBytes: maxConfigBytes,
@@ -252,7 +252,7 @@
 		topic: Topic.Backends,
 		sink: backendsSink,
 		viewAge: new ViewAge(),
-		storeEra: resolver.resolve(StoreEra),
+		logEra: resolver.resolve(LogEra),
 		clock,
 		waitMs: () => isRelay(resolver) ? readBackendsLimits().relayWaitMs : readBackendsLimits().waitMs,
 		maxBytes: maxBackendsBytes,
@@ -261,13 +261,13 @@
 		maxRelayAgeMs: () => isLeaf(resolver) ? readBackendsLimits().maxReportAgeMs : 0,
 	}));
 	registerFactory(BoundsRecord, resolver => new BoundsRecord({
-		store, storeEra: resolver.resolve(StoreEra), sharedUse: resolver.resolve(CombinedUse), lease: resolver.resolve(DutyLease), clock, reportIntervalMs,
+		store, logEra: resolver.resolve(LogEra), sharedUse: resolver.resolve(CombinedUse), lease: resolver.resolve(DutyLease), clock, reportIntervalMs,
 	}));
 	registerFactory(FleetMessenger, resolver => new FleetMessenger({
 		settings,
 		incarnation,
 		store,
-		storeEra: resolver.resolve(StoreEra),
+		logEra: resolver.resolve(LogEra),
 		fleet: resolver.resolve(FleetTable),
 		sharedUse: resolver.resolve(CombinedUse),
 		usage: resolver.resolve(UsageLedger),
--- a/src/coordination/__tests__/topic-follower.test.ts
+++ b/src/coordination/__tests__/topic-follower.test.ts
@@ -2,7 +2,7 @@
 import {describe, expect, it} from 'vitest';
 import {SteadyClock} from '../../clock.js';
 import {Topic} from '../../protocol/platform.js';
-import {StoreEra} from '../../state/store-era.js';
+import {LogEra} from '../../state/log-era.js';
 import {ViewAge} from '../../state/view-age.js';
 import {FakeStore} from '../../testing/fake-store.js';
 import {waitUntil} from '../../testing/stack.js';
@@ -22,7 +22,7 @@
 		store,
 		topic: Topic.Config,
 		viewAge,
-		storeEra: new StoreEra(),
+		logEra: new LogEra(),
 		clock,
 		waitMs: () => 5,
 		maxRelayAgeMs: () => maxRelayAgeMs,
--- a/src/coordination/fleet/__fixtures__/test-net.ts
+++ b/src/coordination/fleet/__fixtures__/test-net.ts
@@ -7,7 +7,7 @@
 import {type PeerAddress, type GossipedTopic} from '../../../protocol/fleet-messages.js';
 import {Topic} from '../../../protocol/platform.js';
 import {BackendTable} from '../../../state/backend-table.js';
-import {StoreEra} from '../../../state/store-era.js';
+import {LogEra} from '../../../state/log-era.js';
 import {ViewAge} from '../../../state/view-age.js';
 import {FakeStore} from '../../../testing/fake-store.js';
 import {sumOfProfile} from '../../account-window.js';
@@ -74,7 +74,7 @@
 	readonly topics: Record<GossipedTopic, TopicFollower>;
 	readonly viewAges = {[Topic.Config]: new ViewAge(), [Topic.Backends]: new ViewAge()};
 	readonly backendsSeen: string[] = [];
-	readonly storeEra = new StoreEra();
+	readonly logEra = new LogEra();
 
 	constructor(readonly name: string, readonly failureDomain: string, readonly host: string, net: TestNet) {
 		const clock = new SteadyClock({monotonicMs: () => net.nowMs, wallMs: () => net.nowMs, uptimeMs: () => net.nowMs});
@@ -101,7 +101,7 @@
 				},
 			},
 			viewAge: this.viewAges[topic],
-			storeEra: this.storeEra,
+			logEra: this.logEra,
 			clock,
 			waitMs: () => 0,
 			maxBytes: 1024,
@@ -112,11 +112,11 @@
 		this.topics = {[Topic.Config]: follow(Topic.Config, []), [Topic.Backends]: follow(Topic.Backends, this.backendsSeen)};
 		this.lease = new DutyLease(net.store, incarnation, 3000, clock);
 		this.bounds = new BoundsRecord({
-			store: net.store, storeEra: this.storeEra, sharedUse, lease: this.lease, clock, reportIntervalMs,
+			store: net.store, logEra: this.logEra, sharedUse, lease: this.lease, clock, reportIntervalMs,
 		});
 		this.quarantine = new Quarantine(nowMs => this.lease.tokenAt(nowMs) !== undefined);
 		this.quarantineRecord = new QuarantineRecord({
-			store: net.store, storeEra: this.storeEra, quarantine: this.quarantine, lease: this.lease, clock,
+			store: net.store, logEra: this.logEra, quarantine: this.quarantine, lease: this.lease, clock,
 		});
 		this.statedLimits = new StatedLimits((query, nowMs) => selectSenders(this.fleet, name, atMs => this.demandShare.usable(atMs), query, nowMs));
 		this.slots = new SlotExchange({
@@ -126,7 +126,7 @@
 			backends: this.backends, viewAgeMs: () => 0, startedAtMs, isFirstStart: net.isFirstStart,
 		});
 		this.originRecord = new StreamOriginRecord({
-			store: net.store, storeEra: this.storeEra, origins: this.origins, versions: this.versions, lease: this.lease, isFirstDaemon: nowMs => this.fleet.rank(nowMs) === 0, name, clock, signal: new AbortController().signal,
+			store: net.store, logEra: this.logEra, origins: this.origins, versions: this.versions, lease: this.lease, isFirstDaemon: nowMs => this.fleet.rank(nowMs) === 0, name, clock, signal: new AbortController().signal,
 		});
 		this.originExchange = new StreamOriginExchange({
 			origins: this.origins, versions: this.versions, fleet: this.fleet, clock, failureDomain, createSender: nowMs => this.messenger.sender(nowMs), restore: async () => this.originRecord.restoreStreams(),
@@ -134,7 +134,7 @@
 		this.messenger = new FleetMessenger({
 			settings: {
 				name, failureDomain, host, peerPort: 1, bounds: {quotaWindowMs: net.bounds.windowMs, retryWindowMs: retryLimits.windowMs},
-			}, incarnation, store: net.store, storeEra: this.storeEra, fleet: this.fleet, sharedUse, usage: this.usage, placement: this.placement, lease: this.lease, bounds: this.bounds, quarantine: this.quarantine, quarantineRecord: this.quarantineRecord, statedLimits: this.statedLimits, tolerances: this.tolerances, slots: this.slots, rollouts: this.rollouts, reachability: this.reachability, streamOrigins: this.originExchange, streamOriginRecord: this.originRecord, topics: this.topics, clock, startedAtMs,
+			}, incarnation, store: net.store, logEra: this.logEra, fleet: this.fleet, sharedUse, usage: this.usage, placement: this.placement, lease: this.lease, bounds: this.bounds, quarantine: this.quarantine, quarantineRecord: this.quarantineRecord, statedLimits: this.statedLimits, tolerances: this.tolerances, slots: this.slots, rollouts: this.rollouts, reachability: this.reachability, streamOrigins: this.originExchange, streamOriginRecord: this.originRecord, topics: this.topics, clock, startedAtMs,
 		});
 		this.messenger.open({
 			send: (message, to) => {
--- a/src/coordination/fleet/__tests__/restored-records.test.ts
+++ b/src/coordination/fleet/__tests__/restored-records.test.ts
@@ -43,7 +43,7 @@
 		await write(holder, net.nowMs);
 		expect(await keys()).toContain(key);
 		net.store.restore(Topic.Members, 100);
-		holder.storeEra.note(1);
+		holder.logEra.note(1);
 		expect(await keys()).not.toContain(key);
 		holder.lease.applyHolderUpdate({token: 1, ageMs: 0}, net.nowMs);
 		await write(holder, net.nowMs);
--- a/src/coordination/fleet/bounds-record.ts
+++ b/src/coordination/fleet/bounds-record.ts
@@ -7,7 +7,7 @@
 import {Buffer} from 'node:buffer';
 import {type Store, Topic} from '../../protocol/platform.js';
 import {type SteadyClock} from '../../clock.js';
-import {type StoreEra} from '../../state/store-era.js';
+import {type LogEra} from '../../state/log-era.js';
 import {type DutyLease} from '../duty-lease.js';
 import {fieldsOf, decodeDaemonRecord} from '../daemon-record.js';
 import {type SharedUse, type WindowBound} from '../shared-windows.js';
@@ -33,7 +33,7 @@
 export class BoundsRecord {
 	private written: {atMs: number; accounts: Record<string, WindowBound>} | undefined;
 
-	constructor(private readonly parts: {store: Store; storeEra: StoreEra; sharedUse: SharedUse; lease: DutyLease; clock: SteadyClock; reportIntervalMs: number}) {}
+	constructor(private readonly parts: {store: Store; logEra: LogEra; sharedUse: SharedUse; lease: DutyLease; clock: SteadyClock; reportIntervalMs: number}) {}
 
 	/**
 	 * Writes the record if this daemon holds the duties and a write is due.
@@ -41,7 +41,7 @@
 	 * @throws {StateError} When the store does not accept the record.
 	 */
 	async save(signal: AbortSignal): Promise<void> {
-		const {sharedUse, lease, clock, store, storeEra, reportIntervalMs} = this.parts;
+		const {sharedUse, lease, clock, store, logEra, reportIntervalMs} = this.parts;
 		const nowMs = clock.now();
 		if (lease.tokenAt(nowMs) === undefined) {
 			this.written = undefined;
@@ -50,7 +50,7 @@
 
 		const accounts = this.isDue(nowMs) ? sharedUse.boundsToStore(reportIntervalMs, nowMs) : undefined;
 		if (accounts) {
-			const record: WrittenBounds = {atMs: clock.wallTimeMs(), era: storeEra.current, accounts};
+			const record: WrittenBounds = {atMs: clock.wallTimeMs(), era: logEra.current, accounts};
 			await store.append(Topic.Members, {key: boundsKey, value: Buffer.from(JSON.stringify(record))}, undefined, signal);
 			this.written = {atMs: nowMs, accounts};
 		}
@@ -60,10 +60,10 @@
 	 * Adopts a record that was written shortly before this daemon started; an older one is ignored.
 	 * So is one of an earlier era than that of the store: a later one of that era may be lost.
 	 */
-	restore(value: Uint8Array, storeEra: number): void {
+	restore(value: Uint8Array, logEra: number): void {
 		const {sharedUse, clock} = this.parts;
 		const record = decodeDaemonRecord(value, isWrittenBounds, 'bounds of the limits');
-		if (record && (record.era ?? 0) >= storeEra && Math.abs(clock.wallTimeMs() - record.atMs) <= maxAgeMs) {
+		if (record && (record.era ?? 0) >= logEra && Math.abs(clock.wallTimeMs() - record.atMs) <= maxAgeMs) {
 			sharedUse.adoptStoredBounds(record.accounts, clock.now());
 		}
 	}
--- a/src/coordination/fleet/fleet-messenger.ts
+++ b/src/coordination/fleet/fleet-messenger.ts
@@ -12,7 +12,7 @@
 	type Digest, DigestScope, type FleetMessage, FleetMessageKind, isFleetMessage, type NamedAddress, type PeerAddress, type Report, type Sender, type GossipedTopic, type View,
 } from '../../protocol/fleet-messages.js';
 import {type SteadyClock} from '../../clock.js';
-import {type StoreEra} from '../../state/store-era.js';
+import {type LogEra} from '../../state/log-era.js';
 import {type MessageSender} from '../../transport/datagram-link.js';
 import {type DutyLease} from '../duty-lease.js';
 import {type OverloadTolerances} from '../overload-tolerances.js';
@@ -80,7 +80,7 @@
 	/** Differs for each start of the daemon. */
 	incarnation: string;
 	store: Store;
-	storeEra: StoreEra;
+	logEra: LogEra;
 	fleet: FleetTable;
 	/** What is limited over all daemons. */
 	sharedUse: SharedUse;
@@ -236,8 +236,8 @@
 	 * @throws {StateError} When the store does not answer.
 	 */
 	async writeAddress(signal: AbortSignal): Promise<void> {
-		const {settings, store, storeEra} = this.parts;
-		if (this.addressEra !== undefined && !storeEra.isOutdated(this.addressEra)) {
+		const {settings, store, logEra} = this.parts;
+		if (this.addressEra !== undefined && !logEra.isOutdated(this.addressEra)) {
 			return;
 		}
 
@@ -252,10 +252,10 @@
 	 * @throws {StateError} When the store does not answer.
 	 */
 	async discover(signal: AbortSignal): Promise<void> {
-		const {settings, store, storeEra, fleet, clock} = this.parts;
+		const {settings, store, logEra, fleet, clock} = this.parts;
 		await this.writeAddress(signal);
 		const batch = await store.readNewest(Topic.Members, memberReadTimeoutMs, signal);
-		storeEra.note(batch.era);
+		logEra.note(batch.era);
 		for (const {key, value} of batch.records) {
 			if (key === boundsKey && value) {
 				this.parts.bounds.restore(value, batch.era);
--- a/src/coordination/quarantine/quarantine-record.ts
+++ b/src/coordination/quarantine/quarantine-record.ts
@@ -7,7 +7,7 @@
 import {isSuspectUpdates, type SuspectUpdate} from '../../protocol/fleet-messages.js';
 import {type Store, Topic} from '../../protocol/platform.js';
 import {type SteadyClock} from '../../clock.js';
-import {type StoreEra} from '../../state/store-era.js';
+import {type LogEra} from '../../state/log-era.js';
 import {type DutyLease} from '../duty-lease.js';
 import {fieldsOf, decodeDaemonRecord} from '../daemon-record.js';
 import {type Quarantine} from './quarantine.js';
@@ -27,7 +27,7 @@
 	/** The era of the store in which that was. */
 	private storedEra = 0;
 
-	constructor(private readonly dependencies: {store: Store; storeEra: StoreEra; quarantine: Quarantine; lease: DutyLease; clock: SteadyClock}) {}
+	constructor(private readonly dependencies: {store: Store; logEra: LogEra; quarantine: Quarantine; lease: DutyLease; clock: SteadyClock}) {}
 
 	/**
 	 * Writes the record if this daemon holds the lease of the singleton duties and the quarantined requests have changed.
@@ -35,11 +35,11 @@
 	 * @throws {StateError} When the store does not accept the record.
 	 */
 	async save(signal: AbortSignal): Promise<void> {
-		const {quarantine, lease, clock, store, storeEra} = this.dependencies;
+		const {quarantine, lease, clock, store, logEra} = this.dependencies;
 		const nowMs = clock.now();
 		const suspects = quarantine.quarantinedUpdates(nowMs);
 		const content = summarize(suspects);
-		const isStored = content === this.storedSummary && (content === '' || !storeEra.isOutdated(this.storedEra));
+		const isStored = content === this.storedSummary && (content === '' || !logEra.isOutdated(this.storedEra));
 		if (isStored || lease.tokenAt(nowMs) === undefined) {
 			return;
 		}
--- a/src/coordination/stream-origins/__tests__/stream-origin-lookup.test.ts
+++ b/src/coordination/stream-origins/__tests__/stream-origin-lookup.test.ts
@@ -3,7 +3,7 @@
 import {type StreamOriginAnswer, type VersionKnowledge} from '../../../protocol/fleet-messages.js';
 import {Topic} from '../../../protocol/platform.js';
 import {SteadyClock} from '../../../clock.js';
-import {StoreEra} from '../../../state/store-era.js';
+import {LogEra} from '../../../state/log-era.js';
 import {FakeStore} from '../../../testing/fake-store.js';
 import {type DutyLease} from '../../duty-lease.js';
 import {type ServiceVersions} from '../service-versions.js';
@@ -25,7 +25,7 @@
 	};
 	const lease: Partial<DutyLease> = {tokenAt: () => name === 'holder' ? 1 : undefined};
 	const record = new StreamOriginRecord({
-		store, storeEra: new StoreEra(), origins, versions: versions as ServiceVersions, lease: lease as DutyLease, isFirstDaemon: () => true, name, clock, signal: new AbortController().signal,
+		store, logEra: new LogEra(), origins, versions: versions as ServiceVersions, lease: lease as DutyLease, isFirstDaemon: () => true, name, clock, signal: new AbortController().signal,
 	});
 	record.applyVersions(undefined, 0);
 	const lookup = new StreamOriginLookup({
--- a/src/coordination/stream-origins/stream-origin-record.ts
+++ b/src/coordination/stream-origins/stream-origin-record.ts
@@ -8,7 +8,7 @@
 import {isPackedStreamOrigins, type PackedStreamOrigins} from '../../protocol/fleet-messages.js';
 import {type Store, Topic} from '../../protocol/platform.js';
 import {type SteadyClock} from '../../clock.js';
-import {type StoreEra} from '../../state/store-era.js';
+import {type LogEra} from '../../state/log-era.js';
 import {Latch} from '../../latch.js';
 import {createLogger} from '../../log.js';
 import {decodeDaemonRecord, fieldsOf} from '../daemon-record.js';
@@ -33,7 +33,7 @@
 /** What a {@link StreamOriginRecord} depends on. */
 export type StreamOriginRecordDependencies = {
 	store: Store;
-	storeEra: StoreEra;
+	logEra: LogEra;
 	origins: StreamOrigins;
 	versions: ServiceVersions;
 	lease: DutyLease;
@@ -109,9 +109,9 @@
 	}
 
 	private async saveVersions(nowMs: number, signal: AbortSignal): Promise<void> {
-		const {store, storeEra, versions} = this.dependencies;
+		const {store, logEra, versions} = this.dependencies;
 		const known = JSON.stringify(versions.all(nowMs));
-		if (known !== this.storedVersions || storeEra.isOutdated(this.versionsEra)) {
+		if (known !== this.storedVersions || logEra.isOutdated(this.versionsEra)) {
 			const result = await store.append(Topic.Members, {key: versionsKey, value: Buffer.from(known)}, undefined, signal);
 			this.storedVersions = known;
 			this.versionsEra = result.kind === 'appended' ? result.era : this.versionsEra;
@@ -120,10 +120,10 @@
 
 	/** Writes all origins under keys of this daemon, so that two that take themselves for the first one don't replace each other's. */
 	private async saveStreams(signal: AbortSignal): Promise<void> {
-		const {store, storeEra, origins, name, clock} = this.dependencies;
+		const {store, logEra, origins, name, clock} = this.dependencies;
 		const {added} = origins;
-		const {current: era = 0} = storeEra;
-		if (added === this.storedAdded && (added === 0 || !storeEra.isOutdated(this.streamsEra))) {
+		const {current: era = 0} = logEra;
+		if (added === this.storedAdded && (added === 0 || !logEra.isOutdated(this.streamsEra))) {
 			return;
 		}
 
--- a/src/coordination/topic-follower.ts
+++ b/src/coordination/topic-follower.ts
@@ -20,7 +20,7 @@
 import {
 	type KeyedRecord, type RecordBatch, type Store, type Topic,
 } from '../protocol/platform.js';
-import {type StoreEra} from '../state/store-era.js';
+import {type LogEra} from '../state/log-era.js';
 import {type ViewAge} from '../state/view-age.js';
 import {StateError} from '../state/errors.js';
 import {type SteadyClock} from '../clock.js';
@@ -52,7 +52,7 @@
 	topic: Topic;
 	sink: RecordSink;
 	viewAge: ViewAge;
-	storeEra: StoreEra;
+	logEra: LogEra;
 	clock: SteadyClock;
 	/** How long one read waits for records, in milliseconds; bounds the view's age while all reads are answered. */
 	waitMs: () => number;
@@ -212,12 +212,12 @@
 
 	/** Makes one read; returns whether it brought any records and reached the end of the topic. */
 	private async read(signal: AbortSignal): Promise<boolean> {
-		const {topic, viewAge, storeEra, clock, canSkipToNewest} = this.options;
+		const {topic, viewAge, logEra, clock, canSkipToNewest} = this.options;
 		const sentAtMs = clock.now();
 		this.isMissingRecords = false;
 		const batch = this.next === undefined ? undefined : await this.readFrom(this.next.offset, signal);
 		if (batch) {
-			storeEra.note(batch.era);
+			logEra.note(batch.era);
 		} else if (this.next !== undefined) {
 			log.info('records expired or lost, reading the newest of each key.', {topic, next: this.next.offset, era: this.next.era});
 		}
@@ -250,10 +250,10 @@
 	}
 
 	private async readNewest(signal: AbortSignal): Promise<void> {
-		const {store, topic, sink, viewAge, storeEra, clock} = this.options;
+		const {store, topic, sink, viewAge, logEra, clock} = this.options;
 		const sentAtMs = clock.now();
 		const newest = await store.readNewest(topic, this.answerTimeoutMs, signal);
-		storeEra.note(newest.era);
+		logEra.note(newest.era);
 		const known = this.next ?? {era: newest.era, offset: 0};
 		if (newest.era < known.era || (newest.era === known.era && newest.next < known.offset)) {
 			throw new StateError(`the store's newest records of ${topic} end at ${newest.next} of era ${newest.era}, before ${known.offset} of era ${known.era}`);
--- a/src/state/store-era.ts
+++ b/src/state/log-era.ts
@@ -1,7 +1,7 @@
 /** The era of the platform's store, as far as this daemon's reads have shown it. */
 
 /** Tells whether the store has been restored since something was written to it. */
-export class StoreEra {
+export class LogEra {
 	private era: number | undefined;
 
 	/** The highest era that an answer stated; undefined before the first answer. */
