--- /dev/null
+++ b/src/coordination/assignment/assignment.ts
@@ -0,0 +1,111 @@
+/**
+ * The messages between the daemons that ask for a backend server and the coordinator of a group
+ * of backend servers, and what the coordinator's decision was based on.
+ */
+import {type PromptPart, type ReportedLoad} from '../../protocol/serving.js';
+
+/** Identifies a request to a coordinator. */
+export type AssignmentId = {
+	/** The name of the daemon that asks. */
+	daemon: string;
+	/** Differs for each start of the daemon. */
+	incarnation: string;
+	/** Unique within one start of the daemon. */
+	id: number;
+};
+
+/** A request for a backend server of a group. */
+export type AssignmentRequest = AssignmentId & {
+	account: string | undefined;
+	/** 0 is the most urgent. */
+	priority: number;
+	/** What counts against the account's share of the group: tokens, or 1 for a plain call. */
+	cost: number;
+	/** Time left until the latency target, in milliseconds; negative once it has passed. */
+	targetMs: number;
+	/** Time left until the deadline, in milliseconds. */
+	remainingMs: number;
+	/** The route, by which the times of plain calls are learned. */
+	route: string;
+	promptTokens: number;
+	promptParts: PromptPart[];
+	/** Keys of backend servers that must not get the request. */
+	excluded: number[];
+	/** Whether the client came back after a refusal; such a request goes first among equals. */
+	isReturning: boolean;
+};
+
+/** A backend server of a group that may get work. */
+export type AssignableBackend = {
+	key: number;
+	slots: number;
+	/** Tokens that the memory of an engine holds; undefined if it is not known. */
+	kvTokens: number | undefined;
+	/** How long work takes there, as a multiple of the usual time. */
+	paceFactor: number;
+	/** Requests in flight there that were not assigned. */
+	inFlightElsewhere: number;
+	isEngine: boolean;
+	/** Whether it is still slow after its start. */
+	isCold: boolean;
+};
+
+/** What a coordinator decided on a request. */
+export enum AssignmentKind {
+	Assigned = 'assigned',
+	/** It waits in the queue of the group; another decision follows. */
+	Queued = 'queued',
+	Refused = 'refused',
+}
+
+/** The figures behind the choice of a backend server. */
+export type AssignmentTerms = {
+	/** Predicted time from now until the first event, or the answer of a plain call, in milliseconds. */
+	predictedMs: number;
+	/** The part of it until the request's own work begins, in milliseconds. */
+	waitMs: number;
+	/** Time that the request has waited in the queue, in milliseconds. */
+	queuedMs: number;
+	/** Prompt tokens assumed to be cached there. */
+	cachedTokens: number;
+	inFlight: number;
+	paceFactor: number;
+};
+
+/** The decision on one request. */
+export type AssignmentDecision = AssignmentId & (
+	| {kind: AssignmentKind.Assigned; backend: number; copyFrom: number | undefined; terms: AssignmentTerms}
+	| {kind: AssignmentKind.Queued; expectedMs: number}
+	| {kind: AssignmentKind.Refused; retryAfterMs: number; reason: string}
+);
+
+/** How an assigned request ended. */
+export enum AssignmentResult {
+	Completed = 'completed',
+	/** The backend server refused it for want of room. */
+	Rejected = 'rejected',
+	/** It failed, broke off, or its client left. */
+	Failed = 'failed',
+	/** It was not sent to the assigned backend server. */
+	NotSent = 'not-sent',
+}
+
+/** The end of an assigned request. */
+export type AssignmentEnd = AssignmentId & {
+	result: AssignmentResult;
+	/** Time from sending the request to the first event, or to the answer of a plain call, in milliseconds. */
+	firstEventMs?: number;
+	/** What the backend server stated of its load. */
+	load?: ReportedLoad;
+};
+
+/** One backend server as the coordinator sees it for a request. */
+export type AssignmentCandidate = {
+	backend: number;
+	terms: AssignmentTerms;
+	/** Why the request may not go there now; undefined if it may. */
+	excludedReason: string | undefined;
+};
+
+/** What the coordinator would decide on a request now. */
+export type AssignmentExplanation = {decision: AssignmentDecision; candidates: AssignmentCandidate[]; queued: number};
