--- a/src/coordination/assignment/assignment.ts
+++ b/src/coordination/assignment/assignment.ts
@@ -17,6 +17,8 @@
 /** A request for a backend server of a group. */
 export type AssignmentRequest = AssignmentId & {
 	account: string | undefined;
+	/** The account's weight when accounts share what is short, such as its rate limit; 1 without one. */
+	accountWeight: number;
 	/** 0 is the most urgent. */
 	priority: number;
 	/** What counts against the account's share of the group: tokens, or 1 for a plain call. */
@@ -31,8 +33,8 @@
 	promptParts: PromptPart[];
 	/** Keys of backend servers that must not get the request. */
 	excluded: number[];
-	/** Whether the client came back after a refusal; such a request goes first among equals. */
-	isReturning: boolean;
+	/** Identifies the request over its client's attempts, so that one that came back after a refusal goes first among equals; undefined if nothing does. */
+	returnKey: string | undefined;
 };
 
 /** A backend server of a group that may get work. */
