--- a/src/cli/__tests__/leaf-update-delay.test.ts
+++ b/src/cli/__tests__/leaf-update-delay.test.ts
@@ -47,6 +47,7 @@
 		},
 	});
 	const container = createFrontContainer({
+		isAssignmentEnabled: true,
 		platform: {settings, store} as unknown as Platform,
 		incarnation: 'fd-a-9#1',
 		signal: stop.signal,
--- a/src/cli/commands/front.ts
+++ b/src/cli/commands/front.ts
@@ -12,6 +12,7 @@
 import {openReadinessServer} from '../../transport/readiness-server.js';
 import {createLogger} from '../../log.js';
 import {waitForAbort} from '../../abort.js';
+import {type AssignmentMode} from '../../coordination/assignment/assignment-activation.js';
 import {FrontDaemon} from '../front-daemon.js';
 
 const log = createLogger('front');
@@ -24,10 +25,10 @@
 const stopCheckIntervalMs = 50;
 
 /** Runs a serving daemon until the signal aborts, then stops it within the platform's grace period. */
-export async function runFront(platform: Platform, signal: AbortSignal): Promise<void> {
+export async function runFront(platform: Platform, assignmentMode: AssignmentMode, signal: AbortSignal): Promise<void> {
 	const {settings} = platform;
 	const tasks = new AbortController();
-	const daemon = new FrontDaemon(platform, `${settings.name}#${randomBytes(4).toString('hex')}`, tasks.signal);
+	const daemon = new FrontDaemon(platform, `${settings.name}#${randomBytes(4).toString('hex')}`, tasks.signal, assignmentMode);
 	const readiness = await openReadinessServer(settings.readiness, platform.dialect.readinessPath, () => daemon.isReady);
 	let diagnosticsServer: DiagnosticsServer | undefined;
 	try {
--- a/src/cli/front-container.ts
+++ b/src/cli/front-container.ts
@@ -13,6 +13,9 @@
 import {RouteTable} from '../state/route-table.js';
 import {BackendConnectionPool} from '../transport/backend-connection-pool.js';
 import {EventLoopDelay} from '../transport/event-loop-delay.js';
+import {AssignmentActivation} from '../coordination/assignment/assignment-activation.js';
+import {AssignmentExchange} from '../coordination/assignment/assignment-exchange.js';
+import {isInGroup} from '../coordination/assignment/assignment-groups.js';
 import {Cooldowns} from '../coordination/cooldowns.js';
 import {DutyLease} from '../coordination/duty-lease.js';
 import {DutyRunner} from '../coordination/duty-runner.js';
@@ -28,6 +31,7 @@
 import {DemandShare} from '../coordination/demand-share.js';
 import {FleetRetryBudget} from '../coordination/fleet-retry-budget.js';
 import {OverloadTolerances} from '../coordination/overload-tolerances.js';
+import {BackendPaces} from '../coordination/paces/backend-paces.js';
 import {Placement} from '../coordination/placement.js';
 import {PoolDemands} from '../coordination/pool-demand.js';
 import {CrashWatch} from '../coordination/quarantine/crash-watch.js';
@@ -40,6 +44,7 @@
 import {Dispatcher} from '../coordination/serving/dispatcher.js';
 import {Forwarder} from '../coordination/serving/forwarder.js';
 import {PeerProxy} from '../coordination/serving/peer-proxy.js';
+import {RequestAssignment} from '../coordination/serving/request-assignment.js';
 import {DeferredMetrics} from '../coordination/serving/request-metrics.js';
 import {StreamOriginSharing} from '../coordination/serving/stream-origin-sharing.js';
 import {StreamRegistry} from '../coordination/serving/stream-registry.js';
@@ -91,6 +96,8 @@
 /** The inputs from which the components of a daemon are created. */
 export type FrontContainerOptions = {
 	platform: Platform;
+	/** Whether coordinators assign requests to backend servers where the deployment calls for it. */
+	isAssignmentEnabled: boolean;
 	/** Identifies this start of this daemon. */
 	incarnation: string;
 	/** Aborts when the daemon stops. */
@@ -100,7 +107,7 @@
 };
 
 /** Creates the dependency injection container of one serving daemon. */
-export function createFrontContainer({platform, incarnation, signal, createSinks}: FrontContainerOptions): DependencyContainer {
+export function createFrontContainer({platform, isAssignmentEnabled, incarnation, signal, createSinks}: FrontContainerOptions): DependencyContainer {
 	const {settings, store, cloud, dialect, engines, records} = platform;
 	// A reload changes the bounds in place, so components read changeable bounds at each use.
 	const {bounds} = settings;
@@ -167,6 +174,25 @@
 	registerFactory(SlotExchange, resolver => new SlotExchange({
 		tolerances: resolver.resolve(OverloadTolerances), fleet: resolver.resolve(FleetTable), clock, name: settings.name, createSender: nowMs => resolver.resolve(FleetMessenger).sender(nowMs), random: () => Math.random(),
 	}));
+	registerFactory(BackendPaces, () => new BackendPaces());
+	registerFactory(AssignmentActivation, resolver => new AssignmentActivation(isAssignmentEnabled, () => resolver.resolve(RouteTable).current, (service, nowMs) => resolver.resolve(BackendPaces).isStated(service, nowMs)));
+	registerFactory(AssignmentExchange, resolver => new AssignmentExchange({
+		activation: resolver.resolve(AssignmentActivation),
+		services: () => resolver.resolve(RouteTable).current?.services.map(({name}) => name) ?? [],
+		backends: ({service, failureDomain}, nowMs) => resolver.resolve(Rollouts).filter(service, resolver.resolve(BackendTable).candidates(service, nowMs), false, nowMs).filter(backend => isInGroup({service, failureDomain}, backend)),
+		inFlight: ({id}, nowMs) => resolver.resolve(Placement).expectedLoad(id, resolver.resolve(FleetTable).inFlight(backendKey(id), nowMs), nowMs).inFlight,
+		engine: service => resolver.resolve(RouteTable).service(service)?.engine,
+		paces: resolver.resolve(BackendPaces),
+		fleet: resolver.resolve(FleetTable),
+		clock,
+		name: settings.name,
+		incarnation,
+		failureDomain: settings.failureDomain,
+		createSender: nowMs => resolver.resolve(FleetMessenger).sender(nowMs),
+	}));
+	registerFactory(RequestAssignment, resolver => new RequestAssignment({
+		exchange: resolver.resolve(AssignmentExchange), quarantine: resolver.resolve(Quarantine), metrics: resolver.resolve(DeferredMetrics), clock,
+	}));
 	registerFactory(Reachability, () => new Reachability(() => Math.random()));
 	registerFactory(PeerConnectionPool, () => new PeerConnectionPool());
 	registerFactory(PeerProxy, resolver => new PeerProxy({
@@ -190,6 +216,8 @@
 		cooldowns: resolver.resolve(Cooldowns),
 		tolerances: resolver.resolve(OverloadTolerances),
 		slots: resolver.resolve(SlotExchange),
+		assignment: resolver.resolve(RequestAssignment),
+		paces: resolver.resolve(BackendPaces),
 		rollouts: resolver.resolve(Rollouts),
 		reachability: resolver.resolve(Reachability),
 		peerProxy: resolver.resolve(PeerProxy),
@@ -279,6 +307,7 @@
 		statedLimits: resolver.resolve(StatedLimits),
 		tolerances: resolver.resolve(OverloadTolerances),
 		slots: resolver.resolve(SlotExchange),
+		assignments: resolver.resolve(AssignmentExchange),
 		rollouts: resolver.resolve(Rollouts),
 		reachability: resolver.resolve(Reachability),
 		streamOrigins: resolver.resolve(StreamOriginExchange),
--- a/src/cli/front-daemon.ts
+++ b/src/cli/front-daemon.ts
@@ -26,6 +26,9 @@
 import {reportIntervalMs} from '../coordination/fleet/peer-counter.js';
 import {FleetTable} from '../coordination/fleet/fleet-table.js';
 import {OverloadTolerances} from '../coordination/overload-tolerances.js';
+import {AssignmentMode} from '../coordination/assignment/assignment-activation.js';
+import {AssignmentExchange} from '../coordination/assignment/assignment-exchange.js';
+import {BackendPaces} from '../coordination/paces/backend-paces.js';
 import {Placement} from '../coordination/placement.js';
 import {CrashWatch} from '../coordination/quarantine/crash-watch.js';
 import {Quarantine} from '../coordination/quarantine/quarantine.js';
@@ -100,10 +103,11 @@
 		private readonly platform: Platform,
 		private readonly incarnation: string,
 		private readonly signal: AbortSignal,
+		assignmentMode = AssignmentMode.Auto,
 	) {
 		setMaxListeners(0, signal);
 		this.container = createFrontContainer({
-			platform, incarnation, signal, createSinks: resolver => this.createSinks(resolver),
+			platform, isAssignmentEnabled: assignmentMode === AssignmentMode.Auto, incarnation, signal, createSinks: resolver => this.createSinks(resolver),
 		});
 		this.clock = this.container.resolve(SteadyClock);
 		this.startedAtMs = this.clock.now();
@@ -212,6 +216,8 @@
 			cooldowns: this.container.resolve(Cooldowns).toJson(nowMs),
 			overloadTolerances: this.container.resolve(OverloadTolerances).toJson(nowMs),
 			slots: this.container.resolve(SlotExchange).toJson(nowMs),
+			assignments: this.container.resolve(AssignmentExchange).toJson(nowMs),
+			paces: this.container.resolve(BackendPaces).toJson(nowMs),
 			rollouts: this.container.resolve(Rollouts).toJson(),
 			reachability: this.container.resolve(Reachability).toJson(nowMs),
 		};
@@ -352,7 +358,9 @@
 		const backends = this.container.resolve(BackendTable);
 		backends.prune(removedBackendRetentionMs, nowMs);
 		this.container.resolve(Cooldowns).prune(nowMs);
-		this.container.resolve(Placement).retain(new Set(backends.listed().map(entry => entry.backend.id)));
+		const listed = new Set(backends.listed().map(entry => entry.backend.id));
+		this.container.resolve(Placement).retain(listed);
+		this.container.resolve(BackendPaces).retain(listed);
 	}
 
 	private async stepLease(): Promise<void> {
--- a/src/cli/index.ts
+++ b/src/cli/index.ts
@@ -11,6 +11,7 @@
 } from 'cmd-ts';
 import {logToStandardError, logToStandardOutput} from '../log.js';
 import {SesametallyError} from '../errors.js';
+import {AssignmentMode} from '../coordination/assignment/assignment-activation.js';
 import {AdminAction, StandinPart} from './subcommands.js';
 
 /** Creates a signal that aborts on SIGTERM or SIGINT, for a graceful stop. */
@@ -55,13 +56,17 @@
 const front = command({
 	name: 'front',
 	description: 'Run a serving daemon on the platform, with the settings file that the platform provides.',
-	args: {},
-	async handler() {
+	args: {
+		assignment: option({
+			long: 'assignment', type: oneOf(Object.values(AssignmentMode)), defaultValue: () => AssignmentMode.Auto, description: 'whether coordinators assign requests to backend servers: auto (where the configuration or the backend servers call for it) or off',
+		}),
+	},
+	async handler({assignment}) {
 		logToStandardOutput(process.env);
 		await runRole(async signal => {
 			const {createPlatform} = await import('../../platform/index.js');
 			const {runFront} = await import('./commands/front.js');
-			await runFront(createPlatform(), signal);
+			await runFront(createPlatform(), assignment, signal);
 		});
 	},
 });
--- a/src/coordination/assignment/__tests__/assignment-ledger.test.ts
+++ b/src/coordination/assignment/__tests__/assignment-ledger.test.ts
@@ -1,8 +1,8 @@
 import {describe, expect, it} from 'vitest';
 import {AssignmentLedger} from '../assignment-ledger.js';
 import {
-	type AssignableBackend, type AssignmentDecision, AssignmentKind, type AssignmentRequest, AssignmentResult,
-} from '../assignment.js';
+	type AssignableBackend, type AssignmentDecision, type AssignmentEnd, AssignmentKind, type AssignmentRequest, AssignmentResult,
+} from '../../../protocol/assignment.js';
 
 function backend(key: number, fields: Partial<AssignableBackend> = {}): AssignableBackend {
 	return {
@@ -19,6 +19,12 @@
 	};
 }
 
+function endOf({daemon, incarnation, id}: AssignmentRequest, result: AssignmentResult, firstEventMs?: number): AssignmentEnd {
+	return {
+		daemon, incarnation, id, backend: 0, result, firstEventMs,
+	};
+}
+
 function createLedger(backends: AssignableBackend[]): AssignmentLedger {
 	const ledger = new AssignmentLedger();
 	ledger.update(backends, 0);
@@ -73,7 +79,7 @@
 			const earlier = request(fields);
 			ledger.request(earlier, 0);
 			if (hasEnded) {
-				ledger.end({...earlier, result: AssignmentResult.Completed}, 0);
+				ledger.end(endOf(earlier, AssignmentResult.Completed), 0);
 			}
 		}
 
@@ -89,7 +95,7 @@
 		const calls = Array.from({length: 3}, () => request(call));
 		const kinds = calls.map(each => ledger.request(each, 0)[0].kind);
 		expect(kinds).toEqual([AssignmentKind.Assigned, AssignmentKind.Assigned, AssignmentKind.Queued]);
-		const decisions = ledger.end({...calls[0], result: AssignmentResult.Completed, firstEventMs: 60}, 60);
+		const decisions = ledger.end(endOf(calls[0], AssignmentResult.Completed, 60), 60);
 		expect(decisions).toMatchObject([{id: calls[2].id, kind: AssignmentKind.Assigned, terms: {queuedMs: 60}}]);
 	});
 
@@ -127,7 +133,7 @@
 
 		let current = running;
 		for (const _ of served) {
-			const [decision] = ledger.end({...current, result: AssignmentResult.Completed, firstEventMs: 1}, 1);
+			const [decision] = ledger.end(endOf(current, AssignmentResult.Completed, 1), 1);
 			current = served.find(({id}) => id === decision.id)!;
 		}
 
@@ -135,7 +141,7 @@
 			ledger.request(each, 2);
 		}
 
-		const [decision] = ledger.end({...current, result: AssignmentResult.Completed, firstEventMs: 1}, 3);
+		const [decision] = ledger.end(endOf(current, AssignmentResult.Completed, 1), 3);
 		expect(decision.id).toBe(last[1].id);
 	});
 
@@ -147,7 +153,7 @@
 		ledger.request(request({...call, targetMs: 300}), 10);
 		const returned = request({...call, returnKey: 'k'});
 		ledger.request(returned, 20);
-		expect(ledger.end({...running, result: AssignmentResult.Completed}, 30)[0]).toMatchObject({id: returned.id, kind: AssignmentKind.Assigned});
+		expect(ledger.end(endOf(running, AssignmentResult.Completed), 30)[0]).toMatchObject({id: returned.id, kind: AssignmentKind.Assigned});
 	});
 
 	it('refuses at once what cannot begin in time, and has refused clients come back one after the other', () => {
@@ -166,7 +172,7 @@
 	it.each([
 		{name: 'the daemon is gone', act: (ledger: AssignmentLedger) => ledger.drop('d', undefined, 50)},
 		{name: 'the daemon has restarted', act: (ledger: AssignmentLedger) => ledger.drop('d', 'd#2', 50)},
-		{name: 'the client of the running request has left', act: (ledger: AssignmentLedger, running: AssignmentRequest) => ledger.end({...running, result: AssignmentResult.Failed}, 50)},
+		{name: 'the client of the running request has left', act: (ledger: AssignmentLedger, running: AssignmentRequest) => ledger.end(endOf(running, AssignmentResult.Failed), 50)},
 		{name: 'the end of the running request was lost', act: (ledger: AssignmentLedger) => ledger.expire(3500)},
 		{name: 'another backend server appears', act: (ledger: AssignmentLedger) => ledger.update([backend(1, {isEngine: false, slots: 1}), backend(2, {isEngine: false, slots: 1})], 50)},
 	])('gives the room to a waiting request when $name', ({act}) => {
@@ -190,7 +196,7 @@
 		ledger.withdraw(left, 10);
 		ledger.drop('d', undefined, 20);
 		expect(ledger.queued).toBe(0);
-		expect(ledger.end({...running, result: AssignmentResult.Completed}, 30)).toEqual([]);
+		expect(ledger.end(endOf(running, AssignmentResult.Completed), 30)).toEqual([]);
 	});
 
 	it('drops what was assigned to a backend server that vanishes', () => {
@@ -207,7 +213,7 @@
 			const long = request({promptTokens: 10_000, excluded: [2 - (index % 2)]});
 			const [decision] = ledger.request(long, index * 1000);
 			const rate = assignedTo(decision) === 1 ? 100 : 30;
-			ledger.end({...long, result: AssignmentResult.Completed, firstEventMs: 60 + (10_000 / rate)}, (index * 1000) + 900);
+			ledger.end(endOf(long, AssignmentResult.Completed, 60 + (10_000 / rate)), (index * 1000) + 900);
 		}
 
 		const {candidates} = ledger.explain(request({promptTokens: 10_000}), 40_000);
--- /dev/null
+++ b/src/coordination/assignment/assignment-exchange.ts
@@ -0,0 +1,457 @@
+/**
+ * Asks the coordinators of groups for backend servers on behalf of this daemon's requests, and
+ * answers other daemons for the groups that this daemon coordinates. Without a decision in time,
+ * the daemon places the request by itself, so that no request depends on a coordinator.
+ */
+import {
+	type AssignmentAnswer, type AssignmentDecision, type AssignmentEnd, type AssignmentExplanation, AssignmentKind, type AssignmentRequest, AssignmentResult, type AssignmentTerms,
+} from '../../protocol/assignment.js';
+import {
+	type AssignmentDecisionMessage, type AssignmentEndMessage, type AssignmentRequestMessage, type AssignmentWithdrawal, type FleetMessage, FleetMessageKind, type GroupName, type NamedAddress, type PeerAddress, type Sender,
+} from '../../protocol/fleet-messages.js';
+import {type Backend, type ReportedLoad} from '../../protocol/serving.js';
+import {type SteadyClock} from '../../clock.js';
+import {type MessageSender} from '../../transport/datagram-link.js';
+import {backendKey} from '../fleet/backend-key.js';
+import {type FleetTable} from '../fleet/fleet-table.js';
+import {rankByRendezvous} from '../fleet/sender-selection.js';
+import {type BackendPaces} from '../paces/backend-paces.js';
+import {type AssignmentActivation} from './assignment-activation.js';
+import {AssignmentCoordinator, type CoordinatorParts} from './assignment-coordinator.js';
+import {type AssignmentGroup, groupsOf, rankGroups} from './assignment-groups.js';
+
+/** How long the first answer of a coordinator is waited for, in milliseconds: dozens of round trips between failure domains. */
+const answerTimeoutMs = 60;
+/** Time for which a coordinator is not asked that did not answer or declined, in milliseconds. */
+const declinedPauseMs = 300;
+/** How long a queued request waits beyond twice the expected time without another message, in milliseconds. */
+const queueMarginMs = 500;
+/** Interval at which a coordinator tells the daemons of queued requests that these still wait, in milliseconds. */
+const queueNoticeMs = 200;
+/** Interval at which the queues of coordinated groups are checked, in milliseconds. */
+const queueCheckMs = 10;
+/** Age up to which the wait counts that a group has stated, in milliseconds. */
+const statedWaitMaxAgeMs = 500;
+/** Groups that are asked for one request. */
+const maxGroups = 2;
+/** Age at which the choice of the coordinators is made anew, in milliseconds. */
+const rankingMaxAgeMs = 100;
+
+/** What is asked for one request. */
+export type AssignmentQuery = Omit<AssignmentRequest, 'daemon' | 'incarnation' | 'id' | 'excluded'> & {service: string; excluded: ReadonlySet<string>};
+
+/** A backend server assigned to a request, which holds a place there until its end is reported. */
+export type Assignment = {
+	backend: Backend;
+	copyFrom: Backend | undefined;
+	group: string;
+	coordinator: string;
+	terms: AssignmentTerms;
+	/** Reports the end of the request; later calls do nothing. */
+	end: (result: AssignmentResult, firstEventMs?: number, load?: ReportedLoad) => void;
+};
+
+/** The outcome of a query. */
+export type AssignmentOutcome
+	= | {kind: 'assigned'; assignment: Assignment}
+		| {kind: 'refused'; retryAfterMs: number; reason: string}
+	/** The daemon uses its own placement. */
+		| {kind: 'unavailable'; reason: string};
+
+type PendingRequest = {group: AssignmentGroup; coordinator: string; settle: (answer: AssignmentAnswer | undefined) => void; extend: (expectedMs: number) => void};
+
+/** What an {@link AssignmentExchange} depends on. */
+export type AssignmentExchangeParts = Omit<CoordinatorParts, 'isCoordinator' | 'paceFactor'> & {
+	activation: Pick<AssignmentActivation, 'isActive'>;
+	/** Returns the services of the configuration in force. */
+	services: () => string[];
+	paces: Pick<BackendPaces, 'note' | 'factor'>;
+	fleet: FleetTable;
+	clock: SteadyClock;
+	name: string;
+	incarnation: string;
+	failureDomain: string;
+	createSender: (nowMs: number) => Sender;
+};
+
+/** Exchanges assignments with the other daemons. */
+export class AssignmentExchange {
+	readonly coordinator: AssignmentCoordinator;
+	private link: MessageSender | undefined;
+	/** It begins at random, so that an answer to an earlier start of this daemon matches no request. */
+	private nextId = Math.floor(Math.random() * (2 ** 31));
+	private readonly pending = new Map<number, PendingRequest>();
+	private readonly pausedUntilMs = new Map<string, number>();
+	private readonly statedWaits = new Map<string, {ms: number; atMs: number}>();
+	private readonly rankings = new Map<string, {atMs: number; coordinators: NamedAddress[]}>();
+	private readonly addresses = new Map<string, PeerAddress>();
+	private queueTimer: NodeJS.Timeout | undefined;
+	private noticeAtMs = 0;
+
+	constructor(private readonly parts: AssignmentExchangeParts) {
+		this.coordinator = new AssignmentCoordinator({...parts, paceFactor: (backend, nowMs) => parts.paces.factor(backend, nowMs), isCoordinator: (group, nowMs) => this.isCoordinator(group, nowMs)});
+	}
+
+	/** Starts to send messages through a link. */
+	open(link: MessageSender): void {
+		this.link = link;
+	}
+
+	/** Whether requests of a service are assigned. */
+	isActive(service: string, nowMs: number): boolean {
+		return this.parts.activation.isActive(service, nowMs);
+	}
+
+	/** Asks for a backend server for a request; `signal` ends the wait. */
+	async assign(query: AssignmentQuery, signal: AbortSignal): Promise<AssignmentOutcome> {
+		const startedAtMs = this.parts.clock.now();
+		let refusal: AssignmentOutcome | undefined;
+		for (const group of this.rank(query, startedAtMs).slice(0, maxGroups)) {
+			const elapsedMs = this.parts.clock.now() - startedAtMs;
+			// eslint-disable-next-line no-await-in-loop -- a further group is asked only after a refusal.
+			const outcome = await this.ask(group, {...query, targetMs: query.targetMs - elapsedMs, remainingMs: query.remainingMs - elapsedMs}, signal);
+			if (outcome.kind !== 'refused') {
+				return refusal ?? outcome;
+			}
+
+			refusal = refusal?.kind === 'refused' && refusal.retryAfterMs <= outcome.retryAfterMs ? refusal : outcome;
+		}
+
+		return refusal ?? {kind: 'unavailable', reason: 'no group of backend servers'};
+	}
+
+	/** Tells what the coordinator, if it is this daemon, would decide on a request. */
+	explain(query: AssignmentQuery, nowMs: number): Array<{group: string; coordinator: string | undefined; statedWaitMs: number; explanation: AssignmentExplanation | undefined}> {
+		return this.rank(query, nowMs).map(group => ({
+			group: group.name,
+			coordinator: this.coordinators(group.name, nowMs).at(0)?.name,
+			statedWaitMs: this.statedWait(group, query.priority, nowMs),
+			explanation: this.coordinator.explain(group, this.createRequest(query, 0), nowMs),
+		}));
+	}
+
+	/** Keeps track of the groups that this daemon coordinates; called in each round. */
+	sendRound(nowMs: number): void {
+		const {services, activation} = this.parts;
+		const groups = services().filter(service => activation.isActive(service, nowMs)).flatMap(service => this.groups(service, nowMs));
+		this.coordinator.update(groups, nowMs);
+		for (const group of groups) {
+			this.deliver(group, this.coordinator.check(group, nowMs), [], undefined, nowMs);
+		}
+	}
+
+	/** Processes a message of another daemon; returns false if it is of another kind. */
+	receive(message: FleetMessage, nowMs: number): message is AssignmentRequestMessage | AssignmentDecisionMessage | AssignmentEndMessage | AssignmentWithdrawal {
+		const {fleet} = this.parts;
+		if (message.kind === FleetMessageKind.AssignmentRequest) {
+			this.addresses.set(message.sender.name, message.sender.address);
+			const {name: daemon, incarnation} = message.sender;
+			this.decide(this.groupOf(message.group, nowMs), {...message.request, daemon, incarnation}, nowMs);
+			return true;
+		}
+
+		if (message.kind === FleetMessageKind.AssignmentDecision) {
+			fleet.noteAnswered(message.sender);
+			this.applyDecisions(message, nowMs);
+			return true;
+		}
+
+		if (message.kind === FleetMessageKind.AssignmentEnd) {
+			const {name: daemon, incarnation} = message.sender;
+			const group = this.groupOf(message.group, nowMs);
+			for (const end of message.ends) {
+				this.noteEnd(group, {...end, daemon, incarnation}, nowMs);
+			}
+
+			return true;
+		}
+
+		if (message.kind === FleetMessageKind.AssignmentWithdrawal) {
+			const {name: daemon, incarnation} = message.sender;
+			const group = this.groupOf(message.group, nowMs);
+			for (const id of message.ids) {
+				this.deliver(group, this.coordinator.withdraw(group, {daemon, incarnation, id}, nowMs), [], undefined, nowMs);
+			}
+
+			return true;
+		}
+
+		return false;
+	}
+
+	/** Returns a plain copy for state dumps. */
+	toJson(nowMs: number): unknown {
+		return {
+			pending: this.pending.size,
+			paused: [...this.pausedUntilMs].filter(([, untilMs]) => untilMs > nowMs).map(([name]) => name),
+			coordinated: this.coordinator.toJson(nowMs),
+		};
+	}
+
+	private rank({service, promptParts, targetMs, priority}: AssignmentQuery, nowMs: number): AssignmentGroup[] {
+		return rankGroups(this.groups(service, nowMs), {
+			promptParts, targetMs, failureDomain: this.parts.failureDomain, waitMs: group => this.statedWait(group, priority, nowMs),
+		});
+	}
+
+	private groups(service: string, nowMs: number): AssignmentGroup[] {
+		return groupsOf(service, this.parts.engine(service) !== undefined, this.parts.backends({service, failureDomain: undefined}, nowMs));
+	}
+
+	private groupOf({service, failureDomain}: GroupName, nowMs: number): AssignmentGroup {
+		const name = failureDomain === undefined ? service : `${service}/${failureDomain}`;
+		return {
+			name, service, failureDomain, backends: this.parts.backends({service, failureDomain}, nowMs),
+		};
+	}
+
+	private statedWait({name}: AssignmentGroup, priority: number, nowMs: number): number {
+		const stated = this.statedWaits.get(`${name} ${priority}`);
+		return stated && nowMs - stated.atMs <= statedWaitMaxAgeMs ? stated.ms : 0;
+	}
+
+	private createRequest({service: _, excluded, ...query}: AssignmentQuery, id: number): AssignmentRequest {
+		const {name: daemon, incarnation} = this.parts;
+		return {
+			...query, excluded: [...excluded].map(backend => backendKey(backend)), id, daemon, incarnation,
+		};
+	}
+
+	/** Asks the coordinator of one group. */
+	private async ask(group: AssignmentGroup, query: AssignmentQuery, signal: AbortSignal): Promise<AssignmentOutcome> {
+		const {clock, fleet, name, createSender} = this.parts;
+		const nowMs = clock.now();
+		const coordinator = this.coordinators(group.name, nowMs).at(0);
+		if (!coordinator || nowMs < (this.pausedUntilMs.get(coordinator.name) ?? 0)) {
+			return {kind: 'unavailable', reason: coordinator ? 'coordinator did not decide of late' : 'no coordinator'};
+		}
+
+		const id = this.nextId++;
+		const request = this.createRequest(query, id);
+		const answer = this.waitForAnswer(id, group, coordinator.name, signal);
+		if (coordinator.name === name) {
+			this.decide(group, request, nowMs);
+		} else {
+			const {daemon: _, incarnation: __, ...sent} = request;
+			this.link?.send({
+				kind: FleetMessageKind.AssignmentRequest, sender: createSender(nowMs), group: {service: group.service, failureDomain: group.failureDomain}, request: sent,
+			}, [coordinator.address]);
+			fleet.noteAskedByName(coordinator.name, nowMs);
+		}
+
+		const decision = await answer;
+		if (decision?.kind === AssignmentKind.Assigned) {
+			return this.accept(group, coordinator, decision);
+		}
+
+		return decision?.kind === AssignmentKind.Refused ? {kind: 'refused', retryAfterMs: decision.retryAfterMs, reason: decision.reason} : {kind: 'unavailable', reason: signal.aborted ? 'client gone' : 'no decision'};
+	}
+
+	/** Waits for the final answer on a request; undefined if none comes in time. */
+	private async waitForAnswer(id: number, group: AssignmentGroup, coordinator: string, signal: AbortSignal): Promise<AssignmentAnswer | undefined> {
+		return new Promise(resolve => {
+			let timer: NodeJS.Timeout;
+			const settle = (answer: AssignmentAnswer | undefined) => {
+				clearTimeout(timer);
+				signal.removeEventListener('abort', giveUp);
+				this.pending.delete(id);
+				resolve(answer);
+			};
+
+			const giveUp = () => {
+				this.withdraw(id, group, coordinator);
+				settle(undefined);
+			};
+
+			const onTimeout = () => {
+				this.pause(coordinator);
+				giveUp();
+			};
+
+			timer = setTimeout(onTimeout, answerTimeoutMs);
+			signal.addEventListener('abort', giveUp, {once: true});
+			this.pending.set(id, {
+				group, coordinator, settle, extend(expectedMs) {
+					clearTimeout(timer);
+					timer = setTimeout(onTimeout, (2 * expectedMs) + queueMarginMs);
+				},
+			});
+			if (signal.aborted) {
+				giveUp();
+			}
+		});
+	}
+
+	private accept(group: AssignmentGroup, coordinator: NamedAddress, {id, backend: key, copyFrom, terms}: Extract<AssignmentAnswer, {kind: AssignmentKind.Assigned}>): AssignmentOutcome {
+		const backends = this.parts.backends(group, this.parts.clock.now());
+		const backend = backends.find(candidate => backendKey(candidate.id) === key);
+		let hasEnded = false;
+		const end = (result: AssignmentResult, firstEventMs?: number, load?: ReportedLoad) => {
+			if (!hasEnded) {
+				hasEnded = true;
+				this.sendEnd(group, coordinator, {
+					id, backend: key, result, firstEventMs, load,
+				});
+			}
+		};
+
+		if (!backend) {
+			end(AssignmentResult.NotSent);
+			return {kind: 'unavailable', reason: 'assigned backend server is not in use'};
+		}
+
+		return {
+			kind: 'assigned',
+			assignment: {
+				backend, copyFrom: backends.find(candidate => backendKey(candidate.id) === copyFrom), group: group.name, coordinator: coordinator.name, terms, end,
+			},
+		};
+	}
+
+	private sendEnd(group: AssignmentGroup, coordinator: NamedAddress, end: Omit<AssignmentEnd, 'daemon' | 'incarnation'>): void {
+		const {clock, name, incarnation, createSender} = this.parts;
+		const nowMs = clock.now();
+		if (coordinator.name === name) {
+			this.noteEnd(group, {...end, daemon: name, incarnation}, nowMs);
+		} else {
+			this.link?.send({
+				kind: FleetMessageKind.AssignmentEnd, sender: createSender(nowMs), group: {service: group.service, failureDomain: group.failureDomain}, ends: [end],
+			}, [coordinator.address]);
+		}
+	}
+
+	private withdraw(id: number, group: AssignmentGroup, coordinator: string): void {
+		const {clock, name, incarnation, createSender} = this.parts;
+		const nowMs = clock.now();
+		const address = this.coordinators(group.name, nowMs).find(({name: other}) => other === coordinator)?.address;
+		if (coordinator === name) {
+			this.deliver(group, this.coordinator.withdraw(group, {daemon: name, incarnation, id}, nowMs), [], undefined, nowMs);
+		} else if (address) {
+			this.link?.send({
+				kind: FleetMessageKind.AssignmentWithdrawal, sender: createSender(nowMs), group: {service: group.service, failureDomain: group.failureDomain}, ids: [id],
+			}, [address]);
+		}
+	}
+
+	private pause(coordinator: string): void {
+		this.pausedUntilMs.set(coordinator, this.parts.clock.now() + declinedPauseMs);
+	}
+
+	/** Decides on a request as its coordinator. */
+	private decide(group: AssignmentGroup, request: AssignmentRequest, nowMs: number): void {
+		const result = this.isCoordinator(group.name, nowMs) ? this.coordinator.request(group, request, nowMs) : undefined;
+		if (result) {
+			this.deliver(group, result.decisions, [], {daemon: request.daemon, priority: request.priority, ms: result.waitMs}, nowMs);
+		} else {
+			this.deliver(group, [], [request], undefined, nowMs);
+		}
+	}
+
+	private noteEnd(group: AssignmentGroup, end: AssignmentEnd, nowMs: number): void {
+		const percent = end.load?.pacePercent;
+		const backend = percent === undefined || end.daemon === this.parts.name ? undefined : group.backends.find(({id}) => backendKey(id) === end.backend);
+		if (backend) {
+			this.parts.paces.note(backend, percent!, nowMs);
+		}
+
+		this.deliver(group, this.coordinator.end(group, end, nowMs), [], undefined, nowMs);
+	}
+
+	/** Sends decisions to the daemons that asked. */
+	private deliver(group: AssignmentGroup, decisions: AssignmentDecision[], declined: AssignmentRequest[], wait: {daemon: string; priority: number; ms: number} | undefined, nowMs: number): void { // eslint-disable-line max-params
+		const {name, incarnation, createSender} = this.parts;
+		for (const daemon of new Set([...decisions, ...declined].map(each => each.daemon))) {
+			const ownDecisions = decisions.filter(decision => decision.daemon === daemon);
+			const message: AssignmentDecisionMessage = {
+				kind: FleetMessageKind.AssignmentDecision,
+				sender: createSender(nowMs),
+				group: {service: group.service, failureDomain: group.failureDomain},
+				decisions: ownDecisions.map(({daemon: _, incarnation: __, ...answer}) => answer),
+				declined: declined.filter(request => request.daemon === daemon).map(({id}) => id),
+				wait: wait?.daemon === daemon ? {priority: wait.priority, ms: wait.ms} : undefined,
+			};
+			const address = this.addresses.get(daemon);
+			if (daemon === name) {
+				const isPresent = ownDecisions.every(decision => decision.incarnation === incarnation);
+				this.applyDecisions(isPresent ? message : {...message, decisions: []}, nowMs);
+			} else if (address) {
+				this.link?.send(message, [address]);
+			}
+		}
+
+		this.scheduleQueueCheck(nowMs);
+	}
+
+	private applyDecisions({sender, group, decisions, declined, wait}: AssignmentDecisionMessage, nowMs: number): void {
+		const {name} = this.groupOf(group, nowMs);
+		if (wait) {
+			this.statedWaits.set(`${name} ${wait.priority}`, {ms: wait.ms, atMs: nowMs});
+		}
+
+		for (const id of declined) {
+			this.pause(sender.name);
+			this.pending.get(id)?.settle(undefined);
+		}
+
+		for (const decision of decisions) {
+			const pending = this.pending.get(decision.id);
+			if (decision.kind === AssignmentKind.Queued) {
+				pending?.extend(decision.expectedMs);
+			} else if (pending) {
+				pending.settle(decision);
+			} else if (decision.kind === AssignmentKind.Assigned) {
+				// It came too late: the request has been placed without it, or its client has left.
+				this.sendEnd(this.groupOf(group, nowMs), {name: sender.name, address: sender.address}, {id: decision.id, backend: decision.backend, result: AssignmentResult.NotSent});
+			}
+		}
+	}
+
+	/** Checks the queues of the coordinated groups while requests wait. */
+	private scheduleQueueCheck(nowMs: number): void {
+		if (this.queueTimer !== undefined || !this.coordinator.groups.some(group => this.coordinator.hasQueue(group))) {
+			return;
+		}
+
+		this.noticeAtMs = nowMs;
+		this.queueTimer = setInterval(() => {
+			this.checkQueues();
+		}, queueCheckMs);
+		this.queueTimer.unref();
+	}
+
+	private checkQueues(): void {
+		const {services, activation, clock} = this.parts;
+		const nowMs = clock.now();
+		const queued = this.coordinator.groups.filter(group => this.coordinator.hasQueue(group));
+		if (queued.length === 0) {
+			clearInterval(this.queueTimer);
+			this.queueTimer = undefined;
+			return;
+		}
+
+		const isNoticeDue = nowMs - this.noticeAtMs >= queueNoticeMs;
+		this.noticeAtMs = isNoticeDue ? nowMs : this.noticeAtMs;
+		for (const group of services().filter(service => activation.isActive(service, nowMs)).flatMap(service => this.groups(service, nowMs)).filter(({name}) => queued.includes(name))) {
+			this.deliver(group, this.coordinator.check(group, nowMs), [], undefined, nowMs);
+			if (isNoticeDue) {
+				this.deliver(group, this.coordinator.queuedDecisions(group.name, nowMs), [], undefined, nowMs);
+			}
+		}
+	}
+
+	/** Whether this daemon coordinates a group; one that hears from few of the others would take the place of a daemon that still does. */
+	private isCoordinator(group: string, nowMs: number): boolean {
+		const {name, fleet} = this.parts;
+		return this.coordinators(group, nowMs).at(0)?.name === name && fleet.isMajorityResponsive(nowMs);
+	}
+
+	private coordinators(group: string, nowMs: number): NamedAddress[] {
+		let ranking = this.rankings.get(group);
+		if (!ranking || nowMs - ranking.atMs > rankingMaxAgeMs) {
+			ranking = {atMs: nowMs, coordinators: rankByRendezvous(backendKey(group), this.parts.fleet.actingDaemons(nowMs))};
+			this.rankings.set(group, ranking);
+		}
+
+		return ranking.coordinators;
+	}
+}
--- a/src/coordination/assignment/assignment-ledger.ts
+++ b/src/coordination/assignment/assignment-ledger.ts
@@ -11,7 +11,7 @@
  */
 import {
 	type AssignableBackend, type AssignmentCandidate, type AssignmentDecision, type AssignmentEnd, type AssignmentExplanation, type AssignmentId, AssignmentKind, type AssignmentRequest, AssignmentResult, type AssignmentTerms,
-} from './assignment.js';
+} from '../../protocol/assignment.js';
 import {AssignmentQueue, keyOf, type QueuedRequest} from './assignment-queue.js';
 import {LearnedTimes} from './learned-times.js';
 import {PrefixCache} from './prefix-cache.js';
@@ -36,6 +36,12 @@
 const endGraceMs = 1000;
 /** Prompt tokens that another engine must have cached beyond the chosen one to be copied from: a copy costs a sixth of a new prefill. */
 const minCopiedTokens = 300;
+/** Cost of each recent failure of a backend server, in milliseconds: one that fails at once would otherwise seem idle and attract requests. */
+const failureCostMs = 400;
+/** Time for which a failure counts, in milliseconds. */
+const failureMaxAgeMs = 3000;
+/** Recent failures from which on a backend server gets no request while another has had none. */
+const maxFailures = 3;
 /** Interval at which a queue is checked that no end of a request moves on, in milliseconds. */
 const queueCheckMs = 10;
 
@@ -60,6 +66,8 @@
 	/** When an engine will have read the prompts assigned to it. */
 	busyUntilMs: number;
 	memoryTokens: number;
+	/** Times of recent failures. */
+	failures: number[];
 };
 
 /** Assigns requests to the backend servers of one group. */
@@ -99,7 +107,7 @@
 				load.backend = backend;
 			} else {
 				this.loads.set(backend.key, {
-					backend, assignments: new Map(), cache: new PrefixCache(), busyUntilMs: nowMs, memoryTokens: 0,
+					backend, assignments: new Map(), cache: new PrefixCache(), busyUntilMs: nowMs, memoryTokens: 0, failures: [],
 				});
 			}
 		}
@@ -132,7 +140,12 @@
 
 	/** Records the end of an assigned request, and assigns waiting ones to the room that it leaves. */
 	end(end: AssignmentEnd, nowMs: number): AssignmentDecision[] {
+		const load = this.assignedTo.get(keyOf(end));
 		const assignment = this.take(end, end.result, nowMs);
+		if (load && (end.result === AssignmentResult.Failed || end.result === AssignmentResult.Rejected)) {
+			load.failures.push(nowMs);
+		}
+
 		if (assignment && end.result === AssignmentResult.Completed) {
 			this.learn(assignment, end.firstEventMs, nowMs);
 		}
@@ -160,7 +173,7 @@
 
 		for (const load of this.loads.values()) {
 			for (const {id} of [...load.assignments.values()].filter(assignment => isDropped(assignment.id))) {
-				this.take(id, AssignmentResult.Failed, nowMs);
+				this.take(id, AssignmentResult.Abandoned, nowMs);
 			}
 		}
 
@@ -171,7 +184,7 @@
 	expire(nowMs: number): AssignmentDecision[] {
 		for (const load of this.loads.values()) {
 			for (const {id} of [...load.assignments.values()].filter(({expiresAtMs}) => expiresAtMs <= nowMs)) {
-				this.take(id, AssignmentResult.Failed, nowMs);
+				this.take(id, AssignmentResult.Abandoned, nowMs);
 			}
 		}
 
@@ -189,10 +202,28 @@
 		return this.queue.isEmpty ? undefined : queueCheckMs;
 	}
 
-	/** Returns the shortest wait of a request that is not urgent, in milliseconds, by which daemons choose among groups. */
-	waitMs(nowMs: number): number {
+	/** Returns the wait that a request of a priority would meet, in milliseconds, by which daemons choose among groups. */
+	waitMs(priority: number, nowMs: number): number {
 		const waits = [...this.loads.values()].map(load => this.waitAt(load, nowMs));
-		return Math.round(Math.max(0, Math.min(...waits, Number.MAX_SAFE_INTEGER)) + this.drainMs(this.queuedWorkMs()));
+		return Math.round(Math.min(...waits, Number.MAX_SAFE_INTEGER) + this.drainMs(this.queuedWorkMs(priority)));
+	}
+
+	/** Returns the number of requests assigned to a backend server. */
+	assigned(key: number): number {
+		return this.loads.get(key)?.assignments.size ?? 0;
+	}
+
+	/** Returns the present predictions for all waiting requests, which tell their daemons that the coordinator is alive. */
+	queuedDecisions(nowMs: number): AssignmentDecision[] {
+		let workAheadMs = 0;
+		return this.queue.ordered(nowMs).map(entry => {
+			const {daemon, incarnation, id} = entry.request;
+			const expectedMs = Math.round(this.predictQueued(entry, workAheadMs, nowMs));
+			workAheadMs += entry.workMs;
+			return {
+				daemon, incarnation, id, kind: AssignmentKind.Queued, expectedMs,
+			};
+		});
 	}
 
 	/** Tells what would be decided on a request now; changes nothing. */
@@ -208,7 +239,7 @@
 	toJson(nowMs: number): unknown {
 		return {
 			queued: this.queue.size,
-			waitMs: this.waitMs(nowMs),
+			waitMs: this.waitMs(Number.POSITIVE_INFINITY, nowMs),
 			backends: [...this.loads.values()].map(({backend, assignments, busyUntilMs, memoryTokens}) => ({
 				...backend, assigned: assignments.size, backlogMs: Math.round(Math.max(0, busyUntilMs - nowMs)), memoryTokens,
 			})),
@@ -304,6 +335,7 @@
 		let best: AssignmentCandidate | undefined;
 		let bestCost = Number.POSITIVE_INFINITY;
 		let mostCached: AssignmentCandidate | undefined;
+		this.dropOldFailures(nowMs);
 		for (const load of this.loads.values()) {
 			const candidate = this.candidate(load, request, nowMs - queuedAtMs, nowMs);
 			const {terms} = candidate;
@@ -312,7 +344,7 @@
 				continue;
 			}
 
-			const cost = terms.waitMs + ((terms.predictedMs - terms.waitMs) * workWeight);
+			const cost = terms.waitMs + ((terms.predictedMs - terms.waitMs) * workWeight) + (load.failures.length * failureCostMs);
 			if (cost < bestCost || (cost === bestCost && terms.inFlight < best!.terms.inFlight)) {
 				best = candidate;
 				bestCost = cost;
@@ -345,7 +377,7 @@
 	}
 
 	/** Returns why a request may not go to a backend server now. */
-	private findExclusion({backend, assignments, memoryTokens}: BackendLoad, request: AssignmentRequest, waitMs: number, nowMs: number): string | undefined {
+	private findExclusion({backend, assignments, memoryTokens, failures}: BackendLoad, request: AssignmentRequest, waitMs: number, nowMs: number): string | undefined {
 		const inFlight = assignments.size + backend.inFlightElsewhere;
 		if (request.excluded.includes(backend.key)) {
 			return 'excluded';
@@ -355,6 +387,10 @@
 			return 'no slot';
 		}
 
+		if (failures.length >= maxFailures && [...this.loads.values()].some(other => other.failures.length === 0)) {
+			return 'failing';
+		}
+
 		if (!backend.isEngine || inFlight === 0) {
 			return undefined;
 		}
@@ -366,6 +402,12 @@
 		return waitMs > this.maxBacklogMs(request.priority, nowMs) ? 'backlog' : undefined;
 	}
 
+	private dropOldFailures(nowMs: number): void {
+		for (const load of this.loads.values()) {
+			load.failures = load.failures.filter(atMs => nowMs - atMs < failureMaxAgeMs);
+		}
+	}
+
 	/** Returns the longest backlog of an engine to which a request of this priority may be added, in milliseconds. */
 	private maxBacklogMs(priority: number, nowMs: number): number {
 		let shortestMs = Number.POSITIVE_INFINITY;
@@ -399,10 +441,11 @@
 		return Math.min(...waits) + this.drainMs(workAheadMs) + entry.workMs;
 	}
 
-	private queuedWorkMs(): number {
+	/** Returns the work of the waiting requests of this or a more urgent priority, in milliseconds of one backend server. */
+	private queuedWorkMs(priority: number): number {
 		let workMs = 0;
 		for (const entry of this.queue.values()) {
-			workMs += entry.workMs;
+			workMs += entry.request.priority <= priority ? entry.workMs : 0;
 		}
 
 		return workMs;
@@ -420,7 +463,7 @@
 
 	/** Returns when a refused client may come back: once what waits now is done, one after the other at the rate at which room comes free. */
 	private retryAfterMs(entry: QueuedRequest, nowMs: number): number {
-		const freeAtMs = nowMs + Math.max(minRetryAfterMs, this.drainMs(this.queuedWorkMs()));
+		const freeAtMs = nowMs + Math.max(minRetryAfterMs, this.drainMs(this.queuedWorkMs(entry.request.priority)));
 		return Math.ceil(Math.max(freeAtMs, this.lastReturnAtMs + this.drainMs(entry.workMs)) - nowMs);
 	}
 
--- a/src/coordination/assignment/assignment-queue.ts
+++ b/src/coordination/assignment/assignment-queue.ts
@@ -3,8 +3,8 @@
  * these, those that can still meet their latency target, those that came back after a refusal,
  * the account that has received least, and the earliest target.
  */
+import {type AssignmentId, type AssignmentRequest} from '../../protocol/assignment.js';
 import {AccountShares} from './account-shares.js';
-import {type AssignmentId, type AssignmentRequest} from './assignment.js';
 
 /** A request that waits. */
 export type QueuedRequest = {
--- a/src/coordination/fleet/__fixtures__/test-net.ts
+++ b/src/coordination/fleet/__fixtures__/test-net.ts
@@ -21,6 +21,10 @@
 import {FleetRetryBudget} from '../../fleet-retry-budget.js';
 import {Reachability} from '../../reachability.js';
 import {Rollouts} from '../../rollout/rollouts.js';
+import {AssignmentExchange} from '../../assignment/assignment-exchange.js';
+import {isInGroup} from '../../assignment/assignment-groups.js';
+import {BackendPaces} from '../../paces/backend-paces.js';
+import {backendKey} from '../backend-key.js';
 import {SlotExchange} from '../../slots/slot-exchange.js';
 import {StatedLimits} from '../../stated-limits.js';
 import {ServiceVersions} from '../../stream-origins/service-versions.js';
@@ -62,6 +66,10 @@
 	readonly statedLimits: StatedLimits;
 	readonly tolerances = new OverloadTolerances();
 	readonly slots: SlotExchange;
+	readonly paces = new BackendPaces();
+	/** Whether coordinators assign requests; the services are those of the listed backend servers, which are plain ones. */
+	isAssigning = false;
+	readonly assignments: AssignmentExchange;
 	readonly retryBudget: FleetRetryBudget;
 	readonly demandShare: DemandShare;
 	readonly reachability = new Reachability(() => 0);
@@ -122,6 +130,20 @@
 		this.slots = new SlotExchange({
 			tolerances: this.tolerances, fleet: this.fleet, clock, name, createSender: nowMs => this.messenger.sender(nowMs), random: () => net.random(),
 		});
+		this.assignments = new AssignmentExchange({
+			activation: {isActive: () => this.isAssigning},
+			services: () => this.backends.services(),
+			backends: ({service, failureDomain: domain}, nowMs) => this.backends.candidates(service, nowMs).filter(backend => isInGroup({service, failureDomain: domain}, backend)),
+			inFlight: ({id}, nowMs) => this.placement.expectedLoad(id, this.fleet.inFlight(backendKey(id), nowMs), nowMs).inFlight,
+			engine: () => undefined,
+			paces: this.paces,
+			fleet: this.fleet,
+			clock,
+			name,
+			incarnation,
+			failureDomain,
+			createSender: nowMs => this.messenger.sender(nowMs),
+		});
 		this.versions = new ServiceVersions({
 			backends: this.backends, viewAgeMs: () => 0, startedAtMs, isFirstStart: net.isFirstStart,
 		});
@@ -134,7 +156,7 @@
 		this.messenger = new FleetMessenger({
 			settings: {
 				name, failureDomain, host, peerPort: 1, bounds: {quotaWindowMs: net.bounds.windowMs, retryWindowMs: retryLimits.windowMs},
-			}, incarnation, store: net.store, logEra: this.logEra, fleet: this.fleet, sharedUse, usage: this.usage, placement: this.placement, lease: this.lease, bounds: this.bounds, quarantine: this.quarantine, quarantineRecord: this.quarantineRecord, statedLimits: this.statedLimits, tolerances: this.tolerances, slots: this.slots, rollouts: this.rollouts, reachability: this.reachability, streamOrigins: this.originExchange, streamOriginRecord: this.originRecord, topics: this.topics, clock, startedAtMs,
+			}, incarnation, store: net.store, logEra: this.logEra, fleet: this.fleet, sharedUse, usage: this.usage, placement: this.placement, lease: this.lease, bounds: this.bounds, quarantine: this.quarantine, quarantineRecord: this.quarantineRecord, statedLimits: this.statedLimits, tolerances: this.tolerances, slots: this.slots, assignments: this.assignments, rollouts: this.rollouts, reachability: this.reachability, streamOrigins: this.originExchange, streamOriginRecord: this.originRecord, topics: this.topics, clock, startedAtMs,
 		});
 		this.messenger.open({
 			send: (message, to) => {
--- a/src/coordination/fleet/__tests__/overload-tolerance-updates.test.ts
+++ b/src/coordination/fleet/__tests__/overload-tolerance-updates.test.ts
@@ -71,7 +71,7 @@
 }
 
 /** Asks for a slot of a backend server, for a request that may take long. */
-function requestSlot(daemon: TestDaemon, {id, slots}: {id: string; slots: number}, nowMs: number, onDecision: (lease: SlotLease | undefined) => void): void { // eslint-disable-line max-params
+function requestSlot(daemon: TestDaemon, {id, slots}: {id: string; slots: number}, nowMs: number, onDecision: (lease: SlotLease | undefined) => void): void {
 	daemon.slots.leases.request({id, service: 's', slots}, 10_000, nowMs, onDecision);
 }
 
--- a/src/coordination/fleet/fleet-messenger.ts
+++ b/src/coordination/fleet/fleet-messenger.ts
@@ -14,6 +14,7 @@
 import {type SteadyClock} from '../../clock.js';
 import {type LogEra} from '../../state/log-era.js';
 import {type MessageSender} from '../../transport/datagram-link.js';
+import {type AssignmentExchange} from '../assignment/assignment-exchange.js';
 import {type DutyLease} from '../duty-lease.js';
 import {type OverloadTolerances} from '../overload-tolerances.js';
 import {type Placement} from '../placement.js';
@@ -93,6 +94,7 @@
 	statedLimits: StatedLimits;
 	tolerances: OverloadTolerances;
 	slots: Pick<SlotExchange, 'open' | 'receive' | 'sendRound'>;
+	assignments: Pick<AssignmentExchange, 'open' | 'receive' | 'sendRound'>;
 	rollouts: Rollouts;
 	reachability: Reachability;
 	streamOrigins: Pick<StreamOriginExchange, 'open' | 'receive'>;
@@ -153,6 +155,7 @@
 		this.link = link;
 		this.parts.streamOrigins.open(link);
 		this.parts.slots.open(link);
+		this.parts.assignments.open(link);
 	}
 
 	/** The counts of daemons by which limits are shared. */
@@ -172,6 +175,7 @@
 		this.peerCounter.count(nowMs);
 		this.sendBackendUpdates(role, nowMs);
 		this.parts.slots.sendRound(nowMs);
+		this.parts.assignments.sendRound(nowMs);
 		if (role === FleetRole.Mesh) {
 			this.link?.send(this.createReport(this.digests.own(), false, nowMs), fleet.addresses(false, nowMs));
 			this.queryPeers(nowMs);
@@ -197,7 +201,7 @@
 		const {fleet, sharedUse, lease, rollouts, clock} = this.parts;
 		const nowMs = clock.now();
 		// In a large fleet, only a few daemons receive these updates from their origin, so relays forward them.
-		if (this.backendUpdates.receive(message, fleet.roleAt(nowMs) === FleetRole.Relay, nowMs) || this.parts.slots.receive(message, nowMs) || this.parts.streamOrigins.receive(message, nowMs)) {
+		if (this.backendUpdates.receive(message, fleet.roleAt(nowMs) === FleetRole.Relay, nowMs) || this.parts.slots.receive(message, nowMs) || this.parts.assignments.receive(message, nowMs) || this.parts.streamOrigins.receive(message, nowMs)) {
 			return;
 		}
 
--- a/src/coordination/serving/backend-selector.ts
+++ b/src/coordination/serving/backend-selector.ts
@@ -90,7 +90,7 @@
 	}
 
 	/** Whether a request tests the version that is being rolled out. Only first attempts do: a request that failed must not meet an untested version again. */
-	private isCanary(served: ServedRequest): boolean {
+	isCanary(served: ServedRequest): boolean {
 		if (served.attempts.length > 0) {
 			return false;
 		}
--- a/src/coordination/serving/dispatcher.ts
+++ b/src/coordination/serving/dispatcher.ts
@@ -10,9 +10,12 @@
 import {type BackendResponse, type BackendConnectionPool, sendBackendRequest} from '../../transport/backend-connection-pool.js';
 import {ConnectError} from '../../transport/errors.js';
 import {createLogger} from '../../log.js';
+import {AssignmentResult} from '../../protocol/assignment.js';
+import {type Assignment} from '../assignment/assignment-exchange.js';
 import {type Cooldowns} from '../cooldowns.js';
 import {type FleetTable} from '../fleet/fleet-table.js';
 import {type OverloadTolerances} from '../overload-tolerances.js';
+import {type BackendPaces} from '../paces/backend-paces.js';
 import {type PlacementChoice, type Placement, type RunningRequest} from '../placement.js';
 import {type CrashWatch, type EndedRun} from '../quarantine/crash-watch.js';
 import {type Quarantine} from '../quarantine/quarantine.js';
@@ -27,6 +30,7 @@
 import {type PeerProxy} from './peer-proxy.js';
 import {hasRestarted} from './restart-check.js';
 import {type Attempt, type ServedRequest} from './served-request.js';
+import {AssignedAttempt, type RequestAssignment, toChoice} from './request-assignment.js';
 import {RetryReservations} from './retry-reservations.js';
 
 const log = createLogger('dispatch');
@@ -77,6 +81,8 @@
 	metadata: AnswerMetadata;
 	running: RunningRequest;
 	attempt: Attempt;
+	/** Reports the attempt to the coordinator that assigned it, if one did. */
+	assignedAttempt?: AssignedAttempt;
 	/** Closes the connection. */
 	abort: AbortController;
 };
@@ -113,6 +119,8 @@
 	cooldowns: Cooldowns;
 	tolerances: OverloadTolerances;
 	slots: Pick<SlotExchange, 'acquire' | 'leases'>;
+	assignment: Pick<RequestAssignment, 'isWanted' | 'assign'>;
+	paces: Pick<BackendPaces, 'note'>;
 	rollouts: Rollouts;
 	reachability: Reachability;
 	peerProxy: PeerProxy;
@@ -135,7 +143,25 @@
 	async send(served: ServedRequest, options: DispatchOptions): Promise<StartedAnswer | FailedDispatch> {
 		await served.crashCheck;
 		const {selector, reservations} = this;
-		let preselected = options.target ? {backend: options.target, costMs: 0, copyFrom: undefined} : served.reservation?.choice;
+		const assigned = this.isAssigned(served, options) ? await this.dependencies.assignment.assign(served) : undefined;
+		if (assigned?.kind === 'refused') {
+			served.refusalRetryAfterMs = assigned.retryAfterMs;
+			return {kind: DispatchKind.NoBackend, reason: assigned.reason};
+		}
+
+		let assignment = assigned?.kind === 'assigned' ? assigned.assignment : undefined;
+		if (assigned && (served.inputs.signal.aborted || options.signal?.aborted)) {
+			assignment?.end(AssignmentResult.NotSent);
+			return {kind: DispatchKind.NotRun, reason: 'cancelled before it was sent'};
+		}
+
+		let preselected: Pick<PlacementChoice, 'backend' | 'costMs' | 'copyFrom'> | undefined = served.reservation?.choice;
+		if (options.target) {
+			preselected = {backend: options.target, costMs: 0, copyFrom: undefined};
+		} else if (assignment) {
+			preselected = toChoice(assignment);
+		}
+
 		let isRateLimitCharged = served.reservation?.isRateLimitCharged ?? false;
 		let slotRequests = 0;
 		for (;;) {
@@ -148,6 +174,11 @@
 			const choice = isPreselectedUsable ? preselected : selector.select(served);
 			isRateLimitCharged &&= isPreselectedUsable;
 			preselected = undefined;
+			if (!isPreselectedUsable) {
+				assignment?.end(AssignmentResult.NotSent);
+				assignment = undefined;
+			}
+
 			if (!choice) {
 				return {kind: DispatchKind.NoBackend, reason: served.version === undefined ? 'no backend server left' : `no backend server of version ${served.version} left`};
 			}
@@ -160,6 +191,8 @@
 			// eslint-disable-next-line no-await-in-loop -- one backend server after the other.
 			const slot = await this.takeSlot(served, choice.backend, hasFixedTarget, isRateLimitCharged);
 			if (!slot) {
+				assignment?.end(AssignmentResult.NotSent);
+				assignment = undefined;
 				slotRequests++;
 				if (hasFixedTarget || slotRequests >= maxSlotRequests || served.inputs.signal.aborted || options.signal?.aborted) {
 					return {kind: DispatchKind.NoBackend, backend: choice.backend, reason: 'no backend server has a free slot'};
@@ -189,7 +222,8 @@
 
 			isRateLimitCharged = false;
 			// eslint-disable-next-line no-await-in-loop -- one backend server after the other.
-			const result = await this.sendTo(served, choice, options, slot);
+			const result = await this.sendTo(served, choice, options, {slot, assignment});
+			assignment = undefined;
 			if (result.kind !== DispatchKind.NotRun || (result.reason !== unreachableReason && result.reason !== restartedReason)) {
 				return result;
 			}
@@ -206,6 +240,11 @@
 		}
 	}
 
+	/** Whether a coordinator decides where an attempt goes. */
+	isAssigned(served: ServedRequest, {target}: Pick<DispatchOptions, 'target'> = {}): boolean {
+		return target === undefined && this.dependencies.assignment.isWanted(served) && !this.selector.isCanary(served);
+	}
+
 	/** Whether an answer that has ended is whole: one without length and chunks also ends so if its backend server crashes. */
 	async isWhole({answer, backend}: StartedAnswer): Promise<boolean> {
 		return !answer.isEndedByClose || !await this.dependencies.crashWatch.hasJustCrashed(backend);
@@ -271,7 +310,7 @@
 		return deliveries === 0 && !inputs.isProxied && (hasTriedAll || isSpread(unreachedDomains, candidates)) && peerProxy.isAvailable(inputs.service, nowMs);
 	}
 
-	private async sendTo(served: ServedRequest, choice: Pick<PlacementChoice, 'backend' | 'costMs' | 'copyFrom'>, options: DispatchOptions, slot: SlotLease): Promise<StartedAnswer | FailedDispatch> {
+	private async sendTo(served: ServedRequest, choice: Pick<PlacementChoice, 'backend' | 'costMs' | 'copyFrom'>, options: DispatchOptions, {slot, assignment}: {slot: SlotLease; assignment: Assignment | undefined}): Promise<StartedAnswer | FailedDispatch> {
 		const {backend, costMs, copyFrom} = choice;
 		const {
 			dialect, placement, pool, reachability, crashWatch, clock,
@@ -279,6 +318,7 @@
 		const {request, account, body, signal} = served.inputs;
 		if (await this.isReplaced(served, backend)) {
 			slot.end(SlotEnd.Free, clock.now());
+			assignment?.end(AssignmentResult.NotSent);
 			served.excluded.add(backend.id);
 			return {kind: DispatchKind.NotRun, backend, reason: restartedReason};
 		}
@@ -294,9 +334,11 @@
 		const timer = setTimeout(cancel, options.firstByteTimeoutMs);
 		const clearSoftTimeout = this.startSoftTimeout(served, backend.id, options, cancel);
 		const endWaiting = reachability.noteSent(backend, sentAtMs);
+		const assignedAttempt = assignment && new AssignedAttempt(assignment, sentAtMs);
 		let describeSlotEnd = () => SlotEnd.Unanswered;
 		const running = placement.begin(backend.id, request.promptTokens ?? 0, request.promptParts, sentAtMs, () => {
 			slot.end(describeSlotEnd(), clock.now());
+			assignedAttempt?.end();
 		});
 		const attempt: Attempt = {
 			backendId: backend.id, version: backend.version, costMs: Math.round(costMs), sentAfterMs: Math.round(sentAtMs - served.inputs.arrivedAtMs), result: 'sent',
@@ -336,7 +378,7 @@
 			describeSlotEnd = () => answer.isComplete ? SlotEnd.Free : SlotEnd.Broken;
 			served.deliveries++;
 			return this.classifyAnswer(served, {
-				backend, answer, running, attempt, abort,
+				backend, answer, running, attempt, abort, assignedAttempt,
 			}, options, fail);
 		} catch (error) {
 			const endedAtMs = clock.now();
@@ -348,6 +390,7 @@
 					reachability.noteUnreached(backend, crashWatch.runningBackends(backend.service, endedAtMs), endedAtMs);
 				}
 
+				assignedAttempt?.noteFailure(AssignmentResult.Failed);
 				log.debug('connection to the backend server failed.', {backend: backend.id, error: String(error)});
 				return fail({kind: DispatchKind.NotRun, reason: unreachableReason}, SlotEnd.Free);
 			}
@@ -357,6 +400,7 @@
 			served.runs++;
 			if (!signal.aborted && !options.signal?.aborted) {
 				placement.noteFailure(backend.id, clock.now());
+				assignedAttempt?.noteFailure(AssignmentResult.Failed);
 			}
 
 			if (!abort.signal.aborted) {
@@ -426,14 +470,17 @@
 		options: DispatchOptions,
 		fail: (failure: FailedDispatch, slotEnd: SlotEnd) => FailedDispatch,
 	): StartedAnswer | FailedDispatch {
-		const {dialect, backends, placement, cooldowns, clock} = this.dependencies;
-		const {backend, answer, attempt} = started;
+		const {dialect, backends, placement, cooldowns, paces, clock} = this.dependencies;
+		const {backend, answer, attempt, assignedAttempt} = started;
 		const metadata = dialect.readAnswer(answer.response.headers);
 		attempt.stated = describeStatements(metadata);
 		const nowMs = clock.now();
 		if (metadata.load) {
 			placement.noteLoad(backend.id, metadata.load, nowMs);
 			this.dependencies.slots.leases.noteLoad(backend.id, metadata.load.running + metadata.load.waiting, nowMs);
+			if (metadata.load.pacePercent !== undefined) {
+				paces.note(backend, metadata.load.pacePercent, nowMs);
+			}
 		}
 
 		if (metadata.isLeaving && answer.status !== misdirectedRequestStatus && backends.noteStatedLeaving(backend.id, clock.wallTimeMs(), nowMs)) {
@@ -461,6 +508,7 @@
 				placement.noteFailure(backend.id, nowMs);
 			}
 
+			assignedAttempt?.noteFailure(answer.status === misdirectedRequestStatus ? AssignmentResult.NotSent : AssignmentResult.Rejected);
 			answer.response.resume();
 			return fail({kind: DispatchKind.NotRun, reason: `refused with ${answer.status}`}, answer.status === unavailableStatus ? SlotEnd.Refused : SlotEnd.Free);
 		}
@@ -470,10 +518,12 @@
 		served.runs += options.kvSource === undefined ? 1 : 0;
 		if (!isValid) {
 			placement.noteFailure(backend.id, nowMs);
+			assignedAttempt?.noteFailure(AssignmentResult.Failed);
 			answer.destroy();
 			return fail({kind: DispatchKind.Unknown, reason: `not its answer (status ${answer.status})`}, SlotEnd.Broken);
 		}
 
+		assignedAttempt?.noteAnswer(answer.status, metadata.load, nowMs);
 		this.noteVersionOutcome(served, backend, answer.status, options);
 		return {...started, kind: DispatchKind.Answer, metadata};
 	}
--- a/src/coordination/serving/forwarder.ts
+++ b/src/coordination/serving/forwarder.ts
@@ -316,7 +316,7 @@
 	private async serveStream(served: ServedRequest, front: FrontRequest): Promise<void> {
 		const {dispatcher, registry, clock} = this.dependencies;
 		const nowMs = clock.now();
-		const choice = dispatcher.selector.select(served);
+		const choice = dispatcher.isAssigned(served) ? undefined : dispatcher.selector.select(served);
 		if (choice && choice.waitMs > served.remainingMs(nowMs) * maxWaitShare) {
 			this.refuseServed(served, front, `would wait ${Math.round(choice.waitMs)} ms`);
 			return;
@@ -372,7 +372,7 @@
 	private refuseServed(served: ServedRequest, front: FrontRequest, reason: string): void {
 		const {dispatcher, clock} = this.dependencies;
 		const nowMs = clock.now();
-		const retryAfterMs = chooseRetryAfterMs(served.remainingMs(nowMs), dispatcher.selector.waitMs(served, nowMs) ?? outageRetryAfterMs);
+		const retryAfterMs = served.refusalRetryAfterMs ?? chooseRetryAfterMs(served.remainingMs(nowMs), dispatcher.selector.waitMs(served, nowMs) ?? outageRetryAfterMs);
 		writeRefusal(front.response, 503, reason, retryAfterMs);
 		this.recordOutcome(served, Outcome.Refused, {status: 503, reason});
 	}
@@ -397,6 +397,7 @@
 
 		log.info(`${outcome}.`, {
 			request: request.id, route: route.name, account: account?.name, service, ...details, ms: Math.round(nowMs - arrivedAtMs), configVersion, viewAgeMs: Math.round(configView.ageMs(nowMs)),
+			assignment: served.assignment,
 			attempts: served.attempts.map(attempt => describeAttempt(attempt)),
 			resumes: request.lastEventId === undefined ? undefined : `${request.resumedRequestId ?? 'an unnamed attempt'} after event ${request.lastEventId}`,
 			originSource: served.originSource,
--- a/src/coordination/serving/request-metrics.ts
+++ b/src/coordination/serving/request-metrics.ts
@@ -6,6 +6,8 @@
 	recordRequest(route: string, outcome: string, seconds: number): void;
 	/** Counts a finished stream: `start` is `new`, or how the version became known of one that a client took up. */
 	recordStream(start: string, hasEvents: boolean): void;
+	/** Counts the outcome of asking a coordinator for a backend server, and how long that took. */
+	recordAssignment(service: string, outcome: string, seconds: number): void;
 };
 
 /** Forwards counts to metrics that are loaded after the first requests; requests before that appear in the log only. */
@@ -19,4 +21,8 @@
 	recordStream(start: string, hasEvents: boolean): void {
 		this.target?.recordStream(start, hasEvents);
 	}
+
+	recordAssignment(service: string, outcome: string, seconds: number): void {
+		this.target?.recordAssignment(service, outcome, seconds);
+	}
 }
--- a/src/coordination/serving/served-request.ts
+++ b/src/coordination/serving/served-request.ts
@@ -91,6 +91,10 @@
 	originSource: OriginSource | undefined;
 	/** Whether other daemons know this version. */
 	isOriginShared = false;
+	/** How it was assigned to a backend server, for the log line; undefined if it was placed by this daemon alone. */
+	assignment: string | undefined;
+	/** When its client may come back, in milliseconds from its refusal; set if a coordinator refused it. */
+	refusalRetryAfterMs: number | undefined;
 	/** Whether it has been counted for the usage reports. */
 	isUsageCounted = false;
 	/** Resolves once it is known whether the backend server at which its last run broke off has crashed. */
--- a/src/coordination/serving/serving-metrics.ts
+++ b/src/coordination/serving/serving-metrics.ts
@@ -8,6 +8,9 @@
 /** Upper bounds of the latency buckets, in seconds: around the targets of 0.1 to 1.5 s and the deadlines of 0.6 to 15 s. */
 const latencyBucketsSeconds = [0.01, 0.025, 0.05, 0.1, 0.15, 0.25, 0.5, 0.8, 1.2, 2, 3, 5, 8, 15];
 
+/** Upper bounds of the buckets of the wait for an assignment, in seconds: from a round trip within a failure domain to the longest wait in a queue. */
+const assignmentBucketsSeconds = [0.001, 0.002, 0.005, 0.01, 0.025, 0.06, 0.15, 0.4, 1, 3];
+
 /** The daemon's state that is read at each scrape. */
 export type ServingState = {
 	openRequests: () => number;
@@ -20,6 +23,8 @@
 	private readonly finished: Counter;
 	private readonly latency: Histogram;
 	private readonly streams: Counter;
+	private readonly assignments: Counter;
+	private readonly assignmentWait: Histogram;
 
 	constructor(registry: Registry, state: ServingState) {
 		this.finished = new Counter({
@@ -31,6 +36,12 @@
 		this.streams = new Counter({
 			name: 'sesametally_streams_total', help: 'Streams by how they started (new, or the source of the version of one that a client took up) and whether the daemon delivered events of them.', labelNames: ['start', 'events'], registers: [registry],
 		});
+		this.assignments = new Counter({
+			name: 'sesametally_assignments_total', help: 'Requests for which a coordinator was asked for a backend server, by outcome.', labelNames: ['service', 'result'], registers: [registry],
+		});
+		this.assignmentWait = new Histogram({
+			name: 'sesametally_assignment_wait_seconds', help: 'Time until a coordinator assigned or refused, or was given up.', labelNames: ['service'], buckets: assignmentBucketsSeconds, registers: [registry],
+		});
 		const open = new Gauge({
 			name: 'sesametally_requests_open',
 			help: 'Requests being served.',
@@ -72,4 +83,9 @@
 	recordStream(start: string, hasEvents: boolean): void {
 		this.streams.inc({start, events: String(hasEvents)});
 	}
+
+	recordAssignment(service: string, outcome: string, seconds: number): void {
+		this.assignments.inc({service, result: outcome});
+		this.assignmentWait.observe({service}, seconds);
+	}
 }
--- a/src/coordination/assignment/assignment.ts
+++ b/src/protocol/assignment.ts
@@ -2,7 +2,7 @@
  * The messages between the daemons that ask for a backend server and the coordinator of a group
  * of backend servers, and what the coordinator's decision was based on.
  */
-import {type PromptPart, type ReportedLoad} from '../../protocol/serving.js';
+import {type PromptPart, type ReportedLoad} from './serving.js';
 
 /** Identifies a request to a coordinator. */
 export type AssignmentId = {
@@ -74,26 +74,32 @@
 	paceFactor: number;
 };
 
-/** The decision on one request. */
-export type AssignmentDecision = AssignmentId & (
+/** The decision on one request of a daemon. */
+export type AssignmentAnswer = {id: number} & (
 	| {kind: AssignmentKind.Assigned; backend: number; copyFrom: number | undefined; terms: AssignmentTerms}
 	| {kind: AssignmentKind.Queued; expectedMs: number}
 	| {kind: AssignmentKind.Refused; retryAfterMs: number; reason: string}
 );
 
+/** The decision on a request of any daemon. */
+export type AssignmentDecision = AssignmentId & AssignmentAnswer;
+
 /** How an assigned request ended. */
 export enum AssignmentResult {
 	Completed = 'completed',
 	/** The backend server refused it for want of room. */
 	Rejected = 'rejected',
-	/** It failed, broke off, or its client left. */
+	/** The backend server failed it, or accepted no connection. */
 	Failed = 'failed',
+	/** The daemon gave it up, for example since its client left. */
+	Abandoned = 'abandoned',
 	/** It was not sent to the assigned backend server. */
 	NotSent = 'not-sent',
 }
 
 /** The end of an assigned request. */
 export type AssignmentEnd = AssignmentId & {
+	backend: number;
 	result: AssignmentResult;
 	/** Time from sending the request to the first event, or to the answer of a plain call, in milliseconds. */
 	firstEventMs?: number;
@@ -111,3 +117,37 @@
 
 /** What the coordinator would decide on a request now. */
 export type AssignmentExplanation = {decision: AssignmentDecision; candidates: AssignmentCandidate[]; queued: number};
+
+/** Whether a value is a request to a coordinator; anyone can send a datagram. */
+export function isAssignmentRequest(value: unknown): boolean {
+	const {id, account, accountWeight, priority, cost, targetMs, remainingMs, route, promptTokens, promptParts, excluded, returnKey} = (value ?? {}) as Partial<AssignmentRequest>;
+	return Number.isSafeInteger(id) && isOptionalString(account) && isOptionalString(returnKey) && typeof route === 'string'
+		&& [accountWeight, priority, cost, targetMs, remainingMs, promptTokens].every(number => Number.isFinite(number))
+		&& Array.isArray(excluded) && excluded.every(key => Number.isSafeInteger(key))
+		&& Array.isArray(promptParts) && (promptParts as Array<Partial<PromptPart> | undefined>).every(part => typeof part?.id === 'string' && Number.isFinite(part.tokens));
+}
+
+/** Whether a value is a list of decisions. */
+export function isAssignmentAnswers(value: unknown): boolean {
+	return Array.isArray(value) && (value as Array<Record<string, unknown> | undefined>).every(answer => Number.isSafeInteger(answer?.id) && isAnswerOfItsKind(answer!));
+}
+
+/** Whether a value is a list of the ends of assigned requests. */
+export function isAssignmentEnds(value: unknown): boolean {
+	return Array.isArray(value) && (value as Array<Partial<AssignmentEnd> | undefined>).every(end => Number.isSafeInteger(end?.id) && Number.isSafeInteger(end!.backend)
+		&& Object.values(AssignmentResult).includes(end!.result!)
+		&& (end!.firstEventMs === undefined || Number.isFinite(end!.firstEventMs))
+		&& (end!.load === undefined || [end!.load?.running, end!.load?.waiting, end!.load?.slots].every(number => Number.isFinite(number))));
+}
+
+function isAnswerOfItsKind({kind, backend, copyFrom, terms, expectedMs, retryAfterMs, reason}: Record<string, unknown>): boolean {
+	if (kind === AssignmentKind.Assigned) {
+		return Number.isSafeInteger(backend) && (copyFrom === undefined || Number.isSafeInteger(copyFrom)) && Object.values((terms ?? {}) as AssignmentTerms).every(number => Number.isFinite(number));
+	}
+
+	return kind === AssignmentKind.Queued ? Number.isFinite(expectedMs) : kind === AssignmentKind.Refused && Number.isFinite(retryAfterMs) && typeof reason === 'string';
+}
+
+function isOptionalString(value: unknown): boolean {
+	return value === undefined || typeof value === 'string';
+}
--- a/src/protocol/fleet-messages.ts
+++ b/src/protocol/fleet-messages.ts
@@ -5,6 +5,9 @@
  * no resending.
  */
 
+import {
+	type AssignmentAnswer, type AssignmentEnd, type AssignmentId, type AssignmentRequest, isAssignmentAnswers, isAssignmentEnds, isAssignmentRequest,
+} from './assignment.js';
 import {type LogPosition} from './log-position.js';
 import {type Topic} from './platform.js';
 
@@ -21,6 +24,10 @@
 	Tolerances = 'tolerances',
 	SlotClaim = 'slot-claim',
 	SlotDecision = 'slot-decision',
+	AssignmentRequest = 'assignment-request',
+	AssignmentDecision = 'assignment-decision',
+	AssignmentEnd = 'assignment-end',
+	AssignmentWithdrawal = 'assignment-withdrawal',
 	StreamOrigins = 'stream-origins',
 	StreamOriginQuery = 'stream-origin-query',
 	StreamOriginAnswer = 'stream-origin-answer',
@@ -197,6 +204,35 @@
 	retryAfterMs: number;
 };
 
+/** A group of backend servers of a service, which one daemon coordinates. */
+export type GroupName = {service: string; failureDomain: string | undefined};
+
+/** Asks the coordinator of a group for a backend server for a request. */
+export type AssignmentRequestMessage = {
+	kind: FleetMessageKind.AssignmentRequest;
+	sender: Sender;
+	group: GroupName;
+	request: Omit<AssignmentRequest, keyof AssignmentId> & {id: number};
+};
+
+/** What a coordinator decided on requests of the receiver. */
+export type AssignmentDecisionMessage = {
+	kind: FleetMessageKind.AssignmentDecision;
+	sender: Sender;
+	group: GroupName;
+	decisions: AssignmentAnswer[];
+	/** Ids of requests on which the sender does not decide, since it is not the coordinator, or not yet. */
+	declined: number[];
+	/** The wait that a request of a priority would meet now, in milliseconds; undefined if it is not stated. */
+	wait: {priority: number; ms: number} | undefined;
+};
+
+/** Reports the ends of assigned requests. */
+export type AssignmentEndMessage = {kind: FleetMessageKind.AssignmentEnd; sender: Sender; group: GroupName; ends: Array<Omit<AssignmentEnd, 'daemon' | 'incarnation'>>};
+
+/** Withdraws requests that wait. */
+export type AssignmentWithdrawal = {kind: FleetMessageKind.AssignmentWithdrawal; sender: Sender; group: GroupName; ids: number[]};
+
 /** A roll-out in the phase that the duty holder has committed. */
 export type RolloutUpdate = {
 	service: string;
@@ -248,7 +284,7 @@
 export type StreamOriginAnswer = {kind: FleetMessageKind.StreamOriginAnswer; sender: Sender; stream: number; origin: StreamOrigin | undefined; knowledge: VersionKnowledge};
 
 /** Any message between serving daemons. */
-export type FleetMessage = Report | View | SuspectList | LimitList | ToleranceList | SlotClaim | SlotDecision | RolloutList | StreamOriginList | StreamOriginQuery | StreamOriginAnswer;
+export type FleetMessage = Report | View | SuspectList | LimitList | ToleranceList | SlotClaim | SlotDecision | AssignmentRequestMessage | AssignmentDecisionMessage | AssignmentEndMessage | AssignmentWithdrawal | RolloutList | StreamOriginList | StreamOriginQuery | StreamOriginAnswer;
 
 /** Whether the content of a datagram is a message of a daemon; anyone can send a datagram. */
 export function isFleetMessage(value: unknown): value is FleetMessage {
@@ -261,6 +297,7 @@
 		|| (kind === FleetMessageKind.Suspects && isSuspectUpdates(suspects)) || (kind === FleetMessageKind.Limits && isLimitUpdates(limits))
 		|| (kind === FleetMessageKind.Tolerances && isToleranceUpdates(tolerances))
 		|| (kind === FleetMessageKind.SlotClaim && isSlotClaim(value)) || (kind === FleetMessageKind.SlotDecision && isSlotDecision(value))
+		|| isAssignmentMessage(kind, value)
 		|| (kind === FleetMessageKind.Rollouts && isRolloutUpdates(rollouts))
 		|| (kind === FleetMessageKind.StreamOrigins && isPackedStreamOrigins(value))
 		|| (kind === FleetMessageKind.StreamOriginQuery && Number.isSafeInteger(stream) && typeof service === 'string')
@@ -317,6 +354,19 @@
 	return Number.isSafeInteger(backend) && isIntegerList(granted) && isIntegerList(denied) && isNonNegative(retryAfterMs);
 }
 
+/** Whether a value is a valid message of an assignment. */
+function isAssignmentMessage(kind: FleetMessageKind | undefined, value: unknown): boolean {
+	const {group, request, decisions, declined, wait, ends, ids} = value as {group?: Partial<GroupName>; request?: unknown; decisions?: unknown; declined?: unknown; wait?: {priority?: unknown; ms?: unknown}; ends?: unknown; ids?: unknown};
+	if (typeof group?.service !== 'string' || !['string', 'undefined'].includes(typeof group.failureDomain)) {
+		return false;
+	}
+
+	return (kind === FleetMessageKind.AssignmentRequest && isAssignmentRequest(request))
+		|| (kind === FleetMessageKind.AssignmentDecision && isAssignmentAnswers(decisions) && isIntegerList(declined) && (wait === undefined || (isNonNegative(wait.priority) && isNonNegative(wait.ms))))
+		|| (kind === FleetMessageKind.AssignmentEnd && isAssignmentEnds(ends))
+		|| (kind === FleetMessageKind.AssignmentWithdrawal && isIntegerList(ids));
+}
+
 function isIntegerList(value: unknown): value is number[] {
 	return Array.isArray(value) && value.every(item => Number.isSafeInteger(item));
 }
--- a/src/protocol/serving.ts
+++ b/src/protocol/serving.ts
@@ -45,6 +45,8 @@
 	canMove: boolean;
 	/** Number of output tokens in one event of a stream. */
 	tokensPerEvent: number;
+	/** Tokens that an engine's memory holds, for running requests and cached prompt parts; undefined if it is not stated. */
+	kvTokens?: number;
 };
 
 /** The limits and prices of a service's pool of backend servers, per failure domain. */
@@ -180,7 +182,13 @@
 };
 
 /** The load that a backend server reports in its answer. */
-export type ReportedLoad = {running: number; waiting: number; slots: number};
+export type ReportedLoad = {
+	running: number;
+	waiting: number;
+	slots: number;
+	/** How long work takes there at the moment, in percent of the usual time; undefined if it is not stated. */
+	pacePercent?: number;
+};
 
 /** What the headers of a backend server's answer state. */
 export type AnswerMetadata = {
