Explain where a request would go now, without sending it

sesametally explain asks a daemon at its diagnostics address; the daemon runs the deciding code on its state.

Not tried on a running deployment.

--- a/src/cli/commands/front.ts
+++ b/src/cli/commands/front.ts
@@ -77,5 +77,5 @@
 	const servingMetrics = await import('../../coordination/serving/serving-metrics.js');
 	const registry = createMetricsRegistry();
 	daemon.useMetrics(new servingMetrics.ServingMetrics(registry, {openRequests: () => daemon.openRequests, views: () => daemon.views}));
-	return DiagnosticsServer.open({host: settings.host, port: settings.metricsPort}, registry, () => daemon.dump());
+	return DiagnosticsServer.open({host: settings.host, port: settings.metricsPort}, registry, () => daemon.dump(), parameters => daemon.explain(parameters));
 }
--- a/src/cli/front-container.ts
+++ b/src/cli/front-container.ts
@@ -45,6 +45,7 @@
 import {Forwarder} from '../coordination/serving/forwarder.js';
 import {PeerProxy} from '../coordination/serving/peer-proxy.js';
 import {RequestAssignment} from '../coordination/serving/request-assignment.js';
+import {RequestExplainer} from '../coordination/serving/request-explanation.js';
 import {DeferredMetrics} from '../coordination/serving/request-metrics.js';
 import {StreamOriginSharing} from '../coordination/serving/stream-origin-sharing.js';
 import {StreamRegistry} from '../coordination/serving/stream-registry.js';
@@ -225,6 +226,9 @@
 		engines,
 		clock,
 	}));
+	registerFactory(RequestExplainer, resolver => new RequestExplainer({
+		routes: resolver.resolve(RouteTable), configView: resolver.resolve(ViewAge), quota: resolver.resolve(QuotaLedger), quotaPeers: nowMs => resolver.resolve(FleetMessenger).quotaPeers(nowMs), exchange: resolver.resolve(AssignmentExchange), selector: resolver.resolve(Dispatcher).selector,
+	}));
 	registerFactory(ServiceVersions, resolver => new ServiceVersions({
 		backends: resolver.resolve(BackendTable), viewAgeMs: nowMs => resolver.resolve(BackendsFollower).stateAt(nowMs).ageMs, startedAtMs, isFirstStart: settings.isFirstStart,
 	}));
--- a/src/cli/front-daemon.ts
+++ b/src/cli/front-daemon.ts
@@ -48,6 +48,7 @@
 import {type ViewState} from '../coordination/topic-follower.js';
 import {Forwarder} from '../coordination/serving/forwarder.js';
 import {DeferredMetrics, type RequestMetrics} from '../coordination/serving/request-metrics.js';
+import {readExplanationQuery, RequestExplainer, type RequestExplanation} from '../coordination/serving/request-explanation.js';
 import {StreamRegistry, sweepIntervalMs} from '../coordination/serving/stream-registry.js';
 import {
 	BackendsFollower, ConfigFollower, createFrontContainer, PeerConnectionPool,
@@ -223,6 +224,15 @@
 		};
 	}
 
+	/**
+	 * Explains where a request would go now, for `/debug/explain`.
+	 *
+	 * @throws {RangeError} When the parameters are malformed.
+	 */
+	explain(parameters: URLSearchParams): RequestExplanation {
+		return this.container.resolve(RequestExplainer).explain(readExplanationQuery(parameters), this.clock.now());
+	}
+
 	/** Whether the configuration and a full list of backend servers have been read. */
 	private get isLoaded(): boolean {
 		return this.container.resolve(RouteTable).current !== undefined && this.backendsSink?.isLoaded === true;
--- a/src/cli/index.ts
+++ b/src/cli/index.ts
@@ -1,5 +1,5 @@
 /**
- * The command line of the binary: `gateway`, `front`, `standin`, `admin` and `bench`. Each
+ * The command line of the binary: `gateway`, `front`, `explain`, `standin`, `admin` and `bench`. Each
  * subcommand loads its module only when it runs, since loading all of them takes 0.5 s of
  * CPU time, which would delay a restarted daemon.
  */
@@ -7,7 +7,7 @@
 import './log-environment.js'; // eslint-disable-line import-x/no-unassigned-import, import-x/order
 import process from 'node:process';
 import {
-	command, number, oneOf, option, optional, positional, run, string, subcommands,
+	command, flag, number, oneOf, option, optional, positional, run, string, subcommands,
 } from 'cmd-ts';
 import {logToStandardError, logToStandardOutput} from '../log.js';
 import {SesametallyError} from '../errors.js';
@@ -140,11 +140,34 @@
 	}),
 });
 
+const explain = command({
+	name: 'explain',
+	description: 'Explain where a request would go now, and why, without sending it.',
+	args: {
+		url: option({long: 'url', type: string, description: 'diagnostics address of a daemon, such as http://10.1.0.14:9464'}),
+		host: option({long: 'host', type: string, description: 'host of the request'}),
+		path: option({long: 'path', type: string, description: 'path of the request'}),
+		account: option({long: 'account', type: optional(string), description: 'name of the client account'}),
+		tokens: option({long: 'tokens', type: optional(string), description: 'prompt tokens and most output tokens: IN,OUT'}),
+		parts: option({long: 'parts', type: optional(string), description: 'parts of the prompt: ID:TOKENS,...'}),
+		json: flag({long: 'json', description: 'print JSON'}),
+	},
+	async handler(options) {
+		try {
+			const {runExplain} = await import('./commands/explain.js');
+			process.exitCode = await runExplain(options);
+		} catch (error) {
+			process.stderr.write(`sesametally: ${String(error)}\n`);
+			process.exitCode = 2;
+		}
+	},
+});
+
 const cli = subcommands({
 	name: 'sesametally',
 	description: 'Serving system for language-model fleets on reclaimable VMs.',
 	cmds: {
-		gateway, front, standin: standins, admin, bench,
+		gateway, front, explain, standin: standins, admin, bench,
 	},
 });
 
--- a/src/coordination/assignment/assignment-exchange.ts
+++ b/src/coordination/assignment/assignment-exchange.ts
@@ -121,10 +121,10 @@
 	}
 
 	/** Tells what the coordinator, if it is this daemon, would decide on a request. */
-	explain(query: AssignmentQuery, nowMs: number): Array<{group: string; coordinator: string | undefined; statedWaitMs: number; explanation: AssignmentExplanation | undefined}> {
+	explain(query: AssignmentQuery, nowMs: number): Array<{group: string; coordinator: {name: string; host: string} | undefined; statedWaitMs: number; explanation: AssignmentExplanation | undefined}> {
 		return this.rank(query, nowMs).map(group => ({
 			group: group.name,
-			coordinator: this.coordinators(group.name, nowMs).at(0)?.name,
+			coordinator: this.coordinators(group.name, nowMs).slice(0, 1).map(({name, address: {host}}) => ({name, host})).at(0),
 			statedWaitMs: this.statedWait(group, query.priority, nowMs),
 			explanation: this.coordinator.explain(group, this.createRequest(query, 0), nowMs),
 		}));
--- a/src/coordination/placement.ts
+++ b/src/coordination/placement.ts
@@ -116,6 +116,12 @@
 		return best;
 	}
 
+	/** Returns the estimates for all candidates. */
+	estimateAll(query: Pick<PlacementQuery, 'candidates' | 'promptTokens' | 'promptParts' | 'peersInFlight' | 'nowMs'>): PlacementChoice[] {
+		const preferred = rankPreferred(query.promptParts, query.candidates).at(0);
+		return query.candidates.map(backend => this.estimate(backend, query, preferred === backend.id));
+	}
+
 	/** Records a request sent to a backend server; the caller reports its progress and end to the returned object, which calls `onEnd` once. */
 	begin(backendId: string, promptTokens: number, promptParts: PromptPart[], nowMs: number, onEnd?: () => void): RunningRequest { // eslint-disable-line max-params
 		const stats = this.statsOf(backendId);
@@ -166,7 +172,7 @@
 		}
 	}
 
-	private estimate(backend: Backend, query: PlacementQuery, isPreferred: boolean): PlacementChoice {
+	private estimate(backend: Backend, query: Pick<PlacementQuery, 'promptTokens' | 'promptParts' | 'peersInFlight' | 'nowMs'>, isPreferred: boolean): PlacementChoice {
 		const stats = this.statsOf(backend.id);
 		const {nowMs, promptParts, promptTokens} = query;
 		stats.failures = stats.failures.filter(atMs => nowMs - atMs < failureMaxAgeMs);
--- a/src/coordination/quota-ledger.ts
+++ b/src/coordination/quota-ledger.ts
@@ -155,7 +155,7 @@
 	}
 
 	/** Returns the share of an account's requests to admit now. */
-	private admittedShare(account: Account, cost: number, peers: QuotaPeers, nowMs: number): number {
+	admittedShare(account: Account, cost: number, peers: QuotaPeers, nowMs: number): number {
 		const window = this.window(account.name);
 		const hasMissingPeers = peers.isIsolated || peers.unreportedDaemons > 0;
 		if (hasMissingPeers && window.ownSum(nowMs) + cost > this.equalShare(account, peers, nowMs)) {
--- a/src/coordination/serving/backend-selector.ts
+++ b/src/coordination/serving/backend-selector.ts
@@ -1,5 +1,5 @@
 /** Selects the backend server for a request's next attempt, among those that may receive it. */
-import {type Backend} from '../../protocol/serving.js';
+import {type Backend, type CallerRequest} from '../../protocol/serving.js';
 import {type BackendTable} from '../../state/backend-table.js';
 import {type SteadyClock} from '../../clock.js';
 import {type Cooldowns} from '../cooldowns.js';
@@ -25,6 +25,18 @@
 	clock: SteadyClock;
 };
 
+/** One backend server as this daemon's own placement sees it. */
+export type ExplainedBackend = {
+	backend: string;
+	failureDomain: string;
+	costMs: number;
+	waitMs: number;
+	cachedTokens: number;
+	inFlight: number;
+	/** Why it gets no request now; undefined if it may. */
+	excludedReason: string | undefined;
+};
+
 /** Selects backend servers by load, health, stated rate limits, cooldowns and version. */
 export class BackendSelector {
 	constructor(private readonly dependencies: BackendSelectorDependencies) {}
@@ -47,6 +59,35 @@
 		});
 	}
 
+	/** Tells what this daemon's own placement makes of each backend server of a service for the first attempt of a request, the cheapest first; changes nothing. */
+	explain(service: string, {promptTokens, promptParts}: CallerRequest, nowMs: number): ExplainedBackend[] {
+		const {backends, placement, fleet, rollouts, cooldowns, slots, statedLimits} = this.dependencies;
+		const candidates = backends.candidates(service, nowMs);
+		const versions = new Set(rollouts.filter(service, candidates, false, nowMs).map(({id}) => id));
+		const findExclusion = (backend: Backend) => {
+			if (!versions.has(backend.id)) {
+				return 'version';
+			}
+
+			if (cooldowns.isCoolingDown(backend, nowMs)) {
+				return 'cools down';
+			}
+
+			if (!slots.leases.hasRoom(backend.id, nowMs)) {
+				return 'no slot';
+			}
+
+			return statedLimits.permission(backend.id, nowMs) === SendPermission.Withheld ? 'rate limit' : undefined;
+		};
+
+		const estimates = placement.estimateAll({
+			candidates, promptTokens: promptTokens ?? 0, promptParts, peersInFlight: id => fleet.inFlight(backendKey(id), nowMs), nowMs,
+		});
+		return estimates.toSorted((a, b) => a.costMs - b.costMs).map(({backend, costMs, waitMs, cachedTokens, inFlight}) => ({
+			backend: backend.id, failureDomain: backend.failureDomain, costMs: Math.round(costMs), waitMs: Math.round(waitMs), cachedTokens: Math.round(cachedTokens), inFlight, excludedReason: findExclusion(backend),
+		}));
+	}
+
 	/** Whether a service has backend servers that accept work. */
 	hasCandidates(service: string): boolean {
 		const {backends, clock} = this.dependencies;
--- a/src/transport/diagnostics-server.ts
+++ b/src/transport/diagnostics-server.ts
@@ -9,7 +9,7 @@
 import {type Registry} from 'prom-client';
 import {type Listen} from '../protocol/settings.js';
 import {TransportError} from './errors.js';
-import {type StateReader} from './http-server.js';
+import {type RequestReader, type StateReader} from './http-server.js';
 
 /** Serves the metrics and state of a process. */
 export class DiagnosticsServer {
@@ -18,9 +18,9 @@
 	 *
 	 * @throws {TransportError} When the address cannot be bound.
 	 */
-	static async open(address: Listen, registry: Registry, readState: StateReader): Promise<DiagnosticsServer> {
+	static async open(address: Listen, registry: Registry, readState: StateReader, explain?: RequestReader): Promise<DiagnosticsServer> {
 		const listener = createServer();
-		const server = new DiagnosticsServer(listener, registry, readState);
+		const server = new DiagnosticsServer(listener, registry, readState, explain);
 		await new Promise<void>((resolve, reject) => {
 			listener.once('error', error => {
 				reject(new TransportError(`cannot listen on ${address.host}:${address.port}`, {cause: error}));
@@ -34,6 +34,7 @@
 		private readonly listener: Server,
 		private readonly registry: Registry,
 		private readonly readState: StateReader,
+		private readonly explain: RequestReader | undefined,
 	) {
 		listener.once('request', (request, response) => {
 			void this.serve(request, response);
@@ -57,7 +58,7 @@
 		const {addDiagnosticsRoutes, createServerFromListener} = await import('./http-server.js');
 		this.listener.off('request', enqueue);
 		const server = createServerFromListener(this.listener);
-		addDiagnosticsRoutes(server, this.registry, this.readState);
+		addDiagnosticsRoutes(server, this.registry, this.readState, this.explain);
 		await server.initialize();
 		for (const exchange of pendingExchanges) {
 			this.listener.emit('request', ...exchange);
--- a/src/transport/http-server.ts
+++ b/src/transport/http-server.ts
@@ -52,8 +52,11 @@
 	return Hapi.server({listener, autoListen: false});
 }
 
-/** Adds `/metrics` and `/debug/state` to a server on an internal port. */
-export function addDiagnosticsRoutes(server: Hapi.Server, registry: Registry, readState: StateReader): void {
+/** Explains the request that the parameters of a URL describe; throws a RangeError when they are malformed. */
+export type RequestReader = (parameters: URLSearchParams) => unknown;
+
+/** Adds `/metrics` and `/debug/state` to a server on an internal port, and `/debug/explain` where requests can be explained. */
+export function addDiagnosticsRoutes(server: Hapi.Server, registry: Registry, readState: StateReader, explain?: RequestReader): void {
 	server.route({
 		method: 'GET',
 		path: '/metrics',
@@ -66,6 +69,23 @@
 		path: '/debug/state',
 		handler: () => ({process: readProcessUsage(), state: readState()}),
 	});
+	if (explain) {
+		server.route({
+			method: 'GET',
+			path: '/debug/explain',
+			handler(request, h) {
+				try {
+					return h.response(explain(request.url.searchParams) as Record<string, unknown>);
+				} catch (error) {
+					if (error instanceof RangeError) {
+						return h.response({error: error.message}).code(400);
+					}
+
+					throw error;
+				}
+			},
+		});
+	}
 }
 
 /** Creates the server of a stand-in with the routes `/metrics` and `/debug/state`. */
