Ask backend servers that have not crashed whether the way to others is open

Cause: a daemon takes a broken run for a crash only if another backend server of the service accepts a connection. It asked the first six others of the list, also those known to have crashed, which stay listed for a while. With six crashed ones at the front of the list, it took itself for cut off and missed each further crash, so the request was not quarantined. request-quarantine.test.ts failed whenever the replicas at the front of the list happened to crash first.

Change: backend servers that crashed of late are asked last.

--- a/src/coordination/quarantine/__tests__/crash-watch.test.ts
+++ b/src/coordination/quarantine/__tests__/crash-watch.test.ts
@@ -8,6 +8,7 @@
 import {type Backend, BackendState} from '../../../protocol/serving.js';
 import {BackendTable} from '../../../state/backend-table.js';
 import {isConnectionRefused} from '../../../transport/port-probe.js';
+import {backendKey} from '../../fleet/backend-key.js';
 import {CrashWatch, type EndedRun, soundWritingMs} from '../crash-watch.js';
 import {Quarantine} from '../quarantine.js';
 import {listFingerprints} from '../request-fingerprint.js';
@@ -58,6 +59,26 @@
 		expect(quarantine.isEmpty).toBe(!isEvidence);
 	});
 
+	// Crashed backend servers stay listed for a while. A daemon that asks only these takes itself for cut off and misses the crash.
+	it('is evidence when more others are known to have crashed than are asked, and one accepts connections', async () => {
+		const crashed = Array.from({length: 6}, (_, index) => `i-${index + 2}`);
+		const backends = new BackendTable({drainMs: 2000});
+		for (const id of ['i-1', ...crashed, 'i-8']) {
+			backends.upsert(backend(id, {host: id}), 0);
+		}
+
+		const quarantine = new Quarantine(() => false);
+		const clock = new SteadyClock();
+		for (const id of crashed) {
+			quarantine.recordCrash([5], backendKey(id), clock.now());
+		}
+
+		await new CrashWatch({
+			backends, quarantine, clock, refuses: async () => true, accepts: async ({host}) => host === 'i-8',
+		}).recordBrokenRun(brokenRun(backend('i-1', {host: 'i-1'})));
+		expect(quarantine.isSuspected({request: 77, parts: []})).toBe(true);
+	});
+
 	it('takes its backend server out of those that should accept connections, also at daemons that were told', async () => {
 		const backends = new BackendTable({drainMs: 2000});
 		for (const id of ['i-1', 'i-2']) {
--- a/src/coordination/quarantine/crash-watch.ts
+++ b/src/coordination/quarantine/crash-watch.ts
@@ -23,6 +23,10 @@
 /** Time for another backend server to accept a connection, in milliseconds, and how many others are tried at most. */
 const acceptanceTimeoutMs = 150;
 const maxOthers = 6;
+/** What speaks against asking another backend server, the strongest first: that it crashed of late and may still be listed, that a run broke off there as well, and that it may be reclaimed together with the one in question. */
+const crashedDoubt = 4;
+const brokenRunDoubt = 2;
+const sameDomainDoubt = 1;
 /** Runs that break off at a backend server within this many milliseconds share one check. */
 const checkReuseMs = 1000;
 
@@ -129,10 +133,9 @@
 
 	/** Whether another backend server of the service accepts connections; true if there is no other. */
 	private async reachesAnother({id, service, failureDomain}: Backend, nowMs: number): Promise<boolean> {
-		const {backends, accepts = isConnectionAccepted} = this.dependencies;
+		const {backends, quarantine, accepts = isConnectionAccepted} = this.dependencies;
 		const others = backends.candidates(service, nowMs).filter(other => other.id !== id);
-		// Those at which runs broke off as well may have crashed too, and those of one failure domain may be reclaimed together.
-		const doubt = (other: Backend) => (this.checks.has(other.id) ? 2 : 0) + (other.failureDomain === failureDomain ? 1 : 0);
+		const doubt = (other: Backend) => (quarantine.hasCrashed(backendKey(other.id), nowMs) ? crashedDoubt : 0) + (this.checks.has(other.id) ? brokenRunDoubt : 0) + (other.failureDomain === failureDomain ? sameDomainDoubt : 0);
 		const probed = others.toSorted((a, b) => doubt(a) - doubt(b)).slice(0, maxOthers);
 		const accepted = await Promise.all(probed.map(async other => accepts(other, acceptanceTimeoutMs)));
 		return probed.length === 0 || accepted.includes(true);
