Keep no place and no waiting request of an assignment that nobody needs

- A request whose client has left is not sent to a coordinator.
- A daemon withdraws a request of which it hears that it waits although it does not know it.
Coordinators repeat a prediction only once it has passed, so fewer datagrams are sent.
A queued request that falls back does not keep the others from the coordinator.
- Backend servers are looked up for a message only where they are needed, decisions are grouped by daemon in one pass, and the shortest wait is computed once for a list of predictions.

--- a/src/coordination/assignment/assignment-coordinator.ts
+++ b/src/coordination/assignment/assignment-coordinator.ts
@@ -11,7 +11,7 @@
 import {backendKey} from '../fleet/backend-key.js';
 import {RecentMaximum} from '../fleet/recent-maximum.js';
 import {AssignmentLedger} from './assignment-ledger.js';
-import {type AssignmentGroup} from './assignment-groups.js';
+import {type AssignmentGroup, type GroupIdentity} from './assignment-groups.js';
 
 /** Time for which a daemon must have been the coordinator before it decides, in milliseconds: the time after which others see that its predecessor is silent. */
 const settleMs = 300;
@@ -36,6 +36,7 @@
 };
 
 type Coordination = {
+	group: GroupIdentity;
 	ledger: AssignmentLedger;
 	sinceMs: number;
 	refreshedAtMs: number;
@@ -52,8 +53,8 @@
 	constructor(private readonly parts: CoordinatorParts) {}
 
 	/** The groups that this daemon coordinates, and decides on. */
-	get groups(): string[] {
-		return [...this.coordinations.keys()];
+	get groups(): GroupIdentity[] {
+		return [...this.coordinations.values()].map(({group}) => group);
 	}
 
 	/** Keeps track of the groups that fall to this daemon; called in each round for all groups of assigned services. */
@@ -66,37 +67,43 @@
 			}
 		}
 
-		for (const name of coordinated.keys()) {
+		for (const [name, {service, failureDomain}] of coordinated) {
 			if (!this.coordinations.has(name)) {
 				this.coordinations.set(name, {
-					ledger: new AssignmentLedger(), sinceMs: nowMs, refreshedAtMs: Number.NEGATIVE_INFINITY, elsewhere: new Map(), incarnations: new Map(),
+					group: {name, service, failureDomain}, ledger: new AssignmentLedger(), sinceMs: nowMs, refreshedAtMs: Number.NEGATIVE_INFINITY, elsewhere: new Map(), incarnations: new Map(),
 				});
 			}
 		}
 	}
 
 	/** Decides on a request; undefined if this daemon does not decide on the group now. */
-	request(group: AssignmentGroup, request: AssignmentRequest, nowMs: number): {decisions: AssignmentDecision[]; waitMs: number} | undefined {
+	request(group: GroupIdentity, request: AssignmentRequest, nowMs: number): {decisions: AssignmentDecision[]; waitMs: number} | undefined {
 		const ledger = this.ledger(group, nowMs);
 		if (!ledger) {
 			return undefined;
 		}
 
-		const decisions = [...this.noteIncarnation(group, request, nowMs), ...this.refresh(group, nowMs), ...ledger.request(request, nowMs)];
+		const earlier = [...this.noteIncarnation(group, request, nowMs), ...this.refresh(group, nowMs)];
+		// A view without backend servers may be a stale one, by which nobody is refused.
+		if (ledger.isEmpty) {
+			return undefined;
+		}
+
+		const decisions = [...earlier, ...ledger.request(request, nowMs)];
 		return {decisions, waitMs: ledger.waitMs(request.priority, nowMs)};
 	}
 
 	/** Records the end of an assigned request. */
-	end(group: AssignmentGroup, end: AssignmentEnd, nowMs: number): AssignmentDecision[] {
+	end(group: GroupIdentity, end: AssignmentEnd, nowMs: number): AssignmentDecision[] {
 		return this.ledger(group, nowMs)?.end(end, nowMs) ?? [];
 	}
 
-	withdraw(group: AssignmentGroup, id: AssignmentId, nowMs: number): AssignmentDecision[] {
+	withdraw(group: GroupIdentity, id: AssignmentId, nowMs: number): AssignmentDecision[] {
 		return this.ledger(group, nowMs)?.withdraw(id, nowMs) ?? [];
 	}
 
 	/** Moves the queue of a group on. */
-	check(group: AssignmentGroup, nowMs: number): AssignmentDecision[] {
+	check(group: GroupIdentity, nowMs: number): AssignmentDecision[] {
 		const ledger = this.ledger(group, nowMs);
 		return ledger ? [...this.refresh(group, nowMs), ...ledger.expire(nowMs)] : [];
 	}
@@ -106,13 +113,13 @@
 		return (this.coordinations.get(group)?.ledger.queued ?? 0) > 0;
 	}
 
-	/** Returns the present predictions for the requests that wait in a group. */
-	queuedDecisions(group: string, nowMs: number): AssignmentDecision[] {
-		return this.coordinations.get(group)?.ledger.queuedDecisions(nowMs) ?? [];
+	/** Returns the present predictions for the requests that wait in a group and whose daemons have not heard of them for long. */
+	queueNotices(group: GroupIdentity, nowMs: number): AssignmentDecision[] {
+		return this.ledger(group, nowMs)?.queueNotices(nowMs) ?? [];
 	}
 
 	/** Tells what would be decided on a request; undefined if this daemon does not decide on the group now. */
-	explain(group: AssignmentGroup, request: AssignmentRequest, nowMs: number): AssignmentExplanation | undefined {
+	explain(group: GroupIdentity, request: AssignmentRequest, nowMs: number): AssignmentExplanation | undefined {
 		return this.ledger(group, nowMs)?.explain(request, nowMs);
 	}
 
@@ -122,7 +129,7 @@
 	}
 
 	/** Returns the ledger of a group if this daemon may decide on it. */
-	private ledger({name}: AssignmentGroup, nowMs: number): AssignmentLedger | undefined {
+	private ledger({name}: GroupIdentity, nowMs: number): AssignmentLedger | undefined {
 		this.noteActive(nowMs);
 		const coordination = this.coordinations.get(name);
 		return coordination && nowMs - coordination.sinceMs >= settleMs ? coordination.ledger : undefined;
@@ -138,7 +145,7 @@
 	}
 
 	/** Drops what an earlier start of a daemon held. */
-	private noteIncarnation({name}: AssignmentGroup, {daemon, incarnation}: AssignmentId, nowMs: number): AssignmentDecision[] {
+	private noteIncarnation({name}: GroupIdentity, {daemon, incarnation}: AssignmentId, nowMs: number): AssignmentDecision[] {
 		const {ledger, incarnations} = this.coordinations.get(name)!;
 		const known = incarnations.get(daemon);
 		incarnations.set(daemon, incarnation);
@@ -146,7 +153,7 @@
 	}
 
 	/** Brings the backend servers of a group up to date. */
-	private refresh(group: AssignmentGroup, nowMs: number): AssignmentDecision[] {
+	private refresh(group: GroupIdentity, nowMs: number): AssignmentDecision[] {
 		const coordination = this.coordinations.get(group.name);
 		if (!coordination || nowMs - coordination.refreshedAtMs < refreshMs) {
 			return [];
--- a/src/coordination/assignment/assignment-exchange.ts
+++ b/src/coordination/assignment/assignment-exchange.ts
@@ -18,25 +18,30 @@
 import {type BackendPaces} from '../paces/backend-paces.js';
 import {type AssignmentActivation} from './assignment-activation.js';
 import {AssignmentCoordinator, type CoordinatorParts} from './assignment-coordinator.js';
-import {type AssignmentGroup, groupsOf, rankGroups} from './assignment-groups.js';
+import {
+	type AssignmentGroup, type GroupIdentity, groupsOf, identifyGroup, rankGroups, toGroupName,
+} from './assignment-groups.js';
 
 /** How long the first answer of a coordinator is waited for, in milliseconds: dozens of round trips between failure domains. */
 const answerTimeoutMs = 60;
 /** Time for which a coordinator is not asked that did not answer or declined, in milliseconds. */
 const declinedPauseMs = 300;
 /** How long a queued request waits beyond twice the expected time without another message, in milliseconds. */
-const queueMarginMs = 500;
-/** Interval at which a coordinator tells the daemons of queued requests that these still wait, in milliseconds. */
-const queueNoticeMs = 200;
+const queueMarginMs = 100;
 /** Interval at which the queues of coordinated groups are checked, in milliseconds. */
 const queueCheckMs = 10;
 /** Age up to which the wait counts that a group has stated, in milliseconds. */
 const statedWaitMaxAgeMs = 500;
 /** Groups that are asked for one request. */
 const maxGroups = 2;
+/** Time after which ends and withdrawals are sent a second time, in milliseconds, if no later message to their coordinator has repeated them. */
+const repeatDelayMs = 500;
 /** Age at which the choice of the coordinators is made anew, in milliseconds. */
 const rankingMaxAgeMs = 100;
 
+/** Reason of an outcome whose client has left. */
+const clientGoneReason = 'client gone';
+
 /** What is asked for one request. */
 export type AssignmentQuery = Omit<AssignmentRequest, 'daemon' | 'incarnation' | 'id' | 'excluded'> & {service: string; excluded: ReadonlySet<string>};
 
@@ -58,7 +63,12 @@
 	/** The daemon uses its own placement. */
 		| {kind: 'unavailable'; reason: string};
 
-type PendingRequest = {group: AssignmentGroup; coordinator: string; settle: (answer: AssignmentAnswer | undefined) => void; extend: (expectedMs: number) => void};
+type UnidentifiedEnd = Omit<AssignmentEnd, 'daemon' | 'incarnation'>;
+
+/** The last reports to the coordinator of a group, which are sent twice. */
+type Repeats = {group: GroupIdentity; coordinator: NamedAddress; sinceMs: number; ends: UnidentifiedEnd[]; withdrawn: number[]};
+
+type PendingRequest = {settle: (answer: AssignmentAnswer | undefined) => void; extend: (expectedMs: number) => void};
 
 /** What an {@link AssignmentExchange} depends on. */
 export type AssignmentExchangeParts = Omit<CoordinatorParts, 'isCoordinator' | 'paceFactor'> & {
@@ -84,9 +94,9 @@
 	private readonly pausedUntilMs = new Map<string, number>();
 	private readonly statedWaits = new Map<string, {ms: number; atMs: number}>();
 	private readonly rankings = new Map<string, {atMs: number; coordinators: NamedAddress[]}>();
+	private readonly repeats = new Map<string, Repeats>();
 	private readonly addresses = new Map<string, PeerAddress>();
 	private queueTimer: NodeJS.Timeout | undefined;
-	private noticeAtMs = 0;
 
 	constructor(private readonly parts: AssignmentExchangeParts) {
 		this.coordinator = new AssignmentCoordinator({...parts, paceFactor: (backend, nowMs) => parts.paces.factor(backend, nowMs), isCoordinator: (group, nowMs) => this.isCoordinator(group, nowMs)});
@@ -134,6 +144,7 @@
 	sendRound(nowMs: number): void {
 		const {services, activation} = this.parts;
 		const groups = services().filter(service => activation.isActive(service, nowMs)).flatMap(service => this.groups(service, nowMs));
+		this.sendRepeats(nowMs);
 		this.coordinator.update(groups, nowMs);
 		for (const group of groups) {
 			this.deliver(group, this.coordinator.check(group, nowMs), [], undefined, nowMs);
@@ -146,7 +157,7 @@
 		if (message.kind === FleetMessageKind.AssignmentRequest) {
 			this.addresses.set(message.sender.name, message.sender.address);
 			const {name: daemon, incarnation} = message.sender;
-			this.decide(this.groupOf(message.group, nowMs), {...message.request, daemon, incarnation}, nowMs);
+			this.decide(identifyGroup(message.group), {...message.request, daemon, incarnation}, nowMs);
 			return true;
 		}
 
@@ -158,7 +169,7 @@
 
 		if (message.kind === FleetMessageKind.AssignmentEnd) {
 			const {name: daemon, incarnation} = message.sender;
-			const group = this.groupOf(message.group, nowMs);
+			const group = identifyGroup(message.group);
 			for (const end of message.ends) {
 				this.noteEnd(group, {...end, daemon, incarnation}, nowMs);
 			}
@@ -168,7 +179,7 @@
 
 		if (message.kind === FleetMessageKind.AssignmentWithdrawal) {
 			const {name: daemon, incarnation} = message.sender;
-			const group = this.groupOf(message.group, nowMs);
+			const group = identifyGroup(message.group);
 			for (const id of message.ids) {
 				this.deliver(group, this.coordinator.withdraw(group, {daemon, incarnation, id}, nowMs), [], undefined, nowMs);
 			}
@@ -198,13 +209,6 @@
 		return groupsOf(service, this.parts.engine(service) !== undefined, this.parts.backends({service, failureDomain: undefined}, nowMs));
 	}
 
-	private groupOf({service, failureDomain}: GroupName, nowMs: number): AssignmentGroup {
-		const name = failureDomain === undefined ? service : `${service}/${failureDomain}`;
-		return {
-			name, service, failureDomain, backends: this.parts.backends({service, failureDomain}, nowMs),
-		};
-	}
-
 	private statedWait({name}: AssignmentGroup, priority: number, nowMs: number): number {
 		const stated = this.statedWaits.get(`${name} ${priority}`);
 		return stated && nowMs - stated.atMs <= statedWaitMaxAgeMs ? stated.ms : 0;
@@ -226,15 +230,19 @@
 			return {kind: 'unavailable', reason: coordinator ? 'coordinator did not decide of late' : 'no coordinator'};
 		}
 
+		if (signal.aborted) {
+			return {kind: 'unavailable', reason: clientGoneReason};
+		}
+
 		const id = this.nextId++;
 		const request = this.createRequest(query, id);
-		const answer = this.waitForAnswer(id, group, coordinator.name, signal);
+		const answer = this.waitForAnswer(id, group, coordinator, signal);
 		if (coordinator.name === name) {
 			this.decide(group, request, nowMs);
 		} else {
 			const {daemon: _, incarnation: __, ...sent} = request;
 			this.link?.send({
-				kind: FleetMessageKind.AssignmentRequest, sender: createSender(nowMs), group: {service: group.service, failureDomain: group.failureDomain}, request: sent,
+				kind: FleetMessageKind.AssignmentRequest, sender: createSender(nowMs), group: toGroupName(group), request: sent,
 			}, [coordinator.address]);
 			fleet.noteAskedByName(coordinator.name, nowMs);
 		}
@@ -244,11 +252,11 @@
 			return this.accept(group, coordinator, decision);
 		}
 
-		return decision?.kind === AssignmentKind.Refused ? {kind: 'refused', retryAfterMs: decision.retryAfterMs, reason: decision.reason} : {kind: 'unavailable', reason: signal.aborted ? 'client gone' : 'no decision'};
+		return decision?.kind === AssignmentKind.Refused ? {kind: 'refused', retryAfterMs: decision.retryAfterMs, reason: decision.reason} : {kind: 'unavailable', reason: signal.aborted ? clientGoneReason : 'no decision'};
 	}
 
 	/** Waits for the final answer on a request; undefined if none comes in time. */
-	private async waitForAnswer(id: number, group: AssignmentGroup, coordinator: string, signal: AbortSignal): Promise<AssignmentAnswer | undefined> {
+	private async waitForAnswer(id: number, group: GroupIdentity, coordinator: NamedAddress, signal: AbortSignal): Promise<AssignmentAnswer | undefined> {
 		return new Promise(resolve => {
 			let timer: NodeJS.Timeout;
 			const settle = (answer: AssignmentAnswer | undefined) => {
@@ -259,26 +267,22 @@
 			};
 
 			const giveUp = () => {
-				this.withdraw(id, group, coordinator);
+				this.withdraw([id], group, coordinator);
 				settle(undefined);
 			};
 
-			const onTimeout = () => {
-				this.pause(coordinator);
+			timer = setTimeout(() => {
+				this.pause(coordinator.name);
 				giveUp();
-			};
-
-			timer = setTimeout(onTimeout, answerTimeoutMs);
+			}, answerTimeoutMs);
 			signal.addEventListener('abort', giveUp, {once: true});
 			this.pending.set(id, {
-				group, coordinator, settle, extend(expectedMs) {
+				settle, extend(expectedMs) {
 					clearTimeout(timer);
-					timer = setTimeout(onTimeout, (2 * expectedMs) + queueMarginMs);
+					// A lost notice of one request is no reason to keep the others from the coordinator.
+					timer = setTimeout(giveUp, (2 * expectedMs) + queueMarginMs);
 				},
 			});
-			if (signal.aborted) {
-				giveUp();
-			}
 		});
 	}
 
@@ -308,29 +312,74 @@
 		};
 	}
 
-	private sendEnd(group: AssignmentGroup, coordinator: NamedAddress, end: Omit<AssignmentEnd, 'daemon' | 'incarnation'>): void {
-		const {clock, name, incarnation, createSender} = this.parts;
+	/** Reports the end of an assigned request, together with those reported last, in case their datagram was lost. */
+	private sendEnd(group: GroupIdentity, coordinator: NamedAddress, end: UnidentifiedEnd): void {
+		const {clock, name, incarnation} = this.parts;
 		const nowMs = clock.now();
 		if (coordinator.name === name) {
 			this.noteEnd(group, {...end, daemon: name, incarnation}, nowMs);
-		} else {
-			this.link?.send({
-				kind: FleetMessageKind.AssignmentEnd, sender: createSender(nowMs), group: {service: group.service, failureDomain: group.failureDomain}, ends: [end],
-			}, [coordinator.address]);
+			return;
 		}
+
+		const repeats = this.repeatsOf(group, coordinator, nowMs);
+		this.sendEnds(group, coordinator, [end, ...repeats.ends], nowMs);
+		repeats.ends = [end];
 	}
 
-	private withdraw(id: number, group: AssignmentGroup, coordinator: string): void {
-		const {clock, name, incarnation, createSender} = this.parts;
+	/** Withdraws requests, together with those withdrawn last. */
+	private withdraw(ids: number[], group: GroupIdentity, coordinator: NamedAddress): void {
+		const {clock, name, incarnation} = this.parts;
 		const nowMs = clock.now();
-		const address = this.coordinators(group.name, nowMs).find(({name: other}) => other === coordinator)?.address;
-		if (coordinator === name) {
-			this.deliver(group, this.coordinator.withdraw(group, {daemon: name, incarnation, id}, nowMs), [], undefined, nowMs);
-		} else if (address) {
-			this.link?.send({
-				kind: FleetMessageKind.AssignmentWithdrawal, sender: createSender(nowMs), group: {service: group.service, failureDomain: group.failureDomain}, ids: [id],
-			}, [address]);
+		if (coordinator.name === name) {
+			for (const id of ids) {
+				this.deliver(group, this.coordinator.withdraw(group, {daemon: name, incarnation, id}, nowMs), [], undefined, nowMs);
+			}
+
+			return;
 		}
+
+		const repeats = this.repeatsOf(group, coordinator, nowMs);
+		this.sendWithdrawal(group, coordinator, [...ids, ...repeats.withdrawn], nowMs);
+		repeats.withdrawn = ids;
+	}
+
+	private repeatsOf(group: GroupIdentity, coordinator: NamedAddress, nowMs: number): Repeats {
+		const key = `${coordinator.name} ${group.name}`;
+		const repeats = this.repeats.get(key) ?? {
+			group, coordinator, sinceMs: nowMs, ends: [], withdrawn: [],
+		};
+		this.repeats.set(key, repeats);
+		return repeats;
+	}
+
+	/** Repeats the reports that no later one has repeated: the place of a request whose end is lost would stay taken until its deadline. */
+	private sendRepeats(nowMs: number): void {
+		for (const [key, {group, coordinator, sinceMs, ends, withdrawn}] of this.repeats) {
+			if (nowMs - sinceMs < repeatDelayMs) {
+				continue;
+			}
+
+			this.repeats.delete(key);
+			if (ends.length > 0) {
+				this.sendEnds(group, coordinator, ends, nowMs);
+			}
+
+			if (withdrawn.length > 0) {
+				this.sendWithdrawal(group, coordinator, withdrawn, nowMs);
+			}
+		}
+	}
+
+	private sendEnds(group: GroupIdentity, {address}: NamedAddress, ends: UnidentifiedEnd[], nowMs: number): void {
+		this.link?.send({
+			kind: FleetMessageKind.AssignmentEnd, sender: this.parts.createSender(nowMs), group: toGroupName(group), ends,
+		}, [address]);
+	}
+
+	private sendWithdrawal(group: GroupIdentity, {address}: NamedAddress, ids: number[], nowMs: number): void {
+		this.link?.send({
+			kind: FleetMessageKind.AssignmentWithdrawal, sender: this.parts.createSender(nowMs), group: toGroupName(group), ids,
+		}, [address]);
 	}
 
 	private pause(coordinator: string): void {
@@ -338,7 +387,7 @@
 	}
 
 	/** Decides on a request as its coordinator. */
-	private decide(group: AssignmentGroup, request: AssignmentRequest, nowMs: number): void {
+	private decide(group: GroupIdentity, request: AssignmentRequest, nowMs: number): void {
 		const result = this.isCoordinator(group.name, nowMs) ? this.coordinator.request(group, request, nowMs) : undefined;
 		if (result) {
 			this.deliver(group, result.decisions, [], {daemon: request.daemon, priority: request.priority, ms: result.waitMs}, nowMs);
@@ -347,9 +396,9 @@
 		}
 	}
 
-	private noteEnd(group: AssignmentGroup, end: AssignmentEnd, nowMs: number): void {
+	private noteEnd(group: GroupIdentity, end: AssignmentEnd, nowMs: number): void {
 		const percent = end.load?.pacePercent;
-		const backend = percent === undefined || end.daemon === this.parts.name ? undefined : group.backends.find(({id}) => backendKey(id) === end.backend);
+		const backend = percent === undefined || end.daemon === this.parts.name ? undefined : this.parts.backends(group, nowMs).find(({id}) => backendKey(id) === end.backend);
 		if (backend) {
 			this.parts.paces.note(backend, percent!, nowMs);
 		}
@@ -358,16 +407,18 @@
 	}
 
 	/** Sends decisions to the daemons that asked. */
-	private deliver(group: AssignmentGroup, decisions: AssignmentDecision[], declined: AssignmentRequest[], wait: {daemon: string; priority: number; ms: number} | undefined, nowMs: number): void { // eslint-disable-line max-params
+	private deliver(group: GroupIdentity, decisions: AssignmentDecision[], declined: AssignmentRequest[], wait: {daemon: string; priority: number; ms: number} | undefined, nowMs: number): void { // eslint-disable-line max-params
 		const {name, incarnation, createSender} = this.parts;
-		for (const daemon of new Set([...decisions, ...declined].map(each => each.daemon))) {
-			const ownDecisions = decisions.filter(decision => decision.daemon === daemon);
+		const decisionsByDaemon = groupByDaemon(decisions);
+		const declinedByDaemon = groupByDaemon(declined);
+		for (const daemon of new Set([...decisionsByDaemon.keys(), ...declinedByDaemon.keys()])) {
+			const ownDecisions = decisionsByDaemon.get(daemon) ?? [];
 			const message: AssignmentDecisionMessage = {
 				kind: FleetMessageKind.AssignmentDecision,
 				sender: createSender(nowMs),
-				group: {service: group.service, failureDomain: group.failureDomain},
+				group: toGroupName(group),
 				decisions: ownDecisions.map(({daemon: _, incarnation: __, ...answer}) => answer),
-				declined: declined.filter(request => request.daemon === daemon).map(({id}) => id),
+				declined: (declinedByDaemon.get(daemon) ?? []).map(({id}) => id),
 				wait: wait?.daemon === daemon ? {priority: wait.priority, ms: wait.ms} : undefined,
 			};
 			const address = this.addresses.get(daemon);
@@ -379,11 +430,11 @@
 			}
 		}
 
-		this.scheduleQueueCheck(nowMs);
+		this.scheduleQueueCheck();
 	}
 
 	private applyDecisions({sender, group, decisions, declined, wait}: AssignmentDecisionMessage, nowMs: number): void {
-		const {name} = this.groupOf(group, nowMs);
+		const {name} = identifyGroup(group);
 		if (wait) {
 			this.statedWaits.set(`${name} ${wait.priority}`, {ms: wait.ms, atMs: nowMs});
 		}
@@ -393,26 +444,34 @@
 			this.pending.get(id)?.settle(undefined);
 		}
 
+		const unknown: number[] = [];
 		for (const decision of decisions) {
 			const pending = this.pending.get(decision.id);
 			if (decision.kind === AssignmentKind.Queued) {
 				pending?.extend(decision.expectedMs);
+				if (!pending) {
+					unknown.push(decision.id);
+				}
 			} else if (pending) {
 				pending.settle(decision);
 			} else if (decision.kind === AssignmentKind.Assigned) {
 				// It came too late: the request has been placed without it, or its client has left.
-				this.sendEnd(this.groupOf(group, nowMs), {name: sender.name, address: sender.address}, {id: decision.id, backend: decision.backend, result: AssignmentResult.NotSent});
+				this.sendEnd(identifyGroup(group), sender, {id: decision.id, backend: decision.backend, result: AssignmentResult.NotSent});
 			}
 		}
+
+		// Their withdrawals were lost or overtaken: the requests would hold up others until their deadline.
+		if (unknown.length > 0) {
+			this.withdraw(unknown, identifyGroup(group), sender);
+		}
 	}
 
 	/** Checks the queues of the coordinated groups while requests wait. */
-	private scheduleQueueCheck(nowMs: number): void {
-		if (this.queueTimer !== undefined || !this.coordinator.groups.some(group => this.coordinator.hasQueue(group))) {
+	private scheduleQueueCheck(): void {
+		if (this.queueTimer !== undefined || !this.coordinator.groups.some(({name}) => this.coordinator.hasQueue(name))) {
 			return;
 		}
 
-		this.noticeAtMs = nowMs;
 		this.queueTimer = setInterval(() => {
 			this.checkQueues();
 		}, queueCheckMs);
@@ -420,22 +479,17 @@
 	}
 
 	private checkQueues(): void {
-		const {services, activation, clock} = this.parts;
-		const nowMs = clock.now();
-		const queued = this.coordinator.groups.filter(group => this.coordinator.hasQueue(group));
+		const nowMs = this.parts.clock.now();
+		const queued = this.coordinator.groups.filter(({name}) => this.coordinator.hasQueue(name));
 		if (queued.length === 0) {
 			clearInterval(this.queueTimer);
 			this.queueTimer = undefined;
 			return;
 		}
 
-		const isNoticeDue = nowMs - this.noticeAtMs >= queueNoticeMs;
-		this.noticeAtMs = isNoticeDue ? nowMs : this.noticeAtMs;
-		for (const group of services().filter(service => activation.isActive(service, nowMs)).flatMap(service => this.groups(service, nowMs)).filter(({name}) => queued.includes(name))) {
-			this.deliver(group, this.coordinator.check(group, nowMs), [], undefined, nowMs);
-			if (isNoticeDue) {
-				this.deliver(group, this.coordinator.queuedDecisions(group.name, nowMs), [], undefined, nowMs);
-			}
+		for (const group of queued) {
+			const decisions = this.coordinator.check(group, nowMs);
+			this.deliver(group, [...decisions, ...this.coordinator.queueNotices(group, nowMs)], [], undefined, nowMs);
 		}
 	}
 
@@ -455,3 +509,17 @@
 		return ranking.coordinators;
 	}
 }
+
+function groupByDaemon<T extends {daemon: string}>(items: T[]): Map<string, T[]> {
+	const groups = new Map<string, T[]>();
+	for (const item of items) {
+		const group = groups.get(item.daemon);
+		if (group) {
+			group.push(item);
+		} else {
+			groups.set(item.daemon, [item]);
+		}
+	}
+
+	return groups;
+}
--- a/src/coordination/assignment/assignment-groups.ts
+++ b/src/coordination/assignment/assignment-groups.ts
@@ -6,6 +6,7 @@
  * failure domains: a group that states a long wait is passed over for one that states less.
  */
 import {createHash} from 'node:crypto';
+import {type GroupName} from '../../protocol/fleet-messages.js';
 import {type Backend, type PromptPart} from '../../protocol/serving.js';
 
 /** Tokens of a shared prefix from which on a prompt goes to the group that holds the prefix: 20 ms of reading, ten times the round trip to another failure domain. */
@@ -13,15 +14,27 @@
 /** Share of a request's latency target up to which the wait of a group is accepted. */
 const acceptedWaitShare = 0.25;
 
-/** A group of backend servers. */
-export type AssignmentGroup = {
+/** Identifies a group of backend servers. */
+export type GroupIdentity = {
 	name: string;
 	service: string;
 	/** Set for engines only: their groups are those of a failure domain. */
 	failureDomain: string | undefined;
-	backends: Backend[];
 };
 
+/** A group of backend servers. */
+export type AssignmentGroup = GroupIdentity & {backends: Backend[]};
+
+/** Returns the identity of a group that a message names. */
+export function identifyGroup({service, failureDomain}: GroupName): GroupIdentity {
+	return {name: failureDomain === undefined ? service : `${service}/${failureDomain}`, service, failureDomain};
+}
+
+/** Returns what names a group in messages. */
+export function toGroupName({service, failureDomain}: GroupIdentity): GroupName {
+	return {service, failureDomain};
+}
+
 /** Whether a backend server belongs to a group. */
 export function isInGroup({service, failureDomain}: Pick<AssignmentGroup, 'service' | 'failureDomain'>, backend: Backend): boolean {
 	return backend.service === service && (failureDomain === undefined || backend.failureDomain === failureDomain);
--- a/src/coordination/assignment/assignment-ledger.ts
+++ b/src/coordination/assignment/assignment-ledger.ts
@@ -42,6 +42,8 @@
 const failureMaxAgeMs = 3000;
 /** Recent failures from which on a backend server gets no request while another has had none. */
 const maxFailures = 3;
+/** Time after the predicted one at which the daemon of a waiting request is told a new prediction, in milliseconds: half of the margin after which it gives up. */
+const noticeDelayMs = 50;
 /** Interval at which a queue is checked that no end of a request moves on, in milliseconds. */
 const queueCheckMs = 10;
 
@@ -84,6 +86,11 @@
 	/** When the last refused client comes back. */
 	private lastReturnAtMs = 0;
 
+	/** Whether the group has no backend server. */
+	get isEmpty(): boolean {
+		return this.loads.size === 0;
+	}
+
 	/** Number of requests that wait. */
 	get queued(): number {
 		return this.queue.size;
@@ -130,6 +137,7 @@
 			this.assign(request, decision, nowMs);
 			this.queue.charge(request);
 		} else if (decision.kind === AssignmentKind.Queued) {
+			entry.noticeAtMs = nowMs + decision.expectedMs + noticeDelayMs;
 			this.queue.add(entry);
 		} else {
 			this.noteRefusal(request, decision.retryAfterMs, nowMs);
@@ -204,8 +212,7 @@
 
 	/** Returns the wait that a request of a priority would meet, in milliseconds, by which daemons choose among groups. */
 	waitMs(priority: number, nowMs: number): number {
-		const waits = [...this.loads.values()].map(load => this.waitAt(load, nowMs));
-		return Math.round(Math.min(...waits, Number.MAX_SAFE_INTEGER) + this.drainMs(this.queuedWorkMs(priority)));
+		return Math.round(Math.min(this.shortestWaitMs(nowMs), Number.MAX_SAFE_INTEGER) + this.drainMs(this.queuedWorkMs(priority)));
 	}
 
 	/** Returns the number of requests assigned to a backend server. */
@@ -213,17 +220,31 @@
 		return this.loads.get(key)?.assignments.size ?? 0;
 	}
 
-	/** Returns the present predictions for all waiting requests, which tell their daemons that the coordinator is alive. */
-	queuedDecisions(nowMs: number): AssignmentDecision[] {
+	/**
+	 * Returns the present predictions for those waiting requests whose last one has passed. They tell
+	 * their daemons, which give up after twice the prediction, that the coordinator is alive.
+	 */
+	queueNotices(nowMs: number): AssignmentDecision[] {
+		if (this.isEmpty || ![...this.queue.values()].some(({noticeAtMs}) => noticeAtMs <= nowMs)) {
+			return [];
+		}
+
+		const notices: AssignmentDecision[] = [];
+		const waitMs = this.shortestWaitMs(nowMs);
 		let workAheadMs = 0;
-		return this.queue.ordered(nowMs).map(entry => {
+		for (const entry of this.queue.ordered(nowMs)) {
 			const {daemon, incarnation, id} = entry.request;
-			const expectedMs = Math.round(this.predictQueued(entry, workAheadMs, nowMs));
+			const expectedMs = Math.round(waitMs + this.drainMs(workAheadMs) + entry.workMs);
 			workAheadMs += entry.workMs;
-			return {
-				daemon, incarnation, id, kind: AssignmentKind.Queued, expectedMs,
-			};
-		});
+			if (entry.noticeAtMs <= nowMs) {
+				entry.noticeAtMs = nowMs + expectedMs + noticeDelayMs;
+				notices.push({
+					daemon, incarnation, id, kind: AssignmentKind.Queued, expectedMs,
+				});
+			}
+		}
+
+		return notices;
 	}
 
 	/** Tells what would be decided on a request now; changes nothing. */
@@ -252,6 +273,7 @@
 		return {
 			request,
 			queuedAtMs: nowMs,
+			noticeAtMs: nowMs,
 			targetAtMs: nowMs + request.targetMs,
 			deadlineAtMs: nowMs + request.remainingMs,
 			workMs: works.length > 0 ? Math.min(...works) : 0,
@@ -288,7 +310,9 @@
 	/** Assigns waiting requests in order, as long as the first one has room, and refuses those that can no longer be served. */
 	private assignQueued(nowMs: number): AssignmentDecision[] {
 		const decisions: AssignmentDecision[] = [];
-		if (this.queue.isEmpty) {
+		// A view without backend servers may be a stale one, by which nobody is refused: their daemons hear nothing and place the requests.
+		if (this.queue.isEmpty || this.isEmpty) {
+			this.removeOutdated(nowMs);
 			return decisions;
 		}
 
@@ -329,6 +353,13 @@
 		return decisions;
 	}
 
+	/** Removes waiting requests whose deadline has passed. */
+	private removeOutdated(nowMs: number): void {
+		for (const {request} of [...this.queue.values()].filter(({deadlineAtMs}) => deadlineAtMs <= nowMs)) {
+			this.queue.remove(request);
+		}
+	}
+
 	/** Returns the backend server at which a request costs least among those with room, and the figures behind the choice. */
 	private choose(entry: QueuedRequest, nowMs: number): {backend: number; copyFrom: number | undefined; terms: AssignmentTerms} | undefined {
 		const {request, queuedAtMs} = entry;
@@ -437,8 +468,17 @@
 
 	/** Returns the time until the first event of a request that waits behind this much work, in milliseconds. */
 	private predictQueued(entry: QueuedRequest, workAheadMs: number, nowMs: number): number {
-		const waits = [...this.loads.values()].map(load => this.waitAt(load, nowMs));
-		return Math.min(...waits) + this.drainMs(workAheadMs) + entry.workMs;
+		return this.shortestWaitMs(nowMs) + this.drainMs(workAheadMs) + entry.workMs;
+	}
+
+	/** Returns the shortest wait at a backend server of the group, in milliseconds. */
+	private shortestWaitMs(nowMs: number): number {
+		let shortestMs = Number.POSITIVE_INFINITY;
+		for (const load of this.loads.values()) {
+			shortestMs = Math.min(shortestMs, this.waitAt(load, nowMs));
+		}
+
+		return shortestMs;
 	}
 
 	/** Returns the work of the waiting requests of this or a more urgent priority, in milliseconds of one backend server. */
--- a/src/coordination/assignment/assignment-queue.ts
+++ b/src/coordination/assignment/assignment-queue.ts
@@ -10,6 +10,8 @@
 export type QueuedRequest = {
 	request: AssignmentRequest;
 	queuedAtMs: number;
+	/** When its daemon is told a new prediction. */
+	noticeAtMs: number;
 	targetAtMs: number;
 	deadlineAtMs: number;
 	/** Predicted time of the request's own work, in milliseconds. */
--- a/src/coordination/fleet/__fixtures__/test-net.ts
+++ b/src/coordination/fleet/__fixtures__/test-net.ts
@@ -52,6 +52,8 @@
 /** The modules of a daemon that take part in the fleet, without network ports. */
 export class TestDaemon {
 	isRunning = true;
+	/** Whether its process is stopped for a moment; what arrives meanwhile is delivered afterwards. */
+	isFrozen = false;
 	bytesSent = 0;
 	datagramsSent = 0;
 	readonly fleet: FleetTable;
@@ -213,7 +215,7 @@
 	}
 
 	send(bytes: Uint8Array, from: TestDaemon, to: PeerAddress): void {
-		if (uniformFloat64(this.generator) >= this.lossShare && !this.cuts.has(`${from.host} ${to.host}`)) {
+		if (uniformFloat64(this.generator) >= this.lossShare && from.isRunning && !from.isFrozen && !this.cuts.has(`${from.host} ${to.host}`)) {
 			this.inTransit.push({atMs: this.nowMs + 2, bytes, to});
 		}
 	}
@@ -233,14 +235,15 @@
 	run(forMs: number, onStep: () => void = () => undefined): void {
 		for (const endMs = this.nowMs + forMs; this.nowMs < endMs; this.nowMs += this.stepMs) {
 			const running = new Map(this.runningDaemons().map(daemon => [daemon.host, daemon]));
-			const due = this.inTransit.filter(({atMs}) => atMs <= this.nowMs);
-			this.inTransit = this.inTransit.filter(({atMs}) => atMs > this.nowMs);
+			const isDue = ({atMs, to}: {atMs: number; to: PeerAddress}) => atMs <= this.nowMs && !running.get(to.host)?.isFrozen;
+			const due = this.inTransit.filter(datagram => isDue(datagram));
+			this.inTransit = this.inTransit.filter(datagram => !isDue(datagram));
 			for (const {bytes, to} of due) {
 				running.get(to.host)?.messenger.receive(unpack(bytes));
 			}
 
 			for (const [index, daemon] of this.daemons.entries()) {
-				if (daemon.isRunning && (this.nowMs + (index * 30)) % reportIntervalMs < this.stepMs) {
+				if (daemon.isRunning && !daemon.isFrozen && (this.nowMs + (index * 30)) % reportIntervalMs < this.stepMs) {
 					daemon.messenger.sendReports();
 				}
 			}
