Time out assigned attempts by the time that is left, and free forbidden ones

The wait for an assignment was not taken off the time until the first byte, so a request that had waited could be waited for beyond its deadline. A request that became a suspect of crashes while it waited kept the place assigned to it until its deadline.

No test yet: no fixture creates a Dispatcher.

--- a/src/coordination/serving/dispatcher.ts
+++ b/src/coordination/serving/dispatcher.ts
@@ -166,6 +166,7 @@
 		let slotRequests = 0;
 		for (;;) {
 			if (reservations.isRetryForbidden(served)) {
+				assignment?.end(AssignmentResult.NotSent);
 				return {kind: DispatchKind.Quarantined, reason: 'crashes backend servers'};
 			}
 
@@ -331,7 +332,8 @@
 
 		signal.addEventListener('abort', cancel, {once: true});
 		options.signal?.addEventListener('abort', cancel, {once: true});
-		const timer = setTimeout(cancel, options.firstByteTimeoutMs);
+		// The wait for an assignment has used up a part of the time that was left.
+		const timer = setTimeout(cancel, Math.min(options.firstByteTimeoutMs, served.remainingMs(sentAtMs)));
 		const clearSoftTimeout = this.startSoftTimeout(served, backend.id, options, cancel);
 		const endWaiting = reachability.noteSent(backend, sentAtMs);
 		const assignedAttempt = assignment && new AssignedAttempt(assignment, sentAtMs);
