--- a/src/coordination/serving/request-explanation.ts
+++ b/src/coordination/serving/request-explanation.ts
@@ -170,14 +170,14 @@
 		throw new RangeError('host and path are needed, the path with a leading slash');
 	}
 
-	const [promptTokens, maxOutputTokens] = readTokens(parameters.get('tokens'));
+	const [promptTokens, maxOutputTokens] = readTokens(parameters.get('tokens') ?? undefined);
 	return {
-		host, path, account: parameters.get('account') ?? undefined, promptTokens, maxOutputTokens, promptParts: readParts(parameters.get('parts')),
+		host, path, account: parameters.get('account') ?? undefined, promptTokens, maxOutputTokens, promptParts: readParts(parameters.get('parts') ?? undefined),
 	};
 }
 
 function readTokens(text: string | undefined): Array<number | undefined> {
-	return text === null ? [] : text.split(',').map(part => readCount(part, 'tokens'));
+	return text === undefined ? [] : text.split(',').map(part => readCount(part, 'tokens'));
 }
 
 function readParts(text: string | undefined): PromptPart[] {
