--- a/src/coordination/serving/request-explanation.ts
+++ b/src/coordination/serving/request-explanation.ts
@@ -181,7 +181,7 @@
 }
 
 function readParts(text: string | undefined): PromptPart[] {
-	return text === null
+	return text === undefined
 		? []
 		: text.split(',').map(entry => {
 			const [id, tokens, ...rest] = entry.split(':');
