Find versions that turn bad after many good answers, and bad ones sooner

The verdict asked for one large increase in failures, so a version that failed 0.2 of its answers from 42 s of a 60 s order on stayed good: 1,000 good answers outweighed the bad ones. It also asked for all of the evidence again without the strongest failure domain, and took places without a failure so far for faultless, which delayed both verdicts.

The evidence is now the mean likelihood ratio of a large and a small increase in failures. From 30 answers on, a part of the evidence without the strongest domain confirms a bad version, if it is at least a quarter of the whole. The rates of places are blended more with their route's.

Also mended: a route that only one domain had tested needed no confirmation, although several domains tested the version.

--- a/src/coordination/rollout/version-verdict.ts
+++ b/src/coordination/rollout/version-verdict.ts
@@ -2,12 +2,14 @@
  * Compares a new version with the current one by a sequential probability ratio test (Wald,
  * 1945): after each answer the likelihood of "as often bad as the current version" is weighed
  * against "clearly more often", and the test ends as soon as the evidence suffices for the
- * stated error rates.
+ * stated error rates. "Clearly more often" is several increases at once: a large one, which few
+ * answers show, and a small one, which still shows when a version turns bad after thousands of
+ * good answers.
  *
  * Both versions are compared within the same failure domain and route over the same time, so
- * that trouble which meets both is not taken for the version's. A version is only bad if the
- * evidence also suffices without the failure domain that contributes most: the fault may be
- * that of the one backend server which tests the version there.
+ * that trouble which meets both is not taken for the version's. A version is only bad if enough
+ * evidence remains without the failure domain that contributes most: the fault may be that of
+ * the one backend server which tests the version there.
  */
 
 /** Probability with which a version that is as good as the current one is found bad. */
@@ -18,8 +20,23 @@
 const goodThreshold = Math.log(missRate / (1 - falseAlarmRate));
 /** Evidence against one route from which on a version is not found good. */
 const suspectRouteEvidence = 2;
-/** Answers of the current version in all failure domains that the rate in one of them is blended with. */
-const priorAnswers = 10;
+/** Evidence against a version over all routes from which on it is not found good. */
+const suspectVersionEvidence = 4.6;
+/**
+ * Evidence about failures on all routes that must remain without the failure domain that
+ * contributes most, also as a share of the whole, and the answers of the new version from which
+ * on that much suffices. Two chance failures beside a faulty backend server reach it among fewer
+ * answers; the share holds off the few that are left, since a version fails in all domains alike.
+ */
+const confirmingEvidence = 5;
+const minConfirmingShare = 0.25;
+const minConfirmingAnswers = 30;
+/**
+ * Answers of the current version in all failure domains that the rate in one of them is blended
+ * with. With 10, places without a failure so far appear to have none, and chance failures of the
+ * new version there weigh too much.
+ */
+const priorAnswers = 40;
 /** Fewest answers of the new version for any verdict. */
 const minAnswers = 8;
 
@@ -38,10 +55,14 @@
 	Slow = 'slow',
 }
 
-/** For each metric: the increase in the share of bad answers that must be detected, and the lowest share that is assumed of the current version. */
-const detection: Record<OutcomeMetric, {increase: number; minRate: number}> = {
-	[OutcomeMetric.Failure]: {increase: 0.15, minRate: 0.005},
-	[OutcomeMetric.Slow]: {increase: 0.25, minRate: 0.05},
+/**
+ * For each metric: the increases in the share of bad answers that must be detected, starting with
+ * the one that a good version must be shown not to have, and the lowest share that is assumed of
+ * the current version. Slowness has no small increase, since the few replicas that test a version start cold.
+ */
+const detection: Record<OutcomeMetric, {increases: [number, ...number[]]; minRate: number}> = {
+	[OutcomeMetric.Failure]: {increases: [0.15, 0.04], minRate: 0.005},
+	[OutcomeMetric.Slow]: {increases: [0.25], minRate: 0.05},
 };
 
 /** Answers, and how many of them were bad. */
@@ -59,7 +80,8 @@
 /** The evidence for a verdict, for logs: log likelihood ratios, positive against the version. */
 export type Evidence = {verdict: Verdict; answers: number; bad: number; worst: number; worstRoute: string; worstMetric: OutcomeMetric | undefined};
 
-type ScoredStratum = Stratum & {score: number};
+/** A stratum with its log likelihood ratio for each increase. */
+type ScoredStratum = Stratum & {scores: number[]};
 
 /** Compares the versions over all strata. */
 export function compareVersions(strata: Stratum[]): Evidence {
@@ -73,13 +95,15 @@
 	for (const metric of Object.values(OutcomeMetric)) {
 		const ofMetric = scored.filter(stratum => stratum.metric === metric);
 		const routes = [...new Set(ofMetric.map(({route}) => route))];
-		isGood &&= sumScores(ofMetric) <= goodThreshold;
+		const domains = [...new Set(ofMetric.filter(stratum => stratum.next.answers > 0).map(({failureDomain}) => failureDomain))];
+		isGood &&= sumLargestIncrease(ofMetric) <= goodThreshold && evidenceOf(ofMetric) < suspectVersionEvidence;
 		// An empty name stands for all routes together.
 		for (const route of ['', ...routes]) {
 			const group = route === '' ? ofMetric : ofMetric.filter(stratum => stratum.route === route);
-			const score = sumScores(group);
-			isBad ||= isConvincing(group, score);
-			isGood &&= route === '' || score < suspectRouteEvidence;
+			const score = evidenceOf(group);
+			const canConfirm = route === '' && metric === OutcomeMetric.Failure && next.answers >= minConfirmingAnswers;
+			isBad ||= isConvincing(group, domains, canConfirm ? confirmingEvidence : badThreshold);
+			isGood &&= route === '' || sumLargestIncrease(group) < suspectRouteEvidence;
 			if (score > evidence.worst) {
 				Object.assign(evidence, {worst: score, worstRoute: route, worstMetric: metric});
 			}
@@ -93,43 +117,54 @@
 	return evidence;
 }
 
-/** Whether the evidence suffices to find a version bad, also without the failure domain that contributes most. */
-function isConvincing(strata: ScoredStratum[], score: number): boolean {
-	if (score < badThreshold) {
+/** Whether the evidence suffices to find a version bad, and enough of it remains without any one of the failure domains that test the version. */
+function isConvincing(strata: ScoredStratum[], domains: string[], leastRemaining: number): boolean {
+	if (evidenceOf(strata) < badThreshold || domains.length === 0) {
 		return false;
 	}
 
-	const domains = [...new Set(strata.filter(({next}) => next.answers > 0).map(({failureDomain}) => failureDomain))];
-	if (domains.length < 2) {
-		return domains.length === 1;
-	}
-
-	const mostOfOneDomain = Math.max(...domains.map(domain => sumScores(strata.filter(({failureDomain}) => failureDomain === domain))));
-	return score - mostOfOneDomain >= badThreshold;
+	return domains.length === 1 || domains.every(domain => {
+		const remaining = strata.filter(({failureDomain}) => failureDomain !== domain);
+		return evidenceOf(remaining) >= badThreshold || sumLargestIncrease(remaining) >= Math.max(leastRemaining, minConfirmingShare * sumLargestIncrease(strata));
+	});
 }
 
-/** Returns the log likelihood ratio of each stratum of one metric. */
+/** Returns the log likelihood ratios of each stratum of one metric. */
 function scoreStrata(strata: Stratum[]): ScoredStratum[] {
 	return strata.map(stratum => {
 		const {metric, route, current, next} = stratum;
-		const {increase, minRate} = detection[metric];
+		const {increases, minRate} = detection[metric];
 		const ofRoute = sumCounts(strata.filter(other => other.route === route).map(other => other.current));
 		const routeRate = ofRoute.answers === 0 ? minRate : ofRoute.bad / ofRoute.answers;
 		const blended = (current.bad + (routeRate * priorAnswers)) / (current.answers + priorAnswers);
 		const usualRate = Math.min(0.95, Math.max(minRate, blended));
-		const badRate = usualRate + (increase * (1 - usualRate));
-		const score = (next.bad * Math.log(badRate / usualRate)) + ((next.answers - next.bad) * Math.log((1 - badRate) / (1 - usualRate)));
-		return {...stratum, score};
+		const scores = increases.map(increase => {
+			const badRate = usualRate + (increase * (1 - usualRate));
+			return (next.bad * Math.log(badRate / usualRate)) + ((next.answers - next.bad) * Math.log((1 - badRate) / (1 - usualRate)));
+		});
+		return {...stratum, scores};
 	});
 }
 
-function sumScores(strata: ScoredStratum[]): number {
-	let sum = 0;
-	for (const {score} of strata) {
-		sum += score;
+/** Returns the evidence for any of the increases: the logarithm of the mean of their likelihood ratios, which keeps the stated error rates. */
+function evidenceOf(strata: ScoredStratum[]): number {
+	const sums = strata.at(0)?.scores.map((_, index) => sum(strata.map(({scores}) => scores[index]))) ?? [0];
+	const largest = Math.max(...sums);
+	return largest + Math.log(sum(sums.map(each => Math.exp(each - largest))) / sums.length);
+}
+
+/** Returns the log likelihood ratio for the largest increase. */
+function sumLargestIncrease(strata: ScoredStratum[]): number {
+	return sum(strata.map(({scores}) => scores[0]));
+}
+
+function sum(values: number[]): number {
+	let total = 0;
+	for (const value of values) {
+		total += value;
 	}
 
-	return sum;
+	return total;
 }
 
 function sumCounts(counts: OutcomeCounts[]): OutcomeCounts {
