--- a/src/coordination/quarantine/__tests__/crash-watch.test.ts
+++ b/src/coordination/quarantine/__tests__/crash-watch.test.ts
@@ -2,7 +2,10 @@
  * Guards against blaming requests for broken runs that they did not cause: only a backend server
  * that crashed is evidence, not one that is overloaded, draining or being reclaimed.
  */
-import {createServer} from 'node:net';
+import {once} from 'node:events';
+import {
+	createServer, type AddressInfo, type Server, type Socket,
+} from 'node:net';
 import {describe, expect, it} from 'vitest';
 import {SteadyClock} from '../../../clock.js';
 import {type Backend, BackendState} from '../../../protocol/serving.js';
@@ -159,16 +162,46 @@
 });
 
 describe('isConnectionRefused', () => {
+	/** Starts a server that does something with each connection, and returns its port. */
+	async function listen(handle: (server: Server, socket: Socket) => void): Promise<{server: Server; port: number}> {
+		const server = createServer(socket => {
+			handle(server, socket);
+		}).listen(0, '127.0.0.1');
+		await once(server, 'listening');
+		return {server, port: (server.address() as AddressInfo).port};
+	}
+
 	it('is false for a listening port and true after it is closed', async () => {
-		const server = createServer().listen(0, '127.0.0.1');
-		await new Promise(resolve => {
-			server.once('listening', resolve);
-		});
-		const {port} = server.address() as {port: number};
+		const {server, port} = await listen(() => undefined);
 		expect(await isConnectionRefused({host: '127.0.0.1', port}, 500)).toBe(false);
 		await new Promise(resolve => {
 			server.close(resolve);
 		});
 		expect(await isConnectionRefused({host: '127.0.0.1', port}, 500)).toBe(true);
 	});
+
+	// A process that is killed loses connections before its port. If one that is accepted in between proves that it runs, its crash is missed.
+	it.each([
+		{
+			name: 'resets the connection and closes its port', handle(server: Server, socket: Socket) {
+				server.close();
+				socket.resetAndDestroy();
+			}, isRefused: true,
+		},
+		{
+			name: 'ends the connection and closes its port', handle(server: Server, socket: Socket) {
+				server.close();
+				socket.end();
+			}, isRefused: true,
+		},
+		{
+			name: 'resets each connection and keeps its port', handle(_: Server, socket: Socket) {
+				socket.resetAndDestroy();
+			}, isRefused: false,
+		},
+	])('is $isRefused for a process that $name', async ({handle, isRefused}) => {
+		const {server, port} = await listen(handle);
+		expect(await isConnectionRefused({host: '127.0.0.1', port}, 500)).toBe(isRefused);
+		server.close();
+	});
 });
