Let daemons tell each other the usual paces of backend servers

Each daemon of a large fleet hears from a backend server only every few seconds, and one that starts knows nothing. The usual paces are now gossiped with the other statements of backend servers: when newly known or changed by a fifth or more, and all of them every two seconds by the first relay of a failure domain (in a full mesh: by the first daemon). A daemon goes by its own observations once it has three.

Statements less than 600 ms apart count as one observation, since they describe the same moment; otherwise a daemon that hears often from a backend server took a slow moment for the usual pace. A change is sent only on four own observations of which nearly all differ from the shared pace, and forwarded for one to two rounds; on the wire a pace is a tuple, not an object.

--- a/src/cli/front-container.ts
+++ b/src/cli/front-container.ts
@@ -306,6 +306,7 @@
 		quarantineRecord: resolver.resolve(QuarantineRecord),
 		statedLimits: resolver.resolve(StatedLimits),
 		tolerances: resolver.resolve(OverloadTolerances),
+		paces: resolver.resolve(BackendPaces).shared,
 		slots: resolver.resolve(SlotExchange),
 		assignments: resolver.resolve(AssignmentExchange),
 		rollouts: resolver.resolve(Rollouts),
--- a/src/coordination/fleet/__fixtures__/test-net.ts
+++ b/src/coordination/fleet/__fixtures__/test-net.ts
@@ -156,7 +156,7 @@
 		this.messenger = new FleetMessenger({
 			settings: {
 				name, failureDomain, host, peerPort: 1, bounds: {quotaWindowMs: net.bounds.windowMs, retryWindowMs: retryLimits.windowMs},
-			}, incarnation, store: net.store, logEra: this.logEra, fleet: this.fleet, sharedUse, usage: this.usage, placement: this.placement, lease: this.lease, bounds: this.bounds, quarantine: this.quarantine, quarantineRecord: this.quarantineRecord, statedLimits: this.statedLimits, tolerances: this.tolerances, slots: this.slots, assignments: this.assignments, rollouts: this.rollouts, reachability: this.reachability, streamOrigins: this.originExchange, streamOriginRecord: this.originRecord, topics: this.topics, clock, startedAtMs,
+			}, incarnation, store: net.store, logEra: this.logEra, fleet: this.fleet, sharedUse, usage: this.usage, placement: this.placement, lease: this.lease, bounds: this.bounds, quarantine: this.quarantine, quarantineRecord: this.quarantineRecord, statedLimits: this.statedLimits, tolerances: this.tolerances, paces: this.paces.shared, slots: this.slots, assignments: this.assignments, rollouts: this.rollouts, reachability: this.reachability, streamOrigins: this.originExchange, streamOriginRecord: this.originRecord, topics: this.topics, clock, startedAtMs,
 		});
 		this.messenger.open({
 			send: (message, to) => {
--- a/src/coordination/fleet/fleet-messenger.ts
+++ b/src/coordination/fleet/fleet-messenger.ts
@@ -17,6 +17,7 @@
 import {type AssignmentExchange} from '../assignment/assignment-exchange.js';
 import {type DutyLease} from '../duty-lease.js';
 import {type OverloadTolerances} from '../overload-tolerances.js';
+import {type SharedPaces} from '../paces/shared-paces.js';
 import {type Placement} from '../placement.js';
 import {type Quarantine} from '../quarantine/quarantine.js';
 import {quarantineKey, type QuarantineRecord} from '../quarantine/quarantine-record.js';
@@ -93,6 +94,7 @@
 	quarantineRecord: QuarantineRecord;
 	statedLimits: StatedLimits;
 	tolerances: OverloadTolerances;
+	paces: SharedPaces;
 	slots: Pick<SlotExchange, 'open' | 'receive' | 'sendRound'>;
 	assignments: Pick<AssignmentExchange, 'open' | 'receive' | 'sendRound'>;
 	rollouts: Rollouts;
@@ -312,17 +314,19 @@
 		}
 	}
 
-	/** Sends the requests that crash backend servers, the limits that backend servers state, and the roll-outs: those that changed, and every {@link fullUpdateRounds} rounds all of them. */
+	/** Sends the requests that crash backend servers, the limits and paces that backend servers state, and the roll-outs: those that changed, and every {@link fullUpdateRounds} rounds all of them. */
 	private sendBackendUpdates(role: FleetRole, nowMs: number): void {
 		const includesAll = this.round % fullUpdateRounds === 0 && this.shouldRepeatAll(role, nowMs);
-		const messages = this.backendUpdates.createRoundMessages(this.sender(nowMs), includesAll, nowMs);
+		// All daemons of a full mesh agree on their first one, and each pace is the same at all of them, so one repeats them for all.
+		const includesAllPaces = includesAll && (role !== FleetRole.Mesh || this.parts.fleet.rank(nowMs) === 0);
+		const messages = this.backendUpdates.createRoundMessages(this.sender(nowMs), {includesAll, includesAllPaces}, nowMs);
 		const receivers = messages.length > 0 ? this.updateReceivers(role, nowMs) : [];
 		for (const message of messages) {
 			this.link?.send(message, receivers);
 		}
 	}
 
-	/** Sends all suspected requests, limits and roll-outs to a daemon that has just started. */
+	/** Sends all suspected requests, limits, paces and roll-outs to a daemon that has just started. */
 	private sendAllToNewDaemon({sender}: Report, nowMs: number): void {
 		if (sender.uptimeMs < newDaemonMs) {
 			for (const message of this.backendUpdates.createFullMessages(this.sender(nowMs), nowMs)) {
--- a/src/coordination/paces/backend-paces.ts
+++ b/src/coordination/paces/backend-paces.ts
@@ -4,71 +4,119 @@
  * then it fades to the usual pace, since the momentary one changes several times a second.
  */
 import {type Backend} from '../../protocol/serving.js';
+import {backendKey} from '../fleet/backend-key.js';
+import {minOwnObservations, SharedPaces} from './shared-paces.js';
 
 /** The pace of a backend server that works at the usual speed, in percent. */
-const usualPercent = 100;
+const standardPercent = 100;
 /** Age up to which a statement counts in full, in milliseconds. */
 const freshMs = 300;
 /** Age from which on only the usual pace counts, in milliseconds. */
 const fadedMs = 900;
-/** Latest statements whose median is the usual pace. */
-const keptStatements = 7;
+/** Latest observations whose median is the usual pace. */
+const keptObservations = 7;
+/** Least time between two observations that count for the usual pace, in milliseconds. Momentary slowness lasts that long, so that statements closer together describe the same moment. */
+const observationSpacingMs = 600;
 /** Time for which a service counts as one that states its pace, in milliseconds. */
 const statedMaxAgeMs = 10_000;
 
-/** What is known of the pace of one backend server. */
-type Pace = {service: string; latestPercent: number; latestAtMs: number; recentPercents: number[]};
+/** What this daemon has observed of the pace of one backend server. */
+type Pace = {service: string; latestPercent: number; latestAtMs: number; observedAtMs: number; recentPercents: number[]; usualPercent: number};
+
+/** A backend server whose pace is asked for or stated. */
+type PacedBackend = Pick<Backend, 'id' | 'service'>;
 
 /** The paces of all backend servers that state them. */
 export class BackendPaces {
+	/** The usual paces that the daemons of the fleet tell each other. */
+	readonly shared = new SharedPaces();
 	private readonly paces = new Map<string, Pace>();
+	/** Services of the backend servers whose pace is known only from other daemons, whose messages do not name the service. */
+	private readonly unobservedServices = new Map<string, string>();
 	private readonly statedAtMs = new Map<string, number>();
 
 	/** Records the pace that an answer stated, in percent of the usual time. */
-	note({id, service}: Pick<Backend, 'id' | 'service'>, percent: number, nowMs: number): void {
+	note({id, service}: PacedBackend, percent: number, nowMs: number): void {
 		this.statedAtMs.set(service, nowMs);
+		this.unobservedServices.delete(id);
 		const pace = this.paces.get(id);
+		if (pace && nowMs - pace.observedAtMs < observationSpacingMs) {
+			this.paces.set(id, {...pace, latestPercent: percent, latestAtMs: nowMs});
+			return;
+		}
+
+		const recentPercents = [...pace?.recentPercents ?? [], percent].slice(-keptObservations);
+		const usualPercent = median(recentPercents);
 		this.paces.set(id, {
-			service, latestPercent: percent, latestAtMs: nowMs, recentPercents: [...pace?.recentPercents ?? [], percent].slice(-keptStatements),
+			service, latestPercent: percent, latestAtMs: nowMs, observedAtMs: nowMs, recentPercents, usualPercent,
 		});
+		this.shared.observe(backendKey(id), {usualPercent, recentPercents}, nowMs);
+	}
+
+	/** Returns the usual pace of a backend server in percent: this daemon's own observations if there are enough of them, otherwise what other daemons state. */
+	usualPercent(id: string): number | undefined {
+		const pace = this.paces.get(id);
+		const own = pace?.usualPercent;
+		return pace && pace.recentPercents.length >= minOwnObservations ? own : this.shared.heardPercent(backendKey(id)) ?? own;
 	}
 
 	/** Returns how long work takes at a backend server, as a multiple of the usual time. */
-	factor({id, service}: Pick<Backend, 'id' | 'service'>, nowMs: number): number {
+	factor({id, service}: PacedBackend, nowMs: number): number {
+		if (this.paces.size === 0 && this.shared.isEmpty) {
+			return 1;
+		}
+
+		const usual = this.usualPercent(id);
+		if (usual === undefined) {
+			return this.usualOfService(service) / standardPercent;
+		}
+
 		const pace = this.paces.get(id);
 		if (!pace) {
-			return this.usualOfService(service) / usualPercent;
+			this.unobservedServices.set(id, service);
+			return usual / standardPercent;
 		}
 
-		const usual = median(pace.recentPercents);
 		const freshness = Math.min(1, Math.max(0, (fadedMs - (nowMs - pace.latestAtMs)) / (fadedMs - freshMs)));
-		return ((pace.latestPercent * freshness) + (usual * (1 - freshness))) / usualPercent;
+		// In this form the factor is exactly 1 where both are 100; a weighted sum of both would round.
+		return (usual + ((pace.latestPercent - usual) * freshness)) / standardPercent;
 	}
 
-	/** Whether a backend server of a service has stated its pace of late. */
+	/** Whether a backend server of a service has stated its pace to this daemon of late. */
 	isStated(service: string, nowMs: number): boolean {
 		return nowMs - (this.statedAtMs.get(service) ?? Number.NEGATIVE_INFINITY) <= statedMaxAgeMs;
 	}
 
 	/** Keeps only the given backend servers. */
 	retain(ids: ReadonlySet<string>): void {
-		for (const id of this.paces.keys()) {
-			if (!ids.has(id)) {
-				this.paces.delete(id);
+		for (const known of [this.paces, this.unobservedServices]) {
+			for (const id of known.keys()) {
+				if (!ids.has(id)) {
+					known.delete(id);
+				}
 			}
 		}
+
+		if (!this.shared.isEmpty) {
+			this.shared.retain(new Set([...ids].map(id => backendKey(id))));
+		}
 	}
 
 	/** Returns a plain copy for state dumps. */
 	toJson(nowMs: number): unknown {
-		return [...this.paces].map(([backend, {latestPercent, latestAtMs, recentPercents}]) => ({
-			backend, latestPercent, ageMs: Math.round(nowMs - latestAtMs), usualPercent: median(recentPercents),
-		}));
+		return {
+			observed: [...this.paces].map(([backend, {latestPercent, latestAtMs, recentPercents}]) => ({
+				backend, latestPercent, ageMs: Math.round(nowMs - latestAtMs), observations: recentPercents.length, usualPercent: this.usualPercent(backend),
+			})),
+			shared: this.shared.toJson(nowMs),
+		};
 	}
 
+	/** Returns the median of the usual paces of a service's backend servers. */
 	private usualOfService(service: string): number {
-		const usual = [...this.paces.values()].filter(pace => pace.service === service).map(({recentPercents}) => median(recentPercents));
-		return usual.length > 0 ? median(usual) : usualPercent;
+		const services = [...this.unobservedServices, ...[...this.paces].map(([id, pace]) => [id, pace.service] as const)];
+		const usual = services.filter(([, each]) => each === service).map(([id]) => this.usualPercent(id)).filter(percent => percent !== undefined);
+		return usual.length > 0 ? median(usual) : standardPercent;
 	}
 }
 
--- a/src/protocol/fleet-messages.ts
+++ b/src/protocol/fleet-messages.ts
@@ -9,6 +9,7 @@
 	type AssignmentAnswer, type AssignmentEnd, type AssignmentId, type AssignmentRequest, isAssignmentAnswers, isAssignmentEnds, isAssignmentRequest,
 } from './assignment.js';
 import {type LogPosition} from './log-position.js';
+import {isPacePercent} from './pace-percent.js';
 import {type Topic} from './platform.js';
 
 /** The address at which a daemon receives datagrams. */
@@ -22,6 +23,7 @@
 	Limits = 'limits',
 	Rollouts = 'rollouts',
 	Tolerances = 'tolerances',
+	Paces = 'paces',
 	SlotClaim = 'slot-claim',
 	SlotDecision = 'slot-decision',
 	AssignmentRequest = 'assignment-request',
@@ -170,6 +172,12 @@
 /** The backend servers that fail under overload. */
 export type ToleranceList = {kind: FleetMessageKind.Tolerances; sender: Sender; tolerances: ToleranceUpdate[]};
 
+/** How long work usually takes at a backend server that states it: the key of the backend server, the percentage of the usual time, and how long ago a daemon determined it, in milliseconds. A tuple takes a third of the bytes of an object with named fields. */
+export type PaceUpdate = [backend: number, percent: number, ageMs: number];
+
+/** The usual paces of backend servers. */
+export type PaceList = {kind: FleetMessageKind.Paces; sender: Sender; paces: PaceUpdate[]};
+
 /** A daemon's use of the slots of a backend server that fails under overload, and the further ones that it asks for. */
 export type SlotClaim = {
 	kind: FleetMessageKind.SlotClaim;
@@ -284,11 +292,11 @@
 export type StreamOriginAnswer = {kind: FleetMessageKind.StreamOriginAnswer; sender: Sender; stream: number; origin: StreamOrigin | undefined; knowledge: VersionKnowledge};
 
 /** Any message between serving daemons. */
-export type FleetMessage = Report | View | SuspectList | LimitList | ToleranceList | SlotClaim | SlotDecision | AssignmentRequestMessage | AssignmentDecisionMessage | AssignmentEndMessage | AssignmentWithdrawal | RolloutList | StreamOriginList | StreamOriginQuery | StreamOriginAnswer;
+export type FleetMessage = Report | View | SuspectList | LimitList | ToleranceList | PaceList | SlotClaim | SlotDecision | AssignmentRequestMessage | AssignmentDecisionMessage | AssignmentEndMessage | AssignmentWithdrawal | RolloutList | StreamOriginList | StreamOriginQuery | StreamOriginAnswer;
 
 /** Whether the content of a datagram is a message of a daemon; anyone can send a datagram. */
 export function isFleetMessage(value: unknown): value is FleetMessage {
-	const {kind, sender, suspects, limits, tolerances, rollouts, stream, service, origin, knowledge} = (value ?? {}) as {kind?: FleetMessageKind; sender?: Sender; suspects?: unknown; limits?: unknown; tolerances?: unknown; rollouts?: unknown; stream?: unknown; service?: unknown; origin?: unknown; knowledge?: unknown};
+	const {kind, sender, suspects, limits, tolerances, paces, rollouts, stream, service, origin, knowledge} = (value ?? {}) as {kind?: FleetMessageKind; sender?: Sender; suspects?: unknown; limits?: unknown; tolerances?: unknown; paces?: unknown; rollouts?: unknown; stream?: unknown; service?: unknown; origin?: unknown; knowledge?: unknown};
 	if (typeof sender?.name !== 'string' || typeof sender.address?.host !== 'string') {
 		return false;
 	}
@@ -296,6 +304,7 @@
 	return kind === FleetMessageKind.Report || kind === FleetMessageKind.View
 		|| (kind === FleetMessageKind.Suspects && isSuspectUpdates(suspects)) || (kind === FleetMessageKind.Limits && isLimitUpdates(limits))
 		|| (kind === FleetMessageKind.Tolerances && isToleranceUpdates(tolerances))
+		|| (kind === FleetMessageKind.Paces && isPaceUpdates(paces))
 		|| (kind === FleetMessageKind.SlotClaim && isSlotClaim(value)) || (kind === FleetMessageKind.SlotDecision && isSlotDecision(value))
 		|| isAssignmentMessage(kind, value)
 		|| (kind === FleetMessageKind.Rollouts && isRolloutUpdates(rollouts))
@@ -344,6 +353,10 @@
 		&& (update!.refusalsPerSecond === undefined || isNonNegative(update!.refusalsPerSecond)));
 }
 
+function isPaceUpdates(value: unknown): value is PaceUpdate[] {
+	return Array.isArray(value) && value.every(update => Array.isArray(update) && update.length === 3 && Number.isSafeInteger(update[0]) && isPacePercent(update[1]) && isNonNegative(update[2]));
+}
+
 function isSlotClaim(value: unknown): boolean {
 	const {backend, slots, sequence, running, lingeringMs, untilMs, pending, refusals, load} = value as Partial<SlotClaim>;
 	return Number.isSafeInteger(backend) && [slots, sequence, running, untilMs, refusals].every(number => isNonNegative(number)) && isIntegerList(pending) && isIntegerList(lingeringMs) && (load === undefined || isNonNegative(load));
