Place requests by the pace that backend servers state

Backend servers got equal shares of the requests, whatever their pace. The parts of the cost that are work (prefill, queued requests, a full engine or service) are now multiplied by the pace factor; for a plain service the excess time of a call is added, so that the pace also counts while all replicas are idle. The estimated wait, by which requests are refused, stays as it was, so that a stated pace alone causes no refusal.

--- a/src/cli/front-container.ts
+++ b/src/cli/front-container.ts
@@ -126,7 +126,7 @@
 	registerFactory(BackendTable, () => new BackendTable(bounds));
 	registerFactory(BackendConnectionPool, () => new BackendConnectionPool());
 	registerFactory(DeferredMetrics, () => new DeferredMetrics());
-	registerFactory(Placement, () => new Placement(settings.failureDomain));
+	registerFactory(Placement, resolver => new Placement(settings.failureDomain, resolver.resolve(BackendPaces)));
 	registerFactory(FleetTable, () => new FleetTable({name: settings.name, failureDomain: settings.failureDomain, startedAtMs}));
 	registerFactory(UsageLedger, () => new UsageLedger(settings.failureDomain, incarnation, bounds.usageWindowMs));
 	registerFactory(QuotaLedger, () => new QuotaLedger({
--- a/src/coordination/fleet/__fixtures__/test-net.ts
+++ b/src/coordination/fleet/__fixtures__/test-net.ts
@@ -96,7 +96,7 @@
 		this.demandShare = new DemandShare(nowMs => this.retryBudget.demand(nowMs));
 		const sharedUse = new CombinedUse(this.quota, this.retryBudget);
 		this.usage = new UsageLedger(failureDomain, incarnation, 5000);
-		this.placement = new Placement(failureDomain);
+		this.placement = new Placement(failureDomain, this.paces);
 		const follow = (topic: GossipedTopic, seen: string[]) => new TopicFollower({
 			store: net.store,
 			topic,
--- a/src/coordination/placement.ts
+++ b/src/coordination/placement.ts
@@ -3,11 +3,13 @@
  * delay in milliseconds: prompt tokens that are not cached there must be prefilled first,
  * after the prompts that already wait there, and every running request slows each token of
  * all requests. For a plain service the cost grows with the share of its slots in use.
+ * The parts of the cost that are work grow with the pace that the backend server states.
  * Load reports arrive late while many daemons may place a burst at once, so each daemon adds
  * what it sent itself and what its peers report to have in flight.
  */
 import {createHash} from 'node:crypto';
 import {type Backend, type PromptPart, type ReportedLoad} from '../protocol/serving.js';
+import {type BackendPaces} from './paces/backend-paces.js';
 
 /** Prompt tokens that an engine prefills in a millisecond. */
 const prefillTokensPerMs = 50;
@@ -15,6 +17,8 @@
 const fullEngineCostMs = 400;
 /** Cost of a plain service whose slots are all in use, in milliseconds. */
 const fullServiceCostMs = 200;
+/** Time that a call of a plain service takes at the usual pace, in milliseconds; it makes the pace count where all replicas are idle. */
+const plainCallMs = 50;
 /** Delay for each request beyond a backend server's slots, in milliseconds. */
 const queuedRequestCostMs = 60;
 /** Share of a prompt's shared tokens that this daemon assumes to be cached at the engine preferred by rendezvous hashing, even if it sent none of them there itself. */
@@ -63,7 +67,7 @@
 	backend: Backend;
 	/** Estimated delay plus the penalties, in milliseconds. */
 	costMs: number;
-	/** Estimated time until the first event of the answer, in milliseconds. */
+	/** Estimated time until the first event of the answer at the usual pace, in milliseconds. Requests that would wait too long are refused by it, and a stated pace alone must not cause a refusal. */
 	waitMs: number;
 	/** Prompt tokens assumed to be cached there. */
 	cachedTokens: number;
@@ -95,7 +99,7 @@
 export class Placement {
 	private readonly statsByBackend = new Map<string, BackendStats>();
 
-	constructor(private readonly failureDomain: string) {}
+	constructor(private readonly failureDomain: string, private readonly paces: Pick<BackendPaces, 'factor'> = {factor: () => 1}) {}
 
 	/** Returns the backend server with the lowest cost, or undefined when every candidate is excluded. */
 	choose(query: PlacementQuery): PlacementChoice | undefined {
@@ -175,8 +179,9 @@
 		const inFlight = Math.max(stats.inFlight + query.peersInFlight(backend.id), Math.min(reported, stats.inFlight + query.peersInFlight(backend.id) + 4));
 		const queued = Math.max(0, inFlight + 1 - backend.slots);
 		const waitMs = ((stats.pendingTokens + Math.max(0, promptTokens - cachedTokens)) / prefillTokensPerMs) + (queued * queuedRequestCostMs);
-		const costMs = waitMs
-			+ (promptTokens > 0 ? fullEngineCostMs * ((inFlight / backend.slots) ** 2) : fullServiceCostMs * inFlight / backend.slots)
+		const paceFactor = this.paces.factor(backend, nowMs);
+		const costMs = (waitMs * paceFactor)
+			+ (promptTokens > 0 ? fullEngineCostMs * ((inFlight / backend.slots) ** 2) * paceFactor : (fullServiceCostMs * inFlight / backend.slots * paceFactor) + (plainCallMs * (paceFactor - 1)))
 			+ (stats.failures.length * failureCostMs)
 			+ (backend.coldForMs > 0 ? coldStartCostMs : 0)
 			+ (backend.failureDomain === this.failureDomain ? 0 : otherDomainCostMs);
