--- a/src/cli/front-container.ts
+++ b/src/cli/front-container.ts
@@ -127,7 +127,7 @@
 	registerFactory(BackendTable, () => new BackendTable(bounds));
 	registerFactory(BackendConnectionPool, () => new BackendConnectionPool());
 	registerFactory(DeferredMetrics, () => new DeferredMetrics());
-	registerFactory(Placement, () => new Placement(settings.failureDomain));
+	registerFactory(Placement, resolver => new Placement(settings.failureDomain, resolver.resolve(BackendPaces)));
 	registerFactory(FleetTable, () => new FleetTable({name: settings.name, failureDomain: settings.failureDomain, startedAtMs}));
 	registerFactory(UsageLedger, () => new UsageLedger(settings.failureDomain, incarnation, bounds.usageWindowMs));
 	registerFactory(QuotaLedger, () => new QuotaLedger({
@@ -310,6 +310,7 @@
 		quarantineRecord: resolver.resolve(QuarantineRecord),
 		statedLimits: resolver.resolve(StatedLimits),
 		tolerances: resolver.resolve(OverloadTolerances),
+		paces: resolver.resolve(BackendPaces).shared,
 		slots: resolver.resolve(SlotExchange),
 		assignments: resolver.resolve(AssignmentExchange),
 		rollouts: resolver.resolve(Rollouts),
