Correct an engine's predicted backlog by what it read, and learn while it is never idle

Times were learned only from requests that met no wait, of which there are next to none when capacity is short, and errors of the predicted backlog added up. Engines idled while requests waited, and urgent requests met waits that were not predicted.

- A first event sets the backlog to what was assigned after its prompt.
- The time between the first events of successive prompts gives the reading time.
- A changed pace scales what is left of the backlog; times are not learned across such a change.

--- a/src/coordination/assignment/assignment-ledger.ts
+++ b/src/coordination/assignment/assignment-ledger.ts
@@ -47,6 +47,13 @@
 /** Interval at which a queue is checked that no end of a request moves on, in milliseconds. */
 const queueCheckMs = 10;
 
+/** Share by which a pace may have changed during a request from which times are learned: which pace applied to it is not known otherwise. */
+const maxPaceChange = 0.1;
+/** Most assignments by which an engine's backlog is corrected; their prompts are read in some seconds. */
+const maxUnread = 64;
+
+type Choice = {backend: number; copyFrom: number | undefined; terms: AssignmentTerms};
+
 type Assignment = {
 	id: AssignmentId;
 	backend: number;
@@ -58,6 +65,8 @@
 	workMs: number;
 	paceFactor: number;
 	assignedAtMs: number;
+	/** The earliest time at which its prompt is read, as if the present pace had always applied. */
+	readableFromMs: number;
 	expiresAtMs: number;
 };
 
@@ -67,6 +76,12 @@
 	cache: PrefixCache;
 	/** When an engine will have read the prompts assigned to it. */
 	busyUntilMs: number;
+	/** The assignments whose prompts an engine reads from `readFromMs` on, in this order. */
+	unread: Assignment[];
+	/** When an engine had read the prompt before those in `unread`. */
+	readFromMs: number;
+	/** When the prompt right before those in `unread` was read, by its first event; undefined if that is not known. */
+	lastReadAtMs: number | undefined;
 	memoryTokens: number;
 	/** Times of recent failures. */
 	failures: number[];
@@ -111,10 +126,11 @@
 		for (const backend of backends) {
 			const load = this.loads.get(backend.key);
 			if (load) {
+				changePace(load, backend.paceFactor, nowMs);
 				load.backend = backend;
 			} else {
 				this.loads.set(backend.key, {
-					backend, assignments: new Map(), cache: new PrefixCache(), busyUntilMs: nowMs, memoryTokens: 0, failures: [],
+					backend, assignments: new Map(), cache: new PrefixCache(), busyUntilMs: nowMs, unread: [], readFromMs: nowMs, lastReadAtMs: undefined, memoryTokens: 0, failures: [],
 				});
 			}
 		}
@@ -154,8 +170,11 @@
 			load.failures.push(nowMs);
 		}
 
-		if (assignment && end.result === AssignmentResult.Completed) {
-			this.learn(assignment, end.firstEventMs, nowMs);
+		if (load && assignment && end.result === AssignmentResult.Completed) {
+			this.learn(load, assignment, end.firstEventMs, nowMs);
+			if (assignment.isEngine && end.firstEventMs !== undefined) {
+				this.noteRead(load, assignment, end.firstEventMs);
+			}
 		}
 
 		return this.assignQueued(nowMs);
@@ -288,13 +307,13 @@
 		const workAheadMs = this.queue.isEmpty ? 0 : this.queue.workAhead(entry, nowMs);
 		// Requests that wait and go first would be overtaken.
 		const choice = workAheadMs > 0 ? undefined : this.choose(entry, nowMs);
-		if (choice) {
+		if (choice && isInTime(choice.terms, request.remainingMs)) {
 			return {
 				daemon, incarnation, id, kind: AssignmentKind.Assigned, ...choice,
 			};
 		}
 
-		const predictedMs = this.predictQueued(entry, workAheadMs, nowMs);
+		const predictedMs = choice?.terms.predictedMs ?? this.predictQueued(entry, workAheadMs, nowMs);
 		if (predictedMs > request.remainingMs * maxWaitShare) {
 			const hasBackends = this.loads.size > 0;
 			return {
@@ -321,23 +340,22 @@
 		for (const entry of this.queue.ordered(nowMs)) {
 			const {request} = entry;
 			const {daemon, incarnation, id} = request;
-			const choice = isBlocked ? undefined : this.choose(entry, nowMs);
-			if (choice) {
+			const choice: Choice | undefined = isBlocked ? undefined : this.choose(entry, nowMs);
+			const remainingMs = entry.deadlineAtMs - nowMs;
+			if (choice && isInTime(choice.terms, remainingMs)) {
 				// It is charged while it still counts as waiting, so that the last one does not reset the shares of a busy period.
 				this.queue.charge(request);
 				this.queue.remove(request);
-				const decision: AssignmentDecision = {
+				this.assign({...request, remainingMs}, choice, nowMs);
+				decisions.push({
 					daemon, incarnation, id, kind: AssignmentKind.Assigned, ...choice,
-				};
-				this.assign({...request, remainingMs: entry.deadlineAtMs - nowMs}, decision, nowMs);
-				decisions.push(decision);
+				});
 				continue;
 			}
 
 			// A request that must not go to some backend servers does not hold up those that may.
-			isBlocked ||= request.excluded.length === 0;
-			const remainingMs = entry.deadlineAtMs - nowMs;
-			const predictedMs = this.predictQueued(entry, workAheadMs, nowMs);
+			isBlocked ||= !choice && request.excluded.length === 0;
+			const predictedMs = choice?.terms.predictedMs ?? this.predictQueued(entry, workAheadMs, nowMs);
 			if (predictedMs > remainingMs * maxWaitShare) {
 				this.queue.remove(request);
 				const retryAfterMs = this.retryAfterMs(entry, nowMs);
@@ -361,7 +379,7 @@
 	}
 
 	/** Returns the backend server at which a request costs least among those with room, and the figures behind the choice. */
-	private choose(entry: QueuedRequest, nowMs: number): {backend: number; copyFrom: number | undefined; terms: AssignmentTerms} | undefined {
+	private choose(entry: QueuedRequest, nowMs: number): Choice | undefined {
 		const {request, queuedAtMs} = entry;
 		let best: AssignmentCandidate | undefined;
 		let bestCost = Number.POSITIVE_INFINITY;
@@ -529,7 +547,7 @@
 		const workMs = backend.isEngine ? this.times.readMs(key, uncachedTokens) * backend.paceFactor : 0;
 		const memoryTokens = backend.isEngine ? request.cost : 0;
 		const {daemon, incarnation, id} = request;
-		load.assignments.set(keyOf(request), {
+		const assignment: Assignment = {
 			id: {daemon, incarnation, id},
 			backend: key,
 			isEngine: backend.isEngine,
@@ -540,12 +558,21 @@
 			workMs,
 			paceFactor: backend.paceFactor,
 			assignedAtMs: nowMs,
+			readableFromMs: nowMs,
 			expiresAtMs: nowMs + request.remainingMs + endGraceMs,
-		});
+		};
+		load.assignments.set(keyOf(request), assignment);
 		this.assignedTo.set(keyOf(request), load);
 		load.memoryTokens += memoryTokens;
 		load.busyUntilMs = Math.max(load.busyUntilMs, nowMs) + workMs;
 		if (backend.isEngine) {
+			if (load.unread.length >= maxUnread) {
+				load.unread = [];
+				load.readFromMs = load.busyUntilMs - workMs;
+				load.lastReadAtMs = undefined;
+			}
+
+			load.unread.push(assignment);
 			load.cache.add(request.promptParts, backend.kvTokens);
 		}
 	}
@@ -564,15 +591,35 @@
 		load.memoryTokens -= assignment.memoryTokens;
 		const isUndone = result === AssignmentResult.NotSent || result === AssignmentResult.Rejected;
 		if (isUndone || nowMs < assignment.assignedAtMs + assignment.waitMs) {
-			load.busyUntilMs = Math.max(nowMs, load.busyUntilMs - assignment.workMs);
+			load.unread = load.unread.filter(other => other !== assignment);
+			predictBusy(load);
 		}
 
 		return assignment;
 	}
 
-	private learn({backend, isEngine, route, uncachedTokens, waitMs, paceFactor, assignedAtMs}: Assignment, firstEventMs: number | undefined, nowMs: number): void {
+	/** Corrects an engine's backlog by the time of a first event, since errors of the predictions would add up while it is never idle. */
+	private noteRead(load: BackendLoad, assignment: Assignment, firstEventMs: number): void {
+		const index = load.unread.indexOf(assignment);
+		if (index === -1) {
+			return;
+		}
+
+		const readAtMs = assignment.assignedAtMs + Math.max(0, firstEventMs - (this.times.fixedMs(assignment.backend) * assignment.paceFactor));
+		if (index === 0 && load.lastReadAtMs !== undefined && assignment.waitMs > noWaitMs && isPaceSteady(load, assignment)) {
+			this.times.noteRead(assignment.backend, assignment.uncachedTokens, readAtMs - Math.max(load.lastReadAtMs, assignment.assignedAtMs), assignment.paceFactor);
+		}
+
+		load.lastReadAtMs = readAtMs;
+		load.readFromMs = readAtMs;
+		load.unread = load.unread.slice(index + 1);
+		predictBusy(load);
+	}
+
+	private learn(load: BackendLoad, assignment: Assignment, firstEventMs: number | undefined, nowMs: number): void {
+		const {backend, isEngine, route, uncachedTokens, waitMs, paceFactor, assignedAtMs} = assignment;
 		this.times.noteRun((nowMs - assignedAtMs) / paceFactor);
-		if (firstEventMs === undefined || waitMs > noWaitMs) {
+		if (firstEventMs === undefined || waitMs > noWaitMs || !isPaceSteady(load, assignment)) {
 			return;
 		}
 
@@ -583,3 +630,38 @@
 		}
 	}
 }
+
+/** Scales an engine's backlog to a new pace: what is left of it takes as much longer or shorter. */
+function changePace(load: BackendLoad, paceFactor: number, nowMs: number): void {
+	const ratio = paceFactor / load.backend.paceFactor;
+	if (ratio === 1) {
+		return;
+	}
+
+	const scale = (atMs: number) => nowMs + ((atMs - nowMs) * ratio);
+	load.readFromMs = scale(load.readFromMs);
+	for (const assignment of load.unread) {
+		assignment.readableFromMs = scale(assignment.readableFromMs);
+		assignment.workMs *= ratio;
+	}
+
+	predictBusy(load);
+}
+
+/** Predicts when an engine will have read what is assigned to it. */
+function predictBusy(load: BackendLoad): void {
+	load.busyUntilMs = load.readFromMs;
+	for (const {readableFromMs, workMs} of load.unread) {
+		load.busyUntilMs = Math.max(load.busyUntilMs, readableFromMs) + workMs;
+	}
+}
+
+/** Whether a request's first event is predicted early enough for its answer to be complete in time. */
+function isInTime({predictedMs}: AssignmentTerms, remainingMs: number): boolean {
+	return predictedMs <= remainingMs * maxWaitShare;
+}
+
+/** Whether a backend server still has about the pace that it had when a request was assigned. */
+function isPaceSteady({backend}: BackendLoad, {paceFactor}: Assignment): boolean {
+	return Math.abs(backend.paceFactor - paceFactor) <= paceFactor * maxPaceChange;
+}
--- a/src/coordination/assignment/learned-times.ts
+++ b/src/coordination/assignment/learned-times.ts
@@ -58,6 +58,15 @@
 		}
 	}
 
+	/** Records the time in which an engine read a prompt between two first events: while it is never idle, no request meets no wait. */
+	noteRead(engine: number, uncachedTokens: number, readMs: number, paceFactor: number): void {
+		if (uncachedTokens >= minReadTokens) {
+			for (const {msPerToken} of [this.group, this.engine(engine)]) {
+				msPerToken.note(Math.max(0, readMs) / paceFactor / uncachedTokens);
+			}
+		}
+	}
+
 	/** Records the time of a plain call that met no wait. */
 	noteCall(route: string, callMs: number, paceFactor: number): void {
 		const estimate = this.callMsByRoute.get(route) ?? new Estimate(priorCallMs);
