Let the soak run replicas with few slots that state a changing pace

The kind 'paces' makes coordinators assign requests of real daemons, which are killed, paused and cut off; two of its seeds run with the tests.

--- a/soak/__tests__/soak.test.ts
+++ b/soak/__tests__/soak.test.ts
@@ -32,6 +32,12 @@
 	{
 		seed: 1002, daemons: 16, cause: 'the same with daemons that hear of the crashes from relays', options: {hasPrompts: true},
 	},
+	{
+		seed: 1101, daemons: 3, cause: 'replicas with few slots that state a changing pace, to which coordinators assign requests', options: {hasPaces: true},
+	},
+	{
+		seed: 1102, daemons: 16, cause: 'the same with relays as coordinators', options: {hasPaces: true},
+	},
 	{
 		seed: 701, daemons: 3, cause: 'a request that crashes replicas, and a replica that states a limit', options: {hasReplicaFaults: true},
 	},
--- a/soak/cluster.ts
+++ b/soak/cluster.ts
@@ -6,6 +6,7 @@
 import process from 'node:process';
 import {CloudStandin, ReplicaStandin, StoreStandin} from '../platform/__tests__/standins.js';
 import {FaultyLink} from './faulty-link.js';
+import {stateUsualPace} from './pace-faults.js';
 import {fatalPart} from './prompt-faults.js';
 import {eventPauseMs, versions} from './version-faults.js';
 
@@ -96,6 +97,8 @@
 	hasReplicaStatements?: boolean;
 	/** Whether replicas of several versions serve side by side, and clients take up streams that break off. */
 	hasVersions?: boolean;
+	/** Whether replicas state their pace, which changes, and have few slots, so that coordinators assign requests and queue them. */
+	hasPaces?: boolean;
 	/** Whether prompts have parts, one of which crashes replicas; replicas answer without length, and single daemons receive most requests. */
 	hasPrompts?: boolean;
 };
@@ -184,6 +187,10 @@
 			replica.startedAtMs = Date.now();
 		}
 
+		if (this.options.hasPaces) {
+			stateUsualPace(replica);
+		}
+
 		await replica.start();
 		const link = new FaultyLink(replica.address);
 		await link.start();
@@ -254,7 +261,7 @@
 	private publishReplica(replica: ReplicaStandin, link: FaultyLink, state: string): void {
 		this.entries.set(replica, {link, state});
 		this.store.put('keyed.servers', replica.id, {
-			service: 'svc', address: link.address, zone: failureDomains[0], slots: 8, state, sequence: 1, version: replica.version, cold_left_ms: 0, born: replica.startedAtMs,
+			service: 'svc', address: link.address, zone: failureDomains[0], slots: replica.slots, state, sequence: 1, version: replica.version, cold_left_ms: 0, born: replica.startedAtMs,
 		});
 	}
 
--- a/soak/soak.ts
+++ b/soak/soak.ts
@@ -16,6 +16,7 @@
 	cooldownMs, findCrashViolations, findLimitViolations, findStatementViolations, limitCheckMs, startStatingLimit,
 } from './replica-faults.js';
 import {SoakCluster, type ClusterOptions} from './cluster.js';
+import {paceFaults} from './pace-faults.js';
 import {findPromptViolations, isQuarantined, promptFaults} from './prompt-faults.js';
 import {countTakenUp, findVersionViolations, versionFaults} from './version-faults.js';
 
@@ -208,6 +209,7 @@
 		...replicaStatements(cluster, replica),
 		...versionFaults(cluster, index),
 		...promptFaults(cluster, replica, daemon),
+		...paceFaults(cluster, replica),
 	];
 	return choices[drawInteger(random, choices.length) - 1]();
 }
