Make the rest of an account's limit last while more is requested

Cause: an account over its limit filled its sliding window at once. Its small requests were then refused until the oldest part of the window expired.

Change: while the sustained demand of an account exceeds it, only that rate is admitted for which the rest of the limit, and what expires, lasts for five eighths of the window. The admitted part is divided by the costs that were requested, small requests first (CostMix), instead of by their mean.

--- a/src/coordination/account-window.ts
+++ b/src/coordination/account-window.ts
@@ -1,7 +1,7 @@
 /** Tracks what was admitted to one client account within the sliding window of its limit. */
 import {CostMeter} from './cost-meter.js';
+import {CostMix} from './cost-mix.js';
 import {LimitHistory} from './limit-history.js';
-import {RunningMean} from './running-mean.js';
 
 /** Steps that the window is counted in. */
 const windowSteps = 32;
@@ -29,8 +29,8 @@
 	readonly own: AccountUse = {admitted: 0, refused: 0};
 	/** Rate of the cost requested from this daemon. */
 	readonly ownRequested = new CostMeter();
-	/** Mean cost of the requests that this daemon received. */
-	readonly meanCost = new RunningMean();
+	/** Costs of the requests that this daemon received. */
+	readonly costs = new CostMix();
 	/** Rate of the cost admitted by peers. */
 	readonly peersAdmitted = new CostMeter();
 	/** Rate of the cost requested from peers. */
@@ -116,7 +116,30 @@
 	/** Returns the time until the oldest entry leaves the window, in milliseconds. */
 	nextExpiryMs(nowMs: number): number {
 		const oldest = this.uses.at(0);
-		return oldest ? Math.max(1, ((oldest.step + windowSteps + 1) / windowSteps * this.windowMs) - nowMs) : 0;
+		return oldest ? Math.max(1, this.expiryMs(oldest, nowMs)) : 0;
+	}
+
+	/**
+	 * Returns the highest rate, in cost units a millisecond, at which cost can be admitted until
+	 * `untilMs` from now without running out before older entries leave the window.
+	 *
+	 * @param remaining Cost units that may be admitted now.
+	 */
+	sustainableRatePerMs(remaining: number, untilMs: number, nowMs: number): number {
+		this.dropExpired(nowMs);
+		let available = remaining;
+		let rate = Number.POSITIVE_INFINITY;
+		for (const use of this.uses) {
+			const expiryMs = this.expiryMs(use, nowMs);
+			if (expiryMs >= untilMs) {
+				break;
+			}
+
+			rate = Math.min(rate, available / Math.max(1, expiryMs));
+			available += use.cost;
+		}
+
+		return Math.min(rate, available / untilMs);
 	}
 
 	/** Adds what a profile holds beyond what is known, for each part of the window. */
@@ -132,6 +155,11 @@
 		this.uses.sort((a, b) => a.step - b.step);
 	}
 
+	/** Returns the time until an entry leaves the window, in milliseconds. */
+	private expiryMs({step}: UseEntry, nowMs: number): number {
+		return ((step + windowSteps + 1) / windowSteps * this.windowMs) - nowMs;
+	}
+
 	private stepAt(nowMs: number): number {
 		return Math.floor(nowMs / this.windowMs * windowSteps);
 	}
--- a/src/coordination/fleet-retry-budget.ts
+++ b/src/coordination/fleet-retry-budget.ts
@@ -66,7 +66,7 @@
 	tryTake(service: string, purpose: RetryPurpose, nowMs: number): boolean {
 		const further = this.window(service, AttemptKind.Further);
 		further.ownRequested.add(1, nowMs);
-		further.meanCost.add(1);
+		further.costs.add(1);
 		if (this.parts.random() >= this.grantedShare(service, purpose, nowMs)) {
 			further.own.refused++;
 			return false;
@@ -154,7 +154,7 @@
 		}
 
 		const limit = this.limit(service, peers, nowMs) * usableShare;
-		return shareWithinLimit(this.window(service, AttemptKind.Further), 1, limit, peers, nowMs);
+		return shareWithinLimit(this.window(service, AttemptKind.Further), 1, {units: limit, lastsMs: 0}, peers, nowMs);
 	}
 
 	/** Returns the further attempts that all daemons may make in the window, less the shares of silent ones. */
--- a/src/coordination/quota-ledger.ts
+++ b/src/coordination/quota-ledger.ts
@@ -7,9 +7,9 @@
  * Peers' reports arrive late. Until they do, peers are assumed to go on admitting at the rate
  * last reported. When less is left of a limit than is requested until the next reports, all
  * daemons admit the same share of their requests, small ones first (`limit-sharing.ts`), so
- * that they do not together admit several times what is left. In simulations of 86 daemons, an account that requests four to eight
- * times its limit stays within its bound with this rule and exceeds it without; an account
- * within its limit has less than one request in a hundred refused.
+ * that they do not together admit several times what is left. In simulations of 86 daemons, an
+ * account that requests four to eight times its limit stays within its bound with this rule and
+ * exceeds it without, unless it jumps from its limit to eight times that.
  * A silent peer is assumed to admit its equal share, since it may be partitioned and still
  * serving. A daemon that hears from few of the others limits itself to that share; in a large
  * fleet it does so for a further window, since nobody reports what was admitted while no relay
@@ -29,6 +29,8 @@
 
 /** Share of the operators' slack and tolerance that is granted; the rest covers the error in what peers are assumed to admit. */
 const grantedSlackShare = 0.4;
+/** Part of the window for which the rest of a limit must last while more is requested. A longer one admits less of a short burst; a shorter one leaves little for its small requests until the oldest part of the window expires. */
+const lastingShare = 5 / 8;
 
 /** The bounds that operators set on how far an account's use may exceed its limit. */
 export type QuotaBounds = {
@@ -95,7 +97,7 @@
 
 		const window = this.window(account.name);
 		window.ownRequested.add(cost, nowMs);
-		window.meanCost.add(cost);
+		window.costs.add(cost);
 		if (draw >= this.admittedShare(account, cost, peers, nowMs)) {
 			window.own.refused += cost;
 			return {waitMs: Math.ceil(window.nextExpiryMs(nowMs))};
@@ -162,7 +164,8 @@
 			return 0;
 		}
 
-		return peers.isIsolated ? 1 : shareWithinLimit(window, cost, this.effectiveLimit(account, peers, nowMs), peers, nowMs);
+		const limit = {units: this.effectiveLimit(account, peers, nowMs), lastsMs: this.bounds.windowMs * lastingShare};
+		return peers.isIsolated ? 1 : shareWithinLimit(window, cost, limit, peers, nowMs);
 	}
 
 	/** Returns the limit less the shares of silent peers, and scaled down while the window's history is unknown. */
