Process what arrived before a port check counts as timed out

Cause: Node.js runs timers that are due before it reads its sockets. If a daemon does not run for 50 ms after it opened the check of a backend server's port, the check times out although the refusal has arrived, and the crash is not counted. The same holds for the check whether another backend server accepts connections.

Change: a due timer lets the events that arrived be processed first.

--- a/src/coordination/quarantine/__tests__/crash-watch.test.ts
+++ b/src/coordination/quarantine/__tests__/crash-watch.test.ts
@@ -6,6 +6,7 @@
 import {
 	createServer, type AddressInfo, type Server, type Socket,
 } from 'node:net';
+import process from 'node:process';
 import {describe, expect, it} from 'vitest';
 import {SteadyClock} from '../../../clock.js';
 import {type Backend, BackendState} from '../../../protocol/serving.js';
@@ -204,4 +205,23 @@
 		expect(await isConnectionRefused({host: '127.0.0.1', port}, 500)).toBe(isRefused);
 		server.close();
 	});
+
+	// A daemon on a busy VM may not run for longer than the time limit. If the timer is then handled before the refusal, the crash is missed.
+	it('is true for a closed port if this process does not run until the time is over', async () => {
+		const {server, port} = await listen(() => undefined);
+		await new Promise(resolve => {
+			server.close(resolve);
+		});
+		const refused = isConnectionRefused({host: '127.0.0.1', port}, 50);
+		// The connection is opened in the next tick.
+		await new Promise<void>(resolve => {
+			process.nextTick(resolve);
+		});
+		const startMs = performance.now();
+		while (performance.now() - startMs < 100) {
+			// Keeps the event loop from running.
+		}
+
+		expect(await refused).toBe(true);
+	});
 });
--- a/src/transport/port-probe.ts
+++ b/src/transport/port-probe.ts
@@ -48,10 +48,16 @@
 			resolve(end);
 		};
 
-		let timer = setTimeout(finish, timeoutMs, ConnectionEnd.Other);
+		let timer = setTimeoutAfterEvents(() => {
+			if (socket.connecting) {
+				finish(ConnectionEnd.Other);
+			}
+		}, timeoutMs);
 		socket.once('connect', () => {
 			clearTimeout(timer);
-			timer = setTimeout(finish, holdMs, ConnectionEnd.Other);
+			timer = setTimeoutAfterEvents(() => {
+				finish(ConnectionEnd.Other);
+			}, holdMs);
 		});
 		socket.once('error', ({code}: NodeJS.ErrnoException) => {
 			const isReset = code === 'ECONNRESET' || code === 'EPIPE';
@@ -79,7 +85,9 @@
 			resolve(isAccepted);
 		};
 
-		const timer = setTimeout(finish, timeoutMs, false);
+		const timer = setTimeoutAfterEvents(() => {
+			finish(false);
+		}, timeoutMs);
 		socket.once('connect', () => {
 			finish(true);
 		});
@@ -88,3 +96,13 @@
 		});
 	});
 }
+
+/**
+ * Calls a function after a time. If this process did not run for a while, events that arrived
+ * meanwhile are processed first: Node.js runs timers that are due before it reads its sockets.
+ */
+function setTimeoutAfterEvents(callback: () => void, delayMs: number): NodeJS.Timeout {
+	return setTimeout(() => {
+		setImmediate(callback);
+	}, delayMs);
+}
