Look through the waiting requests only when one may be assigned or refused

Each end, update and check sorted the queue and predicted every request. Now a pass over it begins only if a backend server has room for the most urgent one, and requests that can no longer be served are looked for every 50 ms.

--- a/src/coordination/assignment/__tests__/assignment-load.test.ts
+++ b/src/coordination/assignment/__tests__/assignment-load.test.ts
@@ -28,18 +28,32 @@
 });
 const deploymentA: Deployment = {
 	name: 'A', engines: 16, allEngines: 63, slots: 24, tokensPerMs: 92, isUneven: false, digest: 'digest', chat: 'chat', kinds: [
-		{name: 'digest', priority: 2, targetMs: 2019, deadlineMs: 12_000, ratePerSecond: 93, sharedTokens: 5382, ownTokens: 6610, outputTokens: 60, value: 2.1},
-		{name: 'chat', priority: 0, targetMs: 508, deadlineMs: 12_000, ratePerSecond: 64, sharedTokens: 198, ownTokens: 628, outputTokens: 80, value: 4.5},
-		{name: 'check', priority: 1, targetMs: 510, deadlineMs: 3000, ratePerSecond: 170, sharedTokens: 568, ownTokens: 1800, outputTokens: 20, value: 0.35},
-		plain('write', 81), plain('read', 33),
+		{
+			name: 'digest', priority: 2, targetMs: 2019, deadlineMs: 12_000, ratePerSecond: 93, sharedTokens: 5382, ownTokens: 6610, outputTokens: 60, value: 2.1,
+		},
+		{
+			name: 'chat', priority: 0, targetMs: 508, deadlineMs: 12_000, ratePerSecond: 64, sharedTokens: 198, ownTokens: 628, outputTokens: 80, value: 4.5,
+		},
+		{
+			name: 'check', priority: 1, targetMs: 510, deadlineMs: 3000, ratePerSecond: 170, sharedTokens: 568, ownTokens: 1800, outputTokens: 20, value: 0.35,
+		},
+		plain('write', 81),
+		plain('read', 33),
 	],
 };
 const deploymentB: Deployment = {
 	name: 'B', engines: 16, allEngines: 42, slots: 32, tokensPerMs: 112, isUneven: true, digest: 'recap', chat: 'coach', kinds: [
-		{name: 'recap', priority: 1, targetMs: 819, deadlineMs: 12_000, ratePerSecond: 109, sharedTokens: 5000, ownTokens: 7000, outputTokens: 60, value: 1},
-		{name: 'coach', priority: 0, targetMs: 408, deadlineMs: 12_000, ratePerSecond: 78, sharedTokens: 198, ownTokens: 628, outputTokens: 80, value: 1},
-		{name: 'tag', priority: 2, targetMs: 510, deadlineMs: 2500, ratePerSecond: 174, sharedTokens: 568, ownTokens: 1800, outputTokens: 20, value: 1},
-		plain('join', 90), plain('ranking', 36),
+		{
+			name: 'recap', priority: 1, targetMs: 819, deadlineMs: 12_000, ratePerSecond: 109, sharedTokens: 5000, ownTokens: 7000, outputTokens: 60, value: 1,
+		},
+		{
+			name: 'coach', priority: 0, targetMs: 408, deadlineMs: 12_000, ratePerSecond: 78, sharedTokens: 198, ownTokens: 628, outputTokens: 80, value: 1,
+		},
+		{
+			name: 'tag', priority: 2, targetMs: 510, deadlineMs: 2500, ratePerSecond: 174, sharedTokens: 568, ownTokens: 1800, outputTokens: 20, value: 1,
+		},
+		plain('join', 90),
+		plain('ranking', 36),
 	],
 };
 
@@ -162,10 +176,10 @@
 }
 
 /** Decides where calls go. */
-interface System {
+type System = {
 	submit(call: Call): void;
 	tick(): void;
-}
+};
 
 class World {
 	readonly simulation = new Simulation();
--- a/src/coordination/assignment/assignment-ledger.ts
+++ b/src/coordination/assignment/assignment-ledger.ts
@@ -44,6 +44,8 @@
 const maxFailures = 3;
 /** Time after the predicted one at which the daemon of a waiting request is told a new prediction, in milliseconds: half of the margin after which it gives up. */
 const noticeDelayMs = 50;
+/** Interval at which waiting requests are checked for those that can no longer be served, and assignments for those past their deadline, in milliseconds: looking through all of them takes most of the time of a decision. */
+const expiryCheckMs = 50;
 /** Interval at which a queue is checked that no end of a request moves on, in milliseconds. */
 const queueCheckMs = 10;
 
@@ -100,6 +102,7 @@
 	private readonly refusedAtMs = new Map<string, number>();
 	/** When the last refused client comes back. */
 	private lastReturnAtMs = 0;
+	private expiredAtMs = Number.NEGATIVE_INFINITY;
 
 	/** Whether the group has no backend server. */
 	get isEmpty(): boolean {
@@ -209,6 +212,11 @@
 
 	/** Forgets assignments past their deadline, refuses waiting requests that can no longer be served, and assigns what now has room. */
 	expire(nowMs: number): AssignmentDecision[] {
+		if (nowMs - this.expiredAtMs < expiryCheckMs) {
+			return this.assignQueued(nowMs);
+		}
+
+		this.expiredAtMs = nowMs;
 		for (const load of this.loads.values()) {
 			for (const {id} of [...load.assignments.values()].filter(({expiresAtMs}) => expiresAtMs <= nowMs)) {
 				this.take(id, AssignmentResult.Abandoned, nowMs);
@@ -221,7 +229,7 @@
 			}
 		}
 
-		return this.assignQueued(nowMs);
+		return this.assignQueued(nowMs, true);
 	}
 
 	/** Returns when to call {@link expire} again: soon while requests wait. */
@@ -326,8 +334,12 @@
 		};
 	}
 
-	/** Assigns waiting requests in order, as long as the first one has room, and refuses those that can no longer be served. */
-	private assignQueued(nowMs: number): AssignmentDecision[] {
+	/**
+	 * Assigns waiting requests in order, as long as the first one has room.
+	 *
+	 * @param isExpiring Whether those are refused that can no longer be served.
+	 */
+	private assignQueued(nowMs: number, isExpiring = false): AssignmentDecision[] {
 		const decisions: AssignmentDecision[] = [];
 		// A view without backend servers may be a stale one, by which nobody is refused: their daemons hear nothing and place the requests.
 		if (this.queue.isEmpty || this.isEmpty) {
@@ -335,9 +347,13 @@
 			return decisions;
 		}
 
-		let isBlocked = false;
+		let isBlocked = !this.hasRoom(nowMs);
 		let workAheadMs = 0;
-		for (const entry of this.queue.ordered(nowMs)) {
+		for (const entry of isBlocked && !isExpiring ? [] : this.queue.ordered(nowMs)) {
+			if (isBlocked && !isExpiring) {
+				break;
+			}
+
 			const {request} = entry;
 			const {daemon, incarnation, id} = request;
 			const choice: Choice | undefined = isBlocked ? undefined : this.choose(entry, nowMs);
@@ -371,6 +387,20 @@
 		return decisions;
 	}
 
+	/** Whether a backend server may have room for the most urgent of the waiting requests. */
+	private hasRoom(nowMs: number): boolean {
+		let priority = Number.POSITIVE_INFINITY;
+		for (const {request} of this.queue.values()) {
+			priority = Math.min(priority, request.priority);
+		}
+
+		const maxBacklogMs = this.maxBacklogMs(priority, nowMs);
+		return [...this.loads.values()].some(load => {
+			const inFlight = load.assignments.size + load.backend.inFlightElsewhere;
+			return inFlight < load.backend.slots && (!load.backend.isEngine || inFlight === 0 || this.waitAt(load, nowMs) <= maxBacklogMs);
+		});
+	}
+
 	/** Removes waiting requests whose deadline has passed. */
 	private removeOutdated(nowMs: number): void {
 		for (const {request} of [...this.queue.values()].filter(({deadlineAtMs}) => deadlineAtMs <= nowMs)) {
--- a/src/coordination/assignment/assignment-queue.ts
+++ b/src/coordination/assignment/assignment-queue.ts
@@ -78,14 +78,15 @@
 
 	/** Returns the waiting requests, the first to be assigned first. */
 	ordered(nowMs: number): QueuedRequest[] {
-		return [...this.queued.values()].toSorted((a, b) => this.compare(a, b, nowMs));
+		return [...this.queued.values()].map(entry => this.rank(entry, nowMs)).toSorted((a, b) => compareRanks(a, b)).map(({entry}) => entry);
 	}
 
 	/** Returns the work that goes before a request if it waits from now on, in milliseconds of one backend server. */
 	workAhead(entry: QueuedRequest, nowMs: number): number {
+		const rank = this.rank(entry, nowMs);
 		let workMs = 0;
 		for (const other of this.queued.values()) {
-			if (other !== entry && this.compare(other, entry, nowMs) <= 0) {
+			if (other !== entry && compareRanks(this.rank(other, nowMs), rank) <= 0) {
 				workMs += other.workMs;
 			}
 		}
@@ -93,15 +94,22 @@
 		return workMs;
 	}
 
-	private compare(a: QueuedRequest, b: QueuedRequest, nowMs: number): number {
-		return (a.request.priority - b.request.priority)
-			|| (Number(isLate(a, nowMs)) - Number(isLate(b, nowMs)))
-			|| (Number(b.isReturning) - Number(a.isReturning))
-			|| (this.shares.virtualTime(accountOf(a.request)) - this.shares.virtualTime(accountOf(b.request)))
-			|| (a.targetAtMs - b.targetAtMs);
+	private rank(entry: QueuedRequest, nowMs: number): Rank {
+		return {entry, isLate: Number(isLate(entry, nowMs)), virtualTime: this.shares.virtualTime(accountOf(entry.request))};
 	}
 }
 
+/** What the order of a request depends on at one time. */
+type Rank = {entry: QueuedRequest; isLate: number; virtualTime: number};
+
+function compareRanks(a: Rank, b: Rank): number {
+	return (a.entry.request.priority - b.entry.request.priority)
+		|| (a.isLate - b.isLate)
+		|| (Number(b.entry.isReturning) - Number(a.entry.isReturning))
+		|| (a.virtualTime - b.virtualTime)
+		|| (a.entry.targetAtMs - b.entry.targetAtMs);
+}
+
 function accountOf({account}: Pick<AssignmentRequest, 'account'>): string {
 	return account ?? noAccount;
 }
