Free the places of daemons that are gone, and test the learned backlog case by case

The coordinator dropped what a restarted daemon held, but nothing of one that is gone: its places stayed taken until the deadlines of its requests. Repeated ends no longer repeat the stated load, which would have counted as new half a second later.

--- a/src/coordination/assignment/__tests__/assignment-exchange.test.ts
+++ b/src/coordination/assignment/__tests__/assignment-exchange.test.ts
@@ -305,6 +305,17 @@
 		expect(fleet.remains).toEqual({assigned: 0, queued: 0, pending: 0});
 	});
 
+	it('frees the places of a daemon that is gone, before the deadlines of its requests', async () => {
+		const fleet = await startFleet(6);
+		const daemon = fleet.usable.find(each => each !== fleet.coordinator)!;
+		void fleet.ask(daemon, {remainingMs: 60_000});
+		await fleet.run(50);
+		expect(fleet.remains.assigned).toBe(1);
+		daemon.isRunning = false;
+		await fleet.run(21_000);
+		expect(fleet.remains.assigned).toBe(0);
+	}, 30_000);
+
 	it('refuses nobody by a view without backend servers', async () => {
 		const fleet = await startFleet(6, 1);
 		fleet.coordinator.backends.markRemoved('s-0', fleet.net.nowMs);
--- a/src/coordination/assignment/__tests__/assignment-ledger.test.ts
+++ b/src/coordination/assignment/__tests__/assignment-ledger.test.ts
@@ -222,6 +222,61 @@
 		expect(slow).toBeGreaterThan(300);
 	});
 
+	it('learns the reading rate of an engine that is never idle', () => {
+		const ledger = createLedger([backend(1)]);
+		const rate = 100;
+		const running: Array<{prompt: AssignmentRequest; sentAtMs: number; readAtMs: number}> = [];
+		let readAtMs = 0;
+		for (let nowMs = 0; nowMs < 10_000; nowMs += 100) {
+			const prompt = request({promptTokens: 10_000, cost: 1, remainingMs: 1_000_000});
+			ledger.request(prompt, nowMs);
+			readAtMs = Math.max(nowMs, readAtMs) + (10_000 / rate);
+			running.push({prompt, sentAtMs: nowMs, readAtMs});
+			while (running[0]?.readAtMs <= nowMs) {
+				const {prompt: read, sentAtMs, readAtMs: firstEventAtMs} = running.shift()!;
+				ledger.end(endOf(read, AssignmentResult.Completed, 60 + firstEventAtMs - sentAtMs), nowMs);
+			}
+		}
+
+		const [{terms}] = ledger.explain(request({promptTokens: 10_000}), 20_000).candidates;
+		expect(terms.predictedMs).toBeGreaterThan(155);
+		expect(terms.predictedMs).toBeLessThan(165);
+	});
+
+	it('scales the backlog of an engine whose pace changes', () => {
+		const ledger = createLedger([backend(1)]);
+		ledger.request(request({promptTokens: 10_000}), 0);
+		ledger.update([backend(1, {paceFactor: 2.5})], 100);
+		const [{terms}] = ledger.explain(request(), 100).candidates;
+		// 200 ms of reading, of which 100 ms are left.
+		expect(terms.waitMs).toBe(250);
+	});
+
+	it('shortens a backlog whose prompts were read sooner than predicted', () => {
+		const ledger = createLedger([backend(1)]);
+		const first = request({promptTokens: 20_000});
+		ledger.request(first, 0);
+		ledger.request(request({promptTokens: 5000}), 0);
+		ledger.end(endOf(first, AssignmentResult.Completed, 210), 220);
+		const [{terms}] = ledger.explain(request(), 220).candidates;
+		expect(terms.waitMs).toBeLessThan(100);
+	});
+
+	it.each([
+		{name: 'would be assigned at once', waitedMs: 0},
+		{name: 'has waited', waitedMs: 180},
+	])('refuses a request that cannot be served before its deadline, although there is room, if it $name', ({waitedMs}) => {
+		const ledger = createLedger([backend(1, {isEngine: false, slots: 1})]);
+		const running = request(call);
+		ledger.request(running, 0);
+		const waiting = request({...call, remainingMs: 200});
+		const queued = waitedMs > 0 ? ledger.request(waiting, 0) : [];
+		const ended = ledger.end(endOf(running, AssignmentResult.Abandoned), waitedMs);
+		const later = waitedMs > 0 ? ledger.expire(waitedMs) : ledger.request(request({...call, remainingMs: 50}), 0);
+		const decisions = [...queued, ...ended, ...later];
+		expect(decisions.at(-1)!.kind).toBe(AssignmentKind.Refused);
+	});
+
 	it('explains a decision without changing anything', () => {
 		const ledger = createLedger([backend(1, {isEngine: false, slots: 1}), backend(2, {isEngine: false, slots: 1})]);
 		ledger.request(request(call), 0);
--- a/src/coordination/assignment/assignment-coordinator.ts
+++ b/src/coordination/assignment/assignment-coordinator.ts
@@ -31,6 +31,8 @@
 	/** Returns the memory of a service's engines in tokens, or undefined for a plain service. */
 	engine: (service: string) => {kvTokens?: number} | undefined;
 	paceFactor: (backend: Backend, nowMs: number) => number;
+	/** Whether a daemon has certainly ended. */
+	isGone: (daemon: string, nowMs: number) => boolean;
 	/** Whether this daemon coordinates a group now. */
 	isCoordinator: (group: string, nowMs: number) => boolean;
 };
@@ -105,7 +107,7 @@
 	/** Moves the queue of a group on. */
 	check(group: GroupIdentity, nowMs: number): AssignmentDecision[] {
 		const ledger = this.ledger(group, nowMs);
-		return ledger ? [...this.refresh(group, nowMs), ...ledger.expire(nowMs)] : [];
+		return ledger ? [...this.dropGone(group, nowMs), ...this.refresh(group, nowMs), ...ledger.expire(nowMs)] : [];
 	}
 
 	/** Whether requests wait in a group. */
@@ -144,6 +146,17 @@
 		this.activeAtMs = nowMs;
 	}
 
+	/** Drops what daemons held that are gone. */
+	private dropGone({name}: GroupIdentity, nowMs: number): AssignmentDecision[] {
+		const {ledger, incarnations} = this.coordinations.get(name)!;
+		const gone = [...incarnations.keys()].filter(daemon => this.parts.isGone(daemon, nowMs));
+		for (const daemon of gone) {
+			incarnations.delete(daemon);
+		}
+
+		return gone.flatMap(daemon => ledger.drop(daemon, undefined, nowMs));
+	}
+
 	/** Drops what an earlier start of a daemon held. */
 	private noteIncarnation({name}: GroupIdentity, {daemon, incarnation}: AssignmentId, nowMs: number): AssignmentDecision[] {
 		const {ledger, incarnations} = this.coordinations.get(name)!;
--- a/src/coordination/assignment/assignment-exchange.ts
+++ b/src/coordination/assignment/assignment-exchange.ts
@@ -71,7 +71,7 @@
 type PendingRequest = {settle: (answer: AssignmentAnswer | undefined) => void; extend: (expectedMs: number) => void};
 
 /** What an {@link AssignmentExchange} depends on. */
-export type AssignmentExchangeParts = Omit<CoordinatorParts, 'isCoordinator' | 'paceFactor'> & {
+export type AssignmentExchangeParts = Omit<CoordinatorParts, 'isCoordinator' | 'paceFactor' | 'isGone'> & {
 	activation: Pick<AssignmentActivation, 'isActive'>;
 	/** Returns the services of the configuration in force. */
 	services: () => string[];
@@ -99,7 +99,7 @@
 	private queueTimer: NodeJS.Timeout | undefined;
 
 	constructor(private readonly parts: AssignmentExchangeParts) {
-		this.coordinator = new AssignmentCoordinator({...parts, paceFactor: (backend, nowMs) => parts.paces.factor(backend, nowMs), isCoordinator: (group, nowMs) => this.isCoordinator(group, nowMs)});
+		this.coordinator = new AssignmentCoordinator({...parts, paceFactor: (backend, nowMs) => parts.paces.factor(backend, nowMs), isCoordinator: (group, nowMs) => this.isCoordinator(group, nowMs), isGone: (daemon, nowMs) => parts.fleet.isGone(daemon, nowMs)});
 	}
 
 	/** Starts to send messages through a link. */
@@ -323,7 +323,8 @@
 
 		const repeats = this.repeatsOf(group, coordinator, nowMs);
 		this.sendEnds(group, coordinator, [end, ...repeats.ends], nowMs);
-		repeats.ends = [end];
+		// The load was true when it was first sent.
+		repeats.ends = [{...end, load: undefined}];
 	}
 
 	/** Withdraws requests, together with those withdrawn last. */
--- a/src/coordination/fleet/fleet-table.ts
+++ b/src/coordination/fleet/fleet-table.ts
@@ -208,6 +208,12 @@
 		return this.roleAt(nowMs) === FleetRole.Leaf ? undefined : this.dutyCandidates(nowMs).toSorted().indexOf(this.local.name);
 	}
 
+	/** Whether a daemon that reported to this one is considered gone. */
+	isGone(name: string, nowMs: number): boolean {
+		const peer = this.peers.get(name);
+		return peer !== undefined && nowMs - peer.heardAtMs > goneAfterMs;
+	}
+
 	/** Names of the daemons that may hold the singleton duties. */
 	dutyCandidates(nowMs: number): string[] {
 		return this.actingDaemons(nowMs).map(({name}) => name);
