Leave answers that turn a request away for load out of a version's verdict

A 503 under a stated limit counted as a failure of its version: the few replicas that test a version fill up sooner than the others. It is no longer counted.

--- a/src/coordination/rollout/version-outcomes.ts
+++ b/src/coordination/rollout/version-outcomes.ts
@@ -3,6 +3,7 @@
  * exchange these counts with the totals of the accounts' limits: pairs of totals by key, which
  * relays add up.
  */
+import {type AnswerMetadata} from '../../protocol/serving.js';
 import {type AccountUse} from '../account-window.js';
 import {type OutcomeMetric, type Stratum} from './version-verdict.js';
 
@@ -10,6 +11,8 @@
 const slowFactor = 2.5;
 /** Step by which the usual time follows the answers, as a factor; it settles at their median. */
 const usualTimeStep = 1.08;
+/** The status of an answer that turns a request away. */
+const unavailableStatus = 503;
 /** First character of the keys; no account has such a name. */
 const keyMark = '#';
 
@@ -18,6 +21,15 @@
 
 type KeyFields = [orderId: number, isNext: number, failureDomain: string, route: string, metric: OutcomeMetric];
 
+/**
+ * Whether an answer turns its request away for load: it states that the request was not run, or
+ * a limit on requests. It tells nothing of the version, since the few backend servers that test
+ * one fill up sooner than the others.
+ */
+export function isTurnedAway(status: number, {isNotRun, limitPerSecond}: Pick<AnswerMetadata, 'isNotRun' | 'limitPerSecond'>): boolean {
+	return status === unavailableStatus && (isNotRun || limitPerSecond !== undefined);
+}
+
 /** Follows the median time of each route's answers. */
 export class UsualTimes {
 	private readonly msByRoute = new Map<string, number>();
--- a/src/coordination/serving/dispatcher.ts
+++ b/src/coordination/serving/dispatcher.ts
@@ -22,6 +22,7 @@
 import {type RetryPurpose, type RetryBudget} from '../retry-budget.js';
 import {isSpread, type Reachability} from '../reachability.js';
 import {type Rollouts} from '../rollout/rollouts.js';
+import {isTurnedAway} from '../rollout/version-outcomes.js';
 import {type SlotExchange} from '../slots/slot-exchange.js';
 import {SlotEnd, type SlotLease} from '../slots/slot-leases.js';
 import {type StatedLimits} from '../stated-limits.js';
@@ -524,7 +525,10 @@
 		}
 
 		assignedAttempt?.noteAnswer(answer.status, metadata.load, nowMs);
-		this.noteVersionOutcome(served, backend, answer.status, options);
+		if (!isTurnedAway(answer.status, metadata)) {
+			this.noteVersionOutcome(served, backend, answer.status, options);
+		}
+
 		return {...started, kind: DispatchKind.Answer, metadata};
 	}
 
