Find versions that turn bad late in long orders by their latest answers

The evidence over the whole order falls with each good answer, so a fault after 300 s of good answers was found 20 s later or not within 30 s, long after the 50th bad answer.

The duty holder now also compares the last 4 s and 16 s of an order, which approximates Page's cumulative sum. Windows only find versions bad; a good verdict still needs the whole order.

--- a/src/coordination/rollout/rollout-runner.ts
+++ b/src/coordination/rollout/rollout-runner.ts
@@ -19,8 +19,9 @@
 	fromUpdate, isFinalPhase, type Rollout, RolloutPhase, toUpdate,
 } from './rollout.js';
 import {decidePhase} from './rollout-decision.js';
+import {OutcomeHistory} from './outcome-history.js';
 import {type ReceivedOrder, type Rollouts} from './rollouts.js';
-import {compareVersions, type Evidence} from './version-verdict.js';
+import {type Evidence} from './version-verdict.js';
 
 const log = createLogger('rollout');
 
@@ -62,6 +63,8 @@
 	private restoredToken: number | undefined;
 	/** When the present phase of each order was committed or taken over, by order id. */
 	private readonly phaseSinceMs = new Map<number, number>();
+	/** The answers under each order that is being carried out, by order id. */
+	private readonly histories = new Map<number, OutcomeHistory>();
 	/** Orders that cannot be carried out, so that each is logged once. */
 	private readonly rejectedOrders = new Set<number>();
 	/** Services whose status record may differ from the committed phase. */
@@ -82,6 +85,7 @@
 		if (token === undefined) {
 			this.restoredToken = undefined;
 			this.statusEnd = undefined;
+			this.histories.clear();
 			return;
 		}
 
@@ -91,6 +95,7 @@
 			await this.startOrder(service, order, signal);
 		}
 
+		this.retainHistories();
 		for (const rollout of rollouts.all()) {
 			// eslint-disable-next-line no-await-in-loop
 			await this.advance(rollout, signal);
@@ -176,7 +181,7 @@
 
 		const nowMs = clock.now();
 		const order = rollouts.openOrders.get(rollout.service);
-		const evidence = compareVersions(rollouts.outcomes.strata(rollout.orderId));
+		const evidence = this.historyOf(rollout).compare(rollouts.outcomes.strata(rollout.orderId), nowMs);
 		const change = order === undefined
 			? {phase: RolloutPhase.RolledBack, reason: 'the order was withdrawn'}
 			: decidePhase({...this.progressOf(rollout, nowMs), verdict: evidence.verdict});
@@ -187,6 +192,22 @@
 		}
 	}
 
+	/** Drops the answers under orders that have ended or were superseded. */
+	private retainHistories(): void {
+		const openIds = new Set(this.dependencies.rollouts.all().filter(({phase}) => !isFinalPhase(phase)).map(({orderId}) => orderId));
+		for (const orderId of this.histories.keys()) {
+			if (!openIds.has(orderId)) {
+				this.histories.delete(orderId);
+			}
+		}
+	}
+
+	private historyOf({orderId}: Rollout): OutcomeHistory {
+		const history = this.histories.get(orderId) ?? new OutcomeHistory();
+		this.histories.set(orderId, history);
+		return history;
+	}
+
 	private progressOf(rollout: Rollout, nowMs: number) {
 		const ready = this.readyBackends(rollout.service);
 		const isCurrent = ({version}: {version: string}) => rollout.currentVersions.includes(version);
