--- a/src/coordination/assignment/assignment-exchange.ts
+++ b/src/coordination/assignment/assignment-exchange.ts
@@ -99,7 +99,9 @@
 	private queueTimer: NodeJS.Timeout | undefined;
 
 	constructor(private readonly parts: AssignmentExchangeParts) {
-		this.coordinator = new AssignmentCoordinator({...parts, paceFactor: (backend, nowMs) => parts.paces.factor(backend, nowMs), isCoordinator: (group, nowMs) => this.isCoordinator(group, nowMs), isGone: (daemon, nowMs) => parts.fleet.isGone(daemon, nowMs)});
+		this.coordinator = new AssignmentCoordinator({
+			...parts, paceFactor: (backend, nowMs) => parts.paces.factor(backend, nowMs), isCoordinator: (group, nowMs) => this.isCoordinator(group, nowMs), isGone: (daemon, nowMs) => parts.fleet.isGone(daemon, nowMs),
+		});
 	}
 
 	/** Starts to send messages through a link. */
--- a/src/coordination/record-sinks.ts
+++ b/src/coordination/record-sinks.ts
@@ -77,7 +77,7 @@
 	}
 
 	/** Records the newest order for a service. One that cannot be decoded replaces the last one, since that is no longer what the operator wants. */
-	private applyOrder(service: string, record: KeyedRecord, era: number, nowMs: number): void { // eslint-disable-line max-params
+	private applyOrder(service: string, record: KeyedRecord, era: number, nowMs: number): void {
 		try {
 			const order = record.value && this.records.readRolloutOrder(service, record.value);
 			if (order && this.isWrittenAgain(order, era)) {
