--- a/src/coordination/assignment/__tests__/assignment-exchange.test.ts
+++ b/src/coordination/assignment/__tests__/assignment-exchange.test.ts
@@ -291,6 +291,24 @@
 		expect(fleet.ended.at(-1)!.tookMs).toBeLessThanOrEqual((2 * expectations[0]) + 100 + 30);
 	});
 
+	it.each([6, 72])('lets all queued requests of %d daemons end, and decides again, after their coordinator was killed while capacity was short', async daemons => {
+		const fleet = await startFleet(daemons, 1);
+		await fleet.run(1000, 120);
+		expect(fleet.remains.queued).toBeGreaterThan(0);
+		const killedAtMs = fleet.net.nowMs;
+		fleet.coordinator.isRunning = false;
+		await fleet.run(failoverMs, 40);
+		expect(fleet.outcomes(killedAtMs).refused).toBe(0);
+		const afterMs = fleet.net.nowMs;
+		await fleet.run(1000, 40);
+		const {assigned, refused, unavailable} = fleet.outcomes(afterMs);
+		expect(refused).toBe(0);
+		expect(assigned / (assigned + unavailable)).toBeGreaterThanOrEqual(0.95);
+		await fleet.run(query.remainingMs + 1500);
+		expect(fleet.ended.length).toBe(fleet.asked);
+		expect(fleet.remains).toEqual({assigned: 0, queued: 0, pending: 0});
+	}, 30_000);
+
 	it('frees the place of a request that was assigned too late', async () => {
 		const fleet = await startFleet(6);
 		const {coordinator, net} = fleet;
