--- a/src/coordination/assignment/assignment-ledger.ts
+++ b/src/coordination/assignment/assignment-ledger.ts
@@ -13,8 +13,8 @@
 	type AssignableBackend, type AssignmentCandidate, type AssignmentDecision, type AssignmentEnd, type AssignmentExplanation, type AssignmentId, AssignmentKind, type AssignmentRequest, AssignmentResult, type AssignmentTerms,
 } from '../../protocol/assignment.js';
 import {AssignmentQueue, keyOf, type QueuedRequest} from './assignment-queue.js';
+import {type Assignment, BackendLoad} from './backend-load.js';
 import {LearnedTimes} from './learned-times.js';
-import {PrefixCache} from './prefix-cache.js';
 
 /** Share of the remaining time by which the first event must be predicted; with a later one, the answer would not be complete in time. */
 const maxWaitShare = 0.8;
@@ -26,20 +26,12 @@
 const minRetryAfterMs = 50;
 /** Time for which a refused request is remembered, in milliseconds. */
 const refusalMemoryMs = 10_000;
-/** Delay of a backend server that is still cold after its start, in milliseconds. */
-const coldStartMs = 100;
 /** Weight of a request's own work beside its wait: work that a cache saves is also saved for the requests after it. */
 const workWeight = 2;
-/** Waits up to this long count as none when times are learned, in milliseconds. */
-const noWaitMs = 1;
-/** Time after its deadline at which an assignment is forgotten whose end was not reported, in milliseconds. */
-const endGraceMs = 1000;
 /** Prompt tokens that another engine must have cached beyond the chosen one to be copied from: a copy costs a sixth of a new prefill. */
 const minCopiedTokens = 300;
 /** Cost of each recent failure of a backend server, in milliseconds: one that fails at once would otherwise seem idle and attract requests. */
 const failureCostMs = 400;
-/** Time for which a failure counts, in milliseconds. */
-const failureMaxAgeMs = 3000;
 /** Recent failures from which on a backend server gets no request while another has had none. */
 const maxFailures = 3;
 /** Time after the predicted one at which the daemon of a waiting request is told a new prediction, in milliseconds: half of the margin after which it gives up. */
@@ -49,46 +41,8 @@
 /** Interval at which a queue is checked that no end of a request moves on, in milliseconds. */
 const queueCheckMs = 10;
 
-/** Share by which a pace may have changed during a request from which times are learned: which pace applied to it is not known otherwise. */
-const maxPaceChange = 0.1;
-/** Most assignments by which an engine's backlog is corrected; their prompts are read in some seconds. */
-const maxUnread = 64;
-
 type Choice = {backend: number; copyFrom: number | undefined; terms: AssignmentTerms};
 
-type Assignment = {
-	id: AssignmentId;
-	backend: number;
-	isEngine: boolean;
-	route: string;
-	uncachedTokens: number;
-	memoryTokens: number;
-	waitMs: number;
-	workMs: number;
-	paceFactor: number;
-	assignedAtMs: number;
-	/** The earliest time at which its prompt is read, as if the present pace had always applied. */
-	readableFromMs: number;
-	expiresAtMs: number;
-};
-
-type BackendLoad = {
-	backend: AssignableBackend;
-	assignments: Map<string, Assignment>;
-	cache: PrefixCache;
-	/** When an engine will have read the prompts assigned to it. */
-	busyUntilMs: number;
-	/** The assignments whose prompts an engine reads from `readFromMs` on, in this order. */
-	unread: Assignment[];
-	/** When an engine had read the prompt before those in `unread`. */
-	readFromMs: number;
-	/** When the prompt right before those in `unread` was read, by its first event; undefined if that is not known. */
-	lastReadAtMs: number | undefined;
-	memoryTokens: number;
-	/** Times of recent failures. */
-	failures: number[];
-};
-
 /** Assigns requests to the backend servers of one group. */
 export class AssignmentLedger {
 	private readonly loads = new Map<number, BackendLoad>();
@@ -129,12 +83,9 @@
 		for (const backend of backends) {
 			const load = this.loads.get(backend.key);
 			if (load) {
-				changePace(load, backend.paceFactor, nowMs);
-				load.backend = backend;
+				load.update(backend, nowMs);
 			} else {
-				this.loads.set(backend.key, {
-					backend, assignments: new Map(), cache: new PrefixCache(), busyUntilMs: nowMs, unread: [], readFromMs: nowMs, lastReadAtMs: undefined, memoryTokens: 0, failures: [],
-				});
+				this.loads.set(backend.key, new BackendLoad(backend, this.times, nowMs));
 			}
 		}
 
@@ -169,15 +120,8 @@
 	end(end: AssignmentEnd, nowMs: number): AssignmentDecision[] {
 		const load = this.assignedTo.get(keyOf(end));
 		const assignment = this.take(end, end.result, nowMs);
-		if (load && (end.result === AssignmentResult.Failed || end.result === AssignmentResult.Rejected)) {
-			load.failures.push(nowMs);
-		}
-
 		if (load && assignment && end.result === AssignmentResult.Completed) {
-			this.learn(load, assignment, end.firstEventMs, nowMs);
-			if (assignment.isEngine && end.firstEventMs !== undefined) {
-				this.noteRead(load, assignment, end.firstEventMs);
-			}
+			load.noteCompleted(assignment, end.firstEventMs, nowMs);
 		}
 
 		return this.assignQueued(nowMs);
@@ -288,15 +232,13 @@
 		return {
 			queued: this.queue.size,
 			waitMs: this.waitMs(Number.POSITIVE_INFINITY, nowMs),
-			backends: [...this.loads.values()].map(({backend, assignments, busyUntilMs, memoryTokens}) => ({
-				...backend, assigned: assignments.size, backlogMs: Math.round(Math.max(0, busyUntilMs - nowMs)), memoryTokens,
-			})),
+			backends: [...this.loads.values()].map(load => load.toJson(nowMs)),
 		};
 	}
 
 	private createEntry(request: AssignmentRequest, nowMs: number): QueuedRequest {
 		const refusedAtMs = request.returnKey === undefined ? undefined : this.refusedAtMs.get(request.returnKey);
-		const works = [...this.loads.values()].map(load => this.workAt(load, request));
+		const works = [...this.loads.values()].map(load => load.workMs(request));
 		return {
 			request,
 			queuedAtMs: nowMs,
@@ -395,10 +337,7 @@
 		}
 
 		const maxBacklogMs = this.maxBacklogMs(priority, nowMs);
-		return [...this.loads.values()].some(load => {
-			const inFlight = load.assignments.size + load.backend.inFlightElsewhere;
-			return inFlight < load.backend.slots && (!load.backend.isEngine || inFlight === 0 || this.waitAt(load, nowMs) <= maxBacklogMs);
-		});
+		return [...this.loads.values()].some(load => load.inFlight < load.backend.slots && (!load.backend.isEngine || load.inFlight === 0 || load.waitMs(nowMs) <= maxBacklogMs));
 	}
 
 	/** Removes waiting requests whose deadline has passed. */
@@ -414,7 +353,6 @@
 		let best: AssignmentCandidate | undefined;
 		let bestCost = Number.POSITIVE_INFINITY;
 		let mostCached: AssignmentCandidate | undefined;
-		this.dropOldFailures(nowMs);
 		for (const load of this.loads.values()) {
 			const candidate = this.candidate(load, request, nowMs - queuedAtMs, nowMs);
 			const {terms} = candidate;
@@ -423,7 +361,7 @@
 				continue;
 			}
 
-			const cost = terms.waitMs + ((terms.predictedMs - terms.waitMs) * workWeight) + (load.failures.length * failureCostMs);
+			const cost = terms.waitMs + ((terms.predictedMs - terms.waitMs) * workWeight) + (load.recentFailures(nowMs) * failureCostMs);
 			if (cost < bestCost || (cost === bestCost && terms.inFlight < best!.terms.inFlight)) {
 				best = candidate;
 				bestCost = cost;
@@ -439,25 +377,24 @@
 	}
 
 	private candidate(load: BackendLoad, request: AssignmentRequest, queuedMs: number, nowMs: number): AssignmentCandidate {
-		const {backend, cache} = load;
-		const waitMs = this.waitAt(load, nowMs);
+		const waitMs = load.waitMs(nowMs);
 		return {
-			backend: backend.key,
+			backend: load.backend.key,
 			terms: {
-				predictedMs: waitMs + this.workAt(load, request),
+				predictedMs: waitMs + load.workMs(request),
 				waitMs,
 				queuedMs,
-				cachedTokens: backend.isEngine ? cache.cachedTokens(request.promptParts) : 0,
-				inFlight: load.assignments.size + backend.inFlightElsewhere,
-				paceFactor: backend.paceFactor,
+				cachedTokens: load.cachedTokens(request),
+				inFlight: load.inFlight,
+				paceFactor: load.backend.paceFactor,
 			},
 			excludedReason: this.findExclusion(load, request, waitMs, nowMs),
 		};
 	}
 
 	/** Returns why a request may not go to a backend server now. */
-	private findExclusion({backend, assignments, memoryTokens, failures}: BackendLoad, request: AssignmentRequest, waitMs: number, nowMs: number): string | undefined {
-		const inFlight = assignments.size + backend.inFlightElsewhere;
+	private findExclusion(load: BackendLoad, request: AssignmentRequest, waitMs: number, nowMs: number): string | undefined {
+		const {backend, inFlight, memoryTokens} = load;
 		if (request.excluded.includes(backend.key)) {
 			return 'excluded';
 		}
@@ -466,7 +403,7 @@
 			return 'no slot';
 		}
 
-		if (failures.length >= maxFailures && [...this.loads.values()].some(other => other.failures.length === 0)) {
+		if (load.recentFailures(nowMs) >= maxFailures && [...this.loads.values()].some(other => other.recentFailures(nowMs) === 0)) {
 			return 'failing';
 		}
 
@@ -481,12 +418,6 @@
 		return waitMs > this.maxBacklogMs(request.priority, nowMs) ? 'backlog' : undefined;
 	}
 
-	private dropOldFailures(nowMs: number): void {
-		for (const load of this.loads.values()) {
-			load.failures = load.failures.filter(atMs => nowMs - atMs < failureMaxAgeMs);
-		}
-	}
-
 	/** Returns the longest backlog of an engine to which a request of this priority may be added, in milliseconds. */
 	private maxBacklogMs(priority: number, nowMs: number): number {
 		let shortestMs = Number.POSITIVE_INFINITY;
@@ -499,21 +430,6 @@
 		return shortestMs * backlogShare;
 	}
 
-	/** Returns the time until a request's own work would begin at a backend server, in milliseconds. */
-	private waitAt({backend, assignments, busyUntilMs}: BackendLoad, nowMs: number): number {
-		const excess = assignments.size + backend.inFlightElsewhere + 1 - backend.slots;
-		const slotWaitMs = excess > 0 ? excess / backend.slots * this.times.meanRunMs * backend.paceFactor : 0;
-		return Math.max(0, busyUntilMs - nowMs, slotWaitMs);
-	}
-
-	/** Returns the time of a request's own work at a backend server until its first event, or its answer, in milliseconds. */
-	private workAt({backend, cache}: BackendLoad, {promptTokens, promptParts, route}: AssignmentRequest): number {
-		const usualMs = backend.isEngine
-			? this.times.readMs(backend.key, Math.max(0, promptTokens - cache.cachedTokens(promptParts))) + this.times.fixedMs(backend.key)
-			: this.times.callMs(route);
-		return (usualMs * backend.paceFactor) + (backend.isCold ? coldStartMs : 0);
-	}
-
 	/** Returns the time until the first event of a request that waits behind this much work, in milliseconds. */
 	private predictQueued(entry: QueuedRequest, workAheadMs: number, nowMs: number): number {
 		return this.shortestWaitMs(nowMs) + this.drainMs(workAheadMs) + entry.workMs;
@@ -523,7 +439,7 @@
 	private shortestWaitMs(nowMs: number): number {
 		let shortestMs = Number.POSITIVE_INFINITY;
 		for (const load of this.loads.values()) {
-			shortestMs = Math.min(shortestMs, this.waitAt(load, nowMs));
+			shortestMs = Math.min(shortestMs, load.waitMs(nowMs));
 		}
 
 		return shortestMs;
@@ -570,119 +486,19 @@
 		}
 	}
 
-	private assign(request: AssignmentRequest, {backend: key, terms}: {backend: number; terms: AssignmentTerms}, nowMs: number): void {
-		const load = this.loads.get(key)!;
-		const {backend} = load;
-		const uncachedTokens = Math.max(0, request.promptTokens - terms.cachedTokens);
-		const workMs = backend.isEngine ? this.times.readMs(key, uncachedTokens) * backend.paceFactor : 0;
-		const memoryTokens = backend.isEngine ? request.cost : 0;
-		const {daemon, incarnation, id} = request;
-		const assignment: Assignment = {
-			id: {daemon, incarnation, id},
-			backend: key,
-			isEngine: backend.isEngine,
-			route: request.route,
-			uncachedTokens,
-			memoryTokens,
-			waitMs: terms.waitMs,
-			workMs,
-			paceFactor: backend.paceFactor,
-			assignedAtMs: nowMs,
-			readableFromMs: nowMs,
-			expiresAtMs: nowMs + request.remainingMs + endGraceMs,
-		};
-		load.assignments.set(keyOf(request), assignment);
-		this.assignedTo.set(keyOf(request), load);
-		load.memoryTokens += memoryTokens;
-		load.busyUntilMs = Math.max(load.busyUntilMs, nowMs) + workMs;
-		if (backend.isEngine) {
-			if (load.unread.length >= maxUnread) {
-				load.unread = [];
-				load.readFromMs = load.busyUntilMs - workMs;
-				load.lastReadAtMs = undefined;
-			}
-
-			load.unread.push(assignment);
-			load.cache.add(request.promptParts, backend.kvTokens);
-		}
+	private assign(request: AssignmentRequest, {backend, terms}: {backend: number; terms: AssignmentTerms}, nowMs: number): void {
+		const load = this.loads.get(backend)!;
+		const key = keyOf(request);
+		load.add(key, request, terms, nowMs);
+		this.assignedTo.set(key, load);
 	}
 
-	/** Removes an assignment; work that was not begun is taken off the backlog. */
+	/** Removes an assignment. */
 	private take(id: AssignmentId, result: AssignmentResult, nowMs: number): Assignment | undefined {
 		const key = keyOf(id);
 		const load = this.assignedTo.get(key);
-		const assignment = load?.assignments.get(key);
 		this.assignedTo.delete(key);
-		if (!load || !assignment) {
-			return undefined;
-		}
-
-		load.assignments.delete(key);
-		load.memoryTokens -= assignment.memoryTokens;
-		const isUndone = result === AssignmentResult.NotSent || result === AssignmentResult.Rejected;
-		if (isUndone || nowMs < assignment.assignedAtMs + assignment.waitMs) {
-			load.unread = load.unread.filter(other => other !== assignment);
-			predictBusy(load);
-		}
-
-		return assignment;
-	}
-
-	/** Corrects an engine's backlog by the time of a first event, since errors of the predictions would add up while it is never idle. */
-	private noteRead(load: BackendLoad, assignment: Assignment, firstEventMs: number): void {
-		const index = load.unread.indexOf(assignment);
-		if (index === -1) {
-			return;
-		}
-
-		const readAtMs = assignment.assignedAtMs + Math.max(0, firstEventMs - (this.times.fixedMs(assignment.backend) * assignment.paceFactor));
-		if (index === 0 && load.lastReadAtMs !== undefined && assignment.waitMs > noWaitMs && isPaceSteady(load, assignment)) {
-			this.times.noteRead(assignment.backend, assignment.uncachedTokens, readAtMs - Math.max(load.lastReadAtMs, assignment.assignedAtMs), assignment.paceFactor);
-		}
-
-		load.lastReadAtMs = readAtMs;
-		load.readFromMs = readAtMs;
-		load.unread = load.unread.slice(index + 1);
-		predictBusy(load);
-	}
-
-	private learn(load: BackendLoad, assignment: Assignment, firstEventMs: number | undefined, nowMs: number): void {
-		const {backend, isEngine, route, uncachedTokens, waitMs, paceFactor, assignedAtMs} = assignment;
-		this.times.noteRun((nowMs - assignedAtMs) / paceFactor);
-		if (firstEventMs === undefined || waitMs > noWaitMs || !isPaceSteady(load, assignment)) {
-			return;
-		}
-
-		if (isEngine) {
-			this.times.noteFirstEvent(backend, uncachedTokens, firstEventMs, paceFactor);
-		} else {
-			this.times.noteCall(route, firstEventMs, paceFactor);
-		}
-	}
-}
-
-/** Scales an engine's backlog to a new pace: what is left of it takes as much longer or shorter. */
-function changePace(load: BackendLoad, paceFactor: number, nowMs: number): void {
-	const ratio = paceFactor / load.backend.paceFactor;
-	if (ratio === 1) {
-		return;
-	}
-
-	const scale = (atMs: number) => nowMs + ((atMs - nowMs) * ratio);
-	load.readFromMs = scale(load.readFromMs);
-	for (const assignment of load.unread) {
-		assignment.readableFromMs = scale(assignment.readableFromMs);
-		assignment.workMs *= ratio;
-	}
-
-	predictBusy(load);
-}
-
-/** Predicts when an engine will have read what is assigned to it. */
-function predictBusy(load: BackendLoad): void {
-	load.busyUntilMs = load.readFromMs;
-	for (const {readableFromMs, workMs} of load.unread) {
-		load.busyUntilMs = Math.max(load.busyUntilMs, readableFromMs) + workMs;
+		return load?.remove(key, result, nowMs);
 	}
 }
 
@@ -690,8 +506,3 @@
 function isInTime({predictedMs}: AssignmentTerms, remainingMs: number): boolean {
 	return predictedMs <= remainingMs * maxWaitShare;
 }
-
-/** Whether a backend server still has about the pace that it had when a request was assigned. */
-function isPaceSteady({backend}: BackendLoad, {paceFactor}: Assignment): boolean {
-	return Math.abs(backend.paceFactor - paceFactor) <= paceFactor * maxPaceChange;
-}
