Keep a place that a further group assigns after a refusal, and mend what the reading of the parts found

Also: the backlog limit follows the route's latency target instead of the least time that was left to a request; an engine's memory and the accounts' shares count tokens whatever the account's limit counts; an account without a limit has the largest weight; a request that arrives twice keeps its decision; the waiting requests are ordered anew after each assignment; datagrams without the terms of a decision are dropped; the query to a coordinator is built in one place for requests and explanations.

--- a/soak/pace-faults.ts
+++ b/soak/pace-faults.ts
@@ -34,5 +34,6 @@
 			replica.pacePercent = usualPercent;
 		},
 	});
+	// Listed three times, so that about one fault in six slows a replica down.
 	return cluster.options.hasPaces ? [slowDown, slowDown, slowDown] : [];
 }
--- a/src/cli/commands/explain.ts
+++ b/src/cli/commands/explain.ts
@@ -38,7 +38,11 @@
 	if (coordinator) {
 		const address = new URL(options.url);
 		address.hostname = coordinator.host;
-		answer = {...await ask(address.href, options), limit: answer.limit};
+		try {
+			answer = {...await ask(address.href, options), limit: answer.limit};
+		} catch (error) {
+			write(`coordinator ${coordinator.name} does not answer at ${address.host}: ${String(error)}\n`);
+		}
 	}
 
 	if (answer.outcome === undefined) {
--- a/src/coordination/assignment/__tests__/assignment-exchange.test.ts
+++ b/src/coordination/assignment/__tests__/assignment-exchange.test.ts
@@ -20,7 +20,7 @@
 const failoverMs = 3500;
 
 const query: AssignmentQuery = {
-	service: 's', account: 'a', accountWeight: 1, priority: 2, cost: 1, targetMs: 336, remainingMs: 2000, route: 'call', promptTokens: 0, promptParts: [], excluded: new Set(), returnKey: undefined,
+	service: 's', account: 'a', accountWeight: 1, priority: 2, cost: 1, latencyTargetMs: 336, targetMs: 336, remainingMs: 2000, route: 'call', promptTokens: 0, promptParts: [], excluded: new Set(), returnKey: undefined,
 };
 
 type Ended = {askedAtMs: number; tookMs: number; outcome: AssignmentOutcome};
--- a/src/coordination/assignment/__tests__/assignment-ledger.test.ts
+++ b/src/coordination/assignment/__tests__/assignment-ledger.test.ts
@@ -15,7 +15,7 @@
 function request(fields: Partial<AssignmentRequest> = {}): AssignmentRequest {
 	const promptTokens = fields.promptTokens ?? 800;
 	return {
-		id: nextId++, daemon: 'd', incarnation: 'd#1', account: 'a', accountWeight: 1, priority: 1, cost: promptTokens, targetMs: 500, remainingMs: 10_000, route: 'r', promptTokens, promptParts: [], excluded: [], returnKey: undefined, ...fields,
+		id: nextId++, daemon: 'd', incarnation: 'd#1', account: 'a', accountWeight: 1, priority: 1, cost: promptTokens, latencyTargetMs: fields.targetMs ?? 500, targetMs: 500, remainingMs: 10_000, route: 'r', promptTokens, promptParts: [], excluded: [], returnKey: undefined, ...fields,
 	};
 }
 
@@ -286,4 +286,47 @@
 		expect(decision.kind).toBe(AssignmentKind.Assigned);
 		expect(candidates.map(({excludedReason}) => excludedReason)).toEqual(['no slot', undefined]);
 	});
+
+	it('goes by the latency target of a route, however little of it is left to one of its requests', () => {
+		const ledger = createLedger([backend(1)]);
+		ledger.request(request({priority: 0, latencyTargetMs: 500, targetMs: 2}), 0);
+		ledger.request(request({priority: 0, latencyTargetMs: 500, targetMs: 500}), 10);
+		// The backlog of the two is shorter than a quarter of 500 ms, and longer than one of 2 ms.
+		expect(ledger.request(request({priority: 2, targetMs: 2000}), 20)[0].kind).toBe(AssignmentKind.Assigned);
+	});
+
+	it.each([
+		{name: 'assigned', before: 0},
+		{name: 'waiting', before: 1},
+	])('gives a request that arrives twice the decision that it has, when it is $name', ({before}) => {
+		const ledger = createLedger([backend(1, {isEngine: false, slots: 1})]);
+		for (let index = 0; index < before; index++) {
+			ledger.request(request(call), 0);
+		}
+
+		const twice = request(call);
+		const [first] = ledger.request(twice, 0);
+		expect(ledger.request(twice, 1)).toEqual([first]);
+		expect(ledger.queued).toBe(before);
+		expect(ledger.assigned(1)).toBe(1);
+	});
+
+	it('lets an account without a limit receive as much as the one with the largest', () => {
+		const ledger = createLedger([backend(1, {isEngine: false, slots: 1})]);
+		let running = request({...call, account: 'first'});
+		ledger.request(running, 0);
+		const waiting = Array.from({length: 20}, (_, index) => index % 2 === 0 ? request({...call, account: 'limited', accountWeight: 5000}) : request({...call, account: 'unlimited', accountWeight: undefined}));
+		for (const each of waiting) {
+			ledger.request(each, 0);
+		}
+
+		const order: Array<string | undefined> = [];
+		for (let index = 0; index < 12; index++) {
+			const [decision] = ledger.end(endOf(running, AssignmentResult.Completed), index);
+			running = waiting.find(({id}) => id === decision.id)!;
+			order.push(running.account);
+		}
+
+		expect(Math.abs(order.filter(account => account === 'unlimited').length - 6)).toBeLessThanOrEqual(1);
+	});
 });
--- a/src/coordination/assignment/__tests__/assignment-load.test.ts
+++ b/src/coordination/assignment/__tests__/assignment-load.test.ts
@@ -291,7 +291,7 @@
 	submit(call: Call): void {
 		const {nowMs} = this.world.simulation;
 		this.handle(this.ledger(call), ledger => ledger.request({
-			daemon: `d${call.id % daemons}`, incarnation: '1', id: call.id + (call.hasReturned ? this.world.calls.length : 0), account: `a${call.account}`, accountWeight: 1 / (call.account + 1), priority: call.kind.priority, cost: Math.max(1, call.tokens + call.kind.outputTokens), targetMs: call.arrivedAtMs + call.kind.targetMs - nowMs, remainingMs: call.arrivedAtMs + call.kind.deadlineMs - nowMs, route: call.kind.name, promptTokens: call.tokens, promptParts: call.parts, excluded: [], returnKey: call.parts.at(-1)?.id,
+			daemon: `d${call.id % daemons}`, incarnation: '1', id: call.id + (call.hasReturned ? this.world.calls.length : 0), account: `a${call.account}`, accountWeight: 1 / (call.account + 1), priority: call.kind.priority, cost: Math.max(1, call.tokens + call.kind.outputTokens), latencyTargetMs: call.kind.targetMs, targetMs: call.arrivedAtMs + call.kind.targetMs - nowMs, remainingMs: call.arrivedAtMs + call.kind.deadlineMs - nowMs, route: call.kind.name, promptTokens: call.tokens, promptParts: call.parts, excluded: [], returnKey: call.parts.at(-1)?.id,
 		}, nowMs));
 	}
 
--- a/src/coordination/assignment/account-shares.ts
+++ b/src/coordination/assignment/account-shares.ts
@@ -7,6 +7,8 @@
 /** Tracks the virtual time of accounts while requests wait. */
 export class AccountShares {
 	private readonly virtualTimes = new Map<string, number>();
+	/** The largest weight seen, which accounts without a limit have too. */
+	private largestWeight = 1;
 
 	/** Records that an account begins to wait: it starts level with the waiting account that has received least. */
 	noteWaiting(account: string, waiting: Iterable<string>): void {
@@ -18,9 +20,10 @@
 		this.virtualTimes.set(account, Math.max(this.virtualTime(account), Number.isFinite(least) ? least : 0));
 	}
 
-	/** Charges an account for what it was assigned. */
-	charge(account: string, cost: number, weight: number): void {
-		this.virtualTimes.set(account, this.virtualTime(account) + (cost / Math.max(weight, Number.MIN_VALUE)));
+	/** Charges an account for what it was assigned; one without a limit has no weight of its own. */
+	charge(account: string, cost: number, weight: number | undefined): void {
+		this.largestWeight = Math.max(this.largestWeight, weight ?? 0);
+		this.virtualTimes.set(account, this.virtualTime(account) + (cost / (weight ?? this.largestWeight)));
 	}
 
 	/** Returns what an account has received for its weight. */
--- a/src/coordination/assignment/assignment-coordinator.ts
+++ b/src/coordination/assignment/assignment-coordinator.ts
@@ -28,7 +28,7 @@
 	backends: (group: Pick<AssignmentGroup, 'service' | 'failureDomain'>, nowMs: number) => Backend[];
 	/** Returns the requests in flight at a backend server, as all daemons report. */
 	inFlight: (backend: Backend, nowMs: number) => number;
-	/** Returns the memory of a service's engines in tokens, or undefined for a plain service. */
+	/** Returns the traits of a service's engines; undefined for a plain service. */
 	engine: (service: string) => {kvTokens?: number} | undefined;
 	paceFactor: (backend: Backend, nowMs: number) => number;
 	/** Whether a daemon has certainly ended. */
@@ -104,7 +104,7 @@
 		return this.ledger(group, nowMs)?.withdraw(id, nowMs) ?? [];
 	}
 
-	/** Moves the queue of a group on. */
+	/** Drops expired and abandoned requests of a group, and assigns queued ones. */
 	check(group: GroupIdentity, nowMs: number): AssignmentDecision[] {
 		const ledger = this.ledger(group, nowMs);
 		return ledger ? [...this.dropGone(group, nowMs), ...this.refresh(group, nowMs), ...ledger.expire(nowMs)] : [];
@@ -175,7 +175,9 @@
 		coordination.refreshedAtMs = nowMs;
 		const {backends, engine} = this.parts;
 		const traits = engine(group.service);
-		return coordination.ledger.update(backends(group, nowMs).map(backend => this.describe(backend, coordination, traits, nowMs)), nowMs);
+		const usable = backends(group, nowMs);
+		dropMissing(coordination.elsewhere, usable);
+		return coordination.ledger.update(usable.map(backend => this.describe(backend, coordination, traits, nowMs)), nowMs);
 	}
 
 	private describe(backend: Backend, {ledger, elsewhere}: Coordination, traits: {kvTokens?: number} | undefined, nowMs: number): AssignableBackend {
@@ -194,3 +196,13 @@
 		};
 	}
 }
+
+/** Drops what is kept of backend servers that are not in use any more. */
+function dropMissing(kept: Map<number, unknown>, usable: Backend[]): void {
+	const keys = new Set(usable.map(({id}) => backendKey(id)));
+	for (const key of kept.keys()) {
+		if (!keys.has(key)) {
+			kept.delete(key);
+		}
+	}
+}
--- a/src/coordination/assignment/assignment-exchange.ts
+++ b/src/coordination/assignment/assignment-exchange.ts
@@ -24,8 +24,8 @@
 
 /** How long the first answer of a coordinator is waited for, in milliseconds: dozens of round trips between failure domains. */
 const answerTimeoutMs = 60;
-/** Time for which a coordinator is not asked that did not answer or declined, in milliseconds. */
-const declinedPauseMs = 300;
+/** Time for which a coordinator is not asked that did not answer or declined, in milliseconds: until it has settled, or another one has taken its place. */
+const coordinatorBackoffMs = 300;
 /** How long a queued request waits beyond twice the expected time without another message, in milliseconds. */
 const queueMarginMs = 100;
 /** Interval at which the queues of coordinated groups are checked, in milliseconds. */
@@ -36,7 +36,7 @@
 const maxGroups = 2;
 /** Time after which ends and withdrawals are sent a second time, in milliseconds, if no later message to their coordinator has repeated them. */
 const repeatDelayMs = 500;
-/** Age at which the choice of the coordinators is made anew, in milliseconds. */
+/** Time for which a ranking of the coordinators is kept, in milliseconds. */
 const rankingMaxAgeMs = 100;
 
 /** Reason of an outcome whose client has left. */
@@ -122,7 +122,11 @@
 			const elapsedMs = this.parts.clock.now() - startedAtMs;
 			// eslint-disable-next-line no-await-in-loop -- a further group is asked only after a refusal.
 			const outcome = await this.ask(group, {...query, targetMs: query.targetMs - elapsedMs, remainingMs: query.remainingMs - elapsedMs}, signal);
-			if (outcome.kind !== 'refused') {
+			if (outcome.kind === 'assigned') {
+				return outcome;
+			}
+
+			if (outcome.kind === 'unavailable') {
 				return refusal ?? outcome;
 			}
 
@@ -132,7 +136,7 @@
 		return refusal ?? {kind: 'unavailable', reason: 'no group of backend servers'};
 	}
 
-	/** Tells what the coordinator, if it is this daemon, would decide on a request. */
+	/** Returns the groups in the order in which they would be asked, each with the decision if this daemon coordinates it. */
 	explain(query: AssignmentQuery, nowMs: number): Array<{group: string; coordinator: {name: string; host: string} | undefined; statedWaitMs: number; explanation: AssignmentExplanation | undefined}> {
 		return this.rank(query, nowMs).map(group => ({
 			group: group.name,
@@ -142,7 +146,7 @@
 		}));
 	}
 
-	/** Keeps track of the groups that this daemon coordinates; called in each round. */
+	/** Repeats unconfirmed reports, updates the groups that this daemon coordinates, and checks their queues; called in each round. */
 	sendRound(nowMs: number): void {
 		const {services, activation} = this.parts;
 		const groups = services().filter(service => activation.isActive(service, nowMs)).flatMap(service => this.groups(service, nowMs));
@@ -229,7 +233,7 @@
 		const nowMs = clock.now();
 		const coordinator = this.coordinators(group.name, nowMs).at(0);
 		if (!coordinator || nowMs < (this.pausedUntilMs.get(coordinator.name) ?? 0)) {
-			return {kind: 'unavailable', reason: coordinator ? 'coordinator did not decide of late' : 'no coordinator'};
+			return {kind: 'unavailable', reason: coordinator ? 'coordinator timed out or declined a moment ago' : 'no coordinator'};
 		}
 
 		if (signal.aborted) {
@@ -386,7 +390,7 @@
 	}
 
 	private pause(coordinator: string): void {
-		this.pausedUntilMs.set(coordinator, this.parts.clock.now() + declinedPauseMs);
+		this.pausedUntilMs.set(coordinator, this.parts.clock.now() + coordinatorBackoffMs);
 	}
 
 	/** Decides on a request as its coordinator. */
--- a/src/coordination/assignment/assignment-groups.ts
+++ b/src/coordination/assignment/assignment-groups.ts
@@ -9,7 +9,7 @@
 import {type GroupName} from '../../protocol/fleet-messages.js';
 import {type Backend, type PromptPart} from '../../protocol/serving.js';
 
-/** Tokens of a shared prefix from which on a prompt goes to the group that holds the prefix: 20 ms of reading, ten times the round trip to another failure domain. */
+/** Tokens of a shared prefix from which on a prompt goes to the group that holds the prefix: an engine takes 20 to 40 ms to prefill them, ten times the round trip to another failure domain. */
 const minPrefixTokens = 2000;
 /** Share of a request's latency target up to which the wait of a group is accepted. */
 const acceptedWaitShare = 0.25;
--- a/src/coordination/assignment/assignment-ledger.ts
+++ b/src/coordination/assignment/assignment-ledger.ts
@@ -13,14 +13,14 @@
 	type AssignableBackend, type AssignmentCandidate, type AssignmentDecision, type AssignmentEnd, type AssignmentExplanation, type AssignmentId, AssignmentKind, type AssignmentRequest, AssignmentResult, type AssignmentTerms,
 } from '../../protocol/assignment.js';
 import {AssignmentQueue, keyOf, type QueuedRequest} from './assignment-queue.js';
-import {type Assignment, BackendLoad} from './backend-load.js';
+import {type Assignment, BackendLoad, type Choice} from './backend-load.js';
 import {LearnedTimes} from './learned-times.js';
 
-/** Share of the remaining time by which the first event must be predicted; with a later one, the answer would not be complete in time. */
+/** Share of the remaining time by which the first event must be predicted; the rest is for the answer. */
 const maxWaitShare = 0.8;
 /** Share of the shortest latency target of more urgent requests up to which less urgent ones may fill an engine's backlog. */
 const backlogShare = 0.25;
-/** Time for which the latency target of a kind of request counts after its last one, in milliseconds. */
+/** Time for which a latency target counts after the last request that had it, in milliseconds. */
 const targetMaxAgeMs = 5000;
 /** Shortest Retry-After, in milliseconds. */
 const minRetryAfterMs = 50;
@@ -38,10 +38,9 @@
 const noticeDelayMs = 50;
 /** Interval at which waiting requests are checked for those that can no longer be served, and assignments for those past their deadline, in milliseconds: looking through all of them takes most of the time of a decision. */
 const expiryCheckMs = 50;
-/** Interval at which a queue is checked that no end of a request moves on, in milliseconds. */
-const queueCheckMs = 10;
 
-type Choice = {backend: number; copyFrom: number | undefined; terms: AssignmentTerms};
+/** The reason for which a backend server gets no request that has failed several of late. */
+const failingReason = 'failing';
 
 /** Assigns requests to the backend servers of one group. */
 export class AssignmentLedger {
@@ -50,8 +49,8 @@
 	private readonly assignedTo = new Map<string, BackendLoad>();
 	private readonly queue = new AssignmentQueue();
 	private readonly times = new LearnedTimes();
-	/** The shortest latency target of each priority, and when a request last had it. */
-	private readonly targets = new Map<number, {targetMs: number; atMs: number}>();
+	/** When a request of each priority last had each latency target. */
+	private readonly targets = new Map<number, Map<number, number>>();
 	/** When refused requests were refused, by the key under which they come back. */
 	private readonly refusedAtMs = new Map<string, number>();
 	/** When the last refused client comes back. */
@@ -93,14 +92,14 @@
 		return this.assignQueued(nowMs);
 	}
 
-	/** Decides on a request. A request that is repeated, since its decision was lost, gets its decision again. */
+	/** Decides on a request. One that arrives twice gets the same decision again. */
 	request(request: AssignmentRequest, nowMs: number): AssignmentDecision[] {
-		this.noteTarget(request, nowMs);
-		if (this.assignedTo.has(keyOf(request)) || this.queue.get(request)) {
-			this.take(request, AssignmentResult.NotSent, nowMs);
-			this.queue.remove(request);
+		const known = this.knownDecision(request, nowMs);
+		if (known) {
+			return [known];
 		}
 
+		this.noteTarget(request, nowMs);
 		const entry = this.createEntry(request, nowMs);
 		const decision = this.decide(entry, nowMs);
 		if (decision.kind === AssignmentKind.Assigned) {
@@ -176,11 +175,6 @@
 		return this.assignQueued(nowMs, true);
 	}
 
-	/** Returns when to call {@link expire} again: soon while requests wait. */
-	nextCheckMs(): number | undefined {
-		return this.queue.isEmpty ? undefined : queueCheckMs;
-	}
-
 	/** Returns the wait that a request of a priority would meet, in milliseconds, by which daemons choose among groups. */
 	waitMs(priority: number, nowMs: number): number {
 		return Math.round(Math.min(this.shortestWaitMs(nowMs), Number.MAX_SAFE_INTEGER) + this.drainMs(this.queuedWorkMs(priority)));
@@ -236,6 +230,22 @@
 		};
 	}
 
+	/** Returns the decision on a request that is assigned or waits already. */
+	private knownDecision(request: AssignmentRequest, nowMs: number): AssignmentDecision | undefined {
+		const {daemon, incarnation, id} = request;
+		const assignment = this.assignedTo.get(keyOf(request))?.assignments.get(keyOf(request));
+		if (assignment) {
+			return {
+				daemon, incarnation, id, kind: AssignmentKind.Assigned, ...assignment.choice,
+			};
+		}
+
+		const entry = this.queue.get(request);
+		return entry && {
+			daemon, incarnation, id, kind: AssignmentKind.Queued, expectedMs: Math.round(this.predictQueued(entry, this.queue.workAhead(entry, nowMs), nowMs)),
+		};
+	}
+
 	private createEntry(request: AssignmentRequest, nowMs: number): QueuedRequest {
 		const refusedAtMs = request.returnKey === undefined ? undefined : this.refusedAtMs.get(request.returnKey);
 		const works = [...this.loads.values()].map(load => load.workMs(request));
@@ -255,7 +265,7 @@
 		const {request} = entry;
 		const {daemon, incarnation, id} = request;
 		const workAheadMs = this.queue.isEmpty ? 0 : this.queue.workAhead(entry, nowMs);
-		// Requests that wait and go first would be overtaken.
+		// It must not overtake requests that wait and rank before it.
 		const choice = workAheadMs > 0 ? undefined : this.choose(entry, nowMs);
 		if (choice && isInTime(choice.terms, request.remainingMs)) {
 			return {
@@ -291,7 +301,8 @@
 
 		let isBlocked = !this.hasRoom(nowMs);
 		let workAheadMs = 0;
-		for (const entry of isBlocked && !isExpiring ? [] : this.queue.ordered(nowMs)) {
+		let waiting = isBlocked && !isExpiring ? [] : this.queue.ordered(nowMs);
+		for (let entry = waiting.shift(); entry; entry = waiting.shift()) {
 			if (isBlocked && !isExpiring) {
 				break;
 			}
@@ -308,6 +319,9 @@
 				decisions.push({
 					daemon, incarnation, id, kind: AssignmentKind.Assigned, ...choice,
 				});
+				// The charge may have changed the order.
+				const rest = new Set(waiting);
+				waiting = this.queue.ordered(nowMs).filter(other => rest.has(other));
 				continue;
 			}
 
@@ -356,7 +370,8 @@
 		for (const load of this.loads.values()) {
 			const candidate = this.candidate(load, request, nowMs - queuedAtMs, nowMs);
 			const {terms} = candidate;
-			mostCached = !mostCached || terms.cachedTokens > mostCached.terms.cachedTokens ? candidate : mostCached;
+			const isSource = candidate.excludedReason !== failingReason && (!mostCached || terms.cachedTokens > mostCached.terms.cachedTokens);
+			mostCached = isSource ? candidate : mostCached;
 			if (candidate.excludedReason !== undefined) {
 				continue;
 			}
@@ -404,7 +419,7 @@
 		}
 
 		if (load.recentFailures(nowMs) >= maxFailures && [...this.loads.values()].some(other => other.recentFailures(nowMs) === 0)) {
-			return 'failing';
+			return failingReason;
 		}
 
 		if (!backend.isEngine || inFlight === 0) {
@@ -421,9 +436,9 @@
 	/** Returns the longest backlog of an engine to which a request of this priority may be added, in milliseconds. */
 	private maxBacklogMs(priority: number, nowMs: number): number {
 		let shortestMs = Number.POSITIVE_INFINITY;
-		for (const [other, {targetMs, atMs}] of this.targets) {
-			if (other < priority && nowMs - atMs <= targetMaxAgeMs) {
-				shortestMs = Math.min(shortestMs, targetMs);
+		for (const [other, times] of this.targets) {
+			for (const [targetMs, atMs] of other < priority ? times : []) {
+				shortestMs = nowMs - atMs <= targetMaxAgeMs ? Math.min(shortestMs, targetMs) : shortestMs;
 			}
 		}
 
@@ -478,18 +493,21 @@
 		}
 	}
 
-	private noteTarget({priority, targetMs}: AssignmentRequest, nowMs: number): void {
-		const known = this.targets.get(priority);
-		const isOutdated = known === undefined || nowMs - known.atMs > targetMaxAgeMs;
-		if (targetMs > 0) {
-			this.targets.set(priority, {targetMs: isOutdated ? targetMs : Math.min(known.targetMs, targetMs), atMs: nowMs});
+	private noteTarget({priority, latencyTargetMs}: AssignmentRequest, nowMs: number): void {
+		const times = this.targets.get(priority) ?? new Map<number, number>();
+		this.targets.set(priority, times);
+		times.set(latencyTargetMs, nowMs);
+		for (const [targetMs, atMs] of times) {
+			if (nowMs - atMs > targetMaxAgeMs) {
+				times.delete(targetMs);
+			}
 		}
 	}
 
-	private assign(request: AssignmentRequest, {backend, terms}: {backend: number; terms: AssignmentTerms}, nowMs: number): void {
+	private assign(request: AssignmentRequest, {backend, copyFrom, terms}: Choice, nowMs: number): void {
 		const load = this.loads.get(backend)!;
 		const key = keyOf(request);
-		load.add(key, request, terms, nowMs);
+		load.add(key, request, {backend, copyFrom, terms}, nowMs);
 		this.assignedTo.set(key, load);
 	}
 
--- a/src/coordination/assignment/backend-load.ts
+++ b/src/coordination/assignment/backend-load.ts
@@ -22,9 +22,13 @@
 /** Most assignments by which an engine's backlog is corrected; their prompts are read in some seconds. */
 const maxUnread = 64;
 
+/** A backend server chosen for a request, the engine to copy cached prompt parts from, and the figures behind the choice. */
+export type Choice = {backend: number; copyFrom: number | undefined; terms: AssignmentTerms};
+
 /** A request assigned to a backend server. */
 export type Assignment = {
 	id: AssignmentId;
+	choice: Choice;
 	route: string;
 	uncachedTokens: number;
 	memoryTokens: number;
@@ -115,12 +119,14 @@
 	}
 
 	/** Adds an assigned request. */
-	add(requestKey: string, request: AssignmentRequest, {cachedTokens, waitMs}: AssignmentTerms, nowMs: number): void {
+	add(requestKey: string, request: AssignmentRequest, choice: Choice, nowMs: number): void {
 		const {key, isEngine, paceFactor, kvTokens} = this.current;
 		const {daemon, incarnation, id, route, promptTokens, promptParts, cost, remainingMs} = request;
+		const {cachedTokens, waitMs} = choice.terms;
 		const uncachedTokens = Math.max(0, promptTokens - cachedTokens);
 		const assignment: Assignment = {
 			id: {daemon, incarnation, id},
+			choice,
 			route,
 			uncachedTokens,
 			memoryTokens: isEngine ? cost : 0,
--- a/src/coordination/quarantine/crash-watch.ts
+++ b/src/coordination/quarantine/crash-watch.ts
@@ -23,10 +23,10 @@
 /** Time for another backend server to accept a connection, in milliseconds, and how many others are tried at most. */
 const acceptanceTimeoutMs = 150;
 const maxOthers = 6;
-/** What speaks against asking another backend server, the strongest first: that it crashed of late and may still be listed, that a run broke off there as well, and that it may be reclaimed together with the one in question. */
-const crashedDoubt = 4;
-const brokenRunDoubt = 2;
-const sameDomainDoubt = 1;
+/** Penalties by which the backend servers to probe are ordered: one that crashed of late may still be listed, one at which a run broke off as well may have crashed, and one of the same failure domain may be reclaimed together with the one in question. Powers of two, so that a stronger reason outweighs the weaker ones. */
+const recentCrashPenalty = 4;
+const brokenRunPenalty = 2;
+const sameDomainPenalty = 1;
 /** Runs that break off at a backend server within this many milliseconds share one check. */
 const checkReuseMs = 1000;
 
@@ -135,8 +135,8 @@
 	private async reachesAnother({id, service, failureDomain}: Backend, nowMs: number): Promise<boolean> {
 		const {backends, quarantine, accepts = isConnectionAccepted} = this.dependencies;
 		const others = backends.candidates(service, nowMs).filter(other => other.id !== id);
-		const doubt = (other: Backend) => (quarantine.hasCrashed(backendKey(other.id), nowMs) ? crashedDoubt : 0) + (this.checks.has(other.id) ? brokenRunDoubt : 0) + (other.failureDomain === failureDomain ? sameDomainDoubt : 0);
-		const probed = others.toSorted((a, b) => doubt(a) - doubt(b)).slice(0, maxOthers);
+		const penalty = (other: Backend) => (quarantine.hasCrashed(backendKey(other.id), nowMs) ? recentCrashPenalty : 0) + (this.checks.has(other.id) ? brokenRunPenalty : 0) + (other.failureDomain === failureDomain ? sameDomainPenalty : 0);
+		const probed = others.toSorted((a, b) => penalty(a) - penalty(b)).slice(0, maxOthers);
 		const accepted = await Promise.all(probed.map(async other => accepts(other, acceptanceTimeoutMs)));
 		return probed.length === 0 || accepted.includes(true);
 	}
--- a/src/coordination/serving/__tests__/request-explanation.test.ts
+++ b/src/coordination/serving/__tests__/request-explanation.test.ts
@@ -147,7 +147,7 @@
 		})), 0);
 		for (let step = 0; step < 200; step++) {
 			const request = {
-				daemon: 'd', incarnation: 'd#1', id: step, account: `a${step % 3}`, accountWeight: 1, priority: Math.floor(random() * 3), cost: 1, targetMs: 300, remainingMs: 100 + (random() * 900), route: 'r', promptTokens: 0, promptParts: [], excluded: [], returnKey: undefined,
+				daemon: 'd', incarnation: 'd#1', id: step, account: `a${step % 3}`, accountWeight: 1, priority: Math.floor(random() * 3), cost: 1, latencyTargetMs: 300, targetMs: 300, remainingMs: 100 + (random() * 900), route: 'r', promptTokens: 0, promptParts: [], excluded: [], returnKey: undefined,
 			};
 			const explained = ledger.explain(request, step * 5).decision;
 			expect(ledger.request(request, step * 5)).toEqual([explained]);
--- a/src/coordination/serving/request-assignment.ts
+++ b/src/coordination/serving/request-assignment.ts
@@ -2,12 +2,15 @@
  * Has the first attempt of a request assigned to a backend server by the coordinator of a group,
  * where that is active, and reports to it how the attempt goes.
  */
-import {type AnswerMetadata} from '../../protocol/serving.js';
+import {
+	type Account, type AnswerMetadata, type CallerRequest, type Route,
+} from '../../protocol/serving.js';
 import {AssignmentResult} from '../../protocol/assignment.js';
 import {type SteadyClock} from '../../clock.js';
-import {type Assignment, type AssignmentExchange, type AssignmentOutcome} from '../assignment/assignment-exchange.js';
+import {
+	type Assignment, type AssignmentExchange, type AssignmentOutcome, type AssignmentQuery,
+} from '../assignment/assignment-exchange.js';
 import {type PlacementChoice} from '../placement.js';
-import {requestCost} from '../quota-ledger.js';
 import {type Quarantine} from '../quarantine/quarantine.js';
 import {type RequestMetrics} from './request-metrics.js';
 import {type ServedRequest} from './served-request.js';
@@ -41,23 +44,11 @@
 		const {exchange, metrics, clock} = this.parts;
 		const {request, route, account, service, arrivedAtMs, signal} = served.inputs;
 		const askedAtMs = clock.now();
-		const promptTokens = request.promptTokens ?? 0;
 		const outcome = served.remainingMs(askedAtMs) <= 0
 			? unavailable
-			: await exchange.assign({
-				service,
-				account: account?.name,
-				accountWeight: account?.ratePerSecond ?? 1,
-				priority: served.priority,
-				cost: account ? requestCost(account, request.promptTokens, request.maxOutputTokens) : Math.max(1, promptTokens),
-				targetMs: arrivedAtMs + route.latencyTargetMs - askedAtMs,
-				remainingMs: served.remainingMs(askedAtMs),
-				route: route.name,
-				promptTokens,
-				promptParts: request.promptParts,
-				excluded: served.excluded,
-				returnKey: request.promptParts.at(-1)?.id,
-			}, signal);
+			: await exchange.assign(createAssignmentQuery(request, {route, account, service}, {
+				priority: served.priority, targetMs: arrivedAtMs + route.latencyTargetMs - askedAtMs, remainingMs: served.remainingMs(askedAtMs), excluded: served.excluded,
+			}), signal);
 		const waitedMs = clock.now() - askedAtMs;
 		metrics.recordAssignment(service, outcome.kind, waitedMs / 1000);
 		served.assignment = describe(outcome, waitedMs);
@@ -65,6 +56,26 @@
 	}
 }
 
+/** Describes a request to a coordinator. The last part of a prompt belongs to the request or its session alone, so it identifies the request over its client's attempts. */
+export function createAssignmentQuery(
+	{promptTokens = 0, maxOutputTokens = 0, promptParts}: Pick<CallerRequest, 'promptTokens' | 'maxOutputTokens' | 'promptParts'>,
+	{route, account, service}: {route: Route; account: Account | undefined; service: string},
+	timing: Pick<AssignmentQuery, 'priority' | 'targetMs' | 'remainingMs' | 'excluded'>,
+): AssignmentQuery {
+	return {
+		...timing,
+		service,
+		account: account?.name,
+		accountWeight: account?.ratePerSecond,
+		cost: promptTokens > 0 ? promptTokens + maxOutputTokens : 1,
+		latencyTargetMs: route.latencyTargetMs,
+		route: route.name,
+		promptTokens,
+		promptParts,
+		returnKey: promptParts.at(-1)?.id,
+	};
+}
+
 /** Returns an assignment in the form of this daemon's own choices. */
 export function toChoice({backend, copyFrom, terms}: Assignment): PlacementChoice {
 	return {
--- a/src/coordination/serving/request-explanation.ts
+++ b/src/coordination/serving/request-explanation.ts
@@ -11,6 +11,7 @@
 import {type ViewAge} from '../../state/view-age.js';
 import {type AssignmentExchange} from '../assignment/assignment-exchange.js';
 import {type QuotaLedger, type QuotaPeers, requestCost} from '../quota-ledger.js';
+import {createAssignmentQuery} from './request-assignment.js';
 import {type BackendSelector, type ExplainedBackend} from './backend-selector.js';
 
 /** The request to explain. */
@@ -95,7 +96,8 @@
 	}
 
 	private explainDestination(query: ExplanationQuery, route: Route, account: Account | undefined, nowMs: number): Omit<RequestExplanation, 'configVersion' | 'viewAgeMs'> {
-		const service = route.targets.at(0)?.service;
+		// The one that most requests of the route go to.
+		const service = route.targets.toSorted((a, b) => b.weight - a.weight).at(0)?.service;
 		if (service === undefined) {
 			return {route: route.name, outcome: ExplainedOutcome.Refused, reason: 'route without a service'};
 		}
@@ -115,25 +117,14 @@
 			};
 		}
 
-		return {...destination, backends, ...this.explainGroups(query, route, account, {service, cost}, nowMs)};
+		return {...destination, backends, ...this.explainGroups(query, {route, account, service}, nowMs)};
 	}
 
 	/** Explains what the coordinators would decide; the first group decides unless it refuses. */
-	private explainGroups(query: ExplanationQuery, route: Route, account: Account | undefined, {service, cost}: {service: string; cost: number}, nowMs: number): Pick<RequestExplanation, 'outcome' | 'reason' | 'retryAfterMs' | 'groups'> { // eslint-disable-line max-params
-		const groups = this.parts.exchange.explain({
-			service,
-			account: account?.name,
-			accountWeight: account?.ratePerSecond ?? 1,
-			priority: account?.priority ?? route.priority,
-			cost,
-			targetMs: route.latencyTargetMs,
-			remainingMs: route.timeoutMs,
-			route: route.name,
-			promptTokens: query.promptTokens ?? 0,
-			promptParts: query.promptParts,
-			excluded: new Set(),
-			returnKey: undefined,
-		}, nowMs);
+	private explainGroups(query: ExplanationQuery, {route, account, service}: {route: Route; account: Account | undefined; service: string}, nowMs: number): Pick<RequestExplanation, 'outcome' | 'reason' | 'retryAfterMs' | 'groups'> {
+		const groups = this.parts.exchange.explain(createAssignmentQuery(query, {route, account, service}, {
+			priority: account?.priority ?? route.priority, targetMs: route.latencyTargetMs, remainingMs: route.timeoutMs, excluded: new Set(),
+		}), nowMs);
 		const first = groups.at(0);
 		const decision = first?.explanation?.decision;
 		if (!first || !decision) {
--- a/src/protocol/assignment.ts
+++ b/src/protocol/assignment.ts
@@ -2,6 +2,7 @@
  * The messages between the daemons that ask for a backend server and the coordinator of a group
  * of backend servers, and what the coordinator's decision was based on.
  */
+import {isPacePercent} from './pace-percent.js';
 import {type PromptPart, type ReportedLoad} from './serving.js';
 
 /** Identifies a request to a coordinator. */
@@ -17,12 +18,14 @@
 /** A request for a backend server of a group. */
 export type AssignmentRequest = AssignmentId & {
 	account: string | undefined;
-	/** The account's weight when accounts share what is short, such as its rate limit; 1 without one. */
-	accountWeight: number;
+	/** The account's weight when accounts share what is short: its rate limit; undefined without one. */
+	accountWeight: number | undefined;
 	/** 0 is the most urgent. */
 	priority: number;
-	/** What counts against the account's share of the group: tokens, or 1 for a plain call. */
+	/** What counts against the account's share of the group: the tokens of its prompt and the most of its output, or 1 for a plain call. */
 	cost: number;
+	/** The latency target of the request's route, in milliseconds. */
+	latencyTargetMs: number;
 	/** Time left until the latency target, in milliseconds; negative once it has passed. */
 	targetMs: number;
 	/** Time left until the deadline, in milliseconds. */
@@ -33,7 +36,7 @@
 	promptParts: PromptPart[];
 	/** Keys of backend servers that must not get the request. */
 	excluded: number[];
-	/** Identifies the request over its client's attempts, so that one that came back after a refusal goes first among equals; undefined if nothing does. */
+	/** Identifies the request over its client's attempts, so that one that came back after a refusal goes first among equals; undefined if they can't be recognized. */
 	returnKey: string | undefined;
 };
 
@@ -120,9 +123,10 @@
 
 /** Whether a value is a request to a coordinator; anyone can send a datagram. */
 export function isAssignmentRequest(value: unknown): boolean {
-	const {id, account, accountWeight, priority, cost, targetMs, remainingMs, route, promptTokens, promptParts, excluded, returnKey} = (value ?? {}) as Partial<AssignmentRequest>;
+	const {id, account, accountWeight, priority, cost, latencyTargetMs, targetMs, remainingMs, route, promptTokens, promptParts, excluded, returnKey} = (value ?? {}) as Partial<AssignmentRequest>;
 	return Number.isSafeInteger(id) && isOptionalString(account) && isOptionalString(returnKey) && typeof route === 'string'
-		&& [accountWeight, priority, cost, targetMs, remainingMs, promptTokens].every(number => Number.isFinite(number))
+		&& [priority, cost, latencyTargetMs, targetMs, remainingMs, promptTokens].every(number => Number.isFinite(number))
+		&& (accountWeight === undefined || accountWeight > 0)
 		&& Array.isArray(excluded) && excluded.every(key => Number.isSafeInteger(key))
 		&& Array.isArray(promptParts) && (promptParts as Array<Partial<PromptPart> | undefined>).every(part => typeof part?.id === 'string' && Number.isFinite(part.tokens));
 }
@@ -137,17 +141,26 @@
 	return Array.isArray(value) && (value as Array<Partial<AssignmentEnd> | undefined>).every(end => Number.isSafeInteger(end?.id) && Number.isSafeInteger(end!.backend)
 		&& Object.values(AssignmentResult).includes(end!.result!)
 		&& (end!.firstEventMs === undefined || Number.isFinite(end!.firstEventMs))
-		&& (end!.load === undefined || [end!.load?.running, end!.load?.waiting, end!.load?.slots].every(number => Number.isFinite(number))));
+		&& (end!.load === undefined || isReportedLoad(end!.load)));
 }
 
 function isAnswerOfItsKind({kind, backend, copyFrom, terms, expectedMs, retryAfterMs, reason}: Record<string, unknown>): boolean {
 	if (kind === AssignmentKind.Assigned) {
-		return Number.isSafeInteger(backend) && (copyFrom === undefined || Number.isSafeInteger(copyFrom)) && Object.values((terms ?? {}) as AssignmentTerms).every(number => Number.isFinite(number));
+		return Number.isSafeInteger(backend) && (copyFrom === undefined || Number.isSafeInteger(copyFrom)) && isAssignmentTerms(terms);
 	}
 
 	return kind === AssignmentKind.Queued ? Number.isFinite(expectedMs) : kind === AssignmentKind.Refused && Number.isFinite(retryAfterMs) && typeof reason === 'string';
 }
 
+function isAssignmentTerms(value: unknown): boolean {
+	const {predictedMs, waitMs, queuedMs, cachedTokens, inFlight, paceFactor} = (value ?? {}) as Partial<AssignmentTerms>;
+	return [predictedMs, waitMs, queuedMs, cachedTokens, inFlight, paceFactor].every(number => Number.isFinite(number));
+}
+
+function isReportedLoad({running, waiting, slots, pacePercent}: Partial<ReportedLoad>): boolean {
+	return [running, waiting, slots].every(number => Number.isFinite(number)) && (pacePercent === undefined || isPacePercent(pacePercent));
+}
+
 function isOptionalString(value: unknown): boolean {
 	return value === undefined || typeof value === 'string';
 }
