--- a/src/coordination/assignment/__tests__/assignment-ledger.test.ts
+++ b/src/coordination/assignment/__tests__/assignment-ledger.test.ts
@@ -225,15 +225,15 @@
 	it('learns the reading rate of an engine that is never idle', () => {
 		const ledger = createLedger([backend(1)]);
 		const rate = 100;
-		const running: Array<{prompt: AssignmentRequest; sentAtMs: number; readAtMs: number}> = [];
-		let readAtMs = 0;
+		const running: Array<{prompt: AssignmentRequest; sentAtMs: number; prefilledAtMs: number}> = [];
+		let prefilledAtMs = 0;
 		for (let nowMs = 0; nowMs < 10_000; nowMs += 100) {
 			const prompt = request({promptTokens: 10_000, cost: 1, remainingMs: 1_000_000});
 			ledger.request(prompt, nowMs);
-			readAtMs = Math.max(nowMs, readAtMs) + (10_000 / rate);
-			running.push({prompt, sentAtMs: nowMs, readAtMs});
-			while (running[0]?.readAtMs <= nowMs) {
-				const {prompt: read, sentAtMs, readAtMs: firstEventAtMs} = running.shift()!;
+			prefilledAtMs = Math.max(nowMs, prefilledAtMs) + (10_000 / rate);
+			running.push({prompt, sentAtMs: nowMs, prefilledAtMs});
+			while (running[0]?.prefilledAtMs <= nowMs) {
+				const {prompt: read, sentAtMs, prefilledAtMs: firstEventAtMs} = running.shift()!;
 				ledger.end(endOf(read, AssignmentResult.Completed, 60 + firstEventAtMs - sentAtMs), nowMs);
 			}
 		}
--- a/src/coordination/assignment/assignment-coordinator.ts
+++ b/src/coordination/assignment/assignment-coordinator.ts
@@ -19,7 +19,7 @@
 const maxPauseMs = 600;
 /** Interval at which the backend servers of a group are looked up, in milliseconds. */
 const refreshMs = 20;
-/** Window in milliseconds in which the fewest requests count that were in flight beyond the assigned ones: reports are up to a second older or newer than the assignments. */
+/** Window over which the minimum of the requests in flight beyond the assigned ones is taken, in milliseconds: the reports lag behind the assignments by up to a second. */
 const elsewhereWindowMs = 1000;
 
 /** What a {@link AssignmentCoordinator} depends on. */
@@ -182,15 +182,15 @@
 
 	private describe(backend: Backend, {ledger, elsewhere}: Coordination, traits: {kvTokens?: number} | undefined, nowMs: number): AssignableBackend {
 		const key = backendKey(backend.id);
-		const fewest = elsewhere.get(key) ?? new RecentMaximum(elsewhereWindowMs);
-		elsewhere.set(key, fewest);
+		const leastElsewhere = elsewhere.get(key) ?? new RecentMaximum(elsewhereWindowMs);
+		elsewhere.set(key, leastElsewhere);
 		return {
 			key,
 			slots: backend.slots,
 			kvTokens: traits?.kvTokens,
 			paceFactor: this.parts.paceFactor(backend, nowMs),
-			// The maximum of the negative values is the least.
-			inFlightElsewhere: Math.max(0, -fewest.note(ledger.assigned(key) - this.parts.inFlight(backend, nowMs), nowMs)),
+			// The minimum, as the negative of the maximum of the negative values.
+			inFlightElsewhere: Math.max(0, -leastElsewhere.note(ledger.assigned(key) - this.parts.inFlight(backend, nowMs), nowMs)),
 			isEngine: traits !== undefined,
 			isCold: backend.coldForMs > 0,
 		};
--- a/src/coordination/assignment/assignment-exchange.ts
+++ b/src/coordination/assignment/assignment-exchange.ts
@@ -46,7 +46,7 @@
 export type AssignmentQuery = Omit<AssignmentRequest, 'daemon' | 'incarnation' | 'id' | 'excluded'> & {service: string; excluded: ReadonlySet<string>};
 
 /** A backend server assigned to a request, which holds a place there until its end is reported. */
-export type Assignment = {
+export type AssignedBackend = {
 	backend: Backend;
 	copyFrom: Backend | undefined;
 	group: string;
@@ -58,7 +58,7 @@
 
 /** The outcome of a query. */
 export type AssignmentOutcome
-	= | {kind: 'assigned'; assignment: Assignment}
+	= | {kind: 'assigned'; assignment: AssignedBackend}
 		| {kind: 'refused'; retryAfterMs: number; reason: string}
 	/** The daemon uses its own placement. */
 		| {kind: 'unavailable'; reason: string};
--- a/src/coordination/assignment/assignment-ledger.ts
+++ b/src/coordination/assignment/assignment-ledger.ts
@@ -118,7 +118,7 @@
 	/** Records the end of an assigned request, and assigns waiting ones to the room that it leaves. */
 	end(end: AssignmentEnd, nowMs: number): AssignmentDecision[] {
 		const load = this.assignedTo.get(keyOf(end));
-		const assignment = this.take(end, end.result, nowMs);
+		const assignment = this.removeAssignment(end, end.result, nowMs);
 		if (load && assignment && end.result === AssignmentResult.Completed) {
 			load.noteCompleted(assignment, end.firstEventMs, nowMs);
 		}
@@ -129,7 +129,7 @@
 	/** Removes a waiting request, since its client left or it was sent without an assignment. */
 	withdraw(id: AssignmentId, nowMs: number): AssignmentDecision[] {
 		this.queue.remove(id);
-		this.take(id, AssignmentResult.NotSent, nowMs);
+		this.removeAssignment(id, AssignmentResult.NotSent, nowMs);
 		return this.assignQueued(nowMs);
 	}
 
@@ -146,7 +146,7 @@
 
 		for (const load of this.loads.values()) {
 			for (const {id} of [...load.assignments.values()].filter(assignment => isDropped(assignment.id))) {
-				this.take(id, AssignmentResult.Abandoned, nowMs);
+				this.removeAssignment(id, AssignmentResult.Abandoned, nowMs);
 			}
 		}
 
@@ -162,7 +162,7 @@
 		this.expiredAtMs = nowMs;
 		for (const load of this.loads.values()) {
 			for (const {id} of [...load.assignments.values()].filter(({expiresAtMs}) => expiresAtMs <= nowMs)) {
-				this.take(id, AssignmentResult.Abandoned, nowMs);
+				this.removeAssignment(id, AssignmentResult.Abandoned, nowMs);
 			}
 		}
 
@@ -212,7 +212,7 @@
 		return notices;
 	}
 
-	/** Tells what would be decided on a request now; changes nothing. */
+	/** Tells what would be decided on a request now; assigns and queues nothing. */
 	explain(request: AssignmentRequest, nowMs: number): AssignmentExplanation {
 		return {
 			decision: this.decide(this.createEntry(request, nowMs), nowMs),
@@ -511,8 +511,8 @@
 		this.assignedTo.set(key, load);
 	}
 
-	/** Removes an assignment. */
-	private take(id: AssignmentId, result: AssignmentResult, nowMs: number): Assignment | undefined {
+	/** Removes an assignment. If it was not sent, was rejected, or its turn had not come, its work is removed from the backlog. */
+	private removeAssignment(id: AssignmentId, result: AssignmentResult, nowMs: number): Assignment | undefined {
 		const key = keyOf(id);
 		const load = this.assignedTo.get(key);
 		this.assignedTo.delete(key);
--- a/src/coordination/assignment/backend-load.ts
+++ b/src/coordination/assignment/backend-load.ts
@@ -20,7 +20,7 @@
 /** Share by which a pace may have changed during a request from which times are learned: which pace applied to it is not known otherwise. */
 const maxPaceChange = 0.1;
 /** Most assignments by which an engine's backlog is corrected; their prompts are read in some seconds. */
-const maxUnread = 64;
+const maxPendingPrefills = 64;
 
 /** A backend server chosen for a request, the engine to copy cached prompt parts from, and the figures behind the choice. */
 export type Choice = {backend: number; copyFrom: number | undefined; terms: AssignmentTerms};
@@ -37,7 +37,7 @@
 	paceFactor: number;
 	assignedAtMs: number;
 	/** The earliest time at which its prompt is read, as if the present pace had always applied. */
-	readableFromMs: number;
+	prefillableFromMs: number;
 	expiresAtMs: number;
 };
 
@@ -52,16 +52,16 @@
 	private failures: number[] = [];
 	/** When an engine will have read the prompts assigned to it. */
 	private busyUntilMs: number;
-	/** The assignments whose prompts an engine reads from `readFromMs` on, in this order. */
-	private unread: Assignment[] = [];
-	/** When an engine had read the prompt before those in `unread`. */
-	private readFromMs: number;
-	/** When the prompt right before those in `unread` was read, by its first event; undefined if that is not known. */
-	private lastReadAtMs: number | undefined;
+	/** The assignments whose prompts an engine reads from `prefillFromMs` on, in this order. */
+	private pendingPrefills: Assignment[] = [];
+	/** When an engine had read the prompt before those in `pendingPrefills`. */
+	private prefillFromMs: number;
+	/** When the prompt right before those in `pendingPrefills` was read, by its first event; undefined if that is not known. */
+	private lastPrefilledAtMs: number | undefined;
 
 	constructor(private current: AssignableBackend, private readonly times: LearnedTimes, nowMs: number) {
 		this.busyUntilMs = nowMs;
-		this.readFromMs = nowMs;
+		this.prefillFromMs = nowMs;
 	}
 
 	get backend(): AssignableBackend {
@@ -81,9 +81,9 @@
 		}
 
 		const scale = (atMs: number) => nowMs + ((atMs - nowMs) * ratio);
-		this.readFromMs = scale(this.readFromMs);
-		for (const assignment of this.unread) {
-			assignment.readableFromMs = scale(assignment.readableFromMs);
+		this.prefillFromMs = scale(this.prefillFromMs);
+		for (const assignment of this.pendingPrefills) {
+			assignment.prefillableFromMs = scale(assignment.prefillableFromMs);
 			assignment.workMs *= ratio;
 		}
 
@@ -113,7 +113,7 @@
 	workMs(request: AssignmentRequest): number {
 		const {key, isEngine, paceFactor, isCold} = this.current;
 		const usualMs = isEngine
-			? this.times.readMs(key, Math.max(0, request.promptTokens - this.cachedTokens(request))) + this.times.fixedMs(key)
+			? this.times.prefillMs(key, Math.max(0, request.promptTokens - this.cachedTokens(request))) + this.times.fixedMs(key)
 			: this.times.callMs(request.route);
 		return (usualMs * paceFactor) + (isCold ? coldStartMs : 0);
 	}
@@ -131,17 +131,17 @@
 			uncachedTokens,
 			memoryTokens: isEngine ? cost : 0,
 			waitMs,
-			workMs: isEngine ? this.times.readMs(key, uncachedTokens) * paceFactor : 0,
+			workMs: isEngine ? this.times.prefillMs(key, uncachedTokens) * paceFactor : 0,
 			paceFactor,
 			assignedAtMs: nowMs,
-			readableFromMs: nowMs,
+			prefillableFromMs: nowMs,
 			expiresAtMs: nowMs + remainingMs + endGraceMs,
 		};
 		this.assignments.set(requestKey, assignment);
 		this.memoryTokens += assignment.memoryTokens;
 		this.busyUntilMs = Math.max(this.busyUntilMs, nowMs) + assignment.workMs;
 		if (isEngine) {
-			this.addUnread(assignment);
+			this.addPendingPrefill(assignment);
 			this.cache.add(promptParts, kvTokens);
 		}
 	}
@@ -157,7 +157,7 @@
 		this.memoryTokens -= assignment.memoryTokens;
 		const isUndone = result === AssignmentResult.NotSent || result === AssignmentResult.Rejected;
 		if (isUndone || nowMs < assignment.assignedAtMs + assignment.waitMs) {
-			this.unread = this.unread.filter(other => other !== assignment);
+			this.pendingPrefills = this.pendingPrefills.filter(other => other !== assignment);
 			this.predictBusy();
 		}
 
@@ -186,7 +186,7 @@
 		}
 
 		if (isEngine) {
-			this.noteRead(assignment, firstEventMs);
+			this.notePrefill(assignment, firstEventMs);
 		}
 	}
 
@@ -197,41 +197,41 @@
 		};
 	}
 
-	private addUnread(assignment: Assignment): void {
-		if (this.unread.length >= maxUnread) {
-			this.unread = [];
-			this.readFromMs = this.busyUntilMs - assignment.workMs;
-			this.lastReadAtMs = undefined;
+	private addPendingPrefill(assignment: Assignment): void {
+		if (this.pendingPrefills.length >= maxPendingPrefills) {
+			this.pendingPrefills = [];
+			this.prefillFromMs = this.busyUntilMs - assignment.workMs;
+			this.lastPrefilledAtMs = undefined;
 		}
 
-		this.unread.push(assignment);
+		this.pendingPrefills.push(assignment);
 	}
 
 	/** Corrects an engine's backlog by the time of a first event, since errors of the predictions would add up while it is never idle. */
-	private noteRead(assignment: Assignment, firstEventMs: number): void {
-		const index = this.unread.indexOf(assignment);
+	private notePrefill(assignment: Assignment, firstEventMs: number): void {
+		const index = this.pendingPrefills.indexOf(assignment);
 		if (index === -1) {
 			return;
 		}
 
 		const {key} = this.current;
 		const {uncachedTokens, waitMs, paceFactor, assignedAtMs} = assignment;
-		const readAtMs = assignedAtMs + Math.max(0, firstEventMs - (this.times.fixedMs(key) * paceFactor));
-		if (index === 0 && this.lastReadAtMs !== undefined && waitMs > noWaitMs && this.isPaceSteady(assignment)) {
-			this.times.noteRead(key, uncachedTokens, readAtMs - Math.max(this.lastReadAtMs, assignedAtMs), paceFactor);
+		const prefilledAtMs = assignedAtMs + Math.max(0, firstEventMs - (this.times.fixedMs(key) * paceFactor));
+		if (index === 0 && this.lastPrefilledAtMs !== undefined && waitMs > noWaitMs && this.isPaceSteady(assignment)) {
+			this.times.notePrefill(key, uncachedTokens, prefilledAtMs - Math.max(this.lastPrefilledAtMs, assignedAtMs), paceFactor);
 		}
 
-		this.lastReadAtMs = readAtMs;
-		this.readFromMs = readAtMs;
-		this.unread = this.unread.slice(index + 1);
+		this.lastPrefilledAtMs = prefilledAtMs;
+		this.prefillFromMs = prefilledAtMs;
+		this.pendingPrefills = this.pendingPrefills.slice(index + 1);
 		this.predictBusy();
 	}
 
 	/** Predicts when an engine will have read what is assigned to it. */
 	private predictBusy(): void {
-		this.busyUntilMs = this.readFromMs;
-		for (const {readableFromMs, workMs} of this.unread) {
-			this.busyUntilMs = Math.max(this.busyUntilMs, readableFromMs) + workMs;
+		this.busyUntilMs = this.prefillFromMs;
+		for (const {prefillableFromMs, workMs} of this.pendingPrefills) {
+			this.busyUntilMs = Math.max(this.busyUntilMs, prefillableFromMs) + workMs;
 		}
 	}
 
--- a/src/coordination/assignment/learned-times.ts
+++ b/src/coordination/assignment/learned-times.ts
@@ -12,8 +12,8 @@
 const priorFixedMs = 60;
 /** Time of a plain call, in milliseconds, until it is learned. */
 const priorCallMs = 50;
-/** Fewest tokens of a prompt from which the reading time is learned; the fixed delay hides that of shorter ones. */
-const minReadTokens = 2000;
+/** Fewest tokens of a prompt from which the prefill time is learned; the fixed delay hides that of shorter ones. */
+const minPrefillTokens = 2000;
 /** Most tokens of a prompt from which the fixed delay is learned. */
 const maxFixedTokens = 1000;
 /** Lowest share that a new observation has in an estimate: the estimate follows a change within some twenty observations. */
@@ -50,7 +50,7 @@
 	noteFirstEvent(engine: number, uncachedTokens: number, firstEventMs: number, paceFactor: number): void {
 		const ms = firstEventMs / paceFactor;
 		for (const times of [this.group, this.engine(engine)]) {
-			if (uncachedTokens >= minReadTokens) {
+			if (uncachedTokens >= minPrefillTokens) {
 				times.msPerToken.note(Math.max(0, ms - times.fixedMs.value) / uncachedTokens);
 			} else if (uncachedTokens <= maxFixedTokens) {
 				times.fixedMs.note(Math.max(0, ms - (uncachedTokens * times.msPerToken.value)));
@@ -59,10 +59,10 @@
 	}
 
 	/** Records the time in which an engine read a prompt between two first events: while it is never idle, no request meets no wait. */
-	noteRead(engine: number, uncachedTokens: number, readMs: number, paceFactor: number): void {
-		if (uncachedTokens >= minReadTokens) {
+	notePrefill(engine: number, uncachedTokens: number, prefillMs: number, paceFactor: number): void {
+		if (uncachedTokens >= minPrefillTokens) {
 			for (const {msPerToken} of [this.group, this.engine(engine)]) {
-				msPerToken.note(Math.max(0, readMs) / paceFactor / uncachedTokens);
+				msPerToken.note(Math.max(0, prefillMs) / paceFactor / uncachedTokens);
 			}
 		}
 	}
@@ -80,7 +80,7 @@
 	}
 
 	/** Returns the time in which an engine at its usual pace reads a prompt, in milliseconds. */
-	readMs(engine: number, tokens: number): number {
+	prefillMs(engine: number, tokens: number): number {
 		return tokens * (this.byEngine.get(engine) ?? this.group).msPerToken.value;
 	}
 
--- a/src/coordination/cost-mix.ts
+++ b/src/coordination/cost-mix.ts
@@ -15,8 +15,8 @@
 
 /** Requests of similar cost. */
 type CostGroup = {
-	/** Number by which the groups are ordered. */
-	order: number;
+	/** Logarithmic bucket of the cost. */
+	bucket: number;
 	/** Weighted number of the requests, and sum of their costs. */
 	count: number;
 	cost: number;
@@ -68,20 +68,20 @@
 	}
 
 	private groupOf(cost: number): CostGroup {
-		const order = Math.floor(Math.log2(Math.max(1, cost)) * groupsPerDoubling);
-		const index = this.groups.findIndex(group => group.order >= order);
-		if (this.groups[index]?.order === order) {
+		const bucket = Math.floor(Math.log2(Math.max(1, cost)) * groupsPerDoubling);
+		const index = this.groups.findIndex(group => group.bucket >= bucket);
+		if (this.groups[index]?.bucket === bucket) {
 			return this.groups[index];
 		}
 
-		const group = {order, count: 0, cost: 0};
+		const group = {bucket, count: 0, cost: 0};
 		this.groups.splice(index === -1 ? this.groups.length : index, 0, group);
 		return group;
 	}
 
 	/** Scales all weights down, and drops the groups that no longer count. */
 	private rescale(): void {
-		this.groups = this.groups.map(({order, count, cost}) => ({order, count: count / this.weight, cost: cost / this.weight})).filter(({count}) => count > 1 / maxWeight);
+		this.groups = this.groups.map(({bucket, count, cost}) => ({bucket, count: count / this.weight, cost: cost / this.weight})).filter(({count}) => count > 1 / maxWeight);
 		this.total /= this.weight;
 		this.weight = 1;
 	}
--- a/src/coordination/rollout/__tests__/version-outcomes.test.ts
+++ b/src/coordination/rollout/__tests__/version-outcomes.test.ts
@@ -1,7 +1,7 @@
 import {describe, expect, it} from 'vitest';
-import {isTurnedAway} from '../version-outcomes.js';
+import {isLoadRejection} from '../version-outcomes.js';
 
-describe('isTurnedAway', () => {
+describe('isLoadRejection', () => {
 	it.each([
 		{
 			name: 'a 503 for a request that was not run', status: 503, isNotRun: true, limitPerSecond: undefined, expected: true,
@@ -25,6 +25,6 @@
 			name: 'an answer of a limited backend server', status: 200, isNotRun: false, limitPerSecond: 20, expected: false,
 		},
 	])('returns $expected for $name, so that only refusals for load are left out of the verdict', ({status, isNotRun, limitPerSecond, expected}) => {
-		expect(isTurnedAway(status, {isNotRun, limitPerSecond})).toBe(expected);
+		expect(isLoadRejection(status, {isNotRun, limitPerSecond})).toBe(expected);
 	});
 });
--- a/src/coordination/rollout/outcome-history.ts
+++ b/src/coordination/rollout/outcome-history.ts
@@ -17,7 +17,7 @@
 export class OutcomeHistory {
 	private readonly snapshots: Snapshot[] = [];
 
-	/** Compares the versions by the counts since the order began, which are kept as of now. */
+	/** Compares the versions by the counts since the order began and by their increase over each window, and keeps the counts as a snapshot. */
 	compare(strata: Stratum[], nowMs: number): Evidence {
 		this.keep(strata, nowMs);
 		const whole = compareVersions(strata);
--- a/src/coordination/rollout/version-outcomes.ts
+++ b/src/coordination/rollout/version-outcomes.ts
@@ -26,7 +26,7 @@
  * a limit on requests. It tells nothing of the version, since the few backend servers that test
  * one fill up sooner than the others.
  */
-export function isTurnedAway(status: number, {isNotRun, limitPerSecond}: Pick<AnswerMetadata, 'isNotRun' | 'limitPerSecond'>): boolean {
+export function isLoadRejection(status: number, {isNotRun, limitPerSecond}: Pick<AnswerMetadata, 'isNotRun' | 'limitPerSecond'>): boolean {
 	return status === unavailableStatus && (isNotRun || limitPerSecond !== undefined);
 }
 
--- a/src/coordination/rollout/version-verdict.ts
+++ b/src/coordination/rollout/version-verdict.ts
@@ -12,24 +12,21 @@
  * the one backend server which tests the version there.
  */
 
-/** Probability with which a version that is as good as the current one is found bad. */
+/** Probability with which one comparison over the whole order finds a version bad that is as good as the current one; the comparisons over windows (`outcome-history.ts`) add to it. */
 const falseAlarmRate = 1e-4;
 /** Probability with which a bad version is found good. */
 const missRate = 0.01;
 const badThreshold = Math.log((1 - missRate) / falseAlarmRate);
 const goodThreshold = Math.log(missRate / (1 - falseAlarmRate));
-/** Evidence against one route from which on a version is not found good. */
+/** Evidence against one route from which on a version is not found good: such answers are seven times as likely of a bad version. */
 const suspectRouteEvidence = 2;
-/** Evidence against a version over all routes from which on it is not found good. */
+/** Evidence against a version over all routes from which on it is not found good: a hundred times as likely, the inverse of the miss rate. */
 const suspectVersionEvidence = 4.6;
-/**
- * Evidence about failures on all routes that must remain without the failure domain that
- * contributes most, also as a share of the whole, and the answers of the new version from which
- * on that much suffices. Two chance failures beside a faulty backend server reach it among fewer
- * answers; the share holds off the few that are left, since a version fails in all domains alike.
- */
+/** Evidence about failures on all routes that must remain without the failure domain that contributes most. */
 const confirmingEvidence = 5;
+/** The same as a share of the whole evidence: a bad version fails in all domains alike, a faulty backend server in one. */
 const minConfirmingShare = 0.25;
+/** Answers of the new version from which on these suffice; among fewer, two chance failures beside a faulty backend server reach them. */
 const minConfirmingAnswers = 30;
 /**
  * Answers of the current version in all failure domains that the rate in one of them is blended
@@ -146,7 +143,7 @@
 	});
 }
 
-/** Returns the evidence for any of the increases: the logarithm of the mean of their likelihood ratios, which keeps the stated error rates. */
+/** Returns the evidence for any of the increases: the logarithm of the mean of their likelihood ratios, which keeps the error rates of one comparison. */
 function evidenceOf(strata: ScoredStratum[]): number {
 	const sums = strata.at(0)?.scores.map((_, index) => sum(strata.map(({scores}) => scores[index]))) ?? [0];
 	const largest = Math.max(...sums);
--- a/src/coordination/serving/dispatcher.ts
+++ b/src/coordination/serving/dispatcher.ts
@@ -11,7 +11,7 @@
 import {ConnectError} from '../../transport/errors.js';
 import {createLogger} from '../../log.js';
 import {AssignmentResult} from '../../protocol/assignment.js';
-import {type Assignment} from '../assignment/assignment-exchange.js';
+import {type AssignedBackend} from '../assignment/assignment-exchange.js';
 import {type Cooldowns} from '../cooldowns.js';
 import {type FleetTable} from '../fleet/fleet-table.js';
 import {type OverloadTolerances} from '../overload-tolerances.js';
@@ -22,7 +22,7 @@
 import {type RetryPurpose, type RetryBudget} from '../retry-budget.js';
 import {isSpread, type Reachability} from '../reachability.js';
 import {type Rollouts} from '../rollout/rollouts.js';
-import {isTurnedAway} from '../rollout/version-outcomes.js';
+import {isLoadRejection} from '../rollout/version-outcomes.js';
 import {type SlotExchange} from '../slots/slot-exchange.js';
 import {SlotEnd, type SlotLease} from '../slots/slot-leases.js';
 import {type StatedLimits} from '../stated-limits.js';
@@ -312,7 +312,7 @@
 		return deliveries === 0 && !inputs.isProxied && (hasTriedAll || isSpread(unreachedDomains, candidates)) && peerProxy.isAvailable(inputs.service, nowMs);
 	}
 
-	private async sendTo(served: ServedRequest, choice: Pick<PlacementChoice, 'backend' | 'costMs' | 'copyFrom'>, options: DispatchOptions, {slot, assignment}: {slot: SlotLease; assignment: Assignment | undefined}): Promise<StartedAnswer | FailedDispatch> {
+	private async sendTo(served: ServedRequest, choice: Pick<PlacementChoice, 'backend' | 'costMs' | 'copyFrom'>, options: DispatchOptions, {slot, assignment}: {slot: SlotLease; assignment: AssignedBackend | undefined}): Promise<StartedAnswer | FailedDispatch> {
 		const {backend, costMs, copyFrom} = choice;
 		const {
 			dialect, placement, pool, reachability, crashWatch, clock,
@@ -527,7 +527,7 @@
 		}
 
 		assignedAttempt?.noteAnswer(answer.status, metadata.load, nowMs);
-		if (!isTurnedAway(answer.status, metadata)) {
+		if (!isLoadRejection(answer.status, metadata)) {
 			this.noteVersionOutcome(served, backend, answer.status, options);
 		}
 
--- a/src/coordination/serving/request-assignment.ts
+++ b/src/coordination/serving/request-assignment.ts
@@ -8,7 +8,7 @@
 import {AssignmentResult} from '../../protocol/assignment.js';
 import {type SteadyClock} from '../../clock.js';
 import {
-	type Assignment, type AssignmentExchange, type AssignmentOutcome, type AssignmentQuery,
+	type AssignedBackend, type AssignmentExchange, type AssignmentOutcome, type AssignmentQuery,
 } from '../assignment/assignment-exchange.js';
 import {type PlacementChoice} from '../placement.js';
 import {type Quarantine} from '../quarantine/quarantine.js';
@@ -77,7 +77,7 @@
 }
 
 /** Returns an assignment in the form of this daemon's own choices. */
-export function toChoice({backend, copyFrom, terms}: Assignment): PlacementChoice {
+export function toChoice({backend, copyFrom, terms}: AssignedBackend): PlacementChoice {
 	return {
 		backend, copyFrom, costMs: terms.predictedMs, waitMs: terms.waitMs, cachedTokens: terms.cachedTokens, inFlight: terms.inFlight,
 	};
@@ -89,9 +89,9 @@
 	private load: AnswerMetadata['load'];
 	private result: AssignmentResult | undefined;
 
-	constructor(private readonly assignment: Assignment, private readonly sentAtMs: number) {}
+	constructor(private readonly assignment: AssignedBackend, private readonly sentAtMs: number) {}
 
-	/** Records the head of a valid answer. */
+	/** Records the head of a valid answer, which an engine sends with its first event. */
 	noteAnswer(status: number, load: AnswerMetadata['load'], nowMs: number): void {
 		this.firstEventMs = nowMs - this.sentAtMs;
 		this.load = load;
