Keep daemons from passing two statements of a pace back and forth without end

Cause: the ages in messages do not include the time that these take, so a statement seemed newer after each relay, and two that differed replaced each other at all relays. A statement must now be a second newer than the known one to replace it. conflicting-paces.test.ts: with messages that take 200 ms the updates did not end before, and do now.

--- a/src/coordination/paces/shared-paces.ts
+++ b/src/coordination/paces/shared-paces.ts
@@ -20,6 +20,9 @@
 /** Share of a daemon's observations that may contradict a change: 15 % of the backend servers are slow for a moment at any time, and each wrong change would be corrected by another message. */
 const contradictingShare = 0.15;
 
+/** Time by which a statement must be newer than the known one to replace it, in milliseconds. Ages do not include the time that messages take, so a statement seems newer after each relay; two that differ would otherwise replace each other at all relays without end. */
+const minNewerMs = 1000;
+
 /** A usual pace that the fleet knows. */
 type SharedPace = {
 	percent: number;
@@ -75,7 +78,7 @@
 		for (const [backend, percent, ageMs] of updates) {
 			const known = this.byKey.get(backend);
 			const statedAtMs = nowMs - ageMs;
-			if (ageMs <= paceMaxAgeMs && (!known || statedAtMs > known.statedAtMs)) {
+			if (ageMs <= paceMaxAgeMs && (!known || statedAtMs > known.statedAtMs + minNewerMs)) {
 				const isChanged = known?.percent !== percent;
 				// Relays send a daemon's own statement back to it.
 				this.byKey.set(backend, {
