Rank coordinators in one place, and choose the first backend server of an attempt apart from sending it

slot-exchange.ts and assignment-exchange.ts each kept the same ranking; the dispatcher's loop began with thirty lines on assignments.

--- a/src/coordination/assignment/assignment-exchange.ts
+++ b/src/coordination/assignment/assignment-exchange.ts
@@ -13,8 +13,8 @@
 import {type SteadyClock} from '../../clock.js';
 import {type MessageSender} from '../../transport/datagram-link.js';
 import {backendKey} from '../fleet/backend-key.js';
+import {CoordinatorRanking} from '../fleet/coordinator-ranking.js';
 import {type FleetTable} from '../fleet/fleet-table.js';
-import {rankByRendezvous} from '../fleet/sender-selection.js';
 import {type BackendPaces} from '../paces/backend-paces.js';
 import {type AssignmentActivation} from './assignment-activation.js';
 import {AssignmentCoordinator, type CoordinatorParts} from './assignment-coordinator.js';
@@ -36,9 +36,6 @@
 const maxGroups = 2;
 /** Time after which ends and withdrawals are sent a second time, in milliseconds, if no later message to their coordinator has repeated them. */
 const repeatDelayMs = 500;
-/** Time for which a ranking of the coordinators is kept, in milliseconds. */
-const rankingMaxAgeMs = 100;
-
 /** Reason of an outcome whose client has left. */
 const clientGoneReason = 'client gone';
 
@@ -93,14 +90,15 @@
 	private readonly pending = new Map<number, PendingRequest>();
 	private readonly pausedUntilMs = new Map<string, number>();
 	private readonly statedWaits = new Map<string, {ms: number; atMs: number}>();
-	private readonly rankings = new Map<string, {atMs: number; coordinators: NamedAddress[]}>();
+	private readonly ranking: CoordinatorRanking;
 	private readonly repeats = new Map<string, Repeats>();
 	private readonly addresses = new Map<string, PeerAddress>();
 	private queueTimer: NodeJS.Timeout | undefined;
 
 	constructor(private readonly parts: AssignmentExchangeParts) {
+		this.ranking = new CoordinatorRanking(parts.fleet, parts.name);
 		this.coordinator = new AssignmentCoordinator({
-			...parts, paceFactor: (backend, nowMs) => parts.paces.factor(backend, nowMs), isCoordinator: (group, nowMs) => this.isCoordinator(group, nowMs), isGone: (daemon, nowMs) => parts.fleet.isGone(daemon, nowMs),
+			...parts, paceFactor: (backend, nowMs) => parts.paces.factor(backend, nowMs), isCoordinator: (group, nowMs) => this.ranking.isCoordinator(backendKey(group), nowMs), isGone: (daemon, nowMs) => parts.fleet.isGone(daemon, nowMs),
 		});
 	}
 
@@ -140,7 +138,7 @@
 	explain(query: AssignmentQuery, nowMs: number): Array<{group: string; coordinator: {name: string; host: string} | undefined; statedWaitMs: number; explanation: AssignmentExplanation | undefined}> {
 		return this.rank(query, nowMs).map(group => ({
 			group: group.name,
-			coordinator: this.coordinators(group.name, nowMs).slice(0, 1).map(({name, address: {host}}) => ({name, host})).at(0),
+			coordinator: this.ranking.coordinators(backendKey(group.name), nowMs).slice(0, 1).map(({name, address: {host}}) => ({name, host})).at(0),
 			statedWaitMs: this.statedWait(group, query.priority, nowMs),
 			explanation: this.coordinator.explain(group, this.createRequest(query, 0), nowMs),
 		}));
@@ -151,6 +149,7 @@
 		const {services, activation} = this.parts;
 		const groups = services().filter(service => activation.isActive(service, nowMs)).flatMap(service => this.groups(service, nowMs));
 		this.sendRepeats(nowMs);
+		this.ranking.prune(nowMs);
 		this.coordinator.update(groups, nowMs);
 		for (const group of groups) {
 			this.deliver(group, this.coordinator.check(group, nowMs), [], undefined, nowMs);
@@ -231,7 +230,7 @@
 	private async ask(group: AssignmentGroup, query: AssignmentQuery, signal: AbortSignal): Promise<AssignmentOutcome> {
 		const {clock, fleet, name, createSender} = this.parts;
 		const nowMs = clock.now();
-		const coordinator = this.coordinators(group.name, nowMs).at(0);
+		const coordinator = this.ranking.coordinators(backendKey(group.name), nowMs).at(0);
 		if (!coordinator || nowMs < (this.pausedUntilMs.get(coordinator.name) ?? 0)) {
 			return {kind: 'unavailable', reason: coordinator ? 'coordinator timed out or declined a moment ago' : 'no coordinator'};
 		}
@@ -395,7 +394,7 @@
 
 	/** Decides on a request as its coordinator. */
 	private decide(group: GroupIdentity, request: AssignmentRequest, nowMs: number): void {
-		const result = this.isCoordinator(group.name, nowMs) ? this.coordinator.request(group, request, nowMs) : undefined;
+		const result = this.ranking.isCoordinator(backendKey(group.name), nowMs) ? this.coordinator.request(group, request, nowMs) : undefined;
 		if (result) {
 			this.deliver(group, result.decisions, [], {daemon: request.daemon, priority: request.priority, ms: result.waitMs}, nowMs);
 		} else {
@@ -499,22 +498,6 @@
 			this.deliver(group, [...decisions, ...this.coordinator.queueNotices(group, nowMs)], [], undefined, nowMs);
 		}
 	}
-
-	/** Whether this daemon coordinates a group; one that hears from few of the others would take the place of a daemon that still does. */
-	private isCoordinator(group: string, nowMs: number): boolean {
-		const {name, fleet} = this.parts;
-		return this.coordinators(group, nowMs).at(0)?.name === name && fleet.isMajorityResponsive(nowMs);
-	}
-
-	private coordinators(group: string, nowMs: number): NamedAddress[] {
-		let ranking = this.rankings.get(group);
-		if (!ranking || nowMs - ranking.atMs > rankingMaxAgeMs) {
-			ranking = {atMs: nowMs, coordinators: rankByRendezvous(backendKey(group), this.parts.fleet.actingDaemons(nowMs))};
-			this.rankings.set(group, ranking);
-		}
-
-		return ranking.coordinators;
-	}
 }
 
 function groupByDaemon<T extends {daemon: string}>(items: T[]): Map<string, T[]> {
--- a/src/coordination/serving/dispatcher.ts
+++ b/src/coordination/serving/dispatcher.ts
@@ -106,6 +106,9 @@
 	signal?: AbortSignal;
 };
 
+/** The backend server to try first, and the assignment by which it was chosen. */
+type Preselection = {preselected?: Pick<PlacementChoice, 'backend' | 'costMs' | 'copyFrom'>; assignment?: AssignedBackend};
+
 /** What a {@link Dispatcher} depends on. */
 export type DispatcherDependencies = {
 	dialect: Dialect;
@@ -144,25 +147,12 @@
 	async send(served: ServedRequest, options: DispatchOptions): Promise<StartedAnswer | FailedDispatch> {
 		await served.crashCheck;
 		const {selector, reservations} = this;
-		const assigned = this.isAssigned(served, options) ? await this.dependencies.assignment.assign(served) : undefined;
-		if (assigned?.kind === 'refused') {
-			served.refusalRetryAfterMs = assigned.retryAfterMs;
-			return {kind: DispatchKind.NoBackend, reason: assigned.reason};
-		}
-
-		let assignment = assigned?.kind === 'assigned' ? assigned.assignment : undefined;
-		if (assigned && (served.inputs.signal.aborted || options.signal?.aborted)) {
-			assignment?.end(AssignmentResult.NotSent);
-			return {kind: DispatchKind.NotRun, reason: 'cancelled before it was sent'};
-		}
-
-		let preselected: Pick<PlacementChoice, 'backend' | 'costMs' | 'copyFrom'> | undefined = served.reservation?.choice;
-		if (options.target) {
-			preselected = {backend: options.target, costMs: 0, copyFrom: undefined};
-		} else if (assignment) {
-			preselected = toChoice(assignment);
+		const first = await this.preselect(served, options);
+		if ('kind' in first) {
+			return first;
 		}
 
+		let {preselected, assignment} = first;
 		let isRateLimitCharged = served.reservation?.isRateLimitCharged ?? false;
 		let slotRequests = 0;
 		for (;;) {
@@ -271,6 +261,31 @@
 		}
 	}
 
+	/** Returns the backend server to try first, if it is fixed, reserved or assigned, or why the attempt is not sent at all. */
+	private async preselect(served: ServedRequest, options: DispatchOptions): Promise<FailedDispatch | Preselection> {
+		if (options.target) {
+			return {preselected: {backend: options.target, costMs: 0, copyFrom: undefined}};
+		}
+
+		if (!this.isAssigned(served, options)) {
+			return {preselected: served.reservation?.choice};
+		}
+
+		const outcome = await this.dependencies.assignment.assign(served);
+		if (outcome.kind === 'refused') {
+			served.refusalRetryAfterMs = outcome.retryAfterMs;
+			return {kind: DispatchKind.NoBackend, reason: outcome.reason};
+		}
+
+		const assignment = outcome.kind === 'assigned' ? outcome.assignment : undefined;
+		if (served.inputs.signal.aborted || options.signal?.aborted) {
+			assignment?.end(AssignmentResult.NotSent);
+			return {kind: DispatchKind.NotRun, reason: 'cancelled before it was sent'};
+		}
+
+		return {preselected: assignment && toChoice(assignment), assignment};
+	}
+
 	/**
 	 * Returns the reserved slot of a backend server, or waits for one. Without a fixed target,
 	 * the backend server must still be usable after the wait.
--- a/src/coordination/slots/slot-exchange.ts
+++ b/src/coordination/slots/slot-exchange.ts
@@ -4,13 +4,13 @@
  * claims of each round as well. Nothing is sent while no backend server fails under overload.
  */
 import {
-	type FleetMessage, FleetMessageKind, type NamedAddress, type Sender, type SlotClaim, type SlotDecision,
+	type FleetMessage, FleetMessageKind, type Sender, type SlotClaim, type SlotDecision,
 } from '../../protocol/fleet-messages.js';
 import {type Backend} from '../../protocol/serving.js';
 import {type SteadyClock} from '../../clock.js';
 import {type MessageSender} from '../../transport/datagram-link.js';
+import {CoordinatorRanking} from '../fleet/coordinator-ranking.js';
 import {type FleetTable} from '../fleet/fleet-table.js';
-import {rankByRendezvous} from '../fleet/sender-selection.js';
 import {type OverloadTolerances} from '../overload-tolerances.js';
 import {SlotLedger} from './slot-ledger.js';
 import {
@@ -20,9 +20,6 @@
 /** Coordinators that receive the claims of a round: the one that leases, and its standby. */
 const informedCoordinators = 2;
 
-/** Age at which the choice of the coordinators is made anew, in milliseconds: it changes when daemons join or leave. */
-const rankingMaxAgeMs = 100;
-
 /** Timers may fire up to this many milliseconds early. */
 const timerToleranceMs = 5;
 
@@ -44,9 +41,10 @@
 	readonly leases: SlotLeases;
 	private readonly ledger = new SlotLedger();
 	private link: MessageSender | undefined;
-	private readonly rankings = new Map<number, {atMs: number; coordinators: NamedAddress[]}>();
+	private readonly ranking: CoordinatorRanking;
 
 	constructor(private readonly dependencies: SlotExchangeDependencies) {
+		this.ranking = new CoordinatorRanking(dependencies.fleet, dependencies.name);
 		this.leases = new SlotLeases(dependencies.tolerances, (claim, nowMs) => {
 			this.sendClaim(claim, 1, nowMs);
 		}, dependencies.random);
@@ -78,8 +76,8 @@
 	/** Sends the claims of a round to the coordinators and their standbys. */
 	sendRound(nowMs: number): void {
 		this.leases.expire(nowMs);
-		this.dropOldRankings(nowMs);
-		this.ledger.update(this.dependencies.tolerances.stated(nowMs).filter(backend => this.isCoordinator(backend, nowMs)), nowMs);
+		this.ranking.prune(nowMs);
+		this.ledger.update(this.dependencies.tolerances.stated(nowMs).filter(backend => this.ranking.isCoordinator(backend, nowMs)), nowMs);
 		for (const claim of this.leases.createRoundClaims(nowMs)) {
 			this.sendClaim(claim, informedCoordinators, nowMs);
 		}
@@ -128,7 +126,7 @@
 	private sendClaim(own: OwnSlotClaim, receivers: number, nowMs: number): void {
 		const {name, fleet, createSender} = this.dependencies;
 		const claim: SlotClaim = {kind: FleetMessageKind.SlotClaim, sender: createSender(nowMs), ...own};
-		for (const [rank, coordinator] of this.coordinators(own.backend, nowMs).slice(0, receivers).entries()) {
+		for (const [rank, coordinator] of this.ranking.coordinators(own.backend, nowMs).slice(0, receivers).entries()) {
 			if (coordinator.name === name) {
 				const decision = this.decide(claim, nowMs);
 				if (rank === 0) {
@@ -146,32 +144,7 @@
 		}
 	}
 
-	private dropOldRankings(nowMs: number): void {
-		for (const [backend, {atMs}] of this.rankings) {
-			if (nowMs - atMs > rankingMaxAgeMs) {
-				this.rankings.delete(backend);
-			}
-		}
-	}
-
 	private decide(claim: SlotClaim, nowMs: number): ReturnType<SlotLedger['receive']> {
-		return this.ledger.receive(claim, this.isCoordinator(claim.backend, nowMs), nowMs);
-	}
-
-	/** Whether this daemon leases the slots of a backend server; one that hears from few of the others would take the place of a daemon that still does. */
-	private isCoordinator(backend: number, nowMs: number): boolean {
-		const {name, fleet} = this.dependencies;
-		return this.coordinators(backend, nowMs).at(0)?.name === name && fleet.isMajorityResponsive(nowMs);
-	}
-
-	/** Returns the daemons that may coordinate a backend server, the coordinator first. */
-	private coordinators(backend: number, nowMs: number): NamedAddress[] {
-		let ranking = this.rankings.get(backend);
-		if (!ranking || nowMs - ranking.atMs > rankingMaxAgeMs) {
-			ranking = {atMs: nowMs, coordinators: rankByRendezvous(backend, this.dependencies.fleet.actingDaemons(nowMs)).slice(0, informedCoordinators)};
-			this.rankings.set(backend, ranking);
-		}
-
-		return ranking.coordinators;
+		return this.ledger.receive(claim, this.ranking.isCoordinator(claim.backend, nowMs), nowMs);
 	}
 }
