--- a/src/coordination/fleet/fleet-messenger.ts
+++ b/src/coordination/fleet/fleet-messenger.ts
@@ -70,6 +70,8 @@
 const queriedPeers = 2;
 /** Rounds between two messages with all suspected requests and all limits in force, for daemons that were cut off: two seconds. */
 const fullUpdateRounds = 8;
+/** Rounds between two messages with all paces: four seconds. They are the largest of these lists, and a daemon that lacks a pace still observes it itself. */
+const fullPaceRounds = 16;
 /** How long after its start a daemon is sent all of these in answer to each of its reports, in milliseconds. */
 const newDaemonMs = 3000;
 
@@ -318,11 +320,13 @@
 	private sendBackendUpdates(role: FleetRole, nowMs: number): void {
 		const includesAll = this.round % fullUpdateRounds === 0 && this.shouldRepeatAll(role, nowMs);
 		// All daemons of a full mesh agree on their first one, and each pace is the same at all of them, so one repeats them for all.
-		const includesAllPaces = includesAll && (role !== FleetRole.Mesh || this.parts.fleet.rank(nowMs) === 0);
+		const includesAllPaces = includesAll && this.round % fullPaceRounds === 0 && (role !== FleetRole.Mesh || this.parts.fleet.rank(nowMs) === 0);
 		const messages = this.backendUpdates.createRoundMessages(this.sender(nowMs), {includesAll, includesAllPaces}, nowMs);
 		const receivers = messages.length > 0 ? this.updateReceivers(role, nowMs) : [];
 		for (const message of messages) {
-			this.link?.send(message, receivers);
+			// The first relay of each failure domain repeats all paces to the daemons that report to it.
+			const isPaceList = includesAllPaces && message.kind === FleetMessageKind.Paces;
+			this.link?.send(message, isPaceList ? this.parts.fleet.addresses(false, nowMs) : receivers);
 		}
 	}
 
