--- a/review/standins/stream-replica.mjs
+++ b/review/standins/stream-replica.mjs
@@ -30,6 +30,7 @@
 	peers = new Map();
 	/** The handles of the copies that it holds of the runs of others. */
 	copies = new Set();
+	isStopped = false;
 	#running = new Map();
 	#server = createServer((request, response) => {
 		this.#answer(request, response);
@@ -49,8 +50,14 @@
 		this.address = `127.0.0.1:${this.#server.address().port}`;
 	}
 
+	/** The number of requests that it is running. */
+	get running() {
+		return this.#running.size;
+	}
+
 	/** Ends: closes its port and its connections. */
 	stop() {
+		this.isStopped = true;
 		this.#server.closeAllConnections();
 		this.#server.close();
 	}
