Review: case 1 runs its disruption three times

Cause: of the extra answers in two spans only some are refusals, so few requests were hit in single runs (2 ran twice in one).

Done: the script sends extra answers for 5 s three times instead of twice.

--- a/review/1/runner.mjs
+++ b/review/1/runner.mjs
@@ -10,11 +10,11 @@
 /** Shortest pause of a client between two requests, in milliseconds. */
 const pauseMs = 5;
 /** When the disruption begins, in milliseconds from the start of traffic, each time, and how long it lasts. */
-const troublesAtMs = [5000, 15_000];
+const troublesAtMs = [5000, 15_000, 25_000];
 const troubleMs = 5000;
 /** Two of the four replicas send an extra answer after one in fifty of their answers. */
 const extraShare = 0.02;
-const trafficMs = 22_000;
+const trafficMs = 32_000;
 /** The statuses that promise that a request has not run and never will. */
 const promises = new Set([408, 421, 429, 503]);
 
