Review: a fault of a script ends it with 2 and leaves no process

Cause: an error of a stand-in would have ended the script with 1, the exit code of a broken rule, and left its daemons running; a request whose sender leaves while it is read raised one.

Done: the scripts end with 2 on an error of their own and stop what they started; the model stand-in drops a request whose sender has gone.

--- a/review/standins/deployment.mjs
+++ b/review/standins/deployment.mjs
@@ -324,6 +324,13 @@
 
 	process.on('SIGTERM', end);
 	process.on('SIGINT', end);
+	// A fault of the case itself must not look like a broken rule, nor leave processes behind.
+	process.on('uncaughtException', error => {
+		record.add(`the case failed: ${error.stack}`);
+		console.log(record.lines.at(-1));
+		status = 2;
+		end();
+	});
 	setTimeout(() => {
 		record.add('the case took too long');
 		end();
--- a/review/standins/stream-replica.mjs
+++ b/review/standins/stream-replica.mjs
@@ -64,8 +64,13 @@
 
 	async #answer(request, response) {
 		let body = '';
-		for await (const chunk of request) {
-			body += String(chunk);
+		try {
+			for await (const chunk of request) {
+				body += String(chunk);
+			}
+		} catch {
+			// Its sender has closed the connection.
+			return;
 		}
 
 		if (request.url.startsWith('/api/')) {
