--- a/review/1/runner.mjs
+++ b/review/1/runner.mjs
@@ -81,6 +81,7 @@
 	}
 
 	const extras = replicas.flatMap(replica => [...replica.extras].map(([status, count]) => `${count} x ${status} by ${replica.id}`));
-	record.add(`${results.length} requests, by status ${JSON.stringify([...counts])}; extra answers: ${extras.join(', ') || 'none'}; ${twice.length} requests ran twice, ${refused.length} were answered as not run and ran`);
+	const outcome = `${twice.length} requests ran twice, ${refused.length} were answered as not run and ran`;
+	record.add(`${results.length} requests, by status ${JSON.stringify([...counts])}; extra answers: ${extras.join(', ') || 'none'}; ${outcome}`);
 	return twice.length > 0 || refused.length > 0;
 });
--- a/review/2/runner.mjs
+++ b/review/2/runner.mjs
@@ -24,7 +24,9 @@
 /** Returns the headers of a request for a stream. */
 function promptHeaders(index, promptTokens, outputTokens) {
 	return {
-		'X-Sesametally-Model': 'm', 'X-Sesametally-Token-Counts': `${promptTokens},${outputTokens}`, 'X-Sesametally-Prompt-Prefix': `5c1e07a${index % 8}:198,${index.toString(16)}${Date.now().toString(16)}:${promptTokens - 198}`,
+		'X-Sesametally-Model': 'm',
+		'X-Sesametally-Token-Counts': `${promptTokens},${outputTokens}`,
+		'X-Sesametally-Prompt-Prefix': `5c1e07a${index % 8}:198,${index.toString(16)}${Date.now().toString(16)}:${promptTokens - 198}`,
 	};
 }
 
@@ -97,6 +99,12 @@
 		spoiled += replica.spoiled;
 	}
 
-	record.add(`${results.length} requests; ${spoiled} answers were spoiled; daemons ended by themselves ${ends.length} times (exit codes: ${ends.map(({code}) => code).join(', ') || 'none'}); ${lost.length} requests passed on to sound replicas were closed without an answer (more than ${allowedLost} break the rule), and ${broken.length} streams of sound replicas were broken off`);
+	const exitCodes = ends.map(({code}) => code).join(', ') || 'none';
+	record.add([
+		`${results.length} requests`,
+		`${spoiled} answers were spoiled`,
+		`daemons ended by themselves ${ends.length} times (exit codes: ${exitCodes})`,
+		`${lost.length} requests passed on to sound replicas were closed without an answer (more than ${allowedLost} break the rule), and ${broken.length} streams of sound replicas were broken off`,
+	].join('; '));
 	return lost.length > allowedLost;
 });
