Compare an answer's id before anything else that it states

What callers saw: a request that may run once ran at two backend servers, or was answered 503 although it had run. A faulty backend server repeats its answer to an earlier request where the answer to the next one is expected.

Cause: the dispatcher took status 421 or the statement "not run" for the request's own before it compared the id in the answer. It also applied what such an answer states of the backend server (load, leaving, pause, limit), removed the backend server for a 421, and kept the connection, on which the request's own answer was still to come.

Change: an answer with another id closes its connection, states nothing, and leaves the outcome unknown. A daemon that declines a proxied request names its id, which the sender compares.

Ruled out: refusals without an id.

--- a/src/coordination/serving/__tests__/peer-proxy.test.ts
+++ b/src/coordination/serving/__tests__/peer-proxy.test.ts
@@ -109,8 +109,12 @@
 	response.writeHead(200, {'X-Seal': 'sealed'}).end('done');
 };
 
-const decline: Peer = (_, response) => {
-	response.writeHead(503, {[declinedHeader]: '1'}).end();
+const decline: Peer = ({request: {id}}, response) => {
+	response.writeHead(503, {[declinedHeader]: id}).end();
+};
+
+const declineAnother: Peer = (_, response) => {
+	response.writeHead(503, {[declinedHeader]: 'another'}).end();
 };
 
 const breakOff: Peer = (_, response) => {
@@ -147,6 +151,9 @@
 		{
 			name: 'does not send a request again that a daemon may have read', peers: [breakOff, serve], received: ['p0'], result: {kind: 'unknown'}, client: {status: 599},
 		},
+		{
+			name: 'does not send a request again when another request was declined', peers: [declineAnother, serve], received: ['p0'], result: {kind: 'unknown'}, client: {status: 599},
+		},
 		{
 			name: 'does not complete an answer that breaks off', peers: [cutAnswer, serve], received: ['p0'], result: {kind: 'answered', isComplete: false}, client: {status: 200, isComplete: false},
 		},
--- a/src/coordination/serving/dispatcher.ts
+++ b/src/coordination/serving/dispatcher.ts
@@ -488,36 +488,30 @@
 		options: DispatchOptions,
 		fail: (failure: FailedDispatch, slotEnd: SlotEnd) => FailedDispatch,
 	): StartedAnswer | FailedDispatch {
-		const {dialect, backends, placement, cooldowns, paces, clock} = this.dependencies;
+		const {backends, placement, clock, dialect} = this.dependencies;
 		const {backend, answer, attempt, assignedAttempt} = started;
 		const metadata = dialect.readAnswer(answer.response.headers);
-		attempt.stated = describeStatements(metadata);
 		const nowMs = clock.now();
-		if (metadata.load) {
-			placement.noteLoad(backend.id, metadata.load, nowMs);
-			this.dependencies.slots.leases.noteLoad(backend.id, metadata.load.running + metadata.load.waiting, nowMs);
-			if (metadata.load.pacePercent !== undefined) {
-				paces.note(backend, metadata.load.pacePercent, nowMs);
-			}
-		}
-
-		if (metadata.isLeaving && answer.status !== misdirectedRequestStatus && backends.noteStatedLeaving(backend.id, clock.wallTimeMs(), nowMs)) {
-			log.info('backend server states that it is leaving.', {backend: backend.id, request: served.inputs.request.id});
-		}
-
-		if (metadata.retryAfterMs !== undefined && answer.status === unavailableStatus) {
-			cooldowns.note(backend, metadata.retryAfterMs, clock.wallTimeMs(), nowMs);
-		}
-
-		if (answer.status !== misdirectedRequestStatus) {
-			this.dependencies.tolerances.noteAnswer(backend.id, metadata.refusalsPerSecond, nowMs);
-		}
+		const failAsUnknown = (): FailedDispatch => {
+			served.mayHaveRun = true;
+			// A moved run continues, so it does not count as another run.
+			served.runs += options.kvSource === undefined ? 1 : 0;
+			placement.noteFailure(backend.id, nowMs);
+			assignedAttempt?.noteFailure(AssignmentResult.Failed);
+			answer.destroy();
+			return fail({kind: DispatchKind.Unknown, reason: `not its answer (status ${answer.status})`}, SlotEnd.Broken);
+		};
 
-		const isValid = metadata.requestId === served.inputs.request.id && metadata.isSealed && !metadata.isEncoded;
-		if (isValid || (metadata.limitPerSecond !== undefined && answer.status !== misdirectedRequestStatus)) {
-			this.dependencies.statedLimits.noteStated(backend.id, metadata.limitPerSecond, nowMs);
+		// An answer to another request states nothing about this one, whatever its status, and may be old.
+		if (metadata.requestId !== served.inputs.request.id) {
+			log.info('answer belongs to another request.', {
+				backend: backend.id, request: served.inputs.request.id, answered: metadata.requestId, status: answer.status, isNotRun: metadata.isNotRun,
+			});
+			return failAsUnknown();
 		}
 
+		attempt.stated = describeStatements(metadata);
+		this.applyStatements(served, {backend, status: answer.status, metadata}, nowMs);
 		if (answer.status === misdirectedRequestStatus || metadata.isNotRun) {
 			if (answer.status === misdirectedRequestStatus) {
 				backends.markReplaced(backend.id, nowMs);
@@ -531,16 +525,12 @@
 			return fail({kind: DispatchKind.NotRun, reason: `refused with ${answer.status}`}, answer.status === unavailableStatus ? SlotEnd.Refused : SlotEnd.Free);
 		}
 
-		served.mayHaveRun = true;
-		// A moved run continues, so it does not count as another run.
-		served.runs += options.kvSource === undefined ? 1 : 0;
-		if (!isValid) {
-			placement.noteFailure(backend.id, nowMs);
-			assignedAttempt?.noteFailure(AssignmentResult.Failed);
-			answer.destroy();
-			return fail({kind: DispatchKind.Unknown, reason: `not its answer (status ${answer.status})`}, SlotEnd.Broken);
+		if (!isBackendAnswer(metadata)) {
+			return failAsUnknown();
 		}
 
+		served.mayHaveRun = true;
+		served.runs += options.kvSource === undefined ? 1 : 0;
 		assignedAttempt?.noteAnswer(answer.status, metadata.load, nowMs);
 		if (!isLoadRejection(answer.status, metadata)) {
 			this.noteVersionOutcome(served, backend, answer.status, options);
@@ -549,6 +539,36 @@
 		return {...started, kind: DispatchKind.Answer, metadata};
 	}
 
+	/** Applies what an answer's headers state about its backend server. */
+	private applyStatements(served: ServedRequest, {backend, status, metadata}: {backend: Backend; status: number; metadata: AnswerMetadata}, nowMs: number): void {
+		const {backends, placement, slots, paces, cooldowns, tolerances, statedLimits, clock} = this.dependencies;
+		if (metadata.load) {
+			placement.noteLoad(backend.id, metadata.load, nowMs);
+			slots.leases.noteLoad(backend.id, metadata.load.running + metadata.load.waiting, nowMs);
+			if (metadata.load.pacePercent !== undefined) {
+				paces.note(backend, metadata.load.pacePercent, nowMs);
+			}
+		}
+
+		if (metadata.retryAfterMs !== undefined && status === unavailableStatus) {
+			cooldowns.note(backend, metadata.retryAfterMs, clock.wallTimeMs(), nowMs);
+		}
+
+		// With this status, another backend server answers at the address.
+		if (status === misdirectedRequestStatus) {
+			return;
+		}
+
+		if (metadata.isLeaving && backends.noteStatedLeaving(backend.id, clock.wallTimeMs(), nowMs)) {
+			log.info('backend server states that it is leaving.', {backend: backend.id, request: served.inputs.request.id});
+		}
+
+		tolerances.noteAnswer(backend.id, metadata.refusalsPerSecond, nowMs);
+		if (isBackendAnswer(metadata) || metadata.limitPerSecond !== undefined) {
+			statedLimits.noteStated(backend.id, metadata.limitPerSecond, nowMs);
+		}
+	}
+
 	/** Records how the first attempt of a request turned out, to compare the versions of its service; an undefined status means that there was no answer in time. */
 	private noteVersionOutcome(served: ServedRequest, backend: Backend, status: number | undefined, {lastEventId}: DispatchOptions): void {
 		const {rollouts, clock} = this.dependencies;
@@ -559,6 +579,11 @@
 	}
 }
 
+/** Whether an answer to a request is the one that its backend server made, with its own body. */
+function isBackendAnswer({isSealed, isEncoded}: AnswerMetadata): boolean {
+	return isSealed && !isEncoded;
+}
+
 /** Describes what an answer states of its backend server, for logs; undefined if it states nothing. */
 function describeStatements({isLeaving, retryAfterMs, refusalsPerSecond}: AnswerMetadata): string | undefined {
 	const statements = [isLeaving ? 'leaving' : undefined, retryAfterMs === undefined ? undefined : `retry after ${retryAfterMs} ms`, refusalsPerSecond === undefined ? undefined : `tolerates ${refusalsPerSecond} refusals/s`].filter(statement => statement !== undefined);
--- a/src/coordination/serving/forwarder.ts
+++ b/src/coordination/serving/forwarder.ts
@@ -142,7 +142,7 @@
 		const isKnown = routes.version !== undefined && routes.version >= configVersion && (accountName === undefined || account !== undefined);
 		const destination = isKnown ? this.findRoute(request, account, nowMs) : undefined;
 		if (!destination || isRejection(destination) || peerProxy.isNeeded(destination.service) || !dispatcher.selector.hasCandidates(destination.service) || this.proxiedRequests >= maxProxiedRequests) {
-			writeErrorResponse(front.response, 503, 'declined', {[declinedHeader]: '1'});
+			writeErrorResponse(front.response, 503, 'declined', {[declinedHeader]: request.id});
 			return;
 		}
 
--- a/src/coordination/serving/peer-proxy.ts
+++ b/src/coordination/serving/peer-proxy.ts
@@ -99,11 +99,18 @@
 			return {kind: error instanceof ConnectError ? 'not-run' : 'unknown', reason: `${name} did not answer`};
 		}
 
-		if (answer.response.headers[declinedHeader] !== undefined) {
+		const declinedId = answer.response.headers[declinedHeader];
+		if (declinedId === proxied.request.id) {
 			answer.response.resume();
 			return {kind: 'not-run', reason: `${name} declined`};
 		}
 
+		if (declinedId !== undefined) {
+			log.warn('another daemon declined another request in place of this one.', {request: proxied.request.id, peer: name, declined: declinedId});
+			answer.destroy();
+			return {kind: 'unknown', reason: `${name} declined another request`};
+		}
+
 		return this.passOn(front, answer, name);
 	}
 
--- a/src/protocol/proxied-requests.ts
+++ b/src/protocol/proxied-requests.ts
@@ -3,7 +3,7 @@
 
 /** The path of the call. */
 export const proxyPath = '/proxied-request';
-/** Set in an answer by which the receiver states that it won't serve the request; the sender may try another daemon. */
+/** Holds the id of a request that the receiver states it won't serve; the sender may try another daemon. */
 export const declinedHeader = 'sesametally-declined';
 
 /** A client's request, as the daemon that received it admitted it. */
