Reject malformed status lines and addresses before they are used

What callers saw: one answer with control bytes in its reason phrase ended the daemon, and with it all its requests; after the restart the next one ended it again.

Cause: the parser of Node.js accepts status lines that writeHead refuses (control bytes, status codes below 100). For streams it threw in the listener of the answer's data, where an exception ends the process. On related paths, an entry with a port over 65535 made net.connect throw in a promise that nobody awaits, a datagram's address could do the same, and an unrequested switch of protocols left its attempt without an end.

Change: the transport rejects a status line that is malformed or not that of a final response, and ends an exchange that closes without one. The daemon sends its own reason phrase. Entries and addresses of daemons need an IPv4 address and a valid port. An error in the listener of a stream fails that request only, and one in a datagram skips the datagram.

Ruled out: header names and values; a probe found none that the parser accepts and writeHead refuses.

Measured: in malformed-answers.test.ts the first stream ended the daemon before, and calls got no answer; a port of 70000 ended it as well. 31 of 31 pass now.

--- a/src/coordination/fleet/fleet-messenger.ts
+++ b/src/coordination/fleet/fleet-messenger.ts
@@ -9,7 +9,7 @@
 	type FrontSettings, type ServiceBounds, type Store, Topic,
 } from '../../protocol/platform.js';
 import {
-	type Digest, DigestScope, type FleetMessage, FleetMessageKind, isFleetMessage, type NamedAddress, type PeerAddress, type Report, type Sender, type GossipedTopic, type View,
+	type Digest, DigestScope, type FleetMessage, FleetMessageKind, isFleetMessage, isPeerAddress, type NamedAddress, type PeerAddress, type Report, type Sender, type GossipedTopic, type View,
 } from '../../protocol/fleet-messages.js';
 import {type SteadyClock} from '../../clock.js';
 import {type LogEra} from '../../state/log-era.js';
@@ -447,6 +447,6 @@
 }
 
 function isMemberRecord(value: unknown): value is MemberRecord {
-	const {host, port, failureDomain} = fieldsOf(value);
-	return typeof host === 'string' && Number.isInteger(port) && (failureDomain === undefined || typeof failureDomain === 'string');
+	const {failureDomain} = fieldsOf(value);
+	return isPeerAddress(value) && (failureDomain === undefined || typeof failureDomain === 'string');
 }
--- a/src/coordination/serving/final-answers.ts
+++ b/src/coordination/serving/final-answers.ts
@@ -49,9 +49,9 @@
 }
 
 /** Writes the complete answer of a backend server. */
-export function writeBackendAnswer(response: ServerResponse, status: number, statusText: string, rawHeaders: string[], body: Uint8Array): void {
+export function writeBackendAnswer(response: ServerResponse, status: number, rawHeaders: string[], body: Uint8Array): void {
 	const headers = filterForwardedHeaders(rawHeaders);
 	const hasBody = status !== 204 && status !== 304;
-	response.writeHead(status, statusText, hasBody ? [...headers, 'Content-Length', String(body.length)] : headers);
+	response.writeHead(status, hasBody ? [...headers, 'Content-Length', String(body.length)] : headers);
 	response.end(hasBody ? body : undefined);
 }
--- a/src/coordination/serving/forwarded-stream.ts
+++ b/src/coordination/serving/forwarded-stream.ts
@@ -148,7 +148,7 @@
 	writeHead(run: StartedAnswer): void {
 		if (!this.response.headersSent) {
 			const {response: head} = run.answer;
-			this.response.writeHead(run.answer.status, head.statusMessage ?? '', filterForwardedHeaders(head.rawHeaders));
+			this.response.writeHead(run.answer.status, filterForwardedHeaders(head.rawHeaders));
 		}
 	}
 
@@ -161,7 +161,7 @@
 		this.interruptCause = undefined;
 		this.hasMoveFailed = false;
 		this.lastProgressAtMs = this.now();
-		return new Promise(resolve => {
+		return new Promise((resolve, reject) => {
 			let hasEnded = false;
 			const end = (result: RunEnd) => {
 				if (!hasEnded) {
@@ -177,11 +177,18 @@
 			};
 
 			source.on('data', (chunk: Uint8Array) => {
-				for (const event of hasEnded ? [] : splitter.push(chunk)) {
-					if (!this.deliver(event, run)) {
-						end(RunEnd.Gap);
-						return;
+				try {
+					for (const event of hasEnded ? [] : splitter.push(chunk)) {
+						if (!this.deliver(event, run)) {
+							end(RunEnd.Gap);
+							return;
+						}
 					}
+				} catch (error) {
+					// Thrown in a listener, the error would end the process.
+					reject(error as Error);
+					end(RunEnd.Broken);
+					return;
 				}
 
 				if (this.response.writableNeedDrain) {
--- a/src/coordination/serving/forwarder.ts
+++ b/src/coordination/serving/forwarder.ts
@@ -352,7 +352,7 @@
 				return;
 			}
 
-			writeBackendAnswer(front.response, answer.status, answer.statusText, answer.rawHeaders, answer.body);
+			writeBackendAnswer(front.response, answer.status, answer.rawHeaders, answer.body);
 			this.recordOutcome(served, answer.status < 400 ? Outcome.Served : Outcome.BackendFailure, {status: answer.status});
 		} else if (result.kind === 'not-run') {
 			this.refuseServed(served, front, result.reason);
--- a/src/coordination/serving/peer-proxy.ts
+++ b/src/coordination/serving/peer-proxy.ts
@@ -119,7 +119,7 @@
 		const {status, response: source} = answer;
 		const length = source.headers['content-length'];
 		const headers = filterForwardedHeaders(source.rawHeaders);
-		response.writeHead(status, source.statusMessage ?? '', length === undefined ? headers : [...headers, 'Content-Length', length]);
+		response.writeHead(status, length === undefined ? headers : [...headers, 'Content-Length', length]);
 		try {
 			await pipeline(source, response);
 		} catch (error) {
--- a/src/coordination/serving/stream-forwarding.ts
+++ b/src/coordination/serving/stream-forwarding.ts
@@ -172,7 +172,7 @@
 		}
 
 		return {
-			status: answer.status, statusText: answer.response.statusMessage ?? '', rawHeaders: answer.response.rawHeaders, body, backendId: backend.id,
+			status: answer.status, rawHeaders: answer.response.rawHeaders, body, backendId: backend.id,
 		};
 	} catch {
 		// An error answer that broke off is treated like any broken run.
--- a/src/coordination/serving/unary-forwarding.ts
+++ b/src/coordination/serving/unary-forwarding.ts
@@ -21,7 +21,7 @@
 const minRemainingMs = 10;
 
 /** The complete answer of a backend server. */
-export type BufferedAnswer = {status: number; statusText: string; rawHeaders: string[]; body: Uint8Array; backendId: string};
+export type BufferedAnswer = {status: number; rawHeaders: string[]; body: Uint8Array; backendId: string};
 
 /** How a unary request ended. */
 export type UnaryResult
@@ -127,7 +127,7 @@
 
 		attempt.result = String(answer.status);
 		return {
-			status: answer.status, statusText: answer.response.statusMessage ?? '', rawHeaders: answer.response.rawHeaders, body, backendId: backend.id,
+			status: answer.status, rawHeaders: answer.response.rawHeaders, body, backendId: backend.id,
 		};
 	} catch (error) {
 		if (!(error instanceof TransportError)) {
--- a/src/protocol/fleet-messages.ts
+++ b/src/protocol/fleet-messages.ts
@@ -5,6 +5,7 @@
  * no resending.
  */
 
+import {isIPv4} from 'node:net';
 import {
 	type AssignmentAnswer, type AssignmentEnd, type AssignmentId, type AssignmentRequest, isAssignmentAnswers, isAssignmentEnds, isAssignmentRequest,
 } from './assignment.js';
@@ -12,6 +13,9 @@
 import {isPacePercent} from './pace-percent.js';
 import {type Topic} from './platform.js';
 
+/** The largest port number. */
+const maxPort = 65_535;
+
 /** The address at which a daemon receives datagrams. */
 export type PeerAddress = {host: string; port: number};
 
@@ -294,14 +298,20 @@
 /** Any message between serving daemons. */
 export type FleetMessage = Report | View | SuspectList | LimitList | ToleranceList | PaceList | SlotClaim | SlotDecision | AssignmentRequestMessage | AssignmentDecisionMessage | AssignmentEndMessage | AssignmentWithdrawal | RolloutList | StreamOriginList | StreamOriginQuery | StreamOriginAnswer;
 
+/** Whether datagrams can be sent to an address: `node:dgram` throws for other ports. */
+export function isPeerAddress(value: unknown): value is PeerAddress {
+	const {host, port} = (value ?? {}) as Partial<PeerAddress>;
+	return typeof host === 'string' && isIPv4(host) && Number.isInteger(port) && port! > 0 && port! <= maxPort;
+}
+
 /** Whether the content of a datagram is a message of a daemon; anyone can send a datagram. */
 export function isFleetMessage(value: unknown): value is FleetMessage {
-	const {kind, sender, suspects, limits, tolerances, paces, rollouts, stream, service, origin, knowledge} = (value ?? {}) as {kind?: FleetMessageKind; sender?: Sender; suspects?: unknown; limits?: unknown; tolerances?: unknown; paces?: unknown; rollouts?: unknown; stream?: unknown; service?: unknown; origin?: unknown; knowledge?: unknown};
-	if (typeof sender?.name !== 'string' || typeof sender.address?.host !== 'string') {
+	const {kind, sender, relays, suspects, limits, tolerances, paces, rollouts, stream, service, origin, knowledge} = (value ?? {}) as {kind?: FleetMessageKind; sender?: Sender; relays?: unknown; suspects?: unknown; limits?: unknown; tolerances?: unknown; paces?: unknown; rollouts?: unknown; stream?: unknown; service?: unknown; origin?: unknown; knowledge?: unknown};
+	if (typeof sender?.name !== 'string' || !isPeerAddress(sender.address)) {
 		return false;
 	}
 
-	return kind === FleetMessageKind.Report || kind === FleetMessageKind.View
+	return kind === FleetMessageKind.Report || (kind === FleetMessageKind.View && isNamedAddresses(relays))
 		|| (kind === FleetMessageKind.Suspects && isSuspectUpdates(suspects)) || (kind === FleetMessageKind.Limits && isLimitUpdates(limits))
 		|| (kind === FleetMessageKind.Tolerances && isToleranceUpdates(tolerances))
 		|| (kind === FleetMessageKind.Paces && isPaceUpdates(paces))
@@ -313,6 +323,10 @@
 		|| (kind === FleetMessageKind.StreamOriginAnswer && Number.isSafeInteger(stream) && (origin === undefined || isStreamOrigin(origin)) && isVersionKnowledge(knowledge));
 }
 
+function isNamedAddresses(value: unknown): value is NamedAddress[] {
+	return Array.isArray(value) && (value as Array<Partial<NamedAddress> | undefined>).every(relay => typeof relay?.name === 'string' && isPeerAddress(relay.address));
+}
+
 /** Whether a value holds the origins of streams. */
 export function isPackedStreamOrigins(value: unknown): value is PackedStreamOrigins {
 	const {origins, streams} = (value ?? {}) as Partial<PackedStreamOrigins>;
--- a/src/transport/backend-connection-pool.ts
+++ b/src/transport/backend-connection-pool.ts
@@ -22,6 +22,11 @@
 const nonRetryableIdleMs = 100;
 /** Time for which reuse is restricted after a reused connection was reset, in milliseconds. */
 const reuseRestrictionMs = 60_000;
+/** The statuses of final responses (RFC 9110, section 15). */
+const minStatus = 200;
+const maxStatus = 599;
+/** A reason phrase (RFC 9112, section 4); the parser of Node.js accepts control characters too. */
+const reasonPhrasePattern = /^[\t\x20-\x7E\x80-\xFF]*$/v;
 /** Time without traffic before the first TCP keep-alive probe, in milliseconds. */
 const keepAliveProbeDelayMs = 1000;
 
@@ -156,6 +161,11 @@
 	});
 }
 
+/** Whether a status line is well-formed and belongs to a final response. */
+function isFinalStatusLine({statusCode = 0, statusMessage = ''}: IncomingMessage): boolean {
+	return statusCode >= minStatus && statusCode <= maxStatus && reasonPhrasePattern.test(statusMessage);
+}
+
 /** A response whose body has not been read yet. */
 export class BackendResponse {
 	constructor(
@@ -218,7 +228,7 @@
  * Sends a request and waits for the status and headers of the response.
  *
  * @throws {ConnectError} When no connection could be opened; nothing was sent.
- * @throws {TransportError} When the connection failed or the signal aborted; the request may have run.
+ * @throws {TransportError} When the connection failed, the status line is invalid, or the signal aborted; the request may have run.
  */
 export async function sendBackendRequest(pool: BackendConnectionPool, options: BackendRequest): Promise<BackendResponse> {
 	const {
@@ -258,7 +268,17 @@
 		});
 	});
 	return new Promise((resolve, reject) => {
+		// A response that switches protocols is closed without an error.
+		request.once('close', () => {
+			reject(new TransportError(`${backend.id} closed the connection without a response`));
+		});
 		request.once('response', response => {
+			if (!isFinalStatusLine(response)) {
+				reject(new TransportError(`${backend.id} sent an invalid status line`));
+				request.destroy();
+				return;
+			}
+
 			pool.recordIdleTimeout(response);
 			resolve(new BackendResponse(response, request));
 		});
--- a/src/transport/datagram-link.ts
+++ b/src/transport/datagram-link.ts
@@ -7,8 +7,11 @@
 import {createSocket, type Socket} from 'node:dgram';
 import {pack, unpack} from 'msgpackr';
 import {type PeerAddress} from '../protocol/fleet-messages.js';
+import {createLogger} from '../log.js';
 import {TransportError} from './errors.js';
 
+const log = createLogger('peer');
+
 /** Sends messages to peers without detecting losses. */
 export type MessageSender = {
 	send(message: unknown, to: PeerAddress[]): void;
@@ -35,7 +38,12 @@
 				return;
 			}
 
-			onMessage(message);
+			try {
+				onMessage(message);
+			} catch (error) {
+				// Thrown in a listener, the error would end the process.
+				log.error('message cannot be processed, skipping it.', {error: String(error)});
+			}
 		});
 		await new Promise<void>((resolve, reject) => {
 			socket.once('error', error => {
