Bound what is read of an answer that does not end

Cause: a faulty backend server may send bytes that are no answer without end, in a head or a body. A refused answer was read for ever; interim answers, blank lines before a head, single events, pieces of one byte and whole runs were bounded by the deadline only; the answers to calls were bounded each, but not together. Events without an id were forwarded.

Change: bounds on the bytes and interim answers before a head, on the rest of a refused answer, on the memory of all answers together, on small pieces, and on events and runs of a stream. Events are scanned once, and a run ends with an event that has no number or does not follow the one before it.

Ruled out: events without an id among sound ones.

--- a/src/coordination/serving/dispatcher.ts
+++ b/src/coordination/serving/dispatcher.ts
@@ -521,7 +521,7 @@
 			}
 
 			assignedAttempt?.noteFailure(answer.status === misdirectedRequestStatus ? AssignmentResult.NotSent : AssignmentResult.Rejected);
-			answer.response.resume();
+			answer.discard();
 			return fail({kind: DispatchKind.NotRun, reason: `refused with ${answer.status}`}, answer.status === unavailableStatus ? SlotEnd.Refused : SlotEnd.Free);
 		}
 
--- a/src/coordination/serving/forwarded-stream.ts
+++ b/src/coordination/serving/forwarded-stream.ts
@@ -2,15 +2,24 @@
 import {type ServerResponse} from 'node:http';
 import {type MovedRun} from '../../protocol/platform.js';
 import {type Backend} from '../../protocol/serving.js';
+import {TransportError} from '../../transport/errors.js';
 import {EventSplitter, type RawEvent} from '../../transport/event-splitter.js';
+import {BodyPieces} from '../../transport/body-pieces.js';
 import {type StartedAnswer} from './dispatcher.js';
 import {filterForwardedHeaders} from './final-answers.js';
 import {type ServedRequest} from './served-request.js';
 
+/** Longest event, in bytes. */
+const maxEventBytes = 262_144;
+/** Most bytes of one run. */
+const maxRunBytes = 16 * 1024 * 1024;
+
 /** How one engine's run of the stream ended. */
 export enum RunEnd {
 	Complete = 'complete',
 	Broken = 'broken',
+	/** The engine sent bytes that are not events of the stream in ascending order, or too many. */
+	Malformed = 'malformed',
 	/** Events are missing between the last one delivered and the one received. */
 	Gap = 'gap',
 	/** The run is of another software version than the events delivered so far. */
@@ -33,6 +42,14 @@
 	Quarantined = 'quarantined',
 }
 
+/** What has been received of the body of one run. */
+type ReceivedBody = {
+	splitter: EventSplitter;
+	pieces: BodyPieces;
+	/** The number of the run's last event. */
+	lastEventId: number;
+};
+
 /** A stream whose KV cache was moved to the target engine. */
 export type MovedStream = {target: Backend; run: MovedRun};
 
@@ -156,7 +173,7 @@
 	async forwardRun(run: StartedAnswer): Promise<RunEnd> {
 		const {answer} = run;
 		const {response: source} = answer;
-		const splitter = new EventSplitter();
+		const received: ReceivedBody = {splitter: new EventSplitter(), pieces: new BodyPieces(), lastEventId: -1};
 		this.currentRun = run;
 		this.interruptCause = undefined;
 		this.hasMoveFailed = false;
@@ -178,16 +195,17 @@
 
 			source.on('data', (chunk: Uint8Array) => {
 				try {
-					for (const event of hasEnded ? [] : splitter.push(chunk)) {
-						if (!this.deliver(event, run)) {
-							end(RunEnd.Gap);
-							return;
-						}
+					const failure = hasEnded ? undefined : this.receive(chunk, received, run);
+					if (failure) {
+						end(failure);
 					}
 				} catch (error) {
 					// Thrown in a listener, the error would end the process.
-					reject(error as Error);
+					reject(new TransportError('the events of a stream cannot be forwarded', {cause: error}));
 					end(RunEnd.Broken);
+				}
+
+				if (hasEnded) {
 					return;
 				}
 
@@ -210,7 +228,7 @@
 			source.once('end', () => {
 				// An answer that is closed while paused by a slow client ends as if it were complete, with its last events unread.
 				const isClosed = this.interruptCause !== undefined || run.abort.signal.aborted;
-				if (isClosed || !answer.isComplete || splitter.hasPartialEvent) {
+				if (isClosed || !answer.isComplete || received.splitter.hasPartialEvent) {
 					endAsBroken();
 					return;
 				}
@@ -226,18 +244,36 @@
 		});
 	}
 
-	/** Writes one event to the client, skipping those already delivered; returns false when an earlier event is missing. */
-	private deliver(event: RawEvent, run: StartedAnswer): boolean {
+	/** Forwards the events that a chunk of a run's body completes; returns how the run ends if the chunk is not part of the stream. */
+	private receive(chunk: Uint8Array, received: ReceivedBody, run: StartedAnswer): RunEnd | undefined {
+		const {splitter, pieces} = received;
+		pieces.add(chunk, run.answer.response.socket.bytesRead);
+		for (const event of splitter.push(chunk)) {
+			const id = readEventId(event);
+			// An event without an id belongs to no stream, and one that does not follow the event before it not to this run.
+			const failure = id > received.lastEventId ? this.deliver(event, id, run) : RunEnd.Malformed;
+			if (failure) {
+				return failure;
+			}
+
+			received.lastEventId = id;
+		}
+
+		return splitter.partialBytes > maxEventBytes || pieces.bytes > maxRunBytes || pieces.areTooSmall ? RunEnd.Malformed : undefined;
+	}
+
+	/** Writes one event to the client, skipping those already delivered; returns how the run ends if the event does not follow them. */
+	private deliver(event: RawEvent, id: number, run: StartedAnswer): RunEnd | undefined {
 		this.lastProgressAtMs = this.now();
 		run.attempt.writingSinceMs ??= this.lastProgressAtMs;
-		if (event.id !== undefined && this.lastEventId !== undefined) {
+		if (this.lastEventId !== undefined) {
 			const expected = Number(this.lastEventId) + 1;
-			if (Number(event.id) < expected) {
-				return true;
+			if (id < expected) {
+				return undefined;
 			}
 
-			if (Number(event.id) > expected) {
-				return false;
+			if (id > expected) {
+				return RunEnd.Gap;
 			}
 		}
 
@@ -250,12 +286,18 @@
 		run.running.notePrefilled();
 		this.writeHead(run);
 		this.events++;
-		this.lastEventId = event.id ?? this.lastEventId;
+		this.lastEventId = String(id);
 		this.response.write(event.bytes);
-		return true;
+		return undefined;
 	}
 }
 
+/** Returns the number of an event; NaN if it has none. */
+function readEventId({id}: RawEvent): number {
+	const number = id === undefined || id === '' ? Number.NaN : Number(id);
+	return Number.isSafeInteger(number) ? number : Number.NaN;
+}
+
 /** Closes a run that has started and whose events are not needed. */
 export function closeRun({running, answer}: StartedAnswer): void {
 	running.end();
--- a/src/coordination/serving/peer-proxy.ts
+++ b/src/coordination/serving/peer-proxy.ts
@@ -101,7 +101,7 @@
 
 		const declinedId = answer.response.headers[declinedHeader];
 		if (declinedId === proxied.request.id) {
-			answer.response.resume();
+			answer.discard();
 			return {kind: 'not-run', reason: `${name} declined`};
 		}
 
--- a/src/transport/__tests__/event-splitter.test.ts
+++ b/src/transport/__tests__/event-splitter.test.ts
@@ -19,7 +19,7 @@
 
 	it('reports a partial event', () => {
 		const splitter = new EventSplitter();
-		expect(splitter.push(Buffer.from('id: 1\ndata: a\n'))).toEqual([]);
+		expect([...splitter.push(Buffer.from('id: 1\ndata: a\n'))]).toEqual([]);
 		expect(splitter.hasPartialEvent).toBe(true);
 	});
 });
--- a/src/transport/backend-connection-pool.ts
+++ b/src/transport/backend-connection-pool.ts
@@ -3,14 +3,17 @@
  * open only while its state is certain: bytes that arrive while no request is waiting, a
  * response to another request, or an incomplete response close it.
  */
-import {Buffer} from 'node:buffer';
 import {
 	Agent, type ClientRequest, type IncomingMessage, request as startRequest,
 } from 'node:http';
 import {type Socket} from 'node:net';
 import {performance} from 'node:perf_hooks';
+import {finished} from 'node:stream';
 import {type Backend} from '../protocol/serving.js';
+import {AnswerMemory} from './answer-memory.js';
 import {ConnectError, TransportError} from './errors.js';
+import {GrowingBuffer} from './growing-buffer.js';
+import {BodyPieces} from './body-pieces.js';
 
 /** Longest time that an idle connection is kept, in milliseconds; a backend server may state a shorter one. */
 const maxIdleMs = 4000;
@@ -22,11 +25,18 @@
 const nonRetryableIdleMs = 100;
 /** Time for which reuse is restricted after a reused connection was reset, in milliseconds. */
 const reuseRestrictionMs = 60_000;
+/** Most bytes until the end of a response's head, with all interim responses before it. Node.js limits single heads only. */
+const maxHeadBytes = 65_536;
+/** Most interim responses to one request. */
+const maxInterimResponses = 16;
+/** Longest rest of a response, in bytes, that is read so that the connection can be reused, and the longest time for it, in milliseconds. */
+const maxDiscardedBytes = 16_384;
+const discardTimeoutMs = 500;
 /** The statuses of final responses (RFC 9110, section 15). */
 const minStatus = 200;
 const maxStatus = 599;
 /** A reason phrase (RFC 9112, section 4); the parser of Node.js accepts control characters too. */
-const reasonPhrasePattern = /^[\t\x20-\x7E\x80-\xFF]*$/v;
+const reasonPhrasePattern = /^[\t\u0020-\u007E\u0080-\u00FF]*$/v;
 /** Time without traffic before the first TCP keep-alive probe, in milliseconds. */
 const keepAliveProbeDelayMs = 1000;
 
@@ -43,6 +53,8 @@
 
 /** The keep-alive connections to all backend servers. */
 export class BackendConnectionPool extends Agent {
+	/** The memory for the responses that are being read. */
+	readonly memory = new AnswerMemory();
 	private readonly idleTimeoutsMs = new WeakMap<Socket, number>();
 	private readonly idleTimers = new WeakMap<Socket, NodeJS.Timeout>();
 	private readonly idleSinceMs = new WeakMap<Socket, number>();
@@ -161,6 +173,32 @@
 	});
 }
 
+/** Closes a connection that sends more than {@link maxHeadBytes} or {@link maxInterimResponses} before the head of the response is complete. */
+function limitHead(request: ClientRequest, socket: Socket, backendId: string): void {
+	const firstByte = socket.bytesRead;
+	let isComplete = false;
+	const checkLength = () => {
+		if (!isComplete && socket.bytesRead - firstByte > maxHeadBytes) {
+			request.destroy(new TransportError(`${backendId} sent ${maxHeadBytes} bytes without a response`));
+		}
+	};
+
+	const stop = () => {
+		isComplete = true;
+		socket.off('data', checkLength);
+	};
+
+	let interimResponses = 0;
+	request.on('information', () => {
+		if (++interimResponses === maxInterimResponses) {
+			request.destroy(new TransportError(`${backendId} sent ${maxInterimResponses} interim responses`));
+		}
+	});
+	socket.on('data', checkLength);
+	request.once('response', stop);
+	request.once('close', stop);
+}
+
 /** Whether a status line is well-formed and belongs to a final response. */
 function isFinalStatusLine({statusCode = 0, statusMessage = ''}: IncomingMessage): boolean {
 	return statusCode >= minStatus && statusCode <= maxStatus && reasonPhrasePattern.test(statusMessage);
@@ -171,6 +209,7 @@
 	constructor(
 		readonly response: IncomingMessage,
 		private readonly request: ClientRequest,
+		private readonly memory = new AnswerMemory(),
 	) {
 		trackResets(response.socket);
 	}
@@ -195,32 +234,75 @@
 		this.request.destroy();
 	}
 
+	/** Discards the rest of the body, and closes the connection unless the body ends soon. */
+	discard(): void {
+		let length = 0;
+		const timer = setTimeout(() => {
+			this.destroy();
+		}, discardTimeoutMs);
+		timer.unref();
+		this.response.once('close', () => {
+			clearTimeout(timer);
+		});
+		this.response.on('data', (chunk: Uint8Array) => {
+			length += chunk.length;
+			if (length > maxDiscardedBytes) {
+				this.destroy();
+			}
+		});
+	}
+
 	/**
 	 * Reads the whole body.
 	 *
-	 * @throws {TransportError} When the body is incomplete or longer than `maxBytes`.
+	 * @throws {TransportError} When the body is incomplete, longer than `maxBytes`, or too long beside the other bodies that are being read.
 	 */
 	async read(maxBytes: number): Promise<Uint8Array> {
-		const chunks: Uint8Array[] = [];
-		let length = 0;
+		const body = new GrowingBuffer();
 		try {
-			for await (const chunk of this.response as AsyncIterable<Uint8Array>) {
-				chunks.push(chunk);
-				length += chunk.length;
-				if (length > maxBytes) {
-					throw new TransportError(`response body is longer than ${maxBytes} bytes`);
-				}
-			}
+			await this.readInto(body, maxBytes);
 		} catch (error) {
 			this.destroy();
 			throw error instanceof TransportError ? error : new TransportError('response body is incomplete', {cause: error});
+		} finally {
+			this.memory.release(body.length);
 		}
 
 		if (!this.isComplete) {
 			throw new TransportError('response body is incomplete');
 		}
 
-		return Buffer.concat(chunks);
+		return body.bytes;
+	}
+
+	private async readInto(body: GrowingBuffer, maxBytes: number): Promise<void> {
+		const pieces = new BodyPieces();
+		return new Promise((resolve, reject) => {
+			const readPiece = (piece: Uint8Array) => {
+				pieces.add(piece, this.response.socket.bytesRead);
+				if (pieces.bytes > maxBytes || pieces.areTooSmall) {
+					fail(`response body is longer than ${maxBytes} bytes, or in too small pieces`);
+				} else if (this.memory.tryGrow(body.length, pieces.bytes)) {
+					body.append(piece);
+				} else {
+					fail(`no memory for a response body of ${pieces.bytes} bytes`);
+				}
+			};
+
+			const fail = (reason: string) => {
+				this.response.off('data', readPiece);
+				reject(new TransportError(reason));
+			};
+
+			this.response.on('data', readPiece);
+			finished(this.response, {writable: false}, error => {
+				if (error) {
+					reject(error);
+				} else {
+					resolve();
+				}
+			});
+		});
 	}
 }
 
@@ -250,6 +332,7 @@
 		signal.removeEventListener('abort', abort);
 	});
 	request.once('socket', socket => {
+		limitHead(request, socket, backend.id);
 		if (!socket.connecting) {
 			isConnected = true;
 			return;
@@ -280,7 +363,7 @@
 			}
 
 			pool.recordIdleTimeout(response);
-			resolve(new BackendResponse(response, request));
+			resolve(new BackendResponse(response, request, pool.memory));
 		});
 		request.on('error', error => {
 			if (request.reusedSocket && !signal.aborted) {
--- a/src/transport/event-splitter.ts
+++ b/src/transport/event-splitter.ts
@@ -4,6 +4,7 @@
  * the next complete event.
  */
 import {Buffer} from 'node:buffer';
+import {GrowingBuffer} from './growing-buffer.js';
 
 /** One event as received, with the blank line that ends it. */
 export type RawEvent = {
@@ -20,37 +21,61 @@
 	return /(?:^|\n)id: ?([^\r\n]*)/v.exec(text)?.[1];
 }
 
-/** Splits one stream. */
+/** Splits one stream; each byte is scanned once, however the bytes are divided into chunks. */
 export class EventSplitter {
-	private partialEvent: Uint8Array = new Uint8Array();
+	private partialEvent = new GrowingBuffer();
+	/** Number of bytes in the current line, and whether its first byte is a carriage return. */
+	private lineLength = 0;
+	private beginsWithReturn = false;
+
+	/** Number of bytes of the event that is not complete yet. */
+	get partialBytes(): number {
+		return this.partialEvent.length;
+	}
 
 	/** Whether the bytes so far end within an event. */
 	get hasPartialEvent(): boolean {
 		return this.partialEvent.length > 0;
 	}
 
-	/** Adds the next bytes and returns the events that they complete. */
-	push(chunk: Uint8Array): RawEvent[] {
-		const bytes = this.partialEvent.length === 0 ? Buffer.from(chunk.buffer, chunk.byteOffset, chunk.byteLength) : Buffer.concat([this.partialEvent, chunk]);
-		const events: RawEvent[] = [];
+	/** Adds the next bytes and yields the events that they complete; those after one at which the caller stops are lost. */
+	* push(chunk: Uint8Array): Generator<RawEvent, void> {
 		let start = 0;
 		let lineStart = 0;
-		for (let end = bytes.indexOf(lineFeed); end !== -1; end = bytes.indexOf(lineFeed, lineStart)) {
-			const isBlank = end === lineStart || (end === lineStart + 1 && bytes[lineStart] === carriageReturn);
+		for (let end = chunk.indexOf(lineFeed); end !== -1; end = chunk.indexOf(lineFeed, lineStart)) {
+			this.noteLine(chunk, lineStart, end);
+			const isBlank = this.lineLength === 0 || (this.lineLength === 1 && this.beginsWithReturn);
 			lineStart = end + 1;
+			this.lineLength = 0;
 			if (isBlank) {
-				const event = bytes.subarray(start, lineStart);
-				events.push({bytes: event, id: readId(event)});
+				yield this.completeEvent(chunk.subarray(start, lineStart));
 				start = lineStart;
 			}
 		}
 
-		this.partialEvent = bytes.subarray(start);
-		return events;
+		this.noteLine(chunk, lineStart, chunk.length);
+		if (start < chunk.length) {
+			this.partialEvent.append(chunk.subarray(start));
+		}
 	}
 
-	/** Discards a partial event. */
-	reset(): void {
-		this.partialEvent = new Uint8Array();
+	/** Counts the bytes of a chunk that belong to the current line. */
+	private noteLine(chunk: Uint8Array, start: number, end: number): void {
+		if (this.lineLength === 0) {
+			this.beginsWithReturn = end > start && chunk[start] === carriageReturn;
+		}
+
+		this.lineLength += end - start;
+	}
+
+	private completeEvent(lastBytes: Uint8Array): RawEvent {
+		let bytes = lastBytes;
+		if (this.hasPartialEvent) {
+			this.partialEvent.append(lastBytes);
+			({bytes} = this.partialEvent);
+			this.partialEvent = new GrowingBuffer();
+		}
+
+		return {bytes, id: readId(bytes)};
 	}
 }
--- a/src/transport/http-client.ts
+++ b/src/transport/http-client.ts
@@ -30,6 +30,8 @@
 };
 
 const defaultTimeoutMs = 10_000;
+/** Longest JSON body that is read, in bytes. */
+const maxBodyBytes = 16 * 1024 * 1024;
 
 /** Error codes of connections that failed before any byte of the request was sent. */
 const connectFailureCodes = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH']);
@@ -109,8 +111,9 @@
  */
 export async function readJson<T>(response: IncomingMessage, timeoutMs: number): Promise<T> {
 	try {
-		return await Wreck.read(response, {json: 'force', timeout: timeoutMs});
+		return await Wreck.read(response, {json: 'force', timeout: timeoutMs, maxBytes: maxBodyBytes});
 	} catch (error) {
+		response.destroy();
 		throw new TransportError('cannot read the JSON body of the response', {cause: error});
 	}
 }
--- a/src/transport/raw-client.ts
+++ b/src/transport/raw-client.ts
@@ -18,12 +18,16 @@
 	body?: Uint8Array;
 	/** Time without any byte of the response after which the request fails, in milliseconds. */
 	timeoutMs: number;
+	/** Longest response body, in bytes. */
+	maxBytes?: number;
 	signal?: AbortSignal;
 };
 
 /** A response of any status. */
 export type RawResponse = {statusCode: number; headers: IncomingHttpHeaders; body: Uint8Array};
 
+/** Longest response body where a request sets no other limit, in bytes. */
+const defaultMaxBytes = 64 * 1024 * 1024;
 /** Maximum number of idle connections that one client keeps open. */
 const maxIdleConnections = 4;
 /** Time after which an idle connection is closed, in milliseconds. */
@@ -44,7 +48,7 @@
 	 * @throws {TransportError} When no complete response arrives; the request may have been executed.
 	 */
 	async send(request: RawRequest): Promise<RawResponse> {
-		const {method, path, headers, body, timeoutMs, signal} = request;
+		const {method, path, headers, body, timeoutMs, maxBytes = defaultMaxBytes, signal} = request;
 		const requestName = `${method} ${path.split('?')[0]}`;
 		const startedAtMs = performance.now();
 		const pending = Wreck.request(method, this.baseUrl + path, {headers, payload: body && Buffer.from(body), agent: this.agent});
@@ -64,9 +68,10 @@
 			response.on('data', () => {
 				timer.refresh();
 			});
-			const responseBody = await Wreck.read(response, {});
+			const responseBody = await Wreck.read(response, {maxBytes});
 			return {statusCode: response.statusCode ?? 0, headers: response.headers, body: responseBody};
 		} catch (error) {
+			pending.req.destroy();
 			this.closeIdleConnections();
 			const connection = pending.req.reusedSocket ? 'a reused connection' : 'a new connection';
 			throw new TransportError(`${requestName} got no response on ${connection} in ${Math.round(performance.now() - startedAtMs)} ms`, {cause: error});
--- a/src/transport/sse.ts
+++ b/src/transport/sse.ts
@@ -3,8 +3,16 @@
  */
 import {type Readable} from 'node:stream';
 import {createParser, type EventSourceMessage} from 'eventsource-parser';
+import {TransportError} from './errors.js';
 
-/** Yields the `data` of each event of a server-sent event stream, in order. */
+/** Most bytes that are read without a complete event. */
+const maxEventBytes = 1024 * 1024;
+
+/**
+ * Yields the `data` of each event of a server-sent event stream, in order.
+ *
+ * @throws {TransportError} When too many bytes arrive without a complete event.
+ */
 export async function * readEvents(stream: Readable): AsyncGenerator<string> {
 	const parsedEvents: EventSourceMessage[] = [];
 	const parser = createParser({
@@ -13,8 +21,16 @@
 		},
 	});
 	const decoder = new TextDecoder();
+	let bytesSinceEvent = 0;
 	for await (const chunk of stream) {
+		bytesSinceEvent += (chunk as string | Uint8Array).length;
 		parser.feed(typeof chunk === 'string' ? chunk : decoder.decode(chunk as Uint8Array, {stream: true}));
+		if (parsedEvents.length > 0) {
+			bytesSinceEvent = 0;
+		} else if (bytesSinceEvent > maxEventBytes) {
+			throw new TransportError(`${maxEventBytes} bytes without a complete event`);
+		}
+
 		while (parsedEvents.length > 0) {
 			yield parsedEvents.shift()!.data;
 		}
