--- a/src/coordination/quarantine/__tests__/shared-parts.test.ts
+++ b/src/coordination/quarantine/__tests__/shared-parts.test.ts
@@ -64,8 +64,15 @@
 		expect(isRefused(quarantine, newRequest(common, harmful), startMs + settledMs)).toBe(true);
 	});
 
-	it('lets requests that share only another part run one at a time while that part is in doubt', () => {
+	it.each([
+		{name: 'no run without it is known', endedWithLastCrash: 0},
+		{name: 'all runs without it ended with the last crash', endedWithLastCrash: 5},
+	])('lets requests that share only another part run one at a time while that part is in doubt, as $name', ({endedWithLastCrash}) => {
 		const quarantine = afterCrashes(4, [common, harmful]);
+		for (let count = 0; count < endedWithLastCrash; count++) {
+			quarantine.recordCrash(listFingerprints(newRequest(common, sound)), 4, startMs);
+		}
+
 		expect(quarantine.isSuspect(newRequest(common, sound))).toBe(false);
 		const nowMs = startMs + settledMs;
 		expect(Array.from({length: 3}, () => isRefused(quarantine, newRequest(common, sound), nowMs))).toEqual([false, true, true]);
