Log the connections that the server rejects

Cause: a 408 or 400 that the server writes to a connection, in place of the handler, left no trace, so a request that ran after it could not be told from one whose refusal came from a backend server.

Change: a line with the code of the error and the number of requests on the connection that are not answered yet.

--- a/src/transport/front-server.ts
+++ b/src/transport/front-server.ts
@@ -12,8 +12,11 @@
 import {setImmediate as nextCheckPhase} from 'node:timers/promises';
 import {type ClientLimits} from '../protocol/serving.js';
 import {type Listen} from '../protocol/settings.js';
+import {createLogger} from '../log.js';
 import {TransportError} from './errors.js';
 
+const log = createLogger('front');
+
 /** Largest request head that the parser accepts, in bytes; the configured limit is checked after parsing. */
 const maxParsedHeaderBytes = 65_536;
 /** Interval at which Node.js checks connections for exceeded timeouts, in milliseconds. */
@@ -135,6 +138,7 @@
 		});
 		this.server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
 			if (socket.writable && error.code !== 'ECONNRESET' && !socket.destroyed) {
+				log.info('connection rejected.', {code: error.code, openRequests: this.openRequestsBySocket.get(socket as Socket)});
 				const status = error.code === 'HPE_HEADER_OVERFLOW' ? '431 Request Header Fields Too Large' : (error.code === 'ERR_HTTP_REQUEST_TIMEOUT' ? '408 Request Timeout' : '400 Bad Request');
 				socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
 			} else {
