Log how long two engines work on a stream that is taken over

Cause: the log named the start of a takeover, not when the request reached the other engine and when the run before it was closed, so an overlap beyond the 400 ms that the platform allows left no trace.

Change: the dispatcher reports the delivery of an attempt, and each takeover ends with a line that states deliveredAfterMs and overlapMs.

--- a/src/coordination/serving/dispatcher.ts
+++ b/src/coordination/serving/dispatcher.ts
@@ -104,6 +104,8 @@
 	softTimeoutMs?: number;
 	/** Cancels the dispatch until the head of its answer has arrived. */
 	signal?: AbortSignal;
+	/** Called before the request is delivered to a backend server. */
+	onDelivery?: () => void;
 };
 
 /** The backend server to try first, and the assignment by which it was chosen. */
@@ -390,6 +392,7 @@
 				onConnect() {
 					reachability.noteConnected(backend, clock.now());
 				},
+				onDelivery: options.onDelivery,
 				signal: abort.signal,
 			});
 			endWaiting(true, clock.now());
--- a/src/coordination/serving/stream-registry.ts
+++ b/src/coordination/serving/stream-registry.ts
@@ -9,6 +9,7 @@
 import {type Backend} from '../../protocol/serving.js';
 import {type BackendTable} from '../../state/backend-table.js';
 import {type RouteTable} from '../../state/route-table.js';
+import {type SteadyClock} from '../../clock.js';
 import {createLogger} from '../../log.js';
 import {soundWritingMs} from '../quarantine/crash-watch.js';
 import {type Quarantine} from '../quarantine/quarantine.js';
@@ -43,7 +44,7 @@
 	movedCount = 0;
 	private readonly streams = new Set<ForwardedStream>();
 
-	constructor(private readonly dependencies: {backends: BackendTable; engines: EngineClient; dispatcher: Dispatcher; routes: RouteTable; rollouts: Rollouts; sharing: StreamOriginSharing; quarantine: Quarantine; signal: AbortSignal}) {}
+	constructor(private readonly dependencies: {backends: BackendTable; engines: EngineClient; dispatcher: Dispatcher; routes: RouteTable; rollouts: Rollouts; sharing: StreamOriginSharing; quarantine: Quarantine; clock: Pick<SteadyClock, 'now'>; signal: AbortSignal}) {}
 
 	get size(): number {
 		return this.streams.size;
@@ -147,18 +148,37 @@
 	 */
 	private async startRun(stream: ForwardedStream, {cause, startedAtMs, signal}: {cause: InterruptCause; startedAtMs: number; signal: AbortSignal}): Promise<StartedAnswer | undefined> {
 		const {served} = stream;
-		const overlapTimer = setTimeout(() => {
+		const {dispatcher, clock} = this.dependencies;
+		let deliveredAtMs: number | undefined;
+		let closedAtMs: number | undefined;
+		const closeCurrentRun = () => {
 			if (!signal.aborted) {
+				closedAtMs ??= clock.now();
 				stream.interrupt(cause);
 			}
-		}, takeoverOverlapMs);
-		const dispatched = await this.dependencies.dispatcher.send(served, {
-			purpose: RetryPurpose.Move, firstByteTimeoutMs: served.remainingMs(startedAtMs), lastEventId: stream.lastEventId, signal,
+		};
+
+		const overlapTimer = setTimeout(closeCurrentRun, takeoverOverlapMs);
+		const dispatched = await dispatcher.send(served, {
+			purpose: RetryPurpose.Move,
+			firstByteTimeoutMs: served.remainingMs(startedAtMs),
+			lastEventId: stream.lastEventId,
+			signal,
+			onDelivery() {
+				deliveredAtMs = clock.now();
+			},
 		});
 		clearTimeout(overlapTimer);
 		// The current run may have delivered the first event meanwhile, of another version.
-		if (dispatched.kind === DispatchKind.Answer && isSuccess(dispatched) && !signal.aborted && served.fitsVersion(dispatched.backend)) {
-			stream.interrupt(cause);
+		const hasTakenOver = dispatched.kind === DispatchKind.Answer && isSuccess(dispatched) && !signal.aborted && served.fitsVersion(dispatched.backend);
+		if (hasTakenOver) {
+			closeCurrentRun();
+		}
+
+		log.info('takeover of the stream by another engine ended.', {
+			request: served.inputs.request.id, hasTakenOver, ...describeOverlap(startedAtMs, deliveredAtMs, closedAtMs),
+		});
+		if (hasTakenOver) {
 			return dispatched;
 		}
 
@@ -271,6 +291,14 @@
 	return remainingMs === undefined || (remainingMs * remainingTimeFactor) + finishMarginMs > msUntilLeave;
 }
 
+/** Describes for logs when the request was delivered to the other engine, and how much later the run before it was closed, in milliseconds. */
+function describeOverlap(startedAtMs: number, deliveredAtMs: number | undefined, closedAtMs: number | undefined): {deliveredAfterMs?: number; overlapMs?: number} {
+	return {
+		deliveredAfterMs: deliveredAtMs === undefined ? undefined : Math.round(deliveredAtMs - startedAtMs),
+		overlapMs: deliveredAtMs === undefined || closedAtMs === undefined ? undefined : Math.round(closedAtMs - deliveredAtMs),
+	};
+}
+
 function isSuccess({answer}: StartedAnswer): boolean {
 	return answer.status >= 200 && answer.status < 300;
 }
--- a/src/transport/backend-connection-pool.ts
+++ b/src/transport/backend-connection-pool.ts
@@ -145,6 +145,8 @@
 	connectTimeoutMs: number;
 	/** Called when a new connection has been opened for the request. */
 	onConnect?: () => void;
+	/** Called before the bytes of the request are sent. */
+	onDelivery?: () => void;
 	/** Closes the connection when it aborts. */
 	signal: AbortSignal;
 };
@@ -314,7 +316,7 @@
  */
 export async function sendBackendRequest(pool: BackendConnectionPool, options: BackendRequest): Promise<BackendResponse> {
 	const {
-		backend, method, path, headers, body, isRetryable, connectTimeoutMs, onConnect, signal,
+		backend, method, path, headers, body, isRetryable, connectTimeoutMs, onConnect, onDelivery, signal,
 	} = options;
 	signal.throwIfAborted();
 	const hasBody = body !== undefined && (body.length > 0 || (method !== 'GET' && method !== 'HEAD'));
@@ -335,6 +337,7 @@
 		limitHead(request, socket, backend.id);
 		if (!socket.connecting) {
 			isConnected = true;
+			onDelivery?.();
 			return;
 		}
 
@@ -345,6 +348,7 @@
 			isConnected = true;
 			clearTimeout(timer);
 			onConnect?.();
+			onDelivery?.();
 		});
 		socket.once('close', () => {
 			clearTimeout(timer);
