Show that requests are handled after a 408

A 408 promises that the request has not run and never will. The server goes on reading the connection after it, so a request that arrives late runs; and it writes the 408 while an earlier request of the connection is being handled.

--- a/src/transport/__tests__/front-server.test.ts
+++ b/src/transport/__tests__/front-server.test.ts
@@ -2,6 +2,7 @@
 import {once} from 'node:events';
 import {connect} from 'node:net';
 import process from 'node:process';
+import {setTimeout as delay} from 'node:timers/promises';
 import {
 	afterAll, beforeAll, describe, expect, it,
 } from 'vitest';
@@ -140,3 +141,53 @@
 		shedding.destroy();
 	});
 });
+
+describe('a request that was answered with 408', () => {
+	const slowPort = port + 2;
+	const handledPaths: string[] = [];
+	const slowServer = new FrontServer(async ({path, response}) => {
+		handledPaths.push(path);
+		await delay(path === '/slow' ? 2500 : 0);
+		response.end('ok');
+	});
+
+	beforeAll(async () => {
+		slowServer.setLimits({
+			headerBytes: 400, bodyBytes: 50, headerTimeoutMs: 500, idleTimeoutMs: 800,
+		});
+		await slowServer.listen({host: '127.0.0.1', port: slowPort});
+	});
+	afterAll(() => {
+		slowServer.close();
+		slowServer.destroy();
+	});
+
+	// The status promises that the request has not run and never will.
+	it.each([
+		{name: 'of which nothing arrived in time', first: '', rest: `${head}Content-Length: 0\r\n\r\n`},
+		{name: 'whose head arrived late', first: 'POST /a HTTP/1.1\r\nHo', rest: 'st: h\r\nContent-Length: 0\r\n\r\n'},
+		{name: 'whose body arrived late', first: `${head}Content-Length: 5\r\n\r\nab`, rest: 'cde'},
+		{name: 'in chunks that arrived late', first: `${head}Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n`, rest: '0\r\n\r\n'},
+	])('is not handled: one $name', async ({first, rest}) => {
+		const before = handledPaths.length;
+		const socket = connect({port: slowPort, host: '127.0.0.1', allowHalfOpen: true});
+		let text = '';
+		socket.on('data', chunk => {
+			text += chunk.toString();
+		});
+		socket.on('error', () => undefined);
+		socket.write(first);
+		await waitUntil(async () => text.includes('408'), 5000);
+		socket.write(rest);
+		await delay(300);
+		socket.destroy();
+		expect(text.match(/HTTP\/1.1 \d+/gv)).toEqual(['HTTP/1.1 408']);
+		expect(handledPaths.slice(before)).toEqual([]);
+	});
+
+	it('does not answer the request before it on the connection', async () => {
+		const text = await send('POST /slow HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\nPOST /a HTTP/1.1\r\nHo', 3500, slowPort);
+		expect(text).toMatch(/^HTTP\/1.1 200 /v);
+		expect(text).not.toContain('408');
+	});
+});
