Show that restarts with the settings of the first start join streams and grant limits twice

A process that is started again with the settings file that it had is told that the whole system starts for the first time.

--- a/src/coordination/fleet/__tests__/limits-after-kill.test.ts
+++ b/src/coordination/fleet/__tests__/limits-after-kill.test.ts
@@ -23,13 +23,15 @@
 	/** Time over which the restarts of the daemons are spread, in milliseconds. */
 	restartSpreadMs: number;
 	seed: number;
+	/** Whether they restart with the settings that they had, which state the first start of the whole system. */
+	keepsSettings?: boolean;
 };
 
 /** The result of a simulation: the most that was admitted in any window, its bound, and what was admitted in a time after the first restart. */
 type Outcome = {maxAdmitted: number; allowed: number; served: (fromMs: number, untilMs: number) => number; limitPerMs: number};
 
 /** Simulates callers of one account against a fleet whose daemons are all killed at once and restart one after the other. */
-async function simulateKill({daemons, domains, load, killAtMs, downMs, restartSpreadMs, seed}: KillScenario): Promise<Outcome> {
+async function simulateKill({daemons, domains, load, killAtMs, downMs, restartSpreadMs, seed, keepsSettings = false}: KillScenario): Promise<Outcome> {
 	const generator = xoroshiro128plus(seed);
 	const random = () => uniformFloat64(generator);
 	const account = {...anyAccount, ratePerSecond: load.ratePerSecond, burst: load.ratePerSecond};
@@ -67,7 +69,7 @@
 		daemon.isRunning = false;
 	}
 
-	net.isFirstStart = false;
+	net.isFirstStart = keepsSettings;
 	const backAtMs = net.nowMs + downMs;
 	const waiting = net.daemons.map(daemon => ({daemon, atMs: backAtMs + (random() * restartSpreadMs)})).toSorted((a, b) => a.atMs - b.atMs);
 	const restartedDaemons: TestDaemon[] = [];
@@ -102,6 +104,9 @@
 		{
 			name: '6 daemons that restart at once', daemons: 6, domains: 4, restartSpreadMs: 100, factor: steady(5), killAtMs: 12_000,
 		},
+		{
+			name: '6 daemons that keep first settings', daemons: 6, domains: 4, restartSpreadMs: 100, factor: steady(5), killAtMs: 12_000, keepsSettings: true,
+		},
 		{
 			name: '80 daemons that restart one after the other', daemons: 80, domains: 4, restartSpreadMs: 1500, factor: steady(5), killAtMs: 12_000,
 		},
--- a/src/coordination/fleet/__tests__/retry-budget-after-restarts.test.ts
+++ b/src/coordination/fleet/__tests__/retry-budget-after-restarts.test.ts
@@ -24,6 +24,8 @@
 	kills?: Span[];
 	cuts?: Span[];
 	forMs?: number;
+	/** Whether daemons restart with the settings that they had, which state the first start of the whole system. */
+	keepsSettings?: boolean;
 	seed: number;
 };
 
@@ -35,12 +37,12 @@
 /** Simulates requests whose replicas fail, at a fleet whose daemons are killed and cut off. */
 async function simulateRetries(scenario: Scenario): Promise<Outcome> {
 	const {
-		daemons, domains = 4, requestsPerSecond, failShare = 1, failFromMs = 0, kills = [], cuts = [], forMs = 24_000, seed,
+		daemons, domains = 4, requestsPerSecond, failShare = 1, failFromMs = 0, kills = [], cuts = [], forMs = 24_000, keepsSettings = false, seed,
 	} = scenario;
 	const generator = xoroshiro128plus(seed);
 	const random = () => uniformFloat64(generator);
 	const net = await startNet(daemons, domains);
-	net.isFirstStart = false;
+	net.isFirstStart = keepsSettings;
 	const startMs = net.nowMs;
 	const startedAtMs = net.daemons.map(() => -10_000);
 	const requests: number[] = [];
@@ -150,6 +152,11 @@
 				daemons: 8, requestsPerSecond: 27, kills: [{fromMs: 6000, untilMs: 6500, includes: everyone}, {fromMs: 10_000, untilMs: 10_500, includes: everyone}],
 			},
 		},
+		{
+			name: 'all are killed and keep first settings', scenario: {
+				daemons: 8, requestsPerSecond: 27, keepsSettings: true, kills: [{fromMs: 6000, untilMs: 6500, includes: everyone}, {fromMs: 10_000, untilMs: 10_500, includes: everyone}],
+			},
+		},
 		{
 			name: 'all are killed three times', scenario: {
 				daemons: 8, requestsPerSecond: 27, kills: [6000, 9000, 12_000].map(fromMs => ({fromMs, untilMs: fromMs + 500, includes: everyone})),
