Handle nothing on a connection after its rejection

What callers saw: a request that may run once was answered 408, which promises that it has not run, and ran; or a running request got the 408 that another one on its connection had caused.

Cause: the handler of clientError ended the writing side only. The parser went on, so the rest of a late request completed it, and it was handled. The handler did not look whether a request of the connection was running either. Class: a promise that is not bound to what it promises about.

Change: a request that completes after the writing side has ended is dropped. While a request of the connection is being handled nothing is written; the connection is closed after its response.

--- a/src/transport/front-server.ts
+++ b/src/transport/front-server.ts
@@ -45,6 +45,16 @@
 /** Handles one request and writes its response. */
 export type FrontHandler = (request: FrontRequest) => Promise<void>;
 
+/** An open connection of a client. */
+type ClientConnection = {
+	/** Requests whose response has not ended yet. */
+	openRequests: number;
+	/** Those of them that the handler has received. */
+	handledRequests: number;
+	/** Whether bytes that are not a request, or a request that was not complete in time, arrived on it. */
+	hasFailed: boolean;
+};
+
 /** A request was rejected before it reached the handler; the message becomes the reason in the response. */
 class RejectedRequestError extends TransportError {
 	constructor(readonly statusCode: number, message: string) {
@@ -106,8 +116,7 @@
 
 /** The client-facing HTTP server of a serving daemon. */
 export class FrontServer {
-	/** The open connections with their numbers of unfinished requests. */
-	private readonly openRequestsBySocket = new Map<Socket, number>();
+	private readonly connections = new Map<Socket, ClientConnection>();
 	private readonly server: Server;
 	private limits = defaultLimits;
 	private bufferedBytes = 0;
@@ -131,32 +140,26 @@
 				return;
 			}
 
-			this.openRequestsBySocket.set(socket, 0);
+			this.connections.set(socket, {openRequests: 0, handledRequests: 0, hasFailed: false});
 			socket.once('close', () => {
-				this.openRequestsBySocket.delete(socket);
+				this.connections.delete(socket);
 			});
 		});
 		this.server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
-			if (socket.writable && error.code !== 'ECONNRESET' && !socket.destroyed) {
-				log.info('connection rejected.', {code: error.code, openRequests: this.openRequestsBySocket.get(socket as Socket)});
-				const status = error.code === 'HPE_HEADER_OVERFLOW' ? '431 Request Header Fields Too Large' : (error.code === 'ERR_HTTP_REQUEST_TIMEOUT' ? '408 Request Timeout' : '400 Bad Request');
-				socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
-			} else {
-				socket.destroy();
-			}
+			this.rejectConnection(error, socket as Socket);
 		});
 		this.setLimits(defaultLimits);
 	}
 
 	get openConnections(): number {
-		return this.openRequestsBySocket.size;
+		return this.connections.size;
 	}
 
 	/** Number of requests whose response has not ended yet. */
 	get openRequests(): number {
 		let total = 0;
-		for (const count of this.openRequestsBySocket.values()) {
-			total += count;
+		for (const {openRequests} of this.connections.values()) {
+			total += openRequests;
 		}
 
 		return total;
@@ -193,8 +196,8 @@
 	close(): void {
 		this.isClosed = true;
 		this.server.close();
-		for (const [socket, requests] of this.openRequestsBySocket) {
-			if (requests === 0) {
+		for (const [socket, {openRequests}] of this.connections) {
+			if (openRequests === 0) {
 				socket.destroySoon();
 			}
 		}
@@ -202,23 +205,42 @@
 
 	/** Closes all connections at once. */
 	destroy(): void {
-		for (const socket of this.openRequestsBySocket.keys()) {
+		for (const socket of this.connections.keys()) {
+			socket.destroy();
+		}
+	}
+
+	/** Rejects bytes that are not a request, or a request that was not complete in time. */
+	private rejectConnection(error: NodeJS.ErrnoException, socket: Socket): void {
+		const connection = this.connections.get(socket);
+		if (!connection || !socket.writable || error.code === 'ECONNRESET') {
 			socket.destroy();
+			return;
+		}
+
+		log.info('connection rejected.', {code: error.code, openRequests: connection.openRequests, handledRequests: connection.handledRequests});
+		if (connection.handledRequests > 0) {
+			// The client would take this status for the answer to a request that may run.
+			connection.hasFailed = true;
+			return;
 		}
+
+		const status = error.code === 'HPE_HEADER_OVERFLOW' ? '431 Request Header Fields Too Large' : (error.code === 'ERR_HTTP_REQUEST_TIMEOUT' ? '408 Request Timeout' : '400 Bad Request');
+		socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
 	}
 
 	private async handleRequest(request: IncomingMessage, response: ServerResponse): Promise<void> {
 		const {socket} = request;
 		const clientDisconnect = new AbortController();
-		this.openRequestsBySocket.set(socket, (this.openRequestsBySocket.get(socket) ?? 0) + 1);
+		const connection = this.connections.get(socket) ?? {openRequests: 0, handledRequests: 0, hasFailed: false};
+		let isHandled = false;
+		connection.openRequests++;
 		response.once('close', () => {
-			if (this.openRequestsBySocket.has(socket)) {
-				this.openRequestsBySocket.set(socket, this.openRequestsBySocket.get(socket)! - 1);
-			}
-
+			connection.openRequests--;
+			connection.handledRequests -= isHandled ? 1 : 0;
 			if (!response.writableFinished) {
 				clientDisconnect.abort();
-			} else if (this.isClosed) {
+			} else if (this.isClosed || (connection.hasFailed && connection.handledRequests === 0)) {
 				// The headers of a response that began before the stop promise a keep-alive connection.
 				socket.destroySoon();
 			}
@@ -240,11 +262,14 @@
 			this.bufferedBytes += requestBufferedBytes;
 			// A daemon that is short of processor time reads a request long after it arrived. If its client has left meanwhile, the next poll shows that, and the request must not load a backend server.
 			await nextPoll();
-			if (socket.readableEnded || socket.destroyed) {
+			// After a status for the whole connection, such as 408, the client takes the request for one that has not run.
+			if (socket.readableEnded || socket.writableEnded || socket.destroyed) {
 				response.destroy();
 				return;
 			}
 
+			isHandled = true;
+			connection.handledRequests++;
 			await this.handler({
 				method: request.method ?? 'GET', path: request.url ?? '/', rawHeaders: request.rawHeaders, body, response, signal: clientDisconnect.signal,
 			});
