Close a stalled run before the next one unless timers are punctual

What callers saw: nothing; two engines worked on one stream for more than 400 ms.

Cause: a run was closed 250 ms after another engine had been asked to continue it, by a timer. On a process that waits for its turn the timer fires late. The run must overlap at all, since it is kept if the other engine refuses.

Otherwise the run is closed first, in the same turn of the event loop.

--- a/src/coordination/serving/stream-registry.ts
+++ b/src/coordination/serving/stream-registry.ts
@@ -20,6 +20,7 @@
 	closeRun, type ForwardedStream, InterruptCause, type MovedStream,
 } from './forwarded-stream.js';
 import {type StreamOriginSharing} from './stream-origin-sharing.js';
+import {SweepDelays} from './sweep-delays.js';
 
 const log = createLogger('streams');
 
@@ -33,8 +34,10 @@
 const remainingTimeFactor = 1.3;
 /** A resumable stream without an event for this many milliseconds is handed over to another engine; clients disconnect after two seconds at the earliest. */
 const stallTimeoutMs = 1300;
-/** A run is closed this many milliseconds after another engine was asked to continue it, unless that has refused: two engines must not work on one request for 400 ms, and refusals arrive within a few milliseconds. */
-const takeoverOverlapMs = 250;
+/** Two engines must not work on one request for 400 ms. A run is closed this many milliseconds after the request was delivered to another engine, unless that has refused; refusals arrive within a few milliseconds. */
+const takeoverOverlapMs = 100;
+/** Largest delay of the latest sweeps, in milliseconds, with which a timer may bound this overlap; with a larger one the run is closed before the request is delivered. */
+const maxSweepDelayMs = 50;
 /** Number of engines that are tried as the target of a move. */
 const maxMoveTargets = 2;
 
@@ -43,6 +46,7 @@
 	/** Number of streams that were moved with their KV cache. */
 	movedCount = 0;
 	private readonly streams = new Set<ForwardedStream>();
+	private readonly sweepDelays = new SweepDelays(sweepIntervalMs);
 
 	constructor(private readonly dependencies: {backends: BackendTable; engines: EngineClient; dispatcher: Dispatcher; routes: RouteTable; rollouts: Rollouts; sharing: StreamOriginSharing; quarantine: Quarantine; clock: Pick<SteadyClock, 'now'>; signal: AbortSignal}) {}
 
@@ -71,6 +75,7 @@
 
 	/** Checks every stream once, and starts the moves and takeovers that are due. */
 	sweep(nowMs: number): void {
+		this.sweepDelays.note(nowMs);
 		this.recordProgress(nowMs);
 		this.cancelQuarantined(nowMs);
 		this.dependencies.sharing.shareAll([...this.streams].map(({served}) => served), nowMs);
@@ -143,8 +148,9 @@
 
 	/**
 	 * Starts a run at another engine. The current run is closed once the new one has started, or
-	 * after {@link takeoverOverlapMs} unless the new engine has refused. Until then it continues,
-	 * and a stalled run that delivers an event again is kept.
+	 * {@link takeoverOverlapMs} after its delivery unless the new engine has refused. Until then it
+	 * continues, and a stalled run that delivers an event again is kept. A daemon whose timers may
+	 * fire late closes it before the delivery.
 	 */
 	private async startRun(stream: ForwardedStream, {cause, startedAtMs, signal}: {cause: InterruptCause; startedAtMs: number; signal: AbortSignal}): Promise<StartedAnswer | undefined> {
 		const {served} = stream;
@@ -158,14 +164,19 @@
 			}
 		};
 
-		const overlapTimer = setTimeout(closeCurrentRun, takeoverOverlapMs);
+		let overlapTimer: NodeJS.Timeout | undefined;
 		const dispatched = await dispatcher.send(served, {
 			purpose: RetryPurpose.Move,
 			firstByteTimeoutMs: served.remainingMs(startedAtMs),
 			lastEventId: stream.lastEventId,
 			signal,
-			onDelivery() {
+			onDelivery: () => {
 				deliveredAtMs = clock.now();
+				if (this.sweepDelays.largestMs(deliveredAtMs) > maxSweepDelayMs) {
+					closeCurrentRun();
+				} else {
+					overlapTimer = setTimeout(closeCurrentRun, takeoverOverlapMs);
+				}
 			},
 		});
 		clearTimeout(overlapTimer);
