Let the store confirm that the system starts for the first time

What callers saw: after all daemons were killed and started again with the settings that they had, streams that a version had begun went on at another one, answered 200, once the first version had left; limits of accounts and the retry budget were granted once more.

Cause: the field of the settings was taken for knowledge of the past, also when the store, which has the record of the versions and of the limits, was not read in time. Class: a claim about the past, taken from what does not change with it.

Change: FirstStart holds the claim as unconfirmed until this daemon has read the store's list of daemons, before it writes itself there. Its own earlier record, or those of versions or limits, refute it. Unconfirmed or refuted, the start is a restart. One read of the store more for each daemon at a first start. In the soak every second daemon keeps its first settings at its restarts.

--- a/soak/cluster.ts
+++ b/soak/cluster.ts
@@ -47,13 +47,14 @@
 	private isClosed = false;
 	private readonly settingsFile: string;
 
-	constructor(readonly host: string, settings: Record<string, unknown>) {
+	/** @param keepsSettings Whether its settings state the first start of the whole system at its restarts too, as on a machine that keeps the file. */
+	constructor(readonly host: string, private readonly settings: Record<string, unknown>, private readonly keepsSettings: boolean) {
 		this.settingsFile = path.join(mkdtempSync(path.join(tmpdir(), 'sesametally-soak-')), 'node.json');
-		writeFileSync(this.settingsFile, JSON.stringify(settings));
 	}
 
 	/** Starts the daemon, and starts it again after each exit, as the platform does. */
 	start(): void {
+		writeFileSync(this.settingsFile, JSON.stringify({...this.settings, bootstrap: this.keepsSettings || this.child === undefined}));
 		const child = spawn(process.execPath, ['dist/sesametally.cjs', 'front'], {env: {...process.env, SESAMETALLY_BOOT: this.settingsFile, SESAMETALLY_LOG: 'on'}, stdio: ['ignore', 'pipe', 'pipe']});
 		this.child = child;
 		this.disturbedAtMs.push(Date.now());
@@ -286,12 +287,11 @@
 			node_name: `front-${String(index).padStart(2, '0')}`,
 			ip: host,
 			zone: this.daemonCount > maxDaemonsInOneDomain ? failureDomains[index % failureDomains.length] : failureDomains[0],
-			bootstrap: true,
 			listen: {front: `${host}:${clientPort}`, readiness_addr: `${host}:${clientPort + 1}`},
 			port_range: [clientPort + 2, clientPort + 5],
 			platform: {address: this.storeLink?.address ?? this.store.address},
 			cloud: {address: this.cloud.address},
 			bounds: this.bounds,
-		});
+		}, index % 2 === 0);
 	}
 }
--- a/src/cli/front-container.ts
+++ b/src/cli/front-container.ts
@@ -58,6 +58,7 @@
 import {StreamOriginRecord} from '../coordination/stream-origins/stream-origin-record.js';
 import {StreamOrigins} from '../coordination/stream-origins/stream-origins.js';
 import {type RecordSink, TopicFollower} from '../coordination/topic-follower.js';
+import {FirstStart} from '../coordination/first-start.js';
 import {UsageLedger} from '../coordination/usage-ledger.js';
 
 /** Largest age of the configuration view at which API keys are still accepted, as a share of the revocation bound. The age counts from the sending of a read and is checked when a request arrives, so the margin only has to cover clock errors. */
@@ -130,7 +131,8 @@
 	registerFactory(Placement, resolver => new Placement(settings.failureDomain, resolver.resolve(BackendPaces)));
 	registerFactory(FleetTable, () => new FleetTable({name: settings.name, failureDomain: settings.failureDomain, startedAtMs}));
 	registerFactory(UsageLedger, () => new UsageLedger(settings.failureDomain, incarnation, bounds.usageWindowMs));
-	registerFactory(QuotaLedger, () => new QuotaLedger({
+	registerFactory(FirstStart, () => new FirstStart(settings.isFirstStart));
+	registerFactory(QuotaLedger, resolver => new QuotaLedger({
 		windowMs: bounds.quotaWindowMs,
 		get tolerance() {
 			return bounds.quotaTolerance;
@@ -138,7 +140,7 @@
 		get slack() {
 			return bounds.quotaSlack;
 		},
-	}, startedAtMs, settings.isFirstStart));
+	}, startedAtMs, resolver.resolve(FirstStart)));
 	registerFactory(FleetRetryBudget, resolver => new FleetRetryBudget({
 		limits: {
 			windowMs: bounds.retryWindowMs,
@@ -150,7 +152,7 @@
 			},
 		},
 		startedAtMs,
-		isFirstStart: settings.isFirstStart,
+		firstStart: resolver.resolve(FirstStart),
 		peers: nowMs => resolver.resolve(FleetMessenger).quotaPeers(nowMs),
 		random: () => Math.random(),
 	}));
@@ -230,7 +232,7 @@
 		routes: resolver.resolve(RouteTable), configView: resolver.resolve(ViewAge), quota: resolver.resolve(QuotaLedger), quotaPeers: nowMs => resolver.resolve(FleetMessenger).quotaPeers(nowMs), exchange: resolver.resolve(AssignmentExchange), selector: resolver.resolve(Dispatcher).selector,
 	}));
 	registerFactory(ServiceVersions, resolver => new ServiceVersions({
-		backends: resolver.resolve(BackendTable), viewAgeMs: nowMs => resolver.resolve(BackendsFollower).stateAt(nowMs).ageMs, startedAtMs, isFirstStart: settings.isFirstStart,
+		backends: resolver.resolve(BackendTable), viewAgeMs: nowMs => resolver.resolve(BackendsFollower).stateAt(nowMs).ageMs, startedAtMs, firstStart: resolver.resolve(FirstStart),
 	}));
 	registerFactory(StreamOrigins, resolver => new StreamOrigins(() => Math.max(minStreamRetentionMs, resolver.resolve(RouteTable).longestTimeoutMs * streamRetentionTimeouts)));
 	registerFactory(StreamOriginRecord, resolver => new StreamOriginRecord({
@@ -298,6 +300,7 @@
 	registerFactory(FleetMessenger, resolver => new FleetMessenger({
 		settings,
 		incarnation,
+		firstStart: resolver.resolve(FirstStart),
 		store,
 		logEra: resolver.resolve(LogEra),
 		fleet: resolver.resolve(FleetTable),
--- a/src/coordination/__fixtures__/account-load.ts
+++ b/src/coordination/__fixtures__/account-load.ts
@@ -52,7 +52,7 @@
 
 	constructor(private readonly load: AccountLoad) {
 		this.generator = xoroshiro128plus(load.seed);
-		this.ledgers = Array.from({length: load.daemons}, () => new QuotaLedger(load.bounds, 0, true));
+		this.ledgers = Array.from({length: load.daemons}, () => new QuotaLedger(load.bounds, 0, {isConfirmed: true}));
 		this.reported = this.ledgers.map(() => ({admitted: 0, refused: 0}));
 	}
 
--- a/src/coordination/__tests__/shared-limits.test.ts
+++ b/src/coordination/__tests__/shared-limits.test.ts
@@ -46,7 +46,7 @@
 
 describe('QuotaLedger', () => {
 	it('grants the rate times the window plus the burst in any window', () => {
-		const ledger = new QuotaLedger(bounds, 0, true);
+		const ledger = new QuotaLedger(bounds, 0, {isConfirmed: true});
 		expect(admitAll(ledger, noPeers, 0)).toBe(9000);
 		expect(admitAll(ledger, noPeers, 4000)).toBe(0);
 		expect(admitAll(ledger, noPeers, 8500)).toBe(9000);
@@ -64,13 +64,13 @@
 			}, peerSpent: 0, expected: 4500,
 		},
 	])('$name', ({peers, peerSpent, expected}) => {
-		const ledger = new QuotaLedger(bounds, 0, true);
+		const ledger = new QuotaLedger(bounds, 0, {isConfirmed: true});
 		ledger.addPeerUse('a', {admitted: peerSpent, refused: 0}, 0);
 		expect(admitAll(ledger, peers, 0)).toBe(expected);
 	});
 
 	it('takes over the profiles of a peer after a restart', () => {
-		const ledger = new QuotaLedger(bounds, 0, false);
+		const ledger = new QuotaLedger(bounds, 0, {isConfirmed: false});
 		ledger.adoptProfiles({a: [7000]}, 0);
 		expect(admitAll(ledger, noPeers, 0)).toBe(2000);
 	});
@@ -80,7 +80,7 @@
 		{name: 'the profile of a peer instead of the stored bounds', peerProfile: [5000], expected: 4000},
 		{name: 'the profile of a peer that started from the stored bounds as well', peerProfile: [9000], expected: 0},
 	])('starts after a restart from $name', ({peerProfile, expected}) => {
-		const ledger = new QuotaLedger(bounds, 0, false);
+		const ledger = new QuotaLedger(bounds, 0, {isConfirmed: false});
 		ledger.adoptStoredBounds({a: {uses: [4000, 3000], ahead: 2000}}, 0);
 		if (peerProfile) {
 			ledger.adoptProfiles({a: peerProfile}, 100);
@@ -90,13 +90,13 @@
 	});
 
 	it('drops the history taken over after a restart from the window part by part', () => {
-		const ledger = new QuotaLedger(bounds, 0, false);
+		const ledger = new QuotaLedger(bounds, 0, {isConfirmed: false});
 		ledger.adoptStoredBounds({a: {uses: [1000, 1000, 1000, 1000, 1000, 1000, 1000, 2000], ahead: 0}}, 0);
 		expect([0, 2000, 6000].map(nowMs => admitAll(ledger, noPeers, nowMs))).toEqual([0, 3000, 4000]);
 	});
 
 	it('grants less than the limit in the first window after a restart without any history', () => {
-		const ledger = new QuotaLedger(bounds, 0, false);
+		const ledger = new QuotaLedger(bounds, 0, {isConfirmed: false});
 		let admitted = 0;
 		for (let nowMs = 0; nowMs <= 8000; nowMs += 500) {
 			admitted += admitAll(ledger, noPeers, nowMs);
@@ -106,7 +106,7 @@
 	});
 
 	it('does not charge an account for what it used before its limit was lowered', () => {
-		const ledger = new QuotaLedger(bounds, 0, true);
+		const ledger = new QuotaLedger(bounds, 0, {isConfirmed: true});
 		for (let nowMs = 0; nowMs < 8000; nowMs += 100) {
 			ledger.admit(account, 90, noPeers, 0, nowMs);
 		}
@@ -122,7 +122,7 @@
 	});
 
 	it('applies a lowered limit from when it came into force, even if the account sends its next request later', () => {
-		const ledger = new QuotaLedger(bounds, 0, true);
+		const ledger = new QuotaLedger(bounds, 0, {isConfirmed: true});
 		ledger.noteLimits([account], 0);
 		ledger.admit(account, 90, noPeers, 0, 0);
 		const lowered = {...account, ratePerSecond: 250, burst: 0};
@@ -136,7 +136,7 @@
 	});
 
 	it('refunds the cost of a request that was not run', () => {
-		const ledger = new QuotaLedger(bounds, 0, true);
+		const ledger = new QuotaLedger(bounds, 0, {isConfirmed: true});
 		admitAll(ledger, noPeers, 0);
 		ledger.refund(account, 100, 0);
 		expect(admitAll(ledger, noPeers, 0)).toBe(100);
@@ -176,7 +176,7 @@
 	const {daemons, offeredPerSecond, beforePerSecond = 0, reportIntervalMs = 300, reportDelayMs = 0, seed = 1, costs = [hotCost]} = simulation;
 	const generator = xoroshiro128plus(seed);
 	const random = () => uniformFloat64(generator);
-	const ledgers = Array.from({length: daemons}, () => new QuotaLedger(hotBounds, 0, true));
+	const ledgers = Array.from({length: daemons}, () => new QuotaLedger(hotBounds, 0, {isConfirmed: true}));
 	const reported = ledgers.map(() => ({admitted: 0, refused: 0}));
 	const reports: Array<{atMs: number; from: QuotaLedger; use: AccountUse}> = [];
 	const admitted: Array<{atMs: number; cost: number}> = [];
@@ -303,7 +303,7 @@
 describe('RetryBudget', () => {
 	const bound = {ratio: 0.2, windowMs: 10_000, slack: 40};
 	const createFleetBudget = (limits: RetryBudgetLimits, peers: QuotaPeers) => new FleetRetryBudget({
-		limits, startedAtMs: 0, isFirstStart: true, peers: () => peers, random: () => 0.5,
+		limits, startedAtMs: 0, firstStart: {isConfirmed: true}, peers: () => peers, random: () => 0.5,
 	});
 	const implementations = [
 		{name: 'local', create: (limits: RetryBudgetLimits): RetryBudget => new LocalRetryBudget(limits)},
--- a/src/coordination/fleet-retry-budget.ts
+++ b/src/coordination/fleet-retry-budget.ts
@@ -8,6 +8,7 @@
  * what was left when it lost them, and what its own first attempts earn since. What a restarted
  * daemon cannot know counts as used.
  */
+import {type FirstStart} from './first-start.js';
 import {type AccountUse, type AccountWindow, type UseProfile} from './account-window.js';
 import {CostMeter} from './cost-meter.js';
 import {type Demand} from './demand-share.js';
@@ -32,8 +33,7 @@
 export type FleetRetryBudgetParts = {
 	limits: RetryBudgetLimits;
 	startedAtMs: number;
-	/** Whether the whole system starts for the first time. */
-	isFirstStart: boolean;
+	firstStart: Pick<FirstStart, 'isConfirmed'>;
 	/** Returns what is known of the other daemons. */
 	peers: (nowMs: number) => QuotaPeers;
 	/** Returns a uniform random number from 0 to 1. */
@@ -50,8 +50,8 @@
 	private isolatedSinceMs: number | undefined;
 
 	constructor(private readonly parts: FleetRetryBudgetParts) {
-		const {limits, startedAtMs, isFirstStart} = parts;
-		this.windows = new SharedWindows({windowMs: limits.windowMs, startedAtMs, isFirstStart});
+		const {limits, startedAtMs, firstStart} = parts;
+		this.windows = new SharedWindows({windowMs: limits.windowMs, startedAtMs, firstStart});
 	}
 
 	get isMissingProfiles(): boolean {
--- a/src/coordination/fleet/__fixtures__/test-net.ts
+++ b/src/coordination/fleet/__fixtures__/test-net.ts
@@ -13,6 +13,7 @@
 import {sumOfProfile} from '../../account-window.js';
 import {DemandShare} from '../../demand-share.js';
 import {DutyLease} from '../../duty-lease.js';
+import {FirstStart} from '../../first-start.js';
 import {OverloadTolerances} from '../../overload-tolerances.js';
 import {Placement} from '../../placement.js';
 import {Quarantine} from '../../quarantine/quarantine.js';
@@ -91,9 +92,10 @@
 		const startedAtMs = net.nowMs;
 		const incarnation = `${name}#${startedAtMs}`;
 		this.fleet = new FleetTable({name, failureDomain, startedAtMs});
-		this.quota = new QuotaLedger(net.bounds, startedAtMs, net.isFirstStart);
+		const firstStart = new FirstStart(net.isFirstStart);
+		this.quota = new QuotaLedger(net.bounds, startedAtMs, firstStart);
 		this.retryBudget = new FleetRetryBudget({
-			limits: retryLimits, startedAtMs, isFirstStart: net.isFirstStart, peers: nowMs => this.messenger.quotaPeers(nowMs), random: () => net.random(),
+			limits: retryLimits, startedAtMs, firstStart, peers: nowMs => this.messenger.quotaPeers(nowMs), random: () => net.random(),
 		});
 		this.demandShare = new DemandShare(nowMs => this.retryBudget.demand(nowMs));
 		const sharedUse = new CombinedUse(this.quota, this.retryBudget);
@@ -147,7 +149,7 @@
 			createSender: nowMs => this.messenger.sender(nowMs),
 		});
 		this.versions = new ServiceVersions({
-			backends: this.backends, viewAgeMs: () => 0, startedAtMs, isFirstStart: net.isFirstStart,
+			backends: this.backends, viewAgeMs: () => 0, startedAtMs, firstStart,
 		});
 		this.originRecord = new StreamOriginRecord({
 			store: net.store, logEra: this.logEra, origins: this.origins, versions: this.versions, lease: this.lease, isFirstDaemon: nowMs => this.fleet.rank(nowMs) === 0, name, clock, signal: new AbortController().signal,
@@ -158,7 +160,7 @@
 		this.messenger = new FleetMessenger({
 			settings: {
 				name, failureDomain, host, peerPort: 1, bounds: {quotaWindowMs: net.bounds.windowMs, retryWindowMs: retryLimits.windowMs},
-			}, incarnation, store: net.store, logEra: this.logEra, fleet: this.fleet, sharedUse, usage: this.usage, placement: this.placement, lease: this.lease, bounds: this.bounds, quarantine: this.quarantine, quarantineRecord: this.quarantineRecord, statedLimits: this.statedLimits, tolerances: this.tolerances, paces: this.paces.shared, slots: this.slots, assignments: this.assignments, rollouts: this.rollouts, reachability: this.reachability, streamOrigins: this.originExchange, streamOriginRecord: this.originRecord, topics: this.topics, clock, startedAtMs,
+			}, incarnation, firstStart, store: net.store, logEra: this.logEra, fleet: this.fleet, sharedUse, usage: this.usage, placement: this.placement, lease: this.lease, bounds: this.bounds, quarantine: this.quarantine, quarantineRecord: this.quarantineRecord, statedLimits: this.statedLimits, tolerances: this.tolerances, paces: this.paces.shared, slots: this.slots, assignments: this.assignments, rollouts: this.rollouts, reachability: this.reachability, streamOrigins: this.originExchange, streamOriginRecord: this.originRecord, topics: this.topics, clock, startedAtMs,
 		});
 		this.messenger.open({
 			send: (message, to) => {
--- a/src/coordination/fleet/fleet-messenger.ts
+++ b/src/coordination/fleet/fleet-messenger.ts
@@ -12,7 +12,9 @@
 	type Digest, DigestScope, type FleetMessage, FleetMessageKind, isFleetMessage, isPeerAddress, type NamedAddress, type PeerAddress, type Report, type Sender, type GossipedTopic, type View,
 } from '../../protocol/fleet-messages.js';
 import {type SteadyClock} from '../../clock.js';
+import {StateError} from '../../state/errors.js';
 import {type LogEra} from '../../state/log-era.js';
+import {createLogger} from '../../log.js';
 import {type MessageSender} from '../../transport/datagram-link.js';
 import {type AssignmentExchange} from '../assignment/assignment-exchange.js';
 import {type DutyLease} from '../duty-lease.js';
@@ -32,6 +34,7 @@
 import {type TopicFollower} from '../topic-follower.js';
 import {type UsageLedger} from '../usage-ledger.js';
 import {fieldsOf, decodeDaemonRecord} from '../daemon-record.js';
+import {type FirstStart} from '../first-start.js';
 import {BackendUpdates} from './backend-updates.js';
 import {type BoundsRecord, boundsKey} from './bounds-record.js';
 import {DigestBuilder} from './digest-builder.js';
@@ -39,6 +42,8 @@
 import {type UseTotals} from './merged-counters.js';
 import {PeerCounter, reportIntervalMs} from './peer-counter.js';
 
+const log = createLogger('fleet');
+
 /** Timeout of a read of the store's list of daemons, in milliseconds. */
 const memberReadTimeoutMs = 900;
 /** Number of latest rounds whose send times are kept; a view that answers an older report is too old to say how current a topic is. */
@@ -83,6 +88,7 @@
 	settings: Pick<FrontSettings, 'name' | 'failureDomain' | 'host' | 'peerPort'> & {bounds: Pick<ServiceBounds, 'quotaWindowMs' | 'retryWindowMs'>};
 	/** Differs for each start of the daemon. */
 	incarnation: string;
+	firstStart: FirstStart;
 	store: Store;
 	logEra: LogEra;
 	fleet: FleetTable;
@@ -249,6 +255,7 @@
 			return;
 		}
 
+		await this.settleFirstStart(signal);
 		const written: MemberRecord = {...this.address, failureDomain: settings.failureDomain};
 		const result = await store.append(Topic.Members, {key: settings.name, value: encode(written)}, undefined, signal);
 		this.addressEra = result.kind === 'appended' ? result.era : undefined;
@@ -303,6 +310,29 @@
 		return {host: this.parts.settings.host, port: this.parts.settings.peerPort};
 	}
 
+	/** Asks the store whether the system really starts for the first time, before this daemon's own record would answer that. */
+	private async settleFirstStart(signal: AbortSignal): Promise<void> {
+		const {settings, firstStart, store} = this.parts;
+		if (!firstStart.isUncertain || this.addressEra !== undefined) {
+			return;
+		}
+
+		try {
+			const {records} = await store.readNewest(Topic.Members, memberReadTimeoutMs, signal);
+			const earlier = records.filter(({key, value}) => value && (key === settings.name || key === boundsKey || key === versionsKey)).map(({key}) => key);
+			firstStart.settle(earlier.length > 0);
+			if (earlier.length > 0) {
+				log.info('the settings claim a first start, but the store has records of an earlier one.', {records: earlier});
+			}
+		} catch (error) {
+			if (!(error instanceof StateError)) {
+				throw error;
+			}
+
+			log.warn('it stays unknown whether this is a first start.', {error: String(error)});
+		}
+	}
+
 	/** In a full mesh, queries some peers for the topics that this daemon cannot read from the store: the store may reject the reads of some daemons and serve others. */
 	private queryPeers(nowMs: number): void {
 		const {fleet, topics} = this.parts;
--- a/src/coordination/quota-ledger.ts
+++ b/src/coordination/quota-ledger.ts
@@ -23,6 +23,7 @@
  * in proportion to the part of the window that it has seen itself.
  */
 import {type Account} from '../protocol/serving.js';
+import {type FirstStart} from './first-start.js';
 import {type AccountUse, type AccountWindow, type UseProfile} from './account-window.js';
 import {shareWithinLimit} from './limit-sharing.js';
 import {type SharedUse, SharedWindows, type WindowBound} from './shared-windows.js';
@@ -71,13 +72,12 @@
 export class QuotaLedger implements SharedUse {
 	private readonly windows: SharedWindows;
 
-	/** @param isFirstStart Whether the whole system starts for the first time, so that nothing was admitted before. */
 	constructor(
 		private readonly bounds: QuotaBounds,
 		startedAtMs: number,
-		isFirstStart: boolean,
+		firstStart: Pick<FirstStart, 'isConfirmed'>,
 	) {
-		this.windows = new SharedWindows({windowMs: bounds.windowMs, startedAtMs, isFirstStart});
+		this.windows = new SharedWindows({windowMs: bounds.windowMs, startedAtMs, firstStart});
 	}
 
 	get isMissingProfiles(): boolean {
--- a/src/coordination/shared-windows.ts
+++ b/src/coordination/shared-windows.ts
@@ -5,6 +5,7 @@
  * store for the case that all daemons are killed at once; otherwise it would grant the same
  * limit once more.
  */
+import {type FirstStart} from './first-start.js';
 import {
 	type AccountUse, AccountWindow, profileParts, sumOfProfile, type UseProfile,
 } from './account-window.js';
@@ -43,29 +44,26 @@
 export type SharedWindowsOptions = {
 	windowMs: number;
 	startedAtMs: number;
-	/** Whether the whole system starts for the first time, so that nothing was used before. */
-	isFirstStart: boolean;
+	firstStart: Pick<FirstStart, 'isConfirmed'>;
 };
 
 /** The windows of one kind of limit, by key. */
 export class SharedWindows {
 	private readonly windows = new Map<string, AccountWindow>();
-	private hasHistory: boolean;
-	/** Whether the next profiles that a peer sends are taken over. */
-	private needsProfiles: boolean;
+	private hasAdoptedHistory = false;
+	/** Whether reports were missed or made up for since the start; undefined if neither. */
+	private hasMissedReports: boolean | undefined;
 
-	constructor(private readonly options: SharedWindowsOptions) {
-		this.hasHistory = options.isFirstStart;
-		this.needsProfiles = !options.isFirstStart;
-	}
+	constructor(private readonly options: SharedWindowsOptions) {}
 
 	/** Whether the history of the windows is known: from a peer, from the store, or because the whole system starts for the first time. */
 	get isHistoryKnown(): boolean {
-		return this.hasHistory;
+		return this.hasAdoptedHistory || this.options.firstStart.isConfirmed;
 	}
 
+	/** Whether the next profiles that a peer sends are taken over. */
 	get isMissingProfiles(): boolean {
-		return this.needsProfiles;
+		return this.hasMissedReports ?? !this.options.firstStart.isConfirmed;
 	}
 
 	/** Returns the window of a key. */
@@ -86,7 +84,7 @@
 
 	/** Whether this daemon was started within the last window, after it or others may have used something. */
 	isRestarted(nowMs: number): boolean {
-		return !this.options.isFirstStart && nowMs - this.options.startedAtMs < this.options.windowMs;
+		return !this.options.firstStart.isConfirmed && nowMs - this.options.startedAtMs < this.options.windowMs;
 	}
 
 	/** Adds what peers used and refused since their last report. */
@@ -102,27 +100,27 @@
 	}
 
 	noteMissedReports(): void {
-		this.needsProfiles = true;
+		this.hasMissedReports = true;
 	}
 
 	adoptProfiles(profiles: Record<string, UseProfile>, nowMs: number): void {
-		if (!this.needsProfiles) {
+		if (!this.isMissingProfiles) {
 			return;
 		}
 
-		this.needsProfiles = false;
-		this.hasHistory = true;
+		this.hasMissedReports = false;
+		this.hasAdoptedHistory = true;
 		for (const key of new Set([...this.windows.keys(), ...Object.keys(profiles)])) {
 			this.get(key).adoptProfile(profiles[key] ?? [], nowMs);
 		}
 	}
 
 	adoptStoredBounds(bounds: Record<string, WindowBound>, nowMs: number): void {
-		if (!this.needsProfiles || this.hasHistory) {
+		if (!this.isMissingProfiles || this.isHistoryKnown) {
 			return;
 		}
 
-		this.hasHistory = true;
+		this.hasAdoptedHistory = true;
 		for (const [key, {uses, ahead}] of Object.entries(bounds)) {
 			const [newest = 0, ...older] = uses;
 			this.get(key).adoptEstimate([newest + ahead, ...older], nowMs);
@@ -134,7 +132,7 @@
 	}
 
 	profiles(nowMs: number): Record<string, UseProfile> | undefined {
-		if (!this.hasHistory && this.seenShare(nowMs) < 1) {
+		if (!this.isHistoryKnown && this.seenShare(nowMs) < 1) {
 			return undefined;
 		}
 
--- a/src/coordination/stream-origins/__tests__/service-versions.test.ts
+++ b/src/coordination/stream-origins/__tests__/service-versions.test.ts
@@ -58,7 +58,7 @@
 		const backends = new BackendTable({drainMs: 2000});
 		backends.upsert(replica('a', 'v1'), 0);
 		const versions = new ServiceVersions({
-			backends, viewAgeMs: () => 0, startedAtMs: 0, isFirstStart: false,
+			backends, viewAgeMs: () => 0, startedAtMs: 0, firstStart: {isConfirmed: false},
 		});
 		expect(versions.hasHistory(1000)).toBe(false);
 		if (earlier) {
@@ -76,7 +76,7 @@
 		backends.upsert(replica('b', 'v2'), 0);
 		backends.markRemoved('a', 1000);
 		const versions = new ServiceVersions({
-			backends, viewAgeMs: () => 0, startedAtMs: 0, isFirstStart: true,
+			backends, viewAgeMs: () => 0, startedAtMs: 0, firstStart: {isConfirmed: true},
 		});
 		backends.prune(60_000, 60_000);
 		expect(versions.isMixed('s', 60_000)).toBe(true);
--- a/src/coordination/stream-origins/service-versions.ts
+++ b/src/coordination/stream-origins/service-versions.ts
@@ -6,6 +6,7 @@
  * A daemon that has just started does not know which versions served before it. It learns that
  * from the record that the duty holder keeps in the platform's store.
  */
+import {type FirstStart} from '../first-start.js';
 import {type BackendTable} from '../../state/backend-table.js';
 import {type VersionKnowledge} from '../../protocol/fleet-messages.js';
 
@@ -20,8 +21,7 @@
 	/** Returns the age of the list of backend servers, in milliseconds. */
 	viewAgeMs: (nowMs: number) => number;
 	startedAtMs: number;
-	/** Whether the whole deployment starts for the first time, so that no stream began before. */
-	isFirstStart: boolean;
+	firstStart: Pick<FirstStart, 'isConfirmed'>;
 };
 
 /** The versions of each service, as this daemon knows them. */
@@ -29,9 +29,7 @@
 	/** The versions that served before this daemon started, by service; undefined until they are read. */
 	private earlier: ReadonlyMap<string, readonly string[]> | undefined;
 
-	constructor(private readonly dependencies: ServiceVersionsDependencies) {
-		this.earlier = dependencies.isFirstStart ? new Map() : undefined;
-	}
+	constructor(private readonly dependencies: ServiceVersionsDependencies) {}
 
 	/** Records which versions served before this daemon started. */
 	restore(versions: Record<string, string[]>): void {
@@ -58,7 +56,7 @@
 	knowledge(service: string, nowMs: number): VersionKnowledge {
 		return {
 			versions: [...this.known(service, nowMs)],
-			hasHistory: !this.isHistoryNeeded(nowMs) || this.earlier?.has(service) === true || this.dependencies.isFirstStart,
+			hasHistory: !this.isHistoryNeeded(nowMs) || this.earlier?.has(service) === true || this.dependencies.firstStart.isConfirmed,
 			isFresh: this.dependencies.viewAgeMs(nowMs) <= maxViewAgeMs,
 		};
 	}
@@ -71,7 +69,7 @@
 
 	/** Whether this daemon knows the versions that served before it started, as far as streams may still run that began there. */
 	hasHistory(nowMs: number): boolean {
-		return this.earlier !== undefined || !this.isHistoryNeeded(nowMs);
+		return this.earlier !== undefined || this.dependencies.firstStart.isConfirmed || !this.isHistoryNeeded(nowMs);
 	}
 
 	private isHistoryNeeded(nowMs: number): boolean {
