Notice that a client has left while a rejected connection awaits its responses

Cause: after the rejection of bytes behind a request that is being handled, the end of the connection was not looked at, so the request ran on for a client that had left; and each further chunk that cannot be parsed wrote a log line.

Change: a connection whose client has left is destroyed, further errors are ignored. nextPoll is a module of its own.

--- a/src/transport/__tests__/front-server.test.ts
+++ b/src/transport/__tests__/front-server.test.ts
@@ -145,8 +145,12 @@
 describe('a request that was answered with 408', () => {
 	const slowPort = port + 2;
 	const handledPaths: string[] = [];
-	const slowServer = new FrontServer(async ({path, response}) => {
+	const abortedPaths: string[] = [];
+	const slowServer = new FrontServer(async ({path, response, signal}) => {
 		handledPaths.push(path);
+		signal.addEventListener('abort', () => {
+			abortedPaths.push(path);
+		});
 		await delay(path === '/slow' ? 2500 : 0);
 		response.end('ok');
 	});
@@ -185,6 +189,23 @@
 		expect(handledPaths.slice(before)).toEqual([]);
 	});
 
+	it.each([
+		{name: 'part of a request', rest: 'POST /a HTTP/1.1\r\nHo', staysMs: 200},
+		{name: 'part of a request that has timed out', rest: 'POST /a HTTP/1.1\r\nHo', staysMs: 1700},
+		{name: 'bytes that are no request', rest: '\u0001\u0002\r\n\r\n', staysMs: 200},
+	])('does not keep the request before it running for a client that has left after $name', async ({rest, staysMs}) => {
+		abortedPaths.length = 0;
+		const socket = connect(slowPort, '127.0.0.1');
+		socket.on('error', () => undefined);
+		socket.write('POST /slow HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n');
+		await delay(100);
+		socket.write(rest);
+		await delay(staysMs);
+		socket.end();
+		await delay(300);
+		expect(abortedPaths).toEqual(['/slow']);
+	});
+
 	it('does not answer the request before it on the connection', async () => {
 		const text = await send('POST /slow HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\nPOST /a HTTP/1.1\r\nHo', 3500, slowPort);
 		expect(text).toMatch(/^HTTP\/1.1 200 /v);
--- a/src/transport/front-server.ts
+++ b/src/transport/front-server.ts
@@ -9,11 +9,11 @@
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import {type Socket} from 'node:net';
-import {setImmediate as nextCheckPhase} from 'node:timers/promises';
 import {type ClientLimits} from '../protocol/serving.js';
 import {type Listen} from '../protocol/settings.js';
 import {createLogger} from '../log.js';
 import {TransportError} from './errors.js';
+import {nextPoll} from './next-poll.js';
 
 const log = createLogger('front');
 
@@ -51,8 +51,8 @@
 	openRequests: number;
 	/** Those of them that the handler has received. */
 	handledRequests: number;
-	/** Whether bytes that are not a request, or a request that was not complete in time, arrived on it. */
-	hasFailed: boolean;
+	/** Whether it is closed once these are answered, since something else on it was rejected. */
+	closesAfterResponses: boolean;
 };
 
 /** A request was rejected before it reached the handler; the message becomes the reason in the response. */
@@ -96,12 +96,6 @@
 	}
 }
 
-/** Resolves once the event loop has polled all sockets again: the next check phase may belong to the poll in progress, the one after it does not. */
-async function nextPoll(): Promise<void> {
-	await nextCheckPhase();
-	await nextCheckPhase();
-}
-
 /** Writes an error response of the daemon itself, or closes the connection if a response has begun. */
 export function writeErrorResponse(response: ServerResponse, status: number, reason: string, headers: Record<string, string> = {}): void {
 	if (response.headersSent || response.destroyed) {
@@ -140,7 +134,7 @@
 				return;
 			}
 
-			this.connections.set(socket, {openRequests: 0, handledRequests: 0, hasFailed: false});
+			this.connections.set(socket, {openRequests: 0, handledRequests: 0, closesAfterResponses: false});
 			socket.once('close', () => {
 				this.connections.delete(socket);
 			});
@@ -213,15 +207,21 @@
 	/** Rejects bytes that are not a request, or a request that was not complete in time. */
 	private rejectConnection(error: NodeJS.ErrnoException, socket: Socket): void {
 		const connection = this.connections.get(socket);
-		if (!connection || !socket.writable || error.code === 'ECONNRESET') {
+		// A client that has left must not keep its request running.
+		if (!connection || !socket.writable || socket.readableEnded || error.code === 'ECONNRESET') {
 			socket.destroy();
 			return;
 		}
 
+		// Further bytes that cannot be parsed are reported one by one.
+		if (connection.closesAfterResponses) {
+			return;
+		}
+
 		log.info('connection rejected.', {code: error.code, openRequests: connection.openRequests, handledRequests: connection.handledRequests});
 		if (connection.handledRequests > 0) {
 			// The client would take this status for the answer to a request that may run.
-			connection.hasFailed = true;
+			connection.closesAfterResponses = true;
 			return;
 		}
 
@@ -232,7 +232,8 @@
 	private async handleRequest(request: IncomingMessage, response: ServerResponse): Promise<void> {
 		const {socket} = request;
 		const clientDisconnect = new AbortController();
-		const connection = this.connections.get(socket) ?? {openRequests: 0, handledRequests: 0, hasFailed: false};
+		// The socket may have been closed while the request waited to be parsed.
+		const connection = this.connections.get(socket) ?? {openRequests: 0, handledRequests: 0, closesAfterResponses: false};
 		let isHandled = false;
 		connection.openRequests++;
 		response.once('close', () => {
@@ -240,7 +241,7 @@
 			connection.handledRequests -= isHandled ? 1 : 0;
 			if (!response.writableFinished) {
 				clientDisconnect.abort();
-			} else if (this.isClosed || (connection.hasFailed && connection.handledRequests === 0)) {
+			} else if (this.isClosed || (connection.closesAfterResponses && connection.handledRequests === 0)) {
 				// The headers of a response that began before the stop promise a keep-alive connection.
 				socket.destroySoon();
 			}
