Read what has arrived before an engine counts as silent

What callers saw: streams of sound engines were cut after their daemon had got no processor time for a while, and many ran at a second engine.

With the close before the delivery, refusals then cut them.

A timer may bound the overlap up to 150 ms of recent delay: with 100 ms of overlap that leaves 150 of the 400 ms.

--- a/src/cli/front-daemon.ts
+++ b/src/cli/front-daemon.ts
@@ -16,6 +16,7 @@
 import {BackendConnectionPool} from '../transport/backend-connection-pool.js';
 import {DatagramLink} from '../transport/datagram-link.js';
 import {FrontServer, type FrontRequest, writeErrorResponse} from '../transport/front-server.js';
+import {nextPoll} from '../transport/next-poll.js';
 import {isConnectionAccepted} from '../transport/port-probe.js';
 import {ConnectionShedding} from '../coordination/connection-shedding.js';
 import {Cooldowns} from '../coordination/cooldowns.js';
@@ -309,7 +310,9 @@
 			},
 			sweep: {
 				intervalMs: () => sweepIntervalMs,
-				step: () => {
+				step: async () => {
+					// After a time without processor time, the events that have arrived meanwhile must not count as the engines' silence.
+					await nextPoll();
 					registry.sweep(this.clock.now());
 				},
 			},
--- a/src/coordination/serving/stream-registry.ts
+++ b/src/coordination/serving/stream-registry.ts
@@ -37,7 +37,7 @@
 /** Two engines must not work on one request for 400 ms. A run is closed this many milliseconds after the request was delivered to another engine, unless that has refused; refusals arrive within a few milliseconds. */
 const takeoverOverlapMs = 100;
 /** Largest delay of the latest sweeps, in milliseconds, with which a timer may bound this overlap; with a larger one the run is closed before the request is delivered. */
-const maxSweepDelayMs = 50;
+const maxSweepDelayMs = 150;
 /** Number of engines that are tried as the target of a move. */
 const maxMoveTargets = 2;
 
--- a/src/coordination/serving/sweep-delays.ts
+++ b/src/coordination/serving/sweep-delays.ts
@@ -1,6 +1,7 @@
 /**
- * Tells how late the sweeps over the streams have run of late, and so how late a timer may fire:
- * a process that is short of processor time waits for its turn.
+ * Measures how late the sweeps over the streams run, and so how late a timer may fire in a process
+ * that is starved of CPU. The delays of the event loop are measured for new connections only
+ * (`EventLoopDelay`), and without single late turns, which count here.
  */
 
 /** How long a late sweep counts, in milliseconds. */
@@ -26,7 +27,7 @@
 		}
 	}
 
-	/** Returns the largest delay of late, in milliseconds, that of a sweep which is due included. */
+	/** Returns the largest recent delay, in milliseconds, including the current overdue time. */
 	largestMs(nowMs: number): number {
 		const dueMs = this.lastAtMs === undefined ? 0 : nowMs - this.lastAtMs - this.intervalMs;
 		return Math.max(0, dueMs, ...this.delays.map(({delayMs}) => delayMs));
