Send nothing for an attempt that was cancelled while it waited

What callers saw: a request reached a backend server after its client had left; a stream that had gone on by itself ran at a second engine all the same, until the answer of that engine began.

Cause: after the waits for a slot and for an engine's start time nothing looked at the signals, and a listener that is added to an aborted signal is never called. Found by review of the takeovers.

Change: the dispatcher checks both signals before it sends, frees the slot, and keeps the reservation as it does for connections that did not open.

--- a/src/coordination/serving/dispatcher.ts
+++ b/src/coordination/serving/dispatcher.ts
@@ -46,6 +46,10 @@
 const unreachableReason = 'unreached';
 /** The reason given for a dispatch that was not sent, since the backend server has restarted and may be of another version now. */
 const restartedReason = 'restarted';
+/** The reason given for a dispatch that was cancelled before it was sent. */
+const cancelledReason = 'cancelled before it was sent';
+/** The reasons with which nothing was delivered. */
+const undeliveredReasons: ReadonlySet<string> = new Set([unreachableReason, restartedReason, cancelledReason]);
 /** HTTP 503 Service Unavailable. */
 const unavailableStatus = 503;
 /** HTTP 421 Misdirected Request: the address now belongs to a different backend server. */
@@ -218,7 +222,7 @@
 			// eslint-disable-next-line no-await-in-loop -- one backend server after the other.
 			const result = await this.sendTo(served, choice, options, {slot, assignment});
 			assignment = undefined;
-			if (result.kind !== DispatchKind.NotRun || (result.reason !== unreachableReason && result.reason !== restartedReason)) {
+			if (result.kind !== DispatchKind.NotRun || !undeliveredReasons.has(result.reason)) {
 				return result;
 			}
 
@@ -282,7 +286,7 @@
 		const assignment = outcome.kind === 'assigned' ? outcome.assignment : undefined;
 		if (served.inputs.signal.aborted || options.signal?.aborted) {
 			assignment?.end(AssignmentResult.NotSent);
-			return {kind: DispatchKind.NotRun, reason: 'cancelled before it was sent'};
+			return {kind: DispatchKind.NotRun, reason: cancelledReason};
 		}
 
 		return {preselected: assignment && toChoice(assignment), assignment};
@@ -342,6 +346,13 @@
 			return {kind: DispatchKind.NotRun, backend, reason: restartedReason};
 		}
 
+		// A listener that is added to an aborted signal is never called.
+		if (signal.aborted || options.signal?.aborted) {
+			slot.end(SlotEnd.Free, clock.now());
+			assignment?.end(AssignmentResult.NotSent);
+			return {kind: DispatchKind.NotRun, backend, reason: cancelledReason};
+		}
+
 		const sentAtMs = clock.now();
 		const abort = new AbortController();
 		const cancel = () => {
