Ask once whether the system starts for the first time

Cause: the two tasks that write a daemon's address each read the store, and the second one could find the record that the first had written; a failed read left the question open for good.

Change: both wait for one read, and the address is written after it.

--- a/src/coordination/fleet/fleet-messenger.ts
+++ b/src/coordination/fleet/fleet-messenger.ts
@@ -12,7 +12,6 @@
 	type Digest, DigestScope, type FleetMessage, FleetMessageKind, isFleetMessage, isPeerAddress, type NamedAddress, type PeerAddress, type Report, type Sender, type GossipedTopic, type View,
 } from '../../protocol/fleet-messages.js';
 import {type SteadyClock} from '../../clock.js';
-import {StateError} from '../../state/errors.js';
 import {type LogEra} from '../../state/log-era.js';
 import {createLogger} from '../../log.js';
 import {type MessageSender} from '../../transport/datagram-link.js';
@@ -120,6 +119,8 @@
 	private link: MessageSender | undefined;
 	/** The era of the store in which this daemon's address was last written. */
 	private addressEra: number | undefined;
+	/** The check whether the system starts for the first time, while it waits for the store. */
+	private firstStartCheck: Promise<void> | undefined;
 	/** Number of times that the store's list of daemons has been read since the start. */
 	private listReads = 0;
 	private round = 0;
@@ -255,7 +256,13 @@
 			return;
 		}
 
-		await this.settleFirstStart(signal);
+		if (this.parts.firstStart.isUncertain) {
+			this.firstStartCheck ??= this.settleFirstStart(signal).finally(() => {
+				this.firstStartCheck = undefined;
+			});
+			await this.firstStartCheck;
+		}
+
 		const written: MemberRecord = {...this.address, failureDomain: settings.failureDomain};
 		const result = await store.append(Topic.Members, {key: settings.name, value: encode(written)}, undefined, signal);
 		this.addressEra = result.kind === 'appended' ? result.era : undefined;
@@ -313,23 +320,11 @@
 	/** Asks the store whether the system really starts for the first time, before this daemon's own record would answer that. */
 	private async settleFirstStart(signal: AbortSignal): Promise<void> {
 		const {settings, firstStart, store} = this.parts;
-		if (!firstStart.isUncertain || this.addressEra !== undefined) {
-			return;
-		}
-
-		try {
-			const {records} = await store.readNewest(Topic.Members, memberReadTimeoutMs, signal);
-			const earlier = records.filter(({key, value}) => value && (key === settings.name || key === boundsKey || key === versionsKey)).map(({key}) => key);
-			firstStart.settle(earlier.length > 0);
-			if (earlier.length > 0) {
-				log.info('the settings claim a first start, but the store has records of an earlier one.', {records: earlier});
-			}
-		} catch (error) {
-			if (!(error instanceof StateError)) {
-				throw error;
-			}
-
-			log.warn('it stays unknown whether this is a first start.', {error: String(error)});
+		const {records} = await store.readNewest(Topic.Members, memberReadTimeoutMs, signal);
+		const earlier = records.filter(({key, value}) => value && (key === settings.name || key === boundsKey || key === versionsKey)).map(({key}) => key);
+		firstStart.settle(earlier.length > 0);
+		if (earlier.length > 0) {
+			log.info('the settings claim a first start, but the store has records of daemons that ran before.', {records: earlier});
 		}
 	}
 
