Log the address and the connection of each attempt of a request

Cause: the log line of a request names the entries of the backend servers that it was sent to. It did not show whether two attempts went to one address or over one connection, when an answer arrived, or which attempt continued a moved run, so the hypotheses of the incident could not be told apart.

Change: each attempt is described with its address, the time of its answer, whether that arrived on a reused connection, and the copy that it continues.

--- a/src/coordination/serving/__tests__/forwarded-stream.test.ts
+++ b/src/coordination/serving/__tests__/forwarded-stream.test.ts
@@ -72,7 +72,7 @@
 		const stream = new ForwardedStream(servedRequest(), new StalledResponse() as unknown as ServerResponse, () => undefined, () => 0);
 		const ended = stream.forwardRun({
 			kind: DispatchKind.Answer, backend, answer, abort, metadata: undefined as never, running: new Placement('fd').begin('e', 0, [], 0), attempt: {
-				backendId: 'e', version: 'v1', costMs: 0, sentAfterMs: 0, result: 'sent',
+				backendId: 'e', address: '127.0.0.1:80', version: 'v1', costMs: 0, sentAfterMs: 0, result: 'sent',
 			},
 		});
 		await delay(100);
--- a/src/coordination/serving/__tests__/stream-registry.test.ts
+++ b/src/coordination/serving/__tests__/stream-registry.test.ts
@@ -124,7 +124,7 @@
 		if (hasHead) {
 			const run: Partial<StartedAnswer> = {
 				backend: startedEngine(1), abort, attempt: {
-					backendId: 'e', version: 'v1', costMs: 0, sentAfterMs: 0, result: 'sent', writingSinceMs,
+					backendId: 'e', address: '127.0.0.1:80', version: 'v1', costMs: 0, sentAfterMs: 0, result: 'sent', writingSinceMs,
 				},
 			};
 			stream.currentRun = run as StartedAnswer;
--- a/src/coordination/serving/dispatcher.ts
+++ b/src/coordination/serving/dispatcher.ts
@@ -372,7 +372,7 @@
 			assignedAttempt?.end();
 		});
 		const attempt: Attempt = {
-			backendId: backend.id, version: backend.version, costMs: Math.round(costMs), sentAfterMs: Math.round(sentAtMs - served.inputs.arrivedAtMs), result: 'sent',
+			backendId: backend.id, address: `${backend.host}:${backend.port}`, version: backend.version, costMs: Math.round(costMs), sentAfterMs: Math.round(sentAtMs - served.inputs.arrivedAtMs), kvSource: options.kvSource, result: 'sent',
 		};
 		served.attempts.push(attempt);
 		const fail = (failure: FailedDispatch, slotEnd: SlotEnd): FailedDispatch => {
@@ -506,6 +506,8 @@
 		const {backend, answer, attempt, assignedAttempt} = started;
 		const metadata = dialect.readAnswer(answer.response.headers);
 		const nowMs = clock.now();
+		attempt.answeredAfterMs = Math.round(nowMs - served.inputs.arrivedAtMs);
+		attempt.isConnectionReused = answer.isConnectionReused;
 		const failAsUnknown = (): FailedDispatch => {
 			served.mayHaveRun = true;
 			// A moved run continues, so it does not count as another run.
--- a/src/coordination/serving/served-request.ts
+++ b/src/coordination/serving/served-request.ts
@@ -11,11 +11,19 @@
 /** One attempt: the request sent to one backend server. */
 export type Attempt = {
 	backendId: string;
+	/** Host and port that it was sent to. */
+	address: string;
 	version: string;
 	costMs: number;
 	/** When it was sent, in milliseconds after the request's arrival. */
 	sentAfterMs: number;
+	/** The copied run from which it continues, if it does. */
+	kvSource?: string;
 	result: string;
+	/** When the head of its answer arrived, in milliseconds after the request's arrival. */
+	answeredAfterMs?: number;
+	/** Whether its answer arrived on a connection that had been used before. */
+	isConnectionReused?: boolean;
 	/** What the head of the answer stated of the backend server. */
 	stated?: string;
 	/** When its answer began: with the first event of a stream, or the head of any other answer. */
@@ -52,9 +60,11 @@
 };
 
 /** Describes an attempt for logs. */
-export function describeAttempt({backendId, version, costMs, sentAfterMs, result, stated}: Attempt): string {
+export function describeAttempt({backendId, address, version, costMs, sentAfterMs, kvSource, result, answeredAfterMs, isConnectionReused, stated}: Attempt): string {
+	const continuation = kvSource === undefined ? '' : ` continues ${kvSource}`;
+	const answered = answeredAfterMs === undefined ? '' : `, answered +${answeredAfterMs}${isConnectionReused ? ' on a reused connection' : ''}`;
 	const suffix = stated === undefined ? '' : ` [${stated}]`;
-	return `${backendId} ${version} +${sentAfterMs} cost ${costMs}: ${result}${suffix}`;
+	return `${backendId} at ${address} ${version} +${sentAfterMs} cost ${costMs}${continuation}: ${result}${answered}${suffix}`;
 }
 
 /** The version of a stream that nothing may continue; no backend server has it. */
--- a/src/transport/backend-connection-pool.ts
+++ b/src/transport/backend-connection-pool.ts
@@ -220,6 +220,11 @@
 		return this.response.statusCode ?? 0;
 	}
 
+	/** Whether the connection had carried another request before. */
+	get isConnectionReused(): boolean {
+		return this.request.reusedSocket;
+	}
+
 	/** Whether the body is complete; valid only after its end. */
 	get isComplete(): boolean {
 		return this.response.complete && !resetSockets.has(this.response.socket);
