Add a soak kind with replicas that move streams and refuse requests

Cause: no test counted the runs of moved streams that may run once beside refusals. The stand-in of a replica answered orders to move without carrying them out, and never refused a request early or repeated a refusal.

Change: replicas of a run with moves carry the orders out, hold copies in their slots and check handles. They have few slots, refuse requests before their bodies are read, repeat refusals on the same connection, are reclaimed, restart in place, and take long over orders or leave them unanswered. A continued run counts once only if its source has stopped.

--- a/soak/clients.ts
+++ b/soak/clients.ts
@@ -31,6 +31,10 @@
 const requestKinds = ['call', 'pay', 'stream', 'once'];
 /** The kinds in runs with several versions. */
 const streamHeavyKinds = ['stream', 'stream', 'call', 'stream', 'once'];
+/** The kinds in runs with moves. */
+const movedKinds = ['once', 'once', 'once', 'stream', 'pay'];
+/** What follows the id in the bodies of streams in runs with moves, so that they arrive after their heads. */
+const longBody = ' '.repeat(14_000);
 const resumesHeader = 'Resumes';
 /** Pause between two requests of a client, in milliseconds. */
 const requestPauseMs = 15;
@@ -49,9 +53,12 @@
 	for (let count = 0; !signal.aborted; count++) {
 		const isFlooding = cluster.floodedDaemon !== undefined && count % requestsPerFloodStep < floodedRequests;
 		const daemon = isFlooding ? cluster.floodedDaemon! : cluster.daemons[(count + name.length) % cluster.daemons.length];
-		const kinds = cluster.options.hasVersions ? streamHeavyKinds : requestKinds;
+		const {hasVersions, hasMoves} = cluster.options;
+		const kinds = hasVersions ? streamHeavyKinds : (hasMoves ? movedKinds : requestKinds);
+		const id = `${name}-${count}`;
+		const kind = kinds[count % kinds.length];
 		const inputs: RequestInputs = {
-			agent, host: daemon.host, id: `${name}-${count}`, kind: kinds[count % kinds.length], sharedParts: cluster.options.hasPrompts ? [firstPart, soundPart] : undefined,
+			agent, host: daemon.host, id, kind, sharedParts: cluster.options.hasPrompts ? [firstPart, soundPart] : undefined, body: hasMoves && kind !== 'pay' ? id + longBody : id,
 		};
 		// eslint-disable-next-line no-await-in-loop -- a client waits for its answer before the next request.
 		const record = await sendRequest(cluster, inputs);
--- a/soak/cluster.ts
+++ b/soak/cluster.ts
@@ -4,8 +4,10 @@
 import {tmpdir} from 'node:os';
 import path from 'node:path';
 import process from 'node:process';
+import {RunMoves} from '../platform/__tests__/run-moves.js';
 import {CloudStandin, ReplicaStandin, StoreStandin} from '../platform/__tests__/standins.js';
 import {FaultyLink} from './faulty-link.js';
+import {allowMoves} from './move-faults.js';
 import {stateUsualPace} from './pace-faults.js';
 import {fatalPart} from './prompt-faults.js';
 import {eventPauseMs, versions} from './version-faults.js';
@@ -102,6 +104,8 @@
 	hasPaces?: boolean;
 	/** Whether prompts have parts, one of which crashes replicas; replicas answer without length, and single daemons receive most requests. */
 	hasPrompts?: boolean;
+	/** Whether replicas have few slots, refuse requests early and repeat refusals, and are reclaimed while they move running streams. */
+	hasMoves?: boolean;
 };
 
 /** The daemons, stand-ins and links of one run. */
@@ -110,6 +114,8 @@
 	readonly bounds: typeof defaultBounds;
 	readonly store = new StoreStandin();
 	readonly cloud = new CloudStandin();
+	/** The copies of running streams, in runs with moves. */
+	readonly moves = new RunMoves();
 	/** All replicas of the run, also those that have left. */
 	readonly replicas: ReplicaStandin[] = [];
 	/** The link to each replica, at the same index. */
@@ -195,6 +201,10 @@
 		await replica.start();
 		const link = new FaultyLink(replica.address);
 		await link.start();
+		if (this.options.hasMoves) {
+			allowMoves(replica, link.address, this.moves);
+		}
+
 		this.replicas.push(replica);
 		this.links.push(link);
 		this.publishReplica(replica, link, 'ready');
@@ -222,14 +232,19 @@
 		}
 	}
 
-	/** Restarts a replica as another version; its entry shows that later. */
-	restartReplica(index: number): void {
+	/** Restarts a replica as the next version; its entry shows that later. */
+	restartAsNextVersion(index: number): void {
+		const {version} = this.replicas[index];
+		this.restartReplica(index, versions[(versions.indexOf(version) + 1) % versions.length]);
+	}
+
+	/** Restarts a replica that has not been reclaimed; its entry shows that later. */
+	restartInPlace(index: number): void {
 		const replica = this.replicas[index];
-		replica.restart(versions[(versions.indexOf(replica.version) + 1) % versions.length]);
-		this.links[index].reset();
-		setTimeout(() => {
-			this.publishReplica(replica, this.links[index], 'ready');
-		}, republishDelayMs);
+		if (this.entries.get(replica)?.state === 'ready') {
+			this.moves.remove(replica);
+			this.restartReplica(index, replica.version);
+		}
 	}
 
 	/** Publishes a replica as draining. */
@@ -237,6 +252,23 @@
 		this.publishReplica(this.replicas[index], this.links[index], 'draining');
 	}
 
+	/** Reclaims every second replica that still serves, from one on: they leave after a notice, and others are added at once. */
+	reclaimReplicas(index: number, noticeMs: number): void {
+		const reclaimed = this.replicas.filter((replica, position) => (position - index) % 2 === 0 && this.entries.get(replica)?.state === 'ready');
+		for (const replica of reclaimed) {
+			const {link} = this.entries.get(replica)!;
+			this.publishReplica(replica, link, 'draining', noticeMs);
+			void this.addReplica();
+			setTimeout(() => {
+				this.moves.remove(replica);
+				this.entries.delete(replica);
+				this.store.put('keyed.servers', replica.id, undefined);
+				replica.stop();
+				link.stop();
+			}, noticeMs);
+		}
+	}
+
 	/** Replaces the API key with a new one. */
 	revokeKey(): void {
 		const [old] = this.apiKeys;
@@ -246,6 +278,15 @@
 		this.addedAtMs.set(this.apiKeys[0], Date.now());
 	}
 
+	private restartReplica(index: number, version: string): void {
+		const replica = this.replicas[index];
+		replica.restart(version);
+		this.links[index].reset();
+		setTimeout(() => {
+			this.publishReplica(replica, this.links[index], 'ready');
+		}, republishDelayMs);
+	}
+
 	/** Closes the address of a crashed replica at once; later removes its record from the store and adds another replica. */
 	private replaceCrashed(replica: ReplicaStandin, link: FaultyLink): void {
 		link.stop();
@@ -259,10 +300,10 @@
 	}
 
 	/** Writes a replica's record to the store. */
-	private publishReplica(replica: ReplicaStandin, link: FaultyLink, state: string): void {
+	private publishReplica(replica: ReplicaStandin, link: FaultyLink, state: string, leavesInMs?: number): void { // eslint-disable-line max-params
 		this.entries.set(replica, {link, state});
 		this.store.put('keyed.servers', replica.id, {
-			service: 'svc', address: link.address, zone: failureDomains[0], slots: replica.slots, state, sequence: 1, version: replica.version, cold_left_ms: 0, born: replica.startedAtMs,
+			service: 'svc', address: link.address, zone: failureDomains[0], slots: replica.slots, state, sequence: 1, version: replica.version, cold_left_ms: 0, born: replica.startedAtMs, leaves_ms: leavesInMs,
 		});
 	}
 
@@ -275,7 +316,13 @@
 		this.store.put('keyed.op', 'config', {
 			version: this.version,
 			routes: [route('call', 'idempotent'), route('pay', 'non_idempotent'), route('stream', 'streaming', true), route('once', 'streaming')],
-			services: [{name: 'svc', max_conns: 50}],
+			services: [{
+				name: 'svc', max_conns: 50, ...(this.options.hasMoves && {
+					engine: {
+						slots: 2, kv_tokens: 1000, moves: true, stride: 1,
+					},
+				}),
+			}],
 			tenants: [{name: 'team', api_keys: this.apiKeys}],
 		});
 	}
--- /dev/null
+++ b/soak/move-faults.ts
@@ -0,0 +1,65 @@
+/** Replicas with few slots that refuse what has no room, and move running streams to each other while they are reclaimed. */
+import {type ReplicaStandin} from '../platform/__tests__/standins.js';
+import {type OrderTiming, type RunMoves} from '../platform/__tests__/run-moves.js';
+import {type SoakCluster} from './cluster.js';
+
+/** Requests that a replica runs at once: eight clients fill those of all replicas. */
+const capacity = 3;
+/** Pause between two events of a stream, in milliseconds. */
+const eventPauseMs = 150;
+/** Of so many requests, one is refused before its body has been read, and of so many refusals, one is repeated late. */
+const earlyRefusalInterval = 9;
+const repeatedRefusalInterval = 2;
+/** Time between the notice of a reclaim and the end of the replicas, in milliseconds. */
+const reclaimNoticeMs = 1500;
+/** The time of a usual order, of one on a busy machine, and until one without an answer is carried out, in milliseconds. */
+const usualTiming: OrderTiming = {ms: 20, isAnswered: true};
+const slowTiming: OrderTiming = {ms: 1100, isAnswered: true};
+const unansweredTiming: OrderTiming = {ms: 400, isAnswered: false};
+
+/** A fault: `begin` injects it, `end` removes it. */
+type MoveFault = {name: string; begin: () => void; end?: () => void};
+
+/** Makes a new replica move its streams, and refuse requests in all ways. */
+export function allowMoves(replica: ReplicaStandin, address: string, moves: RunMoves): void {
+	replica.capacity = capacity;
+	replica.slots = capacity;
+	replica.eventPauseMs = eventPauseMs;
+	replica.earlyRefusalInterval = earlyRefusalInterval;
+	replica.repeatedRefusalInterval = repeatedRefusalInterval;
+	replica.startedAtMs = Date.now();
+	replica.moves = moves;
+	moves.timing = usualTiming;
+	moves.add(address, replica);
+}
+
+/** Returns the faults of runs with moves, none in other runs. */
+export function moveFaults(cluster: SoakCluster, index: number): Array<() => MoveFault> {
+	if (!cluster.options.hasMoves) {
+		return [];
+	}
+
+	const {moves} = cluster;
+	const reclaim = (): MoveFault => ({
+		name: `replica ${cluster.replicas[index].id} and others reclaimed`,
+		begin() {
+			cluster.reclaimReplicas(index, reclaimNoticeMs);
+		},
+	});
+	const setTiming = (name: string, timing: OrderTiming) => (): MoveFault => ({
+		name,
+		begin() {
+			moves.timing = timing;
+		},
+		end() {
+			moves.timing = usualTiming;
+		},
+	});
+	const restart = (): MoveFault => ({
+		name: `replica ${cluster.replicas[index].id} restarts`,
+		begin() {
+			cluster.restartInPlace(index);
+		},
+	});
+	return [reclaim, reclaim, reclaim, reclaim, reclaim, reclaim, setTiming('orders to move are slow', slowTiming), setTiming('orders to move get no answer', unansweredTiming), restart];
+}
--- a/soak/soak.ts
+++ b/soak/soak.ts
@@ -16,6 +16,7 @@
 	cooldownMs, findCrashViolations, findLimitViolations, findStatementViolations, limitCheckMs, startStatingLimit,
 } from './replica-faults.js';
 import {SoakCluster, type ClusterOptions} from './cluster.js';
+import {moveFaults} from './move-faults.js';
 import {paceFaults} from './pace-faults.js';
 import {findPromptViolations, isQuarantined, promptFaults} from './prompt-faults.js';
 import {countTakenUp, findVersionViolations, versionFaults} from './version-faults.js';
@@ -44,9 +45,10 @@
  * share answered with 200 of the requests sent after the recovery from the last fault (`servedLast`), the number of
  * these by kind and status (`lastEnds`), the names of the injected faults in order (`faults`), and one text for each
  * violation of a guarantee (`broken`); in runs with several versions also the streams taken up (`streams`), in runs with prompts the sound
- * requests that were refused for crashes (`quarantined`).
+ * requests that were refused for crashes (`quarantined`), and in runs with moves the streams that went on at another replica (`moved`) and the
+ * requests that replicas refused for want of room (`refused`).
  */
-export type SoakReport = {seed: number; tries: number; served: number; servedLast: number; lastEnds: Record<string, number>; faults: string[]; broken: string[]; streams?: ReturnType<typeof countTakenUp>; quarantined?: number};
+export type SoakReport = {seed: number; tries: number; served: number; servedLast: number; lastEnds: Record<string, number>; faults: string[]; broken: string[]; streams?: ReturnType<typeof countTakenUp>; quarantined?: number; moved?: number; refused?: number};
 
 /** A fault: `begin` injects it, `end` removes it if it doesn't end by itself. */
 type Fault = {name: string; begin: () => void; end?: () => void};
@@ -105,6 +107,11 @@
 			report.quarantined = records.flat().filter(record => isQuarantined(record)).length;
 		}
 
+		if (options.hasMoves) {
+			report.moved = cluster.moves.continued;
+			report.refused = cluster.replicas.flatMap(({fullAtMs}) => fullAtMs).length;
+		}
+
 		if (limitedReplica) {
 			report.broken.push(...findCrashViolations(cluster, faultsEndMs), ...findLimitViolations(limitedReplica));
 		}
@@ -210,6 +217,7 @@
 		...versionFaults(cluster, index),
 		...promptFaults(cluster, replica, daemon),
 		...paceFaults(cluster, replica),
+		...moveFaults(cluster, index),
 	];
 	return choices[drawInteger(random, choices.length) - 1]();
 }
@@ -293,8 +301,8 @@
 /** Checks every guarantee against the requests that clients and replicas recorded. */
 function createReport({seed, faults, cluster, records, recoveredAtMs}: {seed: number; faults: string[]; cluster: SoakCluster; records: RequestRecord[]; recoveredAtMs: number}): SoakReport {
 	const runCounts = new Map<string, number>();
-	for (const {id, hasRun} of cluster.replicas.flatMap(replica => replica.received)) {
-		runCounts.set(id, (runCounts.get(id) ?? 0) + (hasRun ? 1 : 0));
+	for (const {id, hasRun, isContinuation} of cluster.replicas.flatMap(replica => replica.received)) {
+		runCounts.set(id, (runCounts.get(id) ?? 0) + (hasRun && !isContinuation ? 1 : 0));
 	}
 
 	const violations: string[] = [];
--- a/soak/version-faults.ts
+++ b/soak/version-faults.ts
@@ -31,7 +31,7 @@
 	const restartAsOther = () => ({
 		name: `replica ${cluster.replicas[index].id} restarts as another version`,
 		begin() {
-			cluster.restartReplica(index);
+			cluster.restartAsNextVersion(index);
 		},
 	});
 	return [killAll, killAll, restartAsOther, restartAsOther];
