Deliver a request at one address again on a new connection only

Callers saw a request that may run once run twice, or one that was answered 503 although it had run.

Cause: a backend server that has refused a request is excluded by the id of its entry. Another entry may name the same address: a new start under the same name, a replacement at the address of one that is still listed, an entry of another writer. The daemon then delivered the same attempt there again, on the kept connection of the first delivery. A late copy of the first refusal bears the id of the attempt, so it counted as the refusal of the second delivery, which ran.

Change: a request remembers the addresses at which it was delivered, and a further delivery at one of them opens a new connection. Bytes that belong to the first delivery cannot arrive there. Excluding the address instead would leave a request unserved whose entry was merely outdated.

--- a/src/coordination/serving/dispatcher.ts
+++ b/src/coordination/serving/dispatcher.ts
@@ -354,6 +354,7 @@
 		}
 
 		const sentAtMs = clock.now();
+		const address = `${backend.host}:${backend.port}`;
 		const abort = new AbortController();
 		const cancel = () => {
 			abort.abort();
@@ -372,7 +373,7 @@
 			assignedAttempt?.end();
 		});
 		const attempt: Attempt = {
-			backendId: backend.id, address: `${backend.host}:${backend.port}`, version: backend.version, costMs: Math.round(costMs), sentAfterMs: Math.round(sentAtMs - served.inputs.arrivedAtMs), kvSource: options.kvSource, result: 'sent',
+			backendId: backend.id, address, version: backend.version, costMs: Math.round(costMs), sentAfterMs: Math.round(sentAtMs - served.inputs.arrivedAtMs), kvSource: options.kvSource, result: 'sent',
 		};
 		served.attempts.push(attempt);
 		const fail = (failure: FailedDispatch, slotEnd: SlotEnd): FailedDispatch => {
@@ -399,11 +400,16 @@
 				}),
 				body,
 				isRetryable: served.isRetryable,
+				// On a connection that has carried this request, a late copy of its refusal would pass for the next answer, since both bear its id.
+				requiresNewConnection: served.deliveredTo.has(address),
 				connectTimeoutMs: Math.min(connectTimeoutMs, options.firstByteTimeoutMs),
 				onConnect() {
 					reachability.noteConnected(backend, clock.now());
 				},
-				onDelivery: options.onDelivery,
+				onDelivery() {
+					served.deliveredTo.add(address);
+					options.onDelivery?.();
+				},
 				signal: abort.signal,
 			});
 			endWaiting(true, clock.now());
--- a/src/coordination/serving/served-request.ts
+++ b/src/coordination/serving/served-request.ts
@@ -83,6 +83,8 @@
 	runs = 0;
 	/** Number of attempts that reached a backend server, including refused ones. */
 	deliveries = 0;
+	/** The addresses at which it was delivered; several entries of backend servers may name one. */
+	readonly deliveredTo = new Set<string>();
 	/** The state of the retry budget at each retry taken from it, for the log line. */
 	readonly budgetStates: string[] = [];
 	/** The next attempt, reserved before the run in progress is abandoned. */
--- a/src/transport/backend-connection-pool.ts
+++ b/src/transport/backend-connection-pool.ts
@@ -55,12 +55,12 @@
 export class BackendConnectionPool extends Agent {
 	/** The memory for the responses that are being read. */
 	readonly memory = new AnswerMemory();
+	/** Opens a new connection for each request that may not reuse one. */
+	readonly singleUseAgent = new Agent({keepAlive: false, noDelay: true});
 	private readonly idleTimeoutsMs = new WeakMap<Socket, number>();
 	private readonly idleTimers = new WeakMap<Socket, NodeJS.Timeout>();
 	private readonly idleSinceMs = new WeakMap<Socket, number>();
 	private reuseRestrictedUntilMs = Number.NEGATIVE_INFINITY;
-	/** Opens a new connection for each request that may not reuse one. */
-	private readonly singleUseAgent = new Agent({keepAlive: false, noDelay: true});
 
 	constructor() {
 		super({
@@ -141,6 +141,8 @@
 	body: Uint8Array | undefined;
 	/** Whether the request may be sent again after a failure that leaves it unknown whether it ran. */
 	isRetryable: boolean;
+	/** Whether it must not be sent on a connection that has been used before. */
+	requiresNewConnection?: boolean;
 	/** Connect timeout, in milliseconds. */
 	connectTimeoutMs: number;
 	/** Called when a new connection has been opened for the request. */
@@ -321,12 +323,12 @@
  */
 export async function sendBackendRequest(pool: BackendConnectionPool, options: BackendRequest): Promise<BackendResponse> {
 	const {
-		backend, method, path, headers, body, isRetryable, connectTimeoutMs, onConnect, onDelivery, signal,
+		backend, method, path, headers, body, isRetryable, requiresNewConnection = false, connectTimeoutMs, onConnect, onDelivery, signal,
 	} = options;
 	signal.throwIfAborted();
 	const hasBody = body !== undefined && (body.length > 0 || (method !== 'GET' && method !== 'HEAD'));
 	const request = startRequest({
-		agent: pool.selectAgent(backend, isRetryable, performance.now()), host: backend.host, port: backend.port, method, path, setHost: false,
+		agent: requiresNewConnection ? pool.singleUseAgent : pool.selectAgent(backend, isRetryable, performance.now()), host: backend.host, port: backend.port, method, path, setHost: false,
 		headers: hasBody ? [...headers, 'Content-Length', String(body.length)] : headers,
 	});
 	let isConnected = false;
