--- a/src/cli/front-daemon.ts
+++ b/src/cli/front-daemon.ts
@@ -260,7 +260,7 @@
 		this.backendsSink = new BackendsSink(records, resolver.resolve(BackendTable), () => {
 			resolver.resolve(Rollouts).noteBackends(resolver.resolve(BackendTable).listed().map(({backend}) => backend), this.clock.now());
 			this.admitRequestsOnceLoaded();
-		});
+		}, resolver.resolve(SteadyClock));
 		return {configSink, backendsSink: this.backendsSink};
 	}
 
--- a/src/coordination/__tests__/restored-records.test.ts
+++ b/src/coordination/__tests__/restored-records.test.ts
@@ -44,7 +44,7 @@
 		},
 	])('$name', ({later, copy, atMs, expected}) => {
 		const table = new BackendTable({drainMs: 2000});
-		const sink = new BackendsSink(codec as Partial<RecordCodec> as RecordCodec, table, () => undefined);
+		const sink = new BackendsSink(codec as Partial<RecordCodec> as RecordCodec, table, () => undefined, {wallTimeMs: () => 0});
 		sink.reset([entry('a', 1), entry('b', 1)], 1, 0);
 		for (const record of later) {
 			sink.apply(record, 1, 0);
@@ -59,7 +59,7 @@
 describe('entries of backend servers after two restores of the store', () => {
 	it('does not use one that the second copy lacks', () => {
 		const table = new BackendTable({drainMs: 2000});
-		const sink = new BackendsSink(codec as Partial<RecordCodec> as RecordCodec, table, () => undefined);
+		const sink = new BackendsSink(codec as Partial<RecordCodec> as RecordCodec, table, () => undefined, {wallTimeMs: () => 0});
 		sink.reset([entry('a', 1), entry('b', 1)], 1, 0);
 		sink.apply(removal('a'), 1, 0);
 		sink.reset([entry('a', 1), entry('b', 1)], 2, 1000);
--- a/src/coordination/record-sinks.ts
+++ b/src/coordination/record-sinks.ts
@@ -1,7 +1,9 @@
 /** The sinks that apply the records of the followed topics to the daemon's tables. A record that cannot be decoded is logged and skipped. */
 import {toSequenceNumber} from '../protocol/log-position.js';
 import {type KeyedRecord, type RecordCodec} from '../protocol/platform.js';
-import {type RolloutOrder} from '../protocol/serving.js';
+import {ProtocolError} from '../protocol/errors.js';
+import {type Backend, type RolloutOrder} from '../protocol/serving.js';
+import {type SteadyClock} from '../clock.js';
 import {type BackendTable} from '../state/backend-table.js';
 import {type RouteTable} from '../state/route-table.js';
 import {createLogger} from '../log.js';
@@ -13,6 +15,9 @@
 /** Number of keys with undecodable entries that are logged at a time. Another writer may fill the topic with such entries, and further ones show nothing new. */
 const maxLoggedKeys = 100;
 
+/** Time by which the start of a backend server may lie ahead of this daemon's clock, in milliseconds. Starts are ordered by their times, so one far ahead would hide all later entries of its name. */
+const maxStartAheadMs = 24 * 3600 * 1000;
+
 /** Applies configurations to the route table, and the operators' roll-out orders. */
 export class ConfigSink implements RecordSink {
 	/** The era of the last record. */
@@ -114,6 +119,7 @@
 		private readonly records: RecordCodec,
 		private readonly backends: BackendTable,
 		private readonly onList: () => void,
+		private readonly clock: Pick<SteadyClock, 'wallTimeMs'>,
 	) {}
 
 	reset(records: KeyedRecord[], era: number, nowMs: number): void {
@@ -156,6 +162,7 @@
 
 		try {
 			const backend = this.records.readBackend(record.key, record.value);
+			requirePlausibleStart(backend, this.clock.wallTimeMs());
 			this.unreadableKeys.delete(record.key);
 			const {hasStartedLeaving, isNew} = this.backends.upsert(backend, nowMs);
 			this.lastAddedAtMs = isNew ? nowMs : this.lastAddedAtMs;
@@ -216,3 +223,15 @@
 		}
 	}
 }
+
+/**
+ * Checks when a backend server started.
+ *
+ * @param wallTimeMs The time of day, in milliseconds since 1970.
+ * @throws {ProtocolError} When that lies more than {@link maxStartAheadMs} ahead.
+ */
+function requirePlausibleStart({name, startedAtMs = 0}: Backend, wallTimeMs: number): void {
+	if (startedAtMs > wallTimeMs + maxStartAheadMs) {
+		throw new ProtocolError(`entry of ${name}: its start at ${startedAtMs} lies ahead`);
+	}
+}
