Count a connection that fails at once as never opened

Callers got 502 for requests that had not been sent, on a machine without a route or a free local port, or while an entry names an address that cannot be reached; no other backend server or daemon was tried.

Cause: when Node.js hands a connection that has failed already to its request, it is no longer connecting, so it was taken for an open one and the request for delivered.

Change: a destroyed connection counts as never opened. The request is written only after it has been handed its connection, so nothing was sent.

--- a/src/transport/__tests__/backend-connection-pool.test.ts
+++ b/src/transport/__tests__/backend-connection-pool.test.ts
@@ -7,7 +7,7 @@
 } from 'vitest';
 import {type Backend, BackendState} from '../../protocol/serving.js';
 import {BackendConnectionPool, sendBackendRequest} from '../backend-connection-pool.js';
-import {TransportError} from '../errors.js';
+import {ConnectError, TransportError} from '../errors.js';
 
 const closers: Array<() => void> = [];
 
@@ -178,3 +178,21 @@
 		pool.destroy();
 	});
 });
+
+// A request that has not been sent may go to another backend server, also one that may run once.
+describe('a connection that fails before anything is sent', () => {
+	it.each([
+		{name: 'at once, for want of a route', host: '255.255.255.255'},
+		{name: 'at once, for an address of no single machine', host: '224.0.0.1'},
+		{name: 'later, since nothing listens there', host: '127.0.0.1'},
+	])('is reported as such: $name', async ({host}) => {
+		let isDelivered = false;
+		const sent = sendBackendRequest(new BackendConnectionPool(), {
+			backend: {id: 'b', host, port: 9}, method: 'POST', path: '/', headers: ['Host', 'h'], body: undefined, isRetryable: false, connectTimeoutMs: 200, signal: AbortSignal.timeout(3000), onDelivery() {
+				isDelivered = true;
+			},
+		});
+		await expect(sent).rejects.toBeInstanceOf(ConnectError);
+		expect(isDelivered).toBe(false);
+	});
+});
--- a/src/transport/backend-connection-pool.ts
+++ b/src/transport/backend-connection-pool.ts
@@ -342,6 +342,11 @@
 	});
 	request.once('socket', socket => {
 		limitHead(request, socket, backend.id);
+		// A connection may fail at once, for want of a route or a local port; nothing is sent on it.
+		if (socket.destroyed) {
+			return;
+		}
+
 		if (!socket.connecting) {
 			isConnected = true;
 			onDelivery?.();
