Look the requests in flight up in a map

Operators would see orders for an unknown number of replicas while the list holds an entry under an id such as 'constructor'.

Cause: the requests in flight were kept in a plain object, and an id without requests that names a property of all objects gave that property in place of nothing. The pool's need became NaN once the grace period without traffic had passed.

Change: Placement.inFlight returns a map.

--- a/src/cli/front-container.ts
+++ b/src/cli/front-container.ts
@@ -345,7 +345,7 @@
 		backends: resolver.resolve(BackendTable),
 		clock,
 		service: name => resolver.resolve(RouteTable).service(name),
-		inFlight: (backendId, nowMs) => (resolver.resolve(Placement).inFlight()[backendId] ?? 0) + resolver.resolve(FleetTable).inFlight(backendKey(backendId), nowMs),
+		inFlight: (backendId, nowMs) => (resolver.resolve(Placement).inFlight().get(backendId) ?? 0) + resolver.resolve(FleetTable).inFlight(backendKey(backendId), nowMs),
 	}));
 	registerFactory(Forwarder, resolver => new Forwarder({
 		dialect,
--- a/src/cli/front-daemon.ts
+++ b/src/cli/front-daemon.ts
@@ -207,7 +207,7 @@
 			backends: this.container.resolve(BackendTable).toJson(),
 			fleet: this.container.resolve(FleetTable).toJson(nowMs),
 			holder: this.container.resolve(DutyLease).createHolderUpdate(nowMs),
-			inFlight: this.container.resolve(Placement).inFlight(),
+			inFlight: Object.fromEntries(this.container.resolve(Placement).inFlight()),
 			streams: {running: registry.size, moved: registry.movedCount, rememberedOrigins: this.container.resolve(StreamOrigins).size},
 			versions: this.container.resolve(ServiceVersions).all(nowMs),
 			connections: this.server.openConnections,
--- a/src/coordination/assignment/__tests__/assignment-load.test.ts
+++ b/src/coordination/assignment/__tests__/assignment-load.test.ts
@@ -365,7 +365,7 @@
 /** Places each call by the daemon that received it, with half a second old views of the others. */
 class DaemonSystem implements System {
 	private readonly placements = Array.from({length: daemons}, () => new Placement('fd'));
-	private views: Array<{total: Map<string, number>; own: Array<Record<string, number>>}> = [];
+	private views: Array<{total: Map<string, number>; own: Array<Map<string, number>>}> = [];
 
 	constructor(private readonly world: World) {}
 
@@ -376,7 +376,7 @@
 		const servers = call.tokens > 0 ? world.engines : world.replicas;
 		const view = this.views.at(0);
 		const choice = this.placements[daemon].choose({
-			candidates: servers.map(server => toBackend(server)), excluded, promptTokens: call.tokens, promptParts: call.parts, peersInFlight: id => (view?.total.get(id) ?? 0) - (view?.own[daemon][id] ?? 0), random: () => world.random(), nowMs: simulation.nowMs, isSuspect: false,
+			candidates: servers.map(server => toBackend(server)), excluded, promptTokens: call.tokens, promptParts: call.parts, peersInFlight: id => (view?.total.get(id) ?? 0) - (view?.own[daemon].get(id) ?? 0), random: () => world.random(), nowMs: simulation.nowMs, isSuspect: false,
 		});
 		const remainingMs = call.arrivedAtMs + call.kind.deadlineMs - simulation.nowMs;
 		if (!choice || (call.tokens > 0 && choice.waitMs > remainingMs * 0.8)) {
@@ -410,7 +410,7 @@
 		if (this.world.simulation.nowMs % 100 === 0) {
 			const own = this.placements.map(placement => placement.inFlight());
 			const total = new Map<string, number>();
-			for (const [id, count] of own.flatMap(counts => Object.entries(counts))) {
+			for (const [id, count] of own.flatMap(counts => [...counts])) {
 				total.set(id, (total.get(id) ?? 0) + count);
 			}
 
--- a/src/coordination/fleet/digest-builder.ts
+++ b/src/coordination/fleet/digest-builder.ts
@@ -28,7 +28,7 @@
 			silent: 0,
 			use: writeUse(new Map([...sharedUse.ownTotals(), ...rollouts.outcomes.ownTotals()])),
 			usage: usage.ownCounts(),
-			inFlight: packCounts(new Map(Object.entries(placement.inFlight()).map(([id, count]) => [backendKey(id), count]))),
+			inFlight: packCounts(new Map([...placement.inFlight()].map(([id, count]) => [backendKey(id), count]))),
 		};
 	}
 
--- a/src/coordination/placement.ts
+++ b/src/coordination/placement.ts
@@ -163,8 +163,8 @@
 	}
 
 	/** Returns this daemon's requests in flight, by id of the backend server. */
-	inFlight(): Record<string, number> {
-		return Object.fromEntries([...this.statsByBackend].filter(([, stats]) => stats.inFlight > 0).map(([id, stats]) => [id, stats.inFlight]));
+	inFlight(): Map<string, number> {
+		return new Map([...this.statsByBackend].filter(([, stats]) => stats.inFlight > 0).map(([id, stats]) => [id, stats.inFlight]));
 	}
 
 	/** Drops the statistics of backend servers that are not listed any more and have no request in flight. */
--- a/src/coordination/pool-demand.ts
+++ b/src/coordination/pool-demand.ts
@@ -100,7 +100,7 @@
 		const own = this.placement.inFlight();
 		let busyReplicas = 0;
 		for (const {id, slots} of replicas) {
-			const inUse = ((own[id] ?? 0) + this.fleet.inFlight(backendKey(id), nowMs)) / targetInFlight(slots);
+			const inUse = ((own.get(id) ?? 0) + this.fleet.inFlight(backendKey(id), nowMs)) / targetInFlight(slots);
 			// A replica that limits its rate takes no more load than it has now, so it counts as full and others must take the rest.
 			busyReplicas += this.statedLimits.isLimited(id) ? Math.max(1, inUse) : inUse;
 		}
