--- a/soak/__tests__/soak.test.ts
+++ b/soak/__tests__/soak.test.ts
@@ -38,6 +38,12 @@
 	{
 		seed: 1102, daemons: 16, cause: 'the same with relays as coordinators', options: {hasPaces: true},
 	},
+	{
+		seed: 69_101, daemons: 3, cause: 'replicas with few slots that refuse early, repeat refusals and move streams as they are reclaimed', options: {hasMoves: true},
+	},
+	{
+		seed: 69_102, daemons: 16, cause: 'the same with more daemons than report to each other', options: {hasMoves: true},
+	},
 	{
 		seed: 701, daemons: 3, cause: 'a request that crashes replicas, and a replica that states a limit', options: {hasReplicaFaults: true},
 	},
--- a/soak/move-faults.ts
+++ b/soak/move-faults.ts
@@ -7,8 +7,8 @@
 const capacity = 3;
 /** Pause between two events of a stream, in milliseconds. */
 const eventPauseMs = 150;
-/** Of so many requests, one is refused before its body has been read, and of so many refusals, one is repeated late. */
-const earlyRefusalInterval = 9;
+/** At a faulty replica, one of so many requests is refused before its body has been read, and one of so many refusals is repeated late. */
+const earlyRefusalInterval = 4;
 const repeatedRefusalInterval = 2;
 /** Time between the notice of a reclaim and the end of the replicas, in milliseconds. */
 const reclaimNoticeMs = 1500;
@@ -25,8 +25,6 @@
 	replica.capacity = capacity;
 	replica.slots = capacity;
 	replica.eventPauseMs = eventPauseMs;
-	replica.earlyRefusalInterval = earlyRefusalInterval;
-	replica.repeatedRefusalInterval = repeatedRefusalInterval;
 	replica.startedAtMs = Date.now();
 	replica.moves = moves;
 	moves.timing = usualTiming;
@@ -34,18 +32,34 @@
 }
 
 /** Returns the faults of runs with moves, none in other runs. */
-export function moveFaults(cluster: SoakCluster, index: number): Array<() => MoveFault> {
+export function moveFaults(cluster: SoakCluster, replica: ReplicaStandin): Array<() => MoveFault> {
 	if (!cluster.options.hasMoves) {
 		return [];
 	}
 
 	const {moves} = cluster;
+	const index = cluster.replicas.indexOf(replica);
 	const reclaim = (): MoveFault => ({
-		name: `replica ${cluster.replicas[index].id} and others reclaimed`,
+		name: `replica ${replica.id} and others reclaimed`,
 		begin() {
 			cluster.reclaimReplicas(index, reclaimNoticeMs);
 		},
 	});
+	const refuse = (): MoveFault => ({
+		name: 'all replicas refuse early and repeat refusals',
+		begin() {
+			for (const each of cluster.replicas) {
+				each.earlyRefusalInterval = earlyRefusalInterval;
+				each.repeatedRefusalInterval = repeatedRefusalInterval;
+			}
+		},
+		end() {
+			for (const each of cluster.replicas) {
+				each.earlyRefusalInterval = 0;
+				each.repeatedRefusalInterval = 0;
+			}
+		},
+	});
 	const setTiming = (name: string, timing: OrderTiming) => (): MoveFault => ({
 		name,
 		begin() {
@@ -56,10 +70,10 @@
 		},
 	});
 	const restart = (): MoveFault => ({
-		name: `replica ${cluster.replicas[index].id} restarts`,
+		name: `replica ${replica.id} restarts`,
 		begin() {
 			cluster.restartInPlace(index);
 		},
 	});
-	return [reclaim, reclaim, reclaim, reclaim, reclaim, reclaim, setTiming('orders to move are slow', slowTiming), setTiming('orders to move get no answer', unansweredTiming), restart];
+	return [reclaim, reclaim, reclaim, reclaim, reclaim, reclaim, refuse, refuse, refuse, refuse, setTiming('orders to move are slow', slowTiming), setTiming('orders to move get no answer', unansweredTiming), restart];
 }
--- a/soak/soak.ts
+++ b/soak/soak.ts
@@ -217,7 +217,7 @@
 		...versionFaults(cluster, index),
 		...promptFaults(cluster, replica, daemon),
 		...paceFaults(cluster, replica),
-		...moveFaults(cluster, index),
+		...moveFaults(cluster, replica),
 	];
 	return choices[drawInteger(random, choices.length) - 1]();
 }
