Keep the pace of orders to move while replicas are added to a soak run

Cause: each replica that was added reset it, so that slow and unanswered orders lasted until the next reclaim only.

--- a/soak/cluster.ts
+++ b/soak/cluster.ts
@@ -7,7 +7,7 @@
 import {RunMoves} from '../platform/__tests__/run-moves.js';
 import {CloudStandin, ReplicaStandin, StoreStandin} from '../platform/__tests__/standins.js';
 import {FaultyLink} from './faulty-link.js';
-import {allowMoves} from './move-faults.js';
+import {allowMoves, capacity} from './move-faults.js';
 import {stateUsualPace} from './pace-faults.js';
 import {fatalPart} from './prompt-faults.js';
 import {eventPauseMs, versions} from './version-faults.js';
@@ -319,7 +319,7 @@
 			services: [{
 				name: 'svc', max_conns: 50, ...(this.options.hasMoves && {
 					engine: {
-						slots: 2, kv_tokens: 1000, moves: true, stride: 1,
+						slots: capacity, kv_tokens: 1000, moves: true, stride: 1,
 					},
 				}),
 			}],
--- a/soak/move-faults.ts
+++ b/soak/move-faults.ts
@@ -1,10 +1,10 @@
 /** Replicas with few slots that refuse what has no room, and move running streams to each other while they are reclaimed. */
 import {type ReplicaStandin} from '../platform/__tests__/standins.js';
-import {type OrderTiming, type RunMoves} from '../platform/__tests__/run-moves.js';
+import {promptTiming, type OrderTiming, type RunMoves} from '../platform/__tests__/run-moves.js';
 import {type SoakCluster} from './cluster.js';
 
 /** Requests that a replica runs at once: eight clients fill those of all replicas. */
-const capacity = 3;
+export const capacity = 3;
 /** Pause between two events of a stream, in milliseconds. */
 const eventPauseMs = 150;
 /** At a faulty replica, one of so many requests is refused before its body has been read, and one of so many refusals is repeated late. */
@@ -12,8 +12,7 @@
 const repeatedRefusalInterval = 2;
 /** Time between the notice of a reclaim and the end of the replicas, in milliseconds. */
 const reclaimNoticeMs = 1500;
-/** The time of a usual order, of one on a busy machine, and until one without an answer is carried out, in milliseconds. */
-const usualTiming: OrderTiming = {ms: 20, isAnswered: true};
+/** How orders are carried out on a busy machine, and how those that get no answer are. */
 const slowTiming: OrderTiming = {ms: 1100, isAnswered: true};
 const unansweredTiming: OrderTiming = {ms: 400, isAnswered: false};
 
@@ -27,7 +26,6 @@
 	replica.eventPauseMs = eventPauseMs;
 	replica.startedAtMs = Date.now();
 	replica.moves = moves;
-	moves.timing = usualTiming;
 	moves.add(address, replica);
 }
 
@@ -66,7 +64,7 @@
 			moves.timing = timing;
 		},
 		end() {
-			moves.timing = usualTiming;
+			moves.timing = promptTiming;
 		},
 	});
 	const restart = (): MoveFault => ({
