Log requests whose answer the daemon ends itself

A request whose handler failed left no line: FrontServer closed the connection and logged nothing. One that was cut at the end of the grace period was logged as if its client had left. So the log could not tell why an answer that had begun was not completed.

Requests that end in an error are logged and counted as failed, with the error; those cut by the stop as cut-off.

--- a/src/coordination/serving/forwarder.ts
+++ b/src/coordination/serving/forwarder.ts
@@ -13,7 +13,7 @@
 import {type Latch} from '../../latch.js';
 import {type ViewAge} from '../../state/view-age.js';
 import {type RouteTable} from '../../state/route-table.js';
-import {type FrontRequest, writeErrorResponse} from '../../transport/front-server.js';
+import {ConnectionCutError, type FrontRequest, writeErrorResponse} from '../../transport/front-server.js';
 import {createLogger} from '../../log.js';
 import {type Quarantine, type QuarantineRefusal} from '../quarantine/quarantine.js';
 import {computeFingerprints, formatFingerprint, type RequestFingerprints} from '../quarantine/request-fingerprint.js';
@@ -47,6 +47,10 @@
 	/** A stream broke off after events were delivered. */
 	Broken = 'broken',
 	ClientGone = 'client-gone',
+	/** The daemon closed the client's connection at the end of its stop. */
+	CutOff = 'cut-off',
+	/** An error in the daemon ended the answer. */
+	Failed = 'failed',
 	/** Another daemon answered in place of this one. */
 	Proxied = 'proxied',
 	/** The request was not admitted, and no backend server was selected. */
@@ -178,6 +182,9 @@
 			} else {
 				await (route.kind === RequestKind.Streaming ? this.serveStream(served, front) : this.serveUnary(served, front));
 			}
+		} catch (error) {
+			this.recordOutcome(served, Outcome.Failed, {reason: String(error)});
+			throw error;
 		} finally {
 			if (!served.mayHaveRun && account) {
 				quota.refund(account, cost, clock.now());
@@ -193,7 +200,7 @@
 			request: {...request, apiKey: undefined}, body: front.body, account: account?.name, configVersion, elapsedMs: clock.now() - arrivedAtMs, isCounted: served.isUnreachable,
 		}, service, served.deadlineAtMs);
 		if (front.signal.aborted) {
-			this.recordOutcome(served, Outcome.ClientGone, {});
+			this.recordOutcome(served, describeDisconnect(front.signal), {});
 		} else if (result.kind === 'answered') {
 			this.recordOutcome(served, Outcome.Proxied, {status: result.status, reason: result.isComplete ? result.peer : `${result.peer} broke off`});
 		} else if (result.kind === 'not-run') {
@@ -331,7 +338,7 @@
 			this.recordOutcome(served, Outcome.Served, {events: result.events});
 		} else if (result.kind === 'broken') {
 			front.response.destroy();
-			this.recordOutcome(served, front.signal.aborted ? Outcome.ClientGone : Outcome.Broken, {events: result.events, reason: result.reason});
+			this.recordOutcome(served, front.signal.aborted ? describeDisconnect(front.signal) : Outcome.Broken, {events: result.events, reason: result.reason});
 		} else {
 			await this.finish(served, front, result);
 		}
@@ -340,7 +347,7 @@
 	/** Writes the final answer of a request of which nothing has been sent to the client yet. */
 	private writeFinalAnswer(served: ServedRequest, front: FrontRequest, result: UnaryResult | Exclude<StreamResult, {kind: 'complete' | 'broken'}>): void {
 		if (front.signal.aborted) {
-			this.recordOutcome(served, Outcome.ClientGone, {});
+			this.recordOutcome(served, describeDisconnect(front.signal), {});
 			return;
 		}
 
@@ -407,6 +414,11 @@
 	}
 }
 
+/** Returns the outcome of a request whose connection closed before its answer was written. */
+function describeDisconnect({reason}: AbortSignal): Outcome.ClientGone | Outcome.CutOff {
+	return reason instanceof ConnectionCutError ? Outcome.CutOff : Outcome.ClientGone;
+}
+
 /** Picks the service of a request at random, by the weights of its route's targets. */
 function pickService(route: Route): string | undefined {
 	let totalWeight = 0;
--- a/src/transport/__tests__/front-server.test.ts
+++ b/src/transport/__tests__/front-server.test.ts
@@ -7,7 +7,7 @@
 	afterAll, beforeAll, describe, expect, it,
 } from 'vitest';
 import {waitUntil} from '../../testing/stack.js';
-import {FrontServer, type FrontRequest} from '../front-server.js';
+import {ConnectionCutError, FrontServer, type FrontRequest} from '../front-server.js';
 
 const port = 18_471;
 const handledRequests: FrontRequest[] = [];
@@ -110,6 +110,23 @@
 		silentServer.destroy();
 	});
 
+	it('tells a connection that it has closed itself from one that its client has closed', async () => {
+		const signals: AbortSignal[] = [];
+		const stoppedServer = new FrontServer(async request => {
+			signals.push(request.signal);
+		});
+		await stoppedServer.listen({host: '127.0.0.1', port: port + 1});
+		const socket = connect(port + 1, '127.0.0.1');
+		socket.on('error', () => undefined);
+		socket.write('GET /a HTTP/1.1\r\nHost: h\r\n\r\n');
+		await waitUntil(async () => signals.length === 1, 2000);
+		stoppedServer.close();
+		expect(signals[0].aborted).toBe(false);
+		stoppedServer.destroy();
+		await waitUntil(async () => signals[0].aborted, 2000);
+		expect(signals[0].reason).toBeInstanceOf(ConnectionCutError);
+	});
+
 	it.each([
 		{name: 'handles a request that it reads late while its client still waits', staysMs: 1000, isHandled: true},
 		{name: 'does not handle a request whose client left before it was read', staysMs: 50, isHandled: false},
--- a/src/transport/front-server.ts
+++ b/src/transport/front-server.ts
@@ -38,7 +38,7 @@
 	rawHeaders: string[];
 	body: Uint8Array;
 	response: ServerResponse;
-	/** Aborts when the client closes its connection before the response is written. */
+	/** Aborts when the connection closes before the response is written; the reason is a {@link ConnectionCutError} if the server has closed it. */
 	signal: AbortSignal;
 };
 
@@ -62,6 +62,9 @@
 	}
 }
 
+/** The server has closed a connection with an open response. */
+export class ConnectionCutError extends TransportError {}
+
 /**
  * Checks a request's framing, header size and stated body length.
  *
@@ -116,6 +119,7 @@
 	private bufferedBytes = 0;
 	private isStopping = false;
 	private isClosed = false;
+	private isDestroyed = false;
 
 	/** @param accepts Returns whether a connection that has just been opened is accepted; otherwise it is closed with nothing read. */
 	constructor(private readonly handler: FrontHandler, accepts: () => boolean = () => true) {
@@ -199,6 +203,7 @@
 
 	/** Closes all connections at once. */
 	destroy(): void {
+		this.isDestroyed = true;
 		for (const socket of this.connections.keys()) {
 			socket.destroy();
 		}
@@ -240,7 +245,7 @@
 			connection.openRequests--;
 			connection.handledRequests -= isHandled ? 1 : 0;
 			if (!response.writableFinished) {
-				clientDisconnect.abort();
+				clientDisconnect.abort(this.isDestroyed ? new ConnectionCutError('connection closed by the server') : undefined);
 			} else if (this.isClosed || (connection.closesAfterResponses && connection.handledRequests === 0)) {
 				// The headers of a response that began before the stop promise a keep-alive connection.
 				socket.destroySoon();
@@ -279,6 +284,12 @@
 			if (error instanceof RejectedRequestError) {
 				writeErrorResponse(response, error.statusCode, error.message);
 			} else {
+				if (isHandled) {
+					log.error('handler of a request failed, closing its connection.', {
+						method: request.method, path: request.url, error: String(error), cause: error instanceof Error ? String(error.cause) : '',
+					});
+				}
+
 				// The body was not read completely or the handler failed, so the outcome is unknown and no response is sent.
 				response.destroy(error as Error);
 			}
