Send answers whole to slow clients when a daemon stops

Callers: a client that reads slowly lost the rest of an answer as its daemon stopped. Cause: since Node.js 19, http.Server.close closes all connections on which no response is open, and a response whose end has been written counts as closed although its bytes still wait for the client. FrontServer closes idle connections itself and waits for the others; it now keeps Node.js from closing any.

--- a/src/transport/__tests__/front-server.test.ts
+++ b/src/transport/__tests__/front-server.test.ts
@@ -229,3 +229,29 @@
 		expect(text).not.toContain('408');
 	});
 });
+
+describe('an answer that is still being sent to a slow client', () => {
+	const answerBytes = 16 * 1024 * 1024;
+
+	// Guards against answers that a stop truncates: Node.js closes connections whose response has ended, sent or not.
+	it('arrives whole when the server stops meanwhile', async () => {
+		const stopping = new FrontServer(async ({response}) => {
+			response.writeHead(200, {'Content-Length': String(answerBytes)});
+			response.end('x'.repeat(answerBytes));
+		});
+		await stopping.listen({host: '127.0.0.1', port: port + 1});
+		const socket = connect(port + 1, '127.0.0.1');
+		let received = 0;
+		socket.on('error', () => undefined);
+		socket.write('GET /a HTTP/1.1\r\nHost: h\r\n\r\n');
+		await once(socket, 'readable');
+		await delay(100);
+		stopping.close();
+		socket.on('data', (chunk: Uint8Array) => {
+			received += chunk.length;
+		});
+		await once(socket, 'close');
+		stopping.destroy();
+		expect(received).toBeGreaterThan(answerBytes);
+	});
+});
--- a/src/transport/front-server.ts
+++ b/src/transport/front-server.ts
@@ -128,6 +128,8 @@
 		}, (request, response) => {
 			void this.handleRequest(request, response);
 		});
+		// On close, Node.js would also close connections whose response has ended but is still being sent.
+		this.server.closeIdleConnections = () => undefined;
 		this.server.prependListener('connection', (socket: Socket) => {
 			if (!accepts()) {
 				socket.destroy();
