Keep a run until another engine holds room for its stream

Callers: streams that had delivered events ended early, with most of their time left, although their engine went on. The pool was short: their engine was silent for 1.3 s or about to leave, and the other engines were full.

Cause: a run was given up on the assumption that an engine that has not refused within 100 ms accepts. Engines that have a queue refuse later. Class: a resource is given up before its replacement is confirmed.

A takeover now asks the other engine to hold a slot and memory for the stream first, and at most two engines a second. The run in progress is closed as the request is delivered to an engine that granted this; otherwise it goes on. The attempt after the soft timeout of a stream's first event needs a hold too. Closing and delivering happen in one turn of the event loop, so no timer bounds the time in which two engines work on a stream, and SweepDelays is gone. The request is sent on a new connection, since an idle one may be dead.

Services whose engines hold no room have no takeovers any more: their streams go on after the break of their engine. The stand-ins' configurations state the time for which engines hold room, as the platform's do.

--- a/soak/cluster.ts
+++ b/soak/cluster.ts
@@ -319,7 +319,7 @@
 			services: [{
 				name: 'svc', max_conns: 50, ...(this.options.hasMoves && {
 					engine: {
-						slots: capacity, kv_tokens: 1000, moves: true, stride: 1,
+						slots: capacity, kv_tokens: 1000, moves: true, stride: 1, hold_ms: 2000,
 					},
 				}),
 			}],
--- a/src/cli/front-container.ts
+++ b/src/cli/front-container.ts
@@ -226,7 +226,9 @@
 		peerProxy: resolver.resolve(PeerProxy),
 		versions: resolver.resolve(ServiceVersions),
 		engines,
+		routes: resolver.resolve(RouteTable),
 		clock,
+		signal,
 	}));
 	registerFactory(RequestExplainer, resolver => new RequestExplainer({
 		routes: resolver.resolve(RouteTable), configView: resolver.resolve(ViewAge), quota: resolver.resolve(QuotaLedger), quotaPeers: nowMs => resolver.resolve(FleetMessenger).quotaPeers(nowMs), exchange: resolver.resolve(AssignmentExchange), selector: resolver.resolve(Dispatcher).selector,
--- a/src/coordination/serving/__tests__/backend-selector.test.ts
+++ b/src/coordination/serving/__tests__/backend-selector.test.ts
@@ -42,8 +42,28 @@
 	configVersion: 1,
 });
 
+/** Engines whose answers to orders to hold room the test gives. */
+class HoldingEngines {
+	readonly dropped: string[] = [];
+	private answer: ((hold: string | undefined) => void) | undefined;
+
+	async takeHold(): Promise<string | undefined> {
+		return new Promise(resolve => {
+			this.answer = resolve;
+		});
+	}
+
+	async dropHold(_engine: Backend, hold: string): Promise<void> {
+		this.dropped.push(hold);
+	}
+
+	answerHold(hold: string | undefined): void {
+		this.answer?.(hold);
+	}
+}
+
 /** Creates a selector over two backend servers, of which `limited` stated its rate limit `statedMsAgo`. */
-function createSelector(isSender: boolean, statedMsAgo: number): {selector: BackendSelector; limits: StatedLimits; cooldowns: Cooldowns; reservations: RetryReservations} {
+function createSelector(isSender: boolean, statedMsAgo: number): {selector: BackendSelector; limits: StatedLimits; cooldowns: Cooldowns; reservations: RetryReservations; engines: HoldingEngines} {
 	const nowMs = 100_000;
 	const backends = new BackendTable({drainMs: 2000});
 	backends.upsert(backend('limited'), 0);
@@ -71,11 +91,12 @@
 		backends, placement, fleet, quarantine, statedLimits: limits, cooldowns, slots, rollouts: new Rollouts({canaryShare: 0.1}, () => 0, noEvidence), clock,
 	});
 	const retryBudget = new LocalRetryBudget({ratio: 0, windowMs: 10_000, slack: 100});
+	const engines = new HoldingEngines();
 	const reservations = new RetryReservations({
-		selector, retryBudget, quarantine, slots, clock,
+		selector, retryBudget, quarantine, slots, engines, routes: {service: name => ({name, engine: {canMove: false, tokensPerEvent: 1, holdMs: 2000}, scaling: undefined})}, clock, signal: new AbortController().signal,
 	});
 	return {
-		selector, limits, cooldowns, reservations,
+		selector, limits, cooldowns, reservations, engines,
 	};
 }
 
@@ -159,6 +180,46 @@
 		expect(reservations.reservedBackend(served)?.id).toBe('free');
 	});
 
+	// A hold that nothing uses would keep others from the engine's room.
+	it.each([
+		{
+			name: 'keeps a hold for the attempt that follows', answered: 'hold-1', change: 'none', isHeld: true, dropped: [],
+		},
+		{
+			name: 'has none when the engine refuses', answered: undefined, change: 'none', isHeld: false, dropped: [],
+		},
+		{
+			name: 'drops one that is granted after the reservation was released', answered: 'hold-1', change: 'released before', isHeld: false, dropped: ['hold-1'],
+		},
+		{
+			name: 'drops one when the reservation is released', answered: 'hold-1', change: 'released after', isHeld: true, dropped: ['hold-1'],
+		},
+		{
+			name: 'drops one when the engine can no longer be used', answered: 'hold-1', change: 'cools down', isHeld: true, dropped: ['hold-1'],
+		},
+	])('$name', async ({answered, change, isHeld, dropped}) => {
+		const {reservations, engines, limits, cooldowns} = createSelector(true, 500);
+		limits.noteStated('limited', undefined, 100_000);
+		const served = createRequest();
+		reservations.reserve(served, 'elsewhere', RetryPurpose.Move, 0);
+		const held = reservations.acquireHold(served);
+		if (change === 'released before') {
+			reservations.release(served);
+		}
+
+		engines.answerHold(answered);
+		expect(await held).toBe(isHeld);
+		if (change === 'released after') {
+			reservations.release(served);
+		} else if (change === 'cools down') {
+			cooldowns.note(backend('limited'), 1000, 100_000, 100_000);
+			expect(reservations.reservedBackend(served)?.id).toBe('free');
+		}
+
+		expect(engines.dropped).toEqual(dropped);
+		expect(served.reservation?.hold).toBe(dropped.length === 0 ? answered : undefined);
+	});
+
 	it('reserves no more than its rate limit on a backend server for streams that leave an engine together', () => {
 		const {reservations} = createSelector(true, 500);
 		const reservedIds = Array.from({length: 20}, () => {
--- a/src/coordination/serving/dispatcher.ts
+++ b/src/coordination/serving/dispatcher.ts
@@ -6,6 +6,7 @@
 import {type Dialect, type EngineClient} from '../../protocol/platform.js';
 import {type AnswerMetadata, type Backend} from '../../protocol/serving.js';
 import {type BackendTable} from '../../state/backend-table.js';
+import {type RouteTable} from '../../state/route-table.js';
 import {type SteadyClock} from '../../clock.js';
 import {type BackendResponse, type BackendConnectionPool, sendBackendRequest} from '../../transport/backend-connection-pool.js';
 import {ConnectError} from '../../transport/errors.js';
@@ -40,6 +41,8 @@
 const connectTimeoutMs = 300;
 /** Interval in milliseconds at which a retry reservation is tried again after the soft timeout. */
 const reservationPollMs = 50;
+/** The same after an engine refused to hold room, in milliseconds: it is a call to the engine. */
+const holdPollMs = 500;
 /** Backend servers whose coordinators are asked for a slot for one dispatch. */
 const maxSlotRequests = 4;
 /** The reason given for a dispatch whose connection did not open. */
@@ -106,6 +109,8 @@
 	firstByteTimeoutMs: number;
 	/** Time in milliseconds after which the attempt is cancelled as soon as a retry is reserved; undefined when no retry is allowed. */
 	softTimeoutMs?: number;
+	/** Whether it is sent only to the reserved engine, which holds room for it, and on a new connection. */
+	requiresHold?: boolean;
 	/** Cancels the dispatch until the head of its answer has arrived. */
 	signal?: AbortSignal;
 	/** Called before the request is delivered to a backend server. */
@@ -135,8 +140,11 @@
 	reachability: Reachability;
 	peerProxy: PeerProxy;
 	versions: Pick<ServiceVersions, 'isMixed'>;
-	engines: Pick<EngineClient, 'readStartTime'>;
+	engines: Pick<EngineClient, 'readStartTime' | 'takeHold' | 'dropHold'>;
+	routes: Pick<RouteTable, 'service'>;
 	clock: SteadyClock;
+	/** Aborts when the daemon stops. */
+	signal: AbortSignal;
 };
 
 /** Sends requests to backend servers. */
@@ -169,6 +177,10 @@
 
 			const hasFixedTarget = options.target !== undefined;
 			const isPreselectedUsable = preselected !== undefined && (hasFixedTarget || selector.isUsable(served, preselected.backend, isRateLimitCharged));
+			if (options.requiresHold === true && !isPreselectedUsable) {
+				return {kind: DispatchKind.NotRun, reason: 'the engine that holds room cannot be used any more'};
+			}
+
 			const choice = isPreselectedUsable ? preselected : selector.select(served);
 			isRateLimitCharged &&= isPreselectedUsable;
 			preselected = undefined;
@@ -220,14 +232,14 @@
 
 			isRateLimitCharged = false;
 			// eslint-disable-next-line no-await-in-loop -- one backend server after the other.
-			const result = await this.sendTo(served, choice, options, {slot, assignment});
+			const result = await this.sendTo(served, choice, options, {slot, assignment, hold: usedReservation?.choice.backend.id === choice.backend.id ? usedReservation.hold : undefined});
 			assignment = undefined;
 			if (result.kind !== DispatchKind.NotRun || !undeliveredReasons.has(result.reason)) {
 				return result;
 			}
 
 			reservations.restore(served, usedReservation);
-			if (hasFixedTarget || served.inputs.signal.aborted || options.signal?.aborted) {
+			if (hasFixedTarget || options.requiresHold === true || served.inputs.signal.aborted || options.signal?.aborted) {
 				return result;
 			}
 
@@ -333,7 +345,7 @@
 		return deliveries === 0 && !inputs.isProxied && (hasTriedAll || isSpread(unreachedDomains, candidates)) && peerProxy.isAvailable(inputs.service, nowMs);
 	}
 
-	private async sendTo(served: ServedRequest, choice: Pick<PlacementChoice, 'backend' | 'costMs' | 'copyFrom'>, options: DispatchOptions, {slot, assignment}: {slot: SlotLease; assignment: AssignedBackend | undefined}): Promise<StartedAnswer | FailedDispatch> {
+	private async sendTo(served: ServedRequest, choice: Pick<PlacementChoice, 'backend' | 'costMs' | 'copyFrom'>, options: DispatchOptions, {slot, assignment, hold}: {slot: SlotLease; assignment: AssignedBackend | undefined; hold: string | undefined}): Promise<StartedAnswer | FailedDispatch> {
 		const {backend, costMs, copyFrom} = choice;
 		const {
 			dialect, placement, pool, reachability, crashWatch, clock,
@@ -373,7 +385,7 @@
 			assignedAttempt?.end();
 		});
 		const attempt: Attempt = {
-			backendId: backend.id, address, version: backend.version, costMs: Math.round(costMs), sentAfterMs: Math.round(sentAtMs - served.inputs.arrivedAtMs), kvSource: options.kvSource, result: 'sent',
+			backendId: backend.id, address, version: backend.version, costMs: Math.round(costMs), sentAfterMs: Math.round(sentAtMs - served.inputs.arrivedAtMs), kvSource: options.kvSource, hasHold: hold !== undefined, result: 'sent',
 		};
 		served.attempts.push(attempt);
 		const fail = (failure: FailedDispatch, slotEnd: SlotEnd): FailedDispatch => {
@@ -397,11 +409,12 @@
 					lastEventId: options.lastEventId ?? request.lastEventId,
 					kvSource: options.kvSource,
 					copyFrom,
+					hold,
 				}),
 				body,
 				isRetryable: served.isRetryable,
-				// On a connection that has carried this request, a late copy of its refusal would pass for the next answer, since both bear its id.
-				requiresNewConnection: served.deliveredTo.has(address),
+				// On a connection that has carried this request, a late copy of its refusal would pass for the next answer, since both bear its id. And an idle one may be dead, for which no run is given up.
+				requiresNewConnection: served.deliveredTo.has(address) || options.requiresHold === true,
 				connectTimeoutMs: Math.min(connectTimeoutMs, options.firstByteTimeoutMs),
 				onConnect() {
 					reachability.noteConnected(backend, clock.now());
@@ -467,24 +480,38 @@
 		return true;
 	}
 
-	/** After the soft timeout, cancels an attempt as soon as a retry is reserved for its request; returns a function that stops the timer. */
+	/** After the soft timeout, cancels an attempt as soon as a retry is reserved for its request, at an engine with room held for it; returns a function that stops the timer. */
 	private startSoftTimeout(served: ServedRequest, backendId: string, {softTimeoutMs, purpose}: DispatchOptions, cancel: () => void): () => void {
 		if (softTimeoutMs === undefined) {
 			return () => undefined;
 		}
 
 		let hasEnded = false;
+		const {reservations} = this;
 		const tryReserve = async () => {
-			const isReserved = this.reservations.reserve(served, backendId, purpose, this.dependencies.clock.now()) && await this.reservations.acquireSlot(served);
+			const isReserved = reservations.reserve(served, backendId, purpose, this.dependencies.clock.now()) && await reservations.acquireSlot(served);
+			const needsHold = isReserved && reservations.canHold(served);
+			const isHeld = needsHold && await reservations.acquireHold(served);
 			if (hasEnded) {
+				if (isHeld) {
+					// No other attempt follows now, and held room is lost to others.
+					reservations.release(served);
+				}
+
 				return;
 			}
 
-			if (isReserved) {
+			if (isReserved && isHeld === needsHold) {
 				cancel();
-			} else {
-				schedule(reservationPollMs);
+				return;
 			}
+
+			if (needsHold) {
+				// Another engine may have room by then.
+				reservations.release(served);
+			}
+
+			schedule(needsHold ? holdPollMs : reservationPollMs);
 		};
 
 		let timer: NodeJS.Timeout;
--- a/src/coordination/serving/forwarded-stream.ts
+++ b/src/coordination/serving/forwarded-stream.ts
@@ -73,6 +73,8 @@
 	hasMoveFailed = false;
 	/** Set while another engine is being asked to continue the stream. */
 	takeover: Takeover | undefined;
+	/** When another engine may be asked again after a takeover that did not come about. */
+	nextTakeoverAtMs = Number.NEGATIVE_INFINITY;
 	/** Whether it has been logged that no takeover is possible, so that this is logged once only. */
 	hasLoggedNoTakeover = false;
 	private interruptCause: InterruptCause | undefined;
--- a/src/coordination/serving/retry-reservations.ts
+++ b/src/coordination/serving/retry-reservations.ts
@@ -1,10 +1,13 @@
 /**
- * Reserves the next attempt of a request before its current run is abandoned: a backend server
- * and a retry from the retry budget. Without both, a run that may still succeed would be cut
- * off with nothing to replace it.
+ * Reserves the next attempt of a request before its current run is abandoned: a backend server,
+ * a retry from the retry budget, and room at an engine. Without them, a run that may still
+ * succeed would be cut off with nothing to replace it.
  */
+import {type EngineClient} from '../../protocol/platform.js';
 import {type Backend} from '../../protocol/serving.js';
 import {type SteadyClock} from '../../clock.js';
+import {type RouteTable} from '../../state/route-table.js';
+import {createLogger} from '../../log.js';
 import {type Quarantine} from '../quarantine/quarantine.js';
 import {type RetryPurpose, type RetryBudget} from '../retry-budget.js';
 import {type SlotExchange} from '../slots/slot-exchange.js';
@@ -12,6 +15,10 @@
 import {type BackendSelector} from './backend-selector.js';
 import {type ServedRequest, type RetryReservation} from './served-request.js';
 
+const log = createLogger('reservations');
+
+/** Longest time for which room is held, in milliseconds; the request follows at once. */
+const maxHoldMs = 1000;
 /** A run is replaced only if at least this share of the route's latency target is left until the deadline: engines usually begin to answer within a third of the target. */
 const minLatencyTargetShare = 0.25;
 
@@ -21,7 +28,11 @@
 	retryBudget: RetryBudget;
 	quarantine: Quarantine;
 	slots: Pick<SlotExchange, 'acquire'>;
+	engines: Pick<EngineClient, 'takeHold' | 'dropHold'>;
+	routes: Pick<RouteTable, 'service'>;
 	clock: SteadyClock;
+	/** Aborts when the daemon stops. */
+	signal: AbortSignal;
 };
 
 /** Reserves retries for runs in progress, and takes retries from the retry budget. */
@@ -72,7 +83,7 @@
 				return undefined;
 			}
 
-			this.endSlot(reservation);
+			this.endRoom(reservation);
 			reservation.choice = choice;
 			reservation.isRateLimitCharged = this.dependencies.selector.chargeRateLimit(choice.backend);
 		}
@@ -100,6 +111,32 @@
 		return slot !== undefined;
 	}
 
+	/** Whether the engines of a service can hold room for a request that is to follow. */
+	canHold({inputs}: ServedRequest): boolean {
+		return this.holdMs(inputs.service) > 0;
+	}
+
+	/** Has the reserved engine hold room for the request; returns whether it does. */
+	async acquireHold(served: ServedRequest): Promise<boolean> {
+		const {engines, signal} = this.dependencies;
+		const {reservation} = served;
+		if (!reservation || reservation.hold !== undefined) {
+			return reservation !== undefined;
+		}
+
+		const {backend} = reservation.choice;
+		const {service, request: {promptTokens = 0, maxOutputTokens = 0}} = served.inputs;
+		const hold = await engines.takeHold(backend, {tokens: Math.max(1, promptTokens + maxOutputTokens), ttlMs: Math.min(maxHoldMs, this.holdMs(service))}, signal);
+		if (hold !== undefined && (served.reservation !== reservation || reservation.choice.backend !== backend)) {
+			// The reservation was released or changed meanwhile.
+			this.dropHold(backend, hold);
+			return false;
+		}
+
+		reservation.hold = hold;
+		return hold !== undefined;
+	}
+
 	/** Returns the slot that was reserved at a backend server, for the attempt that is sent there now. */
 	takeSlot({reservation}: ServedRequest, backend: Backend): SlotLease | undefined {
 		if (reservation?.choice.backend.id !== backend.id) {
@@ -114,7 +151,7 @@
 	/** Releases a reservation that is not needed and returns its retry to the budget. */
 	release(served: ServedRequest): void {
 		if (served.reservation) {
-			this.endSlot(served.reservation);
+			this.endRoom(served.reservation);
 			this.returnToBudget(served, served.reservation.reservedAtMs);
 			served.reservation = undefined;
 		}
@@ -139,7 +176,7 @@
 	/** Restores a reservation whose attempt was not delivered, unless another one was made meanwhile. */
 	restore(served: ServedRequest, unused: RetryReservation | undefined): void {
 		if (unused && served.reservation) {
-			this.endSlot(unused);
+			this.endRoom(unused);
 			this.returnToBudget(served, unused.reservedAtMs);
 		} else {
 			served.reservation ??= unused;
@@ -152,9 +189,24 @@
 		return retryBudget.describe(served.inputs.service, clock.now());
 	}
 
-	private endSlot(reservation: RetryReservation): void {
+	private holdMs(service: string): number {
+		return this.dependencies.routes.service(service)?.engine?.holdMs ?? 0;
+	}
+
+	private endRoom(reservation: RetryReservation): void {
 		reservation.slot?.end(SlotEnd.Free, this.dependencies.clock.now());
 		reservation.slot = undefined;
+		if (reservation.hold !== undefined) {
+			this.dropHold(reservation.choice.backend, reservation.hold);
+			reservation.hold = undefined;
+		}
+	}
+
+	private dropHold(backend: Backend, hold: string): void {
+		const {engines, signal} = this.dependencies;
+		void engines.dropHold(backend, hold, signal).catch((error: unknown) => {
+			log.debug('hold on an engine cannot be dropped, it ends by itself.', {backend: backend.id, error: String(error)});
+		});
 	}
 
 	private returnToBudget(served: ServedRequest, takenAtMs: number): void {
--- a/src/coordination/serving/served-request.ts
+++ b/src/coordination/serving/served-request.ts
@@ -19,6 +19,8 @@
 	sentAfterMs: number;
 	/** The copied run from which it continues, if it does. */
 	kvSource?: string;
+	/** Whether the engine held room for it. */
+	hasHold?: boolean;
 	result: string;
 	/** When the head of its answer arrived, in milliseconds after the request's arrival. */
 	answeredAfterMs?: number;
@@ -57,11 +59,13 @@
 	isRateLimitCharged: boolean;
 	/** The slot of the backend server, once one has been acquired. */
 	slot?: SlotLease;
+	/** The id of the room that the engine holds, once it does. */
+	hold?: string;
 };
 
 /** Describes an attempt for logs. */
-export function describeAttempt({backendId, address, version, costMs, sentAfterMs, kvSource, result, answeredAfterMs, isConnectionReused, stated}: Attempt): string {
-	const continuation = kvSource === undefined ? '' : ` continues ${kvSource}`;
+export function describeAttempt({backendId, address, version, costMs, sentAfterMs, kvSource, hasHold, result, answeredAfterMs, isConnectionReused, stated}: Attempt): string {
+	const continuation = (kvSource === undefined ? '' : ` continues ${kvSource}`) + (hasHold ? ' with held room' : '');
 	const answered = answeredAfterMs === undefined ? '' : `, answered +${answeredAfterMs}${isConnectionReused ? ' on a reused connection' : ''}`;
 	const suffix = stated === undefined ? '' : ` [${stated}]`;
 	return `${backendId} at ${address} ${version} +${sentAfterMs} cost ${costMs}${continuation}: ${result}${answered}${suffix}`;
--- a/src/coordination/serving/stream-registry.ts
+++ b/src/coordination/serving/stream-registry.ts
@@ -1,7 +1,8 @@
 /**
  * Watches the running streams: moves those whose engine will leave before they end, and hands
- * stalled ones over to another engine if their route allows a further run. It is built for
- * reclaims of a whole failure domain, where dozens of streams must move within two seconds.
+ * stalled ones over to another engine if their route allows a further run and that engine holds
+ * room for it. It is built for reclaims of a whole failure domain, where dozens of streams must
+ * move within two seconds.
  */
 import {
 	type EngineClient, type MoveAnswer, type MovedRun, MoveResult,
@@ -15,12 +16,13 @@
 import {type Quarantine} from '../quarantine/quarantine.js';
 import {RetryPurpose} from '../retry-budget.js';
 import {type Rollouts} from '../rollout/rollouts.js';
-import {type StartedAnswer, type Dispatcher, DispatchKind} from './dispatcher.js';
+import {
+	type StartedAnswer, type Dispatcher, DispatchKind, type FailedDispatch,
+} from './dispatcher.js';
 import {
 	closeRun, type ForwardedStream, InterruptCause, type MovedStream,
 } from './forwarded-stream.js';
 import {type StreamOriginSharing} from './stream-origin-sharing.js';
-import {SweepDelays} from './sweep-delays.js';
 
 const log = createLogger('streams');
 
@@ -34,19 +36,16 @@
 const remainingTimeFactor = 1.3;
 /** A resumable stream without an event for this many milliseconds is handed over to another engine; clients disconnect after two seconds at the earliest. */
 const stallTimeoutMs = 1300;
-/** Two engines must not work on one request for 400 ms. A run is closed this many milliseconds after the request was delivered to another engine, unless that has refused; refusals arrive within a few milliseconds. */
-const takeoverOverlapMs = 100;
-/** Largest delay of the latest sweeps, in milliseconds, with which a timer may bound this overlap; with a larger one the run is closed before the request is delivered. */
-const maxSweepDelayMs = 150;
-/** Number of engines that are tried as the target of a move. */
+/** Number of engines that are tried as the target of a move, and asked to hold room for a takeover. */
 const maxMoveTargets = 2;
+/** Time until engines are asked again after none held room for a stream, in milliseconds. */
+const takeoverRetryMs = 1000;
 
 /** The running streams of this daemon. */
 export class StreamRegistry {
 	/** Number of streams that were moved with their KV cache. */
 	movedCount = 0;
 	private readonly streams = new Set<ForwardedStream>();
-	private readonly sweepDelays = new SweepDelays(sweepIntervalMs);
 
 	constructor(private readonly dependencies: {backends: BackendTable; engines: EngineClient; dispatcher: Dispatcher; routes: RouteTable; rollouts: Rollouts; sharing: StreamOriginSharing; quarantine: Quarantine; clock: Pick<SteadyClock, 'now'>; signal: AbortSignal}) {}
 
@@ -75,7 +74,6 @@
 
 	/** Checks every stream once, and starts the moves and takeovers that are due. */
 	sweep(nowMs: number): void {
-		this.sweepDelays.note(nowMs);
 		this.recordProgress(nowMs);
 		this.cancelQuarantined(nowMs);
 		this.dependencies.sharing.shareAll([...this.streams].map(({served}) => served), nowMs);
@@ -134,77 +132,91 @@
 		}
 	}
 
-	/** Asks another engine to continue a stream. */
+	/** Asks another engine to continue a stream. Without an engine that can hold room, the run continues: nothing else shows that another one would not refuse. */
 	private startTakeover(stream: ForwardedStream, source: Backend, cause: InterruptCause, nowMs: number): void {
-		if (this.reserve(stream, source, cause, nowMs)) {
-			log.info('takeover of the stream by another engine started.', {cause, ...toLogContext(stream, source, nowMs)});
+		const {reservations} = this.dependencies.dispatcher;
+		if (nowMs >= stream.nextTakeoverAtMs && reservations.canHold(stream.served) && this.reserve(stream, source, cause, nowMs)) {
 			const abort = new AbortController();
-			stream.served.excluded.add(source.id);
 			stream.takeover = {
-				cause, startedAtMs: nowMs, abort, run: this.startRun(stream, {cause, startedAtMs: nowMs, signal: abort.signal}),
+				cause, startedAtMs: nowMs, abort, run: this.startRun(stream, source, {cause, startedAtMs: nowMs, signal: abort.signal}),
 			};
 		}
 	}
 
 	/**
-	 * Starts a run at another engine. The current run is closed once the new one has started, or
-	 * {@link takeoverOverlapMs} after its delivery unless the new engine has refused. Until then it
-	 * continues, and a stalled run that delivers an event again is kept. A daemon whose timers may
-	 * fire late closes it before the delivery.
+	 * Starts a run at another engine. The current run continues until the request is delivered to
+	 * an engine that holds room for it, and is then closed at once: two engines must not work on
+	 * one request. A stalled run that delivers an event again before that is kept.
 	 */
-	private async startRun(stream: ForwardedStream, {cause, startedAtMs, signal}: {cause: InterruptCause; startedAtMs: number; signal: AbortSignal}): Promise<StartedAnswer | undefined> {
+	private async startRun(stream: ForwardedStream, source: Backend, {cause, startedAtMs, signal}: {cause: InterruptCause; startedAtMs: number; signal: AbortSignal}): Promise<StartedAnswer | undefined> {
 		const {served} = stream;
 		const {dispatcher, clock} = this.dependencies;
+		const context = toLogContext(stream, source, startedAtMs);
+		const engine = await this.holdEngine(stream, source, signal);
+		const heldAtMs = engine && clock.now();
 		let deliveredAtMs: number | undefined;
-		let closedAtMs: number | undefined;
 		const closeCurrentRun = () => {
-			if (!signal.aborted) {
-				closedAtMs ??= clock.now();
+			// The current run may have delivered the first event meanwhile, of another version.
+			if (engine && served.fitsVersion(engine)) {
+				deliveredAtMs = clock.now();
 				stream.interrupt(cause);
 			}
 		};
 
-		let overlapTimer: NodeJS.Timeout | undefined;
-		const dispatched = await dispatcher.send(served, {
-			purpose: RetryPurpose.Move,
-			firstByteTimeoutMs: served.remainingMs(startedAtMs),
-			lastEventId: stream.lastEventId,
-			signal,
-			onDelivery: () => {
-				deliveredAtMs = clock.now();
-				if (this.sweepDelays.largestMs(deliveredAtMs) > maxSweepDelayMs) {
-					closeCurrentRun();
-				} else {
-					overlapTimer = setTimeout(closeCurrentRun, takeoverOverlapMs);
-				}
-			},
-		});
-		clearTimeout(overlapTimer);
-		// The current run may have delivered the first event meanwhile, of another version.
+		const dispatched: StartedAnswer | FailedDispatch = engine
+			? await dispatcher.send(served, {
+				purpose: RetryPurpose.Move, firstByteTimeoutMs: served.remainingMs(startedAtMs), lastEventId: stream.lastEventId, requiresHold: true, signal, onDelivery: closeCurrentRun,
+			})
+			: {kind: DispatchKind.NotRun, reason: 'no engine holds room'};
 		const hasTakenOver = dispatched.kind === DispatchKind.Answer && isSuccess(dispatched) && !signal.aborted && served.fitsVersion(dispatched.backend);
-		if (hasTakenOver) {
-			closeCurrentRun();
-		}
-
 		log.info('takeover of the stream by another engine ended.', {
-			request: served.inputs.request.id, hasTakenOver, ...describeOverlap(startedAtMs, deliveredAtMs, closedAtMs),
+			...context, cause, engine: engine?.id, hasTakenOver, result: dispatched.kind === DispatchKind.Answer ? `status ${dispatched.answer.status}` : dispatched.reason, ...describeTimes(startedAtMs, heldAtMs, deliveredAtMs),
 		});
 		if (hasTakenOver) {
 			return dispatched;
 		}
 
-		log.info('no engine took over the stream.', {request: served.inputs.request.id, reason: dispatched.kind === DispatchKind.Answer ? `status ${dispatched.answer.status}` : dispatched.reason});
 		if (dispatched.kind === DispatchKind.Answer) {
 			closeRun(dispatched);
 		}
 
-		if (stream.currentRun) {
+		if (deliveredAtMs === undefined) {
+			dispatcher.reservations.release(served);
+			stream.nextTakeoverAtMs = clock.now() + takeoverRetryMs;
 			stream.takeover = undefined;
 		}
 
 		return undefined;
 	}
 
+	/** Has another engine hold room for a stream; returns that engine, if one does before the takeover is cancelled. */
+	private async holdEngine({served}: ForwardedStream, source: Backend, signal: AbortSignal): Promise<Backend | undefined> {
+		const {reservations} = this.dependencies.dispatcher;
+		const refusing: Backend[] = [];
+		let engine: Backend | undefined;
+		while (refusing.length < maxMoveTargets && !engine && !signal.aborted) {
+			const target = reservations.reservedBackend(served, source.id);
+			if (!target) {
+				break;
+			}
+
+			// eslint-disable-next-line no-await-in-loop -- the next engine only if this one has no room.
+			if (await reservations.acquireSlot(served) && await reservations.acquireHold(served)) {
+				engine = target;
+			} else {
+				refusing.push(target);
+				served.excluded.add(target.id);
+			}
+		}
+
+		// They may have room when the stream needs another engine later on.
+		for (const {id} of refusing) {
+			served.excluded.delete(id);
+		}
+
+		return signal.aborted ? undefined : engine;
+	}
+
 	/** Reserves the next run of a stream. Without a reservation the current run continues, since it may still complete. */
 	private reserve(stream: ForwardedStream, source: Backend, cause: InterruptCause, nowMs: number): boolean {
 		const isReserved = this.dependencies.dispatcher.reservations.reserve(stream.served, source.id, RetryPurpose.Move, nowMs);
@@ -302,11 +314,11 @@
 	return remainingMs === undefined || (remainingMs * remainingTimeFactor) + finishMarginMs > msUntilLeave;
 }
 
-/** Describes for logs when the request was delivered to the other engine, and how much later the run before it was closed, in milliseconds. */
-function describeOverlap(startedAtMs: number, deliveredAtMs: number | undefined, closedAtMs: number | undefined): {deliveredAfterMs?: number; overlapMs?: number} {
+/** Describes for logs after how many milliseconds the other engine held room, and the request was delivered there. */
+function describeTimes(startedAtMs: number, heldAtMs: number | undefined, deliveredAtMs: number | undefined): {heldAfterMs?: number; deliveredAfterMs?: number} {
 	return {
+		heldAfterMs: heldAtMs === undefined ? undefined : Math.round(heldAtMs - startedAtMs),
 		deliveredAfterMs: deliveredAtMs === undefined ? undefined : Math.round(deliveredAtMs - startedAtMs),
-		overlapMs: deliveredAtMs === undefined || closedAtMs === undefined ? undefined : Math.round(closedAtMs - deliveredAtMs),
 	};
 }
 
--- a/src/protocol/platform.ts
+++ b/src/protocol/platform.ts
@@ -179,6 +179,9 @@
 /** The answer to an order to copy or move a run; `run` is set if the result is {@link MoveResult.Done}. */
 export type MoveAnswer = {result: MoveResult; run?: MovedRun};
 
+/** Room that an engine holds: memory for a number of tokens, and a slot, for a time in milliseconds. */
+export type HeldRoom = {tokens: number; ttlMs: number};
+
 /** Sends orders to model engines. */
 export type EngineClient = {
 	/** Copies the KV cache of a running request to another engine, which reserves room for the run; the run continues. */
@@ -189,6 +192,14 @@
 	readStartTime(engine: Backend, signal: AbortSignal): Promise<number | undefined>;
 	/** Releases what a copy occupies on both engines. */
 	release(run: MovedRun, source: Backend, signal: AbortSignal): Promise<void>;
+	/** Holds room for a request that is to follow; returns the id of the hold, or undefined if the engine refuses or does not answer. */
+	takeHold(engine: Backend, room: HeldRoom, signal: AbortSignal): Promise<string | undefined>;
+	/**
+	 * Drops a hold that is not needed.
+	 *
+	 * @throws {TransportError} When the engine does not answer; the hold then ends by itself.
+	 */
+	dropHold(engine: Backend, hold: string, signal: AbortSignal): Promise<void>;
 };
 
 /** The progress of a roll-out as operators see it. */
--- a/src/protocol/serving.ts
+++ b/src/protocol/serving.ts
@@ -47,6 +47,8 @@
 	tokensPerEvent: number;
 	/** Tokens that an engine's memory holds, for running requests and cached prompt parts; undefined if it is not stated. */
 	kvTokens?: number;
+	/** The longest time for which an engine holds room for a request that is to follow, in milliseconds; undefined if engines hold none. */
+	holdMs?: number;
 };
 
 /** The limits and prices of a service's pool of backend servers, per failure domain. */
@@ -179,6 +181,8 @@
 	kvSource: string | undefined;
 	/** The engine from which cached prompt parts are copied before the run. */
 	copyFrom: Backend | undefined;
+	/** The id of the room that the engine holds for the request. */
+	hold: string | undefined;
 };
 
 /** The load that a backend server reports in its answer. */
