Exit after SIGTERM though nobody reads the log

Operators: a daemon whose standard output is a pipe that nobody reads did not exit after SIGTERM and was killed at the end of its grace period. Its requests had ended. Cause: lines that wait in the pipe keep the process running.

--- a/src/__tests__/log-output.test.ts
+++ b/src/__tests__/log-output.test.ts
@@ -38,4 +38,20 @@
 
 		expect(output.writableLength).toBeLessThan(300_000);
 	});
+
+	it.each([
+		{name: 'writes all lines before it closes', isRead: true, written: 3},
+		{name: 'closes without a reader', isRead: false, written: 1},
+	])('$name', async ({isRead, written}) => {
+		const {output, lines} = createOutput(isRead);
+		const log = new LogOutput(output);
+		for (let index = 0; index < 3; index++) {
+			log.write('line', 0);
+		}
+
+		await log.close(50);
+		log.write('later', 60_000);
+		expect(output.destroyed).toBe(true);
+		expect(lines).toHaveLength(written);
+	});
 });
--- a/src/cli/index.ts
+++ b/src/cli/index.ts
@@ -14,6 +14,9 @@
 import {AssignmentMode} from '../coordination/assignment/assignment-activation.js';
 import {AdminAction, StandinPart} from './subcommands.js';
 
+/** How long a daemon that has stopped waits until its last log lines have been read, in milliseconds. */
+const logFlushMs = 250;
+
 /** Creates a signal that aborts on SIGTERM or SIGINT, for a graceful stop. */
 function createStopSignal(): AbortSignal {
 	const controller = new AbortController();
@@ -62,12 +65,13 @@
 		}),
 	},
 	async handler({assignment}) {
-		logToStandardOutput(process.env);
+		const output = logToStandardOutput(process.env);
 		await runRole(async signal => {
 			const {createPlatform} = await import('../../platform/index.js');
 			const {runFront} = await import('./commands/front.js');
 			await runFront(createPlatform(), assignment, signal);
 		});
+		await output?.close(logFlushMs);
 	},
 });
 
--- a/src/log-output.ts
+++ b/src/log-output.ts
@@ -6,6 +6,8 @@
 import {createWriteStream, fstatSync} from 'node:fs';
 import {Socket} from 'node:net';
 import {type Writable} from 'node:stream';
+import {finished} from 'node:stream/promises';
+import {setTimeout as delay} from 'node:timers/promises';
 
 /** Sustained rate limit, in lines per second: three times what a daemon writes at peak load. */
 const maxLinesPerSecond = 150;
@@ -28,6 +30,7 @@
 	private availableLines = maxBurstLines;
 	private refilledAtMs = 0;
 	private droppedLines = 0;
+	private isClosed = false;
 
 	constructor(private readonly output: Writable = openOutput()) {
 		// The loss of the reader must not end the process; lines without a reader are lost.
@@ -38,7 +41,7 @@
 	write(line: string, nowMs: number): void {
 		this.availableLines = Math.min(maxBurstLines, this.availableLines + (Math.max(0, nowMs - this.refilledAtMs) / 1000 * maxLinesPerSecond));
 		this.refilledAtMs = nowMs;
-		if (this.availableLines < 1 || this.output.writableLength > maxUnreadBytes) {
+		if (this.isClosed || this.availableLines < 1 || this.output.writableLength > maxUnreadBytes) {
 			this.droppedLines++;
 			return;
 		}
@@ -51,4 +54,17 @@
 		this.availableLines--;
 		this.output.write(line + '\n');
 	}
+
+	/** Closes the output once all lines have been read, after `timeoutMs` at the latest: unread lines would keep the process running. */
+	async close(timeoutMs: number): Promise<void> {
+		this.isClosed = true;
+		this.output.end();
+		const timeout = new AbortController();
+		await Promise.race([
+			finished(this.output).catch(() => undefined),
+			delay(timeoutMs, undefined, {signal: timeout.signal}).catch(() => undefined),
+		]);
+		timeout.abort();
+		this.output.destroy();
+	}
 }
--- a/src/log.ts
+++ b/src/log.ts
@@ -57,8 +57,8 @@
 	};
 }
 
-/** Writes log lines to standard output without blocking; `SESAMETALLY_LOG=off` disables them. */
-export function logToStandardOutput(environment: NodeJS.ProcessEnv): void {
+/** Writes log lines to standard output without blocking, and returns that output; `SESAMETALLY_LOG=off` disables them. */
+export function logToStandardOutput(environment: NodeJS.ProcessEnv): LogOutput | undefined {
 	if (environment.SESAMETALLY_LOG === 'off') {
 		return;
 	}
@@ -67,4 +67,6 @@
 	ROARR.write = (line: string) => {
 		output.write(line, performance.now());
 	};
+
+	return output;
 }
