Add a soak kind with planned work only, which checks that no answer ends early

No run checked the rule on answers around planned work: the soak sent SIGTERM and SIGHUP and let broken answers pass. In the new kind daemons get signals, the configuration is written again, replicas are replaced and reclaimed, and all are sound, but full or silent at times. An answer may end early only if its replica ended, its time was up, or the grace period was about to end.

--- a/soak/clients.ts
+++ b/soak/clients.ts
@@ -3,6 +3,7 @@
 import {eventIds} from '../platform/__tests__/front-program.js';
 import {streamEvents} from '../platform/__tests__/standins.js';
 import {fatalBody, type SoakCluster} from './cluster.js';
+import {plannedTimeoutMs} from './planned-faults.js';
 import {fatalPart, firstPart} from './prompt-faults.js';
 
 /** A request of a client, and the answer to it. */
@@ -25,6 +26,8 @@
 	lastEventId?: number;
 	/** Whether the answer arrived to its end. */
 	isComplete: boolean;
+	/** Whether a connection was open for it. */
+	isConnected: boolean;
 };
 
 /** The kinds of request; each is the first segment of the path and has a route of its own. */
@@ -33,6 +36,8 @@
 const streamHeavyKinds = ['stream', 'stream', 'call', 'stream', 'once'];
 /** The kinds in runs with moves. */
 const movedKinds = ['once', 'once', 'once', 'stream', 'pay'];
+/** The kinds in runs with planned work. */
+const plannedKinds = ['stream', 'stream', 'once', 'stream', 'call', 'pay'];
 /** What follows the id in the bodies of streams in runs with moves, so that they arrive after their heads. */
 const longBody = ' '.repeat(14_000);
 const resumesHeader = 'Resumes';
@@ -53,8 +58,8 @@
 	for (let count = 0; !signal.aborted; count++) {
 		const isFlooding = cluster.floodedDaemon !== undefined && count % requestsPerFloodStep < floodedRequests;
 		const daemon = isFlooding ? cluster.floodedDaemon! : cluster.daemons[(count + name.length) % cluster.daemons.length];
-		const {hasVersions, hasMoves} = cluster.options;
-		const kinds = hasVersions ? streamHeavyKinds : (hasMoves ? movedKinds : requestKinds);
+		const {hasMoves} = cluster.options;
+		const kinds = selectKinds(cluster);
 		const id = `${name}-${count}`;
 		const kind = kinds[count % kinds.length];
 		const inputs: RequestInputs = {
@@ -64,7 +69,7 @@
 		const record = await sendRequest(cluster, inputs);
 		records.push(record);
 		const received = eventIds(record.body).at(-1);
-		if (cluster.options.hasVersions && record.kind === 'stream' && record.status === 200 && !record.isComplete && received !== undefined) {
+		if (cluster.options.hasVersions === true && record.kind === 'stream' && record.status === 200 && !record.isComplete && received !== undefined) {
 			// eslint-disable-next-line no-await-in-loop
 			records.push(...await takeUp(cluster, inputs, received));
 		}
@@ -79,6 +84,19 @@
 	return records;
 }
 
+/** Returns the kinds of request that clients send in turn. */
+function selectKinds({options: {hasVersions, hasMoves, hasPlannedWork}}: SoakCluster): string[] {
+	if (hasVersions) {
+		return streamHeavyKinds;
+	}
+
+	if (hasMoves) {
+		return movedKinds;
+	}
+
+	return hasPlannedWork ? plannedKinds : requestKinds;
+}
+
 /** Attempts to take a stream up, and the pause before each, in milliseconds. */
 const maxTakeUps = 6;
 const takeUpPauseMs = 700;
@@ -148,12 +166,12 @@
 async function sendRequest(cluster: SoakCluster, {agent, host, id, kind, path = `/${kind}/${id}`, body = id, resumedId, lastEventId, sharedParts}: RequestInputs): Promise<RequestRecord> {
 	const [apiKey] = cluster.apiKeys;
 	const record: RequestRecord = {
-		id, kind, apiKey, host, sentAtMs: Date.now(), endedAtMs: Number.POSITIVE_INFINITY, status: undefined, replicaSeal: undefined, body: '', resumedId, lastEventId, isComplete: false,
+		id, kind, apiKey, host, sentAtMs: Date.now(), endedAtMs: Number.POSITIVE_INFINITY, status: undefined, replicaSeal: undefined, body: '', resumedId, lastEventId, isComplete: false, isConnected: false,
 	};
 	return new Promise(resolve => {
 		const request = startRequest({
 			agent, host, port: cluster.clientPort, method: 'POST', path, timeout: requestTimeoutMs, headers: {
-				host: 'h.example', 'X-Sesametally-Attempt-Id': id, 'X-Sesametally-Deadline-Ms': '2000', 'X-Sesametally-Key': apiKey, ...(resumedId !== undefined && {'Last-Event-Id': String(lastEventId), [resumesHeader]: resumedId}),
+				host: 'h.example', 'X-Sesametally-Attempt-Id': id, 'X-Sesametally-Deadline-Ms': String(cluster.options.hasPlannedWork ? plannedTimeoutMs : 2000), 'X-Sesametally-Key': apiKey, ...(resumedId !== undefined && {'Last-Event-Id': String(lastEventId), [resumesHeader]: resumedId}),
 				...(sharedParts && {'X-Sesametally-Prompt-Prefix': [...sharedParts, 'ffff'].map(part => `${part}:50`).join(',')}),
 			},
 		}, response => {
@@ -169,10 +187,19 @@
 				resolve(record);
 			});
 		});
+		request.on('socket', socket => {
+			record.isConnected = !socket.connecting;
+			if (socket.connecting) {
+				socket.once('connect', () => {
+					record.isConnected = true;
+				});
+			}
+		});
 		request.on('timeout', () => {
 			request.destroy();
 		});
 		request.on('error', () => {
+			record.endedAtMs = Math.min(record.endedAtMs, Date.now());
 			resolve(record);
 		});
 		request.end(body);
--- a/soak/cluster.ts
+++ b/soak/cluster.ts
@@ -8,6 +8,7 @@
 import {CloudStandin, ReplicaStandin, StoreStandin} from '../platform/__tests__/standins.js';
 import {FaultyLink} from './faulty-link.js';
 import {allowMoves, capacity} from './move-faults.js';
+import {plannedSlots, plannedTimeoutMs} from './planned-faults.js';
 import {stateUsualPace} from './pace-faults.js';
 import {fatalPart} from './prompt-faults.js';
 import {eventPauseMs, versions} from './version-faults.js';
@@ -45,6 +46,8 @@
 	readonly log: string[] = [];
 	/** When its process was started or got a signal, in milliseconds since 1970. */
 	readonly disturbedAtMs: number[] = [];
+	/** When it was told to stop, in milliseconds since 1970. */
+	readonly stopsAtMs: number[] = [];
 	private child: ChildProcess | undefined;
 	private isClosed = false;
 	private readonly settingsFile: string;
@@ -84,6 +87,10 @@
 	/** Sends a signal to the daemon's current process. */
 	signal(name: NodeJS.Signals): void {
 		this.disturbedAtMs.push(Date.now());
+		if (name === 'SIGTERM') {
+			this.stopsAtMs.push(Date.now());
+		}
+
 		this.child?.kill(name);
 	}
 }
@@ -106,6 +113,8 @@
 	hasPrompts?: boolean;
 	/** Whether replicas have few slots, refuse requests early and repeat refusals, and are reclaimed while they move running streams. */
 	hasMoves?: boolean;
+	/** Whether all that happens is planned work, on replicas as in runs with moves, and these are silent or refuse late at times. */
+	hasPlannedWork?: boolean;
 };
 
 /** The daemons, stand-ins and links of one run. */
@@ -134,6 +143,8 @@
 	readonly addedAtMs = new Map<string, number>();
 	/** When the store became unavailable or available again, in milliseconds since 1970. */
 	readonly storeDisturbedAtMs: number[] = [];
+	/** When replicas ended, in milliseconds since 1970. */
+	readonly endedAtMs = new Map<ReplicaStandin, number>();
 	/** What the replicas have written to the store. */
 	private readonly entries = new Map<ReplicaStandin, {link: FaultyLink; state: string}>();
 	private version = 1;
@@ -201,8 +212,8 @@
 		await replica.start();
 		const link = new FaultyLink(replica.address);
 		await link.start();
-		if (this.options.hasMoves) {
-			allowMoves(replica, link.address, this.moves);
+		if (this.hasMovingReplicas) {
+			allowMoves(replica, link.address, this.moves, this.slots);
 		}
 
 		this.replicas.push(replica);
@@ -263,6 +274,7 @@
 				this.moves.remove(replica);
 				this.entries.delete(replica);
 				this.store.put('keyed.servers', replica.id, undefined);
+				this.endedAtMs.set(replica, Date.now());
 				replica.stop();
 				link.stop();
 			}, noticeMs);
@@ -278,6 +290,20 @@
 		this.addedAtMs.set(this.apiKeys[0], Date.now());
 	}
 
+	/** Writes the configuration again, as a new version. */
+	writeConfig(): void {
+		this.putConfig();
+	}
+
+	/** The requests that a replica runs at once, in runs in which replicas move streams. */
+	private get slots(): number {
+		return this.options.hasPlannedWork ? plannedSlots : capacity;
+	}
+
+	private get hasMovingReplicas(): boolean {
+		return this.options.hasMoves === true || this.options.hasPlannedWork === true;
+	}
+
 	private restartReplica(index: number, version: string): void {
 		const replica = this.replicas[index];
 		replica.restart(version);
@@ -311,15 +337,15 @@
 	private putConfig(): void {
 		this.version += 2;
 		const route = (name: string, kind: string, isResumable = false) => ({
-			name, host: 'h.example', path_prefix: `/${name}/`, kind, timeout_ms: 1500, latency_target_ms: 200, attempts: 2, service: 'svc', resumable: isResumable,
+			name, host: 'h.example', path_prefix: `/${name}/`, kind, timeout_ms: this.options.hasPlannedWork ? plannedTimeoutMs : 1500, latency_target_ms: 200, attempts: 2, service: 'svc', resumable: isResumable,
 		});
 		this.store.put('keyed.op', 'config', {
 			version: this.version,
 			routes: [route('call', 'idempotent'), route('pay', 'non_idempotent'), route('stream', 'streaming', true), route('once', 'streaming')],
 			services: [{
-				name: 'svc', max_conns: 50, ...(this.options.hasMoves && {
+				name: 'svc', max_conns: 50, ...(this.hasMovingReplicas && {
 					engine: {
-						slots: capacity, kv_tokens: 1000, moves: true, stride: 1, hold_ms: 2000,
+						slots: this.slots, kv_tokens: 1000, moves: true, stride: 1, hold_ms: 2000,
 					},
 				}),
 			}],
--- a/soak/move-faults.ts
+++ b/soak/move-faults.ts
@@ -19,10 +19,10 @@
 /** A fault: `begin` injects it, `end` removes it. */
 type MoveFault = {name: string; begin: () => void; end?: () => void};
 
-/** Makes a new replica move its streams, and refuse requests in all ways. */
-export function allowMoves(replica: ReplicaStandin, address: string, moves: RunMoves): void {
-	replica.capacity = capacity;
-	replica.slots = capacity;
+/** Makes a new replica move its streams, and refuse requests for which it has no slot. */
+export function allowMoves(replica: ReplicaStandin, address: string, moves: RunMoves, slots: number): void { // eslint-disable-line max-params
+	replica.capacity = slots;
+	replica.slots = slots;
 	replica.eventPauseMs = eventPauseMs;
 	replica.startedAtMs = Date.now();
 	replica.moves = moves;
--- a/soak/soak.ts
+++ b/soak/soak.ts
@@ -17,6 +17,7 @@
 } from './replica-faults.js';
 import {SoakCluster, type ClusterOptions} from './cluster.js';
 import {moveFaults} from './move-faults.js';
+import {findLostAnswers, plannedClientCount, plannedFaults} from './planned-faults.js';
 import {paceFaults} from './pace-faults.js';
 import {findPromptViolations, isQuarantined, promptFaults} from './prompt-faults.js';
 import {countTakenUp, findVersionViolations, versionFaults} from './version-faults.js';
@@ -66,7 +67,7 @@
 	const faults: string[] = [];
 	await cluster.start();
 	try {
-		const clients = Array.from({length: clientCount}, async (_, index) => runClient(cluster, 'c'.repeat(index + 1), stop.signal));
+		const clients = Array.from({length: options.hasPlannedWork ? plannedClientCount : clientCount}, async (_, index) => runClient(cluster, 'c'.repeat(index + 1), stop.signal));
 		await delay(faultFreeMs + (daemons * startMsPerDaemon));
 		if (options.hasReplicaFaults) {
 			void runFatalClient(cluster, stop.signal);
@@ -107,7 +108,11 @@
 			report.quarantined = records.flat().filter(record => isQuarantined(record)).length;
 		}
 
-		if (options.hasMoves) {
+		if (options.hasPlannedWork) {
+			report.broken.push(...findLostAnswers(cluster, records.flat()));
+		}
+
+		if (options.hasMoves === true || options.hasPlannedWork === true) {
 			report.moved = cluster.moves.continued;
 			report.refused = cluster.replicas.flatMap(({fullAtMs}) => fullAtMs).length;
 		}
@@ -171,6 +176,11 @@
 			link.reset();
 		},
 	});
+	if (cluster.options.hasPlannedWork) {
+		const choices = plannedFaults(cluster, replica, daemon);
+		return choices[drawInteger(random, choices.length) - 1]();
+	}
+
 	const choices: Array<() => Fault> = [
 		() => sendSignal('SIGKILL'),
 		() => sendSignal('SIGTERM'),
