Finish open requests when SIGTERM is repeated

Callers: all answers of a daemon that was stopping ended at one moment, long before the end of its grace period, and its log had no line on any of them. Cause: the listener for SIGTERM was removed by the first signal, so the second one had its default effect and ended the process at once. Class: a state transition that handles its trigger once, and falls back to a default then.

The listener stays; a repeated signal has no effect. A second SIGINT still ends the process, for use in a terminal. The gateway and the stand-ins get their signals the same way and are covered.

--- a/src/cli/index.ts
+++ b/src/cli/index.ts
@@ -17,14 +17,16 @@
 /** How long a daemon that has stopped waits until its last log lines have been read, in milliseconds. */
 const logFlushMs = 250;
 
-/** Creates a signal that aborts on SIGTERM or SIGINT, for a graceful stop. */
+/** Creates a signal that aborts on SIGTERM or SIGINT, for a graceful stop. A second SIGINT ends the process at once. */
 function createStopSignal(): AbortSignal {
 	const controller = new AbortController();
-	for (const name of ['SIGTERM', 'SIGINT'] as const) {
-		process.once(name, () => {
-			controller.abort();
-		});
-	}
+	const abort = () => {
+		controller.abort();
+	};
+
+	// A supervisor may repeat SIGTERM; without a listener, that would end the process with requests open.
+	process.on('SIGTERM', abort);
+	process.once('SIGINT', abort);
 
 	return controller.signal;
 }
