--- a/soak/clients.ts
+++ b/soak/clients.ts
@@ -28,6 +28,8 @@
 	isComplete: boolean;
 	/** Whether a connection was open for it. */
 	isConnected: boolean;
+	/** Whether the client closed the connection, since nothing arrived for too long. */
+	hasGivenUp: boolean;
 };
 
 /** The kinds of request; each is the first segment of the path and has a route of its own. */
@@ -166,11 +168,11 @@
 async function sendRequest(cluster: SoakCluster, {agent, host, id, kind, path = `/${kind}/${id}`, body = id, resumedId, lastEventId, sharedParts}: RequestInputs): Promise<RequestRecord> {
 	const [apiKey] = cluster.apiKeys;
 	const record: RequestRecord = {
-		id, kind, apiKey, host, sentAtMs: Date.now(), endedAtMs: Number.POSITIVE_INFINITY, status: undefined, replicaSeal: undefined, body: '', resumedId, lastEventId, isComplete: false, isConnected: false,
+		id, kind, apiKey, host, sentAtMs: Date.now(), endedAtMs: Number.POSITIVE_INFINITY, status: undefined, replicaSeal: undefined, body: '', resumedId, lastEventId, isComplete: false, isConnected: false, hasGivenUp: false,
 	};
 	return new Promise(resolve => {
 		const request = startRequest({
-			agent, host, port: cluster.clientPort, method: 'POST', path, timeout: requestTimeoutMs, headers: {
+			agent, host, port: cluster.clientPort, method: 'POST', path, timeout: cluster.options.hasPlannedWork ? plannedTimeoutMs : requestTimeoutMs, headers: {
 				host: 'h.example', 'X-Sesametally-Attempt-Id': id, 'X-Sesametally-Deadline-Ms': String(cluster.options.hasPlannedWork ? plannedTimeoutMs : 2000), 'X-Sesametally-Key': apiKey, ...(resumedId !== undefined && {'Last-Event-Id': String(lastEventId), [resumesHeader]: resumedId}),
 				...(sharedParts && {'X-Sesametally-Prompt-Prefix': [...sharedParts, 'ffff'].map(part => `${part}:50`).join(',')}),
 			},
@@ -196,6 +198,7 @@
 			}
 		});
 		request.on('timeout', () => {
+			record.hasGivenUp = true;
 			request.destroy();
 		});
 		request.on('error', () => {
--- a/soak/planned-faults.ts
+++ b/soak/planned-faults.ts
@@ -15,7 +15,7 @@
 /** The deadline of requests, and the timeout of their routes, in milliseconds. */
 export const plannedTimeoutMs = 6000;
 /** Number of clients, and requests that a replica runs at once: the clients fill the replicas while some of these leave. */
-export const plannedClientCount = 20;
+export const plannedClientCount = 18;
 export const plannedSlots = 6;
 /** The share of the grace period that is left when requests may be cut that were sent at its beginning, and how long that beginning lasts, in milliseconds. */
 const lastGraceShare = 1 / 6;
@@ -69,6 +69,11 @@
 				each.refusalDelayMs = refusalDelayMs;
 			}
 		},
+		end() {
+			for (const each of cluster.replicas) {
+				each.refusalDelayMs = 0;
+			}
+		},
 	});
 	return [sendSignal('SIGTERM'), sendSignal('SIGHUP'), reconfigure, reconfigure, replace, replace, reclaim, silence, silence, silence, queue];
 }
@@ -77,7 +82,7 @@
 export function findLostAnswers(cluster: SoakCluster, records: RequestRecord[]): string[] {
 	const lost: string[] = [];
 	for (const record of records) {
-		if (record.isComplete || !isRead(record, cluster) || isExcused(record, cluster)) {
+		if (record.isComplete || record.hasGivenUp || !isRead(record, cluster) || isExcused(record, cluster)) {
 			continue;
 		}
 
