Read the list of backend servers again before a stream that is taken up goes on

Callers: streams were joined from two versions at a daemon that was cut off from the store and the other daemons for less than three seconds while replicas of a new version joined. Streams had begun there through another daemon and broke; the daemon knew one version, took it for the only one, and went on there.

Cause: a list of up to three seconds of age counted as complete, and so did one of any age at a daemon that heard of no others. Class: the absence of news from a view that is not known to be current is taken for the absence of a change.

Before a stream goes on at the only known version, the daemon reads what its list lacks, in a read sent after the request arrived; calls that wait share a read. A version serves only once it is listed, so the list then holds each version at which the stream may have begun. A daemon without others needs the store as well: the case of findOnlyVersion in which it did not is replaced by its opposite, since it may be cut off from them. The field isFresh of the answers is gone.

--- a/src/cli/front-container.ts
+++ b/src/cli/front-container.ts
@@ -68,6 +68,8 @@
 const maxConfigWaitShare = 0.22;
 /** Largest age up to which a daemon relies on relays for the configuration, as a share of the revocation bound; it leaves time for reads of the store before API keys are no longer accepted. */
 const maxConfigRelayAgeShare = 0.55;
+/** How long the list of backend servers may take to be read again before a stream that a client takes up goes on, in milliseconds. */
+const refreshTimeoutMs = 250;
 /** Longest wait of one long poll of the backend servers, in milliseconds. */
 const maxBackendsWaitMs = 2000;
 /** The same for a relay, in milliseconds; shorter, since other daemons rely on its view. */
@@ -234,7 +236,7 @@
 		routes: resolver.resolve(RouteTable), configView: resolver.resolve(ViewAge), quota: resolver.resolve(QuotaLedger), quotaPeers: nowMs => resolver.resolve(FleetMessenger).quotaPeers(nowMs), exchange: resolver.resolve(AssignmentExchange), selector: resolver.resolve(Dispatcher).selector,
 	}));
 	registerFactory(ServiceVersions, resolver => new ServiceVersions({
-		backends: resolver.resolve(BackendTable), viewAgeMs: nowMs => resolver.resolve(BackendsFollower).stateAt(nowMs).ageMs, startedAtMs, firstStart: resolver.resolve(FirstStart),
+		backends: resolver.resolve(BackendTable), startedAtMs, firstStart: resolver.resolve(FirstStart),
 	}));
 	registerFactory(StreamOrigins, resolver => new StreamOrigins(() => Math.max(minStreamRetentionMs, resolver.resolve(RouteTable).longestTimeoutMs * streamRetentionTimeouts)));
 	registerFactory(StreamOriginRecord, resolver => new StreamOriginRecord({
@@ -258,7 +260,7 @@
 		exchange: resolver.resolve(StreamOriginExchange),
 		record: resolver.resolve(StreamOriginRecord),
 		clock,
-		isAlone: nowMs => resolver.resolve(FleetTable).daemons(nowMs) === 1,
+		refreshBackends: async () => resolver.resolve(BackendsFollower).refresh(refreshTimeoutMs, signal),
 	}));
 	registerFactory(StreamRegistry, resolver => new StreamRegistry({
 		backends: resolver.resolve(BackendTable), engines, dispatcher: resolver.resolve(Dispatcher), routes: resolver.resolve(RouteTable), rollouts: resolver.resolve(Rollouts), sharing: resolver.resolve(StreamOriginSharing), quarantine: resolver.resolve(Quarantine), clock, signal,
--- a/src/coordination/__tests__/topic-follower.test.ts
+++ b/src/coordination/__tests__/topic-follower.test.ts
@@ -82,6 +82,66 @@
 	});
 });
 
+describe('TopicFollower.refresh', () => {
+	it('brings records at once that a follower has not read yet, and confirms its view as of the call', async () => {
+		const store = new FakeStore();
+		store.put(Topic.Config, 'a', '1');
+		const {seen, stop, follower, viewAge, clock} = follow(store, {maxRelayAgeMs: 60_000});
+		await waitUntil(async () => seen.length === 1, 1000);
+		// It goes by its relays' word and does not read.
+		follower.applyRelayUpdate({next: at(1), ageMs: 0, records: []}, clock.now(), clock.now());
+		await delay(150);
+		store.put(Topic.Config, 'b', '2');
+		const calledAtMs = clock.now();
+		expect(await follower.refresh(100, stop.signal)).toBe(true);
+		expect(seen).toEqual(['reset a', 'b']);
+		expect(viewAge.ageMs(clock.now())).toBeLessThanOrEqual(clock.now() - calledAtMs);
+		stop.abort();
+	});
+
+	it('shares a read that is sent after the calls', async () => {
+		const store = new FakeStore();
+		const {stop, follower, clock} = follow(store, {maxRelayAgeMs: 60_000});
+		await waitUntil(async () => follower.position !== undefined, 1000);
+		follower.applyRelayUpdate({next: at(0), ageMs: 0, records: []}, clock.now(), clock.now());
+		await delay(150);
+		const readsBefore = store.answeredReads;
+		expect(await Promise.all(Array.from({length: 10}, async () => follower.refresh(100, stop.signal)))).toEqual(Array.from({length: 10}, () => true));
+		expect(store.answeredReads - readsBefore).toBe(2);
+		stop.abort();
+	});
+
+	it.each([
+		{
+			name: 'does not answer', break(store: FakeStore) {
+				store.isDown = true;
+			},
+		},
+		{
+			name: 'was restored', break(store: FakeStore) {
+				store.restore(Topic.Config, 0);
+			},
+		},
+		{
+			name: 'returns a part of the records', break(store: FakeStore) {
+				store.maxRecordsPerRead = 1;
+				store.put(Topic.Config, 'b', '2');
+				store.put(Topic.Config, 'c', '3');
+			},
+		},
+	])('confirms nothing while the store $name', async ({break: breakStore}) => {
+		const store = new FakeStore();
+		store.put(Topic.Config, 'a', '1');
+		const {seen, stop, follower, clock} = follow(store, {maxRelayAgeMs: 60_000});
+		await waitUntil(async () => seen.length === 1, 1000);
+		follower.applyRelayUpdate({next: at(1), ageMs: 0, records: []}, clock.now(), clock.now());
+		await delay(150);
+		breakStore(store);
+		expect(await follower.refresh(100, stop.signal)).toBe(false);
+		stop.abort();
+	});
+});
+
 describe('a TopicFollower whose reads the store rejects', () => {
 	it('reads less and less often, and confirms its view within a second once the store answers', async () => {
 		const store = new FakeStore();
--- a/src/coordination/fleet/__fixtures__/test-net.ts
+++ b/src/coordination/fleet/__fixtures__/test-net.ts
@@ -149,7 +149,7 @@
 			createSender: nowMs => this.messenger.sender(nowMs),
 		});
 		this.versions = new ServiceVersions({
-			backends: this.backends, viewAgeMs: () => 0, startedAtMs, firstStart,
+			backends: this.backends, startedAtMs, firstStart,
 		});
 		this.originRecord = new StreamOriginRecord({
 			store: net.store, logEra: this.logEra, origins: this.origins, versions: this.versions, lease: this.lease, isFirstDaemon: nowMs => this.fleet.rank(nowMs) === 0, name, clock, signal: new AbortController().signal,
--- a/src/coordination/stream-origins/__tests__/service-versions.test.ts
+++ b/src/coordination/stream-origins/__tests__/service-versions.test.ts
@@ -9,7 +9,7 @@
 });
 
 describe('findOnlyVersion', () => {
-	const sure: VersionKnowledge = {versions: ['v1'], hasHistory: true, isFresh: true};
+	const sure: VersionKnowledge = {versions: ['v1'], hasHistory: true};
 	it.each([
 		{
 			name: 'this daemon is sure', own: sure, others: [], expected: 'v1',
@@ -18,16 +18,13 @@
 			name: 'this daemon knows several', own: {...sure, versions: ['v1', 'v2']}, others: [], expected: undefined,
 		},
 		{
-			name: 'its list is old and nobody answers', own: {...sure, isFresh: false}, others: [], expected: undefined,
+			name: 'its list may lack a version', own: sure, others: [], isConfirmed: false, expected: undefined,
 		},
 		{
-			name: 'its list is old and others agree', own: {...sure, isFresh: false}, others: [{...sure, isFresh: false}], expected: 'v1',
+			name: 'its list may lack a version, and others agree that do not confirm it', own: sure, others: [sure], isConfirmed: false, expected: undefined,
 		},
 		{
-			name: 'its list is old and there are no others', own: {...sure, isFresh: false}, others: [], isAlone: true, expected: 'v1',
-		},
-		{
-			name: 'another daemon knows a second one', own: {...sure, isFresh: false}, others: [sure, {...sure, versions: ['v1', 'v2']}], expected: undefined,
+			name: 'another daemon knows a second one', own: sure, others: [sure, {...sure, versions: ['v1', 'v2']}], expected: undefined,
 		},
 		{
 			name: 'it has just started and another one is sure', own: {...sure, hasHistory: false}, others: [sure], expected: 'v1',
@@ -38,8 +35,8 @@
 		{
 			name: 'no backend server is known', own: {...sure, versions: []}, others: [], expected: undefined,
 		},
-	])('returns $expected when $name', ({own, others, isAlone = false, expected}) => {
-		expect(findOnlyVersion(own, others, isAlone)).toBe(expected);
+	])('returns $expected when $name', ({own, others, isConfirmed = true, expected}) => {
+		expect(findOnlyVersion(own, others, isConfirmed)).toBe(expected);
 	});
 });
 
@@ -58,7 +55,7 @@
 		const backends = new BackendTable({drainMs: 2000});
 		backends.upsert(replica('a', 'v1'), 0);
 		const versions = new ServiceVersions({
-			backends, viewAgeMs: () => 0, startedAtMs: 0, firstStart: {isConfirmed: false},
+			backends, startedAtMs: 0, firstStart: {isConfirmed: false},
 		});
 		expect(versions.hasHistory(1000)).toBe(false);
 		if (earlier) {
@@ -76,7 +73,7 @@
 		backends.upsert(replica('b', 'v2'), 0);
 		backends.markRemoved('a', 1000);
 		const versions = new ServiceVersions({
-			backends, viewAgeMs: () => 0, startedAtMs: 0, firstStart: {isConfirmed: true},
+			backends, startedAtMs: 0, firstStart: {isConfirmed: true},
 		});
 		backends.prune(60_000, 60_000);
 		expect(versions.isMixed('s', 60_000)).toBe(true);
--- a/src/coordination/stream-origins/__tests__/stream-origin-exchange.test.ts
+++ b/src/coordination/stream-origins/__tests__/stream-origin-exchange.test.ts
@@ -23,7 +23,8 @@
 		await delay(10); // eslint-disable-line no-await-in-loop
 	}
 
-	return answers;
+	const {answers: received} = await answers;
+	return received;
 }
 
 describe('StreamOriginExchange', () => {
--- a/src/coordination/stream-origins/__tests__/stream-origin-lookup.test.ts
+++ b/src/coordination/stream-origins/__tests__/stream-origin-lookup.test.ts
@@ -13,11 +13,12 @@
 
 const origin = {service: 's', version: 'v1'};
 const key = computeStreamKey('a', 'x');
-const mixed: VersionKnowledge = {versions: ['v1', 'v2'], hasHistory: true, isFresh: true};
-const single: VersionKnowledge = {versions: ['v1'], hasHistory: true, isFresh: true};
+const mixed: VersionKnowledge = {versions: ['v1', 'v2'], hasHistory: true};
+const single: VersionKnowledge = {versions: ['v1'], hasHistory: true};
+const agreeing = {origin: undefined, knowledge: single};
 
 /** The parts of one daemon, at a store that may be shared with others. */
-function createDaemon({store = new FakeStore(), name = 'd', knowledge = mixed, answers = [] as Array<Partial<StreamOriginAnswer>>} = {}) {
+function createDaemon({store = new FakeStore(), name = 'd', knowledge = mixed, answers = [] as Array<Partial<StreamOriginAnswer>>, asked = 1, canRefresh = true} = {}) {
 	const clock = new SteadyClock({monotonicMs: () => 1000, wallMs: () => 1000, uptimeMs: () => 1000});
 	const origins = new StreamOrigins(() => 30_000);
 	const versions: Partial<ServiceVersions> = {
@@ -29,7 +30,7 @@
 	});
 	record.applyVersions(undefined, 0);
 	const lookup = new StreamOriginLookup({
-		origins, versions: versions as ServiceVersions, exchange: {ask: async () => answers as StreamOriginAnswer[]}, record, clock, isAlone: () => false,
+		origins, versions: versions as ServiceVersions, exchange: {ask: async () => ({answers: answers as StreamOriginAnswer[], asked})}, record, clock, refreshBackends: async () => canRefresh,
 	});
 	return {
 		store, origins, record, lookup,
@@ -47,11 +48,28 @@
 		},
 		{name: 'as the only version', daemon: () => createDaemon({knowledge: single}), source: OriginSource.OnlyVersion},
 		{name: 'from another daemon', daemon: () => createDaemon({answers: [{origin: undefined, knowledge: mixed}, {origin, knowledge: mixed}]}), source: OriginSource.OtherDaemon},
-		{name: 'as the only version that others know too', daemon: () => createDaemon({knowledge: {...single, isFresh: false}, answers: [{origin: undefined, knowledge: single}]}), source: OriginSource.OnlyVersion},
+		{
+			name: 'as the only version that others know too', daemon: () => createDaemon({
+				knowledge: single, answers: [agreeing], asked: 2, canRefresh: false,
+			}), source: OriginSource.OnlyVersion,
+		},
 	])('finds the version of a stream $name', async ({daemon, source}) => {
 		expect(await daemon().lookup.find({account: 'a', service: 's', requestId: 'x'})).toEqual({origin, source});
 	});
 
+	// The daemon may lack a version at which the stream began.
+	it.each([
+		{name: 'nobody answers', answers: [], asked: 2},
+		{name: 'nobody is known', answers: [], asked: 0},
+		{name: 'few of those asked agree', answers: [agreeing], asked: 3},
+		{name: 'another daemon knows a second version', answers: [agreeing, {origin: undefined, knowledge: mixed}], asked: 2},
+	])('does not take the version that it knows for the only one while the list of backend servers cannot be read and $name', async ({answers, asked}) => {
+		const {lookup} = createDaemon({
+			knowledge: single, answers, asked, canRefresh: false,
+		});
+		expect(await lookup.find({account: 'a', service: 's', requestId: 'x'})).toEqual({origin: undefined, source: OriginSource.Unknown});
+	});
+
 	it('finds the version of a stream that another daemon wrote to the store', async () => {
 		const writer = createDaemon({name: 'writer'});
 		writer.origins.note(key, origin, 1000);
--- a/src/coordination/stream-origins/service-versions.ts
+++ b/src/coordination/stream-origins/service-versions.ts
@@ -12,14 +12,10 @@
 
 /** How long a daemon must have run until no stream is left that began before its start, in milliseconds. */
 const historyMs = 60_000;
-/** Largest age of the list of backend servers at which a daemon relies on it alone, in milliseconds; one long poll and its answer take less. */
-const maxViewAgeMs = 3000;
 
 /** What a {@link ServiceVersions} depends on. */
 export type ServiceVersionsDependencies = {
 	backends: BackendTable;
-	/** Returns the age of the list of backend servers, in milliseconds. */
-	viewAgeMs: (nowMs: number) => number;
 	startedAtMs: number;
 	firstStart: Pick<FirstStart, 'isConfirmed'>;
 };
@@ -57,7 +53,6 @@
 		return {
 			versions: [...this.known(service, nowMs)],
 			hasHistory: !this.isHistoryNeeded(nowMs) || this.earlier?.has(service) === true || this.dependencies.firstStart.isConfirmed,
-			isFresh: this.dependencies.viewAgeMs(nowMs) <= maxViewAgeMs,
 		};
 	}
 
@@ -79,12 +74,12 @@
 
 /**
  * Returns the only version at which streams of a service may have begun, by what this daemon
- * and those that answered it know; undefined if there may be several. A daemon whose list is
- * old may have missed a version, so it needs at least one other that agrees.
+ * and those that answered it know; undefined if there may be several.
+ *
+ * @param isConfirmed Whether no version can have been missed that served before the stream was taken up.
  */
-export function findOnlyVersion(own: VersionKnowledge, others: VersionKnowledge[], isAlone: boolean): string | undefined {
+export function findOnlyVersion(own: VersionKnowledge, others: VersionKnowledge[], isConfirmed: boolean): string | undefined {
 	const all = [own, ...others];
 	const versions = new Set(all.flatMap(knowledge => knowledge.versions));
-	const isConfirmed = own.isFresh || isAlone || others.length > 0;
 	return versions.size === 1 && isConfirmed && all.some(({hasHistory}) => hasHistory) ? [...versions][0] : undefined;
 }
--- a/src/coordination/stream-origins/stream-origin-exchange.ts
+++ b/src/coordination/stream-origins/stream-origin-exchange.ts
@@ -79,13 +79,13 @@
 		return false;
 	}
 
-	/** Asks other daemons about a stream; resolves with their answers as soon as one of them knows it, or after {@link answerTimeoutMs}. */
-	async ask(stream: number, service: string): Promise<StreamOriginAnswer[]> {
+	/** Asks other daemons about a stream; resolves with their answers and the number asked as soon as one of them knows it, or after {@link answerTimeoutMs}. */
+	async ask(stream: number, service: string): Promise<{answers: StreamOriginAnswer[]; asked: number}> {
 		const {clock, createSender} = this.dependencies;
 		const nowMs = clock.now();
 		const receivers = this.queryReceivers(nowMs);
 		if (!this.link || receivers.length === 0) {
-			return [];
+			return {answers: [], asked: 0};
 		}
 
 		const query: StreamOriginQuery = {
@@ -98,7 +98,7 @@
 				finish: () => {
 					clearTimeout(timer);
 					this.queries.delete(stream);
-					resolve(pending.answers);
+					resolve({answers: pending.answers, asked: receivers.length});
 				},
 			};
 			const timer = setTimeout(pending.finish, answerTimeoutMs);
--- a/src/coordination/topic-follower.ts
+++ b/src/coordination/topic-follower.ts
@@ -97,6 +97,9 @@
 	private readonly reads = {answered: 0, failed: 0};
 	private consecutiveFailures = 0;
 	private readonly recentRecords = new RecentRecords();
+	/** The read of {@link refresh} that is under way, and the one that follows it. */
+	private refreshing: Promise<boolean> | undefined;
+	private nextRefresh: Promise<boolean> | undefined;
 
 	constructor(private readonly options: FollowerOptions) {}
 
@@ -149,6 +152,20 @@
 		}
 	}
 
+	/** Reads what the view lacks, beside the reads of {@link run}; returns whether the view is then complete as of a moment after the call. Calls that wait share a read. */
+	async refresh(answerMs: number, signal: AbortSignal): Promise<boolean> {
+		if (!this.refreshing) {
+			return this.startRefresh(answerMs, signal);
+		}
+
+		// The read under way may have been answered before the call.
+		this.nextRefresh ??= this.refreshing.then(async () => {
+			this.nextRefresh = undefined;
+			return this.startRefresh(answerMs, signal);
+		});
+		return this.nextRefresh;
+	}
+
 	/** Creates the update for a daemon whose view reaches up to a position; undefined before the first read. */
 	createUpdateFor(position: LogPosition | undefined, nowMs: number): TopicUpdate | undefined {
 		if (this.next === undefined) {
@@ -212,7 +229,7 @@
 
 	/** Makes one read; returns whether it brought any records and reached the end of the topic. */
 	private async read(signal: AbortSignal): Promise<boolean> {
-		const {topic, viewAge, logEra, clock, canSkipToNewest} = this.options;
+		const {topic, logEra, clock, canSkipToNewest} = this.options;
 		const sentAtMs = clock.now();
 		this.isMissingRecords = false;
 		const batch = this.next === undefined ? undefined : await this.readFrom(this.next.offset, signal);
@@ -227,8 +244,37 @@
 			return false;
 		}
 
+		return this.applyBatch(batch, sentAtMs) && batch.records.length > 0;
+	}
+
+	private async startRefresh(answerMs: number, signal: AbortSignal): Promise<boolean> {
+		this.refreshing = this.readMissing(answerMs, signal).finally(() => {
+			this.refreshing = undefined;
+		});
+		return this.refreshing;
+	}
+
+	private async readMissing(answerMs: number, signal: AbortSignal): Promise<boolean> {
+		const {store, topic, maxBytes, clock} = this.options;
+		const sentAtMs = clock.now();
+		if (this.next === undefined) {
+			return false;
+		}
+
+		try {
+			const batch = await store.read(topic, this.next.offset, {waitMs: 0, answerMs, maxBytes}, signal);
+			return batch?.era === this.next.era && this.applyBatch(batch, sentAtMs);
+		} catch (error) {
+			log.info('view cannot be refreshed.', {topic, error: String(error)});
+			return false;
+		}
+	}
+
+	/** Applies the records of a read that was sent at a time; returns whether they reach the end of the topic, so that the view is confirmed. */
+	private applyBatch(batch: RecordBatch, sentAtMs: number): boolean {
+		const {viewAge, clock} = this.options;
 		for (const record of batch.records) {
-			// A relay may have sent the record in the meantime.
+			// Another read or a relay may have brought the record in the meantime.
 			if (record.offset >= this.next!.offset) {
 				this.applyRecord(record, clock.now());
 			}
@@ -239,7 +285,7 @@
 			viewAge.confirm(sentAtMs);
 		}
 
-		return isAtEnd && batch.records.length > 0;
+		return isAtEnd;
 	}
 
 	/** Reads records from an offset on, and waits for them unless the view's age is uncertain. */
--- a/src/protocol/fleet-messages.ts
+++ b/src/protocol/fleet-messages.ts
@@ -288,8 +288,6 @@
 	versions: string[];
 	/** Whether it knows those from before its start. */
 	hasHistory: boolean;
-	/** Whether its list of backend servers is recent. */
-	isFresh: boolean;
 };
 
 /** Answers a query; the origin is undefined if the sender does not know the stream. */
@@ -341,8 +339,8 @@
 }
 
 function isVersionKnowledge(value: unknown): value is VersionKnowledge {
-	const {versions, hasHistory, isFresh} = (value ?? {}) as Partial<VersionKnowledge>;
-	return isStringList(versions) && typeof hasHistory === 'boolean' && typeof isFresh === 'boolean';
+	const {versions, hasHistory} = (value ?? {}) as Partial<VersionKnowledge>;
+	return isStringList(versions) && typeof hasHistory === 'boolean';
 }
 
 /** Whether a value is a list of roll-outs. */
