--- a/soak/__tests__/soak.test.ts
+++ b/soak/__tests__/soak.test.ts
@@ -44,6 +44,12 @@
 	{
 		seed: 69_102, daemons: 16, cause: 'the same with more daemons than report to each other', options: {hasMoves: true},
 	},
+	{
+		seed: 72_202, daemons: 3, cause: 'planned work beside engines that are silent or full: a stream was cut as another engine refused it late', options: {hasPlannedWork: true},
+	},
+	{
+		seed: 72_203, daemons: 16, cause: 'the same with more daemons than report to each other', options: {hasPlannedWork: true},
+	},
 	{
 		seed: 701, daemons: 3, cause: 'a request that crashes replicas, and a replica that states a limit', options: {hasReplicaFaults: true},
 	},
--- a/soak/planned-faults.ts
+++ b/soak/planned-faults.ts
@@ -62,20 +62,22 @@
 			replica.silentUntilMs = Date.now() + silenceMs;
 		},
 	});
-	const queue = (): PlannedFault => ({
-		name: 'replicas refuse late',
+	const fill = (): PlannedFault => ({
+		name: 'replicas are full and refuse late',
 		begin() {
 			for (const each of cluster.replicas) {
+				each.capacity = 0;
 				each.refusalDelayMs = refusalDelayMs;
 			}
 		},
 		end() {
 			for (const each of cluster.replicas) {
+				each.capacity = plannedSlots;
 				each.refusalDelayMs = 0;
 			}
 		},
 	});
-	return [sendSignal('SIGTERM'), sendSignal('SIGHUP'), reconfigure, reconfigure, replace, replace, reclaim, silence, silence, silence, queue];
+	return [sendSignal('SIGTERM'), sendSignal('SIGHUP'), reconfigure, reconfigure, replace, replace, reclaim, silence, silence, silence, fill, fill];
 }
 
 /** Finds the requests that a daemon has read and that ended without a complete answer, although their last replica went on and there was time left. */
