Send answers whole to slow clients when a gateway stops

The servers of the gateway lost the rest of answers to slow clients at their stop as those of the daemon did: hapi calls http.Server.close, and Node.js closes the connections whose response has ended, sent or not. hapi closes idle connections itself, and waits for the others up to its timeout.

http-server.test.ts failed before: 3,919,872 of 16,777,216 bytes arrived.

--- a/src/transport/http-server.ts
+++ b/src/transport/http-server.ts
@@ -40,11 +40,14 @@
 
 /** Creates a hapi server for the given address without starting it. */
 export function createServer(listen: Listen): Hapi.Server {
-	return Hapi.server({
+	const server = Hapi.server({
 		host: listen.host,
 		port: listen.port,
 		routes: {payload: {maxBytes: maxPayloadBytes}},
 	});
+	// On close, Node.js would also close connections whose response has ended but is still being sent; hapi closes the idle ones itself.
+	server.listener.closeIdleConnections = () => undefined;
+	return server;
 }
 
 /** Creates a hapi server that handles the requests of a port that is already listening. */
