--- a/soak/cluster.ts
+++ b/soak/cluster.ts
@@ -213,7 +213,7 @@
 		const link = new FaultyLink(replica.address);
 		await link.start();
 		if (this.hasMovingReplicas) {
-			allowMoves(replica, link.address, this.moves, this.slots);
+			allowMoves(replica, {address: link.address, moves: this.moves, slots: this.slots});
 		}
 
 		this.replicas.push(replica);
@@ -290,9 +290,24 @@
 		this.addedAtMs.set(this.apiKeys[0], Date.now());
 	}
 
-	/** Writes the configuration again, as a new version. */
-	writeConfig(): void {
-		this.putConfig();
+	/** Writes a new version of the configuration to the store. */
+	putConfig(): void {
+		this.version += 2;
+		const route = (name: string, kind: string, isResumable = false) => ({
+			name, host: 'h.example', path_prefix: `/${name}/`, kind, timeout_ms: this.options.hasPlannedWork ? plannedTimeoutMs : 1500, latency_target_ms: 200, attempts: 2, service: 'svc', resumable: isResumable,
+		});
+		this.store.put('keyed.op', 'config', {
+			version: this.version,
+			routes: [route('call', 'idempotent'), route('pay', 'non_idempotent'), route('stream', 'streaming', true), route('once', 'streaming')],
+			services: [{
+				name: 'svc', max_conns: 50, ...(this.hasMovingReplicas && {
+					engine: {
+						slots: this.slots, kv_tokens: 1000, moves: true, stride: 1, hold_ms: 2000,
+					},
+				}),
+			}],
+			tenants: [{name: 'team', api_keys: this.apiKeys}],
+		});
 	}
 
 	/** The requests that a replica runs at once, in runs in which replicas move streams. */
@@ -333,26 +348,6 @@
 		});
 	}
 
-	/** Writes a new version of the configuration to the store. */
-	private putConfig(): void {
-		this.version += 2;
-		const route = (name: string, kind: string, isResumable = false) => ({
-			name, host: 'h.example', path_prefix: `/${name}/`, kind, timeout_ms: this.options.hasPlannedWork ? plannedTimeoutMs : 1500, latency_target_ms: 200, attempts: 2, service: 'svc', resumable: isResumable,
-		});
-		this.store.put('keyed.op', 'config', {
-			version: this.version,
-			routes: [route('call', 'idempotent'), route('pay', 'non_idempotent'), route('stream', 'streaming', true), route('once', 'streaming')],
-			services: [{
-				name: 'svc', max_conns: 50, ...(this.hasMovingReplicas && {
-					engine: {
-						slots: this.slots, kv_tokens: 1000, moves: true, stride: 1, hold_ms: 2000,
-					},
-				}),
-			}],
-			tenants: [{name: 'team', api_keys: this.apiKeys}],
-		});
-	}
-
 	/** Creates a daemon with its settings; it isn't started yet. */
 	private createDaemon(index: number): SoakDaemon {
 		const host = `127.0.0.${index + 2}`;
--- a/soak/move-faults.ts
+++ b/soak/move-faults.ts
@@ -20,7 +20,7 @@
 type MoveFault = {name: string; begin: () => void; end?: () => void};
 
 /** Makes a new replica move its streams, and refuse requests for which it has no slot. */
-export function allowMoves(replica: ReplicaStandin, address: string, moves: RunMoves, slots: number): void { // eslint-disable-line max-params
+export function allowMoves(replica: ReplicaStandin, {address, moves, slots}: {address: string; moves: RunMoves; slots: number}): void {
 	replica.capacity = slots;
 	replica.slots = slots;
 	replica.eventPauseMs = eventPauseMs;
--- a/soak/planned-faults.ts
+++ b/soak/planned-faults.ts
@@ -40,7 +40,7 @@
 	const reconfigure = (): PlannedFault => ({
 		name: 'configuration written again',
 		begin() {
-			cluster.writeConfig();
+			cluster.putConfig();
 		},
 	});
 	const replace = (): PlannedFault => ({
--- a/src/coordination/serving/dispatcher.ts
+++ b/src/coordination/serving/dispatcher.ts
@@ -413,7 +413,7 @@
 				}),
 				body,
 				isRetryable: served.isRetryable,
-				// On a connection that has carried this request, a late copy of its refusal would pass for the next answer, since both bear its id. And an idle one may be dead, for which no run is given up.
+				// On a connection that has carried this request, a late copy of its refusal would pass for the next answer, since both bear its id. An idle connection may be dead, and a run must not be given up for it.
 				requiresNewConnection: served.deliveredTo.has(address) || options.requiresHold === true,
 				connectTimeoutMs: Math.min(connectTimeoutMs, options.firstByteTimeoutMs),
 				onConnect() {
