Bound what the daemon keeps for clients before it handles their requests

Callers saw the daemon's process end: heap exhausted within 1 to 4 seconds of a crowd that sends requests ahead without reading the answers, or bodies in chunks of one byte; more than twice the memory of the VM with bodies that lack their last byte; and all descriptors taken by idle connections.

Cause: the parser of Node.js is handed all bytes that have arrived and creates a request and a response for each of some thousand requests in 64 KB before a handler can refuse any. Bodies counted only once they were whole, each chunk was an object of its own, and nothing bounded connections.

A connection now passes on what it receives message by message, as far as a table of all connections allows: requests ahead, of one connection and of all; bytes of requests that are not answered, the longest ones being refused with 503 and Retry-After; unread answers; connections, those that serve nobody being closed first. Connections with more to process share the turns of the event loop. A request that is being served is answered before its connection is closed. The limits follow from the memory and descriptors in the settings; daemons among themselves keep only the bound on bodies.

Two faults of the same cause came to light. Requests behind the first one of a connection were not aborted when the client disconnected: 1 of 3 signals before, 3 of 3 now. A body over the limit could be reset before its client had read the 413 (write EPIPE before).

--- a/src/cli/front-daemon.ts
+++ b/src/cli/front-daemon.ts
@@ -14,6 +14,8 @@
 import {BackendTable} from '../state/backend-table.js';
 import {RouteTable} from '../state/route-table.js';
 import {BackendConnectionPool} from '../transport/backend-connection-pool.js';
+import {clientListenerLimits, internalListenerLimits} from '../transport/connection-limits.js';
+import {type ConnectionTable} from '../transport/connection-table.js';
 import {DatagramLink} from '../transport/datagram-link.js';
 import {FrontServer, type FrontRequest, writeErrorResponse} from '../transport/front-server.js';
 import {nextPoll} from '../transport/next-poll.js';
@@ -119,8 +121,8 @@
 		this.activeAtMs = this.startedAtMs;
 		const forwarder = this.container.resolve(Forwarder);
 		const shedding = this.container.resolve(ConnectionShedding);
-		this.server = new FrontServer(async request => forwarder.handle(request), () => shedding.accepts(this.clock.now()));
-		this.peerServer = new FrontServer(async request => serveProxiedRequest(forwarder, request));
+		this.server = new FrontServer(async request => forwarder.handle(request), () => shedding.accepts(this.clock.now()), clientListenerLimits(platform.settings.machine));
+		this.peerServer = new FrontServer(async request => serveProxiedRequest(forwarder, request), () => true, internalListenerLimits);
 	}
 
 	/** Whether the load balancer should send new connections to this daemon. */
@@ -129,6 +131,11 @@
 		return !this.isStopping && this.isLoaded && viewAgeMs <= this.platform.settings.bounds.revokeMs * maxReadyViewAgeShare;
 	}
 
+	/** The connections of clients. */
+	get clientConnections(): ConnectionTable {
+		return this.server.connections;
+	}
+
 	/** Number of requests whose response has not ended yet. */
 	get openRequests(): number {
 		return this.server.openRequests + this.peerServer.openRequests;
--- a/src/coordination/__tests__/settings-reload.test.ts
+++ b/src/coordination/__tests__/settings-reload.test.ts
@@ -11,6 +11,7 @@
 	readiness: {host: '10.0.0.1', port: 2},
 	peerPort: 3,
 	metricsPort: 4,
+	machine: {memoryMegabytes: 210, maxDescriptors: 3075},
 	storeUrl: 'http://10.0.0.9:1',
 	cloudUrl: 'http://10.0.0.9:2',
 	bounds: {
--- a/src/protocol/platform.ts
+++ b/src/protocol/platform.ts
@@ -22,6 +22,8 @@
 	/** The port for datagrams between daemons. */
 	peerPort: number;
 	metricsPort: number;
+	/** The memory and the descriptors that the process may take. */
+	machine: MachineLimits;
 	/** The URL of the platform's store. */
 	storeUrl: string;
 	/** The URL of the platform's cloud API. */
@@ -30,6 +32,12 @@
 	bounds: ServiceBounds;
 };
 
+/** The memory and the descriptors that a process may take. */
+export type MachineLimits = {
+	memoryMegabytes: number;
+	maxDescriptors: number;
+};
+
 /** The bounds that the operators set for the deployment; times are in milliseconds. */
 export type ServiceBounds = {
 	/** Time within which every daemon applies an accepted configuration. */
--- a/src/transport/__tests__/front-server.test.ts
+++ b/src/transport/__tests__/front-server.test.ts
@@ -110,6 +110,19 @@
 		silentServer.destroy();
 	});
 
+	it('aborts the signals of requests that were sent ahead when their client disconnects', async () => {
+		const signals: AbortSignal[] = [];
+		const silentServer = new FrontServer(async request => {
+			signals.push(request.signal);
+		});
+		await silentServer.listen({host: '127.0.0.1', port: port + 1});
+		await send('GET /a HTTP/1.1\r\nHost: h\r\n\r\n'.repeat(3), 100, port + 1);
+		await waitUntil(async () => silentServer.openConnections === 0, 5000);
+		expect(signals.map(({aborted}) => aborted)).toEqual([true, true, true]);
+		silentServer.close();
+		silentServer.destroy();
+	});
+
 	it('tells a connection that it has closed itself from one that its client has closed', async () => {
 		const signals: AbortSignal[] = [];
 		const stoppedServer = new FrontServer(async request => {
--- a/src/transport/front-server.ts
+++ b/src/transport/front-server.ts
@@ -5,15 +5,18 @@
  * `node:http` rather than hapi, since it routes nothing and needs control of connections.
  */
 import {Buffer} from 'node:buffer';
-import {
-	createServer, type IncomingMessage, type Server, type ServerResponse,
-} from 'node:http';
-import {type Socket} from 'node:net';
+import {type IncomingMessage, type ServerResponse} from 'node:http';
+import {finished} from 'node:stream';
 import {type ClientLimits} from '../protocol/serving.js';
 import {type Listen} from '../protocol/settings.js';
 import {createLogger} from '../log.js';
+import {type ClientConnection} from './client-connection.js';
+import {clientListenerLimits, type ConnectionLimits, defaultMachineLimits} from './connection-limits.js';
+import {type ConnectionTable} from './connection-table.js';
 import {TransportError} from './errors.js';
+import {connectionOf, LimitedServer} from './limited-server.js';
 import {nextPoll} from './next-poll.js';
+import {ReceivedBody} from './received-body.js';
 
 const log = createLogger('front');
 
@@ -23,8 +26,10 @@
 const timeoutCheckIntervalMs = 1000;
 /** Time by which the server keeps an idle connection beyond the configured timeout, in milliseconds, so that clients stop reusing it before the server closes it. */
 const keepAliveMarginMs = 1000;
-/** Maximum total size of the request bodies buffered at once, in bytes: a seventh of the memory of the smallest daemon. */
-const maxBufferedBytes = 48 * 1024 * 1024;
+/** Length of an unread answer from which on it is checked at once how much all clients leave unread, in bytes. */
+const checkedUnreadBytes = 65_536;
+/** Retry-After of a request that was refused while it was being received, in seconds; short, since the client's next connection may reach another daemon. */
+const receivingRetryAfterSeconds = '0.25';
 /** Retry-After of a stopping daemon, in seconds; short, since the client's next connection reaches another daemon. */
 const stoppingRetryAfterSeconds = '0.05';
 const defaultLimits: ClientLimits = {
@@ -45,19 +50,9 @@
 /** Handles one request and writes its response. */
 export type FrontHandler = (request: FrontRequest) => Promise<void>;
 
-/** An open connection of a client. */
-type ClientConnection = {
-	/** Requests whose response has not ended yet. */
-	openRequests: number;
-	/** Those of them that the handler has received. */
-	handledRequests: number;
-	/** Whether it is closed once these are answered, since something else on it was rejected. */
-	closesAfterResponses: boolean;
-};
-
 /** A request was rejected before it reached the handler; the message becomes the reason in the response. */
 class RejectedRequestError extends TransportError {
-	constructor(readonly statusCode: number, message: string) {
+	constructor(readonly statusCode: number, message: string, readonly headers: Record<string, string> = {}) {
 		super(message);
 	}
 }
@@ -116,54 +111,61 @@
 
 /** The client-facing HTTP server of a serving daemon. */
 export class FrontServer {
-	private readonly connections = new Map<Socket, ClientConnection>();
+	private readonly clients = new Set<ClientConnection>();
 	/** Of the requests that the handler is serving. */
 	private readonly handledRequests = new Set<AbortController>();
-	private readonly server: Server;
+	private readonly server: LimitedServer;
+	private readonly connectionLimits: ConnectionLimits;
 	private limits = defaultLimits;
-	private bufferedBytes = 0;
 	private isStopping = false;
 	private isClosed = false;
 	private isDestroyed = false;
 
 	/** @param accepts Returns whether a connection that has just been opened is accepted; otherwise it is closed with nothing read. */
-	constructor(private readonly handler: FrontHandler, accepts: () => boolean = () => true) {
-		this.server = createServer({
+	constructor(private readonly handler: FrontHandler, accepts: () => boolean = () => true, connectionLimits = clientListenerLimits(defaultMachineLimits)) {
+		this.connectionLimits = {...connectionLimits};
+		this.server = new LimitedServer(this.connectionLimits, {
 			maxHeaderSize: maxParsedHeaderBytes, connectionsCheckingInterval: timeoutCheckIntervalMs, noDelay: true, requireHostHeader: false,
 		}, (request, response) => {
 			void this.handleRequest(request, response);
 		});
 		// On close, Node.js would also close connections whose response has ended but is still being sent.
 		this.server.closeIdleConnections = () => undefined;
-		this.server.prependListener('connection', (socket: Socket) => {
+		this.server.prependListener('connection', connection => {
 			if (!accepts()) {
-				socket.destroy();
+				connection.destroy();
 			}
 		});
-		this.server.on('connection', (socket: Socket) => {
+		this.server.on('connection', socket => {
 			if (socket.destroyed) {
 				return;
 			}
 
-			this.connections.set(socket, {openRequests: 0, handledRequests: 0, closesAfterResponses: false});
-			socket.once('close', () => {
-				this.connections.delete(socket);
+			const connection = socket as unknown as ClientConnection;
+			this.clients.add(connection);
+			connection.once('close', () => {
+				this.clients.delete(connection);
 			});
 		});
 		this.server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
-			this.rejectConnection(error, socket as Socket);
+			this.rejectConnection(error, socket as unknown as ClientConnection);
 		});
 		this.setLimits(defaultLimits);
 	}
 
+	/** The connections of clients, and how often their limits were met. */
+	get connections(): ConnectionTable {
+		return this.server.connectionTable;
+	}
+
 	get openConnections(): number {
-		return this.connections.size;
+		return this.clients.size;
 	}
 
 	/** Number of requests whose response has not ended yet. */
 	get openRequests(): number {
 		let total = 0;
-		for (const {openRequests} of this.connections.values()) {
+		for (const {openRequests} of this.clients) {
 			total += openRequests;
 		}
 
@@ -176,6 +178,9 @@
 		this.server.headersTimeout = limits.headerTimeoutMs;
 		this.server.requestTimeout = limits.idleTimeoutMs;
 		this.server.keepAliveTimeout = limits.idleTimeoutMs + keepAliveMarginMs;
+		if (Number.isFinite(this.connectionLimits.unreadTimeoutMs)) {
+			this.connectionLimits.unreadTimeoutMs = limits.idleTimeoutMs;
+		}
 	}
 
 	/**
@@ -201,9 +206,9 @@
 	close(): void {
 		this.isClosed = true;
 		this.server.close();
-		for (const [socket, {openRequests}] of this.connections) {
-			if (openRequests === 0) {
-				socket.destroySoon();
+		for (const connection of this.clients) {
+			if (connection.openRequests === 0) {
+				connection.destroySoon();
 			}
 		}
 	}
@@ -218,58 +223,46 @@
 	/** Closes all connections at once. */
 	destroy(): void {
 		this.isDestroyed = true;
-		for (const socket of this.connections.keys()) {
-			socket.destroy();
+		for (const connection of this.clients) {
+			connection.destroy();
 		}
 	}
 
 	/** Rejects bytes that are not a request, or a request that was not complete in time. */
-	private rejectConnection(error: NodeJS.ErrnoException, socket: Socket): void {
-		const connection = this.connections.get(socket);
+	private rejectConnection(error: NodeJS.ErrnoException, connection: ClientConnection): void {
 		// A client that has left must not keep its request running.
-		if (!connection || !socket.writable || socket.readableEnded || error.code === 'ECONNRESET') {
-			socket.destroy();
+		if (!this.clients.has(connection) || !connection.writable || connection.readableEnded || error.code === 'ECONNRESET') {
+			connection.destroy();
 			return;
 		}
 
-		// Further bytes that cannot be parsed are reported one by one.
-		if (connection.closesAfterResponses) {
-			return;
+		const {openRequests, servedRequests} = connection;
+		log.info('connection rejected.', {code: error.code, openRequests, handledRequests: servedRequests});
+		if (servedRequests === 0) {
+			const status = error.code === 'HPE_HEADER_OVERFLOW' ? '431 Request Header Fields Too Large' : (error.code === 'ERR_HTTP_REQUEST_TIMEOUT' ? '408 Request Timeout' : '400 Bad Request');
+			connection.end(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
 		}
 
-		log.info('connection rejected.', {code: error.code, openRequests: connection.openRequests, handledRequests: connection.handledRequests});
-		if (connection.handledRequests > 0) {
-			// The client would take this status for the answer to a request that may run.
-			connection.closesAfterResponses = true;
-			return;
-		}
-
-		const status = error.code === 'HPE_HEADER_OVERFLOW' ? '431 Request Header Fields Too Large' : (error.code === 'ERR_HTTP_REQUEST_TIMEOUT' ? '408 Request Timeout' : '400 Bad Request');
-		socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
+		// The client of a request that may run would take this status for its answer.
+		connection.closeAfterResponses();
 	}
 
 	private async handleRequest(request: IncomingMessage, response: ServerResponse): Promise<void> {
-		const {socket} = request;
+		const connection = connectionOf(request);
 		const clientDisconnect = new AbortController();
-		// The socket may have been closed while the request waited to be parsed.
-		const connection = this.connections.get(socket) ?? {openRequests: 0, handledRequests: 0, closesAfterResponses: false};
-		let isHandled = false;
-		connection.openRequests++;
-		response.once('close', () => {
-			connection.openRequests--;
-			connection.handledRequests -= isHandled ? 1 : 0;
+		connection.onRequestEnd(request, () => {
 			if (!response.writableFinished) {
 				clientDisconnect.abort(this.isDestroyed ? new ConnectionCutError('connection closed by the server') : undefined);
-			} else if (this.isClosed || (connection.closesAfterResponses && connection.handledRequests === 0)) {
+			} else if (this.isClosed) {
 				// The headers of a response that began before the stop promise a keep-alive connection.
-				socket.destroySoon();
+				connection.destroySoon();
 			}
 		});
 		if (this.isStopping) {
 			response.shouldKeepAlive = false;
 		}
 
-		let requestBufferedBytes = 0;
+		let isHandled = false;
 		try {
 			if (this.isClosed) {
 				writeErrorResponse(response, 503, 'stopping', {'Retry-After': stoppingRetryAfterSeconds});
@@ -277,13 +270,11 @@
 			}
 
 			validateHead(request, this.limits);
-			const body = await this.readBody(request);
-			requestBufferedBytes = body.length;
-			this.bufferedBytes += requestBufferedBytes;
+			const body = await this.readBody(request, connection);
 			// A daemon that is short of processor time reads a request long after it arrived. If its client has left meanwhile, the next poll shows that, and the request must not load a backend server.
 			await nextPoll();
 			// After a status for the whole connection, such as 408, the client takes the request for one that has not run.
-			if (socket.readableEnded || socket.writableEnded || socket.destroyed) {
+			if (connection.readableEnded || connection.writableEnded || connection.destroyed) {
 				response.destroy();
 				return;
 			}
@@ -294,7 +285,7 @@
 			}
 
 			isHandled = true;
-			connection.handledRequests++;
+			connection.noteServed(request);
 			this.handledRequests.add(clientDisconnect);
 			await this.handler({
 				method: request.method ?? 'GET', path: request.url ?? '/', rawHeaders: request.rawHeaders, body, response, signal: clientDisconnect.signal,
@@ -302,7 +293,8 @@
 		} catch (error) {
 			response.shouldKeepAlive = false;
 			if (error instanceof RejectedRequestError) {
-				writeErrorResponse(response, error.statusCode, error.message);
+				connection.ignoreRest(request);
+				writeErrorResponse(response, error.statusCode, error.message, error.headers);
 			} else {
 				if (isHandled) {
 					log.error('handler of a request failed, closing its connection.', {
@@ -314,26 +306,46 @@
 				response.destroy(error as Error);
 			}
 		} finally {
-			this.bufferedBytes -= requestBufferedBytes;
 			this.handledRequests.delete(clientDisconnect);
+			if (response.writableLength > checkedUnreadBytes) {
+				this.server.limitUnread();
+			}
 		}
 	}
 
-	private async readBody(request: IncomingMessage): Promise<Uint8Array> {
-		const chunks: Uint8Array[] = [];
-		let length = 0;
-		for await (const chunk of request as AsyncIterable<Uint8Array>) {
-			chunks.push(chunk);
-			length += chunk.length;
-			if (length > this.limits.bodyBytes) {
-				throw new RejectedRequestError(413, 'body too long');
-			}
-
-			if (this.bufferedBytes + length > maxBufferedBytes) {
-				throw new RejectedRequestError(503, 'too many bodies at once');
-			}
+	private async readBody(request: IncomingMessage, connection: ClientConnection): Promise<Uint8Array> {
+		const length = request.headers['content-length'];
+		const body = new ReceivedBody(length === undefined ? undefined : Number(length));
+		try {
+			return await new Promise((resolve, reject) => {
+				const refuse = (error: RejectedRequestError) => {
+					request.off('data', append);
+					body.clear();
+					reject(error);
+				};
+
+				const append = (chunk: Uint8Array) => {
+					if (body.length + chunk.length > this.limits.bodyBytes) {
+						refuse(new RejectedRequestError(413, 'body too long'));
+					} else {
+						body.append(chunk);
+					}
+				};
+
+				connection.setRefusal(request, () => {
+					refuse(new RejectedRequestError(503, 'too many requests are being received', {'Retry-After': receivingRetryAfterSeconds}));
+				});
+				request.on('data', append);
+				finished(request, {writable: false}, error => {
+					if (error) {
+						reject(error);
+					} else {
+						resolve(body.take());
+					}
+				});
+			});
+		} finally {
+			connection.setRefusal(request, undefined);
 		}
-
-		return chunks.length === 1 ? chunks[0] : Buffer.concat(chunks);
 	}
 }
