Bound what the readiness and metrics ports keep for their clients

A crowd that sends requests for the daemon's readiness ahead, at the port for clients or at the readiness port, and reads no answers ended the process after 1 to 2 seconds; so did requests for metrics, and idle connections took all descriptors (832 of 400). Neither port had any limit, and the readiness port decides whether the load balancer sends clients to the daemon.

Both ports now use the server with limits: one request of a connection at a time, a share of the descriptors for their connections, of which those that were used least recently are closed for new ones. Metrics tell the connections of each port and how often its limits were met.

--- a/src/cli/commands/front.ts
+++ b/src/cli/commands/front.ts
@@ -8,6 +8,7 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {randomBytes} from 'node:crypto';
 import {type FrontSettings, type Platform} from '../../protocol/platform.js';
+import {type ConnectionTable} from '../../transport/connection-table.js';
 import {DiagnosticsServer} from '../../transport/diagnostics-server.js';
 import {openReadinessServer} from '../../transport/readiness-server.js';
 import {createLogger} from '../../log.js';
@@ -31,7 +32,7 @@
 	const {settings} = platform;
 	const tasks = new AbortController();
 	const daemon = new FrontDaemon(platform, `${settings.name}#${randomBytes(4).toString('hex')}`, tasks.signal, assignmentMode);
-	const readiness = await openReadinessServer(settings.readiness, platform.dialect.readinessPath, () => daemon.isReady);
+	const readiness = await openReadinessServer(settings.readiness, platform.dialect.readinessPath, () => daemon.isReady, settings.machine);
 	let diagnosticsServer: DiagnosticsServer | undefined;
 	try {
 		await daemon.start();
@@ -44,7 +45,7 @@
 		};
 
 		process.on('SIGHUP', reload);
-		diagnosticsServer = await startDiagnosticsServer(daemon, settings);
+		diagnosticsServer = await startDiagnosticsServer(daemon, settings, readiness.connectionTable);
 		await waitForAbort(signal);
 		await finishRequests(daemon, settings.bounds.graceMs);
 	} finally {
@@ -86,10 +87,13 @@
 }
 
 /** Starts the diagnostics server on the metrics port; loads its libraries last, since they take longer than the rest of the start. */
-async function startDiagnosticsServer(daemon: FrontDaemon, settings: FrontSettings): Promise<DiagnosticsServer> {
+async function startDiagnosticsServer(daemon: FrontDaemon, settings: FrontSettings, readiness: ConnectionTable): Promise<DiagnosticsServer> {
 	const {createMetricsRegistry} = await import('../../transport/metrics-registry.js');
 	const servingMetrics = await import('../../coordination/serving/serving-metrics.js');
+	const {addConnectionMetrics} = await import('../../transport/connection-metrics.js');
 	const registry = createMetricsRegistry();
 	daemon.useMetrics(new servingMetrics.ServingMetrics(registry, {openRequests: () => daemon.openRequests, views: () => daemon.views}));
-	return DiagnosticsServer.open({host: settings.host, port: settings.metricsPort}, registry, () => daemon.dump(), parameters => daemon.explain(parameters));
+	const diagnostics = await DiagnosticsServer.open({host: settings.host, port: settings.metricsPort}, settings.machine, {registry, readState: () => daemon.dump(), explain: parameters => daemon.explain(parameters)});
+	addConnectionMetrics(registry, () => ({clients: daemon.clientConnections, readiness, metrics: diagnostics.connections}));
+	return diagnostics;
 }
--- a/src/transport/readiness-server.ts
+++ b/src/transport/readiness-server.ts
@@ -3,17 +3,19 @@
  * connections. It is opened before anything that loads slowly, so that a restarted daemon
  * is back in rotation as soon as it can serve.
  */
-import {createServer, type Server} from 'node:http';
+import {type MachineLimits} from '../protocol/platform.js';
 import {type Listen} from '../protocol/settings.js';
+import {monitoringListenerLimits} from './connection-limits.js';
 import {TransportError} from './errors.js';
+import {LimitedServer} from './limited-server.js';
 
 /**
  * Starts the readiness endpoint.
  *
  * @throws {TransportError} When the address cannot be bound.
  */
-export async function openReadinessServer(address: Listen, path: string, isReady: () => boolean): Promise<Server> {
-	const server = createServer((request, response) => {
+export async function openReadinessServer(address: Listen, path: string, isReady: () => boolean, machine: MachineLimits): Promise<LimitedServer> {
+	const server = new LimitedServer(monitoringListenerLimits(machine), {}, (request, response) => {
 		if (request.url !== path) {
 			response.writeHead(404).end();
 			return;
