Read long answers of backend servers without copies that grow

Calls with answers of 256 KB, sent ahead by clients that do not read, took the daemon to 202 and 207 MB of 210 with the limits on clients, and ended it within 2 seconds without them. Each answer was copied several times while its buffer grew, and the collector was late with the copies.

The parts of an answer are kept as they arrive, short ones in blocks, and joined once.

--- a/src/transport/backend-connection-pool.ts
+++ b/src/transport/backend-connection-pool.ts
@@ -12,8 +12,8 @@
 import {type Backend} from '../protocol/serving.js';
 import {AnswerMemory} from './answer-memory.js';
 import {ConnectError, TransportError} from './errors.js';
-import {GrowingBuffer} from './growing-buffer.js';
 import {BodyPieces} from './body-pieces.js';
+import {ReceivedBody} from './received-body.js';
 
 /** Longest time that an idle connection is kept, in milliseconds; a backend server may state a shorter one. */
 const maxIdleMs = 4000;
@@ -272,7 +272,8 @@
 	 * @throws {TransportError} When the body is incomplete, longer than `maxBytes`, or too long beside the other bodies that are being read.
 	 */
 	async read(maxBytes: number): Promise<Uint8Array> {
-		const body = new GrowingBuffer();
+		const length = this.response.headers['content-length'];
+		const body = new ReceivedBody(length === undefined ? undefined : Number(length));
 		try {
 			await this.readInto(body, maxBytes);
 		} catch (error) {
@@ -286,10 +287,10 @@
 			throw new TransportError('response body is incomplete');
 		}
 
-		return body.bytes;
+		return body.take();
 	}
 
-	private async readInto(body: GrowingBuffer, maxBytes: number): Promise<void> {
+	private async readInto(body: ReceivedBody, maxBytes: number): Promise<void> {
 		const pieces = new BodyPieces();
 		return new Promise((resolve, reject) => {
 			const readPiece = (piece: Uint8Array) => {
