Bound what a gateway keeps for its callers

Callers that send requests ahead and read no answers made a gateway answer nobody for 20 seconds, at readiness checks too; bodies that lack their last byte, bodies in chunks of one byte and requests without headers took it to 845 to 905 MB of 512. Its port for callers had no limits, and a stream went on being buffered for a caller that did not read.

The port uses the server with limits, which follow from the new setting `machine`; streams wait for their callers. Metrics tell the connections and the limits that were met.

--- a/src/cli/commands/gateway.ts
+++ b/src/cli/commands/gateway.ts
@@ -25,6 +25,9 @@
 import {
 	addDiagnosticsRoutes, createServer, startServer,
 } from '../../transport/http-server.js';
+import {clientListenerLimits} from '../../transport/connection-limits.js';
+import {addConnectionMetrics} from '../../transport/connection-metrics.js';
+import {LimitedServer} from '../../transport/limited-server.js';
 import {createMetricsRegistry} from '../../transport/metrics-registry.js';
 import {CallerMetrics} from '../../transport/caller-metrics.js';
 import {addCallerRoutes} from '../../transport/caller-api.js';
@@ -66,7 +69,9 @@
 	const registry = createMetricsRegistry();
 	state.addMetrics(registry);
 	let isStopping = false;
-	const callers = createServer(settings.listen);
+	const callersListener = new LimitedServer(clientListenerLimits(settings.machine));
+	const callers = createServer(settings.listen, callersListener);
+	addConnectionMetrics(registry, () => ({callers: callersListener.connectionTable}));
 	addCallerRoutes(callers, {
 		accounts: settings.clientAccounts,
 		completions,
--- a/src/protocol/gateway-settings.ts
+++ b/src/protocol/gateway-settings.ts
@@ -1,4 +1,5 @@
 /** The settings of `sesametally gateway` and their schema. */
+import {type MachineLimits} from './platform.js';
 import {compileCheck} from './schema.js';
 import {
 	type Listen, idSchema, listenSchema, urlSchema,
@@ -61,6 +62,8 @@
 export type GatewaySettings = {
 	id: string;
 	failureDomain: string;
+	/** The memory and the descriptors that the gateway may take, from which the limits of its callers follow. */
+	machine: MachineLimits;
 	listen: Listen;
 	admin: Listen & {teams: Team[]};
 	/** The platform's log, and how long it retains records. */
@@ -91,6 +94,15 @@
 	properties: {
 		id: idSchema,
 		failureDomain: idSchema,
+		machine: {
+			type: 'object',
+			default: {},
+			properties: {
+				memoryMegabytes: {type: 'integer', minimum: 64, default: 512},
+				maxDescriptors: {type: 'integer', minimum: 256, default: 4096},
+			},
+			additionalProperties: false,
+		},
 		listen: listenSchema,
 		admin: {
 			type: 'object',
--- a/src/transport/completion-routes.ts
+++ b/src/transport/completion-routes.ts
@@ -6,6 +6,7 @@
  * `x-request-id` and the last received id as `last-event-id`, and gets the remaining tokens.
  */
 import {randomUUID} from 'node:crypto';
+import {once} from 'node:events';
 import {PassThrough} from 'node:stream';
 import type Hapi from '@hapi/hapi';
 import {
@@ -101,7 +102,7 @@
 		metrics.recordEnd(account, isComplete ? completedOutcome : Outcome.Unknown);
 	};
 
-	return caller.isStreaming ? respondStreaming(h, caller, allTokens, onEnd) : respondWhole(h, caller, allTokens, onEnd);
+	return caller.isStreaming ? respondStreaming(h, caller, allTokens, {onEnd, signal: disconnect.signal}) : respondWhole(h, caller, allTokens, onEnd);
 }
 
 /**
@@ -192,14 +193,16 @@
 	});
 }
 
-function respondStreaming(h: Hapi.ResponseToolkit, caller: CallerRequest, tokens: AsyncGenerator<Token>, onEnd: (isComplete: boolean) => void): Hapi.ResponseObject {
+function respondStreaming(h: Hapi.ResponseToolkit, caller: CallerRequest, tokens: AsyncGenerator<Token>, {onEnd, signal}: {onEnd: (isComplete: boolean) => void; signal: AbortSignal}): Hapi.ResponseObject {
 	const {job} = caller;
 	const output = new PassThrough();
 	void (async () => {
 		let isComplete = false;
 		try {
 			for await (const token of tokens) {
-				output.write(formatEvent(JSON.stringify(renderChunk(caller, token)), token.seq));
+				if (!output.write(formatEvent(JSON.stringify(renderChunk(caller, token)), token.seq))) {
+					await once(output, 'drain', {signal});
+				}
 			}
 
 			output.write(doneEvent);
--- a/src/transport/http-server.ts
+++ b/src/transport/http-server.ts
@@ -9,6 +9,7 @@
 import {type Registry} from 'prom-client';
 import {type Listen} from '../protocol/settings.js';
 import {TransportError} from './errors.js';
+import {connectionOf, type LimitedServer} from './limited-server.js';
 
 /** Largest accepted request body, in bytes. */
 const maxPayloadBytes = 8 * 1024 * 1024;
@@ -38,13 +39,21 @@
 	return {cpuUs: cpu.user + cpu.system, rssBytes: memory.rss, heapUsedBytes: memory.heapUsed};
 }
 
-/** Creates a hapi server for the given address without starting it. */
-export function createServer(listen: Listen): Hapi.Server {
+/** Creates a hapi server for the given address without starting it; with a listener that has limits where clients are not trusted. */
+export function createServer(listen: Listen, listener?: LimitedServer): Hapi.Server {
 	const server = Hapi.server({
+		...(listener && {listener}),
 		host: listen.host,
 		port: listen.port,
 		routes: {payload: {maxBytes: maxPayloadBytes}},
 	});
+	if (listener) {
+		server.ext('onPreHandler', ({raw}, h) => {
+			connectionOf(raw.req).noteServed(raw.req);
+			return h.continue;
+		});
+	}
+
 	// On close, Node.js would also close connections whose response has ended but is still being sent; hapi closes the idle ones itself.
 	server.listener.closeIdleConnections = () => undefined;
 	return server;
