--- a/src/transport/limited-server.ts
+++ b/src/transport/limited-server.ts
@@ -92,6 +92,11 @@
 		return super.emit('connection', connection);
 	}
 
+	/** Closes connections that leave too much unread. */
+	limitUnread(): void {
+		this.connectionTable.limitUnread(performance.now());
+	}
+
 	/** Logs which limits were met since the last line, not more often than every few seconds. */
 	private logHits(nowMs: number): void {
 		const {hits, size} = this.connectionTable;
@@ -108,11 +113,6 @@
 		}
 	}
 
-	/** Closes connections that leave too much unread. */
-	limitUnread(): void {
-		this.connectionTable.limitUnread(performance.now());
-	}
-
 	/** Checks unread answers as long as there are connections. */
 	private watchUnread(): void {
 		this.unreadTimer ??= setInterval(() => {
