Copy short chunks of bodies, and lower the limits for small VMs

Short chunks are copied into blocks now, and what waits on a connection no longer keeps the longer buffer that it arrived in.

--- a/src/transport/__tests__/connection-table.test.ts
+++ b/src/transport/__tests__/connection-table.test.ts
@@ -72,9 +72,15 @@
 
 describe('ConnectionTable with as many connections as it may have', () => {
 	it.each([
-		{name: 'the oldest one without a successful answer', proven: [0], served: [], closed: 'b'},
-		{name: 'the least recently used one if all have had an answer', proven: [2, 0, 1], served: [], closed: 'c'},
-		{name: 'none that serves a request', proven: [], served: [0, 1], closed: 'c'},
+		{
+			name: 'the oldest one without a successful answer', proven: [0], served: [], closed: 'b',
+		},
+		{
+			name: 'the least recently used one if all have had an answer', proven: [2, 0, 1], served: [], closed: 'c',
+		},
+		{
+			name: 'none that serves a request', proven: [], served: [0, 1], closed: 'c',
+		},
 	])('closes $name', ({proven, served, closed}) => {
 		const connections = addConnections('a', 'b', 'c');
 		for (const index of proven) {
@@ -105,11 +111,21 @@
 
 describe('ConnectionTable with requests that are sent ahead', () => {
 	it.each([
-		{name: 'the first of a connection, whatever the others have', own: 0, others: 4, unreadBytes: 100_000, mayRead: true},
-		{name: 'another one within the limits', own: 1, others: 1, unreadBytes: 0, mayRead: true},
-		{name: 'no more of a connection than it may have', own: 2, others: 0, unreadBytes: 0, mayRead: false},
-		{name: 'no more than all together may have', own: 1, others: 3, unreadBytes: 0, mayRead: false},
-		{name: 'none behind answers that are not read', own: 1, others: 0, unreadBytes: 20_000, mayRead: false},
+		{
+			name: 'the first of a connection, whatever the others have', own: 0, others: 4, unreadBytes: 100_000, mayRead: true,
+		},
+		{
+			name: 'another one within the limits', own: 1, others: 1, unreadBytes: 0, mayRead: true,
+		},
+		{
+			name: 'no more of a connection than it may have', own: 2, others: 0, unreadBytes: 0, mayRead: false,
+		},
+		{
+			name: 'no more than all together may have', own: 1, others: 3, unreadBytes: 0, mayRead: false,
+		},
+		{
+			name: 'none behind answers that are not read', own: 1, others: 0, unreadBytes: 20_000, mayRead: false,
+		},
 	])('reads $name', ({own, others, unreadBytes, mayRead}) => {
 		const [first, second] = addConnections('a', 'b');
 		for (let count = 0; count < others; count++) {
@@ -166,10 +182,18 @@
 
 describe('ConnectionTable with answers that are not read', () => {
 	it.each([
-		{name: 'none within the limits', unread: [50_000, 40_000], progressAtMs: [0, 100], closed: []},
-		{name: 'the one without progress for the longest time', unread: [50_000, 60_000], progressAtMs: [100, 0], closed: ['b']},
-		{name: 'none that left only a little unread', unread: [1000, 120_000], progressAtMs: [0, 100], closed: ['b']},
-		{name: 'those without progress for too long', unread: [10, 50_000], progressAtMs: [-1001, 0], closed: ['a']},
+		{
+			name: 'none within the limits', unread: [50_000, 40_000], progressAtMs: [0, 100], closed: [],
+		},
+		{
+			name: 'the one without progress for the longest time', unread: [50_000, 60_000], progressAtMs: [100, 0], closed: ['b'],
+		},
+		{
+			name: 'none that left only a little unread', unread: [1000, 120_000], progressAtMs: [0, 100], closed: ['b'],
+		},
+		{
+			name: 'those without progress for too long', unread: [10, 50_000], progressAtMs: [-1001, 0], closed: ['a'],
+		},
 	])('closes $name', ({unread, progressAtMs, closed}) => {
 		const connections = addConnections('a', 'b');
 		for (const [index, connection] of connections.entries()) {
--- a/src/transport/client-connection.ts
+++ b/src/transport/client-connection.ts
@@ -312,6 +312,11 @@
 			return;
 		}
 
+		if (this.pending.length * 2 < this.pending.buffer.byteLength) {
+			// A small rest would keep the whole buffer that it arrived in.
+			this.pending = new Uint8Array(this.pending);
+		}
+
 		if (this.pending.length > maxPendingBytes) {
 			this.socket.pause();
 		} else if (this.socket.isPaused()) {
--- a/src/transport/connection-limits.ts
+++ b/src/transport/connection-limits.ts
@@ -31,7 +31,7 @@
 /** Share of the others that clients may take; the rest is for backend servers, other daemons and the store. */
 const clientDescriptorShare = 0.6;
 /** Connections of clients for each megabyte of memory. */
-const connectionsPerMegabyte = 5;
+const connectionsPerMegabyte = 4;
 /** Requests of one connection that are read ahead; HTTP clients rarely send more than one before its answer. */
 const maxRequestsAhead = 4;
 /** Requests that are read ahead of all connections, for each megabyte of memory. */
@@ -39,7 +39,7 @@
 /** Share of the connections that may have more to read. */
 const waitingShare = 0.125;
 /** Shares of the memory for requests that are being received or served, and for answers that clients have not read. */
-const receivedShare = 1 / 6;
+const receivedShare = 0.125;
 const unreadShare = 0.1;
 /** Time after which an unread answer is dropped where the configuration states none, in milliseconds. */
 const defaultUnreadTimeoutMs = 15_000;
--- a/src/transport/received-body.ts
+++ b/src/transport/received-body.ts
@@ -1,7 +1,7 @@
 /** Collects a body that is being received, with little more memory than its bytes. */
 import {Buffer} from 'node:buffer';
 
-/** Share of its buffer that a chunk must take to be kept as it is: a shorter one would keep the whole buffer. */
+/** Share of its buffer that a long chunk must take to be kept as it is: a shorter one would keep the whole buffer. */
 const minBufferShare = 0.5;
 /** Lengths of the blocks into which shorter chunks are copied, in bytes; they grow with the body. */
 const minBlockBytes = 4096;
@@ -19,7 +19,7 @@
 	constructor(private readonly expectedBytes = Number.POSITIVE_INFINITY) {}
 
 	append(chunk: Uint8Array): void {
-		if (chunk.length >= chunk.buffer.byteLength * minBufferShare) {
+		if (chunk.length >= minBlockBytes && chunk.length >= chunk.buffer.byteLength * minBufferShare) {
 			this.endBlock();
 			this.parts.push(chunk);
 		} else {
--- a/src/transport/socket-writes.ts
+++ b/src/transport/socket-writes.ts
@@ -21,10 +21,12 @@
 
 	socket.cork();
 	for (const [index, {chunk, encoding}] of chunks.entries()) {
-		socket.write(chunk, encoding, index < chunks.length - 1 ? undefined : error => {
-			onProgress();
-			callback(error);
-		});
+		socket.write(chunk, encoding, index < chunks.length - 1
+			? undefined
+			: error => {
+				onProgress();
+				callback(error);
+			});
 	}
 
 	socket.uncork();
