--- a/src/transport/client-connection.ts
+++ b/src/transport/client-connection.ts
@@ -214,7 +214,7 @@
 
 	/** Passes on more of what has been received, unless the limits forbid it, in a later turn of the event loop. */
 	scheduleFeed(): void {
-		if (!this.destroyed) {
+		if (!this.destroyed && (this.pending.length > 0 || this.socket.isPaused())) {
 			this.turns.add(this);
 		}
 	}
@@ -231,9 +231,7 @@
 	}
 
 	override _read(): void {
-		if (this.pending.length > 0) {
-			this.scheduleFeed();
-		}
+		this.scheduleFeed();
 	}
 
 	override _write(chunk: Uint8Array | string, encoding: BufferEncoding, callback: WriteCallback): void {
