Check unread answers only while there are any

Each port with connections woke up the process four times a second, also in calm. The check runs now while an answer has not been sent at once.

--- a/src/transport/client-connection.ts
+++ b/src/transport/client-connection.ts
@@ -39,6 +39,14 @@
 	onEnd: Array<() => void>;
 };
 
+/** What the connections of one server share. */
+export type ConnectionContext = {
+	table: ConnectionTable;
+	turns: TurnQueue;
+	/** Called when a client has not read all that was written at once. */
+	onUnread: () => void;
+};
+
 /** A connection of a client within the limits of a {@link ConnectionTable}. */
 export class ClientConnection extends Duplex implements PieceProcessor {
 	/** Requests whose response has not been sent completely. */
@@ -55,8 +63,15 @@
 	private hasReadEnded = false;
 	private isClosing = false;
 
-	constructor(private readonly socket: Socket, private readonly table: ConnectionTable, private readonly turns: TurnQueue) {
+	private readonly table: ConnectionTable;
+	private readonly turns: TurnQueue;
+	private readonly onUnread: () => void;
+
+	constructor(private readonly socket: Socket, {table, turns, onUnread}: ConnectionContext) {
 		super({allowHalfOpen: true, decodeStrings: false, emitClose: true});
+		this.table = table;
+		this.turns = turns;
+		this.onUnread = onUnread;
 		socket.on('data', (chunk: Uint8Array) => {
 			this.receive(chunk);
 		});
@@ -245,6 +260,9 @@
 
 		noteProgress();
 		writeChunks(this.socket, chunks, noteProgress, callback);
+		if (this.socket.writableLength > 0 || this.writableLength > maxPendingBytes) {
+			this.onUnread();
+		}
 	}
 
 	override _final(callback: WriteCallback): void {
--- a/src/transport/connection-table.ts
+++ b/src/transport/connection-table.ts
@@ -156,8 +156,8 @@
 		}
 	}
 
-	/** Closes connections whose clients do not read: those that have not for too long, and as long as all together leave too much unread, the one that has not for the longest time. */
-	limitUnread(nowMs: number): void {
+	/** Closes connections whose clients do not read: those that have not for too long, and as long as all together leave too much unread, the one that has not for the longest time. Returns whether any answer is unread. */
+	limitUnread(nowMs: number): boolean {
 		const {maxUnreadBytes, unreadTimeoutMs} = this.limits;
 		const unread = [...this.all].map(connection => ({connection, bytes: connection.unreadBytes}))
 			.filter(({bytes}) => bytes > 0)
@@ -176,6 +176,8 @@
 				connection.destroy();
 			}
 		}
+
+		return unread.length > 0;
 	}
 
 	/** Finds the connection of which most is being received, unless all of it may be. */
--- a/src/transport/limited-server.ts
+++ b/src/transport/limited-server.ts
@@ -8,7 +8,7 @@
 import {Socket} from 'node:net';
 import {performance} from 'node:perf_hooks';
 import {createLogger} from '../log.js';
-import {ClientConnection} from './client-connection.js';
+import {ClientConnection, type ConnectionContext} from './client-connection.js';
 import {type ConnectionLimits} from './connection-limits.js';
 import {ConnectionTable} from './connection-table.js';
 import {ReceivedBody} from './received-body.js';
@@ -62,7 +62,7 @@
 /** An HTTP server with limits; its connections are {@link ClientConnection}s. */
 export class LimitedServer extends Server {
 	readonly connectionTable: ConnectionTable;
-	private readonly turns = new TurnQueue();
+	private readonly context: ConnectionContext;
 	private loggedHits = 0;
 	private loggedAtMs = Number.NEGATIVE_INFINITY;
 	private unreadTimer: NodeJS.Timeout | undefined;
@@ -70,6 +70,13 @@
 	constructor(limits: ConnectionLimits, options: ServerOptions = {}, listener?: (request: IncomingMessage, response: ServerResponse) => void) {
 		super({...options, ...messageClasses});
 		this.connectionTable = new ConnectionTable(limits);
+		this.context = {
+			table: this.connectionTable,
+			turns: new TurnQueue(),
+			onUnread: () => {
+				this.watchUnread();
+			},
+		};
 		if (listener) {
 			this.on('request', listener);
 		}
@@ -82,19 +89,19 @@
 		}
 
 		const [socket] = parameters;
-		const connection = new ClientConnection(socket, this.connectionTable, this.turns);
+		const connection = new ClientConnection(socket, this.context);
 		if (!this.connectionTable.add(connection)) {
 			connection.destroy();
 			return true;
 		}
 
-		this.watchUnread();
+		this.logHits(performance.now());
 		return super.emit('connection', connection);
 	}
 
-	/** Closes connections that leave too much unread. */
-	limitUnread(): void {
-		this.connectionTable.limitUnread(performance.now());
+	/** Closes connections that leave too much unread; returns whether any answer is unread. */
+	limitUnread(): boolean {
+		return this.connectionTable.limitUnread(performance.now());
 	}
 
 	/** Logs which limits were met since the last line, not more often than every few seconds. */
@@ -113,12 +120,11 @@
 		}
 	}
 
-	/** Checks unread answers as long as there are connections. */
+	/** Checks unread answers as long as there are any. */
 	private watchUnread(): void {
 		this.unreadTimer ??= setInterval(() => {
-			this.limitUnread();
 			this.logHits(performance.now());
-			if (this.connectionTable.size === 0) {
+			if (!this.limitUnread()) {
 				clearInterval(this.unreadTimer);
 				this.unreadTimer = undefined;
 			}
