--- a/src/transport/client-connection.ts
+++ b/src/transport/client-connection.ts
@@ -169,7 +169,7 @@
 		};
 
 		response.once('close', end);
-		// Everything has been passed to the connection, and how long the client takes to read it is its own affair.
+		// Everything has been passed to the connection; from now on the limits on unread answers apply.
 		response.once('prefinish', () => {
 			this.endServing(exchange);
 		});
