--- a/src/transport/connection-limits.ts
+++ b/src/transport/connection-limits.ts
@@ -77,7 +77,7 @@
 	};
 }
 
-/** Bytes of requests that other daemons may send together: half a dozen bodies of the known deployments. */
+/** Bytes of requests that other daemons may send together: a dozen of the longest bodies of the known deployments. */
 const internalReceivedBytes = 48 * 1024 * 1024;
 
 /** The limits of a listener that only this system's own processes reach. */
