Bound what is kept of the parts of prompts that clients name

Callers saw the daemon's process end: heap exhausted within 4 seconds of 1,280 requests of one valid key, each of which named 1,600 new parts of a prompt with no or one token, in a configuration in which requests of different urgency share engines.

Cause: a coordinator tracks the parts that an engine should have cached up to the engine's memory in tokens, and clients choose how few tokens a part has. Parts without tokens were never forgotten.

Requests that name more are counted.

--- a/src/cli/commands/front.ts
+++ b/src/cli/commands/front.ts
@@ -7,7 +7,7 @@
 import process from 'node:process';
 import {setTimeout as delay} from 'node:timers/promises';
 import {randomBytes} from 'node:crypto';
-import {type FrontSettings, type Platform} from '../../protocol/platform.js';
+import {type Platform} from '../../protocol/platform.js';
 import {type ConnectionTable} from '../../transport/connection-table.js';
 import {DiagnosticsServer} from '../../transport/diagnostics-server.js';
 import {openReadinessServer} from '../../transport/readiness-server.js';
@@ -45,7 +45,7 @@
 		};
 
 		process.on('SIGHUP', reload);
-		diagnosticsServer = await startDiagnosticsServer(daemon, settings, readiness.connectionTable);
+		diagnosticsServer = await startDiagnosticsServer(daemon, platform, readiness.connectionTable);
 		await waitForAbort(signal);
 		await finishRequests(daemon, settings.bounds.graceMs);
 	} finally {
@@ -87,12 +87,12 @@
 }
 
 /** Starts the diagnostics server on the metrics port; loads its libraries last, since they take longer than the rest of the start. */
-async function startDiagnosticsServer(daemon: FrontDaemon, settings: FrontSettings, readiness: ConnectionTable): Promise<DiagnosticsServer> {
+async function startDiagnosticsServer(daemon: FrontDaemon, {settings, dialect}: Platform, readiness: ConnectionTable): Promise<DiagnosticsServer> {
 	const {createMetricsRegistry} = await import('../../transport/metrics-registry.js');
 	const servingMetrics = await import('../../coordination/serving/serving-metrics.js');
 	const {addConnectionMetrics} = await import('../../transport/connection-metrics.js');
 	const registry = createMetricsRegistry();
-	daemon.useMetrics(new servingMetrics.ServingMetrics(registry, {openRequests: () => daemon.openRequests, views: () => daemon.views}));
+	daemon.useMetrics(new servingMetrics.ServingMetrics(registry, {openRequests: () => daemon.openRequests, truncatedPrompts: () => dialect.truncatedPrompts, views: () => daemon.views}));
 	const diagnostics = await DiagnosticsServer.open({host: settings.host, port: settings.metricsPort}, settings.machine, {registry, readState: () => daemon.dump(), explain: parameters => daemon.explain(parameters)});
 	addConnectionMetrics(registry, () => ({clients: daemon.clientConnections, readiness, metrics: diagnostics.connections}));
 	return diagnostics;
--- a/src/coordination/assignment/prefix-cache.ts
+++ b/src/coordination/assignment/prefix-cache.ts
@@ -8,6 +8,8 @@
 const cacheShare = 0.85;
 /** Capacity in tokens of an engine that does not state its memory. */
 const defaultCapacityTokens = 200_000;
+/** Parts tracked for each engine: clients choose how few tokens a part has. */
+const maxParts = 4096;
 
 /** The prompt parts cached at one engine. */
 export class PrefixCache {
@@ -15,6 +17,11 @@
 	private readonly parts = new Map<string, number>();
 	private tokens = 0;
 
+	/** Number of parts that are tracked. */
+	get size(): number {
+		return this.parts.size;
+	}
+
 	/** Counts the tokens of the leading parts that should be cached; a part counts only if all parts before it do. */
 	cachedTokens(parts: PromptPart[]): number {
 		let cached = 0;
@@ -40,7 +47,7 @@
 
 		const capacity = kvTokens === undefined ? defaultCapacityTokens : kvTokens * cacheShare;
 		for (const id of this.parts.keys()) {
-			if (this.tokens <= capacity) {
+			if (this.tokens <= capacity && this.parts.size <= maxParts) {
 				break;
 			}
 
--- a/src/coordination/serving/serving-metrics.ts
+++ b/src/coordination/serving/serving-metrics.ts
@@ -14,6 +14,8 @@
 /** The daemon's state that is read at each scrape. */
 export type ServingState = {
 	openRequests: () => number;
+	/** Returns how many requests named more parts of a prompt than are read. */
+	truncatedPrompts: () => number;
 	/** Returns the daemon's views of the store's topics, by topic. */
 	views: () => Record<string, ViewState>;
 };
@@ -54,6 +56,14 @@
 				open.set(state.openRequests());
 			},
 		});
+		const truncatedPrompts = new Gauge({
+			name: 'sesametally_truncated_prompts',
+			help: 'Requests since the start that named more parts of a prompt than are read.',
+			registers: [registry],
+			collect() {
+				truncatedPrompts.set(state.truncatedPrompts());
+			},
+		});
 		const viewAge = new Gauge({
 			name: 'sesametally_view_age_seconds',
 			help: 'Time since the view of a topic of the store was confirmed to be current.',
--- a/src/protocol/platform.ts
+++ b/src/protocol/platform.ts
@@ -162,6 +162,8 @@
 export type Dialect = {
 	/** The path at which the load balancer queries readiness. */
 	readonly readinessPath: string;
+	/** How many requests named more parts of a prompt than are read. */
+	readonly truncatedPrompts: number;
 	/** Reads a client's request; returns undefined when a header that may occur only once is repeated. */
 	readRequest(method: string, path: string, rawHeaders: string[]): CallerRequest | undefined;
 	/** Returns the headers of an attempt at one backend server, as alternating names and values. */
