Count a connection as used when its client sends

A client that sends a long request in parts lost its connection, its request unread, while others opened more connections than are allowed: the least recently used one is closed, and a connection counted as used when it was opened and when its request's head had been read only. One that sends all the time went before those that had sent nothing.

Each part that is received counts as use now, so that silent connections are closed first.

Measured: the case of limited-server.test.ts failed before (the sending connection was closed, the silent one kept) and passes now.

--- a/src/transport/client-connection.ts
+++ b/src/transport/client-connection.ts
@@ -288,6 +288,7 @@
 			return;
 		}
 
+		this.table.noteUse(this);
 		const isQueued = this.pending.length > 0;
 		this.setPending(isQueued ? Buffer.concat([this.pending, chunk]) : chunk);
 		if (!isQueued) {
