Find the longest request among connections that still read

Heads that are being received behind a served request could pass the bound on all requests together: the longest one is given up, and as its connection may close only after its answers, its bytes still count until then. It stayed the longest one, and the others grew to 64 KiB each.

Connections that read no more are left out of the search.

Measured: the new case of limited-server.test.ts failed before (the second request was never given up) and passes now.

--- a/src/transport/__tests__/limited-server.test.ts
+++ b/src/transport/__tests__/limited-server.test.ts
@@ -1,4 +1,4 @@
-/** Guards against limits that close the connections of clients which are sending. */
+/** Guards against limits that close the connections of clients which are sending, or are passed by requests behind those that are being served. */
 import {once} from 'node:events';
 import {connect, type Socket} from 'node:net';
 import {
@@ -6,10 +6,12 @@
 } from 'vitest';
 import {waitUntil} from '../../testing/stack.js';
 import {clientListenerLimits} from '../connection-limits.js';
+import {LimitKind} from '../connection-table.js';
 import {FrontServer, type FrontRequest} from '../front-server.js';
 
 const port = 18_481;
 const waitMs = 5000;
+const shortRequest = 'GET / HTTP/1.1\r\nHost: h\r\n\r\n';
 const headStart = 'GET / HTTP/1.1\r\nHost: h\r\nX: ';
 const defaultLimits = clientListenerLimits({memoryMegabytes: 210, maxDescriptors: 3075});
 
@@ -65,4 +67,21 @@
 		await send(sending, '\r\n\r\n');
 		await waitUntil(async () => handledRequests.length === 1, waitMs);
 	});
+
+	it('gives up a request behind one that is served, although a longer one has been given up', async () => {
+		await startServer({maxReceivedBytes: 45_000});
+		const [first, second] = [await open(shortRequest), await open(shortRequest)];
+		await waitUntil(async () => handledRequests.length === 2, waitMs);
+		await send(first, headStart + 'x'.repeat(18_000));
+		await send(second, headStart + 'x'.repeat(25_000));
+		second.write('x'.repeat(5000));
+		await waitUntil(async () => server.connections.hits[LimitKind.Received] === 1, waitMs);
+		first.write('x'.repeat(4000));
+		await waitUntil(async () => server.connections.hits[LimitKind.Received] === 2, waitMs);
+		for (const {response} of handledRequests) {
+			response.end('ok');
+		}
+
+		await waitUntil(async () => server.openConnections === 0, waitMs);
+	});
 });
--- a/src/transport/client-connection.ts
+++ b/src/transport/client-connection.ts
@@ -106,9 +106,9 @@
 		return this.socket.remotePort;
 	}
 
-	/** Bytes of the request that is being received, and of those after it. */
+	/** Bytes of the request that is being received, and of those after it; none if no more are read. */
 	get receivingBytes(): number {
-		return this.pending.length + this.current.bytes;
+		return this.isClosing ? 0 : this.pending.length + this.current.bytes;
 	}
 
 	/** Bytes of answers that the client has not read. */
