Bound the values of JSON bodies that a gateway parses

Callers without a valid key took a gateway to 884 MB of 512: bodies within the limit of 8 MiB that consist of empty arrays. The body was parsed before the key was checked, and such a one takes some twenty times its length.

A gateway now reads the bodies of its callers as bytes, counts their values without parsing, and refuses one with more than 100,000 (413, not run). The parser is the one that hapi uses, so that bodies which set a prototype are refused as before; bodies of other types than JSON get 415.

--- a/src/cli/__tests__/misbehaving-callers.test.ts
+++ b/src/cli/__tests__/misbehaving-callers.test.ts
@@ -2,6 +2,7 @@
  * Guards against a gateway that takes ever more memory, and answers nobody, since callers send
  * more than the limits allow and never read their answers.
  */
+import {Buffer} from 'node:buffer';
 import {type ChildProcess} from 'node:child_process';
 import {
 	afterEach, beforeEach, describe, expect, it,
@@ -22,6 +23,7 @@
 const completion = JSON.stringify({model: 'desk', prompt: 'price the cathode lot', max_tokens: 4});
 const head = `Host: h\r\nAuthorization: ${authorization}\r\nContent-Type: application/json\r\n`;
 const maxBodyBytes = 8 * 1024 * 1024;
+const manyValues = `[${'[],'.repeat(2_700_000)}[]]`;
 
 const crowds: Array<{name: string; crowd: Omit<CrowdOptions, 'port'>}> = [
 	{name: 'requests for its readiness', crowd: {connections: 100, repeated: repeatText('GET /ready HTTP/1.1\r\nHost: h\r\n\r\n')}},
@@ -38,6 +40,11 @@
 		name: 'bodies far over the limit in chunks of one byte',
 		crowd: {connections: 60, first: `POST /v1/completions HTTP/1.1\r\n${head}Transfer-Encoding: chunked\r\n\r\n`, repeated: repeatText('1\r\nx\r\n')},
 	},
+	{name: 'bodies of millions of values', crowd: {connections: 20, repeated: Buffer.from(`POST /v1/completions HTTP/1.1\r\n${head}Content-Length: ${manyValues.length}\r\n\r\n${manyValues}`)}},
+	{
+		name: 'bodies of millions of values without a key',
+		crowd: {connections: 20, repeated: Buffer.from(`POST /v1/completions HTTP/1.1\r\nHost: h\r\nContent-Type: application/json\r\nContent-Length: ${manyValues.length}\r\n\r\n${manyValues}`)},
+	},
 ];
 
 let stack: Awaited<ReturnType<typeof startTestStack>>;
--- a/src/cli/commands/gateway.ts
+++ b/src/cli/commands/gateway.ts
@@ -23,7 +23,7 @@
 import {followConfig} from '../../coordination/config-follower.js';
 import {PeerMessageKind, type Heartbeat} from '../../protocol/peer-messages.js';
 import {
-	addDiagnosticsRoutes, createServer, startServer,
+	addDiagnosticsRoutes, createLimitedServer, createServer, startServer,
 } from '../../transport/http-server.js';
 import {clientListenerLimits} from '../../transport/connection-limits.js';
 import {addConnectionMetrics} from '../../transport/connection-metrics.js';
@@ -70,7 +70,7 @@
 	state.addMetrics(registry);
 	let isStopping = false;
 	const callersListener = new LimitedServer(clientListenerLimits(settings.machine));
-	const callers = createServer(settings.listen, callersListener);
+	const callers = createLimitedServer(settings.listen, callersListener);
 	addConnectionMetrics(registry, () => ({callers: callersListener.connectionTable}));
 	addCallerRoutes(callers, {
 		accounts: settings.clientAccounts,
--- a/src/transport/connection-table.ts
+++ b/src/transport/connection-table.ts
@@ -36,13 +36,15 @@
 	Received = 'received',
 	/** The client left too much of its answers unread. */
 	Unread = 'unread',
+	/** A body had too many values. */
+	Values = 'values',
 }
 
 /** The connections of one listener. */
 export class ConnectionTable {
 	/** How often each limit was met. */
 	readonly hits: Record<LimitKind, number> = {
-		[LimitKind.Connections]: 0, [LimitKind.Serving]: 0, [LimitKind.Waiting]: 0, [LimitKind.Received]: 0, [LimitKind.Unread]: 0,
+		[LimitKind.Connections]: 0, [LimitKind.Serving]: 0, [LimitKind.Waiting]: 0, [LimitKind.Received]: 0, [LimitKind.Unread]: 0, [LimitKind.Values]: 0,
 	};
 
 	/** Connections that serve nobody, the least recently used one first: those without a successful answer, and the others. */
--- a/src/transport/http-server.ts
+++ b/src/transport/http-server.ts
@@ -8,7 +8,10 @@
 import Hapi from '@hapi/hapi';
 import {type Registry} from 'prom-client';
 import {type Listen} from '../protocol/settings.js';
+import {refuseRequest} from './caller-responses.js';
+import {LimitKind} from './connection-table.js';
 import {TransportError} from './errors.js';
+import {MalformedJsonError, parseJsonBody, TooManyValuesError} from './json-body.js';
 import {connectionOf, type LimitedServer} from './limited-server.js';
 
 /** Largest accepted request body, in bytes. */
@@ -39,21 +42,45 @@
 	return {cpuUs: cpu.user + cpu.system, rssBytes: memory.rss, heapUsedBytes: memory.heapUsed};
 }
 
-/** Creates a hapi server for the given address without starting it; with a listener that has limits where clients are not trusted. */
-export function createServer(listen: Listen, listener?: LimitedServer): Hapi.Server {
+/** Creates a hapi server for the given address without starting it. */
+export function createServer(listen: Listen): Hapi.Server {
+	return keepSendingOnClose(Hapi.server({host: listen.host, port: listen.port, routes: {payload: {maxBytes: maxPayloadBytes}}}));
+}
+
+/** Creates a hapi server like {@link createServer} for clients that are not trusted, with a listener that has limits. It accepts JSON bodies only. */
+export function createLimitedServer({host, port}: Listen, listener: LimitedServer): Hapi.Server {
 	const server = Hapi.server({
-		...(listener && {listener}),
-		host: listen.host,
-		port: listen.port,
-		routes: {payload: {maxBytes: maxPayloadBytes}},
+		listener, host, port, routes: {payload: {maxBytes: maxPayloadBytes, parse: 'gunzip', allow: 'application/json'}},
 	});
-	if (listener) {
-		server.ext('onPreHandler', ({raw}, h) => {
-			connectionOf(raw.req).noteServed(raw.req);
+	server.ext('onPostAuth', (request, h) => {
+		if (!(request.payload instanceof Uint8Array)) {
 			return h.continue;
-		});
-	}
+		}
+
+		try {
+			Object.assign(request, {payload: parseJsonBody(request.payload)});
+			return h.continue;
+		} catch (error) {
+			if (error instanceof MalformedJsonError) {
+				return refuseRequest(h, {status: 400, message: 'The body is not valid JSON.', code: 'invalid_json'}).takeover();
+			}
+
+			if (error instanceof TooManyValuesError) {
+				listener.connectionTable.hits[LimitKind.Values]++;
+				return refuseRequest(h, {status: 413, message: `The body has ${error.message}.`, code: 'too_many_values'}).takeover();
+			}
+
+			throw error;
+		}
+	});
+	server.ext('onPreHandler', ({raw}, h) => {
+		connectionOf(raw.req).noteServed(raw.req);
+		return h.continue;
+	});
+	return keepSendingOnClose(server);
+}
 
+function keepSendingOnClose(server: Hapi.Server): Hapi.Server {
 	// On close, Node.js would also close connections whose response has ended but is still being sent; hapi closes the idle ones itself.
 	server.listener.closeIdleConnections = () => undefined;
 	return server;
