Log how answers end with their connection, and what engines answer to orders to stop a run

The request's line says whether its answer ended with its connection only, and when the engine was ordered to stop the run and what it answered; the line of a move has the status, the events made and the time of each answer. Before, the end of a stopped run and that of a whole answer had the same line.

--- a/src/coordination/serving/dispatcher.ts
+++ b/src/coordination/serving/dispatcher.ts
@@ -257,8 +257,14 @@
 	}
 
 	/** Whether an answer that has ended is whole: one without length and chunks also ends so if its backend server crashes. */
-	async isWhole({answer, backend}: StartedAnswer): Promise<boolean> {
-		return !answer.isEndedByClose || !await this.dependencies.crashWatch.hasJustCrashed(backend);
+	async isWhole({answer, backend, attempt}: StartedAnswer, {inputs}: ServedRequest): Promise<boolean> {
+		if (!answer.isEndedByClose) {
+			return true;
+		}
+
+		const {crashWatch, clock} = this.dependencies;
+		attempt.connectionEndedAfterMs = Math.round(clock.now() - inputs.arrivedAtMs);
+		return !await crashWatch.hasJustCrashed(backend);
 	}
 
 	/** Records that a backend server failed a request after the head of its answer had arrived. */
--- a/src/coordination/serving/forwarded-stream.ts
+++ b/src/coordination/serving/forwarded-stream.ts
@@ -129,6 +129,15 @@
 		}
 	}
 
+	/** Records that the engine of the current run is ordered to stop it; returns a function that records the answer. */
+	noteStopOrder(description: string): (answer: string) => void {
+		const orders = this.currentRun ? this.currentRun.attempt.stopOrders ??= [] : [];
+		const index = orders.push(`${description} (no answer)`) - 1;
+		return answer => {
+			orders[index] = `${description} (${answer})`;
+		};
+	}
+
 	/** Returns the signal that cancels the next attempt until its answer begins. */
 	createAttemptSignal(): AbortSignal {
 		this.waitingAttempt = new AbortController();
--- a/src/coordination/serving/served-request.ts
+++ b/src/coordination/serving/served-request.ts
@@ -26,6 +26,10 @@
 	answeredAfterMs?: number;
 	/** Whether its answer arrived on a connection that had been used before. */
 	isConnectionReused?: boolean;
+	/** When its answer ended, if only the end of its connection ends the answer, in milliseconds after the request's arrival. */
+	connectionEndedAfterMs?: number;
+	/** The orders to its engine that stop the run, and what was answered to them. */
+	stopOrders?: string[];
 	/** What the head of the answer stated of the backend server. */
 	stated?: string;
 	/** When its answer began: with the first event of a stream, or the head of any other answer. */
@@ -64,11 +68,13 @@
 };
 
 /** Describes an attempt for logs. */
-export function describeAttempt({backendId, address, version, costMs, sentAfterMs, kvSource, hasHold, result, answeredAfterMs, isConnectionReused, stated}: Attempt): string {
+export function describeAttempt({backendId, address, version, costMs, sentAfterMs, kvSource, hasHold, result, answeredAfterMs, isConnectionReused, connectionEndedAfterMs, stopOrders, stated}: Attempt): string {
 	const continuation = (kvSource === undefined ? '' : ` continues ${kvSource}`) + (hasHold ? ' with held room' : '');
 	const answered = answeredAfterMs === undefined ? '' : `, answered +${answeredAfterMs}${isConnectionReused ? ' on a reused connection' : ''}`;
+	const ended = connectionEndedAfterMs === undefined ? '' : `, ended with its connection +${connectionEndedAfterMs}`;
+	const stopped = stopOrders === undefined ? '' : `, ordered to stop ${stopOrders.join(' and ')}`;
 	const suffix = stated === undefined ? '' : ` [${stated}]`;
-	return `${backendId} at ${address} ${version} +${sentAfterMs} cost ${costMs}${continuation}: ${result}${answered}${suffix}`;
+	return `${backendId} at ${address} ${version} +${sentAfterMs} cost ${costMs}${continuation}: ${result}${answered}${ended}${stopped}${suffix}`;
 }
 
 /** The version of a stream that nothing may continue; no backend server has it. */
--- a/src/coordination/serving/stream-forwarding.ts
+++ b/src/coordination/serving/stream-forwarding.ts
@@ -133,7 +133,7 @@
 	const {status} = started.answer;
 	if (status >= 200 && status < 300) {
 		const lastEnd = await stream.forwardRun(started);
-		const end = lastEnd === RunEnd.Complete && !await dispatcher.isWhole(started) ? RunEnd.Broken : lastEnd;
+		const end = lastEnd === RunEnd.Complete && !await dispatcher.isWhole(started, stream.served) ? RunEnd.Broken : lastEnd;
 		attempt.result = stream.describeEnd(end);
 		if (end === RunEnd.Complete) {
 			// A resumed stream may have no events left, and its answer is complete all the same.
@@ -144,7 +144,7 @@
 		return {kind: 'ended', reason: attempt.result, isBroken: end === RunEnd.Broken || stream.hasEngineRestarted};
 	}
 
-	const answer = await readErrorAnswer(dispatcher, started, stream.served.remainingMs(now()));
+	const answer = await readErrorAnswer(dispatcher, started, stream.served, now());
 	attempt.result = String(status);
 	return answer ? {kind: 'answer', answer} : {kind: 'ended', reason: `failed with ${status}`, isBroken: !started.abort.signal.aborted};
 }
@@ -163,16 +163,16 @@
 	return moved;
 }
 
-async function readErrorAnswer(dispatcher: Dispatcher, started: StartedAnswer, remainingMs: number): Promise<BufferedAnswer | undefined> {
+async function readErrorAnswer(dispatcher: Dispatcher, started: StartedAnswer, served: ServedRequest, nowMs: number): Promise<BufferedAnswer | undefined> {
 	const {
 		answer, running, backend, abort,
 	} = started;
 	const timer = setTimeout(() => {
 		abort.abort();
-	}, Math.max(0, remainingMs));
+	}, Math.max(0, served.remainingMs(nowMs)));
 	try {
 		const body = await answer.read(maxAnswerBytes);
-		if (!await dispatcher.isWhole(started)) {
+		if (!await dispatcher.isWhole(started, served)) {
 			return undefined;
 		}
 
--- a/src/coordination/serving/stream-registry.ts
+++ b/src/coordination/serving/stream-registry.ts
@@ -267,12 +267,14 @@
 
 	/** Moves a run after a copy has shown that the target has room: a move stops the run even if the target then refuses it. */
 	private async copyAndMove(stream: ForwardedStream, source: Backend, target: Backend): Promise<MoveAnswer> {
-		const {engines, signal} = this.dependencies;
+		const {engines, clock, signal} = this.dependencies;
 		const {id} = stream.served.inputs.request;
+		const startedAtMs = clock.now();
 		const copied = await engines.copy(id, source, target, signal);
+		const copiedAtMs = clock.now();
 		const moved = copied.run ? await this.moveIfUsable(stream, source, target) : copied;
 		log.info('attempt to move the stream to another engine ended.', {
-			request: id, from: source.id, to: target.id, events: stream.events, copied: copied.result, moved: copied.run && moved.result,
+			request: id, from: source.id, to: target.id, events: stream.events, copied: describeAnswer(copied, copiedAtMs - startedAtMs), moved: copied.run && describeAnswer(moved, clock.now() - copiedAtMs),
 		});
 		if (copied.run && !moved.run) {
 			this.release(copied.run, source);
@@ -283,8 +285,17 @@
 
 	/** Moves a copied run, unless its target has begun to leave or to cool down during the copy. */
 	private async moveIfUsable(stream: ForwardedStream, source: Backend, target: Backend): Promise<MoveAnswer> {
-		const {engines, dispatcher, signal} = this.dependencies;
-		return dispatcher.reservations.isReservationUsable(stream.served) ? engines.move(stream.served.inputs.request.id, source, target, signal) : {result: MoveResult.Refused};
+		const {engines, dispatcher, clock, signal} = this.dependencies;
+		const {request, arrivedAtMs} = stream.served.inputs;
+		if (!dispatcher.reservations.isReservationUsable(stream.served)) {
+			return {result: MoveResult.Refused};
+		}
+
+		const orderedAtMs = clock.now();
+		const noteOrder = stream.noteStopOrder(`+${Math.round(orderedAtMs - arrivedAtMs)}`);
+		const answer = await engines.move(request.id, source, target, signal);
+		noteOrder(describeAnswer(answer, clock.now() - orderedAtMs));
+		return answer;
 	}
 
 	/** Releases an unused copy, so that it does not occupy a slot at its target. */
@@ -296,6 +307,12 @@
 	}
 }
 
+/** Describes the answer to an order, and after how many milliseconds it came, for logs. */
+function describeAnswer({result, status, createdEvents}: MoveAnswer, afterMs: number): string {
+	const stated = [status === undefined ? undefined : `status ${status}`, createdEvents === undefined ? undefined : `${createdEvents} events made`].filter(statement => statement !== undefined);
+	return [`${result} after ${Math.round(afterMs)} ms`, ...stated].join(', ');
+}
+
 /** Returns the log fields that describe a stream. */
 function toLogContext(stream: ForwardedStream, backend: Backend, nowMs: number): Record<string, unknown> {
 	return {
--- a/src/coordination/serving/unary-forwarding.ts
+++ b/src/coordination/serving/unary-forwarding.ts
@@ -55,7 +55,7 @@
 		if (dispatched.kind === DispatchKind.Answer) {
 			dispatched.attempt.writingSinceMs = now();
 			// eslint-disable-next-line no-await-in-loop
-			const answer = await bufferAnswer(dispatcher, dispatched, served.remainingMs(now()));
+			const answer = await bufferAnswer(dispatcher, dispatched, served, served.remainingMs(now()));
 			recordRunEnd(dispatcher, served, dispatched, answer);
 			if (answer && (answer.status < 500 || softTimeoutMs === undefined)) {
 				return {kind: 'answer', answer};
@@ -111,7 +111,7 @@
 	return served.runs < route.attempts && served.deliveries <= route.attempts;
 }
 
-async function bufferAnswer(dispatcher: Dispatcher, started: StartedAnswer, remainingMs: number): Promise<BufferedAnswer | undefined> {
+async function bufferAnswer(dispatcher: Dispatcher, started: StartedAnswer, served: ServedRequest, remainingMs: number): Promise<BufferedAnswer | undefined> {
 	const {
 		answer, running, attempt, abort, backend,
 	} = started;
@@ -120,7 +120,7 @@
 	}, Math.max(0, remainingMs));
 	try {
 		const body = await answer.read(maxAnswerBytes);
-		if (!await dispatcher.isWhole(started)) {
+		if (!await dispatcher.isWhole(started, served)) {
 			attempt.result = 'broken';
 			return undefined;
 		}
--- a/src/protocol/platform.ts
+++ b/src/protocol/platform.ts
@@ -187,7 +187,14 @@
 }
 
 /** The answer to an order to copy or move a run; `run` is set if the result is {@link MoveResult.Done}. */
-export type MoveAnswer = {result: MoveResult; run?: MovedRun};
+export type MoveAnswer = {
+	result: MoveResult;
+	run?: MovedRun;
+	/** The status of the answer, for logs; undefined if there was none. */
+	status?: number;
+	/** Number of events that the run had made, for logs; undefined if it is not stated. */
+	createdEvents?: number;
+};
 
 /** Room that an engine holds: memory for a number of tokens, and a slot, for a time in milliseconds. */
 export type HeldRoom = {tokens: number; ttlMs: number};
