Continue streams that an order to move them stopped, whatever became of the order

Clients got the first part of a stream as a complete answer: the daemon had ordered its engine to stop the run, and the engine closed the connection without the end of the answer. With neither a length nor chunks that looks like a whole answer, and the daemon took it for one without regard to its own order.

Cause: the end of a connection was taken for the end of an answer. An order in flight was not asked, and one that had got no answer, or a status other than 200, was forgotten; a 503 to the order, which stops the run too, counted as if nothing had been done.

Orders to stop a run are now kept as long as their stream lasts (stop-orders.ts), and one place decides whether an answer that ends with its connection is whole (answer-ends.ts). The stream waits for the answer to an order in flight: 404 says that the run had ended by itself; a handle moves the stream; after a 503 with a handle it continues at the source while that may get requests. Without an answer it continues from the copy that was made before the order, whose handle the engine refuses if it does not know it; after that, by a new run where one is allowed. A run that ends during the copy gets no order any more.

--- a/src/cli/front-container.ts
+++ b/src/cli/front-container.ts
@@ -230,6 +230,7 @@
 		versions: resolver.resolve(ServiceVersions),
 		engines,
 		routes: resolver.resolve(RouteTable),
+		metrics: resolver.resolve(DeferredMetrics),
 		clock,
 		signal,
 	}));
@@ -265,7 +266,7 @@
 	}));
 	registerFactory(StopAdmission, () => new StopAdmission());
 	registerFactory(StreamRegistry, resolver => new StreamRegistry({
-		backends: resolver.resolve(BackendTable), engines, dispatcher: resolver.resolve(Dispatcher), routes: resolver.resolve(RouteTable), rollouts: resolver.resolve(Rollouts), sharing: resolver.resolve(StreamOriginSharing), quarantine: resolver.resolve(Quarantine), clock, signal,
+		backends: resolver.resolve(BackendTable), engines, dispatcher: resolver.resolve(Dispatcher), routes: resolver.resolve(RouteTable), rollouts: resolver.resolve(Rollouts), sharing: resolver.resolve(StreamOriginSharing), quarantine: resolver.resolve(Quarantine), bounds, clock, signal,
 	}));
 	const {configSink, backendsSink} = createSinks(frontContainer);
 	const isRelay = (resolver: DependencyContainer) => resolver.resolve(FleetTable).roleAt(clock.now()) === FleetRole.Relay;
--- a/src/coordination/quarantine/crash-watch.ts
+++ b/src/coordination/quarantine/crash-watch.ts
@@ -96,8 +96,8 @@
 		quarantine.recordCompletedRun(fingerprints, completedAtMs, clock.now());
 	}
 
-	/** Whether a backend server seems to have crashed just now, so that its kernel ended its connections. One that is leaving stops accepting connections before its last answers end. */
-	async hasJustCrashed(backend: Backend): Promise<boolean> {
+	/** Whether a backend server accepts no connections any more, as after a crash, in which its kernel ended those that were open. One that is leaving stops accepting connections before its last answers end. */
+	async acceptsNoConnections(backend: Backend): Promise<boolean> {
 		const {refuses = isConnectionRefused} = this.dependencies;
 		return !this.isLeaving(backend) && refuses(backend, refusalTimeoutMs);
 	}
--- a/src/coordination/serving/dispatcher.ts
+++ b/src/coordination/serving/dispatcher.ts
@@ -29,8 +29,10 @@
 import {SlotEnd, type SlotLease} from '../slots/slot-leases.js';
 import {type StatedLimits} from '../stated-limits.js';
 import {type ServiceVersions} from '../stream-origins/service-versions.js';
+import {AnswerEnds} from './answer-ends.js';
 import {BackendSelector} from './backend-selector.js';
 import {type PeerProxy} from './peer-proxy.js';
+import {type RequestMetrics} from './request-metrics.js';
 import {hasRestarted} from './restart-check.js';
 import {type Attempt, type ServedRequest} from './served-request.js';
 import {AssignedAttempt, type RequestAssignment, toChoice} from './request-assignment.js';
@@ -143,6 +145,7 @@
 	versions: Pick<ServiceVersions, 'isMixed'>;
 	engines: Pick<EngineClient, 'readStartTime' | 'takeHold' | 'dropHold'>;
 	routes: Pick<RouteTable, 'service'>;
+	metrics: Pick<RequestMetrics, 'recordConnectionEnd'>;
 	clock: SteadyClock;
 	/** Aborts when the daemon stops. */
 	signal: AbortSignal;
@@ -152,8 +155,10 @@
 export class Dispatcher {
 	readonly selector: BackendSelector;
 	readonly reservations: RetryReservations;
+	readonly answerEnds: AnswerEnds;
 
 	constructor(private readonly dependencies: DispatcherDependencies) {
+		this.answerEnds = new AnswerEnds(dependencies);
 		this.selector = new BackendSelector(dependencies);
 		this.reservations = new RetryReservations({...dependencies, selector: this.selector});
 	}
@@ -256,17 +261,6 @@
 		return target === undefined && this.dependencies.assignment.isWanted(served) && !this.selector.isCanary(served);
 	}
 
-	/** Whether an answer that has ended is whole: one without length and chunks also ends so if its backend server crashes. */
-	async isWhole({answer, backend, attempt}: StartedAnswer, {inputs}: ServedRequest): Promise<boolean> {
-		if (!answer.isEndedByClose) {
-			return true;
-		}
-
-		const {crashWatch, clock} = this.dependencies;
-		attempt.connectionEndedAfterMs = Math.round(clock.now() - inputs.arrivedAtMs);
-		return !await crashWatch.hasJustCrashed(backend);
-	}
-
 	/** Records that a backend server failed a request after the head of its answer had arrived. */
 	recordFailure(served: ServedRequest, backendId: string): void {
 		served.excluded.add(backendId);
--- a/src/coordination/serving/forwarded-stream.ts
+++ b/src/coordination/serving/forwarded-stream.ts
@@ -1,6 +1,6 @@
 /** Forwards one stream of events from an engine to a client; the engine may change on the way. */
 import {type ServerResponse} from 'node:http';
-import {type MovedRun} from '../../protocol/platform.js';
+import {type MovedRun, type MoveResult} from '../../protocol/platform.js';
 import {type Backend} from '../../protocol/serving.js';
 import {TransportError} from '../../transport/errors.js';
 import {EventSplitter, type RawEvent} from '../../transport/event-splitter.js';
@@ -8,6 +8,7 @@
 import {type StartedAnswer} from './dispatcher.js';
 import {filterForwardedHeaders} from './final-answers.js';
 import {type ServedRequest} from './served-request.js';
+import {StopOrders} from './stop-orders.js';
 
 /** Longest event, in bytes. */
 const maxEventBytes = 262_144;
@@ -26,6 +27,8 @@
 	OtherVersion = 'other version',
 	/** The daemon closed the run itself. */
 	Interrupted = 'interrupted',
+	/** The engine stopped the run, or may have, since it was ordered to. */
+	Stopped = 'stopped',
 }
 
 /** Why the daemon closed a run itself. */
@@ -55,6 +58,9 @@
 /** A stream whose KV cache was moved to the target engine. */
 export type MovedStream = {target: Backend; run: MovedRun};
 
+/** A copy of a stream's KV cache at another engine, from which the stream may continue after its run at the source has ended. */
+export type SpareCopy = MovedStream & {source: Backend};
+
 /** A run that is being started at another engine to replace the current one. */
 export type Takeover = {cause: InterruptCause; startedAtMs: number; abort: AbortController; run: Promise<StartedAnswer | undefined>};
 
@@ -73,6 +79,10 @@
 	pendingMove: Promise<MovedStream | undefined> | undefined;
 	/** Whether moving the run failed; its engine then serves it as long as it can. */
 	hasMoveFailed = false;
+	/** The orders that stop its runs. */
+	readonly stopOrders = new StopOrders();
+	/** The copy that was made before an order to stop the run, if it is not known what became of the order. */
+	spareCopy: SpareCopy | undefined;
 	/** Set while another engine is being asked to continue the stream. */
 	takeover: Takeover | undefined;
 	/** When another engine may be asked again after a takeover that did not come about. */
@@ -129,15 +139,25 @@
 		}
 	}
 
-	/** Records that the engine of the current run is ordered to stop it; returns a function that records the answer. */
-	noteStopOrder(description: string): (answer: string) => void {
-		const orders = this.currentRun ? this.currentRun.attempt.stopOrders ??= [] : [];
-		const index = orders.push(`${description} (no answer)`) - 1;
-		return answer => {
-			orders[index] = `${description} (${answer})`;
+	/** Records that the engine of a run is ordered to stop it; returns a function that records the result, with a description of the answer. */
+	noteStopOrder(run: StartedAnswer, description: string): (result: MoveResult, answer: string) => void {
+		const noteResult = this.stopOrders.noteOrder(run);
+		run.attempt.stopOrders ??= [];
+		const descriptions = run.attempt.stopOrders;
+		const index = descriptions.push(`${description} (no answer)`) - 1;
+		return (result, answer) => {
+			noteResult(result);
+			descriptions[index] = `${description} (${answer})`;
 		};
 	}
 
+	/** Returns the spare copy, which can be used once. */
+	takeSpareCopy(): SpareCopy | undefined {
+		const copy = this.spareCopy;
+		this.spareCopy = undefined;
+		return copy;
+	}
+
 	/** Returns the signal that cancels the next attempt until its answer begins. */
 	createAttemptSignal(): AbortSignal {
 		this.waitingAttempt = new AbortController();
--- a/src/coordination/serving/request-metrics.ts
+++ b/src/coordination/serving/request-metrics.ts
@@ -10,6 +10,8 @@
 	recordAssignment(service: string, outcome: string, seconds: number): void;
 	/** Counts the cost of a request that an account's limit admitted or refused. */
 	recordLimit(account: string, route: string, isAdmitted: boolean, cost: number): void;
+	/** Counts an answer without length and chunks, whose connection has ended: `whole`, or why it may have ended early. */
+	recordConnectionEnd(route: string, result: string): void;
 };
 
 /** Forwards counts to metrics that are loaded after the first requests; requests before that appear in the log only. */
@@ -31,4 +33,8 @@
 	recordLimit(account: string, route: string, isAdmitted: boolean, cost: number): void {
 		this.target?.recordLimit(account, route, isAdmitted, cost);
 	}
+
+	recordConnectionEnd(route: string, result: string): void {
+		this.target?.recordConnectionEnd(route, result);
+	}
 }
--- a/src/coordination/serving/served-request.ts
+++ b/src/coordination/serving/served-request.ts
@@ -28,6 +28,8 @@
 	isConnectionReused?: boolean;
 	/** When its answer ended, if only the end of its connection ends the answer, in milliseconds after the request's arrival. */
 	connectionEndedAfterMs?: number;
+	/** Why that end may have come before the end of the answer. */
+	earlyEnd?: string;
 	/** The orders to its engine that stop the run, and what was answered to them. */
 	stopOrders?: string[];
 	/** What the head of the answer stated of the backend server. */
@@ -68,10 +70,10 @@
 };
 
 /** Describes an attempt for logs. */
-export function describeAttempt({backendId, address, version, costMs, sentAfterMs, kvSource, hasHold, result, answeredAfterMs, isConnectionReused, connectionEndedAfterMs, stopOrders, stated}: Attempt): string {
+export function describeAttempt({backendId, address, version, costMs, sentAfterMs, kvSource, hasHold, result, answeredAfterMs, isConnectionReused, connectionEndedAfterMs, earlyEnd, stopOrders, stated}: Attempt): string {
 	const continuation = (kvSource === undefined ? '' : ` continues ${kvSource}`) + (hasHold ? ' with held room' : '');
 	const answered = answeredAfterMs === undefined ? '' : `, answered +${answeredAfterMs}${isConnectionReused ? ' on a reused connection' : ''}`;
-	const ended = connectionEndedAfterMs === undefined ? '' : `, ended with its connection +${connectionEndedAfterMs}`;
+	const ended = connectionEndedAfterMs === undefined ? '' : `, ended with its connection +${connectionEndedAfterMs} (${earlyEnd ?? 'whole'})`;
 	const stopped = stopOrders === undefined ? '' : `, ordered to stop ${stopOrders.join(' and ')}`;
 	const suffix = stated === undefined ? '' : ` [${stated}]`;
 	return `${backendId} at ${address} ${version} +${sentAfterMs} cost ${costMs}${continuation}: ${result}${answered}${ended}${stopped}${suffix}`;
--- a/src/coordination/serving/serving-metrics.ts
+++ b/src/coordination/serving/serving-metrics.ts
@@ -28,6 +28,7 @@
 	private readonly assignments: Counter;
 	private readonly assignmentWait: Histogram;
 	private readonly limitedCost: Counter;
+	private readonly connectionEnds: Counter;
 
 	constructor(registry: Registry, state: ServingState) {
 		this.finished = new Counter({
@@ -48,6 +49,9 @@
 		this.limitedCost = new Counter({
 			name: 'sesametally_limited_cost_total', help: 'Cost units requested by accounts with a limit, by account, route and whether the limit admitted them.', labelNames: ['account', 'route', 'result'], registers: [registry],
 		});
+		this.connectionEnds = new Counter({
+			name: 'sesametally_connection_ends_total', help: 'Answers without length and chunks whose connection ended, by route, and whether they count as whole or why they may have ended early.', labelNames: ['route', 'result'], registers: [registry],
+		});
 		const open = new Gauge({
 			name: 'sesametally_requests_open',
 			help: 'Requests being served.',
@@ -106,4 +110,8 @@
 	recordLimit(account: string, route: string, isAdmitted: boolean, cost: number): void {
 		this.limitedCost.inc({account, route, result: isAdmitted ? 'admitted' : 'refused'}, cost);
 	}
+
+	recordConnectionEnd(route: string, result: string): void {
+		this.connectionEnds.inc({route, result});
+	}
 }
--- a/src/coordination/serving/stream-forwarding.ts
+++ b/src/coordination/serving/stream-forwarding.ts
@@ -59,12 +59,14 @@
 	let reason = 'no time left';
 	let errorAnswer: BufferedAnswer | undefined;
 	let takenOver: StartedAnswer | undefined;
+	let isStopped = false;
 	while (served.remainingMs(now()) > minRemainingMs && !served.inputs.signal.aborted) {
 		// eslint-disable-next-line no-await-in-loop -- one engine after the other.
 		const dispatched: StartedAnswer | FailedDispatch = takenOver ?? await dispatcher.send(served, {
 			purpose: RetryPurpose.Retry, firstByteTimeoutMs: served.remainingMs(now()), softTimeoutMs: calculateSoftTimeoutMs(served, stream), lastEventId: stream.lastEventId, signal: stream.createAttemptSignal(), ...next,
 		});
 		takenOver = undefined;
+		isStopped = false;
 		if (dispatched.kind !== DispatchKind.Answer && isFinal(dispatched.kind)) {
 			({reason} = dispatched);
 			break;
@@ -84,7 +86,8 @@
 
 			errorAnswer = end.kind === 'answer' ? end.answer : errorAnswer;
 			reason = end.kind === 'answer' ? `failed with ${end.answer.status}` : end.reason;
-			if (!stream.isQuarantined) {
+			isStopped = end.kind === 'ended' && end.isStopped;
+			if (!stream.isQuarantined && !isStopped) {
 				dispatcher.recordFailure(served, dispatched.backend.id);
 			}
 		} else {
@@ -92,7 +95,7 @@
 		}
 
 		// eslint-disable-next-line no-await-in-loop
-		const moved = await awaitMove(stream);
+		const moved = await awaitMove(stream) ?? (isStopped ? stream.takeSpareCopy() : undefined);
 		// eslint-disable-next-line no-await-in-loop
 		takenOver = await stream.awaitTakeover();
 		if (takenOver) {
@@ -125,15 +128,14 @@
 }
 
 /** The result of one run: complete, an answer other than a stream, or ended early. */
-type RunResult = Extract<StreamResult, {kind: 'complete' | 'answer'}> | {kind: 'ended'; reason: string; isBroken: boolean};
+type RunResult = Extract<StreamResult, {kind: 'complete' | 'answer'}> | {kind: 'ended'; reason: string; isBroken: boolean; isStopped: boolean};
 
 /** Forwards the events of one run, or reads its error answer. */
 async function forwardAnswer(dispatcher: Dispatcher, started: StartedAnswer, stream: ForwardedStream, now: () => number): Promise<RunResult> {
 	const {attempt} = started;
 	const {status} = started.answer;
 	if (status >= 200 && status < 300) {
-		const lastEnd = await stream.forwardRun(started);
-		const end = lastEnd === RunEnd.Complete && !await dispatcher.isWhole(started, stream.served) ? RunEnd.Broken : lastEnd;
+		const end = await checkEnd(dispatcher, started, stream, await stream.forwardRun(started));
 		attempt.result = stream.describeEnd(end);
 		if (end === RunEnd.Complete) {
 			// A resumed stream may have no events left, and its answer is complete all the same.
@@ -141,12 +143,42 @@
 			return {kind: 'complete', events: stream.events};
 		}
 
-		return {kind: 'ended', reason: attempt.result, isBroken: end === RunEnd.Broken || stream.hasEngineRestarted};
+		return {
+			kind: 'ended', reason: attempt.result, isBroken: end === RunEnd.Broken || stream.hasEngineRestarted, isStopped: end === RunEnd.Stopped,
+		};
 	}
 
 	const answer = await readErrorAnswer(dispatcher, started, stream.served, now());
 	attempt.result = String(status);
-	return answer ? {kind: 'answer', answer} : {kind: 'ended', reason: `failed with ${status}`, isBroken: !started.abort.signal.aborted};
+	return answer
+		? {kind: 'answer', answer}
+		: {
+			kind: 'ended', reason: `failed with ${status}`, isBroken: !started.abort.signal.aborted, isStopped: false,
+		};
+}
+
+/** Returns how a run ended, after what is known besides its events: a run that an order stops ends as a complete one if its answer has neither a length nor chunks. */
+async function checkEnd(dispatcher: Dispatcher, started: StartedAnswer, stream: ForwardedStream, end: RunEnd): Promise<RunEnd> {
+	const {stopOrders, served} = stream;
+	const isComplete = end === RunEnd.Complete;
+	if ((isComplete && !started.answer.isEndedByClose) || (!isComplete && end !== RunEnd.Broken)) {
+		return end;
+	}
+
+	if (stopOrders.mayHaveStopped(started)) {
+		// The answer to the order may show that the run had ended by itself.
+		await stream.pendingMove;
+	}
+
+	const mayBeStopped = stopOrders.mayHaveStopped(started);
+	const earlyEnd = isComplete
+		? await dispatcher.answerEnds.findEarlyEnd(started, served, {mayBeStopped})
+		: undefined;
+	if (mayBeStopped) {
+		return RunEnd.Stopped;
+	}
+
+	return earlyEnd === undefined ? end : RunEnd.Broken;
 }
 
 /** Calculates the soft timeout for a stream's answer to begin, in milliseconds; undefined when no retry may follow or events were already delivered. */
@@ -172,7 +204,7 @@
 	}, Math.max(0, served.remainingMs(nowMs)));
 	try {
 		const body = await answer.read(maxAnswerBytes);
-		if (!await dispatcher.isWhole(started, served)) {
+		if (await dispatcher.answerEnds.findEarlyEnd(started, served)) {
 			return undefined;
 		}
 
--- a/src/coordination/serving/stream-registry.ts
+++ b/src/coordination/serving/stream-registry.ts
@@ -5,7 +5,7 @@
  * move within two seconds.
  */
 import {
-	type EngineClient, type MoveAnswer, type MovedRun, MoveResult,
+	type EngineClient, type MoveAnswer, type MovedRun, MoveResult, type ServiceBounds,
 } from '../../protocol/platform.js';
 import {type Backend} from '../../protocol/serving.js';
 import {type BackendTable} from '../../state/backend-table.js';
@@ -38,6 +38,8 @@
 const stallTimeoutMs = 1300;
 /** Number of engines that are tried as the target of a move, and asked to hold room for a takeover. */
 const maxMoveTargets = 2;
+/** Share of the time within which a leaving engine gets no new work that may pass until a run which it has stopped continues there. */
+const continuationShare = 0.6;
 /** Time until engines are asked again after none held room for a stream, in milliseconds. */
 const takeoverRetryMs = 1000;
 
@@ -47,7 +49,7 @@
 	movedCount = 0;
 	private readonly streams = new Set<ForwardedStream>();
 
-	constructor(private readonly dependencies: {backends: BackendTable; engines: EngineClient; dispatcher: Dispatcher; routes: RouteTable; rollouts: Rollouts; sharing: StreamOriginSharing; quarantine: Quarantine; clock: Pick<SteadyClock, 'now'>; signal: AbortSignal}) {}
+	constructor(private readonly dependencies: {backends: BackendTable; engines: EngineClient; dispatcher: Dispatcher; routes: RouteTable; rollouts: Rollouts; sharing: StreamOriginSharing; quarantine: Quarantine; bounds: Pick<ServiceBounds, 'drainMs'>; clock: Pick<SteadyClock, 'now'>; signal: AbortSignal}) {}
 
 	get size(): number {
 		return this.streams.size;
@@ -59,6 +61,10 @@
 
 	remove(stream: ForwardedStream): void {
 		this.streams.delete(stream);
+		const unused = stream.takeSpareCopy();
+		if (unused) {
+			this.release(unused.run, unused.source);
+		}
 	}
 
 	/** Records the answers that have been written for long enough to clear the parts of their prompts. */
@@ -245,18 +251,21 @@
 
 			// eslint-disable-next-line no-await-in-loop
 			const {result, run} = await this.copyAndMove(stream, source, target);
-			if (run) {
+			if (result === MoveResult.Done && run) {
 				this.movedCount++;
 				// Events that the source sent before it stopped are still arriving; the source closes the connection after them.
 				return {target, run};
 			}
 
-			if (result === MoveResult.Unanswered) {
-				// The target is not at fault. If the move was carried out, the source closes the connection.
+			if (result === MoveResult.Unanswered || result === MoveResult.NotRunning) {
+				// The target is not at fault.
 				break;
 			}
 
 			stream.served.excluded.add(target.id);
+			if (run) {
+				return this.continueStopped(stream, source, run);
+			}
 		}
 
 		this.dependencies.dispatcher.reservations.release(stream.served);
@@ -276,25 +285,47 @@
 		log.info('attempt to move the stream to another engine ended.', {
 			request: id, from: source.id, to: target.id, events: stream.events, copied: describeAnswer(copied, copiedAtMs - startedAtMs), moved: copied.run && describeAnswer(moved, clock.now() - copiedAtMs),
 		});
-		if (copied.run && !moved.run) {
+		if (copied.run && moved.result === MoveResult.Unanswered) {
+			stream.spareCopy = {source, target, run: copied.run};
+		} else if (copied.run && !moved.run) {
 			this.release(copied.run, source);
 		}
 
 		return moved;
 	}
 
+	/** Returns a run that its source stopped, though its target did not take it, to continue at the source, if that may still receive requests. */
+	private continueStopped(stream: ForwardedStream, source: Backend, run: MovedRun): MovedStream | undefined {
+		const {backends, bounds, clock} = this.dependencies;
+		const nowMs = clock.now();
+		const {leavingSinceMs, vanishedAtMs} = backends.get(source.id) ?? {};
+		this.dependencies.dispatcher.reservations.release(stream.served);
+		if (nowMs - (leavingSinceMs ?? vanishedAtMs ?? nowMs) <= bounds.drainMs * continuationShare) {
+			return {target: source, run};
+		}
+
+		this.release(run, source);
+		return undefined;
+	}
+
 	/** Moves a copied run, unless its target has begun to leave or to cool down during the copy. */
 	private async moveIfUsable(stream: ForwardedStream, source: Backend, target: Backend): Promise<MoveAnswer> {
 		const {engines, dispatcher, clock, signal} = this.dependencies;
 		const {request, arrivedAtMs} = stream.served.inputs;
+		const {currentRun} = stream;
+		if (currentRun?.backend.id !== source.id) {
+			// The run has ended during the copy.
+			return {result: MoveResult.NotRunning};
+		}
+
 		if (!dispatcher.reservations.isReservationUsable(stream.served)) {
 			return {result: MoveResult.Refused};
 		}
 
 		const orderedAtMs = clock.now();
-		const noteOrder = stream.noteStopOrder(`+${Math.round(orderedAtMs - arrivedAtMs)}`);
+		const noteResult = stream.noteStopOrder(currentRun, `+${Math.round(orderedAtMs - arrivedAtMs)}`);
 		const answer = await engines.move(request.id, source, target, signal);
-		noteOrder(describeAnswer(answer, clock.now() - orderedAtMs));
+		noteResult(answer.result, describeAnswer(answer, clock.now() - orderedAtMs));
 		return answer;
 	}
 
--- a/src/coordination/serving/unary-forwarding.ts
+++ b/src/coordination/serving/unary-forwarding.ts
@@ -120,7 +120,7 @@
 	}, Math.max(0, remainingMs));
 	try {
 		const body = await answer.read(maxAnswerBytes);
-		if (!await dispatcher.isWhole(started, served)) {
+		if (await dispatcher.answerEnds.findEarlyEnd(started, served)) {
 			attempt.result = 'broken';
 			return undefined;
 		}
--- a/src/protocol/platform.ts
+++ b/src/protocol/platform.ts
@@ -180,13 +180,17 @@
 /** The result of an order to copy or move a run. */
 export enum MoveResult {
 	Done = 'done',
-	/** The engine has no such run, or the target has no room or is unreachable. */
+	/** The engine has stopped the run, but the target took no copy: the run can continue at the engine, which keeps its KV cache. */
+	Stopped = 'stopped',
+	/** The engine has no such run. */
+	NotRunning = 'not running',
+	/** The order was not carried out: the target has no room or is unreachable, or another order is in progress. */
 	Refused = 'refused',
-	/** There was no answer: the order may have been carried out. */
+	/** There was no answer, or one that does not tell: the order may have been carried out, or may be carried out later. */
 	Unanswered = 'unanswered',
 }
 
-/** The answer to an order to copy or move a run; `run` is set if the result is {@link MoveResult.Done}. */
+/** The answer to an order to copy or move a run; `run` is set if the result is {@link MoveResult.Done} or {@link MoveResult.Stopped}. */
 export type MoveAnswer = {
 	result: MoveResult;
 	run?: MovedRun;
@@ -203,7 +207,7 @@
 export type EngineClient = {
 	/** Copies the KV cache of a running request to another engine, which reserves room for the run; the run continues. */
 	copy(requestId: string, source: Backend, target: Backend, signal: AbortSignal): Promise<MoveAnswer>;
-	/** Stops a run and copies the part of its KV cache that was not yet copied; the run is stopped even if the target then refuses. */
+	/** Stops a run and copies the part of its KV cache that was not yet copied; the run is stopped even if the target then refuses. The engine closes the connection of a stopped run without the end of its answer. */
 	move(requestId: string, source: Backend, target: Backend, signal: AbortSignal): Promise<MoveAnswer>;
 	/** Returns when the engine that answers at an address started, in milliseconds since 1970; undefined if it does not say. */
 	readStartTime(engine: Backend, signal: AbortSignal): Promise<number | undefined>;
