Don't pass on part of an answer as whole when its leaving backend server exits

Clients got half an answer as a complete one, calls and payments with status 200 among them, if the answer had neither a length nor chunks and its backend server exited as it left: its kernel then ends the connection as after a whole answer.

Cause: the port of a backend server was asked before such an end counted as complete, but not that of a leaving one, on the assumption that it stops to accept connections before its last answers end. The protocol says that it serves on and then exits. It is asked now, whether or not it leaves.

answers-without-length.test.ts: the 8 cases of replicas that exit while they are draining or not listed failed before; whole answers of leaving replicas stay whole (6 cases, before and after).

--- a/src/coordination/quarantine/crash-watch.ts
+++ b/src/coordination/quarantine/crash-watch.ts
@@ -96,10 +96,10 @@
 		quarantine.recordCompletedRun(fingerprints, completedAtMs, clock.now());
 	}
 
-	/** Whether a backend server accepts no connections any more, as after a crash, in which its kernel ended those that were open. One that is leaving stops accepting connections before its last answers end. */
+	/** Whether a backend server accepts no connections any more, as after a crash or an exit, in which its kernel ended those that were open. */
 	async acceptsNoConnections(backend: Backend): Promise<boolean> {
 		const {refuses = isConnectionRefused} = this.dependencies;
-		return !this.isLeaving(backend) && refuses(backend, refusalTimeoutMs);
+		return refuses(backend, refusalTimeoutMs);
 	}
 
 	/** Returns the backend servers of a service that accept work, as far as crashes are known: one that crashed says nothing about the way to the others. */
