Don't take an answer for whole that may have ended at the deadline, without an event or before a restart

Three more reasons for which the connection of an answer without length and chunks may end before the answer does, found by reading for the same cause: the backend server stops work at the time that it was told, in whole milliseconds; a new stream ends without an event; it crashed and started again while the daemon did not run, so that its port accepts connections by the time that the end is seen, or a later start answers an order that it has no such run.

--- a/src/cli/front-container.ts
+++ b/src/cli/front-container.ts
@@ -6,6 +6,7 @@
 } from 'tsyringe';
 import {type Platform, Topic} from '../protocol/platform.js';
 import {SteadyClock} from '../clock.js';
+import {PauseWatch} from '../pause-watch.js';
 import {Latch} from '../latch.js';
 import {LogEra} from '../state/log-era.js';
 import {ViewAge} from '../state/view-age.js';
@@ -131,6 +132,7 @@
 	registerFactory(BackendTable, () => new BackendTable(bounds));
 	registerFactory(BackendConnectionPool, () => new BackendConnectionPool());
 	registerFactory(DeferredMetrics, () => new DeferredMetrics());
+	registerFactory(PauseWatch, () => new PauseWatch());
 	registerFactory(Placement, resolver => new Placement(settings.failureDomain, resolver.resolve(BackendPaces)));
 	registerFactory(FleetTable, () => new FleetTable({name: settings.name, failureDomain: settings.failureDomain, startedAtMs}));
 	registerFactory(UsageLedger, () => new UsageLedger(settings.failureDomain, incarnation, bounds.usageWindowMs));
@@ -230,6 +232,7 @@
 		versions: resolver.resolve(ServiceVersions),
 		engines,
 		routes: resolver.resolve(RouteTable),
+		pauses: resolver.resolve(PauseWatch),
 		metrics: resolver.resolve(DeferredMetrics),
 		clock,
 		signal,
--- a/src/cli/front-daemon.ts
+++ b/src/cli/front-daemon.ts
@@ -8,6 +8,7 @@
 import {isProxiedRequest} from '../protocol/proxied-requests.js';
 import {type Backend} from '../protocol/serving.js';
 import {SteadyClock} from '../clock.js';
+import {PauseWatch} from '../pause-watch.js';
 import {Latch} from '../latch.js';
 import {createLogger} from '../log.js';
 import {ViewAge} from '../state/view-age.js';
@@ -294,6 +295,7 @@
 		const duties = this.container.resolve(DutyRunner);
 		const rollouts = this.container.resolve(RolloutRunner);
 		const registry = this.container.resolve(StreamRegistry);
+		const pauses = this.container.resolve(PauseWatch);
 		return {
 			reports: {
 				intervalMs: () => reportIntervalMs,
@@ -335,6 +337,7 @@
 				intervalMs: () => sweepIntervalMs,
 				step: async () => {
 					// After a time without processor time, the events that have arrived meanwhile must not count as the engines' silence.
+					pauses.noteActive(this.clock.now());
 					await nextPoll();
 					registry.sweep(this.clock.now());
 				},
--- a/src/coordination/serving/dispatcher.ts
+++ b/src/coordination/serving/dispatcher.ts
@@ -8,6 +8,7 @@
 import {type BackendTable} from '../../state/backend-table.js';
 import {type RouteTable} from '../../state/route-table.js';
 import {type SteadyClock} from '../../clock.js';
+import {type PauseWatch} from '../../pause-watch.js';
 import {type BackendResponse, type BackendConnectionPool, sendBackendRequest} from '../../transport/backend-connection-pool.js';
 import {ConnectError} from '../../transport/errors.js';
 import {RequestEndedError} from '../../transport/front-server.js';
@@ -145,6 +146,7 @@
 	versions: Pick<ServiceVersions, 'isMixed'>;
 	engines: Pick<EngineClient, 'readStartTime' | 'takeHold' | 'dropHold'>;
 	routes: Pick<RouteTable, 'service'>;
+	pauses: Pick<PauseWatch, 'hasBacklog'>;
 	metrics: Pick<RequestMetrics, 'recordConnectionEnd'>;
 	clock: SteadyClock;
 	/** Aborts when the daemon stops. */
--- a/src/coordination/serving/stream-forwarding.ts
+++ b/src/coordination/serving/stream-forwarding.ts
@@ -172,7 +172,7 @@
 
 	const mayBeStopped = stopOrders.mayHaveStopped(started);
 	const earlyEnd = isComplete
-		? await dispatcher.answerEnds.findEarlyEnd(started, served, {mayBeStopped})
+		? await dispatcher.answerEnds.findEarlyEnd(started, served, {mayBeStopped, wasOrderedToStop: stopOrders.hasOrdered(started), isEmptyStream: stream.lastEventId === undefined})
 		: undefined;
 	if (mayBeStopped) {
 		return RunEnd.Stopped;
