Take no answer to a daemon's own calls for one that is malformed or was reset

A daemon took an answer of the store, the cloud or an engine with status 000 for one, and the part of an answer without length whose connection was reset for the whole. An append that was answered so counted as not done.

The checks of backend servers' answers are now in response-integrity.ts, and the client of all other calls makes them too: such an answer is none, so it stays open whether the call was carried out.

raw-client.test.ts: four new cases, all failed before.

--- a/src/transport/__tests__/raw-client.test.ts
+++ b/src/transport/__tests__/raw-client.test.ts
@@ -35,4 +35,26 @@
 		const response = client.send({method: 'GET', path: '/', timeoutMs});
 		await (isComplete ? expect(response).resolves.toMatchObject({statusCode: 200}) : expect(response).rejects.toThrow('got no response on a new connection'));
 	});
+
+	// What was answered to a call that writes decides whether it counts as done.
+	it.each([
+		{name: 'one whose status is 000', head: 'HTTP/1.1 000 OK\r\nContent-Length: 2\r\n\r\n', isReset: false},
+		{name: 'one whose status is 099', head: 'HTTP/1.1 099 OK\r\nContent-Length: 2\r\n\r\n', isReset: false},
+		{name: 'one whose reason phrase has control characters', head: 'HTTP/1.1 200 \u0001\r\nContent-Length: 2\r\n\r\n', isReset: false},
+		{name: 'one without a length whose connection is reset', head: 'HTTP/1.1 200 OK\r\n\r\n', isReset: true},
+	])('takes no answer for an answer that is not one or not whole: $name', async ({head, isReset}) => {
+		server = createServer(({socket}) => {
+			socket.write(`${head}{}`);
+			if (isReset) {
+				setTimeout(() => {
+					socket.resetAndDestroy();
+				}, 20);
+			}
+		});
+		await new Promise<void>(resolve => {
+			server.listen(0, '127.0.0.1', resolve);
+		});
+		const client = new RawClient(`http://127.0.0.1:${(server.address() as AddressInfo).port}`);
+		await expect(client.send({method: 'GET', path: '/', timeoutMs})).rejects.toThrow('got no response on a new connection');
+	});
 });
--- a/src/transport/backend-connection-pool.ts
+++ b/src/transport/backend-connection-pool.ts
@@ -14,6 +14,9 @@
 import {ConnectError, TransportError} from './errors.js';
 import {BodyPieces} from './body-pieces.js';
 import {ReceivedBody} from './received-body.js';
+import {
+	isBodyComplete, isEndedByClose, isFinalStatusLine, trackResets,
+} from './response-integrity.js';
 
 /** Longest time that an idle connection is kept, in milliseconds; a backend server may state a shorter one. */
 const maxIdleMs = 4000;
@@ -32,11 +35,6 @@
 /** Longest rest of a response, in bytes, that is read so that the connection can be reused, and the longest time for it, in milliseconds. */
 const maxDiscardedBytes = 16_384;
 const discardTimeoutMs = 500;
-/** The statuses of final responses (RFC 9110, section 15). */
-const minStatus = 200;
-const maxStatus = 599;
-/** A reason phrase (RFC 9112, section 4); the parser of Node.js accepts control characters too. */
-const reasonPhrasePattern = /^[\t\u0020-\u007E\u0080-\u00FF]*$/v;
 /** Time without traffic before the first TCP keep-alive probe, in milliseconds. */
 const keepAliveProbeDelayMs = 1000;
 
@@ -153,30 +151,6 @@
 	signal: AbortSignal;
 };
 
-const trackedSockets = new WeakSet<Socket>();
-const resetSockets = new WeakSet<Socket>();
-
-/**
- * Detects the reset of a connection before Node.js handles it, since Node.js takes a reset
- * for the end of a body without a length. A reset that arrives together with the last bytes
- * is even reported as a normal end; it is recognised by the missing remote address.
- */
-function trackResets(socket: Socket): void {
-	if (trackedSockets.has(socket)) {
-		return;
-	}
-
-	trackedSockets.add(socket);
-	socket.prependOnceListener('error', () => {
-		resetSockets.add(socket);
-	});
-	socket.prependOnceListener('end', () => {
-		if (socket.remoteAddress === undefined) {
-			resetSockets.add(socket);
-		}
-	});
-}
-
 /** Closes a connection that sends more than {@link maxHeadBytes} or {@link maxInterimResponses} before the head of the response is complete. */
 function limitHead(request: ClientRequest, socket: Socket, backendId: string): void {
 	const firstByte = socket.bytesRead;
@@ -203,11 +177,6 @@
 	request.once('close', stop);
 }
 
-/** Whether a status line is well-formed and belongs to a final response. */
-function isFinalStatusLine({statusCode = 0, statusMessage = ''}: IncomingMessage): boolean {
-	return statusCode >= minStatus && statusCode <= maxStatus && reasonPhrasePattern.test(statusMessage);
-}
-
 /** A response whose body has not been read yet. */
 export class BackendResponse {
 	constructor(
@@ -229,13 +198,12 @@
 
 	/** Whether the body is complete; valid only after its end. */
 	get isComplete(): boolean {
-		return this.response.complete && !resetSockets.has(this.response.socket);
+		return isBodyComplete(this.response);
 	}
 
 	/** Whether only the end of its connection ends the body. */
 	get isEndedByClose(): boolean {
-		const {headers} = this.response;
-		return headers['content-length'] === undefined && headers['transfer-encoding'] === undefined;
+		return isEndedByClose(this.response);
 	}
 
 	/** Changes the number of bytes of the body that are kept, unless that takes more than what is left for all answers. */
--- a/src/transport/raw-client.ts
+++ b/src/transport/raw-client.ts
@@ -8,6 +8,7 @@
 import {performance} from 'node:perf_hooks';
 import Wreck from '@hapi/wreck';
 import {TransportError} from './errors.js';
+import {isBodyComplete, isFinalStatusLine, trackResets} from './response-integrity.js';
 
 /** One request. */
 export type RawRequest = {
@@ -64,11 +65,20 @@
 
 		try {
 			const response = await pending;
+			trackResets(response.socket);
+			if (!isFinalStatusLine(response)) {
+				throw new TransportError(`${requestName} got an invalid status line`);
+			}
+
 			// A response of any size may take longer than the timeout as long as bytes keep arriving.
 			response.on('data', () => {
 				timer.refresh();
 			});
 			const responseBody = await Wreck.read(response, {maxBytes});
+			if (!isBodyComplete(response)) {
+				throw new TransportError(`${requestName} got an incomplete response`);
+			}
+
 			return {statusCode: response.statusCode ?? 0, headers: response.headers, body: responseBody};
 		} catch (error) {
 			pending.req.destroy();
--- /dev/null
+++ b/src/transport/response-integrity.ts
@@ -0,0 +1,48 @@
+/** Tells which responses of HTTP servers are not what they seem to be. */
+import {type IncomingMessage} from 'node:http';
+import {type Socket} from 'node:net';
+
+/** The statuses of final responses (RFC 9110, section 15). */
+const minStatus = 200;
+const maxStatus = 599;
+/** A reason phrase (RFC 9112, section 4); the parser of Node.js accepts control characters too. */
+const reasonPhrasePattern = /^[\t\u0020-\u007E\u0080-\u00FF]*$/v;
+
+const trackedSockets = new WeakSet<Socket>();
+const resetSockets = new WeakSet<Socket>();
+
+/**
+ * Detects the reset of a connection before Node.js handles it, since Node.js takes a reset
+ * for the end of a body without a length. A reset that arrives together with the last bytes
+ * is even reported as a normal end; it is recognised by the missing remote address.
+ */
+export function trackResets(socket: Socket): void {
+	if (trackedSockets.has(socket)) {
+		return;
+	}
+
+	trackedSockets.add(socket);
+	socket.prependOnceListener('error', () => {
+		resetSockets.add(socket);
+	});
+	socket.prependOnceListener('end', () => {
+		if (socket.remoteAddress === undefined) {
+			resetSockets.add(socket);
+		}
+	});
+}
+
+/** Whether the body of a response is complete, as far as its connection shows; valid only after its end, if the resets of the connection are tracked. */
+export function isBodyComplete({complete, socket}: IncomingMessage): boolean {
+	return complete && !resetSockets.has(socket);
+}
+
+/** Whether only the end of its connection ends the body of a response. */
+export function isEndedByClose({headers}: IncomingMessage): boolean {
+	return headers['content-length'] === undefined && headers['transfer-encoding'] === undefined;
+}
+
+/** Whether a status line is well-formed and belongs to a final response. */
+export function isFinalStatusLine({statusCode = 0, statusMessage = ''}: IncomingMessage): boolean {
+	return statusCode >= minStatus && statusCode <= maxStatus && reasonPhrasePattern.test(statusMessage);
+}
