Take an answer for broken if its backend server resets the connection of an unread upload

A client could get part of an answer as the whole one: a backend server answered a long upload without a length before it had read it, ended its side of the connection, and reset the connection 1 to 20 ms later. The daemon had closed its own side by then and never saw the reset. A reset at once was noticed already.

After an upload of more than 64 KiB the end of the connection is now held back for 50 ms, with this side open. A connection that was reset meanwhile has no remote address any more; one that was only half closed has, and its answer is whole.

--- a/src/transport/backend-connection-pool.ts
+++ b/src/transport/backend-connection-pool.ts
@@ -4,13 +4,14 @@
  * response to another request, or an incomplete response close it.
  */
 import {
-	Agent, type ClientRequest, type IncomingMessage, request as startRequest,
+	type Agent, type ClientRequest, type IncomingMessage, request as startRequest,
 } from 'node:http';
 import {type Socket} from 'node:net';
 import {performance} from 'node:perf_hooks';
 import {finished} from 'node:stream';
 import {type Backend} from '../protocol/serving.js';
 import {AnswerMemory} from './answer-memory.js';
+import {BackendAgent, BackendSocket} from './backend-socket.js';
 import {ConnectError, TransportError} from './errors.js';
 import {BodyPieces} from './body-pieces.js';
 import {ReceivedBody} from './received-body.js';
@@ -35,6 +36,10 @@
 /** Longest rest of a response, in bytes, that is read so that the connection can be reused, and the longest time for it, in milliseconds. */
 const maxDiscardedBytes = 16_384;
 const discardTimeoutMs = 500;
+/** Longest request body, in bytes, that the kernel of a backend server takes in though the backend server does not read it. */
+const maxUnreadBytes = 65_536;
+/** Time after the end of a response's connection in which a reset shows that the backend server had not read a longer body, in milliseconds: ten round trips between failure domains. */
+const unreadResetMs = 50;
 /** Time without traffic before the first TCP keep-alive probe, in milliseconds. */
 const keepAliveProbeDelayMs = 1000;
 
@@ -50,11 +55,11 @@
 };
 
 /** The keep-alive connections to all backend servers. */
-export class BackendConnectionPool extends Agent {
+export class BackendConnectionPool extends BackendAgent {
 	/** The memory for the responses that are being read. */
 	readonly memory = new AnswerMemory();
 	/** Opens a new connection for each request that may not reuse one. */
-	readonly singleUseAgent = new Agent({keepAlive: false, noDelay: true});
+	readonly singleUseAgent = new BackendAgent({keepAlive: false, noDelay: true});
 	private readonly idleTimeoutsMs = new WeakMap<Socket, number>();
 	private readonly idleTimers = new WeakMap<Socket, NodeJS.Timeout>();
 	private readonly idleSinceMs = new WeakMap<Socket, number>();
@@ -104,6 +109,11 @@
 	// eslint-disable-next-line @typescript-eslint/strict-void-return -- the agent closes the connection unless true is returned; the types say void.
 	override keepSocketAlive(socket: Socket): boolean {
 		socket.setKeepAlive(true, keepAliveProbeDelayMs);
+		if (socket instanceof BackendSocket) {
+			// An idle connection that the backend server closes must not be used again.
+			socket.endDelayMs = 0;
+		}
+
 		// An idle connection must not keep a stopping process alive.
 		socket.unref();
 		socket.on('data', destroyOnData);
@@ -316,6 +326,10 @@
 	});
 	request.once('socket', socket => {
 		limitHead(request, socket, backend.id);
+		if (socket instanceof BackendSocket) {
+			socket.endDelayMs = body !== undefined && body.length > maxUnreadBytes ? unreadResetMs : 0;
+		}
+
 		// A connection may fail at once, for want of a route or a local port; nothing is sent on it.
 		if (socket.destroyed) {
 			return;
