Don't use a connection again whose backend server has ended it while that was held back

A request could be sent on a connection that its backend server had ended, and fail: the server answered a long upload with a length and ended its side before it had read the upload. The end was held back, so that the connection counted as usable once the upload was written.

A connection that has received its end is no longer kept, whether the end is held back or not.

early-answers.test.ts: the new case for this failed before and passes. Three more cases passed before too: connections are used again after long uploads that are answered with a length or chunks, and are closed with the pool while their end is held back.

--- a/src/transport/__tests__/early-answers.test.ts
+++ b/src/transport/__tests__/early-answers.test.ts
@@ -108,4 +108,76 @@
 		expect(await upload(300_000)).toBe('ok');
 		expect(sockets.size).toBe(2);
 	});
+
+	// Its end is held back while the upload is still being written.
+	it('is not used again if its backend server ended its side after an answer with a length, and then read the upload', async () => {
+		const bytes = 20_000_000;
+		const isRead = new Promise<void>(resolve => {
+			answerEarly = socket => {
+				socket.end('HTTP/1.1 200 OK\r\nKeep-Alive: timeout=5\r\nContent-Length: 2\r\n\r\nok');
+				let received = 0;
+				socket.on('data', chunk => {
+					received += chunk.length;
+					if (received > bytes - 65_536) {
+						resolve();
+					}
+				});
+				setTimeout(() => {
+					socket.resume();
+				}, 10);
+			};
+		});
+
+		expect(await upload(bytes)).toBe('ok');
+		await isRead;
+		await delay(5);
+		expect(await upload(100)).toBe('ok');
+	});
+
+	it.each([
+		{name: 'a length', answer: 'Content-Length: 2\r\n\r\nok'},
+		{name: 'chunks', answer: 'Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n'},
+	])('is used again, and its answer with $name is whole without an end of the connection', async ({answer}) => {
+		const sockets = new Set<Socket>();
+		server.removeAllListeners('connection');
+		server.on('connection', socket => {
+			sockets.add(socket);
+			let received = 0;
+			socket.on('error', () => undefined);
+			socket.on('end', () => {
+				sockets.delete(socket);
+			});
+			socket.on('data', chunk => {
+				received += chunk.length;
+				if (received > 1_000_000) {
+					received = 0;
+					socket.write(`HTTP/1.1 200 OK\r\nKeep-Alive: timeout=5\r\n${answer}`);
+				}
+			});
+		});
+		for (let round = 0; round < 3; round++) {
+			// eslint-disable-next-line no-await-in-loop -- one after the other.
+			expect(await upload(1_000_000)).toBe('ok');
+			await delay(5); // eslint-disable-line no-await-in-loop -- the connection becomes idle.
+		}
+
+		expect(sockets.size).toBe(1);
+		pool.destroy();
+		await expect.poll(() => sockets.size).toBe(0);
+	});
+
+	it('is closed with the pool while its end is held back', async () => {
+		const closed = new Promise<void>(resolve => {
+			answerEarly = socket => {
+				socket.end(`${head}an answer`);
+				socket.resume();
+				socket.once('close', resolve);
+				setTimeout(() => {
+					pool.destroy();
+				}, 10);
+			};
+		});
+		expect(await upload(1_000_000)).toBeUndefined();
+		await closed;
+	});
 });
--- a/src/transport/backend-connection-pool.ts
+++ b/src/transport/backend-connection-pool.ts
@@ -112,6 +112,9 @@
 		if (socket instanceof BackendSocket) {
 			// An idle connection that the backend server closes must not be used again.
 			socket.endDelayMs = 0;
+			if (socket.hasReceivedEnd) {
+				return false;
+			}
 		}
 
 		// An idle connection must not keep a stopping process alive.
--- a/src/transport/backend-socket.ts
+++ b/src/transport/backend-socket.ts
@@ -6,9 +6,12 @@
 export class BackendSocket extends Socket {
 	/** How long the end is held back, in milliseconds; the connection stays open on this side until then. */
 	endDelayMs = 0;
+	/** Whether the other side has ended the connection, also while that is held back. */
+	hasReceivedEnd = false;
 
 	/** Called with each chunk received, and with `null` at the end. */
 	override push(chunk: unknown, encoding?: BufferEncoding): boolean {
+		this.hasReceivedEnd ||= chunk === null;
 		if (chunk !== null || this.endDelayMs === 0) {
 			return super.push(chunk, encoding);
 		}
