Take an answer for framed only if its last transfer coding is chunks

An answer with another transfer coding, such as identity, ends with its connection too, but counted as framed, so that none of the reasons for an early end was asked. Conversely, answers with 204 or 304 and answers to HEAD, which have no body, counted as ended by their connections.

--- a/src/transport/__tests__/early-answers.test.ts
+++ b/src/transport/__tests__/early-answers.test.ts
@@ -181,3 +181,59 @@
 		await closed;
 	});
 });
+
+describe('whether only the end of its connection ends an answer', () => {
+	it.each([
+		{
+			name: 'with neither a length nor chunks', method: 'POST', statusAndFields: '200 OK\r\n', expected: true,
+		},
+		{
+			name: 'whose transfer coding is not chunks', method: 'POST', statusAndFields: '200 OK\r\nTransfer-Encoding: identity\r\n', expected: true,
+		},
+		{
+			name: 'whose status allows no body', method: 'POST', statusAndFields: '204 No Content\r\n', expected: false,
+		},
+		{
+			name: 'to HEAD', method: 'HEAD', statusAndFields: '200 OK\r\n', expected: false,
+		},
+	])('is $expected for one $name', async ({method, statusAndFields, expected}) => {
+		answerEarly = socket => {
+			socket.end(`HTTP/1.1 ${statusAndFields}\r\n${expected ? 'part' : ''}`);
+		};
+
+		const answer = await sendBackendRequest(pool, {
+			backend: {id: 'b', host: '127.0.0.1', port: (server.address() as AddressInfo).port}, method, path: '/', headers: ['Host', 'h'], body: Buffer.alloc(0), isRetryable: false, connectTimeoutMs: 1000, signal: new AbortController().signal,
+		});
+		await answer.read(1000);
+		expect(answer.isEndedByClose).toBe(expected);
+	});
+});
+
+describe('a connection whose end is held back', () => {
+	it.each([60_000, 300_000])('is not used again after its answer to an upload of %d bytes', async bytes => {
+		const sockets = new Set<Socket>();
+		server.removeAllListeners('connection');
+		server.on('connection', socket => {
+			sockets.add(socket);
+			let received = 0;
+			socket.on('error', () => undefined);
+			socket.on('data', chunk => {
+				received += chunk.length;
+				if (chunk.at(-1) === 97 && received >= bytes) {
+					socket.end('HTTP/1.1 200 OK\r\nKeep-Alive: timeout=5\r\nContent-Length: 2\r\n\r\nok');
+				}
+			});
+		});
+		const send = async () => sendBackendRequest(pool, {
+			backend: {id: 'b', host: '127.0.0.1', port: (server.address() as AddressInfo).port}, method: 'POST', path: '/', headers: ['Host', 'h'], body: Buffer.alloc(bytes, 97), isRetryable: false, connectTimeoutMs: 1000, signal: new AbortController().signal,
+		});
+		const first = await send();
+		// The end arrives before the body is read, as with a client that reads slowly.
+		await delay(10);
+		await first.read(1000);
+		await delay(1);
+		const second = await send();
+		expect(Buffer.from(await second.read(1000)).toString()).toBe('ok');
+		expect(sockets.size).toBe(2);
+	});
+});
--- a/src/transport/backend-connection-pool.ts
+++ b/src/transport/backend-connection-pool.ts
@@ -16,7 +16,7 @@
 import {BodyPieces} from './body-pieces.js';
 import {ReceivedBody} from './received-body.js';
 import {
-	isBodyComplete, isEndedByClose, isFinalStatusLine, trackResets,
+	isBodyComplete, isEndedByClose, isFinalStatusLine, isReset, trackResets,
 } from './response-integrity.js';
 
 /** Longest time that an idle connection is kept, in milliseconds; a backend server may state a shorter one. */
@@ -214,9 +214,14 @@
 		return isBodyComplete(this.response);
 	}
 
+	/** Whether its connection was reset. */
+	get isReset(): boolean {
+		return isReset(this.response);
+	}
+
 	/** Whether only the end of its connection ends the body. */
 	get isEndedByClose(): boolean {
-		return isEndedByClose(this.response);
+		return this.request.method !== 'HEAD' && isEndedByClose(this.response);
 	}
 
 	/** Changes the number of bytes of the body that are kept, unless that takes more than what is left for all answers. */
--- a/src/transport/response-integrity.ts
+++ b/src/transport/response-integrity.ts
@@ -8,6 +8,11 @@
 /** A reason phrase (RFC 9112, section 4); the parser of Node.js accepts control characters too. */
 const reasonPhrasePattern = /^[\t\u0020-\u007E\u0080-\u00FF]*$/v;
 
+/** The statuses of responses that have no body (RFC 9112, section 6.3). */
+const bodilessStatuses: ReadonlySet<number | undefined> = new Set([204, 304]);
+/** A transfer coding whose last part is chunks, which alone show where a body ends (RFC 9112, section 6.1). */
+const finalChunkedPattern = /(?:^|,)\s*chunked\s*$/iv;
+
 const trackedSockets = new WeakSet<Socket>();
 const resetSockets = new WeakSet<Socket>();
 
@@ -37,9 +42,16 @@
 	return complete && !resetSockets.has(socket);
 }
 
-/** Whether only the end of its connection ends the body of a response. */
-export function isEndedByClose({headers}: IncomingMessage): boolean {
-	return headers['content-length'] === undefined && headers['transfer-encoding'] === undefined;
+/** Whether the connection of a response was reset; valid only if its resets are tracked. */
+export function isReset({socket}: IncomingMessage): boolean {
+	return resetSockets.has(socket);
+}
+
+/** Whether only the end of its connection ends the body of a response to a request other than HEAD (RFC 9112, section 6.3). */
+export function isEndedByClose({headers, statusCode}: IncomingMessage): boolean {
+	const transferCoding = headers['transfer-encoding'];
+	const isFramed = transferCoding === undefined ? headers['content-length'] !== undefined : finalChunkedPattern.test(transferCoding);
+	return !isFramed && !bodilessStatuses.has(statusCode);
 }
 
 /** Whether a status line is well-formed and belongs to a final response. */
