Ask whether an engine has restarted when the end of its stream is noticed late

A stream whose client reads slowly is read late as well, so its engine may have ended it and started again before the daemon sees the end: its port accepts connections by then, and part of the stream counted as whole. The same holds for an end that comes long after the last event. The start time is asked in these cases too, as after a pause of the daemon.

A run whose connection was reset on the way does not count as stopped any more, since its engine may still work on it: a copy of it is not used.

--- a/src/coordination/quarantine/crash-watch.ts
+++ b/src/coordination/quarantine/crash-watch.ts
@@ -96,8 +96,8 @@
 		quarantine.recordCompletedRun(fingerprints, completedAtMs, clock.now());
 	}
 
-	/** Whether a backend server accepts no connections any more, as after a crash or an exit, in which its kernel ended those that were open. */
-	async acceptsNoConnections(backend: Backend): Promise<boolean> {
+	/** Whether a backend server refuses connections, as after a crash or an exit, in which its kernel ended those that were open. */
+	async refusesConnections(backend: Backend): Promise<boolean> {
 		const {refuses = isConnectionRefused} = this.dependencies;
 		return refuses(backend, refusalTimeoutMs);
 	}
--- a/src/coordination/serving/__tests__/answer-ends.test.ts
+++ b/src/coordination/serving/__tests__/answer-ends.test.ts
@@ -30,7 +30,7 @@
 	const counted: string[] = [];
 	const dependencies = {
 		backends: {get: () => ({isEnded: isListedEnded})},
-		crashWatch: {acceptsNoConnections: async () => isRefused},
+		crashWatch: {refusesConnections: async () => isRefused},
 		engines: {readStartTime: async () => reportedStartMs},
 		pauses: {hasBacklog: () => hasBacklog},
 		metrics: {recordConnectionEnd: (_: string, result: string) => counted.push(result)},
@@ -64,10 +64,10 @@
 			name: 'with its connection during a pause is whole if no start times are known', hasBacklog: true, hasNoStart: true, expected: undefined,
 		},
 		{
-			name: 'with its connection is not whole if a later start answers that it has no such run', context: {wasOrderedToStop: true}, reportedStartMs: startedAtMs + 1, expected: EarlyEnd.Restarted,
+			name: 'with its connection is not whole if a later start answers that it has no such run', context: {isStartInDoubt: true}, reportedStartMs: startedAtMs + 1, expected: EarlyEnd.Restarted,
 		},
 		{
-			name: 'with its connection is whole if the same start answers that it has no such run', context: {wasOrderedToStop: true}, reportedStartMs: startedAtMs, expected: undefined,
+			name: 'with its connection is whole if the same start answers that it has no such run', context: {isStartInDoubt: true}, reportedStartMs: startedAtMs, expected: undefined,
 		},
 	])('$name', async ({expected, ...situation}) => {
 		const {earlyEnd, counted} = await findEarlyEnd(situation);
--- a/src/coordination/serving/answer-ends.ts
+++ b/src/coordination/serving/answer-ends.ts
@@ -25,7 +25,7 @@
 	Deadline = 'deadline',
 	/** A new stream ended without an event. */
 	Empty = 'empty',
-	/** The backend server accepts no connections any more. */
+	/** The backend server refuses connections. */
 	Exited = 'exited',
 	/** The backend server has started again, or it cannot be told whether it has. */
 	Restarted = 'restarted',
@@ -35,8 +35,8 @@
 export type AnswerContext = {
 	/** Whether an order has stopped its run, or may have. */
 	mayBeStopped?: boolean;
-	/** Whether its run was ordered to stop, whatever the result. */
-	wasOrderedToStop?: boolean;
+	/** Whether its backend server may have started again since the answer ended. */
+	isStartInDoubt?: boolean;
 	/** Whether it is a new stream of which no event has arrived. */
 	isEmptyStream?: boolean;
 };
@@ -44,7 +44,7 @@
 /** What {@link AnswerEnds} depends on. */
 export type AnswerEndsDependencies = {
 	backends: Pick<BackendTable, 'get'>;
-	crashWatch: Pick<CrashWatch, 'acceptsNoConnections'>;
+	crashWatch: Pick<CrashWatch, 'refusesConnections'>;
 	engines: Pick<EngineClient, 'readStartTime'>;
 	pauses: Pick<PauseWatch, 'hasBacklog'>;
 	metrics: Pick<RequestMetrics, 'recordConnectionEnd'>;
@@ -71,19 +71,19 @@
 	}
 
 	/** Finds out whether the backend server has ended. */
-	private async findEndOfBackend({backend}: Pick<StartedAnswer, 'backend'>, signal: AbortSignal, {wasOrderedToStop = false}: AnswerContext): Promise<EarlyEnd | undefined> {
+	private async findEndOfBackend({backend}: Pick<StartedAnswer, 'backend'>, signal: AbortSignal, {isStartInDoubt = false}: AnswerContext): Promise<EarlyEnd | undefined> {
 		const {backends, crashWatch, engines, pauses, clock} = this.dependencies;
 		if (backends.get(backend.id)?.isEnded) {
 			return EarlyEnd.Restarted;
 		}
 
-		if (await crashWatch.acceptsNoConnections(backend)) {
+		if (await crashWatch.refusesConnections(backend)) {
 			return EarlyEnd.Exited;
 		}
 
 		// The one that accepts connections now may be a later start: that it has no such run is then no sign that the run had ended.
-		const isStartInDoubt = wasOrderedToStop || pauses.hasBacklog(clock.now());
-		if (isStartInDoubt && backend.startedAtMs !== undefined && await engines.readStartTime(backend, signal) !== backend.startedAtMs) {
+		const mayHaveRestarted = isStartInDoubt || pauses.hasBacklog(clock.now());
+		if (mayHaveRestarted && backend.startedAtMs !== undefined && await engines.readStartTime(backend, signal) !== backend.startedAtMs) {
 			return EarlyEnd.Restarted;
 		}
 
--- a/src/coordination/serving/forwarded-stream.ts
+++ b/src/coordination/serving/forwarded-stream.ts
@@ -12,6 +12,8 @@
 
 /** Longest event, in bytes. */
 const maxEventBytes = 262_144;
+/** Time after the last event of a run in which its end is noticed promptly, in milliseconds: engines need longer than that to start again. */
+const promptEndMs = 500;
 /** Most bytes of one run. */
 const maxRunBytes = 16 * 1024 * 1024;
 
@@ -89,6 +91,8 @@
 	nextTakeoverAtMs = Number.NEGATIVE_INFINITY;
 	/** Whether it has been logged that no takeover is possible, so that this is logged once only. */
 	hasLoggedNoTakeover = false;
+	/** Whether reading from the engine of the last run was paused at some time. */
+	private hasPausedReading = false;
 	private interruptCause: InterruptCause | undefined;
 	/** Cancels the attempt that waits for its answer. */
 	private waitingAttempt = new AbortController();
@@ -126,6 +130,11 @@
 		return this.interruptCause === InterruptCause.Quarantined;
 	}
 
+	/** Whether the end of the last run may have been noticed long after it: the client reads slowly, or nothing arrived for a while. */
+	get hasEndedLate(): boolean {
+		return this.hasPausedReading || this.now() - this.lastProgressAtMs > promptEndMs;
+	}
+
 	/** Whether the last run was closed because its engine had restarted. */
 	get hasEngineRestarted(): boolean {
 		return this.interruptCause === InterruptCause.Restarted;
@@ -212,6 +221,7 @@
 		this.currentRun = run;
 		this.interruptCause = undefined;
 		this.hasMoveFailed = false;
+		this.hasPausedReading = false;
 		this.lastProgressAtMs = this.now();
 		return new Promise((resolve, reject) => {
 			let hasEnded = false;
@@ -246,6 +256,7 @@
 				}
 
 				if (this.response.writableNeedDrain) {
+					this.hasPausedReading = true;
 					source.pause();
 					this.response.once('drain', () => {
 						source.resume();
--- a/src/coordination/serving/served-request.ts
+++ b/src/coordination/serving/served-request.ts
@@ -7,6 +7,7 @@
 import {type SlotLease} from '../slots/slot-leases.js';
 import {computeFingerprints, type RequestFingerprints} from '../quarantine/request-fingerprint.js';
 import {type OriginSource} from '../stream-origins/stream-origin-lookup.js';
+import {type EarlyEnd} from './answer-ends.js';
 
 /** One attempt: the request sent to one backend server. */
 export type Attempt = {
@@ -29,7 +30,7 @@
 	/** When its answer ended, if only the end of its connection ends the answer, in milliseconds after the request's arrival. */
 	connectionEndedAfterMs?: number;
 	/** Why that end may have come before the end of the answer. */
-	earlyEnd?: string;
+	earlyEnd?: EarlyEnd;
 	/** The orders to its engine that stop the run, and what was answered to them. */
 	stopOrders?: string[];
 	/** What the head of the answer stated of the backend server. */
--- a/src/coordination/serving/stream-forwarding.ts
+++ b/src/coordination/serving/stream-forwarding.ts
@@ -95,13 +95,14 @@
 		}
 
 		// eslint-disable-next-line no-await-in-loop
-		const moved = await awaitMove(stream) ?? (isStopped ? stream.takeSpareCopy() : undefined);
+		const pending = await awaitMove(stream);
 		// eslint-disable-next-line no-await-in-loop
 		takenOver = await stream.awaitTakeover();
 		if (takenOver) {
 			continue;
 		}
 
+		const moved = pending ?? (isStopped ? stream.takeSpareCopy() : undefined);
 		if (moved) {
 			next = {target: moved.target, kvSource: moved.run.kvSource, purpose: RetryPurpose.Move};
 		} else if (served.mayHaveRun && !served.canRunAgain) {
@@ -172,9 +173,10 @@
 
 	const mayBeStopped = stopOrders.mayHaveStopped(started);
 	const earlyEnd = isComplete
-		? await dispatcher.answerEnds.findEarlyEnd(started, served, {mayBeStopped, wasOrderedToStop: stopOrders.hasOrdered(started), isEmptyStream: stream.lastEventId === undefined})
+		? await dispatcher.answerEnds.findEarlyEnd(started, served, {mayBeStopped, isStartInDoubt: stopOrders.hasOrdered(started) || stream.hasEndedLate, isEmptyStream: stream.lastEventId === undefined})
 		: undefined;
-	if (mayBeStopped) {
+	// The engine may still work on a run whose connection was reset on the way.
+	if (mayBeStopped && !started.answer.isReset) {
 		return RunEnd.Stopped;
 	}
 
