Send the continuation of a run only to an engine that may still get requests

A copy that is kept for an order without an answer may be used seconds later. If its engine had begun to leave meanwhile, the request reached it later than a leaving backend server may get any: 4.5 s after it was known to leave, of 2 s. The time is now checked for each continuation as it is sent, in place of the check as the order was answered.

The copy is also released if its stream ended before the order was given up, or if another run has taken the stream over. A move tries no further target once its run has ended.

--- a/src/cli/front-container.ts
+++ b/src/cli/front-container.ts
@@ -269,7 +269,7 @@
 	}));
 	registerFactory(StopAdmission, () => new StopAdmission());
 	registerFactory(StreamRegistry, resolver => new StreamRegistry({
-		backends: resolver.resolve(BackendTable), engines, dispatcher: resolver.resolve(Dispatcher), routes: resolver.resolve(RouteTable), rollouts: resolver.resolve(Rollouts), sharing: resolver.resolve(StreamOriginSharing), quarantine: resolver.resolve(Quarantine), bounds, clock, signal,
+		backends: resolver.resolve(BackendTable), engines, dispatcher: resolver.resolve(Dispatcher), routes: resolver.resolve(RouteTable), rollouts: resolver.resolve(Rollouts), sharing: resolver.resolve(StreamOriginSharing), quarantine: resolver.resolve(Quarantine), clock, signal,
 	}));
 	const {configSink, backendsSink} = createSinks(frontContainer);
 	const isRelay = (resolver: DependencyContainer) => resolver.resolve(FleetTable).roleAt(clock.now()) === FleetRole.Relay;
--- a/src/coordination/serving/__tests__/stream-registry.test.ts
+++ b/src/coordination/serving/__tests__/stream-registry.test.ts
@@ -79,7 +79,7 @@
 	return new StreamRegistry({
 		backends, engines: undefined as never, dispatcher: undefined as never, routes: undefined as never, rollouts: new Rollouts({canaryShare: 0.1}, () => 0, noEvidence), sharing: new StreamOriginSharing({
 			versions: {isMixed: () => false}, exchange: {note: () => undefined}, engines: {readStartTime: async () => undefined}, signal: new AbortController().signal,
-		}), quarantine, bounds: {drainMs: 2000}, clock: {now: () => 0}, signal: new AbortController().signal,
+		}), quarantine, clock: {now: () => 0}, signal: new AbortController().signal,
 	});
 }
 
--- a/src/coordination/serving/dispatcher.ts
+++ b/src/coordination/serving/dispatcher.ts
@@ -220,6 +220,12 @@
 			}
 
 			const nowMs = this.dependencies.clock.now();
+			if (options.kvSource !== undefined && !this.dependencies.backends.acceptsContinuations(choice.backend.id, nowMs)) {
+				slot.end(SlotEnd.Free, nowMs);
+				reservations.release(served);
+				return {kind: DispatchKind.NotRun, backend: choice.backend, reason: 'the engine of its copy leaves'};
+			}
+
 			if (served.deliveries > 0 && !served.reservation && !reservations.takeFromBudget(served, options.purpose, nowMs)) {
 				slot.end(SlotEnd.Free, nowMs);
 				return {kind: DispatchKind.NoRetryBudget, reason: `repeat allowance used up (${reservations.describeBudget(served)})`};
--- a/src/coordination/serving/stream-registry.ts
+++ b/src/coordination/serving/stream-registry.ts
@@ -5,7 +5,7 @@
  * move within two seconds.
  */
 import {
-	type EngineClient, type MoveAnswer, type MovedRun, MoveResult, type ServiceBounds,
+	type EngineClient, type MoveAnswer, type MovedRun, MoveResult,
 } from '../../protocol/platform.js';
 import {type Backend} from '../../protocol/serving.js';
 import {type BackendTable} from '../../state/backend-table.js';
@@ -38,8 +38,6 @@
 const stallTimeoutMs = 1300;
 /** Number of engines that are tried as the target of a move, and asked to hold room for a takeover. */
 const maxMoveTargets = 2;
-/** Share of the time within which a leaving engine gets no new work that may pass until a run which it has stopped continues there. */
-const continuationShare = 0.6;
 /** Time until engines are asked again after none held room for a stream, in milliseconds. */
 const takeoverRetryMs = 1000;
 
@@ -49,7 +47,7 @@
 	movedCount = 0;
 	private readonly streams = new Set<ForwardedStream>();
 
-	constructor(private readonly dependencies: {backends: BackendTable; engines: EngineClient; dispatcher: Dispatcher; routes: RouteTable; rollouts: Rollouts; sharing: StreamOriginSharing; quarantine: Quarantine; bounds: Pick<ServiceBounds, 'drainMs'>; clock: Pick<SteadyClock, 'now'>; signal: AbortSignal}) {}
+	constructor(private readonly dependencies: {backends: BackendTable; engines: EngineClient; dispatcher: Dispatcher; routes: RouteTable; rollouts: Rollouts; sharing: StreamOriginSharing; quarantine: Quarantine; clock: Pick<SteadyClock, 'now'>; signal: AbortSignal}) {}
 
 	get size(): number {
 		return this.streams.size;
@@ -61,10 +59,7 @@
 
 	remove(stream: ForwardedStream): void {
 		this.streams.delete(stream);
-		const unused = stream.takeSpareCopy();
-		if (unused) {
-			this.release(unused.run, unused.source);
-		}
+		this.releaseSpareCopy(stream);
 	}
 
 	/** Records the answers that have been written for long enough to clear the parts of their prompts. */
@@ -237,7 +232,7 @@
 	/** Moves a run to another engine; if none has room, the run stays on its engine. */
 	private async move(stream: ForwardedStream, source: Backend): Promise<MovedStream | undefined> {
 		stream.served.excluded.add(source.id);
-		for (let tries = 0; tries < maxMoveTargets; tries++) {
+		for (let tries = 0; tries < maxMoveTargets && (tries === 0 || stream.currentRun?.backend.id === source.id); tries++) {
 			const target = this.dependencies.dispatcher.reservations.reservedBackend(stream.served);
 			if (!target) {
 				break;
@@ -285,7 +280,8 @@
 		log.info('attempt to move the stream to another engine ended.', {
 			request: id, from: source.id, to: target.id, events: stream.events, copied: describeAnswer(copied, copiedAtMs - startedAtMs), moved: copied.run && describeAnswer(moved, clock.now() - copiedAtMs),
 		});
-		if (copied.run && moved.result === MoveResult.Unanswered) {
+		if (copied.run && moved.result === MoveResult.Unanswered && this.streams.has(stream)) {
+			this.releaseSpareCopy(stream);
 			stream.spareCopy = {source, target, run: copied.run};
 		} else if (copied.run && !moved.run) {
 			this.release(copied.run, source);
@@ -296,11 +292,9 @@
 
 	/** Returns a run that its source stopped, though its target did not take it, to continue at the source, if that may still receive requests. */
 	private continueStopped(stream: ForwardedStream, source: Backend, run: MovedRun): MovedStream | undefined {
-		const {backends, bounds, clock} = this.dependencies;
-		const nowMs = clock.now();
-		const {leavingSinceMs, vanishedAtMs} = backends.get(source.id) ?? {};
-		this.dependencies.dispatcher.reservations.release(stream.served);
-		if (nowMs - (leavingSinceMs ?? vanishedAtMs ?? nowMs) <= bounds.drainMs * continuationShare) {
+		const {backends, dispatcher, clock} = this.dependencies;
+		dispatcher.reservations.release(stream.served);
+		if (backends.acceptsContinuations(source.id, clock.now())) {
 			return {target: source, run};
 		}
 
@@ -329,6 +323,14 @@
 		return answer;
 	}
 
+	/** Releases the spare copy of a stream, if it has one. */
+	private releaseSpareCopy(stream: ForwardedStream): void {
+		const unused = stream.takeSpareCopy();
+		if (unused) {
+			this.release(unused.run, unused.source);
+		}
+	}
+
 	/** Releases an unused copy, so that it does not occupy a slot at its target. */
 	private release(run: MovedRun, source: Backend): void {
 		void this.dependencies.engines.release(run, source, this.dependencies.signal).catch((error: unknown) => {
--- a/src/state/backend-table.ts
+++ b/src/state/backend-table.ts
@@ -11,6 +11,9 @@
 /** How long a backend server whose entry was removed may still be used when no other is left, in milliseconds; shorter than the time within which a leaving one must get no new work. */
 const unlistedUseMs = 800;
 
+/** Share of the time within which a leaving backend server must get no new work that may pass until the continuation of a run is sent to it. */
+const continuationShare = 0.6;
+
 /** A backend server, and whether and when it leaves. */
 export type BackendEntry = {
 	backend: Backend;
@@ -174,6 +177,13 @@
 		return usable.map(entry => entry.backend);
 	}
 
+	/** Whether the continuation of a run may be sent to a backend server: one that leaves must get no requests some time after that is known. */
+	acceptsContinuations(id: string, nowMs: number): boolean {
+		const entry = this.entriesById.get(id);
+		const leavingSinceMs = entry?.leavingSinceMs ?? entry?.vanishedAtMs;
+		return entry !== undefined && !entry.isEnded && (leavingSinceMs === undefined || nowMs - leavingSinceMs <= this.bounds.drainMs * continuationShare);
+	}
+
 	/** Returns the services that have entries, also those that are not listed any more. */
 	services(): string[] {
 		return [...this.byService].filter(([, entries]) => entries.length > 0).map(([service]) => service);
