Add runs with stopped streams to the soak

The soak played orders that stop streams only for streams with chunks, whose early end the daemon sees from the bytes. A stream with neither a length nor chunks that such an order stopped reached its client as complete, and no run showed it.

Other kinds draw the same faults as before. The check of a complete stream now wants whole events; it took one whose last event lacked its data for whole.

--- a/soak/clients.ts
+++ b/soak/clients.ts
@@ -209,6 +209,11 @@
 	});
 }
 
+/** Returns the ids of the events of a stream, and what is left after its last whole event. */
+function findEvents(body: string): string {
+	return body.split('\n\n').map(event => event.replace(/\ndata: .*$/v, '')).join(' ').trimEnd();
+}
+
 /** Returns what is wrong with a complete success by itself: a missing seal or a body other than the replica's. */
 export function findAnswerViolation(record: RequestRecord): string | undefined {
 	const {status, isComplete, replicaSeal, body, kind, id, lastEventId = 0} = record;
@@ -222,6 +227,6 @@
 
 	const isStream = kind === 'stream' || kind === 'once';
 	const expected = isStream ? Array.from({length: streamEvents - lastEventId}, (_, index) => `id: ${index + 1 + lastEventId}`).join(' ') : `POST /${kind}/${id} ${id}`;
-	const received = isStream ? (body.match(/^id: \d+$/gmv) ?? []).join(' ') : body;
+	const received = isStream ? findEvents(body) : body;
 	return received === expected ? undefined : `a success with the wrong body: ${received}`;
 }
--- a/soak/cluster.ts
+++ b/soak/cluster.ts
@@ -113,6 +113,8 @@
 	hasPrompts?: boolean;
 	/** Whether replicas have few slots, refuse requests early and repeat refusals, and are reclaimed while they move running streams. */
 	hasMoves?: boolean;
+	/** Whether, in runs with moves, streams have neither a length nor chunks, orders stop them whatever becomes of their answers, and reclaimed replicas exit with runs unfinished. */
+	hasStops?: boolean;
 	/** Whether all that happens is planned work, on replicas as in runs with moves, and these are silent or refuse late at times. */
 	hasPlannedWork?: boolean;
 };
@@ -213,7 +215,9 @@
 		const link = new FaultyLink(replica.address);
 		await link.start();
 		if (this.hasMovingReplicas) {
-			allowMoves(replica, {address: link.address, moves: this.moves, slots: this.slots});
+			allowMoves(replica, {
+				address: link.address, moves: this.moves, slots: this.slots, hasUnframedStreams: this.options.hasStops === true,
+			});
 		}
 
 		this.replicas.push(replica);
@@ -275,6 +279,13 @@
 				this.entries.delete(replica);
 				this.store.put('keyed.servers', replica.id, undefined);
 				this.endedAtMs.set(replica, Date.now());
+				if (this.options.hasStops) {
+					// The port refuses connections before the ends of the open ones arrive.
+					link.stopListening();
+					replica.stop();
+					return;
+				}
+
 				replica.stop();
 				link.stop();
 			}, noticeMs);
--- a/soak/faulty-link.ts
+++ b/soak/faulty-link.ts
@@ -47,6 +47,11 @@
 		this.server.close();
 	}
 
+	/** Stops listening; what is on its way on open connections still arrives, and so do their ends. */
+	stopListening(): void {
+		this.server.close();
+	}
+
 	/** Resets every open connection. */
 	reset(): void {
 		for (const pair of this.connectionPairs) {
