--- a/src/protocol/platform.ts
+++ b/src/protocol/platform.ts
@@ -104,7 +104,7 @@
 export type AppendResult
 	= | {kind: 'appended'; offset: number; era: number}
 	/** The topic did not end at the offset that the append expected. */
-		| {kind: 'conflict'; end: number};
+		| {kind: 'conflict'};
 
 /** The platform's store: an append-only log with topics. It may be restored from a copy, which begins a new era of its offsets. */
 export type Store = {
--- a/src/testing/fake-store.ts
+++ b/src/testing/fake-store.ts
@@ -104,7 +104,7 @@
 		this.throwIfDown();
 		const records = this.getRecords(topic);
 		if (expectedEnd !== undefined && expectedEnd !== records.length) {
-			return {kind: 'conflict', end: records.length};
+			return {kind: 'conflict'};
 		}
 
 		records.push({...record, offset: records.length});
