Don't pass on an answer of another daemon as whole that ended with its connection

What another daemon answers to a request that it serves for this one was passed on as whole, with a last chunk, if it had no length and its connection was closed or reset. Daemons give each body a length or chunks, so such an answer comes from something else at the address, or lacks a part.

It now breaks off for the client too, and counts as broken off.

peer-proxy.test.ts: a closed and a reset answer failed before; an answer without a body (204) and a client that leaves in the middle of an answer are guards.

--- a/src/coordination/serving/__tests__/peer-proxy.test.ts
+++ b/src/coordination/serving/__tests__/peer-proxy.test.ts
@@ -58,7 +58,7 @@
 }
 
 /** Sends a client's request through a proxy with these candidates, and returns the result and what the client got. */
-async function serveThrough(candidates: ProxyCandidate[], abort = new AbortController()): Promise<{result: ProxyResult; status?: number; body?: string; isComplete?: boolean}> {
+async function serveThrough(candidates: ProxyCandidate[], abort = new AbortController(), onRequest?: (front: ServerResponse) => Promise<void>): Promise<{result: ProxyResult; status?: number; body?: string; isComplete?: boolean}> {
 	const fleet = new FleetTable({name: 'd', failureDomain: 'fd-a', startedAtMs: 0});
 	fleet.proxyCandidates = () => candidates;
 	const clock = new SteadyClock();
@@ -70,6 +70,7 @@
 		setResult = resolve;
 	});
 	const port = await listen(createServer((_, response) => {
+		void onRequest?.(response);
 		void proxy.serve({
 			method: 'POST', path: '/p/x', rawHeaders: [], body: proxied.body, response, signal: abort.signal,
 		}, proxied, 's', clock.now() + 2000).then(outcome => {
@@ -132,6 +133,26 @@
 	}, 20);
 };
 
+/** Answers with a body that has neither a length nor chunks, and ends the connection. */
+function closeAnswer(head: string, isReset: boolean): Peer {
+	return (_, response) => {
+		const socket = response.socket!;
+		socket.write(`HTTP/1.1 ${head}\r\n\r\nhalf`);
+		setTimeout(() => {
+			if (isReset) {
+				socket.resetAndDestroy();
+			} else {
+				socket.end();
+			}
+		}, 20);
+	};
+}
+
+/** Answers without a body. */
+const answerEmpty: Peer = (_, response) => {
+	response.writeHead(204).end();
+};
+
 const gone: ProxyCandidate = {name: 'gone', address: {host: '127.0.0.1', port: 1}, isResponsive: true};
 
 describe('PeerProxy', () => {
@@ -157,6 +178,16 @@
 		{
 			name: 'does not complete an answer that breaks off', peers: [cutAnswer, serve], received: ['p0'], result: {kind: 'answered', isComplete: false}, client: {status: 200, isComplete: false},
 		},
+		// A daemon gives each body a length or chunks; another server may have taken the address.
+		{
+			name: 'does not complete an answer that ends with its connection', peers: [closeAnswer('200 OK', false), serve], received: ['p0'], result: {kind: 'answered', isComplete: false}, client: {status: 200, isComplete: false},
+		},
+		{
+			name: 'does not complete an answer whose connection is reset', peers: [closeAnswer('200 OK', true), serve], received: ['p0'], result: {kind: 'answered', isComplete: false}, client: {status: 200, isComplete: false},
+		},
+		{
+			name: 'passes an answer without a body on', peers: [answerEmpty, serve], received: ['p0'], result: {kind: 'answered', isComplete: true}, client: {status: 204, body: '', isComplete: true},
+		},
 		{
 			name: 'has not run a request that nobody can take', peers: [], received: [], result: {kind: 'not-run'}, client: {status: 599},
 		},
@@ -186,6 +217,19 @@
 		expect(received!.elapsedMs).toBeGreaterThanOrEqual(10);
 	});
 
+	it('stops to pass an answer on as its client leaves in the middle of it', async () => {
+		const peer = await startPeer('p0', (_, response) => {
+			response.writeHead(200).write('half');
+		}, []);
+		const leave = async (front: ServerResponse) => {
+			await expect.poll(() => front.headersSent, {timeout: 500}).toBe(true);
+			front.socket!.destroy();
+		};
+
+		const {result} = await serveThrough([peer], new AbortController(), leave);
+		expect(result).toMatchObject({kind: 'answered', isComplete: false});
+	});
+
 	it('closes the request at the other daemon as its client leaves', async () => {
 		const abort = new AbortController();
 		let isClosed = false;
--- a/src/coordination/serving/peer-proxy.ts
+++ b/src/coordination/serving/peer-proxy.ts
@@ -11,8 +11,9 @@
 import {type SteadyClock} from '../../clock.js';
 import {createLogger} from '../../log.js';
 import {type BackendConnectionPool, type BackendResponse, sendBackendRequest} from '../../transport/backend-connection-pool.js';
-import {ConnectError} from '../../transport/errors.js';
+import {ConnectError, TransportError} from '../../transport/errors.js';
 import {type FrontRequest} from '../../transport/front-server.js';
+import {isDelimited} from '../../transport/response-integrity.js';
 import {type FleetTable, type ProxyCandidate} from '../fleet/fleet-table.js';
 import {type Reachability} from '../reachability.js';
 import {filterForwardedHeaders} from './final-answers.js';
@@ -121,7 +122,7 @@
 		const headers = filterForwardedHeaders(source.rawHeaders);
 		response.writeHead(status, length === undefined ? headers : [...headers, 'Content-Length', length]);
 		try {
-			await pipeline(source, response);
+			await pipeline(source, readWhole(answer), response);
 		} catch (error) {
 			response.destroy();
 			log.info('the answer of another daemon broke off.', {peer, error: String(error)});
@@ -136,6 +137,20 @@
 	}
 }
 
+/**
+ * Creates a transform that yields the body of an answer.
+ *
+ * @throws {TransportError} When it may lack a part: daemons state where their answers end, so one that ends with its connection is not whole.
+ */
+function readWhole(answer: BackendResponse): (body: AsyncIterable<Uint8Array>) => AsyncGenerator<Uint8Array> {
+	return async function * (body) {
+		yield * body;
+		if (!answer.isComplete || !isDelimited(answer.response)) {
+			throw new TransportError('the answer ended with its connection');
+		}
+	};
+}
+
 /** Selects the daemons to try at random, so that all take an equal part; the last one is one that was heard from of late, since others may be gone. */
 function selectPeers(candidates: ProxyCandidate[], random: () => number): ProxyCandidate[] {
 	const shuffled = candidates.map(candidate => ({candidate, rank: random()})).toSorted((a, b) => a.rank - b.rank).map(({candidate}) => candidate);
--- a/src/transport/response-integrity.ts
+++ b/src/transport/response-integrity.ts
@@ -7,6 +7,8 @@
 const maxStatus = 599;
 /** A reason phrase (RFC 9112, section 4); the parser of Node.js accepts control characters too. */
 const reasonPhrasePattern = /^[\t\u0020-\u007E\u0080-\u00FF]*$/v;
+/** The statuses of responses that have no body (RFC 9112, section 6.3). */
+const bodilessStatuses: ReadonlySet<number | undefined> = new Set([204, 304]);
 
 const trackedSockets = new WeakSet<Socket>();
 const resetSockets = new WeakSet<Socket>();
@@ -42,6 +44,11 @@
 	return headers['content-length'] === undefined && headers['transfer-encoding'] === undefined;
 }
 
+/** Whether a response to a request other than HEAD states where its body ends, or has none by its status. */
+export function isDelimited(response: IncomingMessage): boolean {
+	return !isEndedByClose(response) || bodilessStatuses.has(response.statusCode);
+}
+
 /** Whether a status line is well-formed and belongs to a final response. */
 export function isFinalStatusLine({statusCode = 0, statusMessage = ''}: IncomingMessage): boolean {
 	return statusCode >= minStatus && statusCode <= maxStatus && reasonPhrasePattern.test(statusMessage);
