Take no answer to a gateway's calls for one that is malformed, reset or without any byte

The gateway's client took a response with status 000 for an answer, one without a length whose connection was reset for whole, and one without a length that ended before its first byte for an answer of null.

Such a response is none now, so it stays open whether the call was carried out. An empty body of length 0 or by status 204 is still an answer.

--- a/src/transport/http-client.ts
+++ b/src/transport/http-client.ts
@@ -7,6 +7,9 @@
 import {
 	ConnectError, HttpStatusError, TransportError, SendNotAllowedError,
 } from './errors.js';
+import {
+	isBodyComplete, isDelimited, isFinalStatusLine, trackResets,
+} from './response-integrity.js';
 
 /** Options of one request. */
 export type JsonRequest = {
@@ -70,7 +73,7 @@
  * Sends a request and returns the response as a stream, with its status.
  *
  * @throws {ConnectError} When no connection could be opened; nothing was sent.
- * @throws {TransportError} When the connection fails, times out or is aborted.
+ * @throws {TransportError} When the connection fails, times out or is aborted, or the status line is invalid.
  */
 export async function requestStream(options: JsonRequest): Promise<IncomingMessage> {
 	const {method, url, payload, headers = {}, timeoutMs = defaultTimeoutMs, signal, mayStillSend} = options;
@@ -94,6 +97,12 @@
 	signal?.addEventListener('abort', abort, {once: true});
 	try {
 		const response = await pending;
+		trackResets(response.socket);
+		if (!isFinalStatusLine(response)) {
+			response.destroy();
+			throw new TransportError(`${requestName} got an invalid status line`);
+		}
+
 		response.once('close', () => {
 			signal?.removeEventListener('abort', abort);
 		});
@@ -105,13 +114,18 @@
 }
 
 /**
- * Reads the JSON body of a response.
+ * Reads the JSON body of a response of {@link requestStream}; an empty body is null, unless only the end of the connection ends it.
  *
- * @throws {TransportError} When the body is not valid JSON or does not arrive in time.
+ * @throws {TransportError} When the body is not valid JSON, is not complete or does not arrive in time.
  */
 export async function readJson<T>(response: IncomingMessage, timeoutMs: number): Promise<T> {
 	try {
-		return await Wreck.read(response, {json: 'force', timeout: timeoutMs, maxBytes: maxBodyBytes});
+		const body = await Wreck.read<unknown>(response, {json: 'force', timeout: timeoutMs, maxBytes: maxBodyBytes});
+		if (!isBodyComplete(response) || (body === null && !isDelimited(response))) {
+			throw new TransportError('the body is not complete');
+		}
+
+		return body as T;
 	} catch (error) {
 		response.destroy();
 		throw new TransportError('cannot read the JSON body of the response', {cause: error});
