--- a/src/transport/response-integrity.ts
+++ b/src/transport/response-integrity.ts
@@ -7,7 +7,6 @@
 const maxStatus = 599;
 /** A reason phrase (RFC 9112, section 4); the parser of Node.js accepts control characters too. */
 const reasonPhrasePattern = /^[\t\u0020-\u007E\u0080-\u00FF]*$/v;
-
 /** The statuses of responses that have no body (RFC 9112, section 6.3). */
 const bodilessStatuses: ReadonlySet<number | undefined> = new Set([204, 304]);
 /** A transfer coding whose last part is chunks, which alone show where a body ends (RFC 9112, section 6.1). */
