Hold back the end of a connection after uploads beyond the initial window

Uploads of 14.6 to 64 KiB were taken for received although the backend server had not read them: part of an answer without a length passed as whole if its side was ended and the connection reset 5 or 20 ms later (trials: 30,000 bytes). The end is held back from the initial window of TCP on, beyond which an upload waits for acknowledgements.

After a 503 to an order to stop a run, if its source may not get requests any more, the stream counts as one whose move has failed, so that its silence is noticed.

--- a/src/cli/front-daemon.ts
+++ b/src/cli/front-daemon.ts
@@ -336,8 +336,8 @@
 			sweep: {
 				intervalMs: () => sweepIntervalMs,
 				step: async () => {
-					// After a time without processor time, the events that have arrived meanwhile must not count as the engines' silence.
 					pauses.noteActive(this.clock.now());
+					// After a time without processor time, the events that have arrived meanwhile must not count as the engines' silence.
 					await nextPoll();
 					registry.sweep(this.clock.now());
 				},
--- a/src/coordination/serving/stream-registry.ts
+++ b/src/coordination/serving/stream-registry.ts
@@ -259,7 +259,14 @@
 
 			stream.served.excluded.add(target.id);
 			if (run) {
-				return this.continueStopped(stream, source, run);
+				// The source has stopped the run and keeps it.
+				if (this.dependencies.backends.acceptsContinuations(source.id, this.dependencies.clock.now())) {
+					this.dependencies.dispatcher.reservations.release(stream.served);
+					return {target: source, run};
+				}
+
+				this.release(run, source);
+				break;
 			}
 		}
 
@@ -290,18 +297,6 @@
 		return moved;
 	}
 
-	/** Returns a run that its source stopped, though its target did not take it, to continue at the source, if that may still receive requests. */
-	private continueStopped(stream: ForwardedStream, source: Backend, run: MovedRun): MovedStream | undefined {
-		const {backends, dispatcher, clock} = this.dependencies;
-		dispatcher.reservations.release(stream.served);
-		if (backends.acceptsContinuations(source.id, clock.now())) {
-			return {target: source, run};
-		}
-
-		this.release(run, source);
-		return undefined;
-	}
-
 	/** Moves a copied run, unless its target has begun to leave or to cool down during the copy. */
 	private async moveIfUsable(stream: ForwardedStream, source: Backend, target: Backend): Promise<MoveAnswer> {
 		const {engines, dispatcher, clock, signal} = this.dependencies;
--- a/src/transport/__tests__/early-answers.test.ts
+++ b/src/transport/__tests__/early-answers.test.ts
@@ -54,7 +54,7 @@
 	}
 }
 
-const sizes = [300_000, 1_000_000, 3_900_000];
+const sizes = [30_000, 300_000, 1_000_000, 3_900_000];
 
 describe('an answer without length to a long upload', () => {
 	it.each(sizes.flatMap(bytes => [0, 1, 5, 20].flatMap(afterMs => [true, false].map(endsFirst => ({bytes, afterMs, endsFirst})))))('is not complete when the connection is reset after $afterMs ms, of $bytes bytes, its side ended before: $endsFirst', async ({bytes, afterMs, endsFirst}) => {
--- a/src/transport/backend-connection-pool.ts
+++ b/src/transport/backend-connection-pool.ts
@@ -36,8 +36,8 @@
 /** Longest rest of a response, in bytes, that is read so that the connection can be reused, and the longest time for it, in milliseconds. */
 const maxDiscardedBytes = 16_384;
 const discardTimeoutMs = 500;
-/** Longest request body, in bytes, that the kernel of a backend server takes in though the backend server does not read it. */
-const maxUnreadBytes = 65_536;
+/** Longest request body, in bytes, that is sent at once, without waiting for acknowledgements (RFC 6928); a longer one may still be on its way as its response ends. */
+const initialWindowBytes = 14_600;
 /** Time after the end of a response's connection in which a reset shows that the backend server had not read a longer body, in milliseconds: ten round trips between failure domains. */
 const unreadResetMs = 50;
 /** Time without traffic before the first TCP keep-alive probe, in milliseconds. */
@@ -335,7 +335,7 @@
 	request.once('socket', socket => {
 		limitHead(request, socket, backend.id);
 		if (socket instanceof BackendSocket) {
-			socket.endDelayMs = body !== undefined && body.length > maxUnreadBytes ? unreadResetMs : 0;
+			socket.endDelayMs = body !== undefined && body.length > initialWindowBytes ? unreadResetMs : 0;
 		}
 
 		// A connection may fail at once, for want of a route or a local port; nothing is sent on it.
