--- a/src/transport/__tests__/early-answers.test.ts
+++ b/src/transport/__tests__/early-answers.test.ts
@@ -14,7 +14,7 @@
 import {BackendConnectionPool, sendBackendRequest} from '../backend-connection-pool.js';
 import {TransportError} from '../errors.js';
 
-const head = 'HTTP/1.1 200 OK\r\nX-Sesametally-Attempt-Id: q\r\n\r\n';
+const head = 'HTTP/1.1 200 OK\r\n\r\n';
 let server: Server;
 let pool: BackendConnectionPool;
 /** What the backend server does once the first piece of a request has arrived. */
