Let begun answers of a stopping daemon end until its connections are closed

Cause: 0.8 s before the end of the grace period a daemon ends all open requests, so that each gets an answer before the connections are closed 0.3 s later. One whose answer has begun can get no other, so ending it only cuts it. The replicas of the test take 5 s and the first request is sent 0.2 s into the stop, so its events arrive as the requests are ended.

Change: only requests whose answer has not begun are ended. The others go on until the connections are closed, which stays 0.5 s before the end.

--- a/src/cli/commands/front.ts
+++ b/src/cli/commands/front.ts
@@ -61,7 +61,7 @@
 	}
 }
 
-/** Leaves the load balancer's rotation, waits until the open requests have ended or the grace period is almost over, and ends those that are still open. */
+/** Leaves the load balancer's rotation, waits until the open requests have ended or the grace period is almost over, ends those whose answer has not begun, and waits for the others. */
 async function finishRequests(daemon: FrontDaemon, graceMs: number): Promise<void> {
 	const {inactiveMs} = daemon;
 	const deadlineMs = performance.now() - inactiveMs + graceMs - closeMarginMs;
--- a/src/cli/front-daemon.ts
+++ b/src/cli/front-daemon.ts
@@ -199,7 +199,7 @@
 		this.peerServer.close();
 	}
 
-	/** Ends the open requests with an answer that states whether they may have run. */
+	/** Ends the open requests whose answer has not begun with one that states whether they may have run. */
 	endRequests(): void {
 		this.server.endRequests();
 		this.peerServer.endRequests();
--- a/src/transport/front-server.ts
+++ b/src/transport/front-server.ts
@@ -112,8 +112,8 @@
 /** The client-facing HTTP server of a serving daemon. */
 export class FrontServer {
 	private readonly clients = new Set<ClientConnection>();
-	/** Of the requests that the handler is serving. */
-	private readonly handledRequests = new Set<AbortController>();
+	/** The responses of the requests that the handler is serving, by what aborts the request. */
+	private readonly handledRequests = new Map<AbortController, ServerResponse>();
 	private readonly server: LimitedServer;
 	private readonly connectionLimits: ConnectionLimits;
 	private limits = defaultLimits;
@@ -213,10 +213,12 @@
 		}
 	}
 
-	/** Ends the requests that are being handled, so that their clients get a response before the connections are closed. */
+	/** Ends the requests whose response has not begun, so that their clients get one before the connections are closed. */
 	endRequests(): void {
-		for (const request of this.handledRequests) {
-			request.abort(new RequestEndedError('the server stops'));
+		for (const [request, response] of this.handledRequests) {
+			if (!response.headersSent) {
+				request.abort(new RequestEndedError('the server stops'));
+			}
 		}
 	}
 
@@ -286,7 +288,7 @@
 
 			isHandled = true;
 			connection.noteServed(request);
-			this.handledRequests.add(clientDisconnect);
+			this.handledRequests.set(clientDisconnect, response);
 			await this.handler({
 				method: request.method ?? 'GET', path: request.url ?? '/', rawHeaders: request.rawHeaders, body, response, signal: clientDisconnect.signal,
 			});
