Share the server of two tests of connections after uploads

Two cases of early-answers.test.ts each had the same server that counts its connections and answers whole uploads. They call one function now; checks and bounds stay.

--- a/src/transport/__tests__/early-answers.test.ts
+++ b/src/transport/__tests__/early-answers.test.ts
@@ -84,24 +84,32 @@
 	});
 });
 
+/** Answers each upload of at least so many bytes once it is whole, and returns the connections. */
+function answerUploads(bytes: number, answer: (socket: Socket) => void): Set<Socket> {
+	const sockets = new Set<Socket>();
+	server.removeAllListeners('connection');
+	server.on('connection', socket => {
+		sockets.add(socket);
+		let received = 0;
+		socket.on('error', () => undefined);
+		socket.on('data', chunk => {
+			received += chunk.length;
+			if (chunk.at(-1) === 97 && received >= bytes) {
+				received = 0;
+				answer(socket);
+			}
+		});
+	});
+	return sockets;
+}
+
 describe('a connection after a long upload', () => {
 	it('is not used again once its backend server has closed it', async () => {
-		const sockets = new Set<Socket>();
-		server.removeAllListeners('connection');
-		server.on('connection', socket => {
-			sockets.add(socket);
-			let received = 0;
-			socket.on('error', () => undefined);
-			socket.on('data', chunk => {
-				received += chunk.length;
-				if (chunk.at(-1) === 97 && received >= 300_000) {
-					received = 0;
-					socket.write('HTTP/1.1 200 OK\r\nKeep-Alive: timeout=5\r\nContent-Length: 2\r\n\r\nok');
-					setTimeout(() => {
-						socket.end();
-					}, 5);
-				}
-			});
+		const sockets = answerUploads(300_000, socket => {
+			socket.write('HTTP/1.1 200 OK\r\nKeep-Alive: timeout=5\r\nContent-Length: 2\r\n\r\nok');
+			setTimeout(() => {
+				socket.end();
+			}, 5);
 		});
 		expect(await upload(300_000)).toBe('ok');
 		await delay(20);
@@ -211,18 +219,8 @@
 
 describe('a connection whose end is held back', () => {
 	it.each([60_000, 300_000])('is not used again after its answer to an upload of %d bytes', async bytes => {
-		const sockets = new Set<Socket>();
-		server.removeAllListeners('connection');
-		server.on('connection', socket => {
-			sockets.add(socket);
-			let received = 0;
-			socket.on('error', () => undefined);
-			socket.on('data', chunk => {
-				received += chunk.length;
-				if (chunk.at(-1) === 97 && received >= bytes) {
-					socket.end('HTTP/1.1 200 OK\r\nKeep-Alive: timeout=5\r\nContent-Length: 2\r\n\r\nok');
-				}
-			});
+		const sockets = answerUploads(bytes, socket => {
+			socket.end('HTTP/1.1 200 OK\r\nKeep-Alive: timeout=5\r\nContent-Length: 2\r\n\r\nok');
 		});
 		const send = async () => sendBackendRequest(pool, {
 			backend: {id: 'b', host: '127.0.0.1', port: (server.address() as AddressInfo).port}, method: 'POST', path: '/', headers: ['Host', 'h'], body: Buffer.alloc(bytes, 97), isRetryable: false, connectTimeoutMs: 1000, signal: new AbortController().signal,
